--- /dev/null
+++ b/cmd/sycamorectl/main.go
@@ -0,0 +1,10 @@
+// Command sycamorectl is the operators' client.
+package main
+
+import (
+	"os"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/command/control"
+)
+
+func main() { os.Exit(control.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/base/clock/fake.go
@@ -0,0 +1,66 @@
+package clock
+
+import "sync"
+
+// Fake is a clock that moves only when told to.
+type Fake struct {
+	mu     sync.Mutex
+	now    Millis
+	timers []*fakeTimer
+}
+
+type fakeTimer struct {
+	at    Millis
+	fired chan struct{}
+}
+
+// NewFake returns a fake clock that stands at the given moment.
+func NewFake(now Millis) *Fake { return &Fake{now: now} }
+
+// Clock returns the face that the program uses.
+func (f *Fake) Clock() Clock { return Clock{NowFunc: f.read, AfterFunc: f.after} }
+
+// Advance moves the clock forward and fires every timer that has come due.
+func (f *Fake) Advance(m Millis) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now += m
+	kept := f.timers[:0]
+	for _, t := range f.timers {
+		if t.at > f.now {
+			kept = append(kept, t)
+			continue
+		}
+		t.fired <- struct{}{}
+	}
+	f.timers = kept
+}
+
+func (f *Fake) read() Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now
+}
+
+func (f *Fake) after(m Millis) (<-chan struct{}, func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := &fakeTimer{at: f.now + m, fired: make(chan struct{}, 1)}
+	if m <= 0 {
+		t.fired <- struct{}{}
+		return t.fired, func() {}
+	}
+	f.timers = append(f.timers, t)
+	return t.fired, func() { f.drop(t) }
+}
+
+func (f *Fake) drop(t *fakeTimer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, o := range f.timers {
+		if o == t {
+			f.timers = append(f.timers[:i], f.timers[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/command/daemon/serve.go
@@ -0,0 +1,67 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/logs"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/vm"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/keys"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/settings"
+)
+
+// platformTimeout bounds a request to the platform in milliseconds.
+const platformTimeout = 2 * clock.Second
+
+type serveCommand struct {
+	out      io.Writer
+	Settings string `long:"settings" required:"true" value-name:"FILE" description:"Settings file of this VM"`
+}
+
+// Execute implements flags.Commander.
+func (c *serveCommand) Execute([]string) error {
+	s, err := settings.Read(c.Settings)
+	if err != nil {
+		return err
+	}
+	o, err := vmOptions(s, c.out)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	v, err := vm.Start(ctx, o)
+	if err != nil {
+		return err
+	}
+	o.Log.Info("serving", "vm", s.Name, "callers", v.Address(), "operators", v.OperatorURL())
+	<-v.Done()
+	o.Log.Info("stopped", "vm", s.Name)
+	return nil
+}
+
+func vmOptions(s settings.Settings, out io.Writer) (vm.Options, error) {
+	logger, err := logs.New(out, logs.Options{Level: s.Log.Level, JSON: s.Log.JSON})
+	if err != nil {
+		return vm.Options{}, err
+	}
+	material, err := s.Keys.Load()
+	if err != nil {
+		return vm.Options{}, err
+	}
+	ring, err := keys.NewRing(material)
+	if err != nil {
+		return vm.Options{}, err
+	}
+	return vm.Options{
+		Name: s.Name, Zone: s.Zone, Region: s.Region, Listen: s.Listen, Inner: s.Inner, Operator: s.Operator,
+		User: s.Backend.User, Password: s.Backend.Password, Ring: ring, Store: platform.Dial(s.Platform, platformTimeout),
+		Clock: clock.System(), Log: logger, Callers: s.Callers.Max, Silence: s.Callers.Silence,
+		Limits: caller.Limits{Message: s.Callers.Message, Startup: s.Callers.Startup, Write: s.Callers.Write},
+	}, nil
+}
--- /dev/null
+++ b/internal/command/shell/shell.go
@@ -0,0 +1,50 @@
+// Package shell holds what the programs' command lines share: parsing, exit
+// codes and output for people or scripts.
+package shell
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/go-faster/errors"
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes of every program.
+const (
+	ExitGood = 0
+	// ExitFailed means that the command was understood and did not succeed.
+	ExitFailed = 1
+	// ExitUsage means that the command line was wrong.
+	ExitUsage = 2
+)
+
+// Version is set at build time.
+var Version = "development"
+
+// Run parses the arguments, runs the chosen subcommand and returns the exit code.
+func Run(p *flags.Parser, arguments []string, out, fault io.Writer) int {
+	p.Options = flags.HelpFlag | flags.PassDoubleDash
+	_, err := p.ParseArgs(arguments)
+	var f *flags.Error
+	switch {
+	case err == nil:
+		return ExitGood
+	case errors.As(err, &f) && f.Type == flags.ErrHelp:
+		_, _ = fmt.Fprintln(out, f.Message)
+		return ExitGood
+	case errors.As(err, &f):
+		_, _ = fmt.Fprintln(fault, f.Message)
+		return ExitUsage
+	}
+	_, _ = fmt.Fprintf(fault, "%s: %v\n", p.Name, err)
+	return ExitFailed
+}
+
+// JSON writes v as one indented JSON object.
+func JSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
--- /dev/null
+++ b/internal/core/fair/fair.go
@@ -0,0 +1,151 @@
+// Package fair orders waiting requests so that every client account gets its
+// share of a crowded server, by start-time fair queueing. The queue holds
+// thousands of entries and changes with each statement, so it is changed in
+// place instead of being an immutable value; it does no I/O and knows no clock.
+package fair
+
+import "container/heap"
+
+// Item is one waiting request.
+type Item struct {
+	// Account is the client account that the request runs for.
+	Account string
+	// Weight is the account's share relative to others; below 1 counts as 1.
+	Weight int
+	// Cost is what the request takes of the server, such as 1 for a statement.
+	Cost float64
+	// Value is the caller's own.
+	Value any
+
+	start   float64
+	removed bool
+}
+
+// Queue orders items by account. The zero value is not usable; see New.
+type Queue struct {
+	limit    int
+	virtual  float64
+	accounts map[string]*line
+	ready    lines
+	length   int
+}
+
+// line is the queue of one account.
+type line struct {
+	account string
+	finish  float64
+	items   []*Item
+	waiting int
+	index   int
+}
+
+// New returns a queue that keeps at most limit items for each account.
+func New(limit int) *Queue { return &Queue{limit: limit, accounts: map[string]*line{}} }
+
+// Len returns the number of waiting items.
+func (q *Queue) Len() int { return q.length }
+
+// Push adds an item and reports false when its account's line is full.
+func (q *Queue) Push(it *Item) bool {
+	l := q.accounts[it.Account]
+	if l == nil {
+		l = &line{account: it.Account, index: -1}
+		q.accounts[it.Account] = l
+	}
+	if l.waiting >= q.limit {
+		return false
+	}
+	it.start = max(q.virtual, l.finish)
+	l.finish = it.start + it.Cost/float64(max(it.Weight, 1))
+	l.items = append(l.items, it)
+	l.waiting++
+	q.length++
+	if l.index < 0 {
+		heap.Push(&q.ready, l)
+	}
+	return true
+}
+
+// Pop takes the next item in fair order, or nil when nothing waits.
+func (q *Queue) Pop() *Item {
+	for len(q.ready) > 0 {
+		l := q.ready[0]
+		it := l.items[0]
+		l.items = l.items[1:]
+		q.settle(l)
+		if it.removed {
+			continue
+		}
+		l.waiting--
+		q.length--
+		q.virtual = max(q.virtual, it.start)
+		q.forget(l)
+		return it
+	}
+	return nil
+}
+
+// Remove takes back an item that still waits.
+func (q *Queue) Remove(it *Item) {
+	l := q.accounts[it.Account]
+	if l == nil || it.removed {
+		return
+	}
+	it.removed = true
+	l.waiting--
+	q.length--
+}
+
+// settle puts a line whose first item changed back in its place.
+func (q *Queue) settle(l *line) {
+	if len(l.items) == 0 {
+		heap.Remove(&q.ready, l.index)
+		return
+	}
+	heap.Fix(&q.ready, l.index)
+}
+
+// forget drops an empty line that has no claim on the future.
+func (q *Queue) forget(l *line) {
+	if len(l.items) == 0 && l.finish <= q.virtual {
+		delete(q.accounts, l.account)
+	}
+	if q.length == 0 && len(q.ready) == 0 {
+		clear(q.accounts)
+		q.virtual = 0
+	}
+}
+
+// lines is a heap of the lines that have items, by the start of the first one.
+type lines []*line
+
+func (h lines) Len() int { return len(h) }
+
+func (h lines) Less(i, j int) bool {
+	a, b := h[i].items[0], h[j].items[0]
+	if a.start != b.start {
+		return a.start < b.start
+	}
+	return h[i].account < h[j].account
+}
+
+func (h lines) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *lines) Push(x any) {
+	l := x.(*line)
+	l.index = len(*h)
+	*h = append(*h, l)
+}
+
+// Pop implements heap.Interface.
+func (h *lines) Pop() any {
+	old := *h
+	l := old[len(old)-1]
+	l.index = -1
+	*h = old[:len(old)-1]
+	return l
+}
--- /dev/null
+++ b/internal/core/member/member.go
@@ -0,0 +1,50 @@
+// Package member names the parts of an installation and decides by rendezvous
+// hashing which VM holds what.
+package member
+
+import "github.com/cespare/xxhash/v2"
+
+// Zone is the name of an availability zone.
+type Zone string
+
+// VM is one machine of the proxy.
+type VM struct {
+	Name    string `json:"name" yaml:"name"`
+	Zone    Zone   `json:"zone" yaml:"zone"`
+	Region  string `json:"region" yaml:"region"`
+	Address string `json:"address" yaml:"address"`
+	Leaving bool   `json:"leaving,omitempty" yaml:"leaving"`
+}
+
+// Place returns the VM that holds the thing called name. VMs in the wanted zone
+// go first and leaving ones last, so that a holding moves only when its VM does.
+// The result is a hint: the thing itself decides who holds it.
+func Place(vms []VM, name string, zone Zone) (VM, bool) {
+	best, bestRank, bestScore := VM{}, -1, uint64(0)
+	for _, v := range vms {
+		rank, score := placeRank(v, zone), placeScore(v.Name, name)
+		if rank > bestRank || rank == bestRank && score > bestScore {
+			best, bestRank, bestScore = v, rank, score
+		}
+	}
+	return best, bestRank >= 0
+}
+
+func placeRank(v VM, zone Zone) int {
+	rank := 0
+	if !v.Leaving {
+		rank += 2
+	}
+	if v.Zone == zone {
+		rank++
+	}
+	return rank
+}
+
+func placeScore(vm, name string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(vm)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/proto/backend/conn.go
@@ -0,0 +1,236 @@
+// Package backend speaks to backend servers over the PostgreSQL protocol with
+// the proxy's own credentials.
+package backend
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"slices"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/pgwire"
+)
+
+// MaxMessage is the largest message taken from a backend server, in bytes.
+const MaxMessage = 256 << 20
+
+const readBuffer = 16 << 10
+
+// Options says how to reach a backend server.
+type Options struct {
+	Address  string
+	Database string
+	// User and Password are the proxy's own.
+	User     string
+	Password string
+	// Name is the application name, which identifies the holder's connections.
+	Name string
+	// Timeout bounds the opening in milliseconds.
+	Timeout clock.Millis
+}
+
+// ConnectError means that no connection could be opened, so nothing was sent.
+type ConnectError struct {
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (e *ConnectError) Error() string {
+	return fmt.Sprintf("backend server %s refused the connection: %v", e.Address, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ConnectError) Unwrap() error { return e.Cause }
+
+// ServerError is an error that the backend server answered with.
+type ServerError struct {
+	Code    string
+	Message string
+}
+
+// Error implements error.
+func (e *ServerError) Error() string { return e.Message + " (SQLSTATE " + e.Code + ")" }
+
+// allowedParameters are the startup parameters that may reach a backend server.
+var allowedParameters = []string{"user", "database", "application_name", "client_encoding"}
+
+// Conn is one connection to a backend server. At any moment it belongs to one
+// owner; use by another is a violation.
+type Conn struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	cancel func(context.Context) error
+	owner  uint64
+	// Prepared holds the statements that exist on the connection.
+	Prepared *Statements
+	// Dirty is set when more than the ordinary reset is needed.
+	Dirty bool
+}
+
+// Dial opens a connection.
+func Dial(ctx context.Context, o Options) (*Conn, error) {
+	c, err := settings(o)
+	if err != nil {
+		return nil, &ConnectError{Address: o.Address, Cause: err}
+	}
+	p, err := pgconn.ConnectConfig(ctx, c)
+	if err != nil {
+		return nil, &ConnectError{Address: o.Address, Cause: err}
+	}
+	cancel := canceller(p)
+	h, err := p.Hijack()
+	if err != nil {
+		return nil, &ConnectError{Address: o.Address, Cause: err}
+	}
+	return &Conn{
+		conn: h.Conn, reader: bufio.NewReaderSize(h.Conn, readBuffer),
+		cancel: cancel, Prepared: NewStatements(MaxStatements),
+	}, nil
+}
+
+func settings(o Options) (*pgconn.Config, error) {
+	host, port, err := net.SplitHostPort(o.Address)
+	if err != nil {
+		return nil, err
+	}
+	c, err := pgconn.ParseConfig(fmt.Sprintf("host=%s port=%s sslmode=disable", host, port))
+	if err != nil {
+		return nil, err
+	}
+	c.Database, c.User, c.Password = o.Database, o.User, o.Password
+	c.ConnectTimeout = o.Timeout.Duration()
+	c.RuntimeParams = map[string]string{"application_name": o.Name, "client_encoding": "UTF8"}
+	for name := range c.RuntimeParams {
+		invariant.Check(slices.Contains(allowedParameters, name), invariant.NoKeys, "startup parameter %q would reach a backend server", name)
+	}
+	return c, nil
+}
+
+// canceller keeps what a cancel request needs beyond the hijack.
+func canceller(p *pgconn.PgConn) func(context.Context) error {
+	address := p.Conn().RemoteAddr()
+	request := pgproto3.CancelRequest{ProcessID: p.PID(), SecretKey: slices.Clone(p.SecretKey())}
+	return func(ctx context.Context) error {
+		var d net.Dialer
+		c, err := d.DialContext(ctx, address.Network(), address.String())
+		if err != nil {
+			return err
+		}
+		defer c.Close() //nolint:errcheck // the server closes first
+		text, err := request.Encode(nil)
+		if err != nil {
+			return err
+		}
+		_, err = c.Write(text)
+		return err
+	}
+}
+
+// Cancel asks the server to cancel what the connection runs.
+func (c *Conn) Cancel(ctx context.Context) error { return c.cancel(ctx) }
+
+// Take makes owner the only user of the connection. Owners are never 0.
+func (c *Conn) Take(owner uint64) {
+	invariant.Check(c.owner == 0, invariant.OneTransaction, "connection of owner %d was given to owner %d", c.owner, owner)
+	c.owner = owner
+}
+
+// Give ends the ownership.
+func (c *Conn) Give(owner uint64) {
+	c.verify(owner)
+	c.owner = 0
+}
+
+func (c *Conn) verify(owner uint64) {
+	invariant.Check(c.owner == owner && owner != 0, invariant.OneTransaction, "owner %d used the connection of owner %d", owner, c.owner)
+}
+
+// Write sends raw messages.
+func (c *Conn) Write(owner uint64, raw []byte) error {
+	c.verify(owner)
+	_, err := c.conn.Write(raw)
+	return err
+}
+
+// Append reads one message and appends it to buf.
+func (c *Conn) Append(owner uint64, buf []byte) ([]byte, pgwire.Message, error) {
+	c.verify(owner)
+	return pgwire.Append(c.reader, buf, MaxMessage)
+}
+
+// Query runs a simple query and returns the rows of all its statements. The
+// first error of the server ends up as *ServerError.
+func (c *Conn) Query(owner uint64, sql string) ([][]string, error) {
+	if err := c.Write(owner, QueryMessage(sql)); err != nil {
+		return nil, err
+	}
+	return c.Rows(owner)
+}
+
+// Rows reads the answer to a simple query that was sent before.
+func (c *Conn) Rows(owner uint64) ([][]string, error) {
+	var rows [][]string
+	var failure error
+	buf := make([]byte, 0, 512)
+	for {
+		var m pgwire.Message
+		var err error
+		buf, m, err = c.Append(owner, buf[:0])
+		if err != nil {
+			return nil, err
+		}
+		switch m.Type() {
+		case 'Z':
+			return rows, failure
+		case 'E':
+			failure = ErrorOf(m)
+		case 'D':
+			row, err := textRow(m)
+			if err != nil {
+				return nil, err
+			}
+			rows = append(rows, row)
+		}
+	}
+}
+
+func textRow(m pgwire.Message) ([]string, error) {
+	var d pgproto3.DataRow
+	if err := d.Decode(m.Body()); err != nil {
+		return nil, errors.Wrap(err, "row of the backend server")
+	}
+	row := make([]string, len(d.Values))
+	for i, v := range d.Values {
+		row[i] = string(v)
+	}
+	return row, nil
+}
+
+// ErrorOf turns a raw ErrorResponse.
+func ErrorOf(m pgwire.Message) *ServerError {
+	var e pgproto3.ErrorResponse
+	if err := e.Decode(m.Body()); err != nil {
+		return &ServerError{Code: "XX000", Message: err.Error()}
+	}
+	return &ServerError{Code: e.Code, Message: e.Message}
+}
+
+// QueryMessage builds a simple query.
+func QueryMessage(sql string) []byte {
+	text, err := (&pgproto3.Query{String: sql}).Encode(nil)
+	if err != nil {
+		panic(fmt.Sprintf("simple query cannot be encoded: %v", err))
+	}
+	return text
+}
+
+// Close ends the connection at once; the server rolls back what it ran.
+func (c *Conn) Close() { _ = c.conn.Close() }
--- /dev/null
+++ b/internal/proto/caller/conn.go
@@ -0,0 +1,203 @@
+// Package caller speaks the PostgreSQL protocol to callers: startup, TLS,
+// SCRAM-SHA-256 and framed messages with bounds.
+package caller
+
+import (
+	"bufio"
+	"crypto/tls"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/pgwire"
+)
+
+const (
+	// maxStartup is the largest startup message in bytes.
+	maxStartup = 10_000
+	// maxAuth is the largest message of the authentication in bytes.
+	maxAuth    = 4096
+	readBuffer = 2048
+
+	codeSSL    = 80877103
+	codeGSS    = 80877104
+	codeCancel = 80877102
+)
+
+// ErrCancel is returned by Startup when the connection brought a CancelRequest.
+var ErrCancel = errors.New("the connection is a cancel request")
+
+// Limits bounds what one caller may take.
+type Limits struct {
+	// Message is the largest message in bytes.
+	Message int
+	// Startup is the longest time from connecting to being let in, in milliseconds.
+	Startup clock.Millis
+	// Write is the longest time that a caller may take to accept an answer, in milliseconds.
+	Write clock.Millis
+}
+
+// Conn is the connection of one caller.
+type Conn struct {
+	raw    net.Conn
+	reader *bufio.Reader
+	limits Limits
+	// Cancel is set when Startup returned ErrCancel.
+	Cancel pgproto3.CancelRequest
+}
+
+// NewConn wraps an accepted connection.
+func NewConn(c net.Conn, l Limits) *Conn {
+	return &Conn{raw: c, reader: bufio.NewReaderSize(c, readBuffer), limits: l}
+}
+
+// Startup reads the caller's startup parameters. TLS is taken up when the
+// caller asks for it and settings are given.
+func (c *Conn) Startup(settings *tls.Config) (map[string]string, error) {
+	_ = c.raw.SetDeadline(time.Now().Add(c.limits.Startup.Duration()))
+	for {
+		body, err := c.startupBody()
+		if err != nil {
+			return nil, err
+		}
+		switch binary.BigEndian.Uint32(body) {
+		case codeSSL:
+			if err := c.offerTLS(settings); err != nil {
+				return nil, err
+			}
+		case codeGSS:
+			if _, err := c.raw.Write([]byte{'N'}); err != nil {
+				return nil, err
+			}
+		case codeCancel:
+			if err := c.Cancel.Decode(body); err != nil {
+				return nil, protocolError(err)
+			}
+			return nil, ErrCancel
+		default:
+			var m pgproto3.StartupMessage
+			if err := m.Decode(body); err != nil {
+				return nil, protocolError(err)
+			}
+			return m.Parameters, nil
+		}
+	}
+}
+
+func protocolError(err error) error {
+	return outcome.Refuse(outcome.ReasonRequest, outcome.CodeProtocol, "malformed message: %v", err)
+}
+
+func (c *Conn) startupBody() ([]byte, error) {
+	head, err := c.reader.Peek(4)
+	if err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(head)
+	if size < 8 || size > maxStartup {
+		return nil, outcome.Refuse(outcome.ReasonRequest, outcome.CodeProtocol, "startup message of %d bytes", size)
+	}
+	_, _ = c.reader.Discard(4)
+	body := make([]byte, size-4)
+	if _, err := readFull(c.reader, body); err != nil {
+		return nil, err
+	}
+	return body, nil
+}
+
+func (c *Conn) offerTLS(settings *tls.Config) error {
+	if c.reader.Buffered() > 0 {
+		return outcome.Refuse(outcome.ReasonRequest, outcome.CodeProtocol, "data before the TLS handshake")
+	}
+	if settings == nil {
+		_, err := c.raw.Write([]byte{'N'})
+		return err
+	}
+	if _, err := c.raw.Write([]byte{'S'}); err != nil {
+		return err
+	}
+	t := tls.Server(c.raw, settings)
+	if err := t.Handshake(); err != nil {
+		return err
+	}
+	c.raw = t
+	c.reader.Reset(t)
+	return nil
+}
+
+// Welcome ends the startup: the caller is let in.
+func (c *Conn) Welcome(parameters [][2]string, process uint32, secret []byte) error {
+	out := mustEncode(nil, &pgproto3.AuthenticationOk{})
+	for _, p := range parameters {
+		out = mustEncode(out, &pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	}
+	out = mustEncode(out, &pgproto3.BackendKeyData{ProcessID: process, SecretKey: secret})
+	out = append(out, Ready('I')...)
+	err := c.Write(out)
+	_ = c.raw.SetDeadline(time.Time{})
+	return err
+}
+
+// Read waits for one message and appends it to buf. A wait of 0 never times out.
+func (c *Conn) Read(buf []byte, wait clock.Millis) ([]byte, pgwire.Message, error) {
+	if wait > 0 && c.reader.Buffered() < pgwire.HeaderSize {
+		_ = c.raw.SetReadDeadline(time.Now().Add(wait.Duration()))
+		defer func() { _ = c.raw.SetReadDeadline(time.Time{}) }()
+	}
+	return pgwire.Append(c.reader, buf, c.limits.Message)
+}
+
+// Wait blocks until a message begins to arrive, without a buffer for it.
+func (c *Conn) Wait() error {
+	_, err := c.reader.Peek(1)
+	return err
+}
+
+// Write sends raw messages.
+func (c *Conn) Write(raw []byte) error {
+	if c.limits.Write > 0 {
+		_ = c.raw.SetWriteDeadline(time.Now().Add(c.limits.Write.Duration()))
+	}
+	_, err := c.raw.Write(raw)
+	return err
+}
+
+// Close ends the connection at once.
+func (c *Conn) Close() { _ = c.raw.Close() }
+
+// RemoteAddr returns the caller's address.
+func (c *Conn) RemoteAddr() net.Addr { return c.raw.RemoteAddr() }
+
+// Ready builds a ReadyForQuery.
+func Ready(status byte) []byte { return []byte{'Z', 0, 0, 0, 5, status} }
+
+// ErrorMessage builds an ErrorResponse.
+func ErrorMessage(severity, code, format string, args ...any) []byte {
+	return mustEncode(nil, &pgproto3.ErrorResponse{
+		Severity: severity, SeverityUnlocalized: severity, Code: code, Message: fmt.Sprintf(format, args...),
+	})
+}
+
+// Parameter builds a ParameterStatus.
+func Parameter(name, value string) []byte {
+	return mustEncode(nil, &pgproto3.ParameterStatus{Name: name, Value: value})
+}
+
+// Complete builds a CommandComplete.
+func Complete(tag string) []byte {
+	return mustEncode(nil, &pgproto3.CommandComplete{CommandTag: []byte(tag)})
+}
+
+func mustEncode(buf []byte, m pgproto3.BackendMessage) []byte {
+	out, err := m.Encode(buf)
+	if err != nil {
+		panic(fmt.Sprintf("%T cannot be encoded: %v", m, err))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/proto/inner/inner.go
@@ -0,0 +1,220 @@
+// Package inner is the protocol between the VMs: frames on a stream, one stream
+// for each transaction or question. Bodies are CBOR, except rows and statements,
+// which pass as raw PostgreSQL messages.
+package inner
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+// Kind is the type of a frame.
+type Kind byte
+
+// The kinds of frame.
+const (
+	// KindBegin opens a transaction; its body is Begin.
+	KindBegin Kind = 1
+	// KindBatch carries statements to the holder; its body is Batch.
+	KindBatch Kind = 2
+	// KindCancel asks the holder to cancel the running statement; it has no body.
+	KindCancel Kind = 3
+	// KindData carries raw PostgreSQL messages to the entry proxy.
+	KindData Kind = 4
+	// KindEnd ends a batch; its body is End.
+	KindEnd Kind = 5
+	// KindRefuse says that nothing was run; its body is Refuse.
+	KindRefuse Kind = 6
+	// KindAsk asks a question; its body is Ask.
+	KindAsk Kind = 7
+	// KindAnswer answers it; its body is Answer.
+	KindAnswer Kind = 8
+)
+
+// MaxFrame is the largest body of a frame in bytes.
+const MaxFrame = 64 << 20
+
+const headerSize = 5
+
+// Frame is one unit on a stream.
+type Frame struct {
+	Kind Kind
+	Body []byte
+}
+
+// Begin opens a transaction at the holder of a backend server.
+type Begin struct {
+	Database string        `cbor:"database"`
+	Server   string        `cbor:"server"`
+	Account  string        `cbor:"account"`
+	Weight   int           `cbor:"weight"`
+	Kind     document.Kind `cbor:"kind"`
+	// Floor is what the server must have applied.
+	Floor floor.Mark `cbor:"floor"`
+	// Wait is how long the holder may wait for the floor, in milliseconds.
+	Wait clock.Millis `cbor:"wait"`
+	// Age is the staleness allowed in milliseconds; 0 asks for Floor alone.
+	Age clock.Millis `cbor:"age"`
+	// Deadline is the time left for the request in milliseconds.
+	Deadline clock.Millis `cbor:"deadline"`
+	// Session names a roaming session whose floor the holder records.
+	Session string `cbor:"session"`
+	// Key is the idempotency key of a request that must not be repeated.
+	Key string `cbor:"key"`
+	// Once marks a request that must not be repeated.
+	Once bool `cbor:"once"`
+	// Parent is the W3C traceparent of the entry's span.
+	Parent string `cbor:"parent"`
+}
+
+// Need is a prepared statement that a batch refers to.
+type Need struct {
+	Name string `cbor:"name"`
+	// Parse is the raw Parse message that makes it.
+	Parse []byte `cbor:"parse"`
+}
+
+// Batch is a run of statements up to a Sync, a Flush or a simple Query.
+type Batch struct {
+	Needs []Need `cbor:"needs,omitempty"`
+	// Raw holds whole PostgreSQL messages.
+	Raw []byte `cbor:"raw"`
+}
+
+// End ends a batch.
+type End struct {
+	// Status is the transaction status of ReadyForQuery, or 0 after a Flush.
+	Status byte `cbor:"status"`
+	// Mark is the state of the server after the batch; it is set when Status is 'I'.
+	Mark floor.Mark `cbor:"mark"`
+	// Unknown is set when the end of the transaction was not seen.
+	Unknown string `cbor:"unknown,omitempty"`
+	// Raw holds the last PostgreSQL messages of the answer.
+	Raw []byte `cbor:"raw,omitempty"`
+}
+
+// Refuse says that nothing of the batch reached the backend server.
+type Refuse struct {
+	Reason outcome.Reason `cbor:"reason"`
+	Code   string         `cbor:"code"`
+	Detail string         `cbor:"detail"`
+	// State is what the holder knows of the server, for the next choice.
+	State State `cbor:"state"`
+}
+
+// State is what a holder knows of its backend server.
+type State struct {
+	Server string `cbor:"server" json:"server"`
+	// Term is the highest term the server knows.
+	Term floor.Term `cbor:"term" json:"term"`
+	// Primary names the primary of that term; it is empty when unknown.
+	Primary string `cbor:"primary" json:"primary"`
+	// Applied is what reads on the server see.
+	Applied floor.Mark `cbor:"applied" json:"applied"`
+	// Lag is the time since the server last was level with the primary, in milliseconds.
+	Lag clock.Millis `cbor:"lag" json:"lag"`
+}
+
+// Ask is a question to another VM.
+type Ask struct {
+	// Topic is one of the Topic constants.
+	Topic    string `cbor:"topic"`
+	Database string `cbor:"database,omitempty"`
+	Server   string `cbor:"server,omitempty"`
+	Session  string `cbor:"session,omitempty"`
+	// Secret and Process identify a caller's connection for a cancel.
+	Process uint32 `cbor:"process,omitempty"`
+	Secret  []byte `cbor:"secret,omitempty"`
+}
+
+// The topics of a question.
+const (
+	TopicState  = "state"
+	TopicFloor  = "floor"
+	TopicCancel = "cancel"
+)
+
+// Answer answers an Ask.
+type Answer struct {
+	State State      `cbor:"state"`
+	Floor floor.Mark `cbor:"floor"`
+	// Error is set when the question could not be answered.
+	Error string `cbor:"error,omitempty"`
+}
+
+// FrameError reports bytes that are no frame.
+type FrameError struct{ Detail string }
+
+// Error implements error.
+func (e *FrameError) Error() string { return "inner protocol: " + e.Detail }
+
+// Encode builds a frame from a message. Encoding a message of this package
+// cannot fail, so a failure panics.
+func Encode(kind Kind, message any) Frame {
+	body, err := cbor.Marshal(message)
+	if err != nil {
+		panic(fmt.Sprintf("inner protocol: cannot encode %T: %v", message, err))
+	}
+	return Frame{Kind: kind, Body: body}
+}
+
+// Decode reads the body of f into the message that target points to.
+func Decode(f Frame, target any) error {
+	if err := cbor.Unmarshal(f.Body, target); err != nil {
+		return &FrameError{Detail: fmt.Sprintf("frame %d: %v", f.Kind, err)}
+	}
+	return nil
+}
+
+// Write sends one frame in one call to w.
+func Write(w io.Writer, f Frame) error {
+	buf := make([]byte, headerSize+len(f.Body))
+	buf[0] = byte(f.Kind)
+	binary.BigEndian.PutUint32(buf[1:], uint32(len(f.Body)))
+	copy(buf[headerSize:], f.Body)
+	_, err := w.Write(buf)
+	return err
+}
+
+// Read receives one frame.
+func Read(r io.Reader) (Frame, error) {
+	var head [headerSize]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return Frame{}, err
+	}
+	size := binary.BigEndian.Uint32(head[1:])
+	if size > MaxFrame {
+		return Frame{}, &FrameError{Detail: fmt.Sprintf("frame of %d bytes is over the limit of %d", size, MaxFrame)}
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return Frame{}, err
+	}
+	return Frame{Kind: Kind(head[0]), Body: body}, nil
+}
+
+// Exchange is one stream as its users see it, whether the other side is another
+// VM or this one.
+type Exchange struct {
+	SendFunc    func(Frame) error
+	ReceiveFunc func() (Frame, error)
+	// CloseFunc ends the stream at once; the other side sees an error.
+	CloseFunc func()
+}
+
+// Send sends one frame.
+func (x Exchange) Send(f Frame) error { return x.SendFunc(f) }
+
+// Receive waits for one frame.
+func (x Exchange) Receive() (Frame, error) { return x.ReceiveFunc() }
+
+// Close ends the stream at once.
+func (x Exchange) Close() { x.CloseFunc() }
--- /dev/null
+++ b/internal/proto/inner/pipe.go
@@ -0,0 +1,51 @@
+package inner
+
+import (
+	"io"
+	"sync"
+)
+
+// Pipe returns the two ends of an exchange inside one VM.
+func Pipe() (Exchange, Exchange) {
+	there, back := make(chan Frame, 1), make(chan Frame, 1)
+	done := make(chan struct{})
+	var once sync.Once
+	stop := func() { once.Do(func() { close(done) }) }
+	return pipeEnd(there, back, done, stop), pipeEnd(back, there, done, stop)
+}
+
+func pipeEnd(out chan<- Frame, in <-chan Frame, done <-chan struct{}, stop func()) Exchange {
+	return Exchange{
+		SendFunc: func(f Frame) error {
+			select {
+			case <-done:
+				return io.ErrClosedPipe
+			case out <- f:
+				return nil
+			}
+		},
+		ReceiveFunc: func() (Frame, error) { return pipeReceive(in, done) },
+		CloseFunc:   stop,
+	}
+}
+
+// pipeReceive prefers a frame already sent over the end of the pipe, as a
+// stream does.
+func pipeReceive(in <-chan Frame, done <-chan struct{}) (Frame, error) {
+	select {
+	case f := <-in:
+		return f, nil
+	default:
+	}
+	select {
+	case f := <-in:
+		return f, nil
+	case <-done:
+		select {
+		case f := <-in:
+			return f, nil
+		default:
+			return Frame{}, io.EOF
+		}
+	}
+}
--- /dev/null
+++ b/internal/proto/pgwire/pgwire.go
@@ -0,0 +1,97 @@
+// Package pgwire frames PostgreSQL protocol 3 messages without decoding them,
+// so that rows pass through the proxy untouched. What has to be understood is
+// decoded by pgproto3.
+package pgwire
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+)
+
+// HeaderSize is the length of a message's type byte and length word.
+const HeaderSize = 5
+
+// Message is one framed message: type byte, length word and body.
+type Message []byte
+
+// Type returns the type byte.
+func (m Message) Type() byte { return m[0] }
+
+// Body returns the message without its header.
+func (m Message) Body() []byte { return m[HeaderSize:] }
+
+// SizeError reports a message longer than allowed.
+type SizeError struct {
+	Type  byte
+	Size  int
+	Limit int
+}
+
+// Error implements error.
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("message %q of %d bytes is over the limit of %d", e.Type, e.Size, e.Limit)
+}
+
+// LengthError reports a length word that no message can have.
+type LengthError struct {
+	Type   byte
+	Length uint32
+}
+
+// Error implements error.
+func (e *LengthError) Error() string {
+	return fmt.Sprintf("message %q has the impossible length %d", e.Type, e.Length)
+}
+
+// Append reads one message from r and appends it to buf. It returns the grown
+// buffer and the message within it. The limit is in bytes of the whole message.
+func Append(r *bufio.Reader, buf []byte, limit int) ([]byte, Message, error) {
+	head, err := r.Peek(HeaderSize)
+	if err != nil {
+		return buf, nil, headError(head, err)
+	}
+	kind, length := head[0], binary.BigEndian.Uint32(head[1:])
+	if length < 4 {
+		return buf, nil, &LengthError{Type: kind, Length: length}
+	}
+	if int64(length)+1 > int64(limit) {
+		return buf, nil, &SizeError{Type: kind, Size: int(length) + 1, Limit: limit}
+	}
+	start, size := len(buf), int(length)+1
+	buf = grow(buf, size)
+	if _, err := io.ReadFull(r, buf[start:]); err != nil {
+		return buf[:start], nil, err
+	}
+	return buf, Message(buf[start:]), nil
+}
+
+func headError(head []byte, err error) error {
+	if err == io.EOF && len(head) > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+func grow(buf []byte, size int) []byte {
+	if cap(buf)-len(buf) >= size {
+		return buf[:len(buf)+size]
+	}
+	out := make([]byte, len(buf)+size, 2*len(buf)+size)
+	copy(out, buf)
+	return out
+}
+
+// Next splits the first message off a buffer of whole messages. It returns nil
+// when the buffer is empty or damaged.
+func Next(buf []byte) (Message, []byte) {
+	if len(buf) < HeaderSize {
+		return nil, nil
+	}
+	size := int64(binary.BigEndian.Uint32(buf[1:])) + 1
+	if size < HeaderSize || size > int64(len(buf)) {
+		return nil, nil
+	}
+	return Message(buf[:size:size]), buf[size:]
+}
--- /dev/null
+++ b/internal/serve/entry/entry.go
@@ -0,0 +1,256 @@
+// Package entry serves callers: it lets them in, finds the route of each
+// request, and runs it through the holder of a backend server.
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"net"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/route"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+// Options makes an entry proxy.
+type Options struct {
+	VM     member.VM
+	Clock  clock.Clock
+	Limits caller.Limits
+	// Callers is the largest number of connections.
+	Callers int
+	// Silence ends an open transaction whose caller sends nothing for so long, in milliseconds.
+	Silence clock.Millis
+	// TLS is nil when callers connect without.
+	TLS *tls.Config
+	// DocumentFunc returns the configuration in force, or nil when none is.
+	DocumentFunc func() *document.Document
+	// OpenFunc opens an exchange with the holder of a backend server. An error
+	// means that nothing was sent.
+	OpenFunc func(ctx context.Context, s document.Server) (inner.Exchange, error)
+	// FloorFunc asks the primary's holder for the floor of a named session.
+	FloorFunc func(ctx context.Context, primary document.Server, database, session string) (floor.Mark, error)
+	// CancelFunc passes a cancel request on to the VM that the caller is connected to.
+	CancelFunc func(ctx context.Context, process uint32, secret []byte)
+}
+
+// Entry serves the callers of one VM.
+type Entry struct {
+	options   Options
+	directory *directory
+	counters  *counters
+	done      chan struct{}
+
+	mu       sync.Mutex
+	sessions map[uint32]*session
+	next     uint16
+}
+
+// New returns an entry proxy that serves once Run is called.
+func New(o Options) *Entry {
+	return &Entry{
+		options: o, directory: newDirectory(), counters: newCounters(o.VM.Name),
+		sessions: map[uint32]*session{}, done: make(chan struct{}),
+	}
+}
+
+// Done is closed once Run has ended.
+func (e *Entry) Done() <-chan struct{} { return e.done }
+
+// Run accepts callers until the context ends.
+func (e *Entry) Run(ctx context.Context, l net.Listener) {
+	defer close(e.done)
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	var running sync.WaitGroup
+	defer running.Wait()
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			_ = e.options.Clock.Sleep(ctx, acceptPause)
+			continue
+		}
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			e.serve(ctx, c)
+		}()
+	}
+}
+
+// acceptPause is the pause after a failed accept in milliseconds.
+const acceptPause = 10
+
+func (e *Entry) serve(ctx context.Context, raw net.Conn) {
+	c := caller.NewConn(raw, e.options.Limits)
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
+	defer stop()
+	s, err := e.welcome(ctx, c)
+	if errors.Is(err, caller.ErrCancel) {
+		e.options.CancelFunc(ctx, c.Cancel.ProcessID, c.Cancel.SecretKey)
+		return
+	}
+	var refusal *outcome.NotRun
+	if errors.As(err, &refusal) {
+		e.counters.refused(refusal.Reason)
+		_ = c.Write(caller.ErrorMessage("FATAL", refusal.Code, "%s", refusal.Detail))
+		return
+	}
+	if err != nil {
+		return
+	}
+	defer e.remove(s)
+	s.run(ctx)
+}
+
+// welcome takes a caller from its first byte to the first ReadyForQuery.
+func (e *Entry) welcome(ctx context.Context, c *caller.Conn) (*session, error) {
+	parameters, err := c.Startup(e.options.TLS)
+	if err != nil {
+		return nil, err
+	}
+	d := e.options.DocumentFunc()
+	if d == nil {
+		return nil, outcome.Refuse(outcome.ReasonLeaving, cannotConnect, "no configuration is in force yet")
+	}
+	s := &session{entry: e, conn: c, database: parameters["database"]}
+	if s.database == "" {
+		s.database = parameters["user"]
+	}
+	if _, ok := d.Database(s.database); !ok {
+		return nil, outcome.Refuse(outcome.ReasonRequest, unknownDatabase, "unknown database %q", s.database)
+	}
+	if err := e.authenticate(c, d, s, parameters["user"]); err != nil {
+		return nil, err
+	}
+	for name, v := range parameters {
+		if err := s.startupHint(name, v); err != nil {
+			return nil, err
+		}
+	}
+	if err := e.add(s); err != nil {
+		return nil, err
+	}
+	if err := c.Welcome(greeting, s.process, s.secret); err != nil {
+		e.remove(s)
+		return nil, err
+	}
+	return s, ctx.Err()
+}
+
+const (
+	cannotConnect   = "57P03"
+	unknownDatabase = "3D000"
+)
+
+var greeting = [][2]string{
+	{"server_version", "16.0"},
+	{"client_encoding", "UTF8"},
+	{"DateStyle", "ISO, MDY"},
+	{"integer_datetimes", "on"},
+	{"standard_conforming_strings", "on"},
+	{"TimeZone", "UTC"},
+}
+
+func (e *Entry) authenticate(c *caller.Conn, d *document.Document, s *session, user string) error {
+	s.account = user
+	if user == route.Nobody {
+		return nil
+	}
+	name, id := splitUser(user)
+	account, _ := d.Account(name)
+	verifier := ""
+	for _, k := range account.Keys {
+		if id == "" || id == k.ID {
+			verifier, id = k.Verifier, k.ID
+			break
+		}
+	}
+	if err := c.Authenticate(name, verifier); err != nil {
+		return err
+	}
+	s.account, s.key = name, id
+	return nil
+}
+
+// add gives the session its process number, whose upper half finds the VM.
+func (e *Entry) add(s *session) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.sessions) >= e.options.Callers {
+		return outcome.Refuse(outcome.ReasonCrowded, outcome.CodeCrowded, "the VM serves %d callers already", len(e.sessions))
+	}
+	for {
+		e.next++
+		s.process = Process(e.options.VM.Name, e.next)
+		if e.sessions[s.process] == nil {
+			break
+		}
+	}
+	s.secret = make([]byte, 4)
+	_, _ = rand.Read(s.secret)
+	e.sessions[s.process] = s
+	e.counters.callers.Set(float64(len(e.sessions)))
+	return nil
+}
+
+func (e *Entry) remove(s *session) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.sessions, s.process)
+	e.counters.callers.Set(float64(len(e.sessions)))
+}
+
+// Process builds the process number of a caller's connection from its VM's name
+// and a number that is unique on the VM.
+func Process(vm string, number uint16) uint32 {
+	return uint32(VMTag(vm))<<16 | uint32(number)
+}
+
+// VMTag is the upper half of the process numbers of a VM's callers.
+func VMTag(vm string) uint16 { return uint16(xxhash.Sum64String(vm)) }
+
+// Cancel cancels what a caller of this VM runs, if the secret is right.
+func (e *Entry) Cancel(process uint32, secret []byte) {
+	e.mu.Lock()
+	s := e.sessions[process]
+	e.mu.Unlock()
+	if s == nil || len(secret) != 4 || binary.BigEndian.Uint32(secret) != binary.BigEndian.Uint32(s.secret) {
+		return
+	}
+	s.cancel()
+}
+
+// CutWithdrawn ends the connections whose key is no longer in the configuration.
+func (e *Entry) CutWithdrawn(d *document.Document) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.sessions {
+		if s.account != route.Nobody && !d.HasKey(s.account, s.key) {
+			s.cut()
+		}
+	}
+}
+
+// splitUser cuts the user name of a startup message into the client account and
+// the key that it means: account, or account/key.
+func splitUser(user string) (account, key string) {
+	account, key, _ = strings.Cut(user, "/")
+	return account, key
+}
--- /dev/null
+++ b/internal/serve/entry/session.go
@@ -0,0 +1,265 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"regexp"
+	"strings"
+	"sync"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/route"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/pgwire"
+)
+
+// session is one connected caller.
+type session struct {
+	entry    *Entry
+	conn     *caller.Conn
+	database string
+	account  string
+	key      string
+	process  uint32
+	secret   []byte
+
+	hint       route.Hint
+	floor      floor.Mark
+	statements map[string]*statement
+	// pinned is the server of an open transaction.
+	pinned string
+	write  bool
+	// failed is set when an open transaction was lost and the caller has not
+	// ended it yet.
+	failed bool
+	// skipping is set after an error until the caller's Sync.
+	skipping bool
+
+	mu      sync.Mutex
+	running *inner.Exchange
+	closed  bool
+}
+
+// hintPrefix marks the settings that are meant for the proxy.
+const hintPrefix = "sycamoredoor."
+
+func (s *session) startupHint(name, value string) error {
+	field, ours := strings.CutPrefix(name, hintPrefix)
+	if !ours {
+		return nil
+	}
+	return s.setHint(field, value)
+}
+
+func (s *session) setHint(field, value string) error {
+	h, ok := s.hint.WithField(field, value)
+	if !ok {
+		return outcome.Refuse(outcome.ReasonRequest, outcome.CodeParameter, "%s%s cannot be set to a value of %d bytes", hintPrefix, field, len(value))
+	}
+	s.hint = h
+	if field != "token" || value == "" {
+		return nil
+	}
+	m, err := parseToken(s.database, value)
+	if err != nil {
+		return outcome.Refuse(outcome.ReasonRequest, outcome.CodeParameter, "%s%s: %v", hintPrefix, field, err)
+	}
+	s.floor = s.floor.Max(m)
+	return nil
+}
+
+// token is the floor of a session in the form that a caller may carry to
+// another VM.
+func token(database string, m floor.Mark) string { return database + ":" + m.String() }
+
+func parseToken(database, text string) (floor.Mark, error) {
+	var m floor.Mark
+	name, mark, ok := strings.Cut(text, ":")
+	if !ok || name != database {
+		return m, errors.Errorf("%q is no token of database %s", text, database)
+	}
+	var rest string
+	n, err := fmt.Sscanf(mark+" end", "%d/%d %s", &m.Term, &m.Position, &rest)
+	if err != nil || n != 3 || rest != "end" {
+		return m, errors.Errorf("%q is no token", text)
+	}
+	return m, nil
+}
+
+// run serves the caller until it leaves.
+func (s *session) run(ctx context.Context) {
+	defer s.drop()
+	for {
+		b, err := s.readBatch()
+		var refusal *outcome.NotRun
+		if errors.As(err, &refusal) {
+			s.entry.counters.refused(refusal.Reason)
+			_ = s.conn.Write(caller.ErrorMessage("FATAL", refusal.Code, "%s", refusal.Detail))
+			return
+		}
+		if err != nil {
+			return
+		}
+		if err := s.serveBatch(ctx, b); err != nil {
+			return
+		}
+	}
+}
+
+// drop ends an open transaction; the holder rolls it back.
+func (s *session) drop() {
+	s.mu.Lock()
+	x := s.running
+	s.running, s.pinned = nil, ""
+	s.mu.Unlock()
+	if x != nil {
+		x.Close()
+	}
+}
+
+// start makes x the exchange of the session, unless the session was cut.
+func (s *session) start(x inner.Exchange) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.running = &x
+	return true
+}
+
+func (s *session) cancel() {
+	s.mu.Lock()
+	x := s.running
+	s.mu.Unlock()
+	if x != nil {
+		_ = x.Send(inner.Frame{Kind: inner.KindCancel})
+	}
+}
+
+// cut ends the session at once.
+func (s *session) cut() {
+	s.mu.Lock()
+	x := s.running
+	s.closed = true
+	s.mu.Unlock()
+	s.conn.Close()
+	if x != nil {
+		x.Close()
+	}
+}
+
+var (
+	setPattern = regexp.MustCompile(`(?is)^\s*SET\s+(?:SESSION\s+)?sycamoredoor\.(\w+)\s*(?:=|TO)\s*'((?:[^']|'')*)'\s*;?\s*$`)
+	endPattern = regexp.MustCompile(`(?is)^\s*(COMMIT|END|ROLLBACK|ABORT)\b`)
+)
+
+// serveBatch answers one batch. An error ends the connection.
+func (s *session) serveBatch(ctx context.Context, b *batch) error {
+	if s.skipping {
+		return s.skip(b)
+	}
+	if s.failed {
+		return s.serveFailed(b)
+	}
+	if b.refusal != nil {
+		return s.refuse(b, b.refusal)
+	}
+	if b.empty() && s.pinned == "" {
+		return s.conn.Write(caller.Ready('I'))
+	}
+	if m := setPattern.FindStringSubmatch(b.query); m != nil {
+		return s.serveSet(b, m[1], strings.ReplaceAll(m[2], "''", "'"))
+	}
+	return s.dispatch(ctx, b)
+}
+
+func (s *session) serveSet(b *batch, field, value string) error {
+	if err := s.setHint(strings.ToLower(field), value); err != nil {
+		return s.refuse(b, err)
+	}
+	status := byte('I')
+	if s.pinned != "" {
+		status = 'T'
+	}
+	return s.conn.Write(append(caller.Complete("SET"), caller.Ready(status)...))
+}
+
+// skip passes over messages until the Sync that ends a failed batch.
+func (s *session) skip(b *batch) error {
+	if b.end == 'H' {
+		return nil
+	}
+	s.skipping = false
+	return s.conn.Write(caller.Ready(s.status()))
+}
+
+func (s *session) status() byte {
+	switch {
+	case s.failed:
+		return 'E'
+	case s.pinned != "":
+		return 'T'
+	}
+	return 'I'
+}
+
+const codeAborted = "25P02"
+
+// serveFailed answers as a server does whose transaction has failed.
+func (s *session) serveFailed(b *batch) error {
+	if m := endPattern.FindString(b.firstSQL()); m != "" {
+		s.failed = false
+		return s.conn.Write(b.answerLocally("ROLLBACK", s.status()))
+	}
+	return s.fail(b, codeAborted, "current transaction is aborted, commands ignored until end of transaction block")
+}
+
+// refuse answers that nothing of the batch was run. An open transaction is
+// rolled back, as after any error.
+func (s *session) refuse(b *batch, err error) error {
+	var refusal *outcome.NotRun
+	if !errors.As(err, &refusal) {
+		refusal = outcome.Refuse(outcome.ReasonRequest, outcome.CodeProtocol, "%v", err)
+	}
+	s.entry.counters.refused(refusal.Reason)
+	s.loseTransaction()
+	return s.fail(b, refusal.Code, "not run: "+refusal.Detail)
+}
+
+// loseTransaction gives up the exchange; a transaction that was open counts as
+// failed until the caller ends it.
+func (s *session) loseTransaction() {
+	if s.pinned != "" {
+		s.failed = true
+	}
+	s.drop()
+}
+
+func (s *session) fail(b *batch, code, detail string) error {
+	out := caller.ErrorMessage("ERROR", code, "%s", detail)
+	if b.end == 'H' {
+		s.skipping = true
+		return s.conn.Write(out)
+	}
+	return s.conn.Write(append(out, caller.Ready(s.status())...))
+}
+
+// protocolError turns a reading error of the wire into a refusal where the
+// caller can be told.
+func protocolError(err error) error {
+	var size *pgwire.SizeError
+	var length *pgwire.LengthError
+	if errors.As(err, &size) || errors.As(err, &length) {
+		return outcome.Refuse(outcome.ReasonRequest, outcome.CodeProtocol, "%v", err)
+	}
+	if errors.Is(err, io.EOF) {
+		return io.EOF
+	}
+	return err
+}
--- /dev/null
+++ b/internal/serve/holder/expect.go
@@ -0,0 +1,199 @@
+package holder
+
+import (
+	"bytes"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/pgwire"
+)
+
+// expectation is one answer that the server owes, in order.
+type expectation struct {
+	// kind is the type of the message that was sent.
+	kind byte
+	// hidden answers are for the holder alone.
+	hidden bool
+	// made answers come from the holder, not from the server.
+	made []byte
+	// name is the prepared statement that the answer brings into being.
+	name string
+}
+
+// plan is what is sent for a batch and what is expected back.
+type plan struct {
+	out     []byte
+	expects []expectation
+}
+
+var (
+	parseComplete = mustEncode(&pgproto3.ParseComplete{})
+	closeComplete = mustEncode(&pgproto3.CloseComplete{})
+)
+
+func mustEncode(m interface{ Encode([]byte) ([]byte, error) }) []byte {
+	text, err := m.Encode(nil)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+// allowedMessages are the types that a caller's batch may bring to a server.
+var allowedMessages = []byte("PBDECHSQ")
+
+// planBatch adds the prepared statements that the connection lacks to a batch,
+// and leaves out those that it has.
+func planBatch(batch inner.Batch, statements *backend.Statements) *plan {
+	p := &plan{}
+	needs := map[string][]byte{}
+	for _, n := range batch.Needs {
+		needs[n.Name] = n.Parse
+	}
+	rest := batch.Raw
+	var m pgwire.Message
+	for {
+		m, rest = pgwire.Next(rest)
+		if m == nil {
+			return p
+		}
+		invariant.Check(bytes.IndexByte(allowedMessages, m.Type()) >= 0, invariant.NoKeys, "a message of type %q would reach a backend server", m.Type())
+		p.add(m, needs, statements)
+	}
+}
+
+func (p *plan) add(m pgwire.Message, needs map[string][]byte, statements *backend.Statements) {
+	body := m.Body()
+	switch m.Type() {
+	case 'P':
+		name, _ := cutString(body)
+		p.prepare(m, name, statements, false)
+		if name == "" {
+			delete(needs, "")
+		}
+	case 'B':
+		_, after := cutString(body)
+		name, _ := cutString(after)
+		p.need(name, needs, statements)
+		p.forward(m, expectation{kind: 'B'})
+	case 'D':
+		if len(body) > 0 && body[0] == 'S' {
+			name, _ := cutString(body[1:])
+			p.need(name, needs, statements)
+		}
+		p.forward(m, expectation{kind: 'D'})
+	case 'C':
+		name, _ := cutString(body[min(1, len(body)):])
+		if len(body) > 0 && body[0] == 'S' && name != "" {
+			p.expects = append(p.expects, expectation{kind: 'C', made: closeComplete})
+			return
+		}
+		p.forward(m, expectation{kind: 'C'})
+	case 'H':
+		p.out = append(p.out, m...)
+	default:
+		p.forward(m, expectation{kind: m.Type()})
+	}
+}
+
+func (p *plan) forward(m []byte, e expectation) {
+	p.out = append(p.out, m...)
+	p.expects = append(p.expects, e)
+}
+
+// need prepares a statement that the batch refers to, unless the connection has it.
+func (p *plan) need(name string, needs map[string][]byte, statements *backend.Statements) {
+	text, ok := needs[name]
+	if !ok {
+		return
+	}
+	delete(needs, name)
+	if name != "" && statements.Has(name) {
+		return
+	}
+	p.prepare(text, name, statements, true)
+}
+
+// prepare sends a Parse, or answers it itself when the connection has the
+// statement already.
+func (p *plan) prepare(m []byte, name string, statements *backend.Statements, hidden bool) {
+	if name == "" {
+		p.forward(m, expectation{kind: 'P', hidden: hidden})
+		return
+	}
+	if statements.Has(name) {
+		if !hidden {
+			p.expects = append(p.expects, expectation{kind: 'P', made: parseComplete})
+		}
+		return
+	}
+	for _, old := range statements.Add(name) {
+		p.forward(mustEncode(&pgproto3.Close{ObjectType: 'S', Name: old}), expectation{kind: 'C', hidden: true})
+	}
+	p.forward(m, expectation{kind: 'P', hidden: hidden, name: name})
+}
+
+func cutString(b []byte) (string, []byte) {
+	i := bytes.IndexByte(b, 0)
+	if i < 0 {
+		return string(b), nil
+	}
+	return string(b[:i]), b[i+1:]
+}
+
+// ends reports whether an answer of the given type ends the expectation.
+func (e expectation) ends(answer byte) bool {
+	switch e.kind {
+	case 'P':
+		return answer == '1'
+	case 'B':
+		return answer == '2'
+	case 'C':
+		return answer == '3'
+	case 'D':
+		return answer == 'T' || answer == 'n'
+	case 'E':
+		return answer == 'C' || answer == 'I' || answer == 's'
+	}
+	return answer == 'Z'
+}
+
+// made appends the answers that the holder gives itself up to the next one that
+// the server owes.
+func (p *plan) made(buf []byte) []byte {
+	for len(p.expects) > 0 && p.expects[0].made != nil {
+		buf = append(buf, p.expects[0].made...)
+		p.expects = p.expects[1:]
+	}
+	return buf
+}
+
+// take settles an answer of the server and reports whether the caller sees it.
+func (p *plan) take(answer byte) (visible bool) {
+	if len(p.expects) == 0 {
+		return true
+	}
+	e := p.expects[0]
+	if e.ends(answer) {
+		p.expects = p.expects[1:]
+	}
+	return !e.hidden
+}
+
+// fail drops what the server skips after an error, and forgets the statements
+// that it did not prepare.
+func (p *plan) fail(statements *backend.Statements) {
+	for len(p.expects) > 0 {
+		e := p.expects[0]
+		if e.kind == 'S' || e.kind == 'Q' {
+			return
+		}
+		if e.name != "" {
+			statements.Remove(e.name)
+		}
+		p.expects = p.expects[1:]
+	}
+}
--- /dev/null
+++ b/internal/serve/holder/floors.go
@@ -0,0 +1,54 @@
+package holder
+
+import (
+	"sync"
+
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+)
+
+// MaxSessions is the number of named sessions that a holder remembers.
+const MaxSessions = 1 << 16
+
+// floors keeps the last write of each named session. A session that is not
+// remembered has the base: the highest floor that was forgotten.
+type floors struct {
+	mu       sync.Mutex
+	sessions *lru.LRU[string, floor.Mark]
+	base     floor.Mark
+}
+
+func newFloors(limit int) *floors {
+	f := &floors{}
+	f.sessions, _ = lru.NewLRU(limit, func(_ string, m floor.Mark) { f.base = f.base.Max(m) })
+	return f
+}
+
+// record raises the floor of a session.
+func (f *floors) record(session string, m floor.Mark) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if old, ok := f.sessions.Peek(session); ok {
+		m = m.Max(old)
+	}
+	f.sessions.Add(session, m)
+}
+
+// restart forgets every session and gives all the same floor: that of a new holder.
+func (f *floors) restart(base floor.Mark) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sessions.Purge()
+	f.base = f.base.Max(base)
+}
+
+// of returns the floor of a session.
+func (f *floors) of(session string) floor.Mark {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m, ok := f.sessions.Get(session); ok {
+		return m
+	}
+	return f.base
+}
--- /dev/null
+++ b/internal/serve/vm/holders.go
@@ -0,0 +1,99 @@
+package vm
+
+import (
+	"context"
+	"sync"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/holder"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+// holders runs a holder for each backend server that falls to this VM.
+type holders struct {
+	vm *VM
+
+	mu      sync.Mutex
+	running map[string]*runningHolder
+}
+
+type runningHolder struct {
+	holder   *holder.Holder
+	database string
+	cancel   context.CancelFunc
+}
+
+func newHolders(v *VM) *holders {
+	return &holders{vm: v, running: map[string]*runningHolder{}}
+}
+
+// get returns the holder of a server, or nil.
+func (h *holders) get(server string) *holder.Holder {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if r := h.running[server]; r != nil {
+		return r.holder
+	}
+	return nil
+}
+
+// update starts and stops holders after a change of members or configuration.
+func (h *holders) update(ctx context.Context) {
+	d := h.vm.document.Load()
+	if d == nil {
+		return
+	}
+	wanted := map[string]document.Server{}
+	database := map[string]string{}
+	for _, b := range d.Databases() {
+		for _, s := range b.Servers {
+			if owner, ok := h.vm.holderOf(s); ok && owner.Name == h.vm.self.Name {
+				wanted[s.Name], database[s.Name] = s, b.Name
+			}
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, r := range h.running {
+		if s, ok := wanted[name]; !ok || s != r.holder.Server() {
+			r.cancel()
+			delete(h.running, name)
+		}
+	}
+	for name, s := range wanted {
+		if h.running[name] == nil {
+			h.startLocked(ctx, s, database[name])
+		}
+	}
+}
+
+func (h *holders) startLocked(ctx context.Context, s document.Server, database string) {
+	ctx, cancel := context.WithCancel(ctx)
+	o := h.vm.options
+	r := &runningHolder{database: database, cancel: cancel, holder: holder.New(holder.Options{
+		Server: s, Database: database, VM: o.Name, User: o.User, Password: o.Password, Clock: o.Clock,
+		ConfirmFunc: h.vm.confirm,
+	})}
+	h.running[s.Name] = r
+	go r.holder.Run(ctx)
+	o.Log.Info("taking over backend server", "vm", o.Name, "server", s.Name)
+}
+
+// wait waits for every holder to stop.
+func (h *holders) wait() {
+	h.mu.Lock()
+	list := make([]*runningHolder, 0, len(h.running))
+	for _, r := range h.running {
+		list = append(list, r)
+	}
+	h.mu.Unlock()
+	for _, r := range list {
+		r.cancel()
+		<-r.holder.Done()
+	}
+}
+
+// holderOf returns the VM that should hold a server.
+func (v *VM) holderOf(s document.Server) (member.VM, bool) {
+	return member.Place(*v.members.Load(), s.Name, s.Zone)
+}
--- /dev/null
+++ b/internal/serve/vm/streams.go
@@ -0,0 +1,177 @@
+package vm
+
+import (
+	"context"
+	"encoding/binary"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/entry"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+// askTimeout bounds a question to another VM in milliseconds.
+const askTimeout = clock.Second
+
+// stream serves one stream of another VM.
+func (v *VM) stream(ctx context.Context, _ string, x inner.Exchange) {
+	f, err := x.Receive()
+	if err != nil {
+		return
+	}
+	switch f.Kind {
+	case inner.KindBegin:
+		var b inner.Begin
+		if inner.Decode(f, &b) == nil {
+			v.serveBegin(ctx, b, x)
+		}
+	case inner.KindAsk:
+		var a inner.Ask
+		if inner.Decode(f, &a) == nil {
+			_ = x.Send(inner.Encode(inner.KindAnswer, v.answer(ctx, a)))
+		}
+	}
+}
+
+func (v *VM) serveBegin(ctx context.Context, b inner.Begin, x inner.Exchange) {
+	if h := v.holders.get(b.Server); h != nil {
+		h.Serve(ctx, b, x)
+		return
+	}
+	_ = x.Send(inner.Encode(inner.KindRefuse, inner.Refuse{
+		Reason: outcome.ReasonHolder, Code: outcome.CodeUnavailable,
+		Detail: "the VM does not hold backend server " + b.Server, State: inner.State{Server: b.Server},
+	}))
+}
+
+// open opens an exchange with the holder of a server; when this VM is the
+// holder, the hop is skipped.
+func (v *VM) open(ctx context.Context, s document.Server) (inner.Exchange, error) {
+	m, ok := v.holderOf(s)
+	if !ok {
+		return inner.Exchange{}, errors.New("no VM is known")
+	}
+	if m.Name != v.self.Name {
+		return v.transport.Open(ctx, m.Address)
+	}
+	here, there := inner.Pipe()
+	go func() {
+		defer there.Close()
+		v.stream(context.WithoutCancel(ctx), v.self.Name, there)
+	}()
+	return here, nil
+}
+
+// ask puts one question to another VM or to this one.
+func (v *VM) ask(ctx context.Context, m member.VM, a inner.Ask) (inner.Answer, error) {
+	if m.Name == v.self.Name {
+		return settle(v.answer(ctx, a))
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
+	defer cancel()
+	x, err := v.transport.Open(ctx, m.Address)
+	if err != nil {
+		return inner.Answer{}, err
+	}
+	stop := context.AfterFunc(ctx, x.Close)
+	defer stop()
+	defer x.Close()
+	if err := x.Send(inner.Encode(inner.KindAsk, a)); err != nil {
+		return inner.Answer{}, err
+	}
+	f, err := x.Receive()
+	if err != nil {
+		return inner.Answer{}, err
+	}
+	var out inner.Answer
+	if err := inner.Decode(f, &out); err != nil {
+		return out, err
+	}
+	return settle(out)
+}
+
+func settle(a inner.Answer) (inner.Answer, error) {
+	if a.Error != "" {
+		return a, errors.New(a.Error)
+	}
+	return a, nil
+}
+
+// answer answers a question.
+func (v *VM) answer(ctx context.Context, a inner.Ask) inner.Answer {
+	if a.Topic == inner.TopicCancel {
+		v.entry.Cancel(a.Process, a.Secret)
+		return inner.Answer{}
+	}
+	h := v.holders.get(a.Server)
+	if h == nil {
+		return inner.Answer{Error: "the VM does not hold backend server " + a.Server}
+	}
+	switch a.Topic {
+	case inner.TopicState:
+		state, held := h.State()
+		if !held {
+			return inner.Answer{Error: "the VM does not hold backend server " + a.Server}
+		}
+		return inner.Answer{State: state}
+	case inner.TopicFloor:
+		m, err := h.Floor(ctx, a.Session)
+		if err != nil {
+			return inner.Answer{Error: err.Error()}
+		}
+		return inner.Answer{Floor: m}
+	}
+	return inner.Answer{Error: "unknown question " + a.Topic}
+}
+
+func (v *VM) askFloor(ctx context.Context, primary document.Server, database, session string) (floor.Mark, error) {
+	m, ok := v.holderOf(primary)
+	if !ok {
+		return floor.Mark{}, errors.New("no VM is known")
+	}
+	a, err := v.ask(ctx, m, inner.Ask{Topic: inner.TopicFloor, Database: database, Server: primary.Name, Session: session})
+	return a.Floor, err
+}
+
+// confirm reports whether a majority of a database's servers know no term above
+// the given one.
+func (v *VM) confirm(ctx context.Context, database string, term floor.Term) bool {
+	d := v.document.Load()
+	b, _ := d.Database(database)
+	answers := make(chan bool, len(b.Servers))
+	for _, s := range b.Servers {
+		go func() {
+			m, ok := v.holderOf(s)
+			if !ok {
+				answers <- false
+				return
+			}
+			a, err := v.ask(ctx, m, inner.Ask{Topic: inner.TopicState, Database: database, Server: s.Name})
+			answers <- err == nil && a.State.Term <= term
+		}()
+	}
+	n := 0
+	for range b.Servers {
+		if <-answers {
+			n++
+		}
+	}
+	return n > len(b.Servers)/2
+}
+
+// passCancel gives a cancel request to the VMs that its process number may mean.
+func (v *VM) passCancel(ctx context.Context, process uint32, secret []byte) {
+	if len(secret) < 4 || binary.BigEndian.Uint32(secret) == 0 {
+		return
+	}
+	for _, m := range *v.members.Load() {
+		if entry.VMTag(m.Name) == uint16(process>>16) {
+			_, _ = v.ask(ctx, m, inner.Ask{Topic: inner.TopicCancel, Process: process, Secret: secret})
+		}
+	}
+}
--- /dev/null
+++ b/internal/serve/vm/vm.go
@@ -0,0 +1,147 @@
+// Package vm is one running VM of the proxy: it joins the entry proxy, the
+// holders, the configuration and the other VMs.
+package vm
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/peer"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/entry"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/keys"
+)
+
+// Options makes a VM.
+type Options struct {
+	Name   string
+	Zone   member.Zone
+	Region string
+	// Listen, Inner and Operator are IP:port.
+	Listen   string
+	Inner    string
+	Operator string
+	// User and Password are the proxy's own at backend servers.
+	User     string
+	Password string
+	Ring     *keys.Ring
+	Store    platform.Store
+	Clock    clock.Clock
+	Log      *log.Logger
+	Limits   caller.Limits
+	Callers  int
+	Silence  clock.Millis
+	TLS      *tls.Config
+}
+
+// VM is a running VM.
+type VM struct {
+	options   Options
+	self      member.VM
+	transport *peer.Transport
+	callers   net.Listener
+	operators net.Listener
+	entry     *entry.Entry
+	holders   *holders
+	document  atomic.Pointer[document.Document]
+	members   atomic.Pointer[[]member.VM]
+	done      chan struct{}
+}
+
+// Start opens the VM's addresses and serves until the context ends.
+func Start(ctx context.Context, o Options) (*VM, error) {
+	v := &VM{options: o, done: make(chan struct{})}
+	if err := v.listen(); err != nil {
+		return nil, err
+	}
+	v.self = member.VM{Name: o.Name, Zone: o.Zone, Region: o.Region, Address: v.transport.Address()}
+	v.members.Store(&[]member.VM{v.self})
+	v.holders = newHolders(v)
+	v.entry = entry.New(entry.Options{
+		VM: v.self, Clock: o.Clock, Limits: o.Limits, Callers: o.Callers, Silence: o.Silence, TLS: o.TLS,
+		DocumentFunc: v.document.Load,
+		OpenFunc:     v.open,
+		FloorFunc:    v.askFloor,
+		CancelFunc:   v.passCancel,
+	})
+	go v.run(ctx)
+	return v, nil
+}
+
+func (v *VM) listen() error {
+	var err error
+	if v.transport, err = peer.Listen(v.options.Inner, v.options.Ring); err != nil {
+		return err
+	}
+	if v.callers, err = net.Listen("tcp", v.options.Listen); err != nil {
+		return errors.Wrap(err, "address for callers")
+	}
+	if v.operators, err = net.Listen("tcp", v.options.Operator); err != nil {
+		return errors.Wrap(err, "address for operators")
+	}
+	return nil
+}
+
+// Self returns the VM as others see it.
+func (v *VM) Self() member.VM { return v.self }
+
+// Address returns IP:port for callers.
+func (v *VM) Address() string { return v.callers.Addr().String() }
+
+// OperatorURL returns the address for operators.
+func (v *VM) OperatorURL() string { return "http://" + v.operators.Addr().String() }
+
+// Entry returns the VM's entry proxy.
+func (v *VM) Entry() *entry.Entry { return v.entry }
+
+// Version returns the version of the configuration in force, or 0.
+func (v *VM) Version() uint64 {
+	if d := v.document.Load(); d != nil {
+		return d.Version
+	}
+	return 0
+}
+
+// Done is closed once every part of the VM has stopped.
+func (v *VM) Done() <-chan struct{} { return v.done }
+
+func (v *VM) run(ctx context.Context) {
+	defer close(v.done)
+	var parts sync.WaitGroup
+	start := func(f func()) {
+		parts.Add(1)
+		go func() {
+			defer parts.Done()
+			f()
+		}()
+	}
+	start(func() { v.transport.Serve(ctx, v.stream) })
+	start(func() { v.watch(ctx) })
+	start(func() { v.entry.Run(ctx, v.callers) })
+	start(func() { v.serveOperators(ctx) })
+	parts.Wait()
+	v.holders.wait()
+}
+
+const headerTimeout = 10 * time.Second
+
+func (v *VM) serveOperators(ctx context.Context) {
+	s := &http.Server{Handler: v.operatorHandler(), ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	if err := s.Serve(v.operators); !errors.Is(err, http.ErrServerClosed) {
+		v.options.Log.Error("the address for operators failed", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/setup/document/document.go
@@ -0,0 +1,140 @@
+// Package document is the configuration that operators edit: one document in
+// sections, each owned by a team.
+package document
+
+import (
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+)
+
+// Section names, in the order in which they are checked.
+const (
+	SectionDatabases = "databases"
+	SectionAccounts  = "accounts"
+	SectionRoutes    = "routes"
+)
+
+// Sections lists every section name.
+func Sections() []string { return []string{SectionDatabases, SectionAccounts, SectionRoutes} }
+
+// Kind is what a route does to the data.
+type Kind string
+
+// The kinds of route.
+const (
+	KindRead  Kind = "read"
+	KindWrite Kind = "write"
+)
+
+// Server is one backend server of a database.
+type Server struct {
+	// Name is unique within the document.
+	Name string `yaml:"name" validate:"required"`
+	// Address is IP:port.
+	Address string `yaml:"address" validate:"required,hostname_port"`
+	// Zone is the availability zone.
+	Zone member.Zone `yaml:"zone" validate:"required"`
+	// Region joins the zones that are near each other.
+	Region string `yaml:"region"`
+	// Slots is the number of statements that may run at once.
+	Slots int `yaml:"slots" validate:"min=1,max=1000"`
+	// Connections is the number of connections that all VMs together may open.
+	Connections int `yaml:"connections" validate:"min=2,max=10000"`
+	// Leaving marks a server that gets no new work.
+	Leaving bool `yaml:"leaving"`
+}
+
+// Database is a group of backend servers with one primary.
+type Database struct {
+	Name    string   `yaml:"name" validate:"required"`
+	Servers []Server `yaml:"servers" validate:"required,min=1,dive"`
+}
+
+// Key is one secret of a client account, kept as a SCRAM-SHA-256 verifier.
+type Key struct {
+	ID       string `yaml:"id" validate:"required"`
+	Verifier string `yaml:"verifier" validate:"required,startswith=SCRAM-SHA-256$"`
+}
+
+// Account is a client account.
+type Account struct {
+	Name string `yaml:"name" validate:"required"`
+	// Rate is statements per second over all VMs.
+	Rate float64 `yaml:"rate" validate:"gt=0"`
+	// Burst is statements that may come at once.
+	Burst float64 `yaml:"burst" validate:"min=1"`
+	// Weight is the share of a crowded server relative to other accounts.
+	Weight int `yaml:"weight" validate:"min=1,max=1000"`
+	// Keys are the secrets that work now.
+	Keys []Key `yaml:"keys" validate:"dive"`
+}
+
+// Route says how the requests that name it are run.
+type Route struct {
+	Name     string `yaml:"name" validate:"required"`
+	Database string `yaml:"database" validate:"required"`
+	Kind     Kind   `yaml:"kind" validate:"oneof=read write"`
+	// Age is the staleness allowed for reads in milliseconds; 0 reads what the session has seen.
+	Age clock.Millis `yaml:"age" validate:"min=0"`
+	// Open lets callers without a key run it.
+	Open bool `yaml:"open"`
+	// Once marks requests that must not be repeated.
+	Once bool `yaml:"once"`
+	// Deadline is the longest wait of a request in milliseconds.
+	Deadline clock.Millis `yaml:"deadline" validate:"min=0,max=3600000"`
+	// Accounts limits who may use the route; empty means every account.
+	Accounts []string `yaml:"accounts"`
+}
+
+// Databases is the section of operations.
+type Databases struct {
+	Databases []Database `yaml:"databases" validate:"dive"`
+}
+
+// Accounts is the section of finance.
+type Accounts struct {
+	Accounts []Account `yaml:"accounts" validate:"dive"`
+}
+
+// Routes is the section of the storefront team.
+type Routes struct {
+	Routes []Route `yaml:"routes" validate:"dive"`
+}
+
+// Document is a whole configuration. It never changes once built.
+type Document struct {
+	// Version grows with each accepted change.
+	Version   uint64
+	databases map[string]Database
+	accounts  map[string]Account
+	routes    map[string]Route
+	texts     map[string]string
+}
+
+// Database returns the database called name.
+func (d *Document) Database(name string) (Database, bool) { v, ok := d.databases[name]; return v, ok }
+
+// Databases returns every database by name. The caller must not change it.
+func (d *Document) Databases() map[string]Database { return d.databases }
+
+// Account returns the client account called name.
+func (d *Document) Account(name string) (Account, bool) { v, ok := d.accounts[name]; return v, ok }
+
+// Accounts returns every account by name. The caller must not change it.
+func (d *Document) Accounts() map[string]Account { return d.accounts }
+
+// Route returns the route called name.
+func (d *Document) Route(name string) (Route, bool) { v, ok := d.routes[name]; return v, ok }
+
+// Text returns the section as its owners wrote it.
+func (d *Document) Text(section string) string { return d.texts[section] }
+
+// HasKey reports whether the key still works.
+func (d *Document) HasKey(account, id string) bool {
+	for _, k := range d.accounts[account].Keys {
+		if k.ID == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/setup/keys/keys.go
@@ -0,0 +1,153 @@
+// Package keys holds the certificates of the VMs and loads them again when they
+// change.
+package keys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// ServerName is the DNS name that every VM's certificate carries. Which VM it is
+// stands in the common name.
+const ServerName = "vm.sycamoredoor.internal"
+
+// Protocol is the ALPN name of the inner protocol.
+const Protocol = "sycamoredoor/1"
+
+// Material is the PEM text of one VM's keys.
+type Material struct {
+	// Authority is the certificate of the authority that signs every VM.
+	Authority []byte
+	// Certificate and Key are the VM's own.
+	Certificate []byte
+	Key         []byte
+}
+
+type loaded struct {
+	pool        *x509.CertPool
+	certificate tls.Certificate
+}
+
+// Ring holds the keys in force.
+type Ring struct{ current atomic.Pointer[loaded] }
+
+// NewRing returns a ring with the given keys.
+func NewRing(m Material) (*Ring, error) {
+	r := &Ring{}
+	return r, r.Load(m)
+}
+
+// Load replaces the keys. On an error the earlier ones stay in force.
+func (r *Ring) Load(m Material) error {
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(m.Authority) {
+		return errors.New("no certificate in the authority's PEM")
+	}
+	c, err := tls.X509KeyPair(m.Certificate, m.Key)
+	if err != nil {
+		return errors.Wrap(err, "certificate and key")
+	}
+	r.current.Store(&loaded{pool: pool, certificate: c})
+	return nil
+}
+
+// Server returns the settings for accepting other VMs.
+func (r *Ring) Server() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			l := r.current.Load()
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				Certificates: []tls.Certificate{l.certificate},
+				ClientAuth:   tls.RequireAndVerifyClientCert,
+				ClientCAs:    l.pool,
+				NextProtos:   []string{Protocol},
+			}, nil
+		},
+		NextProtos: []string{Protocol},
+	}
+}
+
+// Client returns the settings for calling another VM now.
+func (r *Ring) Client() *tls.Config {
+	l := r.current.Load()
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{l.certificate},
+		RootCAs:      l.pool,
+		ServerName:   ServerName,
+		NextProtos:   []string{Protocol},
+	}
+}
+
+// Authority signs certificates for VMs; it serves trials and tests.
+type Authority struct {
+	key         *ecdsa.PrivateKey
+	certificate *x509.Certificate
+	pem         []byte
+}
+
+// NewAuthority makes an authority that lives as long as this process.
+func NewAuthority() (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	t := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "sycamoredoor authority"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().AddDate(1, 0, 0),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, t, t, &key.PublicKey, key)
+	if err != nil {
+		return nil, err
+	}
+	c, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, err
+	}
+	return &Authority{key: key, certificate: c, pem: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})}, nil
+}
+
+// Issue makes the keys of one VM.
+func (a *Authority) Issue(vm string) (Material, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Material{}, err
+	}
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 120))
+	if err != nil {
+		return Material{}, err
+	}
+	t := &x509.Certificate{
+		SerialNumber: serial, Subject: pkix.Name{CommonName: vm}, DNSNames: []string{ServerName},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().AddDate(1, 0, 0),
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, t, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		return Material{}, err
+	}
+	private, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return Material{}, fmt.Errorf("key of %s: %w", vm, err)
+	}
+	return Material{
+		Authority:   a.pem,
+		Certificate: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
+		Key:         pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: private}),
+	}, nil
+}
--- /dev/null
+++ b/internal/standin/backend/session.go
@@ -0,0 +1,405 @@
+package backend
+
+import (
+	"context"
+	"encoding/binary"
+	"maps"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// textOID is the type of every column and parameter of the stand-in.
+const textOID = 25
+
+type prepared struct{ sql string }
+
+type portal struct {
+	sql        string
+	parameters []string
+	formats    []int16
+}
+
+// session is one connection. Its fields are guarded by the group's lock, except
+// for the protocol state, which its own goroutine alone uses.
+type session struct {
+	server   *Server
+	conn     net.Conn
+	wire     *pgproto3.Backend
+	user     string
+	pid      uint32
+	secret   uint32
+	startup  map[string]string
+	settings map[string]string
+	txn      *transaction
+	killed   bool
+	cancel   bool
+	prepared map[string]prepared
+	portals  map[string]portal
+	skip     bool
+}
+
+func (c *session) group() *Group { return c.server.group }
+
+// kill ends the connection at its next step.
+func (c *session) kill() {
+	c.killed = true
+	_ = c.conn.Close()
+	c.group().changed.Broadcast()
+}
+
+func (c *session) startSettings() map[string]string {
+	out := maps.Clone(c.startup)
+	delete(out, "user")
+	delete(out, "database")
+	return out
+}
+
+func (s *Server) serve(ctx context.Context, conn net.Conn) {
+	defer conn.Close() //nolint:errcheck // the peer may be gone
+	c := &session{server: s, conn: conn, wire: pgproto3.NewBackend(conn, conn), prepared: map[string]prepared{}, portals: map[string]portal{}}
+	if !c.open(ctx) {
+		return
+	}
+	defer c.close()
+	for ctx.Err() == nil {
+		m, err := c.wire.Receive()
+		if err != nil {
+			return
+		}
+		if !c.handle(m) {
+			return
+		}
+	}
+}
+
+func (c *session) open(ctx context.Context) bool {
+	m, err := c.wire.ReceiveStartupMessage()
+	if err != nil {
+		return false
+	}
+	switch m := m.(type) {
+	case *pgproto3.SSLRequest:
+		if _, err := c.conn.Write([]byte{'N'}); err != nil {
+			return false
+		}
+		return c.open(ctx)
+	case *pgproto3.CancelRequest:
+		c.server.cancelRunning(m.ProcessID, binary.BigEndian.Uint32(m.SecretKey))
+		return false
+	case *pgproto3.StartupMessage:
+		return c.greet(ctx, m)
+	}
+	return false
+}
+
+func (s *Server) cancelRunning(pid, secret uint32) {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	if c := s.sessions[pid]; c != nil && c.secret == secret {
+		c.cancel = true
+		s.group.changed.Broadcast()
+	}
+}
+
+func (c *session) greet(ctx context.Context, m *pgproto3.StartupMessage) bool {
+	if err := c.group().options.Clock.Sleep(ctx, c.group().options.Connect); err != nil {
+		return false
+	}
+	if !c.register(m.Parameters) {
+		c.wire.Send(&pgproto3.ErrorResponse{Severity: "FATAL", Code: "53300", Message: "sorry, too many clients already"})
+		_ = c.wire.Flush()
+		return false
+	}
+	c.wire.Send(&pgproto3.AuthenticationOk{})
+	for name, v := range map[string]string{"server_version": "16.0", "client_encoding": "UTF8", "standard_conforming_strings": "on", "integer_datetimes": "on"} {
+		c.wire.Send(&pgproto3.ParameterStatus{Name: name, Value: v})
+	}
+	c.wire.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: binary.BigEndian.AppendUint32(nil, c.secret)})
+	c.wire.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	return c.wire.Flush() == nil
+}
+
+func (c *session) register(parameters map[string]string) bool {
+	s := c.server
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	if s.down || len(s.sessions) >= s.group.options.Connections {
+		return false
+	}
+	s.nextPID++
+	c.pid, c.secret = s.nextPID, s.nextPID*2654435761
+	c.user, c.startup = parameters["user"], parameters
+	c.settings = c.startSettings()
+	s.sessions[c.pid] = c
+	return true
+}
+
+func (c *session) close() {
+	c.group().mu.Lock()
+	defer c.group().mu.Unlock()
+	delete(c.server.sessions, c.pid)
+	c.dropAdvisory()
+	c.release()
+}
+
+// handle answers one message and reports whether the connection goes on.
+func (c *session) handle(m pgproto3.FrontendMessage) bool {
+	switch m := m.(type) {
+	case *pgproto3.Terminate:
+		return false
+	case *pgproto3.Query:
+		c.query(m.String)
+		return c.ready()
+	case *pgproto3.Sync:
+		c.skip = false
+		c.endImplicit()
+		return c.ready()
+	case *pgproto3.Flush:
+		return c.wire.Flush() == nil
+	}
+	if c.skip {
+		return true
+	}
+	if err := c.extended(m); err != nil {
+		c.fail(err)
+		c.skip = true
+	}
+	return true
+}
+
+func (c *session) extended(m pgproto3.FrontendMessage) error {
+	switch m := m.(type) {
+	case *pgproto3.Parse:
+		return c.parse(m)
+	case *pgproto3.Bind:
+		return c.bind(m)
+	case *pgproto3.Describe:
+		return c.describe(m)
+	case *pgproto3.Execute:
+		return c.execute(m)
+	case *pgproto3.Close:
+		if m.ObjectType == 'S' {
+			delete(c.prepared, m.Name)
+		} else {
+			delete(c.portals, m.Name)
+		}
+		c.wire.Send(&pgproto3.CloseComplete{})
+		return nil
+	}
+	return &sqlError{code: "08P01", message: "unexpected message"}
+}
+
+func (c *session) parse(m *pgproto3.Parse) error {
+	sql := plain(m.Query)
+	if sql != "" {
+		if _, _, err := find(sql); err != nil {
+			return err
+		}
+	}
+	if _, exists := c.prepared[m.Name]; exists && m.Name != "" {
+		return &sqlError{code: "42P05", message: "prepared statement " + m.Name + " already exists"}
+	}
+	c.prepared[m.Name] = prepared{sql: sql}
+	c.wire.Send(&pgproto3.ParseComplete{})
+	return nil
+}
+
+func (c *session) bind(m *pgproto3.Bind) error {
+	p, ok := c.prepared[m.PreparedStatement]
+	if !ok {
+		return &sqlError{code: "26000", message: "prepared statement " + m.PreparedStatement + " does not exist"}
+	}
+	out := portal{sql: p.sql, formats: append([]int16(nil), m.ResultFormatCodes...)}
+	for _, v := range m.Parameters {
+		out.parameters = append(out.parameters, string(v))
+	}
+	c.portals[m.DestinationPortal] = out
+	c.wire.Send(&pgproto3.BindComplete{})
+	return nil
+}
+
+func (c *session) describe(m *pgproto3.Describe) error {
+	var sql string
+	if m.ObjectType == 'S' {
+		p, ok := c.prepared[m.Name]
+		if !ok {
+			return &sqlError{code: "26000", message: "prepared statement " + m.Name + " does not exist"}
+		}
+		sql = p.sql
+		c.wire.Send(&pgproto3.ParameterDescription{ParameterOIDs: parameterTypes(sql)})
+	} else {
+		p, ok := c.portals[m.Name]
+		if !ok {
+			return &sqlError{code: "34000", message: "portal " + m.Name + " does not exist"}
+		}
+		sql = p.sql
+	}
+	if columns := columnsOf(sql); columns != nil {
+		c.wire.Send(rowDescription(columns))
+	} else {
+		c.wire.Send(&pgproto3.NoData{})
+	}
+	return nil
+}
+
+func parameterTypes(sql string) []uint32 {
+	n := 0
+	for i := 0; i+1 < len(sql); i++ {
+		if sql[i] == '$' && sql[i+1] >= '1' && sql[i+1] <= '9' {
+			n = max(n, int(sql[i+1]-'0'))
+		}
+	}
+	out := make([]uint32, n)
+	for i := range out {
+		out[i] = textOID
+	}
+	return out
+}
+
+func rowDescription(columns []string) *pgproto3.RowDescription {
+	d := &pgproto3.RowDescription{}
+	for _, name := range columns {
+		d.Fields = append(d.Fields, pgproto3.FieldDescription{Name: []byte(name), DataTypeOID: textOID, DataTypeSize: -1, TypeModifier: -1})
+	}
+	return d
+}
+
+func (c *session) execute(m *pgproto3.Execute) error {
+	p, ok := c.portals[m.Portal]
+	if !ok {
+		return &sqlError{code: "34000", message: "portal " + m.Portal + " does not exist"}
+	}
+	if p.sql == "" {
+		c.wire.Send(&pgproto3.EmptyQueryResponse{})
+		return nil
+	}
+	r, err := c.run(p.sql, p.parameters)
+	if err != nil {
+		return err
+	}
+	c.sendRows(r)
+	return nil
+}
+
+func (c *session) sendRows(r result) {
+	for _, row := range r.rows {
+		values := make([][]byte, len(row))
+		for i, v := range row {
+			values[i] = []byte(v)
+		}
+		c.wire.Send(&pgproto3.DataRow{Values: values})
+	}
+	c.wire.Send(&pgproto3.CommandComplete{CommandTag: []byte(r.tag)})
+}
+
+func (c *session) query(sql string) {
+	statements := split(sql)
+	if len(statements) == 0 {
+		c.wire.Send(&pgproto3.EmptyQueryResponse{})
+		return
+	}
+	for _, s := range statements {
+		r, err := c.run(s, nil)
+		if err != nil {
+			c.fail(err)
+			break
+		}
+		if r.columns != nil {
+			c.wire.Send(rowDescription(r.columns))
+		}
+		c.sendRows(r)
+	}
+	c.endImplicit()
+}
+
+// run takes a slot and runs one statement.
+func (c *session) run(sql string, parameters []string) (result, error) {
+	p, args, err := find(sql)
+	if err != nil {
+		return result{}, err
+	}
+	args, err = fill(args, parameters)
+	if err != nil {
+		return result{}, err
+	}
+	c.takeSlot(p)
+	g := c.group()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.server.seen != nil {
+		c.server.seen(sql)
+	}
+	if c.killed {
+		return result{}, errKilled
+	}
+	c.cancel = false
+	if c.txn == nil {
+		c.txn = &transaction{readOnly: c.readOnlyDefault()}
+	}
+	if c.txn.failed && !p.control {
+		return result{}, errFailed
+	}
+	return p.run(c, args)
+}
+
+// takeSlot keeps a slot for the length of the work. Control statements need none.
+func (c *session) takeSlot(p pattern) {
+	work := c.group().options.Work
+	if work <= 0 || p.control {
+		return
+	}
+	c.server.slots <- struct{}{}
+	time.Sleep(work)
+	<-c.server.slots
+}
+
+func (c *session) fail(err error) {
+	e, ok := err.(*sqlError)
+	if !ok {
+		e = &sqlError{code: "XX000", message: err.Error()}
+	}
+	c.wire.Send(&pgproto3.ErrorResponse{Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: e.code, Message: e.message})
+	c.group().mu.Lock()
+	defer c.group().mu.Unlock()
+	if c.txn == nil {
+		return
+	}
+	if c.txn.explicit {
+		c.txn.failed = true
+		return
+	}
+	c.release()
+}
+
+// endImplicit commits the transaction of statements outside BEGIN.
+func (c *session) endImplicit() {
+	c.group().mu.Lock()
+	if c.txn == nil || c.txn.explicit {
+		c.group().mu.Unlock()
+		return
+	}
+	err := c.finish()
+	c.group().mu.Unlock()
+	if err != nil {
+		c.fail(err)
+	}
+}
+
+func (c *session) ready() bool {
+	c.group().mu.Lock()
+	status, killed := byte('I'), c.killed
+	switch {
+	case c.txn != nil && c.txn.failed:
+		status = 'E'
+	case c.txn != nil && c.txn.explicit:
+		status = 'T'
+	}
+	c.group().mu.Unlock()
+	if killed {
+		return false
+	}
+	c.wire.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+	return c.wire.Flush() == nil
+}
--- /dev/null
+++ b/internal/standin/backend/txn.go
@@ -0,0 +1,224 @@
+package backend
+
+import (
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// transaction is the open transaction of a session, explicit or for one statement.
+type transaction struct {
+	explicit bool
+	failed   bool
+	readOnly bool
+	writes   []write
+}
+
+var (
+	errReadOnly = &sqlError{code: "25006", message: "cannot execute a write in a read-only transaction"}
+	errFailed   = &sqlError{code: "25P02", message: "current transaction is aborted, commands ignored until end of transaction block"}
+	errKilled   = &sqlError{code: "57P01", message: "terminating connection due to administrator command"}
+	errCanceled = &sqlError{code: "57014", message: "canceling statement due to user request"}
+)
+
+func (c *session) begin(args []string) (result, error) {
+	if c.txn == nil {
+		c.txn = &transaction{readOnly: c.readOnlyDefault()}
+	}
+	c.txn.explicit = true
+	if args[0] != "" {
+		c.txn.readOnly = strings.EqualFold(strings.Join(strings.Fields(args[0]), " "), "READ ONLY")
+	}
+	return result{tag: "BEGIN"}, nil
+}
+
+func (c *session) readOnlyDefault() bool {
+	return c.server.role != rolePrimary || c.settings["default_transaction_read_only"] == "on"
+}
+
+func (c *session) commit([]string) (result, error) {
+	t := c.txn
+	if t == nil {
+		return result{tag: "COMMIT"}, nil
+	}
+	if t.failed {
+		c.release()
+		return result{tag: "ROLLBACK"}, nil
+	}
+	if err := c.finish(); err != nil {
+		return result{}, err
+	}
+	return result{tag: "COMMIT"}, nil
+}
+
+func (c *session) rollback([]string) (result, error) {
+	c.release()
+	return result{tag: "ROLLBACK"}, nil
+}
+
+// finish commits the open transaction and waits until a majority of the group
+// has it. The caller holds the group's lock.
+func (c *session) finish() error {
+	t := c.txn
+	if len(t.writes) == 0 {
+		c.release()
+		return nil
+	}
+	if c.server.role != rolePrimary {
+		c.release()
+		return errReadOnly
+	}
+	term := c.server.term
+	r := c.server.append(t.writes)
+	c.group().replicate()
+	for !r.committed {
+		if c.killed || c.server.role != rolePrimary || c.server.term != term {
+			c.release()
+			c.kill()
+			return errKilled
+		}
+		c.group().changed.Wait()
+	}
+	c.group().replicate()
+	c.release()
+	return nil
+}
+
+// release ends the open transaction and its row locks.
+func (c *session) release() {
+	c.txn = nil
+	for k, owner := range c.server.locks {
+		if owner == c {
+			delete(c.server.locks, k)
+		}
+	}
+	c.group().changed.Broadcast()
+}
+
+// lockRow waits until no other transaction has the row.
+func (c *session) lockRow(table, id string) error {
+	if c.txn.readOnly {
+		return errReadOnly
+	}
+	k := [2]string{table, id}
+	for c.server.locks[k] != nil && c.server.locks[k] != c {
+		if err := c.wait(); err != nil {
+			return err
+		}
+	}
+	c.server.locks[k] = c
+	return nil
+}
+
+// wait waits for any change in the group.
+func (c *session) wait() error {
+	c.group().changed.Wait()
+	if c.killed {
+		return errKilled
+	}
+	if c.cancel {
+		c.cancel = false
+		return errCanceled
+	}
+	return nil
+}
+
+func (c *session) read(table, id string) (string, bool) {
+	for _, w := range slices.Backward(c.txn.writes) {
+		if w.table == table && w.id == id {
+			return w.value, !w.deleted
+		}
+	}
+	v, ok := c.server.rows[table][id]
+	return v, ok
+}
+
+func (c *session) selectRow(args []string) (result, error) {
+	v, ok := c.read(args[0], args[1])
+	if !ok {
+		return result{columns: []string{"v"}, tag: "SELECT 0"}, nil
+	}
+	return one("v", v), nil
+}
+
+func (c *session) selectAll(args []string) (result, error) {
+	out := result{columns: []string{"id", "v"}}
+	for id, v := range c.server.rows[args[0]] {
+		out.rows = append(out.rows, []string{id, v})
+	}
+	sort.Slice(out.rows, func(i, j int) bool { return out.rows[i][0] < out.rows[j][0] })
+	out.tag = "SELECT " + strconv.Itoa(len(out.rows))
+	return out, nil
+}
+
+func (c *session) count(args []string) (result, error) {
+	return one("count", strconv.Itoa(len(c.server.rows[args[0]]))), nil
+}
+
+func (c *session) insert(args []string) (result, error) {
+	table, id, v, conflict, returning := args[0], args[1], args[2], strings.ToUpper(args[3]), args[4]
+	if err := c.lockRow(table, id); err != nil {
+		return result{}, err
+	}
+	if _, exists := c.read(table, id); exists {
+		switch {
+		case conflict == "NOTHING":
+			return result{tag: "INSERT 0 0"}, nil
+		case conflict == "":
+			return result{}, &sqlError{code: "23505", message: "duplicate key value violates unique constraint of " + table}
+		}
+	}
+	c.txn.writes = append(c.txn.writes, write{table: table, id: id, value: v})
+	return written("INSERT 0 1", returning, v), nil
+}
+
+func written(tag, returning, v string) result {
+	out := result{tag: tag}
+	if returning != "" {
+		out.columns, out.rows = []string{"v"}, [][]string{{v}}
+	}
+	return out
+}
+
+func (c *session) update(args []string) (result, error) {
+	table, add, v, id, returning := args[0], args[1], args[2], args[3], args[4]
+	if err := c.lockRow(table, id); err != nil {
+		return result{}, err
+	}
+	old, exists := c.read(table, id)
+	if !exists {
+		return result{tag: "UPDATE 0"}, nil
+	}
+	if add != "" {
+		a, _ := strconv.Atoi(old)
+		b, _ := strconv.Atoi(v)
+		v = strconv.Itoa(a + b)
+	}
+	c.txn.writes = append(c.txn.writes, write{table: table, id: id, value: v})
+	return written("UPDATE 1", returning, v), nil
+}
+
+func (c *session) remove(args []string) (result, error) {
+	if err := c.lockRow(args[0], args[1]); err != nil {
+		return result{}, err
+	}
+	if _, exists := c.read(args[0], args[1]); !exists {
+		return result{tag: "DELETE 0"}, nil
+	}
+	c.txn.writes = append(c.txn.writes, write{table: args[0], id: args[1], deleted: true})
+	return result{tag: "DELETE 1"}, nil
+}
+
+func (c *session) selectLiteral(args []string) (result, error) { return one("v", args[0]), nil }
+
+func (c *session) sleep(args []string) (result, error) {
+	until := time.Now().Add(seconds(args[0]))
+	for time.Now().Before(until) {
+		if err := c.wait(); err != nil {
+			return result{}, err
+		}
+	}
+	return one("pg_sleep", ""), nil
+}
--- /dev/null
+++ b/internal/standin/platform/platform.go
@@ -0,0 +1,228 @@
+// Package platform is a stand-in for the platform: a table of versioned records,
+// an object store and the list of VMs, over HTTP conditional requests. It fails
+// on demand.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+)
+
+// MaxBody is the largest record or object in bytes.
+const MaxBody = 16 << 20
+
+type record struct {
+	body []byte
+	tag  uint64
+}
+
+// Platform is the stand-in. Its zero fields mean that everything works.
+type Platform struct {
+	listener net.Listener
+	done     chan struct{}
+
+	mu       sync.Mutex
+	table    map[string]record
+	objects  map[string][]byte
+	vms      map[string]member.VM
+	lastTag  uint64
+	down     bool
+	delay    time.Duration
+	lose     int
+	requests int64
+}
+
+// New starts a platform on a loopback address chosen by the system.
+func New(ctx context.Context) (*Platform, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Platform{
+		listener: l, done: make(chan struct{}),
+		table: map[string]record{}, objects: map[string][]byte{}, vms: map[string]member.VM{},
+	}
+	server := &http.Server{Handler: p.handler(), ReadHeaderTimeout: 10 * time.Second}
+	go func() {
+		defer close(p.done)
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return
+		}
+	}()
+	go func() {
+		<-ctx.Done()
+		_ = server.Close()
+	}()
+	return p, nil
+}
+
+// Done is closed once the platform has stopped.
+func (p *Platform) Done() <-chan struct{} { return p.done }
+
+// URL is the address of the platform.
+func (p *Platform) URL() string { return "http://" + p.listener.Addr().String() }
+
+// SetDown makes every request fail, or work again.
+func (p *Platform) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+}
+
+// SetDelay makes every request slow.
+func (p *Platform) SetDelay(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = d
+}
+
+// LoseAnswers drops the answers of the next n writes after they took effect.
+func (p *Platform) LoseAnswers(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lose = n
+}
+
+// SetVM puts a VM on the list.
+func (p *Platform) SetVM(v member.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vms[v.Name] = v
+}
+
+// RemoveVM takes a VM off the list.
+func (p *Platform) RemoveVM(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.vms, name)
+}
+
+// Requests returns how many requests have come so far.
+func (p *Platform) Requests() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.requests
+}
+
+func (p *Platform) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /table/{key...}", p.getRecord)
+	mux.HandleFunc("PUT /table/{key...}", p.putRecord)
+	mux.HandleFunc("GET /object/{name}", p.getObject)
+	mux.HandleFunc("PUT /object/{name}", p.putObject)
+	mux.HandleFunc("GET /vms", p.getVMs)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		p.requests++
+		down, delay := p.down, p.delay
+		p.mu.Unlock()
+		if delay > 0 {
+			time.Sleep(delay)
+		}
+		if down {
+			http.Error(w, "the platform is down", http.StatusServiceUnavailable)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (p *Platform) getRecord(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	v, ok := p.table[r.PathValue("key")]
+	p.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	tag := etag(v.tag)
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	_, _ = w.Write(v.body)
+}
+
+func etag(n uint64) string { return strconv.Quote(strconv.FormatUint(n, 10)) }
+
+func (p *Platform) putRecord(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	tag, ok, lost := p.change(r, body)
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	if !ok {
+		http.Error(w, "the record has another version", http.StatusPreconditionFailed)
+		return
+	}
+	w.Header().Set("ETag", tag)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) change(r *http.Request, body []byte) (tag string, ok, lost bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := r.PathValue("key")
+	old, exists := p.table[key]
+	if want := r.Header.Get("If-Match"); want != "" && (!exists || want != etag(old.tag)) {
+		return "", false, false
+	}
+	if r.Header.Get("If-None-Match") == "*" && exists {
+		return "", false, false
+	}
+	p.lastTag++
+	p.table[key] = record{body: body, tag: p.lastTag}
+	if p.lose > 0 {
+		p.lose--
+		return "", true, true
+	}
+	return etag(p.lastTag), true, false
+}
+
+func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	body, ok := p.objects[r.PathValue("name")]
+	p.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = w.Write(body)
+}
+
+func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	p.mu.Lock()
+	p.objects[r.PathValue("name")] = body
+	p.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) getVMs(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	list := make([]member.VM, 0, len(p.vms))
+	for _, v := range p.vms {
+		list = append(list, v)
+	}
+	p.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
--- /dev/null
+++ b/internal/trial/system/system.go
@@ -0,0 +1,245 @@
+// Package system runs a whole installation in one process on stand-ins: the
+// platform, database groups and the VMs of the proxy, on loopback addresses.
+package system
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/configuration"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/vm"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/keys"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/settings"
+	"github.com/sycamoredoor/sycamoredoor/internal/standin/backend"
+	standin "github.com/sycamoredoor/sycamoredoor/internal/standin/platform"
+)
+
+// Place is an availability zone and its region.
+type Place struct {
+	Zone   member.Zone
+	Region string
+}
+
+// Account is a client account with its key in plain, which only its callers have.
+type Account struct {
+	Name   string
+	Key    string
+	Rate   float64
+	Burst  float64
+	Weight int
+}
+
+// Options sizes an installation.
+type Options struct {
+	Places    []Place
+	Databases []string
+	// Servers sizes the backend servers; its clock is set by New.
+	Servers  backend.Options
+	Accounts []Account
+	// Routes is the section of that name.
+	Routes string
+	Log    *log.Logger
+}
+
+// System is a running installation.
+type System struct {
+	Platform  *standin.Platform
+	Groups    map[string]*backend.Group
+	VMs       []*vm.VM
+	Store     platform.Store
+	options   Options
+	clock     clock.Clock
+	authority *keys.Authority
+}
+
+const (
+	platformTimeout = 2 * clock.Second
+	// Timeout bounds the start of an installation in milliseconds.
+	Timeout = 10 * clock.Second
+)
+
+// New starts an installation and waits until its configuration is in force.
+func New(ctx context.Context, o Options) (*System, error) {
+	if o.Log == nil {
+		o.Log = log.New(io.Discard)
+	}
+	s := &System{options: o, clock: clock.System(), Groups: map[string]*backend.Group{}}
+	var err error
+	if s.Platform, err = standin.New(ctx); err != nil {
+		return nil, err
+	}
+	s.Store = platform.Dial(s.Platform.URL(), platformTimeout)
+	if s.authority, err = keys.NewAuthority(); err != nil {
+		return nil, err
+	}
+	if err := s.startGroups(ctx); err != nil {
+		return nil, err
+	}
+	if err := s.configure(ctx); err != nil {
+		return nil, err
+	}
+	for i, p := range o.Places {
+		if _, err := s.StartVM(ctx, fmt.Sprintf("vm%d", i+1), p); err != nil {
+			return nil, err
+		}
+	}
+	return s, s.WaitReady(ctx)
+}
+
+func (s *System) startGroups(ctx context.Context) error {
+	s.options.Servers.Clock = s.clock
+	for _, name := range s.options.Databases {
+		names := make([]string, 0, len(s.options.Places))
+		for i := range min(len(s.options.Places), 3) {
+			names = append(names, fmt.Sprintf("%s-%d", name, i+1))
+		}
+		g, err := backend.NewGroup(ctx, name, names, s.options.Servers)
+		if err != nil {
+			return err
+		}
+		s.Groups[name] = g
+	}
+	return nil
+}
+
+// configure writes the first configuration.
+func (s *System) configure(ctx context.Context) error {
+	accounts, err := AccountsSection(s.options.Accounts)
+	if err != nil {
+		return err
+	}
+	_, err = configuration.Apply(ctx, s.Store, map[string]string{
+		document.SectionDatabases: s.databasesSection(),
+		document.SectionAccounts:  accounts,
+		document.SectionRoutes:    s.options.Routes,
+	}, 0, "first")
+	return err
+}
+
+func (s *System) databasesSection() string {
+	var b strings.Builder
+	b.WriteString("databases:\n")
+	for _, name := range s.options.Databases {
+		fmt.Fprintf(&b, "  - name: %s\n    servers:\n", name)
+		for i, v := range s.Groups[name].Servers() {
+			p := s.options.Places[i%len(s.options.Places)]
+			fmt.Fprintf(&b, "      - {name: %s, address: %q, zone: %s, region: %s, slots: %d, connections: %d}\n",
+				v.Name(), v.Address(), p.Zone, p.Region, s.options.Servers.Slots, s.options.Servers.Connections)
+		}
+	}
+	return b.String()
+}
+
+// AccountsSection writes the section of the client accounts.
+func AccountsSection(accounts []Account) (string, error) {
+	var b strings.Builder
+	b.WriteString("accounts:\n")
+	for _, a := range accounts {
+		salt := make([]byte, 16)
+		if _, err := rand.Read(salt); err != nil {
+			return "", err
+		}
+		verifier, err := caller.NewVerifier(a.Key, salt)
+		if err != nil {
+			return "", err
+		}
+		fmt.Fprintf(&b, "  - name: %s\n    rate: %g\n    burst: %g\n    weight: %d\n    keys:\n      - {id: k1, verifier: %q}\n", a.Name, a.Rate, a.Burst, a.Weight, verifier)
+	}
+	return b.String(), nil
+}
+
+// StartVM starts one more VM and puts it on the platform's list.
+func (s *System) StartVM(ctx context.Context, name string, p Place) (*vm.VM, error) {
+	material, err := s.authority.Issue(name)
+	if err != nil {
+		return nil, err
+	}
+	ring, err := keys.NewRing(material)
+	if err != nil {
+		return nil, err
+	}
+	d := settings.Default().Callers
+	v, err := vm.Start(ctx, vm.Options{
+		Name: name, Zone: p.Zone, Region: p.Region, Listen: "127.0.0.1:0", Inner: "127.0.0.1:0", Operator: "127.0.0.1:0",
+		User: "proxy", Ring: ring, Store: platform.Dial(s.Platform.URL(), platformTimeout), Clock: s.clock, Log: s.options.Log,
+		Limits:  caller.Limits{Message: d.Message, Startup: d.Startup, Write: d.Write},
+		Callers: d.Max, Silence: d.Silence,
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.VMs = append(s.VMs, v)
+	s.Platform.SetVM(v.Self())
+	return v, nil
+}
+
+// WaitReady waits until every VM has the configuration and every backend server
+// has its holder.
+func (s *System) WaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, Timeout.Duration())
+	defer cancel()
+	for !s.ready() {
+		if err := s.clock.Sleep(ctx, 5); err != nil {
+			return errors.Wrap(err, "the installation did not become ready")
+		}
+	}
+	return nil
+}
+
+func (s *System) ready() bool {
+	held := 0
+	for _, v := range s.VMs {
+		status := v.Status()
+		if status.Version == 0 || len(status.Members) < len(s.VMs) {
+			return false
+		}
+		for _, h := range status.Holdings {
+			if h.Held {
+				held++
+			}
+		}
+	}
+	servers := 0
+	for _, g := range s.Groups {
+		servers += len(g.Servers())
+	}
+	return held >= servers
+}
+
+// DSN returns the address of a database at a VM for one of the accounts.
+func (s *System) DSN(v *vm.VM, account, key, database string) string {
+	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable&connect_timeout=5", account, key, v.Address(), database)
+}
+
+// Wait waits until every part has stopped, after the context has ended.
+func (s *System) Wait(limit time.Duration) error {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	parts := []<-chan struct{}{s.Platform.Done()}
+	for _, v := range s.VMs {
+		parts = append(parts, v.Done())
+	}
+	for _, g := range s.Groups {
+		parts = append(parts, g.Done())
+	}
+	for _, p := range parts {
+		select {
+		case <-p:
+		case <-t.C:
+			return errors.New("a part of the installation did not stop")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/trial/system/system_test.go
@@ -0,0 +1,82 @@
+package system
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/standin/backend"
+)
+
+const routes = `routes:
+  - {name: box, database: orders, kind: write}
+  - {name: list, database: orders, kind: read}
+`
+
+func start(t *testing.T) *System {
+	t.Helper()
+	t.Cleanup(invariant.Handle(func(n invariant.Name, detail string) { t.Errorf("invariant %s: %s", n, detail) }))
+	ctx, cancel := context.WithCancel(context.Background())
+	s, err := New(ctx, Options{
+		Places:    []Place{{"abbotsford", "mainland"}, {"chilliwack", "mainland"}, {"kelowna", "okanagan"}},
+		Databases: []string{"orders"},
+		Servers:   backend.Options{Slots: 3, Connections: 20, Connect: 12, Lag: 30},
+		Accounts:  []Account{{Name: "counter", Key: "jelly", Rate: 100, Burst: 10, Weight: 1}},
+		Routes:    routes,
+	})
+	if err != nil {
+		cancel()
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cancel()
+		if err := s.Wait(10 * time.Second); err != nil {
+			t.Error(err)
+		}
+	})
+	return s
+}
+
+func connect(t *testing.T, s *System, vm int, parameters map[string]string) *pgx.Conn {
+	t.Helper()
+	c, err := pgx.ParseConfig(s.DSN(s.VMs[vm], "counter", "jelly", "orders"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for k, v := range parameters {
+		c.RuntimeParams[k] = v
+	}
+	conn, err := pgx.ConnectConfig(t.Context(), c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+// TestReadYourWritesAcrossVMs writes through one VM and reads through another in
+// the same named session.
+func TestReadYourWritesAcrossVMs(t *testing.T) {
+	s := start(t)
+	session := map[string]string{"sycamoredoor.session": "member-7"}
+	a, b := connect(t, s, 0, session), connect(t, s, 1, session)
+	for _, want := range []string{"plum", "medlar", "quince"} {
+		if _, err := a.Exec(t.Context(), "INSERT INTO box (id, v) VALUES ($1, $2) ON CONFLICT (id) DO UPDATE SET v = EXCLUDED.v /*route='box'*/", "7", want); err != nil {
+			t.Fatal(err)
+		}
+		var got string
+		if err := b.QueryRow(t.Context(), "SELECT v FROM box WHERE id = $1 /*route='list'*/", "7").Scan(&got); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("read after write (-want +got):\n%s", diff)
+		}
+	}
+	if n := s.VMs[1].Entry().Served().Replicas; n == 0 {
+		t.Error("no read was served by a replica")
+	}
+}
