--- /dev/null
+++ b/internal/core/member/tree.go
@@ -0,0 +1,96 @@
+package member
+
+import "slices"
+
+// FanOut is the number of children of a VM in the relay tree of its zone.
+const FanOut = 12
+
+// Tree is the relay tree that one VM sees: in each availability zone the VMs
+// stand in an order that every VM computes alike, and the one at place i relays
+// for those at places FanOut*i+1 to FanOut*i+FanOut. The first of each zone is
+// its root. Views differ for a while when VMs come and go; a VM whose relay does
+// not answer passes over it.
+type Tree struct {
+	order map[Zone][]string
+	zone  map[string]Zone
+}
+
+// relayName is hashed with a VM's name for its place in the tree.
+const relayName = "relay"
+
+// NewTree builds the tree of the given VMs without those in skip.
+func NewTree(vms []VM, skip map[string]bool) Tree {
+	t := Tree{order: map[Zone][]string{}, zone: map[string]Zone{}}
+	for _, v := range vms {
+		if skip[v.Name] {
+			continue
+		}
+		t.order[v.Zone] = append(t.order[v.Zone], v.Name)
+		t.zone[v.Name] = v.Zone
+	}
+	for _, names := range t.order {
+		slices.SortFunc(names, func(a, b string) int { return compareScore(a, b) })
+	}
+	return t
+}
+
+func compareScore(a, b string) int {
+	x, y := placeScore(a, relayName), placeScore(b, relayName)
+	switch {
+	case x > y:
+		return -1
+	case x < y:
+		return 1
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// Parent returns the VM that relays for name, which is "" at a root. A VM of the
+// given zone that is not in the tree is served by the zone's root, or by any
+// root when the zone has none.
+func (t Tree) Parent(name string, zone Zone) string {
+	names := t.order[zone]
+	i := slices.Index(names, name)
+	switch {
+	case i > 0:
+		return names[(i-1)/FanOut]
+	case i == 0:
+		return ""
+	case len(names) > 0:
+		return names[0]
+	case len(t.order) > 0:
+		return t.Roots()[0]
+	}
+	return ""
+}
+
+// Children returns the VMs that name relays for.
+func (t Tree) Children(name string) []string {
+	names := t.order[t.zone[name]]
+	i := slices.Index(names, name)
+	if i < 0 {
+		return nil
+	}
+	from := min(FanOut*i+1, len(names))
+	return names[from:min(from+FanOut, len(names))]
+}
+
+// Roots returns the root of each zone, in order of their names.
+func (t Tree) Roots() []string {
+	out := make([]string, 0, len(t.order))
+	for _, names := range t.order {
+		out = append(out, names[0])
+	}
+	slices.Sort(out)
+	return out
+}
+
+// IsRoot reports whether name is the root of its zone.
+func (t Tree) IsRoot(name string) bool {
+	names := t.order[t.zone[name]]
+	return len(names) > 0 && names[0] == name
+}
