Serve the whole extended protocol to callers

Cause: settings of the proxy worked only as simple queries; an error before a Flush left the holder waiting for answers that the server had skipped; a Query among unsynchronised messages was taken into their batch; ROLLBACK TO, or a second statement behind ROLLBACK, ended a failed block or was dropped silently; the status was T after a Flush outside a block; Close alone cost a transaction. Change: a batch is either for a server or answered by the proxy, and a mixed run is cut as by a Flush. SET, RESET and SHOW sycamoredoor.x work in both protocols; a SET among other statements or SET LOCAL is refused instead of lost. Messages after an error are passed over up to the Sync, on the server too. A block is told apart from a transaction that ends with its batch. Function calls, unknown statements and unknown portals get PostgreSQL's codes.

--- a/internal/core/route/hint.go
+++ b/internal/core/route/hint.go
@@ -56,6 +56,23 @@
 	return h, true
 }
 
+// Field returns one named field, and whether the name is known.
+func (h Hint) Field(name string) (string, bool) {
+	switch name {
+	case "route":
+		return h.Route, true
+	case "session":
+		return h.Session, true
+	case "key":
+		return h.Key, true
+	case "traceparent":
+		return h.Parent, true
+	case "token":
+		return h.Token, true
+	}
+	return "", false
+}
+
 func pick(first, second string) string {
 	if first != "" {
 		return first
--- a/internal/serve/entry/batch.go
+++ b/internal/serve/entry/batch.go
@@ -1,10 +1,9 @@
 package entry
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
+	"bytes"
 	"regexp"
-	"strings"
+	"slices"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -21,50 +20,51 @@
 	maxStatements = 4096
 )
 
-// statement is a prepared statement of a caller. On servers it goes by a name
-// made from its text, so that callers who prepare the same share it.
-type statement struct {
-	sql  string
-	name string
-	// parse makes the statement on a server.
-	parse []byte
-	hint  route.Hint
-}
-
-// batch is a run of messages up to a Sync, a Flush or a simple Query.
+// batch is a run of messages up to a Sync, a Flush or a simple Query. It is
+// either for a server or answered by the proxy itself; where a caller mixes the
+// two, its run is cut into batches as if it had sent a Flush.
 type batch struct {
-	out   inner.Batch
-	hint  route.Hint
-	query string
-	sqls  []string
+	out  inner.Batch
+	hint route.Hint
+	sqls []string
 	// end is the type of the last message.
-	end byte
-	// executes is set when the batch runs something.
-	executes bool
-	refusal  *outcome.NotRun
-	kinds    []byte
+	end     byte
+	refusal *outcome.NotRun
+	// remote counts the messages for a server.
+	remote int
+	// steps are the messages that the proxy answers.
+	steps []step
 }
 
-func (b *batch) empty() bool { return len(b.kinds) == 0 }
+func (b *batch) empty() bool { return b.remote == 0 && len(b.steps) == 0 && b.refusal == nil }
 
-func (b *batch) firstSQL() string {
-	if len(b.sqls) == 0 {
-		return ""
-	}
-	return b.sqls[0]
+// begins reports whether the batch may open a transaction block.
+func (b *batch) begins() bool {
+	return slices.ContainsFunc(b.sqls, beginPattern.MatchString)
+}
+
+func syncBatch() *batch {
+	b := &batch{end: 'S'}
+	b.out.Raw = appendMessage(nil, 'S', nil, nil)
+	return b
 }
 
 // readBatch reads messages until one that asks for an answer.
 func (s *session) readBatch() (*batch, error) {
-	if s.pinned == "" {
+	b := &batch{}
+	if m := s.pending; m != nil {
+		s.pending = nil
+		if done, err := s.addMessage(b, m); err != nil || done {
+			return b, err
+		}
+	} else if s.pinned == "" {
 		if err := s.conn.Wait(); err != nil {
 			return nil, err
 		}
 	}
-	b := &batch{}
 	var buf []byte
 	for {
-		grown, m, err := s.conn.Read(buf[:0], s.patience(b))
+		grown, m, err := s.conn.Read(buf[:0], s.entry.options.Silence)
 		if err != nil {
 			return nil, protocolError(err)
 		}
@@ -81,26 +81,37 @@
 
 // addMessage takes one message into the batch and reports whether it ends it.
 func (s *session) addMessage(b *batch, m pgwire.Message) (bool, error) {
-	switch m.Type() {
-	case 'Q':
-		return true, s.addQuery(b, m)
-	case 'S':
+	switch kind := m.Type(); {
+	case kind == 'X':
+		return true, errTerminated
+	case kind == 'S':
 		b.end = 'S'
 		b.out.Raw = append(b.out.Raw, m...)
 		return true, nil
-	case 'H':
-		b.end = 'H'
-		b.out.Raw = append(b.out.Raw, m...)
-		return !b.empty(), nil
-	case 'X':
-		return true, errTerminated
-	case 'd', 'c', 'f':
+	case s.skipping, kind == 'd', kind == 'c', kind == 'f':
 		return false, nil
+	case kind == 'H':
+		return s.flush(b), nil
+	case kind == 'Q', kind == 'F':
+		if s.flush(b) {
+			s.pending = bytes.Clone(m)
+			return true, nil
+		}
+		return true, s.addQuery(b, m)
 	}
-	if s.skipping {
-		return false, nil
+	return s.addExtended(b, m)
+}
+
+// flush ends a batch that has something to answer, as after a Flush.
+func (*session) flush(b *batch) bool {
+	if b.empty() {
+		return false
 	}
-	return false, s.addExtended(b, m)
+	b.end = 'H'
+	if b.remote > 0 {
+		b.out.Raw = appendMessage(b.out.Raw, 'H', nil, nil)
+	}
+	return true
 }
 
 var errTerminated = &terminated{}
@@ -110,14 +121,24 @@
 // Error implements error.
 func (*terminated) Error() string { return "the caller has left" }
 
+// addQuery takes in a simple query or a function call, which is a batch by itself.
 func (s *session) addQuery(b *batch, m pgwire.Message) error {
+	b.end = 'Q'
+	if m.Type() == 'F' {
+		b.refusal = outcome.Refuse(outcome.ReasonRequest, outcome.CodeUnsupported, "function calls by message are not supported; use SELECT")
+		return nil
+	}
 	var q pgproto3.Query
 	if err := q.Decode(m.Body()); err != nil {
 		return malformed(err)
 	}
-	b.end, b.query, b.executes = 'Q', q.String, true
-	b.kinds = append(b.kinds, 'Q')
-	s.note(b, q.String, route.Parse(q.String))
+	st := &statement{sql: q.String, command: parseCommand(q.String)}
+	if s.failed || st.command != nil {
+		b.steps = append(b.steps, step{kind: 'Q', statement: st})
+		return nil
+	}
+	s.note(b, st.sql, route.Parse(st.sql))
+	b.remote++
 	b.out.Raw = append(b.out.Raw, m...)
 	return nil
 }
@@ -140,83 +161,6 @@
 
 var copyPattern = regexp.MustCompile(`(?is)^(?:\s|/\*.*?\*/|--[^\n]*\n)*COPY\b`)
 
-func (s *session) addExtended(b *batch, m pgwire.Message) error {
-	b.kinds = append(b.kinds, m.Type())
-	switch m.Type() {
-	case 'P':
-		return s.addParse(b, m)
-	case 'B':
-		return s.addBind(b, m)
-	case 'D', 'C':
-		return s.addNamed(b, m)
-	case 'E':
-		b.executes = true
-		b.out.Raw = append(b.out.Raw, m...)
-		return nil
-	}
-	return outcome.Refuse(outcome.ReasonRequest, outcome.CodeProtocol, "unexpected message %q", m.Type())
-}
-
-func (s *session) addParse(b *batch, m pgwire.Message) error {
-	var p pgproto3.Parse
-	if err := p.Decode(m.Body()); err != nil {
-		return malformed(err)
-	}
-	st, err := newStatement(p)
-	if err != nil {
-		return malformed(err)
-	}
-	if s.statements == nil {
-		s.statements = map[string]*statement{}
-	}
-	if len(s.statements) >= maxStatements && s.statements[p.Name] == nil {
-		return outcome.Refuse(outcome.ReasonCrowded, outcome.CodeCrowded, "the caller has %d prepared statements", maxStatements)
-	}
-	s.statements[p.Name] = st
-	s.note(b, st.sql, st.hint)
-	b.out.Raw = append(b.out.Raw, st.parse...)
-	return nil
-}
-
-// newStatement gives a statement its name on servers. The unnamed statement
-// keeps its empty name.
-func newStatement(p pgproto3.Parse) (*statement, error) {
-	st := &statement{sql: strings.Clone(p.Query)}
-	st.hint = route.Parse(st.sql)
-	if p.Name != "" {
-		p.Name = ""
-		text, err := p.Encode(nil)
-		if err != nil {
-			return nil, err
-		}
-		sum := sha256.Sum256(text)
-		st.name = "s" + hex.EncodeToString(sum[:16])
-		p.Name = st.name
-	}
-	text, err := p.Encode(nil)
-	st.parse = text
-	return st, err
-}
-
-func (s *session) addBind(b *batch, m pgwire.Message) error {
-	portal, rest, ok := cutString(m.Body())
-	if !ok {
-		return malformed(errNoString)
-	}
-	name, rest, ok := cutString(rest)
-	if !ok {
-		return malformed(errNoString)
-	}
-	st := s.statements[name]
-	if st == nil {
-		b.out.Raw = append(b.out.Raw, m...)
-		return nil
-	}
-	s.useStatement(b, st)
-	b.out.Raw = appendMessage(b.out.Raw, 'B', []byte(portal+"\x00"+st.name+"\x00"), rest)
-	return nil
-}
-
 // useStatement has the holder prepare a statement if the connection lacks it.
 func (s *session) useStatement(b *batch, st *statement) {
 	s.note(b, st.sql, st.hint)
@@ -228,30 +172,6 @@
 	b.out.Needs = append(b.out.Needs, inner.Need{Name: st.name, Parse: st.parse})
 }
 
-// addNamed takes in a Describe or a Close.
-func (s *session) addNamed(b *batch, m pgwire.Message) error {
-	body := m.Body()
-	if len(body) == 0 {
-		return malformed(errNoString)
-	}
-	name, _, ok := cutString(body[1:])
-	if !ok {
-		return malformed(errNoString)
-	}
-	st := s.statements[name]
-	if body[0] != 'S' || st == nil {
-		b.out.Raw = append(b.out.Raw, m...)
-		return nil
-	}
-	if m.Type() == 'D' {
-		s.useStatement(b, st)
-	} else {
-		delete(s.statements, name)
-	}
-	b.out.Raw = appendMessage(b.out.Raw, m.Type(), []byte("S"+st.name+"\x00"), nil)
-	return nil
-}
-
 var errNoString = &stringError{}
 
 type stringError struct{}
@@ -260,12 +180,8 @@
 func (*stringError) Error() string { return "a name has no end" }
 
 func cutString(b []byte) (string, []byte, bool) {
-	for i, c := range b {
-		if c == 0 {
-			return string(b[:i]), b[i+1:], true
-		}
-	}
-	return "", nil, false
+	name, rest, ok := bytes.Cut(b, []byte{0})
+	return string(name), rest, ok
 }
 
 func appendMessage(buf []byte, kind byte, first, second []byte) []byte {
--- /dev/null
+++ b/internal/serve/entry/bench_test.go
@@ -0,0 +1,186 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/pgwire"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+const generous = 10 * time.Second
+
+// bench is an entry proxy before a holder that answers by rote.
+type bench struct {
+	entry   *Entry
+	address string
+
+	mu   sync.Mutex
+	sent []string
+}
+
+func parseDocument(t testing.TB, keys string) *document.Document {
+	t.Helper()
+	d, err := document.Parse(1, map[string]string{
+		document.SectionDatabases: "databases:\n  - name: orders\n    servers:\n      - {name: orders-1, address: \"127.0.0.1:1\", zone: a, region: r, slots: 1, connections: 2}\n",
+		document.SectionAccounts:  "accounts:\n  - {name: counter, rate: 10, burst: 10, weight: 1, keys: [" + keys + "]}\n",
+		document.SectionRoutes:    "routes:\n  - {name: box, database: orders, kind: write}\n  - {name: list, database: orders, kind: read, open: true}\n",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func newBench(t testing.TB, change func(*Options)) *bench {
+	t.Helper()
+	t.Cleanup(invariant.Handle(func(n invariant.Name, detail string) { t.Errorf("invariant %s: %s", n, detail) }))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{address: l.Addr().String()}
+	d := parseDocument(t, "")
+	o := Options{
+		VM: member.VM{Name: "vm1", Zone: "a", Region: "r"}, Clock: clock.System(), Callers: 2000, Silence: 60 * clock.Second,
+		Limits:       caller.Limits{Message: 1 << 20, Startup: 10 * clock.Second, Write: 10 * clock.Second},
+		DocumentFunc: func() *document.Document { return d },
+		OpenFunc:     b.open,
+		CancelFunc:   func(context.Context, uint32, []byte) {},
+		FloorFunc: func(context.Context, document.Server, string, string) (floor.Mark, error) {
+			return floor.Mark{}, nil
+		},
+	}
+	if change != nil {
+		change(&o)
+	}
+	b.entry = New(o)
+	ctx, cancel := context.WithCancel(context.Background())
+	go b.entry.Run(ctx, l)
+	t.Cleanup(func() {
+		cancel()
+		<-b.entry.Done()
+	})
+	return b
+}
+
+func (b *bench) open(context.Context, document.Server) (inner.Exchange, error) {
+	here, there := inner.Pipe()
+	go b.hold(there)
+	return here, nil
+}
+
+// hold answers batches as a holder would, by the words in their statements.
+func (b *bench) hold(x inner.Exchange) {
+	defer x.Close()
+	block, sql := false, ""
+	for {
+		f, err := x.Receive()
+		if err != nil {
+			return
+		}
+		var batch inner.Batch
+		if f.Kind != inner.KindBatch || inner.Decode(f, &batch) != nil {
+			continue
+		}
+		out, kinds := []byte(nil), ""
+		status, failed := byte(0), false
+		for m, rest := pgwire.Next(batch.Raw); m != nil; m, rest = pgwire.Next(rest) {
+			kinds += string(m.Type())
+			if failed && m.Type() != 'S' {
+				continue
+			}
+			if m.Type() == 'P' || m.Type() == 'Q' {
+				sql = string(m.Body())
+			}
+			switch m.Type() {
+			case 'P':
+				out = encode(out, &pgproto3.ParseComplete{})
+			case 'B':
+				out = encode(out, &pgproto3.BindComplete{})
+			case 'C':
+				out = encode(out, &pgproto3.CloseComplete{})
+			case 'D':
+				out = encode(encode(out, &pgproto3.ParameterDescription{}), &pgproto3.NoData{})
+			case 'E', 'Q':
+				switch {
+				case strings.Contains(sql, "BEGIN"):
+					block, out = true, append(out, caller.Complete("BEGIN")...)
+				case strings.Contains(sql, "COMMIT"):
+					block, out = false, append(out, caller.Complete("COMMIT")...)
+				case strings.Contains(sql, "FAIL"):
+					failed, out = true, append(out, caller.ErrorMessage("ERROR", "42601", "failed")...)
+				case strings.Contains(sql, "LOSE"):
+					b.note(kinds + restKinds(rest))
+					return
+				default:
+					out = append(out, caller.Complete("SELECT 1")...)
+				}
+			}
+			if m.Type() == 'S' || m.Type() == 'Q' {
+				status = 'I'
+				if block {
+					status = 'T'
+				}
+				out = append(out, caller.Ready(status)...)
+			}
+		}
+		b.note(kinds)
+		if x.Send(inner.Encode(inner.KindEnd, inner.End{Status: status, Raw: out})) != nil {
+			return
+		}
+	}
+}
+
+func restKinds(raw []byte) string {
+	kinds := ""
+	for m, rest := pgwire.Next(raw); m != nil; m, rest = pgwire.Next(rest) {
+		kinds += string(m.Type())
+	}
+	return kinds
+}
+
+func (b *bench) note(kinds string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sent = append(b.sent, kinds)
+}
+
+// dial opens a connection as nobody and reads up to the first ReadyForQuery.
+func (b *bench) dial(t testing.TB) (net.Conn, *pgproto3.Frontend) {
+	t.Helper()
+	c, err := net.Dial("tcp", b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(generous))
+	f := pgproto3.NewFrontend(c, c)
+	f.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{
+		"user": "nobody", "database": "orders", "sycamoredoor.route": "list",
+	}})
+	if err := f.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		m, err := f.Receive()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, ready := m.(*pgproto3.ReadyForQuery); ready {
+			return c, f
+		}
+	}
+}
--- /dev/null
+++ b/internal/serve/entry/command.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"regexp"
+	"strings"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+)
+
+// hintPrefix marks the settings that are meant for the proxy.
+const hintPrefix = "sycamoredoor."
+
+// maxCommand is the length in bytes beyond which a statement is no command.
+const maxCommand = 2048
+
+// verb is what a command does.
+type verb int
+
+const (
+	verbSet verb = iota
+	verbShow
+	verbRefuse
+)
+
+// command is a statement that the proxy carries out itself.
+type command struct {
+	verb  verb
+	field string
+	value string
+}
+
+const spaces = `(?:\s|/\*.*?\*/|--[^\n]*\n)*`
+
+var (
+	setPattern = regexp.MustCompile(`(?is)^` + spaces + `SET\s+(SESSION\s+|LOCAL\s+)?sycamoredoor\.(\w+)\s*(?:=|\sTO\s)\s*('(?:[^']|'')*'|[\w.-]+)\s*;?` + spaces + `$`)
+	// resetPattern, showPattern and otherPattern follow the same form.
+	resetPattern = regexp.MustCompile(`(?is)^` + spaces + `RESET\s+sycamoredoor\.(\w+)\s*;?` + spaces + `$`)
+	showPattern  = regexp.MustCompile(`(?is)^` + spaces + `SHOW\s+sycamoredoor\.(\w+)\s*;?` + spaces + `$`)
+	otherPattern = regexp.MustCompile(`(?is)(?:^|;)` + spaces + `(?:SET\s+(?:SESSION\s+|LOCAL\s+)?|RESET\s+|SHOW\s+)sycamoredoor\.`)
+	// beginPattern finds statements that may open a transaction block.
+	beginPattern = regexp.MustCompile(`(?is)(?:^|;)` + spaces + `(?:BEGIN|START\s+TRANSACTION)\b`)
+	// endPattern matches a lone statement that ends a transaction block.
+	endPattern = regexp.MustCompile(`(?is)^` + spaces + `(?:COMMIT|END|ROLLBACK|ABORT)(?:\s+(?:WORK|TRANSACTION))?(?:\s+AND\s+NO\s+CHAIN)?\s*;?` + spaces + `$`)
+)
+
+// parseCommand returns the command that a statement is, or nil when the
+// statement is for a backend server.
+func parseCommand(sql string) *command {
+	if len(sql) <= maxCommand {
+		if m := setPattern.FindStringSubmatch(sql); m != nil {
+			return setCommand(m[1], m[2], m[3])
+		}
+		if m := resetPattern.FindStringSubmatch(sql); m != nil {
+			return &command{verb: verbSet, field: strings.ToLower(m[1])}
+		}
+		if m := showPattern.FindStringSubmatch(sql); m != nil {
+			return &command{verb: verbShow, field: strings.ToLower(m[1])}
+		}
+	}
+	if otherPattern.MatchString(sql) {
+		return &command{verb: verbRefuse}
+	}
+	return nil
+}
+
+func setCommand(scope, field, value string) *command {
+	if strings.EqualFold(strings.TrimSpace(scope), "LOCAL") {
+		return &command{verb: verbRefuse}
+	}
+	switch {
+	case value[0] == '\'':
+		value = strings.ReplaceAll(value[1:len(value)-1], "''", "'")
+	case strings.EqualFold(value, "DEFAULT"):
+		value = ""
+	}
+	return &command{verb: verbSet, field: strings.ToLower(field), value: value}
+}
+
+// column is the name of the result column, or "" when there is no result.
+func (c *command) column() string {
+	if c == nil || c.verb != verbShow {
+		return ""
+	}
+	return hintPrefix + c.field
+}
+
+// runCommand carries a command out and returns its one value and its tag.
+func (s *session) runCommand(c *command) (value, tag string, err error) {
+	switch c.verb {
+	case verbSet:
+		return "", "SET", s.setHint(c.field, c.value)
+	case verbShow:
+		value, err = s.showHint(c.field)
+		return value, "SHOW", err
+	}
+	return "", "", outcome.Refuse(outcome.ReasonRequest, outcome.CodeUnsupported,
+		"settings of the proxy are set alone, by SET %sname = 'value', for the whole session", hintPrefix)
+}
+
+// showHint returns a setting of the session. The token is the floor that the
+// session has now.
+func (s *session) showHint(field string) (string, error) {
+	if field == "token" && !s.floor.IsZero() {
+		return token(s.database, s.floor), nil
+	}
+	value, ok := s.hint.Field(field)
+	if !ok {
+		return "", outcome.Refuse(outcome.ReasonRequest, codeNoParameter, "unrecognized configuration parameter %q", hintPrefix+field)
+	}
+	return value, nil
+}
+
+// codeNoParameter is undefined_object.
+const codeNoParameter = "42704"
--- a/internal/serve/entry/dispatch.go
+++ b/internal/serve/entry/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/route"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/pgwire"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 )
 
@@ -190,6 +191,7 @@
 		return &outcome.Unknown{Detail: "the holder of " + server.Name + " was lost: " + err.Error()}
 	}
 	s.write = r.route.Kind == document.KindWrite
+	s.block = r.batch.begins()
 	err = s.relay(x, server.Name, true)
 	if err == nil {
 		r.count(server.Name)
@@ -225,6 +227,7 @@
 	if x == nil {
 		return errTerminated
 	}
+	s.block = s.block || b.begins()
 	if err := x.Send(inner.Encode(inner.KindBatch, b.out)); err != nil {
 		return s.unknown(b, &outcome.Unknown{Detail: "the holder of " + s.pinned + " was lost: " + err.Error()})
 	}
@@ -290,11 +293,15 @@
 	if m.Unknown != "" {
 		return s.lost(first, m.Unknown)
 	}
-	if m.Status != 'I' {
+	if m.Status != statusIdle {
 		s.pinned = server
+		s.block = s.block || m.Status != 0
+		s.skipping = m.Status == 0 && hasError(m.Raw)
 		return s.conn.Write(m.Raw)
 	}
 	s.drop()
+	s.block = false
+	clear(s.portals)
 	s.entry.directory.see(server, m.Mark, s.entry.options.Clock.Now())
 	s.floor = s.floor.Max(m.Mark)
 	if s.write && s.hint.Session != "" {
@@ -302,3 +309,17 @@
 	}
 	return s.conn.Write(m.Raw)
 }
+
+// statusIdle is the status of a ReadyForQuery outside a transaction.
+const statusIdle = 'I'
+
+// hasError reports whether an answer ends in an error, after which the server
+// passes over messages up to a Sync.
+func hasError(raw []byte) bool {
+	for m, rest := pgwire.Next(raw); m != nil; m, rest = pgwire.Next(rest) {
+		if m.Type() == 'E' {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/serve/entry/extended.go
@@ -0,0 +1,177 @@
+package entry
+
+import (
+	"bytes"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/pgwire"
+)
+
+// maxSteps is the number of messages that the proxy answers in one go.
+const maxSteps = 1024
+
+// extended is one message of the extended protocol, taken apart as far as the
+// proxy needs.
+type extended struct {
+	kind byte
+	// object is 'S' or 'P' in a Describe or a Close.
+	object byte
+	// name and portal are the caller's own names.
+	name      string
+	portal    string
+	statement *statement
+	// rest is what follows the names in a Bind.
+	rest []byte
+	// failure is set when the names mean nothing.
+	failure *outcome.NotRun
+}
+
+// addExtended takes in one message of the extended protocol and reports whether
+// the batch has to be answered before the next message.
+func (s *session) addExtended(b *batch, m pgwire.Message) (bool, error) {
+	e, err := s.parseExtended(m)
+	if err != nil {
+		return false, err
+	}
+	local := s.isLocal(b, e)
+	if local && b.remote > 0 || !local && len(b.steps) > 0 {
+		s.pending = bytes.Clone(m)
+		return s.flush(b), nil
+	}
+	if local && e.statement == nil && e.failure == nil && e.kind != 'C' {
+		e.failure = outcome.Refuse(outcome.ReasonRequest, codeNoPortal, "portal %q does not exist", e.portal)
+	}
+	s.keepNames(e, local)
+	if !local {
+		s.forward(b, e, m)
+		return false, nil
+	}
+	b.steps = append(b.steps, step{kind: e.kind, object: e.object, statement: e.statement, failure: e.failure})
+	if s.failed && e.kind == 'E' || len(b.steps) >= maxSteps {
+		return s.flush(b), nil
+	}
+	return false, nil
+}
+
+// parseExtended finds what a message refers to.
+func (s *session) parseExtended(m pgwire.Message) (extended, error) {
+	e := extended{kind: m.Type()}
+	body, ok := m.Body(), true
+	switch e.kind {
+	case 'P':
+		return s.parseParse(e, body)
+	case 'B':
+		e.portal, body, ok = cutString(body)
+		if ok {
+			e.name, e.rest, ok = cutString(body)
+		}
+		e.object = 'S'
+	case 'E':
+		e.portal, _, ok = cutString(body)
+		e.object = 'P'
+	case 'D', 'C':
+		if len(body) == 0 || body[0] != 'S' && body[0] != 'P' {
+			return e, malformed(errNoString)
+		}
+		e.object = body[0]
+		e.name, _, ok = cutString(body[1:])
+		e.portal = e.name
+	default:
+		return e, outcome.Refuse(outcome.ReasonRequest, outcome.CodeProtocol, "unexpected message %q", e.kind)
+	}
+	if !ok {
+		return e, malformed(errNoString)
+	}
+	s.find(&e)
+	return e, nil
+}
+
+func (s *session) parseParse(e extended, body []byte) (extended, error) {
+	var p pgproto3.Parse
+	if err := p.Decode(body); err != nil {
+		return e, malformed(err)
+	}
+	st, err := newStatement(p)
+	if err != nil {
+		return e, malformed(err)
+	}
+	if len(s.statements) >= maxStatements && s.statements[p.Name] == nil {
+		e.failure = outcome.Refuse(outcome.ReasonCrowded, outcome.CodeCrowded, "the caller has %d prepared statements", maxStatements)
+	}
+	e.name, e.statement = p.Name, st
+	return e, nil
+}
+
+// find looks up the statement that a message means. Portals of statements for
+// servers are known to the server alone.
+func (s *session) find(e *extended) {
+	if e.object == 'P' {
+		e.statement = s.portals[e.portal]
+		return
+	}
+	e.statement = s.statements[e.name]
+	if e.statement == nil && e.kind != 'C' {
+		e.failure = outcome.Refuse(outcome.ReasonRequest, codeNoStatement, "prepared statement %q does not exist", e.name)
+	}
+}
+
+// isLocal reports whether the proxy answers the message itself. A Close goes
+// along with its neighbours and costs no trip to a server by itself.
+func (s *session) isLocal(b *batch, e extended) bool {
+	open := s.pinned != "" || b.remote > 0
+	switch {
+	case s.failed, e.failure != nil:
+		return true
+	case e.kind == 'C' && e.object == 'S':
+		return b.remote == 0
+	case e.kind == 'C':
+		return e.statement != nil || !open
+	case e.object == 'P':
+		return e.statement != nil || !open
+	}
+	return e.statement.command != nil
+}
+
+// keepNames follows the caller's names for statements, and for the portals of
+// commands.
+func (s *session) keepNames(e extended, local bool) {
+	switch {
+	case e.failure != nil:
+	case e.kind == 'P':
+		if s.statements == nil {
+			s.statements = map[string]*statement{}
+		}
+		s.statements[e.name] = e.statement
+	case e.kind == 'B' && local:
+		if s.portals == nil {
+			s.portals = map[string]*statement{}
+		}
+		s.portals[e.portal] = e.statement
+	case e.kind == 'B', e.kind == 'C' && e.object == 'P':
+		delete(s.portals, e.portal)
+	case e.kind == 'C':
+		delete(s.statements, e.name)
+	}
+}
+
+// forward adds a message to what goes to a server, under the server's names.
+func (s *session) forward(b *batch, e extended, m pgwire.Message) {
+	b.remote++
+	switch {
+	case e.kind == 'P':
+		s.note(b, e.statement.sql, e.statement.hint)
+		b.out.Raw = append(b.out.Raw, e.statement.parse...)
+	case e.kind == 'B':
+		s.useStatement(b, e.statement)
+		b.out.Raw = appendMessage(b.out.Raw, 'B', []byte(e.portal+"\x00"+e.statement.name+"\x00"), e.rest)
+	case e.object == 'S' && e.kind == 'D':
+		s.useStatement(b, e.statement)
+		b.out.Raw = appendMessage(b.out.Raw, 'D', []byte("S"+e.statement.name+"\x00"), nil)
+	case e.object == 'S' && e.statement != nil:
+		b.out.Raw = appendMessage(b.out.Raw, 'C', []byte("S"+e.statement.name+"\x00"), nil)
+	default:
+		b.out.Raw = append(b.out.Raw, m...)
+	}
+}
--- a/internal/serve/entry/local.go
+++ b/internal/serve/entry/local.go
@@ -1,34 +1,129 @@
 package entry
 
 import (
+	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
 )
 
-// answerLocally builds the answer to a batch whose one statement the proxy
-// itself has carried out.
-func (b *batch) answerLocally(tag string, status byte) []byte {
+// textOID is the type of the values that the proxy shows.
+const textOID = 25
+
+const (
+	// codeAborted is in_failed_sql_transaction.
+	codeAborted = "25P02"
+	// codeNoStatement is invalid_sql_statement_name.
+	codeNoStatement = "26000"
+	// codeNoPortal is invalid_cursor_name.
+	codeNoPortal = "34000"
+)
+
+// step is one message that the proxy answers itself.
+type step struct {
+	// kind is the type of the message.
+	kind byte
+	// object is 'S' or 'P' in a Describe.
+	object byte
+	// statement is nil for a Close and when failure is set.
+	statement *statement
+	failure   *outcome.NotRun
+}
+
+// serveLocal answers a batch that needs no server. An error ends an open
+// transaction, as after any error.
+func (s *session) serveLocal(b *batch) error {
 	var out []byte
-	for _, kind := range b.kinds {
-		switch kind {
-		case 'P':
-			out = encode(out, &pgproto3.ParseComplete{})
-		case 'B':
-			out = encode(out, &pgproto3.BindComplete{})
-		case 'C':
-			out = encode(out, &pgproto3.CloseComplete{})
-		case 'D':
-			out = encode(out, &pgproto3.NoData{})
-		case 'E', 'Q':
-			out = append(out, caller.Complete(tag)...)
+	for _, p := range b.steps {
+		grown, err := s.runStep(out, p)
+		if err != nil {
+			return s.failLocal(b, out, err)
 		}
+		out = grown
 	}
 	if b.end == 'H' {
-		return out
+		return s.conn.Write(out)
+	}
+	if s.pinned == "" {
+		clear(s.portals)
+	}
+	if s.pinned == "" || b.end == 'Q' && s.block {
+		return s.conn.Write(append(out, caller.Ready(s.status())...))
+	}
+	if err := s.conn.Write(out); err != nil {
+		return err
 	}
-	return append(out, caller.Ready(status)...)
+	return s.goOn(syncBatch())
+}
+
+func (s *session) failLocal(b *batch, out []byte, err error) error {
+	if err := s.conn.Write(out); err != nil {
+		return err
+	}
+	if s.failed {
+		var refusal *outcome.NotRun
+		errors.As(err, &refusal)
+		return s.fail(b, refusal.Code, refusal.Detail)
+	}
+	return s.refuse(b, err)
+}
+
+// runStep appends the answer to one message.
+func (s *session) runStep(out []byte, p step) ([]byte, error) {
+	if p.failure != nil {
+		return out, p.failure
+	}
+	if s.failed && p.kind != 'C' && !endPattern.MatchString(p.statement.sql) {
+		return out, outcome.Refuse(outcome.ReasonRequest, codeAborted, "current transaction is aborted, commands ignored until end of transaction block")
+	}
+	switch p.kind {
+	case 'P':
+		return encode(out, &pgproto3.ParseComplete{}), nil
+	case 'B':
+		return encode(out, &pgproto3.BindComplete{}), nil
+	case 'C':
+		return encode(out, &pgproto3.CloseComplete{}), nil
+	case 'D':
+		if p.object == 'S' {
+			out = encode(out, &pgproto3.ParameterDescription{})
+		}
+		return describe(out, p.statement.command.column(), true), nil
+	}
+	return s.execute(out, p)
+}
+
+func (s *session) execute(out []byte, p step) ([]byte, error) {
+	if s.failed {
+		s.failed = false
+		return append(out, caller.Complete("ROLLBACK")...), nil
+	}
+	c := p.statement.command
+	value, tag, err := s.runCommand(c)
+	if err != nil {
+		return out, err
+	}
+	if p.kind == 'Q' {
+		out = describe(out, c.column(), false)
+	}
+	if c.column() != "" {
+		out = encode(out, &pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
+	}
+	return append(out, caller.Complete(tag)...), nil
+}
+
+// describe appends the shape of a result. Without a column it is NoData, where
+// the message asked for is one.
+func describe(out []byte, column string, asked bool) []byte {
+	if column != "" {
+		return encode(out, &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{
+			{Name: []byte(column), DataTypeOID: textOID, DataTypeSize: -1, TypeModifier: -1},
+		}})
+	}
+	if asked {
+		return encode(out, &pgproto3.NoData{})
+	}
+	return out
 }
 
 func encode(buf []byte, m pgproto3.BackendMessage) []byte {
@@ -38,7 +133,3 @@
 	}
 	return out
 }
-
-// patience is how long the session waits for the next message: without end
-// between transactions, for a bounded time within a batch or a transaction.
-func (s *session) patience(*batch) clock.Millis { return s.entry.options.Silence }
--- /dev/null
+++ b/internal/serve/entry/protocol_test.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"io"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+type exchange struct {
+	Send []string `yaml:"send"`
+	Want []string `yaml:"want"`
+}
+
+type protocolScript struct {
+	Name      string     `yaml:"name"`
+	Exchanges []exchange `yaml:"exchanges"`
+	// Sent lists the types of the messages in each batch that the holder got.
+	Sent []string `yaml:"sent"`
+}
+
+func readScripts(t *testing.T, file string, target any) {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := yaml.UnmarshalWithOptions(text, target, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestProtocol plays messages of callers against the answers they must get.
+func TestProtocol(t *testing.T) {
+	var scripts []protocolScript
+	readScripts(t, "testdata/protocol.yaml", &scripts)
+	for _, p := range scripts {
+		t.Run(p.Name, func(t *testing.T) {
+			b := newBench(t, nil)
+			c, f := b.dial(t)
+			for i, x := range p.Exchanges {
+				var raw []byte
+				for _, text := range x.Send {
+					raw = append(raw, messageOf(t, text)...)
+				}
+				if _, err := c.Write(raw); err != nil {
+					t.Fatal(err)
+				}
+				var got []string
+				for range x.Want {
+					got = append(got, receive(t, f))
+				}
+				if diff := cmp.Diff(x.Want, got); diff != "" {
+					t.Fatalf("exchange %d (-want +got):\n%s", i, diff)
+				}
+			}
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			if diff := cmp.Diff(strings.Join(p.Sent, " "), strings.Join(b.sent, " ")); diff != "" {
+				t.Errorf("batches at the holder (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func name(s string) string { return strings.TrimPrefix(s, "-") }
+
+func messageOf(t *testing.T, text string) []byte {
+	t.Helper()
+	w := strings.SplitN(text+"   ", " ", 3)
+	last := strings.TrimSpace(w[2])
+	var m pgproto3.FrontendMessage
+	switch w[0] {
+	case "Q":
+		m = &pgproto3.Query{String: strings.TrimSpace(text[2:])}
+	case "P":
+		m = &pgproto3.Parse{Name: name(w[1]), Query: last}
+	case "B":
+		m = &pgproto3.Bind{DestinationPortal: name(w[1]), PreparedStatement: name(last)}
+	case "D":
+		m = &pgproto3.Describe{ObjectType: w[1][0], Name: name(last)}
+	case "C":
+		m = &pgproto3.Close{ObjectType: w[1][0], Name: name(last)}
+	case "E":
+		m = &pgproto3.Execute{Portal: name(w[1])}
+	case "raw":
+		return appendMessage(nil, w[1][0], []byte("x"), nil)
+	default:
+		return appendMessage(nil, w[0][0], nil, nil)
+	}
+	raw, err := m.Encode(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+func receive(t *testing.T, f *pgproto3.Frontend) string {
+	t.Helper()
+	m, err := f.Receive()
+	if err == io.ErrUnexpectedEOF || err == io.EOF {
+		return "end"
+	}
+	if err != nil {
+		return err.Error()
+	}
+	switch m := m.(type) {
+	case *pgproto3.ParseComplete:
+		return "1"
+	case *pgproto3.BindComplete:
+		return "2"
+	case *pgproto3.CloseComplete:
+		return "3"
+	case *pgproto3.NoData:
+		return "n"
+	case *pgproto3.ParameterDescription:
+		return "t"
+	case *pgproto3.RowDescription:
+		return "T " + string(m.Fields[0].Name)
+	case *pgproto3.DataRow:
+		return "D " + string(m.Values[0])
+	case *pgproto3.CommandComplete:
+		return "C " + string(m.CommandTag)
+	case *pgproto3.ErrorResponse:
+		return "E " + m.Code
+	case *pgproto3.ReadyForQuery:
+		return "Z " + string(m.TxStatus)
+	}
+	return "unexpected"
+}
--- a/internal/serve/entry/session.go
+++ b/internal/serve/entry/session.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"regexp"
 	"strings"
 	"sync"
 
@@ -31,9 +30,16 @@
 	hint       route.Hint
 	floor      floor.Mark
 	statements map[string]*statement
+	// portals holds the portals of commands that the proxy carries out itself.
+	portals map[string]*statement
+	// pending is a message that was read and begins the next batch.
+	pending pgwire.Message
 	// pinned is the server of an open transaction.
 	pinned string
-	write  bool
+	// block is set within a transaction block, as opposed to a transaction that
+	// ends with the batch.
+	block bool
+	write bool
 	// failed is set when an open transaction was lost and the caller has not
 	// ended it yet.
 	failed bool
@@ -45,9 +51,6 @@
 	closed  bool
 }
 
-// hintPrefix marks the settings that are meant for the proxy.
-const hintPrefix = "sycamoredoor."
-
 func (s *session) startupHint(name, value string) error {
 	field, ours := strings.CutPrefix(name, hintPrefix)
 	if !ours {
@@ -154,48 +157,27 @@
 	}
 }
 
-var (
-	setPattern = regexp.MustCompile(`(?is)^\s*SET\s+(?:SESSION\s+)?sycamoredoor\.(\w+)\s*(?:=|TO)\s*'((?:[^']|'')*)'\s*;?\s*$`)
-	endPattern = regexp.MustCompile(`(?is)^\s*(COMMIT|END|ROLLBACK|ABORT)\b`)
-)
-
 // serveBatch answers one batch. An error ends the connection.
 func (s *session) serveBatch(ctx context.Context, b *batch) error {
-	if s.skipping {
-		return s.skip(b)
-	}
-	if s.failed {
-		return s.serveFailed(b)
-	}
-	if b.refusal != nil {
+	switch {
+	case s.skipping:
+		return s.skip()
+	case b.refusal != nil:
 		return s.refuse(b, b.refusal)
-	}
-	if b.empty() && s.pinned == "" {
-		return s.conn.Write(caller.Ready('I'))
-	}
-	if m := setPattern.FindStringSubmatch(b.query); m != nil {
-		return s.serveSet(b, m[1], strings.ReplaceAll(m[2], "''", "'"))
+	case len(b.steps) > 0:
+		return s.serveLocal(b)
+	case b.empty() && s.pinned == "":
+		return s.conn.Write(caller.Ready(s.status()))
 	}
 	return s.dispatch(ctx, b)
 }
 
-func (s *session) serveSet(b *batch, field, value string) error {
-	if err := s.setHint(strings.ToLower(field), value); err != nil {
-		return s.refuse(b, err)
-	}
-	status := byte('I')
+// skip ends a failed batch at its Sync, on the server too when it has one.
+func (s *session) skip() error {
+	s.skipping = false
 	if s.pinned != "" {
-		status = 'T'
+		return s.goOn(syncBatch())
 	}
-	return s.conn.Write(append(caller.Complete("SET"), caller.Ready(status)...))
-}
-
-// skip passes over messages until the Sync that ends a failed batch.
-func (s *session) skip(b *batch) error {
-	if b.end == 'H' {
-		return nil
-	}
-	s.skipping = false
 	return s.conn.Write(caller.Ready(s.status()))
 }
 
@@ -203,23 +185,12 @@
 	switch {
 	case s.failed:
 		return 'E'
-	case s.pinned != "":
+	case s.pinned != "" && s.block:
 		return 'T'
 	}
 	return 'I'
 }
 
-const codeAborted = "25P02"
-
-// serveFailed answers as a server does whose transaction has failed.
-func (s *session) serveFailed(b *batch) error {
-	if m := endPattern.FindString(b.firstSQL()); m != "" {
-		s.failed = false
-		return s.conn.Write(b.answerLocally("ROLLBACK", s.status()))
-	}
-	return s.fail(b, codeAborted, "current transaction is aborted, commands ignored until end of transaction block")
-}
-
 // refuse answers that nothing of the batch was run. An open transaction is
 // rolled back, as after any error.
 func (s *session) refuse(b *batch, err error) error {
@@ -235,10 +206,11 @@
 // loseTransaction gives up the exchange; a transaction that was open counts as
 // failed until the caller ends it.
 func (s *session) loseTransaction() {
-	if s.pinned != "" {
+	if s.pinned != "" && s.block {
 		s.failed = true
 	}
 	s.drop()
+	s.block = false
 }
 
 func (s *session) fail(b *batch, code, detail string) error {
