Bound callers, end withdrawn ones and drain a stopping VM

Cause: a caller that sent a header and no body was never timed out; connections before the key check were not counted; prepared statements of one caller were bounded in number only; a batch could outgrow a frame of the inner protocol; TLS could be asked for within TLS. A withdrawn key was checked at the change of configuration alone, so a caller let in meanwhile, or a request between two attempts, went on. A stop cut every caller without a word. Change: the wait for a message covers its whole body; silence and unread answers end the connection with PostgreSQL's codes; connections, statements and batches are bounded in bytes. Every batch and every attempt looks at the key in force; a cut caller is told 28000 and what it runs is rolled back. Drain closes the listener, tells idle callers 57P01, lets transactions finish within its context and checks PlannedStop. All three end a session through the same few lines.

--- a/internal/proto/caller/conn.go
+++ b/internal/proto/caller/conn.go
@@ -8,6 +8,8 @@
 	"encoding/binary"
 	"fmt"
 	"net"
+	"os"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -48,6 +50,10 @@
 	raw    net.Conn
 	reader *bufio.Reader
 	limits Limits
+
+	mu          sync.Mutex
+	interrupted bool
+
 	// Cancel is set when Startup returned ErrCancel.
 	Cancel pgproto3.CancelRequest
 }
@@ -58,38 +64,52 @@
 }
 
 // Startup reads the caller's startup parameters. TLS is taken up when the
-// caller asks for it and settings are given.
+// caller asks for it and settings are given. Each kind of encryption may be
+// asked for once.
 func (c *Conn) Startup(settings *tls.Config) (map[string]string, error) {
 	_ = c.raw.SetDeadline(time.Now().Add(c.limits.Startup.Duration()))
+	asked := map[uint32]bool{}
 	for {
 		body, err := c.startupBody()
 		if err != nil {
 			return nil, err
 		}
-		switch binary.BigEndian.Uint32(body) {
+		code := binary.BigEndian.Uint32(body)
+		if asked[code] {
+			return nil, outcome.Refuse(outcome.ReasonRequest, outcome.CodeProtocol, "encryption was asked for twice")
+		}
+		asked[code] = true
+		switch code {
 		case codeSSL:
-			if err := c.offerTLS(settings); err != nil {
-				return nil, err
-			}
+			err = c.offerTLS(settings)
 		case codeGSS:
-			if _, err := c.raw.Write([]byte{'N'}); err != nil {
-				return nil, err
-			}
+			_, err = c.raw.Write([]byte{'N'})
 		case codeCancel:
-			if err := c.Cancel.Decode(body); err != nil {
-				return nil, protocolError(err)
-			}
-			return nil, ErrCancel
+			return nil, c.decodeCancel(body)
 		default:
-			var m pgproto3.StartupMessage
-			if err := m.Decode(body); err != nil {
-				return nil, protocolError(err)
-			}
-			return m.Parameters, nil
+			return decodeStartup(body)
+		}
+		if err != nil {
+			return nil, err
 		}
 	}
 }
 
+func (c *Conn) decodeCancel(body []byte) error {
+	if err := c.Cancel.Decode(body); err != nil {
+		return protocolError(err)
+	}
+	return ErrCancel
+}
+
+func decodeStartup(body []byte) (map[string]string, error) {
+	var m pgproto3.StartupMessage
+	if err := m.Decode(body); err != nil {
+		return nil, protocolError(err)
+	}
+	return m.Parameters, nil
+}
+
 func protocolError(err error) error {
 	return outcome.Refuse(outcome.ReasonRequest, outcome.CodeProtocol, "malformed message: %v", err)
 }
@@ -144,21 +164,49 @@
 	return err
 }
 
-// Read waits for one message and appends it to buf. A wait of 0 never times out.
+// Read waits for one whole message and appends it to buf. A wait of 0 never
+// times out.
 func (c *Conn) Read(buf []byte, wait clock.Millis) ([]byte, pgwire.Message, error) {
-	if wait > 0 && c.reader.Buffered() < pgwire.HeaderSize {
-		_ = c.raw.SetReadDeadline(time.Now().Add(wait.Duration()))
-		defer func() { _ = c.raw.SetReadDeadline(time.Time{}) }()
+	if wait > 0 && !pgwire.Buffered(c.reader) {
+		c.readUntil(time.Now().Add(wait.Duration()))
+		defer c.readUntil(time.Time{})
 	}
 	return pgwire.Append(c.reader, buf, c.limits.Message)
 }
 
+// readUntil sets the end of reading, unless reading was ended for good.
+func (c *Conn) readUntil(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.interrupted {
+		_ = c.raw.SetReadDeadline(t)
+	}
+}
+
 // Wait blocks until a message begins to arrive, without a buffer for it.
 func (c *Conn) Wait() error {
 	_, err := c.reader.Peek(1)
 	return err
 }
 
+// Wake ends a Wait with a timeout; a Read that comes after it is not concerned.
+func (c *Conn) Wake() { c.readUntil(past) }
+
+// Interrupt ends every Wait and Read from now on with a timeout. The
+// connection can still be written to.
+func (c *Conn) Interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interrupted = true
+	_ = c.raw.SetReadDeadline(past)
+}
+
+// past is a moment that has gone by.
+var past = time.Unix(1, 0)
+
+// IsTimeout reports whether reading ended because its time was over.
+func IsTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
 // Write sends raw messages.
 func (c *Conn) Write(raw []byte) error {
 	if c.limits.Write > 0 {
--- a/internal/proto/pgwire/pgwire.go
+++ b/internal/proto/pgwire/pgwire.go
@@ -67,6 +67,16 @@
 	return buf, Message(buf[start:]), nil
 }
 
+// Buffered reports whether a whole message has been received already, so that
+// Append will not wait.
+func Buffered(r *bufio.Reader) bool {
+	if r.Buffered() < HeaderSize {
+		return false
+	}
+	head, err := r.Peek(HeaderSize)
+	return err == nil && int64(r.Buffered()) > int64(binary.BigEndian.Uint32(head[1:]))
+}
+
 func headError(head []byte, err error) error {
 	if err == io.EOF && len(head) > 0 {
 		return io.ErrUnexpectedEOF
--- a/internal/serve/entry/batch.go
+++ b/internal/serve/entry/batch.go
@@ -15,7 +15,9 @@
 
 const (
 	// maxBatch is the largest batch in bytes.
-	maxBatch = 64 << 20
+	maxBatch = 32 << 20
+	// maxPrepared is the size of the prepared statements of one caller in bytes.
+	maxPrepared = 4 << 20
 	// maxStatements is the number of prepared statements of one caller.
 	maxStatements = 4096
 )
@@ -30,6 +32,8 @@
 	// end is the type of the last message.
 	end     byte
 	refusal *outcome.NotRun
+	// needs is the size of the statements in out.Needs in bytes.
+	needs int
 	// remote counts the messages for a server.
 	remote int
 	// steps are the messages that the proxy answers.
@@ -43,6 +47,9 @@
 	return slices.ContainsFunc(b.sqls, beginPattern.MatchString)
 }
 
+// size is the memory that the batch takes, in bytes.
+func (b *batch) size() int { return len(b.out.Raw) + b.needs }
+
 func syncBatch() *batch {
 	b := &batch{end: 'S'}
 	b.out.Raw = appendMessage(nil, 'S', nil, nil)
@@ -57,19 +64,17 @@
 		if done, err := s.addMessage(b, m); err != nil || done {
 			return b, err
 		}
-	} else if s.pinned == "" {
-		if err := s.conn.Wait(); err != nil {
-			return nil, err
-		}
+	} else if err := s.wait(); err != nil {
+		return nil, err
 	}
 	var buf []byte
 	for {
 		grown, m, err := s.conn.Read(buf[:0], s.entry.options.Silence)
 		if err != nil {
-			return nil, protocolError(err)
+			return nil, s.readError(err)
 		}
 		buf = grown
-		if len(b.out.Raw)+len(m) > maxBatch {
+		if b.size()+len(m) > maxBatch {
 			return nil, outcome.Refuse(outcome.ReasonRequest, outcome.CodeProtocol, "more than %d bytes without a Sync", maxBatch)
 		}
 		done, err := s.addMessage(b, m)
@@ -169,6 +174,7 @@
 			return
 		}
 	}
+	b.needs += len(st.parse)
 	b.out.Needs = append(b.out.Needs, inner.Need{Name: st.name, Parse: st.parse})
 }
 
--- a/internal/serve/entry/bench_test.go
+++ b/internal/serve/entry/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -29,6 +30,8 @@
 
 	mu   sync.Mutex
 	sent []string
+	// exchanges counts the exchanges that have not ended.
+	exchanges int
 }
 
 func parseDocument(t testing.TB, keys string) *document.Document {
@@ -78,7 +81,11 @@
 
 func (b *bench) open(context.Context, document.Server) (inner.Exchange, error) {
 	here, there := inner.Pipe()
-	go b.hold(there)
+	b.count(1)
+	go func() {
+		defer b.count(-1)
+		b.hold(there)
+	}()
 	return here, nil
 }
 
@@ -122,6 +129,16 @@
 					block, out = false, append(out, caller.Complete("COMMIT")...)
 				case strings.Contains(sql, "FAIL"):
 					failed, out = true, append(out, caller.ErrorMessage("ERROR", "42601", "failed")...)
+				case strings.Contains(sql, "LARGE"):
+					for range 64 {
+						if x.Send(inner.Frame{Kind: inner.KindData, Body: appendMessage(nil, 'D', make([]byte, 1<<20), nil)}) != nil {
+							return
+						}
+					}
+				case strings.Contains(sql, "HOLD"):
+					b.note("hold")
+					b.waitFor("release")
+					out = append(out, caller.Complete("SELECT 1")...)
 				case strings.Contains(sql, "LOSE"):
 					b.note(kinds + restKinds(rest))
 					return
@@ -144,6 +161,40 @@
 	}
 }
 
+// waitFor blocks until the word has been noted.
+func (b *bench) waitFor(word string) {
+	for begin := time.Now(); time.Since(begin) < generous; time.Sleep(time.Millisecond) {
+		b.mu.Lock()
+		found := slices.Contains(b.sent, word)
+		b.mu.Unlock()
+		if found {
+			return
+		}
+	}
+}
+
+func (b *bench) count(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.exchanges += n
+}
+
+func (b *bench) running() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.exchanges
+}
+
+// until polls until ok holds.
+func until(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for begin := time.Now(); !ok(); time.Sleep(time.Millisecond) {
+		if time.Since(begin) > generous {
+			t.Fatalf("not reached in %s: %s", generous, what)
+		}
+	}
+}
+
 func restKinds(raw []byte) string {
 	kinds := ""
 	for m, rest := pgwire.Next(raw); m != nil; m, rest = pgwire.Next(rest) {
--- /dev/null
+++ b/internal/serve/entry/bounds_test.go
@@ -0,0 +1,192 @@
+package entry
+
+import (
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+type startupScript struct {
+	Name       string            `yaml:"name"`
+	Raw        string            `yaml:"raw"`
+	Parameters map[string]string `yaml:"parameters"`
+	Want       []string          `yaml:"want"`
+}
+
+// TestStartupRefused plays first messages that must be refused clearly.
+func TestStartupRefused(t *testing.T) {
+	var scripts []startupScript
+	readScripts(t, "testdata/startup.yaml", &scripts)
+	b := newBench(t, nil)
+	for _, p := range scripts {
+		t.Run(p.Name, func(t *testing.T) {
+			raw := latin1(p.Raw)
+			if p.Parameters != nil {
+				raw, _ = (&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: p.Parameters}).Encode(nil)
+			}
+			wantAnswers(t, b.raw(t), raw, p.Want)
+		})
+	}
+	t.Run("encryption asked for twice", func(t *testing.T) {
+		c := b.raw(t)
+		request, _ := (&pgproto3.SSLRequest{}).Encode(nil)
+		if _, err := c.Write(request); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Read(make([]byte, 1)); err != nil {
+			t.Fatal(err)
+		}
+		wantAnswers(t, c, request, []string{"E 08P01", "end"})
+	})
+}
+
+// latin1 turns the escapes of YAML back into bytes.
+func latin1(s string) []byte {
+	out := make([]byte, 0, len(s))
+	for _, r := range s {
+		out = append(out, byte(r))
+	}
+	return out
+}
+
+func (b *bench) raw(t testing.TB) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(generous))
+	return c
+}
+
+func wantAnswers(t *testing.T, c net.Conn, raw []byte, want []string) {
+	t.Helper()
+	if _, err := c.Write(raw); err != nil {
+		t.Fatal(err)
+	}
+	f := pgproto3.NewFrontend(c, c)
+	var got []string
+	for range want {
+		got = append(got, receive(t, f))
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("answers (-want +got):\n%s", diff)
+	}
+}
+
+// TestSilence ends callers who are silent where others would have to wait.
+func TestSilence(t *testing.T) {
+	b := newBench(t, func(o *Options) { o.Silence, o.Limits.Startup = 100, 100 })
+	for name, p := range map[string]struct {
+		raw  []byte
+		want []string
+	}{
+		"within a message":     {[]byte("Q\x00\x00\x00\x20SEL"), []string{"E 57P05", "end"}},
+		"before the Sync":      {messageOf(t, "P - SELECT 1"), []string{"E 57P05", "end"}},
+		"within a transaction": {messageOf(t, "Q BEGIN"), []string{"C BEGIN", "Z T", "E 25P03", "end"}},
+		"a message too large":  {[]byte("Q\x7f\x00\x00\x20"), []string{"E 08P01", "end"}},
+		"an impossible length": {[]byte("Q\x00\x00\x00\x01"), []string{"E 08P01", "end"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, _ := b.dial(t)
+			wantAnswers(t, c, p.raw, p.want)
+		})
+	}
+	t.Run("at startup", func(t *testing.T) { wantAnswers(t, b.raw(t), []byte{0}, []string{"end"}) })
+	until(t, "every exchange is closed", func() bool { return b.running() == 0 })
+}
+
+// TestUnreadAnswer ends a caller who does not read its answer.
+func TestUnreadAnswer(t *testing.T) {
+	b := newBench(t, func(o *Options) { o.Limits.Write = 100 })
+	c, _ := b.dial(t)
+	if _, err := c.Write(messageOf(t, "Q LARGE")); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the caller is gone", func() bool { return len(b.entry.list()) == 0 })
+	until(t, "the exchange is closed", func() bool { return b.running() == 0 })
+}
+
+// TestCallers refuses callers over the bound, and takes the next one after
+// another has left.
+func TestCallers(t *testing.T) {
+	b := newBench(t, func(o *Options) { o.Callers = 1 })
+	first, _ := b.dial(t)
+	raw, _ := (&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "nobody", "database": "orders"}}).Encode(nil)
+	wantAnswers(t, b.raw(t), raw, []string{"E 53300", "end"})
+	_ = first.Close()
+	until(t, "the first caller is gone", func() bool { return len(b.entry.list()) == 0 })
+	b.dial(t)
+}
+
+// TestPreparedBound keeps the memory of prepared statements in bounds.
+func TestPreparedBound(t *testing.T) {
+	b := newBench(t, nil)
+	c, f := b.dial(t)
+	var got string
+	for i := range 8 {
+		raw := messageOf(t, "P s"+string(rune('a'+i))+" SELECT "+strings.Repeat("1", 900_000))
+		if _, err := c.Write(append(raw, messageOf(t, "S")...)); err != nil {
+			t.Fatal(err)
+		}
+		if got = receive(t, f); receive(t, f) != "Z I" {
+			t.Fatal("no ReadyForQuery")
+		}
+	}
+	if diff := cmp.Diff("E 53200", got); diff != "" {
+		t.Errorf("last statement (-want +got):\n%s", diff)
+	}
+}
+
+// TestIdleCaller measures what an idle caller costs.
+func TestIdleCaller(t *testing.T) {
+	const callers, limit = 1000, 30 << 10
+	b := newBench(t, nil)
+	startup, _ := (&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{
+		"user": "nobody", "database": "orders", "sycamoredoor.route": "list",
+	}}).Encode(nil)
+	query := messageOf(t, "Q SELECT 1")
+	before := memory()
+	for range callers {
+		c := b.raw(t)
+		readReady(t, c, startup)
+		readReady(t, c, query)
+	}
+	until(t, "every caller is idle", func() bool { return b.running() == 0 })
+	each := (memory() - before) / callers
+	t.Logf("%d bytes of heap and stack for each idle caller", each)
+	if each > limit {
+		t.Errorf("an idle caller costs %d bytes, over %d", each, limit)
+	}
+}
+
+func memory() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+// readReady sends a message and reads up to the ReadyForQuery, without buffers
+// that outlive it.
+func readReady(t *testing.T, c net.Conn, raw []byte) {
+	t.Helper()
+	if _, err := c.Write(raw); err != nil {
+		t.Fatal(err)
+	}
+	var buf [1024]byte
+	for end := ""; !strings.HasSuffix(end, "Z\x00\x00\x00\x05I"); {
+		n, err := c.Read(buf[:])
+		if err != nil {
+			t.Fatal(err)
+		}
+		end += string(buf[:n])
+	}
+}
--- a/internal/serve/entry/command.go
+++ b/internal/serve/entry/command.go
@@ -46,6 +46,9 @@
 // parseCommand returns the command that a statement is, or nil when the
 // statement is for a backend server.
 func parseCommand(sql string) *command {
+	if !strings.Contains(strings.ToLower(sql), hintPrefix) {
+		return nil
+	}
 	if len(sql) <= maxCommand {
 		if m := setPattern.FindStringSubmatch(sql); m != nil {
 			return setCommand(m[1], m[2], m[3])
--- a/internal/serve/entry/dispatch.go
+++ b/internal/serve/entry/dispatch.go
@@ -6,6 +6,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/choice"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
@@ -172,6 +173,9 @@
 // attempt runs the request on one server.
 func (r *request) attempt(ctx context.Context, server document.Server) error {
 	s := r.session
+	if err := s.checkKey(); err != nil {
+		return err
+	}
 	x, err := s.entry.options.OpenFunc(ctx, server)
 	if err != nil {
 		return outcome.Refuse(outcome.ReasonVM, outcome.CodeUnavailable, "%v", err)
@@ -182,7 +186,10 @@
 	}
 	s.entry.directory.wait(server.Name, 1)
 	defer s.entry.directory.wait(server.Name, -1)
-	if err := x.Send(inner.Encode(inner.KindBegin, r.beginMessage(server))); err != nil {
+	begin := r.beginMessage(server)
+	invariant.Check(begin.Account == s.account && (s.account != route.Nobody || r.route.Open), invariant.OwnAccount,
+		"a request of %q would run for %q on route %q", s.account, begin.Account, r.route.Name)
+	if err := x.Send(inner.Encode(inner.KindBegin, begin)); err != nil {
 		s.drop()
 		return outcome.Refuse(outcome.ReasonVM, outcome.CodeUnavailable, "the holder of %s is gone: %v", server.Name, err)
 	}
@@ -191,7 +198,7 @@
 		return &outcome.Unknown{Detail: "the holder of " + server.Name + " was lost: " + err.Error()}
 	}
 	s.write = r.route.Kind == document.KindWrite
-	s.block = r.batch.begins()
+	s.block = r.batch.end == 'H' && r.batch.begins()
 	err = s.relay(x, server.Name, true)
 	if err == nil {
 		r.count(server.Name)
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -55,7 +55,11 @@
 
 	mu       sync.Mutex
 	sessions map[uint32]*session
-	next     uint16
+	// connections counts callers and those who are not let in yet.
+	connections int
+	draining    bool
+	listener    net.Listener
+	next        uint16
 }
 
 // New returns an entry proxy that serves once Run is called.
@@ -72,6 +76,7 @@
 // Run accepts callers until the context ends.
 func (e *Entry) Run(ctx context.Context, l net.Listener) {
 	defer close(e.done)
+	e.listen(l)
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
 	var running sync.WaitGroup
@@ -85,14 +90,45 @@
 			_ = e.options.Clock.Sleep(ctx, acceptPause)
 			continue
 		}
+		if !e.enter() {
+			e.counters.refused(outcome.ReasonCrowded)
+			_ = c.Close()
+			continue
+		}
 		running.Add(1)
 		go func() {
 			defer running.Done()
+			defer e.leave()
 			e.serve(ctx, c)
 		}()
 	}
 }
 
+// startupReserve is the number of connections beyond Callers that may be in
+// their startup, so that a full VM still takes cancel requests and can say why
+// it refuses.
+const startupReserve = 128
+
+// enter counts a connection and reports whether there is room for it.
+func (e *Entry) enter() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.connections >= e.options.Callers+startupReserve {
+		return false
+	}
+	e.connections++
+	return true
+}
+
+func (e *Entry) leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.connections--
+}
+
+// secretSize is the length of the secret of a cancel request in bytes.
+const secretSize = 4
+
 // acceptPause is the pause after a failed accept in milliseconds.
 const acceptPause = 10
 
@@ -193,6 +229,9 @@
 func (e *Entry) add(s *session) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.draining {
+		return refuseShutdown()
+	}
 	if len(e.sessions) >= e.options.Callers {
 		return outcome.Refuse(outcome.ReasonCrowded, outcome.CodeCrowded, "the VM serves %d callers already", len(e.sessions))
 	}
@@ -203,7 +242,7 @@
 			break
 		}
 	}
-	s.secret = make([]byte, 4)
+	s.secret = make([]byte, secretSize)
 	_, _ = rand.Read(s.secret)
 	e.sessions[s.process] = s
 	e.counters.callers.Set(float64(len(e.sessions)))
@@ -231,23 +270,12 @@
 	e.mu.Lock()
 	s := e.sessions[process]
 	e.mu.Unlock()
-	if s == nil || len(secret) != 4 || binary.BigEndian.Uint32(secret) != binary.BigEndian.Uint32(s.secret) {
+	if s == nil || len(secret) != secretSize || binary.BigEndian.Uint32(secret) != binary.BigEndian.Uint32(s.secret) {
 		return
 	}
 	s.cancel()
 }
 
-// CutWithdrawn ends the connections whose key is no longer in the configuration.
-func (e *Entry) CutWithdrawn(d *document.Document) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, s := range e.sessions {
-		if s.account != route.Nobody && !d.HasKey(s.account, s.key) {
-			s.cut()
-		}
-	}
-}
-
 // splitUser cuts the user name of a startup message into the client account and
 // the key that it means: account, or account/key.
 func splitUser(user string) (account, key string) {
--- a/internal/serve/entry/extended.go
+++ b/internal/serve/entry/extended.go
@@ -28,6 +28,9 @@
 	failure *outcome.NotRun
 }
 
+// codeNoMemory is out_of_memory.
+const codeNoMemory = "53200"
+
 // addExtended takes in one message of the extended protocol and reports whether
 // the batch has to be answered before the next message.
 func (s *session) addExtended(b *batch, m pgwire.Message) (bool, error) {
@@ -97,8 +100,8 @@
 	if err != nil {
 		return e, malformed(err)
 	}
-	if len(s.statements) >= maxStatements && s.statements[p.Name] == nil {
-		e.failure = outcome.Refuse(outcome.ReasonCrowded, outcome.CodeCrowded, "the caller has %d prepared statements", maxStatements)
+	if len(s.statements) >= maxStatements && s.statements[p.Name] == nil || s.prepared+st.size()-s.statements[p.Name].size() > maxPrepared {
+		e.failure = outcome.Refuse(outcome.ReasonCrowded, codeNoMemory, "the caller's prepared statements exceed %d, or %d bytes", maxStatements, maxPrepared)
 	}
 	e.name, e.statement = p.Name, st
 	return e, nil
@@ -143,6 +146,7 @@
 		if s.statements == nil {
 			s.statements = map[string]*statement{}
 		}
+		s.prepared += e.statement.size() - s.statements[e.name].size()
 		s.statements[e.name] = e.statement
 	case e.kind == 'B' && local:
 		if s.portals == nil {
@@ -152,6 +156,7 @@
 	case e.kind == 'B', e.kind == 'C' && e.object == 'P':
 		delete(s.portals, e.portal)
 	case e.kind == 'C':
+		s.prepared -= s.statements[e.name].size()
 		delete(s.statements, e.name)
 	}
 }
--- a/internal/serve/entry/session.go
+++ b/internal/serve/entry/session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"strings"
 	"sync"
 
@@ -30,6 +29,8 @@
 	hint       route.Hint
 	floor      floor.Mark
 	statements map[string]*statement
+	// prepared is the size of the statements in bytes.
+	prepared int
 	// portals holds the portals of commands that the proxy carries out itself.
 	portals map[string]*statement
 	// pending is a message that was read and begins the next batch.
@@ -48,7 +49,13 @@
 
 	mu      sync.Mutex
 	running *inner.Exchange
-	closed  bool
+	// waiting is set while the session is idle outside a transaction, and busy
+	// while it serves a batch.
+	waiting bool
+	busy    bool
+	// ending is set once the session is to end, and says why.
+	ending *outcome.NotRun
+	closed bool
 }
 
 func (s *session) startupHint(name, value string) error {
@@ -99,21 +106,28 @@
 	defer s.drop()
 	for {
 		b, err := s.readBatch()
-		var refusal *outcome.NotRun
-		if errors.As(err, &refusal) {
-			s.entry.counters.refused(refusal.Reason)
-			_ = s.conn.Write(caller.ErrorMessage("FATAL", refusal.Code, "%s", refusal.Detail))
-			return
+		if err == nil {
+			s.setBusy(true)
+			err = s.serveBatch(ctx, b)
+			s.setBusy(false)
 		}
 		if err != nil {
-			return
-		}
-		if err := s.serveBatch(ctx, b); err != nil {
+			s.bid(err)
 			return
 		}
 	}
 }
 
+// bid tells the caller why its connection ends, if it can still be told.
+func (s *session) bid(err error) {
+	var refusal *outcome.NotRun
+	if !errors.As(err, &refusal) {
+		return
+	}
+	s.entry.counters.refused(refusal.Reason)
+	_ = s.conn.Write(caller.ErrorMessage("FATAL", refusal.Code, "%s", refusal.Detail))
+}
+
 // drop ends an open transaction; the holder rolls it back.
 func (s *session) drop() {
 	s.mu.Lock()
@@ -145,20 +159,11 @@
 	}
 }
 
-// cut ends the session at once.
-func (s *session) cut() {
-	s.mu.Lock()
-	x := s.running
-	s.closed = true
-	s.mu.Unlock()
-	s.conn.Close()
-	if x != nil {
-		x.Close()
-	}
-}
-
 // serveBatch answers one batch. An error ends the connection.
 func (s *session) serveBatch(ctx context.Context, b *batch) error {
+	if err := s.checkKey(); err != nil {
+		return err
+	}
 	switch {
 	case s.skipping:
 		return s.skip()
@@ -221,17 +226,3 @@
 	}
 	return s.conn.Write(append(out, caller.Ready(s.status())...))
 }
-
-// protocolError turns a reading error of the wire into a refusal where the
-// caller can be told.
-func protocolError(err error) error {
-	var size *pgwire.SizeError
-	var length *pgwire.LengthError
-	if errors.As(err, &size) || errors.As(err, &length) {
-		return outcome.Refuse(outcome.ReasonRequest, outcome.CodeProtocol, "%v", err)
-	}
-	if errors.Is(err, io.EOF) {
-		return io.EOF
-	}
-	return err
-}
--- a/internal/serve/entry/statement.go
+++ b/internal/serve/entry/statement.go
@@ -41,3 +41,11 @@
 	st.parse = text
 	return st, err
 }
+
+// size is the memory that the statement takes, in bytes; 0 for none.
+func (st *statement) size() int {
+	if st == nil {
+		return 0
+	}
+	return len(st.sql) + len(st.parse)
+}
--- /dev/null
+++ b/internal/serve/entry/stop.go
@@ -0,0 +1,186 @@
+package entry
+
+import (
+	"context"
+	"net"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/route"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/pgwire"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+const (
+	// codeWithdrawn is invalid_authorization_specification.
+	codeWithdrawn = "28000"
+	// codeIdleTransaction is idle_in_transaction_session_timeout.
+	codeIdleTransaction = "25P03"
+	// codeIdle is idle_session_timeout.
+	codeIdle = "57P05"
+	// drainPause is the pause between two looks at the callers left, in milliseconds.
+	drainPause = 10 * clock.Millis(1)
+)
+
+func refuseShutdown() *outcome.NotRun {
+	return outcome.Refuse(outcome.ReasonLeaving, outcome.CodeShutdown, "the VM is stopping; connect again")
+}
+
+func refuseWithdrawn(account string) *outcome.NotRun {
+	return outcome.Refuse(outcome.ReasonDenied, codeWithdrawn, "the key of client account %q has been withdrawn", account)
+}
+
+// authorized reports whether the session's key still works.
+func (s *session) authorized(d *document.Document) bool {
+	return s.account == route.Nobody || d != nil && d.HasKey(s.account, s.key)
+}
+
+// checkKey refuses every batch of a caller whose key has been withdrawn.
+func (s *session) checkKey() error {
+	if s.authorized(s.entry.options.DocumentFunc()) {
+		return nil
+	}
+	return refuseWithdrawn(s.account)
+}
+
+// CutWithdrawn ends the connections whose key is no longer in the configuration.
+// What they run is rolled back.
+func (e *Entry) CutWithdrawn(d *document.Document) {
+	for _, s := range e.list() {
+		if !s.authorized(d) {
+			s.cut(refuseWithdrawn(s.account))
+		}
+	}
+}
+
+func (e *Entry) list() []*session {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]*session, 0, len(e.sessions))
+	for _, s := range e.sessions {
+		out = append(out, s)
+	}
+	return out
+}
+
+// listen keeps the listener for Drain.
+func (e *Entry) listen(l net.Listener) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.listener = l
+	if e.draining {
+		_ = l.Close()
+	}
+}
+
+// Drain stops accepting callers and ends each connection as soon as it is idle
+// outside a transaction. It returns once none is left. When the context ends
+// first, the rest is cut and the context's error is returned.
+func (e *Entry) Drain(ctx context.Context) error {
+	e.mu.Lock()
+	e.draining = true
+	if e.listener != nil {
+		_ = e.listener.Close()
+	}
+	e.mu.Unlock()
+	for _, s := range e.list() {
+		s.dismiss(refuseShutdown())
+	}
+	for len(e.list()) > 0 {
+		if err := e.options.Clock.Sleep(ctx, drainPause); err != nil {
+			e.cutAll()
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *Entry) cutAll() {
+	for _, s := range e.list() {
+		busy := s.cut(refuseShutdown())
+		invariant.Check(!busy, invariant.PlannedStop, "a planned stop cut a statement of client account %s", s.account)
+	}
+}
+
+// dismiss ends the session once it is idle outside a transaction.
+func (s *session) dismiss(reason *outcome.NotRun) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ending = reason
+	if s.waiting {
+		s.conn.Wake()
+	}
+}
+
+// cut ends the session at once, and what it runs. It reports whether a
+// statement was running.
+func (s *session) cut(reason *outcome.NotRun) bool {
+	s.mu.Lock()
+	x, busy := s.running, s.busy
+	s.closed, s.ending = true, reason
+	s.mu.Unlock()
+	s.conn.Interrupt()
+	if x != nil {
+		x.Close()
+	}
+	return busy
+}
+
+func (s *session) setBusy(busy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy = busy
+}
+
+// wait waits for the next batch to begin; outside a transaction it does so
+// without a bound and is where a session that has to end does.
+func (s *session) wait() error {
+	if s.pinned != "" {
+		return nil
+	}
+	if reason := s.setWaiting(true); reason != nil {
+		return reason
+	}
+	err := s.conn.Wait()
+	reason := s.setWaiting(false)
+	if err != nil && reason != nil {
+		return reason
+	}
+	return err
+}
+
+func (s *session) setWaiting(waiting bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting = waiting
+	if s.ending == nil {
+		return nil
+	}
+	return s.ending
+}
+
+// readError turns an error of reading into a refusal where the caller can be told.
+func (s *session) readError(err error) error {
+	var size *pgwire.SizeError
+	var length *pgwire.LengthError
+	if errors.As(err, &size) || errors.As(err, &length) {
+		return outcome.Refuse(outcome.ReasonRequest, outcome.CodeProtocol, "%v", err)
+	}
+	if !caller.IsTimeout(err) {
+		return err
+	}
+	s.mu.Lock()
+	reason := s.ending
+	s.mu.Unlock()
+	switch {
+	case reason != nil:
+		return reason
+	case s.pinned != "":
+		return outcome.Refuse(outcome.ReasonRequest, codeIdleTransaction, "the caller was silent within a transaction; it is rolled back")
+	}
+	return outcome.Refuse(outcome.ReasonRequest, codeIdle, "the caller was silent within a message or before its Sync")
+}
--- /dev/null
+++ b/internal/serve/entry/stop_test.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+func want(t *testing.T, receive func() string, answers ...string) {
+	t.Helper()
+	var got []string
+	for range answers {
+		got = append(got, receive())
+	}
+	if diff := cmp.Diff(answers, got); diff != "" {
+		t.Errorf("answers (-want +got):\n%s", diff)
+	}
+}
+
+// TestWithdrawnKey withdraws a key under an idle caller, one in a transaction
+// and one whose statement runs.
+func TestWithdrawnKey(t *testing.T) {
+	verifier, err := caller.NewVerifier("jelly", []byte("0123456789abcdef"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var document atomic.Pointer[document.Document]
+	document.Store(parseDocument(t, `{id: k1, verifier: "`+verifier+`"}`))
+	b := newBench(t, func(o *Options) { o.DocumentFunc = document.Load })
+	_, err = pgconn.Connect(t.Context(), "postgres://counter:plum@"+b.address+"/orders?sslmode=disable")
+	if err == nil {
+		t.Error("a wrong key was let in")
+	}
+	var callers []*pgconn.HijackedConn
+	for _, query := range []string{"Q SELECT 1", "Q BEGIN", "Q HOLD", "Q SELECT 1"} {
+		c, err := pgconn.Connect(t.Context(), "postgres://counter:jelly@"+b.address+"/orders?sslmode=disable")
+		if err != nil {
+			t.Fatal(err)
+		}
+		h, err := c.Hijack()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = h.Conn.Close() })
+		_ = h.Conn.SetDeadline(time.Now().Add(generous))
+		if _, err := h.Conn.Write(messageOf(t, query)); err != nil {
+			t.Fatal(err)
+		}
+		callers = append(callers, h)
+	}
+	next := func(i int) func() string { return func() string { return receive(t, callers[i].Frontend) } }
+	want(t, next(0), "C SELECT 1", "Z I")
+	want(t, next(1), "C BEGIN", "Z T")
+	want(t, next(3), "C SELECT 1", "Z I")
+	b.waitFor("hold")
+	document.Store(parseDocument(t, ""))
+	// The batch of a caller that was not cut yet is refused all the same.
+	if _, err := callers[3].Conn.Write(messageOf(t, "Q SELECT 1")); err != nil {
+		t.Fatal(err)
+	}
+	want(t, next(3), "E 28000", "end")
+	b.entry.CutWithdrawn(document.Load())
+	want(t, next(0), "E 28000", "end")
+	want(t, next(1), "E 28000", "end")
+	want(t, next(2), "E 08007", "Z I", "E 28000", "end")
+	b.note("release")
+	until(t, "every exchange is closed", func() bool { return b.running() == 0 })
+}
+
+// TestDrain stops while one caller is idle, one is in a transaction and one
+// runs a statement; the last two finish first.
+func TestDrain(t *testing.T) {
+	b := newBench(t, nil)
+	_, idle := b.dial(t)
+	c, open := b.dial(t)
+	r, busy := b.dial(t)
+	if _, err := c.Write(messageOf(t, "Q BEGIN")); err != nil {
+		t.Fatal(err)
+	}
+	want(t, func() string { return receive(t, open) }, "C BEGIN", "Z T")
+	if _, err := r.Write(messageOf(t, "Q HOLD")); err != nil {
+		t.Fatal(err)
+	}
+	b.waitFor("hold")
+	ended := make(chan error, 1)
+	go func() { ended <- b.entry.Drain(context.Background()) }()
+	want(t, func() string { return receive(t, idle) }, "E 57P01", "end")
+	if _, err := c.Write(messageOf(t, "Q SELECT 1")); err != nil {
+		t.Fatal(err)
+	}
+	want(t, func() string { return receive(t, open) }, "C SELECT 1", "Z T")
+	if _, err := c.Write(messageOf(t, "Q COMMIT")); err != nil {
+		t.Fatal(err)
+	}
+	want(t, func() string { return receive(t, open) }, "C COMMIT", "Z I", "E 57P01", "end")
+	b.note("release")
+	want(t, func() string { return receive(t, busy) }, "C SELECT 1", "Z I", "E 57P01", "end")
+	if err := <-ended; err != nil {
+		t.Errorf("the stop ended with %v", err)
+	}
+}
+
+// TestDrainBound cuts a silent transaction when the time for the stop is over.
+func TestDrainBound(t *testing.T) {
+	b := newBench(t, nil)
+	c, f := b.dial(t)
+	if _, err := c.Write(messageOf(t, "Q BEGIN")); err != nil {
+		t.Fatal(err)
+	}
+	want(t, func() string { return receive(t, f) }, "C BEGIN", "Z T")
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if err := b.entry.Drain(ctx); err == nil {
+		t.Error("the stop did not say that it cut a caller")
+	}
+	want(t, func() string { return receive(t, f) }, "E 57P01", "end")
+}
