Decide retries in a pure function with a retry budget

Cause: the loop over the servers mixed I/O and decision, retried without any bound on the load it made, and all VMs paused in step. Change: core/retry decides what follows an attempt from its error, the time left, the servers left and the budget; core/budget is a token bucket filled by requests. Only what was not run is tried again. The search for a primary costs no budget; what the budget does not pay for waits the longest pause in place of being refused, and goes on with the servers not yet tried. Pauses are spread by a seed. The refusal at the deadline names the last attempt.

--- /dev/null
+++ b/internal/core/retry/retry_test.go
@@ -0,0 +1,82 @@
+package retry
+
+import (
+	"io"
+	"os"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+)
+
+type script struct {
+	Name  string `yaml:"name"`
+	Steps []struct {
+		Reason string       `yaml:"reason"`
+		Left   clock.Millis `yaml:"left"`
+		Others bool         `yaml:"others"`
+		Paid   bool         `yaml:"paid"`
+		Want   Action       `yaml:"want"`
+		Least  clock.Millis `yaml:"least"`
+		Most   clock.Millis `yaml:"most"`
+	} `yaml:"steps"`
+}
+
+func errorOf(reason string) error {
+	switch reason {
+	case "unknown":
+		return &outcome.Unknown{}
+	case "failed":
+		return &outcome.Failed{}
+	case "caller":
+		return io.EOF
+	}
+	return &outcome.NotRun{Reason: outcome.Reason(reason)}
+}
+
+// TestScripts plays attempts with many seeds.
+func TestScripts(t *testing.T) {
+	text, err := os.ReadFile("testdata/retry.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var scripts []script
+	if err := yaml.UnmarshalWithOptions(text, &scripts, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range scripts {
+		t.Run(p.Name, func(t *testing.T) {
+			for seed := range uint64(100) {
+				r := New(seed)
+				for i, s := range p.Steps {
+					var got Action
+					var pause clock.Millis
+					r, got, pause = r.With(Event{Err: errorOf(s.Reason), Left: s.Left, Others: s.Others, Paid: s.Paid})
+					if diff := cmp.Diff(s.Want, got); diff != "" {
+						t.Fatalf("seed %d, step %d (-want +got):\n%s", seed, i, diff)
+					}
+					if pause < s.Least || pause > s.Most {
+						t.Fatalf("seed %d, step %d: a pause of %d ms is not within %d to %d", seed, i, pause, s.Least, s.Most)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestSpread checks that requests that began together do not stay together.
+func TestSpread(t *testing.T) {
+	seen := map[clock.Millis]int{}
+	for seed := range uint64(1000) {
+		_, _, pause := New(seed).With(Event{Err: errorOf("server"), Left: clock.Second})
+		seen[pause]++
+	}
+	for pause, n := range seen {
+		if n > 60 {
+			t.Errorf("%d of 1000 requests wait %d ms", n, pause)
+		}
+	}
+}
--- a/internal/serve/entry/bench_test.go
+++ b/internal/serve/entry/bench_test.go
@@ -37,9 +37,9 @@
 func parseDocument(t testing.TB, keys string) *document.Document {
 	t.Helper()
 	d, err := document.Parse(1, map[string]string{
-		document.SectionDatabases: "databases:\n  - name: orders\n    servers:\n      - {name: orders-1, address: \"127.0.0.1:1\", zone: a, region: r, slots: 1, connections: 2}\n",
+		document.SectionDatabases: databasesSection(),
 		document.SectionAccounts:  "accounts:\n  - {name: counter, rate: 10, burst: 10, weight: 1, keys: [" + keys + "]}\n",
-		document.SectionRoutes:    "routes:\n  - {name: box, database: orders, kind: write}\n  - {name: list, database: orders, kind: read, open: true}\n",
+		document.SectionRoutes:    "routes:\n  - {name: box, database: orders, kind: write}\n  - {name: list, database: orders, kind: read, open: true}\n  - {name: wide, database: orders, kind: write, open: true}\n",
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -47,6 +47,14 @@
 	return d
 }
 
+func databasesSection() string {
+	text := "databases:\n  - name: orders\n    servers:\n"
+	for _, name := range []string{"orders-1", "orders-2", "orders-3"} {
+		text += "      - {name: " + name + ", address: \"127.0.0.1:1\", zone: a, region: r, slots: 1, connections: 2}\n"
+	}
+	return text
+}
+
 func newBench(t testing.TB, change func(*Options)) *bench {
 	t.Helper()
 	t.Cleanup(invariant.Handle(func(n invariant.Name, detail string) { t.Errorf("invariant %s: %s", n, detail) }))
--- a/internal/serve/entry/dispatch.go
+++ b/internal/serve/entry/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/choice"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/retry"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/route"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
@@ -20,9 +21,6 @@
 const (
 	// replicaWait is how long a read waits for a replica to reach its floor.
 	replicaWait = 50 * clock.Millis(1)
-	// firstPause and lastPause bound the pause between two attempts.
-	firstPause = 5 * clock.Millis(1)
-	lastPause  = 100 * clock.Millis(1)
 )
 
 // request is one transaction on its way to a server.
@@ -91,34 +89,62 @@
 func (r *request) run(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, r.route.Deadline.Duration())
 	defer cancel()
+	e := r.session.entry
+	e.payRequest()
 	if err := r.askFloor(ctx); err != nil {
 		return err
 	}
-	pause := firstPause
+	next := retry.New(e.seed())
 	for {
-		server, ok := serverOf(r.database, r.choose())
-		if !ok {
-			clear(r.tried)
-			if r.left() <= pause {
-				return outcome.Refuse(outcome.ReasonDeadline, outcome.CodeTimeout, "no backend server of database %s could run the request in time", r.database.Name)
-			}
-			if err := r.session.entry.options.Clock.Sleep(ctx, pause); err != nil {
-				return outcome.Refuse(outcome.ReasonDeadline, outcome.CodeTimeout, "the deadline passed before the request was sent")
-			}
-			pause = min(2*pause, lastPause)
-			continue
+		err := r.attemptNext(ctx)
+		if err == nil {
+			return nil
 		}
-		err := r.attempt(ctx, server)
-		var refusal *outcome.NotRun
-		if !errors.As(err, &refusal) || !refusal.Retryable() || r.left() <= 0 {
+		others := r.choose() != ""
+		var action retry.Action
+		var pause clock.Millis
+		next, action, pause = next.With(retry.Event{
+			Err: err, Left: r.left(), Others: others, Paid: !others || retry.Costs(err) && e.payRetry(),
+		})
+		switch action {
+		case retry.Stop:
 			return err
+		case retry.Expire:
+			return r.expired(err)
+		case retry.Wait:
+			if !others {
+				clear(r.tried)
+			}
+			if e.options.Clock.Sleep(ctx, pause) != nil {
+				return r.expired(err)
+			}
 		}
-		r.session.entry.counters.retries.Inc()
-		r.tried[server.Name] = true
-		if refusal.Reason == outcome.ReasonVM {
-			r.session.entry.directory.avoid(server.Name, r.session.entry.options.Clock.Now())
-		}
+		e.counters.retries.Inc()
+	}
+}
+
+func (r *request) expired(last error) error {
+	return outcome.Refuse(outcome.ReasonDeadline, outcome.CodeTimeout, "no backend server of database %s could run the request in time; the last attempt: %v", r.database.Name, last)
+}
+
+// attemptNext runs the request on the best server that is left, and takes note
+// of a refusal.
+func (r *request) attemptNext(ctx context.Context) error {
+	server, ok := serverOf(r.database, r.choose())
+	if !ok {
+		return outcome.Refuse(outcome.ReasonPrimary, outcome.CodeUnavailable, "no backend server of database %s is usable now", r.database.Name)
+	}
+	err := r.attempt(ctx, server)
+	var refusal *outcome.NotRun
+	if !errors.As(err, &refusal) {
+		return err
+	}
+	r.tried[server.Name] = true
+	switch refusal.Reason {
+	case outcome.ReasonVM, outcome.ReasonServer:
+		r.session.entry.directory.avoid(server.Name, r.session.entry.options.Clock.Now())
 	}
+	return err
 }
 
 func (r *request) choose() string {
@@ -133,43 +159,6 @@
 	})
 }
 
-// askFloor raises the floor of a read in a named session to its last write,
-// whichever VM that went through.
-func (r *request) askFloor(ctx context.Context) error {
-	if r.hint.Session == "" || r.route.Kind == document.KindWrite {
-		return nil
-	}
-	pause := firstPause
-	for {
-		m, err := r.floorOnce(ctx)
-		if err == nil {
-			r.floor = r.floor.Max(m)
-			return nil
-		}
-		if r.left() <= pause || r.session.entry.options.Clock.Sleep(ctx, pause) != nil {
-			return outcome.Refuse(outcome.ReasonDeadline, outcome.CodeTimeout, "the floor of the session could not be learned: %v", err)
-		}
-		pause = min(2*pause, lastPause)
-	}
-}
-
-func (r *request) floorOnce(ctx context.Context) (floor.Mark, error) {
-	e := r.session.entry
-	servers := e.directory.candidates(r.database)
-	s, ok := serverOf(r.database, choice.ForWrite(servers, r.tried))
-	if !ok {
-		clear(r.tried)
-		return floor.Mark{}, errors.New("no primary is known")
-	}
-	m, err := e.options.FloorFunc(ctx, s, r.database.Name, r.hint.Session)
-	if err != nil {
-		r.tried[s.Name] = true
-		return m, err
-	}
-	clear(r.tried)
-	return m, nil
-}
-
 // attempt runs the request on one server.
 func (r *request) attempt(ctx context.Context, server document.Server) error {
 	s := r.session
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -10,11 +10,13 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/budget"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
@@ -60,13 +62,15 @@
 	draining    bool
 	listener    net.Listener
 	next        uint16
+	budget      budget.Budget
+	requests    atomic.Uint64
 }
 
 // New returns an entry proxy that serves once Run is called.
 func New(o Options) *Entry {
 	return &Entry{
 		options: o, directory: newDirectory(), counters: newCounters(o.VM.Name),
-		sessions: map[uint32]*session{}, done: make(chan struct{}),
+		sessions: map[uint32]*session{}, done: make(chan struct{}), budget: newBudget(),
 	}
 }
 
--- /dev/null
+++ b/internal/serve/entry/floors.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/choice"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/retry"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+// askFloor raises the floor of a read in a named session to its last write,
+// whichever VM that went through.
+func (r *request) askFloor(ctx context.Context) error {
+	if r.hint.Session == "" || r.route.Kind == document.KindWrite {
+		return nil
+	}
+	pause := retry.FirstPause
+	for {
+		m, err := r.floorOnce(ctx)
+		if err == nil {
+			r.floor = r.floor.Max(m)
+			return nil
+		}
+		if r.left() <= pause || r.session.entry.options.Clock.Sleep(ctx, pause) != nil {
+			return outcome.Refuse(outcome.ReasonDeadline, outcome.CodeTimeout, "the floor of the session could not be learned: %v", err)
+		}
+		pause = min(2*pause, retry.LastPause)
+	}
+}
+
+func (r *request) floorOnce(ctx context.Context) (floor.Mark, error) {
+	e := r.session.entry
+	servers := e.directory.candidates(r.database)
+	s, ok := serverOf(r.database, choice.ForWrite(servers, r.tried))
+	if !ok {
+		clear(r.tried)
+		return floor.Mark{}, errors.New("no primary is known")
+	}
+	m, err := e.options.FloorFunc(ctx, s, r.database.Name, r.hint.Session)
+	if err != nil {
+		r.tried[s.Name] = true
+		return m, err
+	}
+	clear(r.tried)
+	return m, nil
+}
--- /dev/null
+++ b/internal/serve/entry/retries_test.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/budget"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+// TestChangeOfPrimary keeps a write waiting while the old primary is gone and
+// the next one is not known yet, even when the retry budget is empty.
+func TestChangeOfPrimary(t *testing.T) {
+	var b *bench
+	var mu sync.Mutex
+	rounds := 0
+	b = newBench(t, func(o *Options) {
+		o.OpenFunc = func(ctx context.Context, s document.Server) (inner.Exchange, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			switch s.Name {
+			case "orders-1":
+				return inner.Exchange{}, errors.New("no route to host")
+			case "orders-2":
+				rounds++
+				state := inner.State{Server: s.Name, Term: 1, Primary: "orders-1"}
+				if rounds > 3 {
+					state.Term, state.Primary = 2, "orders-3"
+				}
+				return refuseWith(state), nil
+			}
+			if rounds <= 3 {
+				return refuseWith(inner.State{Server: s.Name, Term: 1, Primary: "orders-1"}), nil
+			}
+			return b.open(ctx, s)
+		}
+	})
+	b.entry.budget = budget.New(0, 0)
+	c, f := b.dial(t)
+	if _, err := c.Write(messageOf(t, "Q SET sycamoredoor.route = 'wide'")); err != nil {
+		t.Fatal(err)
+	}
+	want(t, func() string { return receive(t, f) }, "C SET", "Z I")
+	if _, err := c.Write(messageOf(t, "Q UPDATE")); err != nil {
+		t.Fatal(err)
+	}
+	want(t, func() string { return receive(t, f) }, "C SELECT 1", "Z I")
+	if diff := cmp.Diff(4, rounds); diff != "" {
+		t.Errorf("rounds over the servers (-want +got):\n%s", diff)
+	}
+}
+
+func refuseWith(state inner.State) inner.Exchange {
+	here, there := inner.Pipe()
+	go func() {
+		defer there.Close()
+		for {
+			f, err := there.Receive()
+			if err != nil {
+				return
+			}
+			if f.Kind == inner.KindBatch {
+				_ = there.Send(inner.Encode(inner.KindRefuse, inner.Refuse{Reason: outcome.ReasonPrimary, Code: outcome.CodeUnavailable, State: state}))
+				return
+			}
+		}
+	}()
+	return here
+}
