Keep reads of named sessions monotonic and share questions for floors

Cause: what a named session had read was known to its connection only, so its next read on another connection of the same VM could go back; a session named in a comment got no token; each read asked the primary's holder by itself. Change: a bounded table holds the floors of named sessions at this VM; forgotten ones get the highest forgotten floor. Questions for floors at one primary are batched like read indexes: askers who come while one is on its way share the next. FloorsFunc lets the VM answer a batch with one confirmation; without it FloorFunc is called once for each distinct session.

--- /dev/null
+++ b/internal/serve/entry/asks.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+// askTimeout bounds one question for floors in milliseconds.
+const askTimeout = clock.Second
+
+// asks batches the questions for floors. While one is on its way, those who
+// come meanwhile share the next: an answer serves only askers who came before
+// the question was sent, as a read index of Raft does.
+type asks struct {
+	// askFunc asks the primary's holder for the floors of several sessions, in
+	// their order.
+	askFunc func(ctx context.Context, primary document.Server, database string, sessions []string) ([]floor.Mark, error)
+
+	mu   sync.Mutex
+	next map[string]*question
+	busy map[string]bool
+}
+
+// question is one batch of askers.
+type question struct {
+	sessions []string
+	marks    []floor.Mark
+	err      error
+	done     chan struct{}
+}
+
+func newAsks(o Options) *asks {
+	a := &asks{askFunc: o.FloorsFunc, next: map[string]*question{}, busy: map[string]bool{}}
+	if a.askFunc == nil {
+		a.askFunc = each(o.FloorFunc)
+	}
+	return a
+}
+
+// ask returns the floor of a session as it was after the call began.
+func (a *asks) ask(ctx context.Context, primary document.Server, database, session string) (floor.Mark, error) {
+	q, i := a.join(ctx, primary, database, session)
+	select {
+	case <-ctx.Done():
+		return floor.Mark{}, ctx.Err()
+	case <-q.done:
+	}
+	if q.err != nil {
+		return floor.Mark{}, q.err
+	}
+	return q.marks[i], nil
+}
+
+// join adds the session to the question that is sent next.
+func (a *asks) join(ctx context.Context, primary document.Server, database, session string) (*question, int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	q := a.next[primary.Name]
+	if q == nil {
+		q = &question{done: make(chan struct{})}
+		a.next[primary.Name] = q
+	}
+	i := slices.Index(q.sessions, session)
+	if i < 0 {
+		i = len(q.sessions)
+		q.sessions = append(q.sessions, session)
+	}
+	if !a.busy[primary.Name] {
+		a.busy[primary.Name] = true
+		go a.run(context.WithoutCancel(ctx), primary, database)
+	}
+	return q, i
+}
+
+// run sends questions until none waits.
+func (a *asks) run(ctx context.Context, primary document.Server, database string) {
+	for {
+		q := a.take(primary.Name)
+		if q == nil {
+			return
+		}
+		bounded, cancel := context.WithTimeout(ctx, askTimeout.Duration())
+		q.marks, q.err = a.askFunc(bounded, primary, database, q.sessions)
+		cancel()
+		close(q.done)
+	}
+}
+
+func (a *asks) take(primary string) *question {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	q := a.next[primary]
+	delete(a.next, primary)
+	if q == nil {
+		delete(a.busy, primary)
+	}
+	return q
+}
+
+type floorFunc func(ctx context.Context, primary document.Server, database, session string) (floor.Mark, error)
+
+// each asks for several floors one by one, all at the same time.
+func each(ask floorFunc) func(context.Context, document.Server, string, []string) ([]floor.Mark, error) {
+	return func(ctx context.Context, primary document.Server, database string, sessions []string) ([]floor.Mark, error) {
+		marks, errs := make([]floor.Mark, len(sessions)), make(chan error, len(sessions))
+		for i, session := range sessions {
+			go func() {
+				var err error
+				marks[i], err = ask(ctx, primary, database, session)
+				errs <- err
+			}()
+		}
+		var first error
+		for range sessions {
+			if err := <-errs; err != nil && first == nil {
+				first = err
+			}
+		}
+		return marks, first
+	}
+}
--- a/internal/serve/entry/bench_test.go
+++ b/internal/serve/entry/bench_test.go
@@ -30,6 +30,8 @@
 
 	mu   sync.Mutex
 	sent []string
+	// floors are those of the transactions, in order.
+	floors []string
 	// exchanges counts the exchanges that have not ended.
 	exchanges int
 }
@@ -106,6 +108,12 @@
 		if err != nil {
 			return
 		}
+		var begin inner.Begin
+		if f.Kind == inner.KindBegin && inner.Decode(f, &begin) == nil {
+			b.mu.Lock()
+			b.floors = append(b.floors, begin.Floor.String())
+			b.mu.Unlock()
+		}
 		var batch inner.Batch
 		if f.Kind != inner.KindBatch || inner.Decode(f, &batch) != nil {
 			continue
@@ -162,8 +170,8 @@
 				out = append(out, caller.Ready(status)...)
 			}
 		}
-		b.note(kinds)
-		if x.Send(inner.Encode(inner.KindEnd, inner.End{Status: status, Raw: out})) != nil {
+		mark := floor.Mark{Term: 1, Position: floor.Position(b.note(kinds))}
+		if x.Send(inner.Encode(inner.KindEnd, inner.End{Status: status, Mark: mark, Raw: out})) != nil {
 			return
 		}
 	}
@@ -211,10 +219,12 @@
 	return kinds
 }
 
-func (b *bench) note(kinds string) {
+// note keeps what a batch held and returns the number of batches so far.
+func (b *bench) note(kinds string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sent = append(b.sent, kinds)
+	return len(b.sent)
 }
 
 // dial opens a connection as nobody and reads up to the first ReadyForQuery.
--- a/internal/serve/entry/dispatch.go
+++ b/internal/serve/entry/dispatch.go
@@ -78,7 +78,7 @@
 	account, _ := d.Account(s.account)
 	return &request{
 		session: s, batch: b, route: t, hint: h, database: database, weight: account.Weight,
-		floor: s.floor, deadline: s.entry.options.Clock.Now() + t.Deadline, tried: map[string]bool{},
+		floor: s.floor.Max(s.entry.roaming.floor(s.database, h.Session)), deadline: s.entry.options.Clock.Now() + t.Deadline, tried: map[string]bool{},
 	}, nil
 }
 
@@ -186,7 +186,7 @@
 		s.drop()
 		return &outcome.Unknown{Detail: "the holder of " + server.Name + " was lost: " + err.Error()}
 	}
-	s.write = r.route.Kind == document.KindWrite
+	s.write, s.name = r.route.Kind == document.KindWrite, r.hint.Session
 	s.block = r.batch.end == 'H' && r.batch.begins()
 	err = s.relay(x, server.Name, true)
 	if err == nil {
@@ -300,7 +300,8 @@
 	clear(s.portals)
 	s.entry.directory.see(server, m.Mark, s.entry.options.Clock.Now())
 	s.floor = s.floor.Max(m.Mark)
-	if s.write && s.hint.Session != "" {
+	s.entry.roaming.raise(s.database, s.name, s.floor)
+	if s.write && s.name != "" {
 		return s.conn.Write(append(caller.Parameter(hintPrefix+"token", token(s.database, s.floor)), m.Raw...))
 	}
 	return s.conn.Write(m.Raw)
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -44,6 +44,9 @@
 	OpenFunc func(ctx context.Context, s document.Server) (inner.Exchange, error)
 	// FloorFunc asks the primary's holder for the floor of a named session.
 	FloorFunc func(ctx context.Context, primary document.Server, database, session string) (floor.Mark, error)
+	// FloorsFunc asks for several sessions at once, in their order; when it is
+	// nil, FloorFunc is called for each.
+	FloorsFunc func(ctx context.Context, primary document.Server, database string, sessions []string) ([]floor.Mark, error)
 	// CancelFunc passes a cancel request on to the VM that the caller is connected to.
 	CancelFunc func(ctx context.Context, process uint32, secret []byte)
 }
@@ -53,6 +56,8 @@
 	options   Options
 	directory *directory
 	counters  *counters
+	asks      *asks
+	roaming   *roaming
 	done      chan struct{}
 
 	mu       sync.Mutex
@@ -70,6 +75,7 @@
 func New(o Options) *Entry {
 	return &Entry{
 		options: o, directory: newDirectory(), counters: newCounters(o.VM.Name),
+		asks: newAsks(o), roaming: newRoaming(maxRoaming),
 		sessions: map[uint32]*session{}, done: make(chan struct{}), budget: newBudget(),
 	}
 }
--- a/internal/serve/entry/floors.go
+++ b/internal/serve/entry/floors.go
@@ -40,7 +40,7 @@
 		clear(r.tried)
 		return floor.Mark{}, errors.New("no primary is known")
 	}
-	m, err := e.options.FloorFunc(ctx, s, r.database.Name, r.hint.Session)
+	m, err := e.asks.ask(ctx, s, r.database.Name, r.hint.Session)
 	if err != nil {
 		r.tried[s.Name] = true
 		return m, err
--- /dev/null
+++ b/internal/serve/entry/roaming.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"sync"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+)
+
+// maxRoaming is the number of named sessions whose floors a VM remembers.
+const maxRoaming = 16384
+
+// roaming remembers what named sessions have read or written through this VM,
+// so that their reads never go back here, on whichever connection. A session
+// that was forgotten gets the highest floor that was.
+type roaming struct {
+	mu      sync.Mutex
+	floors  *simplelru.LRU[roamingKey, floor.Mark]
+	evicted map[string]floor.Mark
+}
+
+type roamingKey struct {
+	database string
+	session  string
+}
+
+func newRoaming(size int) *roaming {
+	r := &roaming{evicted: map[string]floor.Mark{}}
+	r.floors, _ = simplelru.NewLRU(size, func(k roamingKey, m floor.Mark) {
+		r.evicted[k.database] = r.evicted[k.database].Max(m)
+	})
+	return r
+}
+
+// floor returns the lowest state that the session may read.
+func (r *roaming) floor(database, session string) floor.Mark {
+	if session == "" {
+		return floor.Mark{}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, ok := r.floors.Get(roamingKey{database: database, session: session})
+	if !ok {
+		return r.evicted[database]
+	}
+	return m
+}
+
+// raise takes in what the session has seen.
+func (r *roaming) raise(database, session string, m floor.Mark) {
+	if session == "" {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := roamingKey{database: database, session: session}
+	old, ok := r.floors.Get(k)
+	if !ok {
+		old = r.evicted[database]
+	}
+	r.floors.Add(k, old.Max(m))
+}
--- a/internal/serve/entry/session.go
+++ b/internal/serve/entry/session.go
@@ -41,6 +41,8 @@
 	// ends with the batch.
 	block bool
 	write bool
+	// name is the named session that the transaction belongs to, if any.
+	name string
 	// failed is set when an open transaction was lost and the caller has not
 	// ended it yet.
 	failed bool
