Spread reads over equal servers and give leaving ones nothing

Cause: of equal replicas the first in the document got every read of every VM; writes went to a leaving primary; a request that was being retried kept the servers that the configuration had when it came. Change: ties fall by a hash of the server and a salt that differs between VMs and requests. Writes skip a leaving primary, while questions for floors still reach its holder. Each attempt reads the servers of the configuration in force and checks LeavingServer.

--- a/internal/core/choice/choice.go
+++ b/internal/core/choice/choice.go
@@ -2,6 +2,8 @@
 package choice
 
 import (
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
@@ -37,33 +39,48 @@
 	Wait clock.Millis
 	// Tried names servers that have refused the request.
 	Tried map[string]bool
+	// Salt differs from request to request and from VM to VM, so that those who
+	// see equal servers do not all take the same one.
+	Salt uint64
 }
 
-// Scores of a candidate; a higher one wins whatever the lower parts say.
+// Scores of a candidate; the parts are far enough apart that a lower one decides
+// only between equals, except that load outweighs nearness in the end.
 const (
 	scoreCovers  = 1000.0
 	scoreWaits   = 400.0
+	scoreReplica = 200.0
 	scoreRegion  = 100.0
 	scoreZone    = 10.0
-	scoreReplica = 200.0
+	// scoreLoad is taken off for each full set of slots that this VM waits for.
+	scoreLoad = 20.0
 )
 
 // ForRead returns the name of the best server for a read, or "" when none is left.
 // A replica that covers the floor comes first, then one that will within the
-// wait, then the primary.
+// wait, then the primary; among these the nearest, and among equals the one that
+// this VM waits for least. Ties fall by hash.
 func ForRead(servers []Server, r Read) string {
 	best, bestScore := "", -1.0
 	for _, s := range servers {
 		if s.Leaving || r.Tried[s.Name] || s.Avoid > r.Now {
 			continue
 		}
-		if score := r.score(s); score > bestScore {
+		score := r.score(s)
+		if score > bestScore || score == bestScore && r.rank(s.Name) > r.rank(best) {
 			best, bestScore = s.Name, score
 		}
 	}
 	return best
 }
 
+func (r Read) rank(server string) uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(r.Salt)
+	_, _ = d.WriteString(server)
+	return d.Sum64()
+}
+
 func (r Read) score(s Server) float64 {
 	score := scoreCovers
 	if !s.Primary {
@@ -75,7 +92,7 @@
 	if s.Zone == r.Zone {
 		score += scoreZone
 	}
-	return score - 20*float64(s.Waiting)/float64(max(s.Slots, 1))
+	return max(score-scoreLoad*float64(s.Waiting)/float64(max(s.Slots, 1)), 0)
 }
 
 // coverage estimates whether a replica is at the floor by the time it is asked.
@@ -95,8 +112,20 @@
 }
 
 // ForWrite returns the name of the primary, or, when it is not known, a server
-// that has not been tried and may tell.
+// that has not been tried and may tell. A leaving server gets no work.
 func ForWrite(servers []Server, tried map[string]bool) string {
+	kept := make([]Server, 0, len(servers))
+	for _, s := range servers {
+		if !s.Leaving {
+			kept = append(kept, s)
+		}
+	}
+	return ForFloor(kept, tried)
+}
+
+// ForFloor returns the name of the server whose holder knows the floors of
+// sessions: the primary, even when it is leaving, or one that may tell.
+func ForFloor(servers []Server, tried map[string]bool) string {
 	other := ""
 	for _, s := range servers {
 		if tried[s.Name] {
--- /dev/null
+++ b/internal/core/choice/choice_test.go
@@ -0,0 +1,88 @@
+package choice
+
+import (
+	"os"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+)
+
+type script struct {
+	Name    string         `yaml:"name"`
+	Write   bool           `yaml:"write"`
+	Floor   floor.Position `yaml:"floor"`
+	Servers []struct {
+		Name    string         `yaml:"name"`
+		Zone    member.Zone    `yaml:"zone"`
+		Region  string         `yaml:"region"`
+		Primary bool           `yaml:"primary"`
+		Leaving bool           `yaml:"leaving"`
+		Tried   bool           `yaml:"tried"`
+		Term    floor.Term     `yaml:"term"`
+		Applied floor.Position `yaml:"applied"`
+		Seen    clock.Millis   `yaml:"seen"`
+		Rate    float64        `yaml:"rate"`
+		Avoid   clock.Millis   `yaml:"avoid"`
+		Waiting int            `yaml:"waiting"`
+	} `yaml:"servers"`
+	Want string `yaml:"want"`
+}
+
+const term = 2
+
+func (p script) choose() string {
+	servers, tried := []Server{}, map[string]bool{}
+	for _, s := range p.Servers {
+		if s.Term == 0 {
+			s.Term = term
+		}
+		servers = append(servers, Server{
+			Name: s.Name, Zone: s.Zone, Region: s.Region, Primary: s.Primary, Leaving: s.Leaving,
+			Applied: floor.Mark{Term: s.Term, Position: s.Applied}, Seen: s.Seen, Rate: s.Rate, Avoid: s.Avoid, Waiting: s.Waiting, Slots: 2,
+		})
+		tried[s.Name] = s.Tried
+	}
+	if p.Write {
+		return ForWrite(servers, tried)
+	}
+	return ForRead(servers, Read{Floor: floor.Mark{Term: term, Position: p.Floor}, Zone: "a", Region: "r", Now: 1000, Wait: 50, Tried: tried})
+}
+
+// TestScripts plays choices between servers.
+func TestScripts(t *testing.T) {
+	text, err := os.ReadFile("testdata/choice.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var scripts []script
+	if err := yaml.UnmarshalWithOptions(text, &scripts, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range scripts {
+		t.Run(p.Name, func(t *testing.T) {
+			if diff := cmp.Diff(p.Want, p.choose()); diff != "" {
+				t.Errorf("choice (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestNoHerd checks that requests that see equal servers spread over them.
+func TestNoHerd(t *testing.T) {
+	const requests = 4000
+	servers := []Server{{Name: "w"}, {Name: "x"}, {Name: "y"}, {Name: "z"}}
+	chosen := map[string]int{}
+	for salt := range uint64(requests) {
+		chosen[ForRead(servers, Read{Salt: salt})]++
+	}
+	for _, s := range servers {
+		if n := chosen[s.Name]; n < requests/5 || n > requests/3 {
+			t.Errorf("server %s got %d of %d requests", s.Name, n, requests)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/route/route_test.go
@@ -0,0 +1,81 @@
+package route
+
+import (
+	"os"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/goccy/go-yaml"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+func read(t *testing.T, file string, target any) {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := yaml.UnmarshalWithOptions(text, target, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestHints plays statements against what they say about themselves.
+func TestHints(t *testing.T) {
+	var scripts []struct {
+		SQL  string `yaml:"sql"`
+		Want Hint   `yaml:"want"`
+	}
+	read(t, "testdata/hints.yaml", &scripts)
+	for _, p := range scripts {
+		if diff := cmp.Diff(p.Want, Parse(p.SQL)); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", p.SQL, diff)
+		}
+	}
+}
+
+// TestResolve plays requests against the routes that they may use.
+func TestResolve(t *testing.T) {
+	d, err := document.Parse(1, map[string]string{
+		document.SectionDatabases: `databases:
+  - {name: orders, servers: [{name: o1, address: "127.0.0.1:1", zone: a, slots: 1, connections: 2}]}
+  - {name: members, servers: [{name: m1, address: "127.0.0.1:2", zone: a, slots: 1, connections: 2}]}
+`,
+		document.SectionAccounts: `accounts:
+  - {name: counter, rate: 1, burst: 1, weight: 1}
+  - {name: school, rate: 1, burst: 1, weight: 1}
+`,
+		document.SectionRoutes: `routes:
+  - {name: list, database: orders, kind: read}
+  - {name: stock, database: orders, kind: read, open: true}
+  - {name: wholesale, database: orders, kind: write, accounts: [counter]}
+`,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var scripts []struct {
+		Name     string         `yaml:"name"`
+		Account  string         `yaml:"account"`
+		Database string         `yaml:"database"`
+		Route    string         `yaml:"route"`
+		Want     document.Kind  `yaml:"want"`
+		Refused  outcome.Reason `yaml:"refused"`
+	}
+	read(t, "testdata/resolve.yaml", &scripts)
+	for _, p := range scripts {
+		t.Run(p.Name, func(t *testing.T) {
+			r, err := Resolve(d, pick(p.Database, "orders"), pick(p.Account, "counter"), Hint{Route: p.Route})
+			var refusal *outcome.NotRun
+			if errors.As(err, &refusal) != (p.Refused != "") || p.Refused != "" && refusal.Reason != p.Refused {
+				t.Fatalf("got error %v, want refusal %q", err, p.Refused)
+			}
+			if diff := cmp.Diff(p.Want, r.Kind); err == nil && diff != "" {
+				t.Errorf("kind (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/serve/entry/dispatch.go
+++ b/internal/serve/entry/dispatch.go
@@ -34,6 +34,8 @@
 	floor    floor.Mark
 	deadline clock.Millis
 	tried    map[string]bool
+	// salt spreads the choices and the pauses of requests.
+	salt uint64
 }
 
 // dispatch runs a batch: in the open transaction if there is one, else in a new
@@ -73,15 +75,20 @@
 	}
 	database, ok := d.Database(s.database)
 	if !ok {
-		return nil, outcome.Refuse(outcome.ReasonRequest, unknownDatabase, "database %q has been removed", s.database)
+		return nil, refuseRemoved(s.database)
 	}
 	account, _ := d.Account(s.account)
 	return &request{
 		session: s, batch: b, route: t, hint: h, database: database, weight: account.Weight,
 		floor: s.floor.Max(s.entry.roaming.floor(s.database, h.Session)), deadline: s.entry.options.Clock.Now() + t.Deadline, tried: map[string]bool{},
+		salt: s.entry.seed(),
 	}, nil
 }
 
+func refuseRemoved(database string) error {
+	return outcome.Refuse(outcome.ReasonRequest, unknownDatabase, "database %q has been removed", database)
+}
+
 func (r *request) left() clock.Millis { return r.deadline - r.session.entry.options.Clock.Now() }
 
 // run tries servers until one has run the request, the deadline passes, or an
@@ -94,7 +101,7 @@
 	if err := r.askFloor(ctx); err != nil {
 		return err
 	}
-	next := retry.New(e.seed())
+	next := retry.New(r.salt)
 	for {
 		err := r.attemptNext(ctx)
 		if err == nil {
@@ -130,6 +137,10 @@
 // attemptNext runs the request on the best server that is left, and takes note
 // of a refusal.
 func (r *request) attemptNext(ctx context.Context) error {
+	var known bool
+	if r.database, known = r.session.entry.options.DocumentFunc().Database(r.session.database); !known {
+		return refuseRemoved(r.session.database)
+	}
 	server, ok := serverOf(r.database, r.choose())
 	if !ok {
 		return outcome.Refuse(outcome.ReasonPrimary, outcome.CodeUnavailable, "no backend server of database %s is usable now", r.database.Name)
@@ -155,7 +166,7 @@
 	}
 	return choice.ForRead(servers, choice.Read{
 		Floor: r.floor, Zone: e.options.VM.Zone, Region: e.options.VM.Region,
-		Now: e.options.Clock.Now(), Wait: min(replicaWait, r.left()), Tried: r.tried,
+		Now: e.options.Clock.Now(), Wait: min(replicaWait, r.left()), Tried: r.tried, Salt: r.salt,
 	})
 }
 
@@ -176,6 +187,7 @@
 	s.entry.directory.wait(server.Name, 1)
 	defer s.entry.directory.wait(server.Name, -1)
 	begin := r.beginMessage(server)
+	invariant.Check(!server.Leaving, invariant.LeavingServer, "backend server %s is leaving and would get new work", server.Name)
 	invariant.Check(begin.Account == s.account && (s.account != route.Nobody || r.route.Open), invariant.OwnAccount,
 		"a request of %q would run for %q on route %q", s.account, begin.Account, r.route.Name)
 	if err := x.Send(inner.Encode(inner.KindBegin, begin)); err != nil {
--- a/internal/serve/entry/floors.go
+++ b/internal/serve/entry/floors.go
@@ -35,7 +35,7 @@
 func (r *request) floorOnce(ctx context.Context) (floor.Mark, error) {
 	e := r.session.entry
 	servers := e.directory.candidates(r.database)
-	s, ok := serverOf(r.database, choice.ForWrite(servers, r.tried))
+	s, ok := serverOf(r.database, choice.ForFloor(servers, r.tried))
 	if !ok {
 		clear(r.tried)
 		return floor.Mark{}, errors.New("no primary is known")
