Fuzz what callers and other VMs send, and mend what it found

Cause: the statement "/*/" ended the whole process by a slice out of bounds in route.Parse; a token followed by " end" was accepted, and tokens of a database with a colon in its name were not; a verifier could ask callers for any number of iterations. Hints need a whole comment, tokens are read strictly, iterations are bounded to 1,048,576.

--- a/internal/core/route/hint.go
+++ b/internal/core/route/hint.go
@@ -92,8 +92,9 @@
 	}
 	s = strings.TrimRight(s, "; \t\r\n")
 	if strings.HasSuffix(s, "*/") {
-		if i := strings.LastIndex(s, "/*"); i >= 0 {
-			h = parseFields(h, s[i+2:len(s)-2])
+		body := s[:len(s)-2]
+		if i := strings.LastIndex(body, "/*"); i >= 0 {
+			h = parseFields(h, body[i+2:])
 		}
 	}
 	return h
--- /dev/null
+++ b/internal/proto/caller/fuzz_test.go
@@ -0,0 +1,123 @@
+package caller
+
+import (
+	"encoding/base64"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+)
+
+const saltText = "0123456789abcdef"
+
+// talk feeds raw bytes to f as a caller who then closes its side.
+func talk(t *testing.T, raw []byte, f func(*Conn) error) error {
+	t.Helper()
+	here, there := net.Pipe()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer here.Close() //nolint:errcheck // the other side may have closed
+		go func() { _, _ = io.Copy(io.Discard, here) }()
+		_, _ = here.Write(raw)
+	}()
+	err := f(NewConn(there, Limits{Message: 1 << 16, Startup: 10 * clock.Second, Write: 10 * clock.Second}))
+	_ = there.Close()
+	<-done
+	return err
+}
+
+// FuzzStartup checks that no first bytes of a caller do harm.
+func FuzzStartup(f *testing.F) {
+	f.Add([]byte("\x00\x00\x00\x08\x04\xd2\x16\x2f\x00\x00\x00\x15\x00\x03\x00\x00user\x00nobody\x00\x00"))
+	f.Add([]byte("\x00\x00\x00\x10\x04\xd2\x16\x2e\x00\x00\x00\x01\x00\x00\x00\x02"))
+	f.Add([]byte("\x00\x00\x00\x08\x04\xd2\x16\x2e"))
+	f.Add([]byte("GET / HTTP/1.1\r\n"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		err := talk(t, raw, func(c *Conn) error {
+			_, err := c.Startup(nil)
+			return err
+		})
+		wantKnown(t, err)
+	})
+}
+
+// wantKnown checks that an error is a refusal for the caller or the end of its
+// connection.
+func wantKnown(t *testing.T, err error) {
+	t.Helper()
+	var refusal *outcome.NotRun
+	switch {
+	case err == nil, errors.As(err, &refusal), errors.Is(err, ErrCancel):
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.ErrClosedPipe):
+	default:
+		t.Errorf("error %v is of no known kind", err)
+	}
+}
+
+// FuzzAuthenticate checks that nobody is let in without the key.
+func FuzzAuthenticate(f *testing.F) {
+	verifier, err := NewVerifier("jelly", []byte(saltText))
+	if err != nil {
+		f.Fatal(err)
+	}
+	first := "p\x00\x00\x00\x37SCRAM-SHA-256\x00\x00\x00\x00\x21n,,n=,r=0123456789abcdefghijklmnop"
+	f.Add([]byte(first), true)
+	f.Add([]byte(first+"p\x00\x00\x00\x20c=biws,r=0123456789abcdefghi,p=AA=="), true)
+	f.Add([]byte("p\x00\x00\x00\x08jelly"), false)
+	f.Add([]byte("Q\x00\x00\x00\x04"), false)
+	f.Fuzz(func(t *testing.T, raw []byte, known bool) {
+		text := ""
+		if known {
+			text = verifier
+		}
+		err := talk(t, raw, func(c *Conn) error { return c.Authenticate("counter", text) })
+		if err == nil {
+			t.Error("a caller without the key was let in")
+		}
+	})
+}
+
+// FuzzParseVerifier checks that what is accepted is whole.
+func FuzzParseVerifier(f *testing.F) {
+	verifier, err := NewVerifier("jelly", []byte(saltText))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(verifier)
+	f.Add("SCRAM-SHA-256$4096:$:")
+	f.Add("md5abc")
+	f.Add("")
+	f.Fuzz(func(t *testing.T, text string) {
+		c, err := ParseVerifier(text)
+		if err != nil {
+			return
+		}
+		if len(c.StoredKey) != 32 || len(c.ServerKey) != 32 || c.Iters < iterations || len(c.Salt) == 0 {
+			t.Errorf("accepted %q with keys of %d and %d bytes, a salt of %d and %d iterations", text, len(c.StoredKey), len(c.ServerKey), len(c.Salt), c.Iters)
+		}
+		if c.Iters > maxIterations {
+			t.Errorf("accepted %d iterations", c.Iters)
+		}
+	})
+}
+
+// TestNewVerifier checks that a verifier reads back as it was made.
+func TestNewVerifier(t *testing.T) {
+	text, err := NewVerifier("jelly", []byte(saltText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := ParseVerifier(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(base64.StdEncoding.EncodeToString([]byte(saltText)), base64.StdEncoding.EncodeToString([]byte(c.Salt))); diff != "" {
+		t.Errorf("salt (-want +got):\n%s", diff)
+	}
+}
--- a/internal/proto/caller/scram.go
+++ b/internal/proto/caller/scram.go
@@ -19,6 +19,9 @@
 // iterations of the key derivation for new verifiers.
 const iterations = 4096
 
+// maxIterations bounds what a verifier may make callers compute.
+const maxIterations = 1 << 20
+
 const saltSize = 16
 
 // codePassword is invalid_password.
@@ -119,8 +122,8 @@
 		return out, &VerifierError{Detail: "not of the form SCRAM-SHA-256$iterations:salt$stored:server"}
 	}
 	n, err := strconv.Atoi(parts[1])
-	if err != nil || n < iterations {
-		return out, &VerifierError{Detail: "needs at least 4096 iterations"}
+	if err != nil || n < iterations || n > maxIterations {
+		return out, &VerifierError{Detail: "needs 4096 to 1048576 iterations"}
 	}
 	var fields [3][]byte
 	for i := range fields {
--- /dev/null
+++ b/internal/proto/pgwire/pgwire_test.go
@@ -0,0 +1,52 @@
+package pgwire
+
+import (
+	"bufio"
+	"bytes"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const fuzzLimit = 1 << 16
+
+// FuzzAppend checks that framing neither loses nor invents a byte, keeps its
+// limit, and that Next and Buffered agree with Append.
+func FuzzAppend(f *testing.F) {
+	f.Add([]byte("Q\x00\x00\x00\x0dSELECT 1\x00S\x00\x00\x00\x04"))
+	f.Add([]byte("Q\x00\x00\x00\x03"))
+	f.Add([]byte("Q\xff\xff\xff\xff"))
+	f.Add([]byte("Q\x00\x00"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		r := bufio.NewReaderSize(bytes.NewReader(raw), 2*fuzzLimit)
+		_, _ = r.Peek(len(raw))
+		var buf []byte
+		rest := raw
+		for {
+			whole := Buffered(r)
+			start := len(buf)
+			grown, m, err := Append(r, buf, fuzzLimit)
+			if err != nil {
+				if len(grown) != start {
+					t.Fatalf("the buffer grew by %d bytes with error %v", len(grown)-start, err)
+				}
+				break
+			}
+			if len(raw) < 2*fuzzLimit && !whole {
+				t.Fatal("a whole message was not seen in the buffer")
+			}
+			if len(m) > fuzzLimit {
+				t.Fatalf("a message of %d bytes is over the limit", len(m))
+			}
+			var next Message
+			next, rest = Next(rest)
+			if diff := cmp.Diff([]byte(m), []byte(next)); diff != "" {
+				t.Fatalf("Append and Next differ (-Append +Next):\n%s", diff)
+			}
+			buf = grown
+		}
+		if !bytes.HasPrefix(raw, buf) {
+			t.Error("the messages are not what was sent")
+		}
+	})
+}
--- /dev/null
+++ b/internal/serve/entry/fuzz_test.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/pgwire"
+)
+
+// FuzzToken checks that every token reads back as it was made, and that what is
+// accepted is a token.
+func FuzzToken(f *testing.F) {
+	f.Add("orders", "orders:1/2", uint64(1), uint64(2))
+	f.Add("a:b", "a:b:1/2", uint64(1), uint64(2))
+	f.Add("orders", "orders:1/2 end", ^uint64(0), uint64(0))
+	f.Add("orders", "orders: 1/+2", uint64(0), uint64(0))
+	f.Fuzz(func(t *testing.T, database, text string, term, position uint64) {
+		want := floor.Mark{Term: floor.Term(term), Position: floor.Position(position)}
+		got, err := parseToken(database, token(database, want))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("mark (-want +got):\n%s", diff)
+		}
+		if m, err := parseToken(database, text); err == nil && token(database, m) != text {
+			t.Errorf("%q was read as %q", text, token(database, m))
+		}
+	})
+}
+
+// FuzzMessages checks that no messages of a caller do harm, and that what goes
+// on to a server is whole messages of allowed types.
+func FuzzMessages(f *testing.F) {
+	f.Add([]byte("P\x00\x00\x00\x10s\x00SELECT 1\x00\x00\x00B\x00\x00\x00\x0d\x00s\x00\x00\x00\x00\x00\x00\x00E\x00\x00\x00\x09\x00\x00\x00\x00\x00S\x00\x00\x00\x04"), false)
+	f.Add([]byte("D\x00\x00\x00\x06S\x00C\x00\x00\x00\x06P\x00H\x00\x00\x00\x04Q\x00\x00\x00\x06;\x00"), true)
+	f.Fuzz(func(t *testing.T, raw []byte, failed bool) {
+		s := &session{failed: failed}
+		b := &batch{}
+		for m, rest := pgwire.Next(raw); m != nil; m, rest = pgwire.Next(rest) {
+			done, err := s.addMessage(b, m)
+			if err != nil {
+				return
+			}
+			if !done {
+				continue
+			}
+			checkRaw(t, b)
+			for _, p := range b.steps {
+				if p.failure == nil && p.statement == nil && p.kind != 'C' {
+					t.Fatalf("step %q has no statement", p.kind)
+				}
+			}
+			b, s.pending = &batch{}, nil
+		}
+	})
+}
+
+func checkRaw(t *testing.T, b *batch) {
+	t.Helper()
+	size := 0
+	for m, rest := pgwire.Next(b.out.Raw); m != nil; m, rest = pgwire.Next(rest) {
+		size += len(m)
+		switch m.Type() {
+		case 'P', 'B', 'D', 'E', 'C', 'H', 'S', 'Q':
+		default:
+			t.Fatalf("a message of type %q would reach a server", m.Type())
+		}
+	}
+	if size != len(b.out.Raw) {
+		t.Fatalf("%d of %d bytes are whole messages", size, len(b.out.Raw))
+	}
+}
--- a/internal/serve/entry/session.go
+++ b/internal/serve/entry/session.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 	"sync"
 
@@ -85,24 +84,6 @@
 	return nil
 }
 
-// token is the floor of a session in the form that a caller may carry to
-// another VM.
-func token(database string, m floor.Mark) string { return database + ":" + m.String() }
-
-func parseToken(database, text string) (floor.Mark, error) {
-	var m floor.Mark
-	name, mark, ok := strings.Cut(text, ":")
-	if !ok || name != database {
-		return m, errors.Errorf("%q is no token of database %s", text, database)
-	}
-	var rest string
-	n, err := fmt.Sscanf(mark+" end", "%d/%d %s", &m.Term, &m.Position, &rest)
-	if err != nil || n != 3 || rest != "end" {
-		return m, errors.Errorf("%q is no token", text)
-	}
-	return m, nil
-}
-
 // run serves the caller until it leaves.
 func (s *session) run(ctx context.Context) {
 	defer s.drop()
