--- /dev/null
+++ b/internal/serve/entry/relay.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/pgwire"
+)
+
+// goOn runs a batch in the open transaction.
+func (s *session) goOn(b *batch) error {
+	s.mu.Lock()
+	x := s.running
+	s.mu.Unlock()
+	if x == nil {
+		return errTerminated
+	}
+	s.block = s.block || b.begins()
+	if err := x.Send(inner.Encode(inner.KindBatch, b.out)); err != nil {
+		return s.unknown(b, &outcome.Unknown{Detail: "the holder of " + s.pinned + " was lost: " + err.Error()})
+	}
+	err := s.relay(*x, s.pinned, false)
+	var refusal *outcome.NotRun
+	var unknown *outcome.Unknown
+	switch {
+	case errors.As(err, &refusal):
+		return s.refuse(b, refusal)
+	case errors.As(err, &unknown):
+		return s.unknown(b, unknown)
+	}
+	return err
+}
+
+// relay passes the answer to a batch on to the caller. Other errors than
+// outcomes mean that the caller is gone.
+func (s *session) relay(x inner.Exchange, server string, first bool) error {
+	for {
+		f, err := x.Receive()
+		if err != nil {
+			return s.lost(first, "the holder of "+server+" was lost: "+err.Error())
+		}
+		switch f.Kind {
+		case inner.KindData:
+			if err := s.conn.Write(f.Body); err != nil {
+				return err
+			}
+		case inner.KindRefuse:
+			return s.refused(f, first)
+		case inner.KindEnd:
+			return s.ended(f, server, first)
+		default:
+			return s.lost(first, "the holder of "+server+" sent an unknown frame")
+		}
+	}
+}
+
+func (s *session) lost(first bool, detail string) error {
+	if first {
+		s.drop()
+	}
+	return &outcome.Unknown{Detail: detail}
+}
+
+func (s *session) refused(f inner.Frame, first bool) error {
+	var m inner.Refuse
+	if err := inner.Decode(f, &m); err != nil {
+		return s.lost(first, err.Error())
+	}
+	if first {
+		s.drop()
+	}
+	s.entry.directory.learn(s.database, m.State, s.entry.options.Clock.Now())
+	return &outcome.NotRun{Reason: m.Reason, Code: m.Code, Detail: m.Detail}
+}
+
+func (s *session) ended(f inner.Frame, server string, first bool) error {
+	var m inner.End
+	if err := inner.Decode(f, &m); err != nil {
+		return s.lost(first, err.Error())
+	}
+	if m.Unknown != "" {
+		return s.lost(first, m.Unknown)
+	}
+	if m.Status != statusIdle {
+		s.pinned = server
+		s.block = s.block || m.Status != 0
+		s.skipping = m.Status == 0 && hasError(m.Raw)
+		return s.conn.Write(m.Raw)
+	}
+	s.drop()
+	s.block = false
+	clear(s.portals)
+	s.entry.directory.see(server, m.Mark, s.entry.options.Clock.Now())
+	s.floor = s.floor.Max(m.Mark)
+	s.entry.roaming.raise(s.database, s.name, s.floor)
+	if s.write && s.name != "" {
+		return s.conn.Write(append(caller.Parameter(hintPrefix+"token", token(s.database, s.floor)), m.Raw...))
+	}
+	return s.conn.Write(m.Raw)
+}
+
+// statusIdle is the status of a ReadyForQuery outside a transaction.
+const statusIdle = 'I'
+
+// hasError reports whether an answer ends in an error, after which the server
+// passes over messages up to a Sync.
+func hasError(raw []byte) bool {
+	for m, rest := pgwire.Next(raw); m != nil; m, rest = pgwire.Next(rest) {
+		if m.Type() == 'E' {
+			return true
+		}
+	}
+	return false
+}
