Bound the memory of large batches over all callers

Cause: the length of a message alone made the proxy set aside its whole size, so a few silent callers on an open route could take a small VM's memory; batches were bounded for each caller only. Change: a message takes memory as it comes, doubling from 64 KB. Batches from 64 KB up share 128 MB at a VM; one more is refused as not run with 53200.

--- a/internal/proto/pgwire/pgwire.go
+++ b/internal/proto/pgwire/pgwire.go
@@ -60,13 +60,21 @@
 		return buf, nil, &SizeError{Type: kind, Size: int(length) + 1, Limit: limit}
 	}
 	start, size := len(buf), int(length)+1
-	buf = grow(buf, size)
-	if _, err := io.ReadFull(r, buf[start:]); err != nil {
-		return buf[:start], nil, err
+	for have := 0; have < size; have = len(buf) - start {
+		end := len(buf)
+		buf = grow(buf, min(size-have, max(have, firstStep)))
+		if _, err := io.ReadFull(r, buf[end:]); err != nil {
+			return buf[:start], nil, err
+		}
 	}
 	return buf, Message(buf[start:]), nil
 }
 
+// firstStep is the memory in bytes that is set aside for a message before any
+// of it has come. It doubles with what has come, so that a length alone takes
+// no memory.
+const firstStep = 64 << 10
+
 // Buffered reports whether a whole message has been received already, so that
 // Append will not wait.
 func Buffered(r *bufio.Reader) bool {
--- a/internal/proto/pgwire/pgwire_test.go
+++ b/internal/proto/pgwire/pgwire_test.go
@@ -50,3 +50,21 @@
 		}
 	})
 }
+
+// TestAppendSteps checks that a large message comes through whole, and that a
+// length without a body takes little memory.
+func TestAppendSteps(t *testing.T) {
+	const size = 5 << 20
+	raw := append([]byte{'Q', 0, 0x50, 0, 4}, bytes.Repeat([]byte("0123456789abcdef"), size/16)...)
+	got, m, err := Append(bufio.NewReader(bytes.NewReader(raw)), []byte("before"), 2*size)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(m, raw) || !bytes.HasPrefix(got, []byte("beforeQ")) {
+		t.Error("the message is not what was sent")
+	}
+	got, _, err = Append(bufio.NewReader(bytes.NewReader(raw[:100])), nil, 2*size)
+	if err == nil || cap(got) > 2*firstStep {
+		t.Errorf("error %v with a buffer of %d bytes", err, cap(got))
+	}
+}
--- a/internal/serve/entry/batch.go
+++ b/internal/serve/entry/batch.go
@@ -18,6 +18,10 @@
 	maxBatch = 32 << 20
 	// maxPrepared is the size of the prepared statements of one caller in bytes.
 	maxPrepared = 4 << 20
+	// countedBatch is the size in bytes from which a batch counts towards maxHeld.
+	countedBatch = 64 << 10
+	// maxHeld is the size of the counted batches of all callers in bytes.
+	maxHeld = 128 << 20
 	// maxStatements is the number of prepared statements of one caller.
 	maxStatements = 4096
 )
@@ -78,12 +82,33 @@
 			return nil, outcome.Refuse(outcome.ReasonRequest, outcome.CodeProtocol, "more than %d bytes without a Sync", maxBatch)
 		}
 		done, err := s.addMessage(b, m)
+		if err == nil {
+			err = s.hold(b.size())
+		}
 		if err != nil || done {
 			return b, err
 		}
 	}
 }
 
+// hold takes the memory of a batch from what all callers share. A small batch
+// is not counted. A size of 0 gives it back.
+func (s *session) hold(size int) error {
+	if size < countedBatch {
+		size = 0
+	}
+	grown := size - s.held
+	if grown == 0 {
+		return nil
+	}
+	if s.entry.held.Add(int64(grown)) > s.entry.heldLimit && grown > 0 {
+		s.entry.held.Add(int64(-grown))
+		return outcome.Refuse(outcome.ReasonCrowded, codeNoMemory, "the batches of all callers take %d bytes already; nothing of this one was run", s.entry.heldLimit)
+	}
+	s.held = size
+	return nil
+}
+
 // addMessage takes one message into the batch and reports whether it ends it.
 func (s *session) addMessage(b *batch, m pgwire.Message) (bool, error) {
 	switch kind := m.Type(); {
--- a/internal/serve/entry/bounds_test.go
+++ b/internal/serve/entry/bounds_test.go
@@ -144,6 +144,25 @@
 	}
 }
 
+// TestSharedMemory refuses a batch when those of other callers take what there
+// is, and takes it once they are gone.
+func TestSharedMemory(t *testing.T) {
+	b := newBench(t, nil)
+	b.entry.heldLimit = 300_000
+	large := messageOf(t, "Q SELECT "+strings.Repeat("1", 200_000))
+	first, _ := b.dial(t)
+	if _, err := first.Write(messageOf(t, "Q HOLD "+strings.Repeat("1", 200_000))); err != nil {
+		t.Fatal(err)
+	}
+	b.waitFor("hold")
+	second, _ := b.dial(t)
+	wantAnswers(t, second, large, []string{"E 53200", "end"})
+	b.note("release")
+	until(t, "the memory is given back", func() bool { return b.entry.held.Load() == 0 })
+	third, _ := b.dial(t)
+	wantAnswers(t, third, large, []string{"C SELECT 1", "Z I"})
+}
+
 // TestIdleCaller measures what an idle caller costs.
 func TestIdleCaller(t *testing.T) {
 	const callers, limit = 1000, 30 << 10
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -58,6 +58,9 @@
 	counters  *counters
 	asks      *asks
 	roaming   *roaming
+	// held is the size of the batches of all callers in bytes.
+	held      atomic.Int64
+	heldLimit int64
 	done      chan struct{}
 
 	mu       sync.Mutex
@@ -75,7 +78,7 @@
 func New(o Options) *Entry {
 	return &Entry{
 		options: o, directory: newDirectory(), counters: newCounters(o.VM.Name),
-		asks: newAsks(o), roaming: newRoaming(maxRoaming),
+		asks: newAsks(o), roaming: newRoaming(maxRoaming), heldLimit: maxHeld,
 		sessions: map[uint32]*session{}, done: make(chan struct{}), budget: newBudget(),
 	}
 }
--- a/internal/serve/entry/session.go
+++ b/internal/serve/entry/session.go
@@ -32,6 +32,8 @@
 	prepared int
 	// portals holds the portals of commands that the proxy carries out itself.
 	portals map[string]*statement
+	// held is the memory in bytes that the batch has taken from Entry.held.
+	held int
 	// pending is a message that was read and begins the next batch.
 	pending pgwire.Message
 	// pinned is the server of an open transaction.
@@ -94,6 +96,7 @@
 			err = s.serveBatch(ctx, b)
 			s.setBusy(false)
 		}
+		_ = s.hold(0)
 		if err != nil {
 			s.bid(err)
 			return
