Script the floors of sessions, notices and empty queries

Cause: floors were tested by one function in code, tokens over the wire not at all, and neither were notices and empty queries. The stand-in called "-- ping", which pgx sends as Ping, a syntax error where PostgreSQL sees an empty query. Change: testdata/sessions.yaml in place of TestNamedReadsAreMonotonic, whose steps it contains unchanged; one more protocol script; Ping over the whole installation. The stand-in passes over lines that are a comment as a whole.

--- a/internal/serve/entry/asks_test.go
+++ b/internal/serve/entry/asks_test.go
@@ -93,26 +93,3 @@
 		t.Errorf("another database has the floor %s", got)
 	}
 }
-
-// TestNamedReadsAreMonotonic reads in one named session on two connections of
-// one VM, and in another session.
-func TestNamedReadsAreMonotonic(t *testing.T) {
-	b := newBench(t, nil)
-	for _, query := range []string{
-		"Q SELECT 1 /*session='m'*/", "Q SELECT 1 /*session='m'*/", "Q SELECT 1 /*session='n'*/", "Q SELECT 1", "Q SELECT 1 /*session='m'*/",
-	} {
-		c, f := b.dial(t)
-		if _, err := c.Write(messageOf(t, query)); err != nil {
-			t.Fatal(err)
-		}
-		for range 2 {
-			receive(t, f)
-		}
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	want := []string{"0/0", "1/1", "0/0", "0/0", "1/2"}
-	if diff := cmp.Diff(want, b.floors); diff != "" {
-		t.Errorf("floors of the reads (-want +got):\n%s", diff)
-	}
-}
--- a/internal/serve/entry/bench_test.go
+++ b/internal/serve/entry/bench_test.go
@@ -145,6 +145,8 @@
 					block, out = false, append(out, caller.Complete("COMMIT")...)
 				case strings.Contains(sql, "FAIL"):
 					failed, out = true, append(out, caller.ErrorMessage("ERROR", "42601", "failed")...)
+				case strings.Contains(sql, "NOTICE"):
+					out = append(encode(out, &pgproto3.NoticeResponse{Code: "00000"}), caller.Complete("SELECT 1")...)
 				case strings.Contains(sql, "LARGE"):
 					for range 64 {
 						if x.Send(inner.Frame{Kind: inner.KindData, Body: appendMessage(nil, 'D', make([]byte, 1<<20), nil)}) != nil {
--- a/internal/serve/entry/protocol_test.go
+++ b/internal/serve/entry/protocol_test.go
@@ -125,6 +125,10 @@
 		return "D " + string(m.Values[0])
 	case *pgproto3.CommandComplete:
 		return "C " + string(m.CommandTag)
+	case *pgproto3.EmptyQueryResponse:
+		return "I"
+	case *pgproto3.NoticeResponse:
+		return "N " + m.Code
 	case *pgproto3.ErrorResponse:
 		return "E " + m.Code
 	case *pgproto3.ReadyForQuery:
--- /dev/null
+++ b/internal/serve/entry/sessions_test.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"net"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+type sessionScript struct {
+	Name  string `yaml:"name"`
+	Steps []struct {
+		Conn  int    `yaml:"conn"`
+		Send  string `yaml:"send"`
+		Floor string `yaml:"floor"`
+	} `yaml:"steps"`
+}
+
+// TestSessions plays statements of several connections against the floors that
+// their transactions must ask for.
+func TestSessions(t *testing.T) {
+	var scripts []sessionScript
+	readScripts(t, "testdata/sessions.yaml", &scripts)
+	for _, p := range scripts {
+		t.Run(p.Name, func(t *testing.T) {
+			b := newBench(t, nil)
+			conns, fronts := map[int]net.Conn{}, map[int]*pgproto3.Frontend{}
+			var want []string
+			for _, s := range p.Steps {
+				if conns[s.Conn] == nil {
+					conns[s.Conn], fronts[s.Conn] = b.dial(t)
+				}
+				if _, err := conns[s.Conn].Write(messageOf(t, s.Send)); err != nil {
+					t.Fatal(err)
+				}
+				for answer := ""; answer != "Z I"; {
+					if answer = receive(t, fronts[s.Conn]); answer == "end" {
+						t.Fatal("the connection ended")
+					}
+				}
+				if s.Floor != "" {
+					want = append(want, s.Floor)
+				}
+			}
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			if diff := cmp.Diff(want, b.floors); diff != "" {
+				t.Errorf("floors (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/standin/backend/sql.go
+++ b/internal/standin/backend/sql.go
@@ -92,7 +92,8 @@
 	return result{columns: []string{column}, rows: [][]string{{value}}, tag: "SELECT 1"}
 }
 
-var comment = regexp.MustCompile(`(?s)/\*.*?\*/`)
+// comment matches block comments, and lines that are a comment as a whole.
+var comment = regexp.MustCompile(`(?s)/\*.*?\*/|(?m:^\s*--[^\n]*$)`)
 
 // plain removes comments, outer space and the closing semicolon.
 func plain(sql string) string {
--- a/internal/trial/system/caller_test.go
+++ b/internal/trial/system/caller_test.go
@@ -49,6 +49,14 @@
 			t.Fatal(err)
 		}
 	})
+	t.Run("empty query", func(t *testing.T) {
+		if err := conn.Ping(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Exec(t.Context(), "", pgx.QueryExecModeExec); err != nil {
+			t.Fatal(err)
+		}
+	})
 	t.Run("cancel", func(t *testing.T) { cancelElsewhere(t, s, conn) })
 	if status := conn.PgConn().TxStatus(); status != 'I' {
 		t.Errorf("the connection ends in status %c", status)
