--- a/internal/core/route/hint.go
+++ b/internal/core/route/hint.go
@@ -56,6 +56,23 @@
 	return h, true
 }
 
+// Field returns one named field, and whether the name is known.
+func (h Hint) Field(name string) (string, bool) {
+	switch name {
+	case "route":
+		return h.Route, true
+	case "session":
+		return h.Session, true
+	case "key":
+		return h.Key, true
+	case "traceparent":
+		return h.Parent, true
+	case "token":
+		return h.Token, true
+	}
+	return "", false
+}
+
 func pick(first, second string) string {
 	if first != "" {
 		return first
@@ -75,8 +92,9 @@
 	}
 	s = strings.TrimRight(s, "; \t\r\n")
 	if strings.HasSuffix(s, "*/") {
-		if i := strings.LastIndex(s, "/*"); i >= 0 {
-			h = parseFields(h, s[i+2:len(s)-2])
+		body := s[:len(s)-2]
+		if i := strings.LastIndex(body, "/*"); i >= 0 {
+			h = parseFields(h, body[i+2:])
 		}
 	}
 	return h
--- a/internal/serve/entry/dispatch.go
+++ b/internal/serve/entry/dispatch.go
@@ -6,11 +6,12 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/choice"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/retry"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/route"
-	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 )
@@ -18,9 +19,6 @@
 const (
 	// replicaWait is how long a read waits for a replica to reach its floor.
 	replicaWait = 50 * clock.Millis(1)
-	// firstPause and lastPause bound the pause between two attempts.
-	firstPause = 5 * clock.Millis(1)
-	lastPause  = 100 * clock.Millis(1)
 )
 
 // request is one transaction on its way to a server.
@@ -34,6 +32,8 @@
 	floor    floor.Mark
 	deadline clock.Millis
 	tried    map[string]bool
+	// salt spreads the choices and the pauses of requests.
+	salt uint64
 }
 
 // dispatch runs a batch: in the open transaction if there is one, else in a new
@@ -73,15 +73,20 @@
 	}
 	database, ok := d.Database(s.database)
 	if !ok {
-		return nil, outcome.Refuse(outcome.ReasonRequest, unknownDatabase, "database %q has been removed", s.database)
+		return nil, refuseRemoved(s.database)
 	}
 	account, _ := d.Account(s.account)
 	return &request{
 		session: s, batch: b, route: t, hint: h, database: database, weight: account.Weight,
-		floor: s.floor, deadline: s.entry.options.Clock.Now() + t.Deadline, tried: map[string]bool{},
+		floor: s.floor.Max(s.entry.roaming.floor(s.database, h.Session)), deadline: s.entry.options.Clock.Now() + t.Deadline, tried: map[string]bool{},
+		salt: s.entry.seed(),
 	}, nil
 }
 
+func refuseRemoved(database string) error {
+	return outcome.Refuse(outcome.ReasonRequest, unknownDatabase, "database %q has been removed", database)
+}
+
 func (r *request) left() clock.Millis { return r.deadline - r.session.entry.options.Clock.Now() }
 
 // run tries servers until one has run the request, the deadline passes, or an
@@ -89,88 +94,86 @@
 func (r *request) run(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, r.route.Deadline.Duration())
 	defer cancel()
+	e := r.session.entry
+	e.payRequest()
 	if err := r.askFloor(ctx); err != nil {
 		return err
 	}
-	pause := firstPause
+	next := retry.New(r.salt)
 	for {
-		server, ok := serverOf(r.database, r.choose())
-		if !ok {
-			clear(r.tried)
-			if r.left() <= pause {
-				return outcome.Refuse(outcome.ReasonDeadline, outcome.CodeTimeout, "no backend server of database %s could run the request in time", r.database.Name)
-			}
-			if err := r.session.entry.options.Clock.Sleep(ctx, pause); err != nil {
-				return outcome.Refuse(outcome.ReasonDeadline, outcome.CodeTimeout, "the deadline passed before the request was sent")
-			}
-			pause = min(2*pause, lastPause)
-			continue
+		err := r.attemptNext(ctx)
+		if err == nil {
+			return nil
 		}
-		err := r.attempt(ctx, server)
-		var refusal *outcome.NotRun
-		if !errors.As(err, &refusal) || !refusal.Retryable() || r.left() <= 0 {
+		others := r.choose() != ""
+		var action retry.Action
+		var pause clock.Millis
+		next, action, pause = next.With(retry.Event{
+			Err: err, Left: r.left(), Others: others, Paid: !others || retry.Costs(err) && e.payRetry(),
+		})
+		switch action {
+		case retry.Stop:
 			return err
+		case retry.Expire:
+			return r.expired(err)
+		case retry.Wait:
+			if !others {
+				clear(r.tried)
+			}
+			if e.options.Clock.Sleep(ctx, pause) != nil {
+				return r.expired(err)
+			}
 		}
-		r.session.entry.counters.retries.Inc()
-		r.tried[server.Name] = true
-		if refusal.Reason == outcome.ReasonVM {
-			r.session.entry.directory.avoid(server.Name, r.session.entry.options.Clock.Now())
-		}
+		e.counters.retries.Inc()
 	}
 }
 
-func (r *request) choose() string {
-	e := r.session.entry
-	servers := e.directory.candidates(r.database)
-	if r.route.Kind == document.KindWrite {
-		return choice.ForWrite(servers, r.tried)
-	}
-	return choice.ForRead(servers, choice.Read{
-		Floor: r.floor, Zone: e.options.VM.Zone, Region: e.options.VM.Region,
-		Now: e.options.Clock.Now(), Wait: min(replicaWait, r.left()), Tried: r.tried,
-	})
+func (r *request) expired(last error) error {
+	return outcome.Refuse(outcome.ReasonDeadline, outcome.CodeTimeout, "no backend server of database %s could run the request in time; the last attempt: %v", r.database.Name, last)
 }
 
-// askFloor raises the floor of a read in a named session to its last write,
-// whichever VM that went through.
-func (r *request) askFloor(ctx context.Context) error {
-	if r.hint.Session == "" || r.route.Kind == document.KindWrite {
-		return nil
+// attemptNext runs the request on the best server that is left, and takes note
+// of a refusal.
+func (r *request) attemptNext(ctx context.Context) error {
+	var known bool
+	if r.database, known = r.session.entry.options.DocumentFunc().Database(r.session.database); !known {
+		return refuseRemoved(r.session.database)
 	}
-	pause := firstPause
-	for {
-		m, err := r.floorOnce(ctx)
-		if err == nil {
-			r.floor = r.floor.Max(m)
-			return nil
-		}
-		if r.left() <= pause || r.session.entry.options.Clock.Sleep(ctx, pause) != nil {
-			return outcome.Refuse(outcome.ReasonDeadline, outcome.CodeTimeout, "the floor of the session could not be learned: %v", err)
-		}
-		pause = min(2*pause, lastPause)
+	server, ok := serverOf(r.database, r.choose())
+	if !ok {
+		return outcome.Refuse(outcome.ReasonPrimary, outcome.CodeUnavailable, "no backend server of database %s is usable now", r.database.Name)
 	}
+	err := r.attempt(ctx, server)
+	var refusal *outcome.NotRun
+	if !errors.As(err, &refusal) {
+		return err
+	}
+	r.tried[server.Name] = true
+	switch refusal.Reason {
+	case outcome.ReasonVM, outcome.ReasonServer:
+		r.session.entry.directory.avoid(server.Name, r.session.entry.options.Clock.Now())
+	}
+	return err
 }
 
-func (r *request) floorOnce(ctx context.Context) (floor.Mark, error) {
+func (r *request) choose() string {
 	e := r.session.entry
 	servers := e.directory.candidates(r.database)
-	s, ok := serverOf(r.database, choice.ForWrite(servers, r.tried))
-	if !ok {
-		clear(r.tried)
-		return floor.Mark{}, errors.New("no primary is known")
-	}
-	m, err := e.options.FloorFunc(ctx, s, r.database.Name, r.hint.Session)
-	if err != nil {
-		r.tried[s.Name] = true
-		return m, err
+	if r.route.Kind == document.KindWrite {
+		return choice.ForWrite(servers, r.tried)
 	}
-	clear(r.tried)
-	return m, nil
+	return choice.ForRead(servers, choice.Read{
+		Floor: r.floor, Zone: e.options.VM.Zone, Region: e.options.VM.Region,
+		Now: e.options.Clock.Now(), Wait: min(replicaWait, r.left()), Tried: r.tried, Salt: r.salt,
+	})
 }
 
 // attempt runs the request on one server.
 func (r *request) attempt(ctx context.Context, server document.Server) error {
 	s := r.session
+	if err := s.checkKey(); err != nil {
+		return err
+	}
 	x, err := s.entry.options.OpenFunc(ctx, server)
 	if err != nil {
 		return outcome.Refuse(outcome.ReasonVM, outcome.CodeUnavailable, "%v", err)
@@ -181,7 +184,11 @@
 	}
 	s.entry.directory.wait(server.Name, 1)
 	defer s.entry.directory.wait(server.Name, -1)
-	if err := x.Send(inner.Encode(inner.KindBegin, r.beginMessage(server))); err != nil {
+	begin := r.beginMessage(server)
+	invariant.Check(!server.Leaving, invariant.LeavingServer, "backend server %s is leaving and would get new work", server.Name)
+	invariant.Check(begin.Account == s.account && (s.account != route.Nobody || r.route.Open), invariant.OwnAccount,
+		"a request of %q would run for %q on route %q", s.account, begin.Account, r.route.Name)
+	if err := x.Send(inner.Encode(inner.KindBegin, begin)); err != nil {
 		s.drop()
 		return outcome.Refuse(outcome.ReasonVM, outcome.CodeUnavailable, "the holder of %s is gone: %v", server.Name, err)
 	}
@@ -189,7 +196,8 @@
 		s.drop()
 		return &outcome.Unknown{Detail: "the holder of " + server.Name + " was lost: " + err.Error()}
 	}
-	s.write = r.route.Kind == document.KindWrite
+	s.write, s.name = r.route.Kind == document.KindWrite, r.hint.Session
+	s.block = r.batch.end == 'H' && r.batch.begins()
 	err = s.relay(x, server.Name, true)
 	if err == nil {
 		r.count(server.Name)
@@ -216,89 +224,3 @@
 		c.replicas.Inc()
 	}
 }
-
-// goOn runs a batch in the open transaction.
-func (s *session) goOn(b *batch) error {
-	s.mu.Lock()
-	x := s.running
-	s.mu.Unlock()
-	if x == nil {
-		return errTerminated
-	}
-	if err := x.Send(inner.Encode(inner.KindBatch, b.out)); err != nil {
-		return s.unknown(b, &outcome.Unknown{Detail: "the holder of " + s.pinned + " was lost: " + err.Error()})
-	}
-	err := s.relay(*x, s.pinned, false)
-	var refusal *outcome.NotRun
-	var unknown *outcome.Unknown
-	switch {
-	case errors.As(err, &refusal):
-		return s.refuse(b, refusal)
-	case errors.As(err, &unknown):
-		return s.unknown(b, unknown)
-	}
-	return err
-}
-
-// relay passes the answer to a batch on to the caller. Other errors than
-// outcomes mean that the caller is gone.
-func (s *session) relay(x inner.Exchange, server string, first bool) error {
-	for {
-		f, err := x.Receive()
-		if err != nil {
-			return s.lost(first, "the holder of "+server+" was lost: "+err.Error())
-		}
-		switch f.Kind {
-		case inner.KindData:
-			if err := s.conn.Write(f.Body); err != nil {
-				return err
-			}
-		case inner.KindRefuse:
-			return s.refused(f, first)
-		case inner.KindEnd:
-			return s.ended(f, server, first)
-		default:
-			return s.lost(first, "the holder of "+server+" sent an unknown frame")
-		}
-	}
-}
-
-func (s *session) lost(first bool, detail string) error {
-	if first {
-		s.drop()
-	}
-	return &outcome.Unknown{Detail: detail}
-}
-
-func (s *session) refused(f inner.Frame, first bool) error {
-	var m inner.Refuse
-	if err := inner.Decode(f, &m); err != nil {
-		return s.lost(first, err.Error())
-	}
-	if first {
-		s.drop()
-	}
-	s.entry.directory.learn(s.database, m.State, s.entry.options.Clock.Now())
-	return &outcome.NotRun{Reason: m.Reason, Code: m.Code, Detail: m.Detail}
-}
-
-func (s *session) ended(f inner.Frame, server string, first bool) error {
-	var m inner.End
-	if err := inner.Decode(f, &m); err != nil {
-		return s.lost(first, err.Error())
-	}
-	if m.Unknown != "" {
-		return s.lost(first, m.Unknown)
-	}
-	if m.Status != 'I' {
-		s.pinned = server
-		return s.conn.Write(m.Raw)
-	}
-	s.drop()
-	s.entry.directory.see(server, m.Mark, s.entry.options.Clock.Now())
-	s.floor = s.floor.Max(m.Mark)
-	if s.write && s.hint.Session != "" {
-		return s.conn.Write(append(caller.Parameter(hintPrefix+"token", token(s.database, s.floor)), m.Raw...))
-	}
-	return s.conn.Write(m.Raw)
-}
