Report mistakes in configuration and settings with their place

Cause: a misspelt key was reported without the key that was meant, bounds came out in the validator's own words, and mistakes across sections (unknown database, a name given twice) had no line or column. A verifier that callers could never use was accepted because only its prefix was checked.

Change: package strict keeps the parsed text and finds the place of any path in it. It proposes the nearest key, fills values from `default` tags only for keys that are not written, says bounds with key, limit and unit, and refuses a second YAML document, which the decoder would have passed over. Parsing of verifiers moves to setup/verifier, which the caller protocol and the validator share. Addresses must be IP:port. Keys and addresses given twice are refused.

--- a/internal/proto/caller/scram.go
+++ b/internal/proto/caller/scram.go
@@ -1,25 +1,18 @@
 package caller
 
 import (
-	"encoding/base64"
 	"io"
-	"strconv"
 	"strings"
 
-	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/xdg-go/scram"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/pgwire"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/verifier"
 )
 
-const mechanism = "SCRAM-SHA-256"
-
-// iterations of the key derivation for new verifiers.
-const iterations = 4096
-
-const saltSize = 16
+const mechanism = verifier.Mechanism
 
 // codePassword is invalid_password.
 const codePassword = "28P01"
@@ -34,8 +27,8 @@
 
 // Authenticate has the caller prove that it knows the key of a verifier. An
 // empty verifier runs the whole exchange and then refuses.
-func (c *Conn) Authenticate(user, verifier string) error {
-	credentials, err := ParseVerifier(verifier)
+func (c *Conn) Authenticate(user, stored string) error {
+	credentials, err := verifier.Parse(stored)
 	known := err == nil
 	if !known {
 		credentials = decoy(user)
@@ -97,59 +90,9 @@
 }
 
 func decoy(user string) scram.StoredCredentials {
-	salt := user + strings.Repeat("\x00", saltSize)
+	salt := user + strings.Repeat("\x00", verifier.SaltSize)
 	return scram.StoredCredentials{
-		KeyFactors: scram.KeyFactors{Salt: salt[:saltSize], Iters: iterations},
+		KeyFactors: scram.KeyFactors{Salt: salt[:verifier.SaltSize], Iters: verifier.Iterations},
 		StoredKey:  make([]byte, 32), ServerKey: make([]byte, 32),
 	}
 }
-
-// VerifierError reports a text that is no verifier.
-type VerifierError struct{ Detail string }
-
-// Error implements error.
-func (e *VerifierError) Error() string { return "verifier: " + e.Detail }
-
-// ParseVerifier reads the form SCRAM-SHA-256$iterations:salt$stored:server that
-// PostgreSQL keeps.
-func ParseVerifier(text string) (scram.StoredCredentials, error) {
-	var out scram.StoredCredentials
-	parts := strings.FieldsFunc(text, func(r rune) bool { return r == '$' || r == ':' })
-	if len(parts) != 5 || parts[0] != mechanism {
-		return out, &VerifierError{Detail: "not of the form SCRAM-SHA-256$iterations:salt$stored:server"}
-	}
-	n, err := strconv.Atoi(parts[1])
-	if err != nil || n < iterations {
-		return out, &VerifierError{Detail: "needs at least 4096 iterations"}
-	}
-	var fields [3][]byte
-	for i := range fields {
-		fields[i], err = base64.StdEncoding.DecodeString(parts[2+i])
-		if err != nil {
-			return out, &VerifierError{Detail: "salt and keys must be base64"}
-		}
-	}
-	if len(fields[1]) != 32 || len(fields[2]) != 32 {
-		return out, &VerifierError{Detail: "keys must have 32 bytes"}
-	}
-	out.KeyFactors = scram.KeyFactors{Salt: string(fields[0]), Iters: n}
-	out.StoredKey, out.ServerKey = fields[1], fields[2]
-	return out, nil
-}
-
-// NewVerifier makes the verifier of a key with the given salt of 16 bytes.
-func NewVerifier(key string, salt []byte) (string, error) {
-	if len(salt) != saltSize {
-		return "", &VerifierError{Detail: "salt must have 16 bytes"}
-	}
-	client, err := scram.SHA256.NewClient("", key, "")
-	if err != nil {
-		return "", errors.Wrap(err, "verifier")
-	}
-	s, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: string(salt), Iters: iterations})
-	if err != nil {
-		return "", errors.Wrap(err, "verifier")
-	}
-	encode := base64.StdEncoding.EncodeToString
-	return mechanism + "$" + strconv.Itoa(iterations) + ":" + encode(salt) + "$" + encode(s.StoredKey) + ":" + encode(s.ServerKey), nil
-}
--- a/internal/setup/document/document.go
+++ b/internal/setup/document/document.go
@@ -31,73 +31,85 @@
 	// Name is unique within the document.
 	Name string `yaml:"name" validate:"required"`
 	// Address is IP:port.
-	Address string `yaml:"address" validate:"required,hostname_port"`
+	Address string `yaml:"address" validate:"required,ipport"`
 	// Zone is the availability zone.
 	Zone member.Zone `yaml:"zone" validate:"required"`
 	// Region joins the zones that are near each other.
 	Region string `yaml:"region"`
 	// Slots is the number of statements that may run at once.
-	Slots int `yaml:"slots" validate:"min=1,max=1000"`
+	Slots int `yaml:"slots" validate:"min=1,max=1000" unit:"statements"`
 	// Connections is the number of connections that all VMs together may open.
-	Connections int `yaml:"connections" validate:"min=2,max=10000"`
+	Connections int `yaml:"connections" validate:"min=2,max=10000" unit:"connections"`
 	// Leaving marks a server that gets no new work.
 	Leaving bool `yaml:"leaving"`
 }
 
 // Database is a group of backend servers with one primary.
 type Database struct {
-	Name    string   `yaml:"name" validate:"required"`
+	// Name is what callers give as the database in their connection string.
+	Name string `yaml:"name" validate:"required"`
+	// Servers are the group's members; which is the primary they decide themselves.
 	Servers []Server `yaml:"servers" validate:"required,min=1,dive"`
 }
 
 // Key is one secret of a client account, kept as a SCRAM-SHA-256 verifier.
 type Key struct {
-	ID       string `yaml:"id" validate:"required"`
-	Verifier string `yaml:"verifier" validate:"required,startswith=SCRAM-SHA-256$"`
+	// ID tells the keys of one account apart.
+	ID string `yaml:"id" validate:"required"`
+	// Verifier has the form SCRAM-SHA-256$iterations:salt$stored:server, as
+	// PostgreSQL keeps it; the key cannot be found from it.
+	Verifier string `yaml:"verifier" validate:"required,verifier"`
 }
 
 // Account is a client account.
 type Account struct {
+	// Name is what callers give as the user in their connection string.
 	Name string `yaml:"name" validate:"required"`
 	// Rate is statements per second over all VMs.
-	Rate float64 `yaml:"rate" validate:"gt=0"`
+	Rate float64 `yaml:"rate" validate:"gt=0,max=10000000" unit:"statements per second"`
 	// Burst is statements that may come at once.
-	Burst float64 `yaml:"burst" validate:"min=1"`
+	Burst float64 `yaml:"burst" validate:"min=1,max=10000000" unit:"statements"`
 	// Weight is the share of a crowded server relative to other accounts.
-	Weight int `yaml:"weight" validate:"min=1,max=1000"`
+	Weight int `yaml:"weight" default:"1" validate:"min=1,max=1000"`
 	// Keys are the secrets that work now.
 	Keys []Key `yaml:"keys" validate:"dive"`
 }
 
 // Route says how the requests that name it are run.
 type Route struct {
-	Name     string `yaml:"name" validate:"required"`
+	// Name is what requests give in their comment /*route='NAME'*/.
+	Name string `yaml:"name" validate:"required"`
+	// Database is a name of section databases.
 	Database string `yaml:"database" validate:"required"`
-	Kind     Kind   `yaml:"kind" validate:"oneof=read write"`
+	// Kind is read or write; a read route runs in READ ONLY transactions.
+	Kind Kind `yaml:"kind" validate:"required,oneof=read write"`
 	// Age is the staleness allowed for reads in milliseconds; 0 reads what the session has seen.
-	Age clock.Millis `yaml:"age" validate:"min=0"`
+	Age clock.Millis `yaml:"age" validate:"min=0,max=86400000" unit:"ms"`
 	// Open lets callers without a key run it.
 	Open bool `yaml:"open"`
 	// Once marks requests that must not be repeated.
 	Once bool `yaml:"once"`
 	// Deadline is the longest wait of a request in milliseconds.
-	Deadline clock.Millis `yaml:"deadline" validate:"min=0,max=3600000"`
+	Deadline clock.Millis `yaml:"deadline" default:"10000" validate:"min=1,max=3600000" unit:"ms"`
 	// Accounts limits who may use the route; empty means every account.
 	Accounts []string `yaml:"accounts"`
 }
 
 // Databases is the section of operations.
 type Databases struct {
+	// Databases are the groups of backend servers.
 	Databases []Database `yaml:"databases" validate:"dive"`
 }
 
 // Accounts is the section of finance.
 type Accounts struct {
+	// Accounts are the client accounts.
 	Accounts []Account `yaml:"accounts" validate:"dive"`
 }
 
 // Routes is the section of the storefront team.
 type Routes struct {
+	// Routes are what requests may name.
 	Routes []Route `yaml:"routes" validate:"dive"`
 }
 
--- a/internal/setup/document/parse.go
+++ b/internal/setup/document/parse.go
@@ -27,39 +27,70 @@
 	return d, nil
 }
 
-func mistake(section, format string, args ...any) error {
-	return &strict.Error{File: section, Detail: fmt.Sprintf(format, args...)}
+// decode reads one section and keeps its text for the places of later mistakes.
+func (d *Document) decode(section string, target any) (*strict.Text, error) {
+	t, err := strict.Parse(section, []byte(d.texts[section]))
+	if err != nil {
+		return nil, err
+	}
+	return t, t.Decode(target)
 }
 
 func (d *Document) loadDatabases() error {
 	var s Databases
-	if err := strict.Decode(SectionDatabases, []byte(d.texts[SectionDatabases]), &s); err != nil {
+	t, err := d.decode(SectionDatabases, &s)
+	if err != nil {
 		return err
 	}
-	servers := map[string]string{}
-	for _, b := range s.Databases {
+	servers := uses{}
+	addresses := uses{}
+	for i, b := range s.Databases {
+		path := fmt.Sprintf("databases[%d]", i)
 		if _, twice := d.databases[b.Name]; twice {
-			return mistake(SectionDatabases, "database %q is named twice", b.Name)
+			return t.Mistake(path+".name", "database %q is named twice", b.Name)
 		}
-		for _, v := range b.Servers {
-			if other, twice := servers[v.Name]; twice {
-				return mistake(SectionDatabases, "server %q is in databases %q and %q", v.Name, other, b.Name)
+		for j, v := range b.Servers {
+			path := fmt.Sprintf("%s.servers[%d]", path, j)
+			if other, twice := servers.add(v.Name, b.Name); twice {
+				return t.Mistake(path+".name", "server %q is already in database %q", v.Name, other)
+			}
+			if other, twice := addresses.add(v.Address, v.Name); twice {
+				return t.Mistake(path+".address", "address %s already belongs to server %q", v.Address, other)
 			}
-			servers[v.Name] = b.Name
 		}
 		d.databases[b.Name] = b
 	}
 	return nil
 }
 
+// uses remembers who uses a name.
+type uses map[string]string
+
+// add returns the earlier user of a name when there is one.
+func (u uses) add(name, user string) (string, bool) {
+	other, twice := u[name]
+	if !twice {
+		u[name] = user
+	}
+	return other, twice
+}
+
 func (d *Document) loadAccounts() error {
 	var s Accounts
-	if err := strict.Decode(SectionAccounts, []byte(d.texts[SectionAccounts]), &s); err != nil {
+	t, err := d.decode(SectionAccounts, &s)
+	if err != nil {
 		return err
 	}
-	for _, a := range s.Accounts {
+	for i, a := range s.Accounts {
+		path := fmt.Sprintf("accounts[%d]", i)
 		if _, twice := d.accounts[a.Name]; twice {
-			return mistake(SectionAccounts, "client account %q is named twice", a.Name)
+			return t.Mistake(path+".name", "client account %q is named twice", a.Name)
+		}
+		ids := uses{}
+		for j, k := range a.Keys {
+			if _, twice := ids.add(k.ID, a.Name); twice {
+				return t.Mistake(fmt.Sprintf("%s.keys[%d].id", path, j), "key %q of client account %q is named twice", k.ID, a.Name)
+			}
 		}
 		d.accounts[a.Name] = a
 	}
@@ -68,24 +99,23 @@
 
 func (d *Document) loadRoutes() error {
 	var s Routes
-	if err := strict.Decode(SectionRoutes, []byte(d.texts[SectionRoutes]), &s); err != nil {
+	t, err := d.decode(SectionRoutes, &s)
+	if err != nil {
 		return err
 	}
-	for _, r := range s.Routes {
+	for i, r := range s.Routes {
+		path := fmt.Sprintf("routes[%d]", i)
 		if _, twice := d.routes[r.Name]; twice {
-			return mistake(SectionRoutes, "route %q is named twice", r.Name)
+			return t.Mistake(path+".name", "route %q is named twice", r.Name)
 		}
 		if _, known := d.databases[r.Database]; !known {
-			return mistake(SectionRoutes, "route %q names database %q, which section %s does not have", r.Name, r.Database, SectionDatabases)
+			return t.Mistake(path+".database", "route %q names database %q, which section %s does not have", r.Name, r.Database, SectionDatabases)
 		}
-		for _, a := range r.Accounts {
+		for j, a := range r.Accounts {
 			if _, known := d.accounts[a]; !known {
-				return mistake(SectionRoutes, "route %q names client account %q, which section %s does not have", r.Name, a, SectionAccounts)
+				return t.Mistake(fmt.Sprintf("%s.accounts[%d]", path, j), "route %q names client account %q, which section %s does not have", r.Name, a, SectionAccounts)
 			}
 		}
-		if r.Deadline == 0 {
-			r.Deadline = DefaultDeadline
-		}
 		d.routes[r.Name] = r
 	}
 	return nil
--- /dev/null
+++ b/internal/setup/document/parse_test.go
@@ -0,0 +1,66 @@
+package document
+
+import (
+	"os"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestMistakes takes a good document, replaces sections and compares the message.
+func TestMistakes(t *testing.T) {
+	text, err := os.ReadFile("testdata/mistakes.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var script struct {
+		Good  map[string]string `yaml:"good"`
+		Cases []struct {
+			Name    string `yaml:"name"`
+			Section string `yaml:"section"`
+			Text    string `yaml:"text"`
+			Error   string `yaml:"error"`
+		} `yaml:"cases"`
+	}
+	if err := yaml.UnmarshalWithOptions(text, &script, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range script.Cases {
+		t.Run(c.Name, func(t *testing.T) {
+			texts := map[string]string{c.Section: c.Text}
+			for name, text := range script.Good {
+				if name != c.Section {
+					texts[name] = text
+				}
+			}
+			got := ""
+			if _, err := Parse(1, texts); err != nil {
+				got = err.Error()
+			}
+			if diff := cmp.Diff(c.Error, got); diff != "" {
+				t.Errorf("error (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestDefaults checks the values of keys that are not written.
+func TestDefaults(t *testing.T) {
+	d, err := Parse(1, map[string]string{
+		SectionDatabases: "databases: [{name: orders, servers: [{name: a, address: '10.0.0.1:1', zone: z, slots: 1, connections: 2}]}]",
+		SectionAccounts:  "accounts: [{name: counter, rate: 1, burst: 1}]",
+		SectionRoutes:    "routes: [{name: list, database: orders, kind: read}]",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, _ := d.Account("counter")
+	if diff := cmp.Diff(Account{Name: "counter", Rate: 1, Burst: 1, Weight: 1}, a); diff != "" {
+		t.Errorf("account (-want +got):\n%s", diff)
+	}
+	r, _ := d.Route("list")
+	if diff := cmp.Diff(Route{Name: "list", Database: "orders", Kind: KindRead, Deadline: DefaultDeadline}, r); diff != "" {
+		t.Errorf("route (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/internal/setup/strict/bounds.go
@@ -0,0 +1,101 @@
+package strict
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/go-playground/validator/v10"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/verifier"
+)
+
+var check = newCheck()
+
+func newCheck() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(yamlName)
+	register := func(tag string, good func(text string) bool) {
+		err := v.RegisterValidation(tag, func(f validator.FieldLevel) bool { return good(f.Field().String()) })
+		if err != nil {
+			panic(err)
+		}
+	}
+	register("ipport", func(s string) bool { _, err := netip.ParseAddrPort(s); return err == nil })
+	register("verifier", func(s string) bool { _, err := verifier.Parse(s); return err == nil })
+	return v
+}
+
+// checkBounds returns the first value out of its bounds.
+func (t *Text) checkBounds(target any) error {
+	err := check.Struct(target)
+	if err == nil {
+		return nil
+	}
+	var found validator.ValidationErrors
+	if !errors.As(err, &found) || len(found) == 0 {
+		return &Error{File: t.file, Detail: firstLine(err.Error())}
+	}
+	e := found[0]
+	_, path, _ := strings.Cut(e.Namespace(), ".")
+	return t.Mistake(path, "%s", plainBound(e, unitOf(reflect.TypeOf(target), path)))
+}
+
+// unitOf returns the `unit` tag of the field that path names.
+func unitOf(root reflect.Type, path string) string {
+	unit := ""
+	for _, s := range steps(path) {
+		for root.Kind() == reflect.Pointer || root.Kind() == reflect.Slice && s.key != "" {
+			root = root.Elem()
+		}
+		if s.key == "" {
+			root = root.Elem()
+			continue
+		}
+		f, ok := fieldByName(root, s.key)
+		if !ok {
+			return ""
+		}
+		root, unit = f.Type, f.Tag.Get("unit")
+	}
+	return unit
+}
+
+// plainBound says which key, which bound and which unit.
+func plainBound(e validator.FieldError, unit string) string {
+	limit := e.Param()
+	if unit != "" {
+		limit += " " + unit
+	}
+	name := fmt.Sprintf("%q", e.Field())
+	long := e.Kind() == reflect.Slice
+	switch e.Tag() {
+	case "required", "required_if":
+		return name + " is missing"
+	case "required_without":
+		return fmt.Sprintf("one of %q and %q is needed", strings.ToLower(e.Field()), strings.ToLower(e.Param()))
+	case "excluded_with":
+		return fmt.Sprintf("only one of %q and %q may be written", strings.ToLower(e.Field()), strings.ToLower(e.Param()))
+	case "min", "max", "gt":
+		if long {
+			return fmt.Sprintf("%s must have %s %s entries, has %d", name, comparison(e.Tag()), e.Param(), reflect.ValueOf(e.Value()).Len())
+		}
+		return fmt.Sprintf("%s must be %s %s, is %v", name, comparison(e.Tag()), limit, e.Value())
+	case "oneof":
+		return fmt.Sprintf("%s must be one of %s, is %q", name, strings.ReplaceAll(limit, " ", ", "), e.Value())
+	case "ipport":
+		return fmt.Sprintf("%s must be IP:port such as 10.0.0.1:5432, is %q", name, e.Value())
+	case "url":
+		return fmt.Sprintf("%s must be a URL such as http://10.0.0.1:8080, is %q", name, e.Value())
+	case "verifier":
+		_, err := verifier.Parse(fmt.Sprint(e.Value()))
+		return fmt.Sprintf("%s is wrong: %v", name, err)
+	}
+	return fmt.Sprintf("%s breaks the rule %s %s", name, e.Tag(), e.Param())
+}
+
+func comparison(tag string) string {
+	return map[string]string{"min": "at least", "max": "at most", "gt": "more than"}[tag]
+}
--- /dev/null
+++ b/internal/setup/strict/names.go
@@ -0,0 +1,120 @@
+package strict
+
+import (
+	"reflect"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+)
+
+// checkKeys refuses keys that the struct does not have and proposes the nearest.
+func (t *Text) checkKeys(target any) error {
+	if e := t.checkNode(t.root, reflect.TypeOf(target)); e != nil {
+		return e
+	}
+	return nil
+}
+
+func (t *Text) checkNode(n ast.Node, want reflect.Type) *Error {
+	for want.Kind() == reflect.Pointer {
+		want = want.Elem()
+	}
+	switch want.Kind() {
+	case reflect.Struct:
+		return t.checkMapping(n, want)
+	case reflect.Slice:
+		q, ok := plain(n).(*ast.SequenceNode)
+		if !ok {
+			return nil
+		}
+		for _, v := range q.Values {
+			if e := t.checkNode(v, want.Elem()); e != nil {
+				return e
+			}
+		}
+	}
+	return nil
+}
+
+func (t *Text) checkMapping(n ast.Node, want reflect.Type) *Error {
+	for _, v := range pairs(n) {
+		if _, merge := v.Key.(*ast.MergeKeyNode); merge {
+			continue
+		}
+		name := keyOf(v)
+		f, ok := fieldByName(want, name)
+		if !ok {
+			return t.unknownKey(v, name, want)
+		}
+		if e := t.checkNode(v.Value, f.Type); e != nil {
+			return e
+		}
+	}
+	return nil
+}
+
+func (t *Text) unknownKey(v *ast.MappingValueNode, name string, want reflect.Type) *Error {
+	names := fieldNames(want)
+	if best, ok := nearest(name, names); ok {
+		return t.at(first(v.Key), "unknown key %q; did you mean %q?", name, best)
+	}
+	return t.at(first(v.Key), "unknown key %q; the keys here are %s", name, strings.Join(names, ", "))
+}
+
+// yamlName returns the key of a struct field.
+func yamlName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+	return name
+}
+
+func fieldNames(s reflect.Type) []string {
+	var out []string
+	for i := range s.NumField() {
+		if name := yamlName(s.Field(i)); name != "" {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+func fieldByName(s reflect.Type, name string) (reflect.StructField, bool) {
+	for i := range s.NumField() {
+		if f := s.Field(i); yamlName(f) == name && name != "" {
+			return f, true
+		}
+	}
+	return reflect.StructField{}, false
+}
+
+// nearest returns the name with the smallest edit distance, when it is so small
+// that a slip of the keyboard is likely.
+func nearest(name string, names []string) (string, bool) {
+	best, bestDistance := "", len(name)/3+2
+	for _, n := range names {
+		if d := distance(strings.ToLower(name), n); d < bestDistance {
+			best, bestDistance = n, d
+		}
+	}
+	return best, best != ""
+}
+
+// distance is the Levenshtein distance of two names in bytes.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			change := diagonal
+			if a[i] != b[j] {
+				change++
+			}
+			diagonal = row[j+1]
+			row[j+1] = min(change, row[j]+1, row[j+1]+1)
+		}
+	}
+	return row[len(b)]
+}
--- a/internal/setup/strict/strict.go
+++ b/internal/setup/strict/strict.go
@@ -5,11 +5,13 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"strings"
 
 	"github.com/go-faster/errors"
-	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
 )
 
 // Error is a mistake in a text that a person wrote.
@@ -31,42 +33,87 @@
 	return fmt.Sprintf("%s:%d:%d: %s", e.File, e.Line, e.Column, e.Detail)
 }
 
-var check = validator.New(validator.WithRequiredStructEnabled())
+// Text is a parsed text that remembers where each value stands.
+type Text struct {
+	file   string
+	source []byte
+	root   ast.Node
+}
+
+// Parse reads the syntax of a text. The file is its name in errors.
+func Parse(file string, source []byte) (*Text, error) {
+	t := &Text{file: file, source: source}
+	parsed, err := parser.ParseBytes(source, 0)
+	if err != nil {
+		return nil, t.turn(err)
+	}
+	if len(parsed.Docs) > 1 {
+		return nil, t.at(parsed.Docs[1].Start, "only one YAML document may stand in a file")
+	}
+	if len(parsed.Docs) == 1 && parsed.Docs[0].Body != nil && parsed.Docs[0].Body.Type() != ast.CommentType {
+		t.root = parsed.Docs[0].Body
+	}
+	return t, nil
+}
 
 // Decode reads text into the struct that target points to. It returns an *Error
 // for every mistake of the writer.
-func Decode(file string, text []byte, target any) error {
-	d := yaml.NewDecoder(bytes.NewReader(text), yaml.DisallowUnknownField(), yaml.Validator(check))
-	err := d.Decode(target)
-	if err == nil || err.Error() == "EOF" {
-		return checkEmpty(file, text, target)
+func Decode(file string, source []byte, target any) error {
+	t, err := Parse(file, source)
+	if err != nil {
+		return err
 	}
-	return turn(file, err)
+	return t.Decode(target)
 }
 
-// checkEmpty validates a text without content, which the decoder passes over.
-func checkEmpty(file string, text []byte, target any) error {
-	if len(bytes.TrimSpace(text)) > 0 {
-		return nil
+// Decode reads the text into the struct that target points to, fills in the
+// values of `default` tags for keys that are not written, and checks the bounds
+// of `validate` tags. It returns an *Error for every mistake of the writer.
+func (t *Text) Decode(target any) error {
+	if err := t.checkKeys(target); err != nil {
+		return err
 	}
-	if err := check.Struct(target); err != nil {
-		return &Error{File: file, Detail: firstLine(err.Error())}
+	d := yaml.NewDecoder(bytes.NewReader(t.source), yaml.DisallowUnknownField())
+	if err := d.Decode(target); err != nil && !errors.Is(err, io.EOF) {
+		return t.turn(err)
 	}
-	return nil
+	if err := t.fillDefaults(target); err != nil {
+		return err
+	}
+	return t.checkBounds(target)
+}
+
+// Mistake returns an *Error at the value that path names, such as
+// routes[2].database; a path that is not written stands for its parent.
+func (t *Text) Mistake(path, format string, args ...any) error {
+	return t.at(locate(t.root, path), format, args...)
 }
 
-func turn(file string, err error) error {
+func (t *Text) turn(err error) error {
 	var y yaml.Error
 	if !errors.As(err, &y) {
-		return &Error{File: file, Detail: firstLine(err.Error())}
+		return &Error{File: t.file, Detail: firstLine(err.Error())}
 	}
-	out := &Error{File: file, Detail: y.GetMessage()}
-	if t := y.GetToken(); t != nil && t.Position != nil {
-		out.Line, out.Column = t.Position.Line, t.Position.Column
+	out := &Error{File: t.file, Detail: plainDecode(y)}
+	if k := y.GetToken(); k != nil && k.Position != nil {
+		out.Line, out.Column = k.Position.Line, k.Position.Column
 	}
 	return out
 }
 
+// plainDecode says in a person's words what the decoder found.
+func plainDecode(err yaml.Error) string {
+	var kind *yaml.TypeError
+	var node *yaml.UnexpectedNodeTypeError
+	switch {
+	case errors.As(err, &kind):
+		return fmt.Sprintf("expected %s, found %s", plainKind(kind.DstType), plainKind(kind.SrcType))
+	case errors.As(err, &node):
+		return fmt.Sprintf("expected %s, found %s", plainNode(node.Expected), plainNode(node.Actual))
+	}
+	return firstLine(err.GetMessage())
+}
+
 func firstLine(s string) string {
 	line, _, _ := strings.Cut(s, "\n")
 	return line
--- /dev/null
+++ b/internal/setup/strict/strict_test.go
@@ -0,0 +1,70 @@
+package strict
+
+import (
+	"os"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/go-cmp/cmp"
+)
+
+type inner struct {
+	Name        string   `yaml:"name" validate:"required"`
+	Connections int      `yaml:"connections" default:"20" validate:"min=2,max=100" unit:"connections"`
+	Share       float64  `yaml:"share" default:"0.5" validate:"gt=0,max=1"`
+	Mode        string   `yaml:"mode" default:"fast" validate:"oneof=fast safe"`
+	Address     string   `yaml:"address" default:"127.0.0.1:1" validate:"ipport"`
+	Open        bool     `yaml:"open"`
+	Tags        []string `yaml:"tags" validate:"max=2"`
+}
+
+type outer struct {
+	List []inner `yaml:"list" validate:"min=1,dive"`
+	One  inner   `yaml:"one"`
+}
+
+// TestDecode reads texts with mistakes and compares the message, and texts
+// without and compares the values.
+func TestDecode(t *testing.T) {
+	text, err := os.ReadFile("testdata/decode.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []struct {
+		Name  string `yaml:"name"`
+		Text  string `yaml:"text"`
+		Error string `yaml:"error"`
+		Want  outer  `yaml:"want"`
+	}
+	if err := yaml.UnmarshalWithOptions(text, &cases, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			var got outer
+			message := ""
+			if err := Decode("file", []byte(c.Text), &got); err != nil {
+				message = err.Error()
+			}
+			if diff := cmp.Diff(c.Error, message); diff != "" {
+				t.Errorf("error (-want +got):\n%s", diff)
+			}
+			if c.Error != "" {
+				return
+			}
+			if diff := cmp.Diff(c.Want, got); diff != "" {
+				t.Errorf("values (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// FuzzDecode feeds any text; a decoder of people's texts must not panic.
+func FuzzDecode(f *testing.F) {
+	f.Add("list:\n  - {name: a}\none: &x {name: b}\n")
+	f.Add("list: [*x, <<: {a: b}]\n--- x\n? [a]\n: b")
+	f.Fuzz(func(_ *testing.T, text string) {
+		var got outer
+		_ = Decode("file", []byte(text), &got)
+	})
+}
--- a/internal/trial/system/system.go
+++ b/internal/trial/system/system.go
@@ -22,6 +22,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/keys"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/settings"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/verifier"
 	"github.com/sycamoredoor/sycamoredoor/internal/standin/backend"
 	standin "github.com/sycamoredoor/sycamoredoor/internal/standin/platform"
 )
@@ -147,15 +148,15 @@
 	var b strings.Builder
 	b.WriteString("accounts:\n")
 	for _, a := range accounts {
-		salt := make([]byte, 16)
+		salt := make([]byte, verifier.SaltSize)
 		if _, err := rand.Read(salt); err != nil {
 			return "", err
 		}
-		verifier, err := caller.NewVerifier(a.Key, salt)
+		stored, err := verifier.New(a.Key, salt)
 		if err != nil {
 			return "", err
 		}
-		fmt.Fprintf(&b, "  - name: %s\n    rate: %g\n    burst: %g\n    weight: %d\n    keys:\n      - {id: k1, verifier: %q}\n", a.Name, a.Rate, a.Burst, a.Weight, verifier)
+		fmt.Fprintf(&b, "  - name: %s\n    rate: %g\n    burst: %g\n    weight: %d\n    keys:\n      - {id: k1, verifier: %q}\n", a.Name, a.Rate, a.Burst, a.Weight, stored)
 	}
 	return b.String(), nil
 }
