Document every setting and reload certificates without a restart

Cause: settings had no TLS for callers or operators in force, certificates changed only with a restart, defaults stood far from the keys, and no page told an operator the unit and bounds of a key.

Change: defaults, bounds and units are tags of the structs, and a test writes docs/CONFIG.md from them and fails when it differs. Certificates for callers and operators are read from files or environment variables and presented through GetCertificate, so that each handshake sees the pair in force. A watcher loads files again at SIGHUP and when a look each 5 s finds them changed; a failure keeps the earlier keys, writes one line and counts. A certificate without its key is refused.

--- a/internal/command/daemon/serve.go
+++ b/internal/command/daemon/serve.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/base/logs"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/vm"
-	"github.com/sycamoredoor/sycamoredoor/internal/setup/keys"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/reload"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/settings"
 )
 
@@ -29,39 +32,38 @@
 	if err != nil {
 		return err
 	}
-	o, err := vmOptions(s, c.out)
+	logger, err := logs.New(c.out, logs.Options{Level: s.Log.Level, JSON: s.Log.JSON})
+	if err != nil {
+		return err
+	}
+	k := newHeld(s)
+	w, err := reload.New(k.parts, logger)
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	v, err := vm.Start(ctx, o)
+	v, err := vm.Start(ctx, vmOptions(s, k, logger))
 	if err != nil {
 		return err
 	}
-	o.Log.Info("serving", "vm", s.Name, "callers", v.Address(), "operators", v.OperatorURL())
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go w.Run(ctx, hangups, clock.System())
+	logger.Info("serving", "vm", s.Name, "callers", v.Address(), "operators", v.OperatorURL())
 	<-v.Done()
-	o.Log.Info("stopped", "vm", s.Name)
+	<-w.Done()
+	logger.Info("stopped", "vm", s.Name)
 	return nil
 }
 
-func vmOptions(s settings.Settings, out io.Writer) (vm.Options, error) {
-	logger, err := logs.New(out, logs.Options{Level: s.Log.Level, JSON: s.Log.JSON})
-	if err != nil {
-		return vm.Options{}, err
-	}
-	material, err := s.Keys.Load()
-	if err != nil {
-		return vm.Options{}, err
-	}
-	ring, err := keys.NewRing(material)
-	if err != nil {
-		return vm.Options{}, err
-	}
+func vmOptions(s settings.Settings, k *held, logger *log.Logger) vm.Options {
 	return vm.Options{
 		Name: s.Name, Zone: s.Zone, Region: s.Region, Listen: s.Listen, Inner: s.Inner, Operator: s.Operator,
-		User: s.Backend.User, Password: s.Backend.Password, Ring: ring, Store: platform.Dial(s.Platform, platformTimeout),
-		Clock: clock.System(), Log: logger, Callers: s.Callers.Max, Silence: s.Callers.Silence,
+		User: s.Backend.User, Password: s.Backend.Password, Ring: k.ring, TLS: k.callers, OperatorTLS: k.operators,
+		Store: platform.Dial(s.Platform, platformTimeout), Clock: clock.System(), Log: logger,
+		Callers: s.Callers.Max, Silence: s.Callers.Silence,
 		Limits: caller.Limits{Message: s.Callers.Message, Startup: s.Callers.Startup, Write: s.Callers.Write},
-	}, nil
+	}
 }
--- a/internal/serve/vm/vm.go
+++ b/internal/serve/vm/vm.go
@@ -43,7 +43,10 @@
 	Limits   caller.Limits
 	Callers  int
 	Silence  clock.Millis
-	TLS      *tls.Config
+	// TLS is nil when callers connect without.
+	TLS *tls.Config
+	// OperatorTLS is nil when operators connect without.
+	OperatorTLS *tls.Config
 }
 
 // VM is a running VM.
@@ -91,6 +94,9 @@
 	if v.operators, err = net.Listen("tcp", v.options.Operator); err != nil {
 		return errors.Wrap(err, "address for operators")
 	}
+	if v.options.OperatorTLS != nil {
+		v.operators = tls.NewListener(v.operators, v.options.OperatorTLS)
+	}
 	return nil
 }
 
@@ -101,7 +107,13 @@
 func (v *VM) Address() string { return v.callers.Addr().String() }
 
 // OperatorURL returns the address for operators.
-func (v *VM) OperatorURL() string { return "http://" + v.operators.Addr().String() }
+func (v *VM) OperatorURL() string {
+	scheme := "http://"
+	if v.options.OperatorTLS != nil {
+		scheme = "https://"
+	}
+	return scheme + v.operators.Addr().String()
+}
 
 // Entry returns the VM's entry proxy.
 func (v *VM) Entry() *entry.Entry { return v.entry }
--- /dev/null
+++ b/internal/setup/keys/pair.go
@@ -0,0 +1,37 @@
+package keys
+
+import (
+	"crypto/tls"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+)
+
+// Pair is the certificate and key in force on an address for callers or operators.
+type Pair struct {
+	current atomic.Pointer[tls.Certificate]
+}
+
+// NewPair returns a pair from PEM texts.
+func NewPair(certificate, key []byte) (*Pair, error) {
+	p := &Pair{}
+	return p, p.Load(certificate, key)
+}
+
+// Load replaces the pair. On an error the earlier one stays in force.
+func (p *Pair) Load(certificate, key []byte) error {
+	c, err := tls.X509KeyPair(certificate, key)
+	if err != nil {
+		return errors.Wrap(err, "certificate and key")
+	}
+	p.current.Store(&c)
+	return nil
+}
+
+// Config returns settings that present the pair in force at each handshake.
+func (p *Pair) Config() *tls.Config {
+	return &tls.Config{
+		MinVersion:     tls.VersionTLS12,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return p.current.Load(), nil },
+	}
+}
--- /dev/null
+++ b/internal/setup/page/page_test.go
@@ -0,0 +1,147 @@
+// Package page checks that docs/CONFIG.md tells what the structs of the settings
+// and of the configuration say.
+package page
+
+import (
+	"flag"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "write docs/CONFIG.md in place of comparing it")
+
+const file = "../../../docs/CONFIG.md"
+
+// head stands above the tables.
+const head = `# Settings and configuration
+
+This page is written by ` + "`go test ./internal/setup/page -update`" + ` from the structs that
+are decoded; a test fails when it differs from them. Lengths of time are in
+milliseconds. An unknown key, a value out of its bounds or a name that nothing
+has is refused with its file, line and column.
+
+`
+
+// parts are the structs at the top of each table.
+var parts = []struct{ title, folder, root, text string }{
+	{"Settings of one VM", "../settings", "Settings", "The file of `sycamoredoor serve --settings FILE`. Certificates and keys are read from files\nor environment variables; files are read again at SIGHUP and within 5 s of a change, without\na restart. A reload that fails leaves the earlier keys in force, writes one log line and\ncounts in `sycamoredoor_reloads_total{result=\"failed\"}`."},
+	{"Section databases", "../document", "Databases", "The backend servers, owned by operations."},
+	{"Section accounts", "../document", "Accounts", "The client accounts and their keys, owned by finance."},
+	{"Section routes", "../document", "Routes", "What requests may name, owned by the storefront team."},
+}
+
+// TestPage compares the page with the structs.
+func TestPage(t *testing.T) {
+	var b strings.Builder
+	b.WriteString(head)
+	for _, p := range parts {
+		structs := structsOf(t, p.folder)
+		fmt.Fprintf(&b, "## %s\n\n%s\n\n| key | meaning | unit | default | bounds |\n|---|---|---|---|---|\n", p.title, p.text)
+		writeRows(t, &b, structs, p.root, "")
+		b.WriteString("\n")
+	}
+	want := strings.TrimRight(b.String(), "\n") + "\n"
+	if *update {
+		if err := os.WriteFile(file, []byte(want), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, string(got)); diff != "" {
+		t.Errorf("docs/CONFIG.md differs; run with -update (-want +got):\n%s", diff)
+	}
+}
+
+func structsOf(t *testing.T, folder string) map[string]*ast.StructType {
+	t.Helper()
+	out := map[string]*ast.StructType{}
+	files, err := filepath.Glob(filepath.Join(folder, "*.go"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range files {
+		parsed, err := parser.ParseFile(token.NewFileSet(), f, nil, parser.ParseComments)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ast.Inspect(parsed, func(n ast.Node) bool {
+			if s, ok := n.(*ast.TypeSpec); ok {
+				if body, ok := s.Type.(*ast.StructType); ok {
+					out[s.Name.Name] = body
+				}
+			}
+			return true
+		})
+	}
+	return out
+}
+
+func writeRows(t *testing.T, b *strings.Builder, structs map[string]*ast.StructType, name, prefix string) {
+	t.Helper()
+	for _, f := range structs[name].Fields.List {
+		if f.Tag == nil {
+			continue
+		}
+		text, err := strconv.Unquote(f.Tag.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		tag := reflect.StructTag(text)
+		if f.Doc == nil {
+			t.Errorf("%s.%s has no comment", name, f.Names[0].Name)
+			continue
+		}
+		kind, list := element(f.Type)
+		key := prefix + tag.Get("yaml") + list
+		meaning := strings.ReplaceAll(strings.Join(strings.Fields(f.Doc.Text()), " "), "|", "\\|")
+		fmt.Fprintf(b, "| `%s` | %s | %s | %s | %s |\n", key, meaning, tag.Get("unit"), tag.Get("default"), bounds(tag.Get("validate")))
+		if structs[kind] != nil {
+			writeRows(t, b, structs, kind, key+".")
+		}
+	}
+}
+
+// element returns the name of the type within pointers and lists.
+func element(e ast.Expr) (kind, list string) {
+	switch e := e.(type) {
+	case *ast.StarExpr:
+		return element(e.X)
+	case *ast.ArrayType:
+		kind, list = element(e.Elt)
+		return kind, "[]" + list
+	case *ast.Ident:
+		return e.Name, ""
+	}
+	return "", ""
+}
+
+// bounds says the rules of a `validate` tag in words.
+func bounds(tag string) string {
+	var out []string
+	for _, rule := range strings.Split(tag, ",") {
+		name, value, _ := strings.Cut(rule, "=")
+		words := map[string]string{
+			"required": "needed", "min": "at least " + value, "max": "at most " + value, "gt": "more than " + value,
+			"oneof": "one of " + strings.ReplaceAll(value, " ", ", "), "ipport": "IP:port", "url": "URL", "verifier": "SCRAM-SHA-256 verifier",
+			"required_if": "needed if " + strings.ToLower(value), "required_without": "needed without " + strings.ToLower(value),
+			"excluded_with": "not with " + strings.ToLower(value), "dive": "", "": "",
+		}[name]
+		if words != "" {
+			out = append(out, words)
+		}
+	}
+	return strings.Join(out, ", ")
+}
--- a/internal/setup/settings/settings.go
+++ b/internal/setup/settings/settings.go
@@ -9,120 +9,130 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
-	"github.com/sycamoredoor/sycamoredoor/internal/setup/keys"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/strict"
 )
 
 // Backend holds the proxy's own credentials at backend servers.
 type Backend struct {
-	User     string `yaml:"user" validate:"required"`
+	// User is the proxy's own name at backend servers.
+	User string `yaml:"user" validate:"required"`
+	// Password is the proxy's own password; empty when the servers ask for none.
 	Password string `yaml:"password"`
 }
 
-// PEM names a PEM text, by file or by environment variable.
-type PEM struct {
-	File string `yaml:"file" validate:"required_without=Env,excluded_with=Env"`
-	Env  string `yaml:"env" validate:"required_without=File"`
-}
-
-// TLS names the keys of one side.
+// TLS names the keys of the inner protocol between VMs.
 type TLS struct {
-	Authority   PEM `yaml:"authority"`
-	Certificate PEM `yaml:"certificate"`
-	Key         PEM `yaml:"key"`
+	// Authority is the certificate of the authority that signs every VM's.
+	Authority Source `yaml:"authority"`
+	// Certificate is this VM's own; its common name is the VM's name and its DNS
+	// name vm.sycamoredoor.internal.
+	Certificate Source `yaml:"certificate"`
+	// Key is the private key of the certificate.
+	Key Source `yaml:"key"`
 }
 
 // Callers bounds what callers may take.
 type Callers struct {
 	// Max is the number of connections.
-	Max int `yaml:"max" validate:"min=1,max=60000"`
-	// Message is the largest message in bytes.
-	Message int `yaml:"message" validate:"min=1024,max=1073741824"`
-	// Startup is the time to be let in, in milliseconds.
-	Startup clock.Millis `yaml:"startup" validate:"min=100"`
-	// Silence is the longest pause within a transaction, in milliseconds.
-	Silence clock.Millis `yaml:"silence" validate:"min=100"`
-	// Write is the longest time to accept an answer, in milliseconds.
-	Write clock.Millis `yaml:"write" validate:"min=100"`
-	// Certificate and Key turn TLS on.
-	Certificate *PEM `yaml:"certificate"`
-	Key         *PEM `yaml:"key"`
+	Max int `yaml:"max" default:"5000" validate:"min=1,max=60000" unit:"connections"`
+	// Message is the largest message.
+	Message int `yaml:"message" default:"16777216" validate:"min=1024,max=1073741824" unit:"bytes"`
+	// Startup is the longest time to prove a key and be let in.
+	Startup clock.Millis `yaml:"startup" default:"10000" validate:"min=100,max=600000" unit:"ms"`
+	// Silence is the longest pause within a transaction.
+	Silence clock.Millis `yaml:"silence" default:"60000" validate:"min=100,max=86400000" unit:"ms"`
+	// Write is the longest time to accept an answer.
+	Write clock.Millis `yaml:"write" default:"30000" validate:"min=100,max=600000" unit:"ms"`
+	// Certificate, with the key, turns TLS on.
+	Certificate *Source `yaml:"certificate"`
+	// Key is the private key of the certificate.
+	Key *Source `yaml:"key"`
+}
+
+// Operators says how operators reach the VM.
+type Operators struct {
+	// Certificate, with the key, turns TLS on.
+	Certificate *Source `yaml:"certificate"`
+	// Key is the private key of the certificate.
+	Key *Source `yaml:"key"`
 }
 
 // Log says how log lines look.
 type Log struct {
-	Level string `yaml:"level" validate:"oneof=debug info warn error"`
-	JSON  bool   `yaml:"json"`
+	// Level is the least important level that is written.
+	Level string `yaml:"level" default:"info" validate:"oneof=debug info warn error"`
+	// JSON writes each line as one JSON object.
+	JSON bool `yaml:"json"`
 }
 
 // Trace says where spans go.
 type Trace struct {
-	// To is none, stdout or otlp.
-	To string `yaml:"to" validate:"oneof=none stdout otlp"`
-	// URL is the collector's, for otlp.
+	// To is where spans are sent.
+	To string `yaml:"to" default:"none" validate:"oneof=none stdout otlp"`
+	// URL is the collector's; needed for otlp.
 	URL string `yaml:"url" validate:"required_if=To otlp"`
 	// Share is the part of requests that are traced when the caller did not decide.
-	Share float64 `yaml:"share" validate:"min=0,max=1"`
+	Share float64 `yaml:"share" default:"0.01" validate:"min=0,max=1" unit:"of requests"`
 }
 
 // Settings is the whole file.
 type Settings struct {
-	Name     string      `yaml:"name" validate:"required"`
-	Zone     member.Zone `yaml:"zone" validate:"required"`
-	Region   string      `yaml:"region" validate:"required"`
-	Listen   string      `yaml:"listen" validate:"required,hostname_port"`
-	Inner    string      `yaml:"inner" validate:"required,hostname_port"`
-	Operator string      `yaml:"operator" validate:"required,hostname_port"`
-	Platform string      `yaml:"platform" validate:"required,url"`
-	Backend  Backend     `yaml:"backend"`
-	Keys     TLS         `yaml:"keys"`
-	Callers  Callers     `yaml:"callers"`
-	Log      Log         `yaml:"log"`
-	Trace    Trace       `yaml:"trace"`
+	// Name is unique among the VMs and the same as on the platform's list.
+	Name string `yaml:"name" validate:"required"`
+	// Zone is the availability zone of the VM.
+	Zone member.Zone `yaml:"zone" validate:"required"`
+	// Region joins the zones that are near each other.
+	Region string `yaml:"region" validate:"required"`
+	// Listen is the address for callers.
+	Listen string `yaml:"listen" validate:"required,ipport"`
+	// Inner is the UDP address for the other VMs.
+	Inner string `yaml:"inner" validate:"required,ipport"`
+	// Operator is the address for operators.
+	Operator string `yaml:"operator" validate:"required,ipport"`
+	// Platform is the URL of the platform's table, objects and list of VMs.
+	Platform string `yaml:"platform" validate:"required,url"`
+	// Backend holds the proxy's own credentials at backend servers.
+	Backend Backend `yaml:"backend"`
+	// Keys are the certificates of the inner protocol.
+	Keys TLS `yaml:"keys"`
+	// Callers bounds what callers may take.
+	Callers Callers `yaml:"callers"`
+	// Operators says how operators reach the VM.
+	Operators Operators `yaml:"operators"`
+	// Log says how log lines look.
+	Log Log `yaml:"log"`
+	// Trace says where spans go.
+	Trace Trace `yaml:"trace"`
 }
 
 // Default returns the settings before a file is read.
 func Default() Settings {
-	return Settings{
-		Callers: Callers{Max: 5000, Message: 16 << 20, Startup: 10 * clock.Second, Silence: 60 * clock.Second, Write: 30 * clock.Second},
-		Log:     Log{Level: "info"},
-		Trace:   Trace{To: "none", Share: 0.01},
+	var s Settings
+	if err := strict.Defaults(&s); err != nil {
+		panic(err)
 	}
+	return s
 }
 
 // Read reads a settings file.
 func Read(file string) (Settings, error) {
-	text, err := os.ReadFile(file)
+	source, err := os.ReadFile(file)
 	if err != nil {
 		return Settings{}, errors.Wrap(err, "settings")
 	}
-	s := Default()
-	return s, strict.Decode(file, text, &s)
-}
-
-// Load reads the PEM text.
-func (p PEM) Load() ([]byte, error) {
-	if p.Env != "" {
-		text := os.Getenv(p.Env)
-		if text == "" {
-			return nil, errors.Errorf("environment variable %s is empty", p.Env)
-		}
-		return []byte(text), nil
+	t, err := strict.Parse(file, source)
+	if err != nil {
+		return Settings{}, err
 	}
-	return os.ReadFile(p.File)
-}
-
-// Load reads the keys of the inner protocol.
-func (t TLS) Load() (keys.Material, error) {
-	var m keys.Material
-	var err error
-	for _, part := range []struct {
-		from PEM
-		to   *[]byte
-	}{{t.Authority, &m.Authority}, {t.Certificate, &m.Certificate}, {t.Key, &m.Key}} {
-		if *part.to, err = part.from.Load(); err != nil {
-			return m, errors.Wrap(err, "keys")
-		}
+	var s Settings
+	if err := t.Decode(&s); err != nil {
+		return Settings{}, err
+	}
+	if (s.Callers.Certificate == nil) != (s.Callers.Key == nil) {
+		return s, t.Mistake("callers", "a certificate and its key must be written together")
+	}
+	if (s.Operators.Certificate == nil) != (s.Operators.Key == nil) {
+		return s, t.Mistake("operators", "a certificate and its key must be written together")
 	}
-	return m, nil
+	return s, nil
 }
--- /dev/null
+++ b/internal/setup/settings/settings_test.go
@@ -0,0 +1,63 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/go-cmp/cmp"
+)
+
+type readCase struct {
+	Name  string `yaml:"name"`
+	Text  string `yaml:"text"`
+	Error string `yaml:"error"`
+}
+
+func cases(t *testing.T) []readCase {
+	t.Helper()
+	text, err := os.ReadFile("testdata/read.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []readCase
+	if err := yaml.UnmarshalWithOptions(text, &out, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// TestRead reads settings files and compares the message.
+func TestRead(t *testing.T) {
+	folder := t.TempDir()
+	file := filepath.Join(folder, "vm.yaml")
+	for _, c := range cases(t) {
+		t.Run(c.Name, func(t *testing.T) {
+			if err := os.WriteFile(file, []byte(c.Text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			got := ""
+			if _, err := Read(file); err != nil {
+				got = strings.ReplaceAll(err.Error(), folder+string(filepath.Separator), "")
+			}
+			if diff := cmp.Diff(c.Error, got); diff != "" {
+				t.Errorf("error (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestSource reads a text from the environment and from nowhere.
+func TestSource(t *testing.T) {
+	t.Setenv("VM_KEY", "text")
+	got, err := Source{Env: "VM_KEY"}.Load()
+	if diff := cmp.Diff("text", string(got)); err != nil || diff != "" {
+		t.Errorf("environment: %v (-want +got):\n%s", err, diff)
+	}
+	t.Setenv("VM_KEY", "")
+	if _, err := (Source{Env: "VM_KEY"}).Load(); err == nil {
+		t.Error("an empty variable was taken for a key")
+	}
+}
--- a/internal/setup/strict/bounds.go
+++ b/internal/setup/strict/bounds.go
@@ -40,7 +40,17 @@
 	}
 	e := found[0]
 	_, path, _ := strings.Cut(e.Namespace(), ".")
-	return t.Mistake(path, "%s", plainBound(e, unitOf(reflect.TypeOf(target), path)))
+	return t.Mistake(path, "%s", plainBound(e, t.nameOf(path), unitOf(reflect.TypeOf(target), path)))
+}
+
+// nameOf returns the last key of a path, and the whole path when the mapping
+// that it belongs in is not written.
+func (t *Text) nameOf(path string) string {
+	i := strings.LastIndex(path, ".")
+	if i < 0 || exists(t.root, path[:i]) {
+		return path[i+1:]
+	}
+	return path
 }
 
 // unitOf returns the `unit` tag of the field that path names.
@@ -64,20 +74,20 @@
 }
 
 // plainBound says which key, which bound and which unit.
-func plainBound(e validator.FieldError, unit string) string {
+func plainBound(e validator.FieldError, key, unit string) string {
 	limit := e.Param()
 	if unit != "" {
 		limit += " " + unit
 	}
-	name := fmt.Sprintf("%q", e.Field())
+	name := fmt.Sprintf("%q", key)
 	long := e.Kind() == reflect.Slice
 	switch e.Tag() {
 	case "required", "required_if":
 		return name + " is missing"
 	case "required_without":
-		return fmt.Sprintf("one of %q and %q is needed", strings.ToLower(e.Field()), strings.ToLower(e.Param()))
+		return fmt.Sprintf("%s is missing; it or %q is needed", name, strings.ToLower(e.Param()))
 	case "excluded_with":
-		return fmt.Sprintf("only one of %q and %q may be written", strings.ToLower(e.Field()), strings.ToLower(e.Param()))
+		return fmt.Sprintf("only one of %s and %q may be written", name, strings.ToLower(e.Param()))
 	case "min", "max", "gt":
 		if long {
 			return fmt.Sprintf("%s must have %s %s entries, has %d", name, comparison(e.Tag()), e.Param(), reflect.ValueOf(e.Value()).Len())
--- a/internal/setup/strict/defaults.go
+++ b/internal/setup/strict/defaults.go
@@ -73,3 +73,7 @@
 	}
 	return nil
 }
+
+// Defaults sets the fields of the struct that target points to from their
+// `default` tags.
+func Defaults(target any) error { return fill(nil, reflect.ValueOf(target).Elem()) }
--- a/internal/setup/strict/place.go
+++ b/internal/setup/strict/place.go
@@ -51,6 +51,17 @@
 	return first(n)
 }
 
+// exists reports whether the value that path names is written.
+func exists(root ast.Node, path string) bool {
+	n := root
+	for _, s := range steps(path) {
+		if n = child(n, s); n == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // first returns the token at which a node begins. A mapping begins at its first
 // key, not at the colon that the parser names.
 func first(n ast.Node) *token.Token {
