Give sections owners, a history and settled repeats

Cause: anybody who reached a VM could edit every section; the record knew only the last request, so that a repeat after another's edit became a second version; the retry after a lost race was unbounded; a conflict did not say with whom.

Change: section operators names operators, their sections and the hash of a random token; requests carry it as a bearer token. A right is judged on the document that the edit replaces, so that one just withdrawn does not count. A bootstrap token of the settings edits while no operator is named. A repeated request returns its version, an unchanged text makes none, conflicts name both versions and the author. Races and lost answers are repeated at most 12 times with backoff. Apply takes a Change in place of five arguments.

--- a/internal/command/control/control.go
+++ b/internal/command/control/control.go
@@ -24,7 +24,7 @@
 }
 
 func (g *global) client() *operator.Client {
-	return operator.NewClient(g.Address, clock.Millis(g.Timeout))
+	return operator.NewClient(operator.Options{Base: g.Address, Timeout: clock.Millis(g.Timeout)})
 }
 
 // Main runs the program and returns its exit code.
--- a/internal/command/daemon/serve.go
+++ b/internal/command/daemon/serve.go
@@ -36,6 +36,10 @@
 	if err != nil {
 		return err
 	}
+	bootstrap, err := s.Operators.Token()
+	if err != nil {
+		return err
+	}
 	k := newHeld(s)
 	w, err := reload.New(k.parts, logger)
 	if err != nil {
@@ -43,7 +47,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	v, err := vm.Start(ctx, vmOptions(s, k, logger))
+	o := vmOptions(s, k, logger)
+	o.Bootstrap = bootstrap
+	v, err := vm.Start(ctx, o)
 	if err != nil {
 		return err
 	}
--- a/internal/proto/operator/operator.go
+++ b/internal/proto/operator/operator.go
@@ -5,11 +5,13 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
@@ -35,11 +37,42 @@
 
 // Section is the text of one section of the configuration.
 type Section struct {
-	Name    string `json:"name"`
+	Name string `json:"name"`
+	// Version is the version in force at the VM; an edit starts from it.
 	Version uint64 `json:"version"`
 	Text    string `json:"text"`
+}
+
+// Edit replaces sections.
+type Edit struct {
+	// Sections holds the new texts by name.
+	Sections map[string]string `json:"sections"`
+	// Version is the one at which they were read; 0 means that they are new.
+	Version uint64 `json:"version"`
 	// Request is the same when an edit is repeated.
-	Request string `json:"request,omitempty"`
+	Request string `json:"request"`
+}
+
+// Applied answers an edit.
+type Applied struct {
+	// Version is the one that contains the edit.
+	Version uint64 `json:"version"`
+}
+
+// Entry is one version in the history.
+type Entry struct {
+	Version uint64 `json:"version"`
+	Who     string `json:"who"`
+	// When is in UTC.
+	When    time.Time `json:"when"`
+	Request string    `json:"request"`
+	// Sections holds the SHA-256 hash of each text that the version replaced.
+	Sections map[string]string `json:"sections"`
+}
+
+// History holds versions, the newest first.
+type History struct {
+	Entries []Entry `json:"entries"`
 }
 
 // Problem is the body of an answer that is not 2xx.
@@ -61,13 +94,27 @@
 
 // Client asks one VM.
 type Client struct {
-	base string
-	http *http.Client
+	base  string
+	token string
+	http  *http.Client
+}
+
+// Options makes a client.
+type Options struct {
+	// Base is the VM's URL for operators.
+	Base string
+	// Token is the operator's; empty for what is open to all.
+	Token string
+	// Timeout bounds each request in milliseconds.
+	Timeout clock.Millis
+	// TLS is nil for the machine's own authorities.
+	TLS *tls.Config
 }
 
-// NewClient returns a client for the VM at a URL. The timeout is in milliseconds.
-func NewClient(base string, timeout clock.Millis) *Client {
-	return &Client{base: strings.TrimRight(base, "/"), http: &http.Client{Timeout: timeout.Duration()}}
+// NewClient returns a client of one VM.
+func NewClient(o Options) *Client {
+	t := &http.Transport{TLSClientConfig: o.TLS, DisableKeepAlives: true}
+	return &Client{base: strings.TrimRight(o.Base, "/"), token: o.Token, http: &http.Client{Timeout: o.Timeout.Duration(), Transport: t}}
 }
 
 // Status asks for the VM's status.
@@ -82,10 +129,16 @@
 	return out, c.call(ctx, http.MethodGet, "/section/"+name, nil, &out)
 }
 
-// Apply replaces the text of a section that was read at s.Version.
-func (c *Client) Apply(ctx context.Context, s Section) (Section, error) {
-	var out Section
-	return out, c.call(ctx, http.MethodPut, "/section/"+s.Name, s, &out)
+// Apply replaces sections. It can be repeated with the same request.
+func (c *Client) Apply(ctx context.Context, e Edit) (Applied, error) {
+	var out Applied
+	return out, c.call(ctx, http.MethodPut, "/sections", e, &out)
+}
+
+// History asks for the last versions, at most limit of them.
+func (c *Client) History(ctx context.Context, limit int) (History, error) {
+	var out History
+	return out, c.call(ctx, http.MethodGet, fmt.Sprintf("/history?limit=%d", limit), nil, &out)
 }
 
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
@@ -101,6 +154,9 @@
 	if err != nil {
 		return err
 	}
+	if c.token != "" {
+		r.Header.Set("Authorization", "Bearer "+c.token)
+	}
 	answer, err := c.http.Do(r)
 	if err != nil {
 		return fmt.Errorf("VM at %s did not answer: %w", c.base, err)
--- a/internal/serve/configuration/configuration.go
+++ b/internal/serve/configuration/configuration.go
@@ -5,11 +5,13 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"maps"
+	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/go-faster/errors"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
@@ -19,26 +21,29 @@
 // Key is the name of the record in the table.
 const Key = "configuration"
 
-// Record is the entry in the table.
-type Record struct {
-	Version  uint64            `json:"version"`
-	Sections map[string]string `json:"sections"`
-	// Bases holds, for each section, the version that last changed it.
-	Bases map[string]uint64 `json:"bases"`
-	// Request identifies the last change, so that a lost answer can be settled.
-	Request string `json:"request"`
-}
-
-// ConflictError means that the section was changed by another since its base.
-type ConflictError struct {
-	Section string
-	Base    uint64
-	Current uint64
-}
+// Retries of a write that lost a race or whose answer was lost.
+const (
+	maxTries     = 12
+	firstPause   = 2 * time.Millisecond
+	longestPause = 500 * time.Millisecond
+)
 
-// Error implements error.
-func (e *ConflictError) Error() string {
-	return "section " + e.Section + " has been changed by another; get it again and repeat the edit"
+// Change is one edit.
+type Change struct {
+	// Texts are the sections that are replaced.
+	Texts map[string]string
+	// Base is the version at which they were read; 0 means that they must be new.
+	Base uint64
+	// Request is the same when an edit is repeated after a lost answer. An empty
+	// one is replaced by a random one.
+	Request string
+	// When stands in the history.
+	When time.Time
+	// AllowFunc returns who makes the change, or an error when it is not allowed.
+	// It is given the document that the change replaces, nil when there is none,
+	// so that a right that has just been withdrawn does not count. A nil function
+	// allows everything.
+	AllowFunc func(old *document.Document) (who string, err error)
 }
 
 // Load reads the document that the table names.
@@ -47,19 +52,37 @@
 	if err != nil {
 		return nil, r, tag, err
 	}
+	d, err := documentOf(ctx, store, r)
+	return d, r, tag, err
+}
+
+// documentOf reads the texts of a record. It returns nil for the record before
+// the first version.
+func documentOf(ctx context.Context, store platform.Store, r Record) (*document.Document, error) {
+	if r.Version == 0 {
+		return nil, nil
+	}
 	texts := map[string]string{}
 	for section, hash := range r.Sections {
-		body, err := store.ObjectFunc(ctx, hash)
+		body, err := object(ctx, store, hash)
 		if err != nil {
-			return nil, r, tag, errors.Wrapf(err, "section %s", section)
-		}
-		if Hash(body) != hash {
-			return nil, r, tag, errors.Errorf("section %s: the object store gave another text", section)
+			return nil, errors.Wrapf(err, "section %s", section)
 		}
 		texts[section] = string(body)
 	}
-	d, err := document.Parse(r.Version, texts)
-	return d, r, tag, err
+	return document.Parse(r.Version, texts)
+}
+
+// object reads an object and checks that it is the one with that hash.
+func object(ctx context.Context, store platform.Store, hash string) ([]byte, error) {
+	body, err := store.ObjectFunc(ctx, hash)
+	if err != nil {
+		return nil, err
+	}
+	if Hash(body) != hash {
+		return nil, errors.New("the object store gave another text")
+	}
+	return body, nil
 }
 
 func load(ctx context.Context, store platform.Store) (Record, string, error) {
@@ -80,66 +103,80 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// Apply replaces sections and returns the new version. Base is the version at
-// which the sections were read; 0 means that they must be new. The request is
-// the same when an edit is repeated after a lost answer.
-func Apply(ctx context.Context, store platform.Store, texts map[string]string, base uint64, request string) (uint64, error) {
-	for {
-		version, err := applyOnce(ctx, store, texts, base, request)
-		if errors.Is(err, platform.ErrConflict) {
-			continue
+// Apply replaces sections and returns the version that contains the change. It
+// repeats a write that lost a race against other sections or whose answer was
+// lost, a bounded number of times. It returns *ConflictError, *RequestError,
+// *strict.Error, the error of AllowFunc or the platform's.
+func Apply(ctx context.Context, store platform.Store, c Change) (uint64, error) {
+	if c.Request == "" {
+		c.Request = rand.Text()
+	}
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = firstPause, longestPause
+	return backoff.Retry(ctx, func() (uint64, error) {
+		version, err := applyOnce(ctx, store, c)
+		if err != nil && !repeatable(err) {
+			return 0, backoff.Permanent(err)
 		}
 		return version, err
-	}
+	}, backoff.WithBackOff(pause), backoff.WithMaxTries(maxTries))
 }
 
-func applyOnce(ctx context.Context, store platform.Store, texts map[string]string, base uint64, request string) (uint64, error) {
+// repeatable reports whether the write lost a race or may have taken effect; the
+// request's identifier settles which.
+func repeatable(err error) bool {
+	var lost *platform.LostError
+	return errors.Is(err, platform.ErrConflict) || errors.As(err, &lost)
+}
+
+func applyOnce(ctx context.Context, store platform.Store, c Change) (uint64, error) {
 	old, tag, err := load(ctx, store)
 	if err != nil && !errors.Is(err, platform.ErrAbsent) {
 		return 0, err
 	}
-	if request != "" && old.Request == request {
-		return old.Version, nil
-	}
-	next, err := merge(ctx, store, old, texts, base, request)
+	replaced, err := documentOf(ctx, store, old)
 	if err != nil {
 		return 0, err
 	}
-	body, err := json.Marshal(next)
-	if err != nil {
-		return 0, errors.Wrap(err, "configuration record")
+	who := ""
+	if c.AllowFunc != nil {
+		if who, err = c.AllowFunc(replaced); err != nil {
+			return 0, err
+		}
 	}
-	_, err = store.PutFunc(ctx, Key, tag, body)
-	return next.Version, err
+	next, version, err := old.With(c, who)
+	if err != nil || next.Version == old.Version {
+		return version, err
+	}
+	return version, write(ctx, store, replaced, next, tag, c.Texts)
 }
 
-func merge(ctx context.Context, store platform.Store, old Record, texts map[string]string, base uint64, request string) (Record, error) {
-	next := Record{Version: old.Version + 1, Sections: map[string]string{}, Bases: map[string]uint64{}, Request: request}
-	maps.Copy(next.Sections, old.Sections)
-	maps.Copy(next.Bases, old.Bases)
+// write checks the merged document, keeps its texts and replaces the record.
+func write(ctx context.Context, store platform.Store, replaced *document.Document, next Record, tag string, texts map[string]string) error {
 	whole := map[string]string{}
-	for section, hash := range old.Sections {
-		body, err := store.ObjectFunc(ctx, hash)
-		if err != nil {
-			return next, errors.Wrapf(err, "section %s", section)
-		}
-		whole[section] = string(body)
-	}
-	for section, text := range texts {
-		if old.Bases[section] > base {
-			return next, &ConflictError{Section: section, Base: base, Current: old.Bases[section]}
+	for section := range next.Sections {
+		if text, changed := texts[section]; changed {
+			whole[section] = text
+			continue
 		}
-		whole[section] = text
-		next.Sections[section] = Hash([]byte(text))
-		next.Bases[section] = next.Version
+		whole[section] = replaced.Text(section)
 	}
 	if _, err := document.Parse(next.Version, whole); err != nil {
-		return next, err
+		return err
 	}
-	for section, text := range texts {
-		if err := store.KeepFunc(ctx, next.Sections[section], []byte(text)); err != nil {
-			return next, err
+	for _, text := range texts {
+		if err := store.KeepFunc(ctx, Hash([]byte(text)), []byte(text)); err != nil {
+			return err
 		}
 	}
-	return next, nil
+	next, err := spill(ctx, store, next)
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(next)
+	if err != nil {
+		return errors.Wrap(err, "configuration record")
+	}
+	_, err = store.PutFunc(ctx, Key, tag, body)
+	return err
 }
--- /dev/null
+++ b/internal/serve/configuration/fuzz_test.go
@@ -0,0 +1,239 @@
+package configuration
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+	standin "github.com/sycamoredoor/sycamoredoor/internal/standin/platform"
+)
+
+// model is the oracle: what a single editor without failures would have made.
+type model struct {
+	version uint64
+	texts   map[string]string
+	bases   map[string]uint64
+	made    map[string]Entry
+	order   []string
+}
+
+// apply predicts the result of a change.
+func (m *model) apply(c Change) (uint64, error) {
+	if e, repeated := m.made[c.Request]; repeated {
+		return e.Version, nil
+	}
+	if c.Base > m.version {
+		return 0, &BaseError{Base: c.Base, Current: m.version}
+	}
+	changed := map[string]string{}
+	for section, text := range c.Texts {
+		if old, there := m.texts[section]; !there || old != text {
+			changed[section] = Hash([]byte(text))
+		}
+	}
+	if len(changed) == 0 {
+		return m.version, nil
+	}
+	for _, section := range slices.Sorted(maps.Keys(changed)) {
+		if m.bases[section] > c.Base {
+			return 0, &ConflictError{Section: section, Base: c.Base, Current: m.bases[section], Who: "tester"}
+		}
+	}
+	m.version++
+	for section := range changed {
+		m.texts[section], m.bases[section] = c.Texts[section], m.version
+	}
+	m.made[c.Request] = Entry{Version: m.version, Who: "tester", Request: c.Request, Sections: changed}
+	m.order = append(m.order, c.Request)
+	return m.version, nil
+}
+
+// machine drives Apply against the stand-in of the platform.
+type machine struct {
+	store    platform.Store
+	platform *standin.Platform
+	model    model
+	past     []Change
+	// before runs once, just before the next write of the record.
+	before func() error
+}
+
+func newMachine(ctx context.Context, t *rapid.T) *machine {
+	p, err := standin.New(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &machine{platform: p, store: platform.Dial(p.URL(), 10_000)}
+	m.model = model{texts: map[string]string{}, bases: map[string]uint64{}, made: map[string]Entry{}}
+	put := m.store.PutFunc
+	m.store.PutFunc = func(ctx context.Context, key, tag string, body []byte) (string, error) {
+		if before := m.before; before != nil {
+			m.before = nil
+			if err := before(); err != nil {
+				return "", err
+			}
+		}
+		return put(ctx, key, tag, body)
+	}
+	return m
+}
+
+// change draws an edit of one or two sections with comments of a few values, so
+// that equal texts come again.
+func (m *machine) change(t *rapid.T) Change {
+	sections := rapid.SliceOfNDistinct(rapid.SampledFrom(document.Sections()[:3]), 1, 2, rapid.ID[string]).Draw(t, "sections")
+	c := Change{Texts: map[string]string{}, Request: fmt.Sprint("r", len(m.past)), When: time.Unix(0, 0)}
+	c.AllowFunc = func(*document.Document) (string, error) { return "tester", nil }
+	for _, s := range sections {
+		c.Texts[s] = fmt.Sprintf("# %d\n", rapid.IntRange(0, 3).Draw(t, "text"))
+	}
+	c.Base = m.model.version - min(m.model.version, rapid.SampledFrom([]uint64{0, 0, 0, 1, 2}).Draw(t, "behind"))
+	m.past = append(m.past, c)
+	return c
+}
+
+func (m *machine) run(ctx context.Context, t *rapid.T, c Change) {
+	got, gotErr := Apply(ctx, m.store, c)
+	want, wantErr := m.model.apply(c)
+	if diff := cmp.Diff(fmt.Sprint(want, wantErr), fmt.Sprint(got, gotErr)); diff != "" {
+		t.Fatalf("apply %s (-want +got):\n%s", c.Request, diff)
+	}
+}
+
+// check compares the whole store with the model.
+func (m *machine) check(ctx context.Context, t *rapid.T) {
+	d, _, _, err := Load(ctx, m.store)
+	if m.model.version == 0 {
+		if !errors.Is(err, platform.ErrAbsent) {
+			t.Fatalf("an empty store gave %v", err)
+		}
+		return
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	for section, text := range m.model.texts {
+		if diff := cmp.Diff(text, d.Text(section)); diff != "" {
+			t.Fatalf("section %s (-want +got):\n%s", section, diff)
+		}
+	}
+}
+
+// checkHistory compares every version in the history with the model.
+func (m *machine) checkHistory(ctx context.Context, t *rapid.T) {
+	var want []Entry
+	for _, request := range slices.Backward(m.model.order) {
+		want = append(want, m.model.made[request])
+	}
+	got, err := History(ctx, m.store, MaxHistory)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range got {
+		got[i].When = time.Time{}
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatalf("history (-want +got):\n%s", diff)
+	}
+}
+
+// TestApplyAgainstModel runs random edits, races, lost answers and repeats, and
+// compares each result and the whole history with the oracle.
+func TestApplyAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		m := newMachine(ctx, t)
+		t.Repeat(map[string]func(*rapid.T){
+			"edit": func(t *rapid.T) { m.run(ctx, t, m.change(t)) },
+			"repeat": func(t *rapid.T) {
+				if len(m.past) == 0 {
+					t.Skip("no edit to repeat")
+				}
+				m.run(ctx, t, rapid.SampledFrom(m.past).Draw(t, "past"))
+			},
+			"lost answer": func(t *rapid.T) {
+				m.platform.LoseAnswers(1)
+				m.run(ctx, t, m.change(t))
+				m.platform.LoseAnswers(0)
+			},
+			"lost request": func(t *rapid.T) {
+				m.before = func() error { return &platform.LostError{Cause: errors.New("cut")} }
+				m.run(ctx, t, m.change(t))
+				m.before = nil
+			},
+			"race": func(t *rapid.T) {
+				first, second := m.change(t), m.change(t)
+				m.before = func() error { m.run(ctx, t, second); return nil }
+				m.run(ctx, t, first)
+				m.before = nil
+			},
+			"history": func(t *rapid.T) { m.checkHistory(ctx, t) },
+			"":        func(t *rapid.T) { m.check(ctx, t) },
+		})
+		m.checkHistory(ctx, t)
+	})
+}
+
+// TestHistoryChain makes more versions than the record tells and follows the chain.
+func TestHistoryChain(t *testing.T) {
+	p, err := standin.New(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := platform.Dial(p.URL(), 10_000)
+	const versions = 2*Recent + chunk + 3
+	for n := range versions {
+		c := Change{Texts: map[string]string{document.SectionRoutes: fmt.Sprintf("# %d\n", n)}, Base: uint64(n), Request: fmt.Sprint(n)}
+		if _, err := Apply(t.Context(), store, c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r, _, err := load(t.Context(), store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := len(r.History); n < Recent || n >= Recent+chunk {
+		t.Errorf("the record tells %d versions", n)
+	}
+	entries, err := History(t.Context(), store, versions+10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got, want []uint64
+	for i, e := range entries {
+		got = append(got, e.Version)
+		want = append(want, uint64(versions-i))
+	}
+	if diff := cmp.Diff(want, got); diff != "" || len(got) != versions {
+		t.Errorf("%d versions (-want +got):\n%s", len(got), diff)
+	}
+}
+
+// TestRequestOfAnother refuses an identifier that stands for another change.
+func TestRequestOfAnother(t *testing.T) {
+	p, err := standin.New(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := platform.Dial(p.URL(), 10_000)
+	c := Change{Texts: map[string]string{document.SectionRoutes: "# 1\n"}, Request: "same"}
+	if _, err := Apply(t.Context(), store, c); err != nil {
+		t.Fatal(err)
+	}
+	c.Texts = map[string]string{document.SectionRoutes: "# 2\n"}
+	_, err = Apply(t.Context(), store, c)
+	var refused *RequestError
+	if !errors.As(err, &refused) {
+		t.Errorf("want a RequestError, got %v", err)
+	}
+}
--- /dev/null
+++ b/internal/serve/configuration/record.go
@@ -0,0 +1,138 @@
+package configuration
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Record is the entry in the table. It never changes once built.
+type Record struct {
+	Version  uint64            `json:"version"`
+	Sections map[string]string `json:"sections"`
+	// Bases holds, for each section, the version that last changed it.
+	Bases map[string]uint64 `json:"bases"`
+	// History holds the last versions, the oldest first.
+	History []Entry `json:"history"`
+	// Older names the object that holds the versions before, or is empty.
+	Older string `json:"older,omitempty"`
+}
+
+// Entry is one version in the history.
+type Entry struct {
+	Version uint64    `json:"version"`
+	Who     string    `json:"who"`
+	When    time.Time `json:"when"`
+	// Request identifies the edit, so that a lost answer can be settled.
+	Request string `json:"request"`
+	// Sections holds the hash of each section that the version replaced.
+	Sections map[string]string `json:"sections"`
+}
+
+// ConflictError means that the section was changed by another since its base.
+type ConflictError struct {
+	Section string
+	Base    uint64
+	Current uint64
+	// Who made the current version; empty when the history no longer tells.
+	Who string
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	by := "another"
+	if e.Who != "" {
+		by = fmt.Sprintf("operator %q", e.Who)
+	}
+	return fmt.Sprintf("section %s was edited from version %d, but version %d by %s has changed it since; get it again and repeat the edit", e.Section, e.Base, e.Current, by)
+}
+
+// RequestError means that a request's identifier stands for another change.
+type RequestError struct {
+	Request string
+	Version uint64
+}
+
+// Error implements error.
+func (e *RequestError) Error() string {
+	return fmt.Sprintf("request %s has already made another change, version %d", e.Request, e.Version)
+}
+
+// BaseError means that the base is a version that does not exist yet.
+type BaseError struct {
+	Base    uint64
+	Current uint64
+}
+
+// Error implements error.
+func (e *BaseError) Error() string {
+	return fmt.Sprintf("the edit starts from version %d, but the last version is %d", e.Base, e.Current)
+}
+
+// With returns the record after a change by who, and the version that contains
+// the change. A repeated change and one that replaces nothing return the record
+// as it is.
+func (r Record) With(c Change, who string) (Record, uint64, error) {
+	hashes := map[string]string{}
+	for section, text := range c.Texts {
+		hashes[section] = Hash([]byte(text))
+	}
+	for _, e := range r.History {
+		if e.Request == c.Request {
+			return r, e.Version, e.settle(who, hashes)
+		}
+	}
+	if c.Base > r.Version {
+		return r, 0, &BaseError{Base: c.Base, Current: r.Version}
+	}
+	maps.DeleteFunc(hashes, func(section, hash string) bool { return r.Sections[section] == hash })
+	if len(hashes) == 0 {
+		return r, r.Version, nil
+	}
+	if err := r.conflict(hashes, c.Base); err != nil {
+		return r, 0, err
+	}
+	next := r.replace(Entry{Version: r.Version + 1, Who: who, When: c.When.UTC(), Request: c.Request, Sections: hashes})
+	return next, next.Version, nil
+}
+
+// settle checks that a repeated request makes the same change as the entry.
+func (e Entry) settle(who string, hashes map[string]string) error {
+	for section, hash := range e.Sections {
+		if hashes[section] != hash || e.Who != who {
+			return &RequestError{Request: e.Request, Version: e.Version}
+		}
+	}
+	return nil
+}
+
+func (r Record) conflict(hashes map[string]string, base uint64) error {
+	for _, section := range slices.Sorted(maps.Keys(hashes)) {
+		if current := r.Bases[section]; current > base {
+			return &ConflictError{Section: section, Base: base, Current: current, Who: r.author(current)}
+		}
+	}
+	return nil
+}
+
+func (r Record) author(version uint64) string {
+	for _, e := range r.History {
+		if e.Version == version {
+			return e.Who
+		}
+	}
+	return ""
+}
+
+func (r Record) replace(e Entry) Record {
+	next := Record{Version: e.Version, Sections: map[string]string{}, Bases: map[string]uint64{}, Older: r.Older}
+	maps.Copy(next.Sections, r.Sections)
+	maps.Copy(next.Bases, r.Bases)
+	for section, hash := range e.Sections {
+		next.Sections[section] = hash
+		next.Bases[section] = e.Version
+	}
+	next.History = append(slices.Clone(r.History), e)
+	return next
+}
--- /dev/null
+++ b/internal/serve/vm/sections_test.go
@@ -0,0 +1,105 @@
+package vm
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/goccy/go-yaml"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/operator"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/configuration"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/verifier"
+	standin "github.com/sycamoredoor/sycamoredoor/internal/standin/platform"
+)
+
+// step is one request of a script and the answer that is wanted.
+type step struct {
+	Do      string            `yaml:"do"`
+	Token   string            `yaml:"token"`
+	Name    string            `yaml:"name"`
+	Texts   map[string]string `yaml:"texts"`
+	Version uint64            `yaml:"version"`
+	Request string            `yaml:"request"`
+	// Want is the answer, or the status and message of a refusal.
+	Want string `yaml:"want"`
+	// Stale leaves the VM at the version it had.
+	Stale bool `yaml:"stale"`
+}
+
+func (s step) run(t *testing.T, url string) string {
+	t.Helper()
+	c := operator.NewClient(operator.Options{Base: url, Token: s.Token, Timeout: 10_000})
+	out, err := "", error(nil)
+	switch s.Do {
+	case "get":
+		var got operator.Section
+		got, err = c.Section(t.Context(), s.Name)
+		out = fmt.Sprintf("version %d %q", got.Version, got.Text)
+	case "put":
+		var got operator.Applied
+		got, err = c.Apply(t.Context(), operator.Edit{Sections: s.Texts, Version: s.Version, Request: s.Request})
+		out = fmt.Sprintf("version %d", got.Version)
+	case "history":
+		var got operator.History
+		got, err = c.History(t.Context(), 10)
+		for _, e := range got.Entries {
+			out += fmt.Sprintf("%d by %s; ", e.Version, e.Who)
+		}
+	case "status":
+		var got operator.Status
+		got, err = c.Status(t.Context())
+		out = fmt.Sprintf("version %d", got.Version)
+	default:
+		t.Fatalf("no step %q", s.Do)
+	}
+	var refused *operator.AnswerError
+	if errors.As(err, &refused) {
+		return fmt.Sprintf("%d %s", refused.Status, refused.Message)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// TestRights runs requests with and without rights against a VM's handler.
+func TestRights(t *testing.T) {
+	text, err := os.ReadFile("testdata/rights.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, token := range []string{"owner-token", "finance-token"} {
+		text = []byte(strings.ReplaceAll(string(text), "HASH("+token+")", verifier.OfToken(token)))
+	}
+	var steps []step
+	if err := yaml.UnmarshalWithOptions(text, &steps, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	p, err := standin.New(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := &VM{options: Options{Store: platform.Dial(p.URL(), 10_000), Bootstrap: "bootstrap-token"}}
+	v.holders = newHolders(v)
+	v.members.Store(&[]member.VM{})
+	s := httptest.NewServer(v.operatorHandler())
+	defer s.Close()
+	for i, step := range steps {
+		if diff := cmp.Diff(step.Want, step.run(t, s.URL)); diff != "" {
+			t.Errorf("step %d, %s (-want +got):\n%s", i+1, step.Do, diff)
+		}
+		if step.Stale {
+			continue
+		}
+		if d, _, _, err := configuration.Load(t.Context(), v.options.Store); err == nil {
+			v.document.Store(d)
+		}
+	}
+}
--- a/internal/serve/vm/vm.go
+++ b/internal/serve/vm/vm.go
@@ -47,6 +47,8 @@
 	TLS *tls.Config
 	// OperatorTLS is nil when operators connect without.
 	OperatorTLS *tls.Config
+	// Bootstrap is the token that may edit while the configuration names no operator.
+	Bootstrap string
 }
 
 // VM is a running VM.
--- a/internal/setup/document/document.go
+++ b/internal/setup/document/document.go
@@ -12,10 +12,13 @@
 	SectionDatabases = "databases"
 	SectionAccounts  = "accounts"
 	SectionRoutes    = "routes"
+	SectionOperators = "operators"
 )
 
 // Sections lists every section name.
-func Sections() []string { return []string{SectionDatabases, SectionAccounts, SectionRoutes} }
+func Sections() []string {
+	return []string{SectionDatabases, SectionAccounts, SectionRoutes, SectionOperators}
+}
 
 // Kind is what a route does to the data.
 type Kind string
@@ -120,6 +123,7 @@
 	databases map[string]Database
 	accounts  map[string]Account
 	routes    map[string]Route
+	operators []Operator
 	texts     map[string]string
 }
 
--- a/internal/setup/document/parse.go
+++ b/internal/setup/document/parse.go
@@ -19,7 +19,7 @@
 		routes:    map[string]Route{},
 		texts:     texts,
 	}
-	for _, load := range []func() error{d.loadDatabases, d.loadAccounts, d.loadRoutes} {
+	for _, load := range []func() error{d.loadDatabases, d.loadAccounts, d.loadRoutes, d.loadOperators} {
 		if err := load(); err != nil {
 			return nil, err
 		}
--- a/internal/setup/page/page_test.go
+++ b/internal/setup/page/page_test.go
@@ -38,6 +38,7 @@
 	{"Section databases", "../document", "Databases", "The backend servers, owned by operations."},
 	{"Section accounts", "../document", "Accounts", "The client accounts and their keys, owned by finance."},
 	{"Section routes", "../document", "Routes", "What requests may name, owned by the storefront team."},
+	{"Section operators", "../document", "Operators", "Who may edit which section. Once it is written, somebody must own it."},
 }
 
 // TestPage compares the page with the structs.
@@ -135,7 +136,7 @@
 		name, value, _ := strings.Cut(rule, "=")
 		words := map[string]string{
 			"required": "needed", "min": "at least " + value, "max": "at most " + value, "gt": "more than " + value,
-			"oneof": "one of " + strings.ReplaceAll(value, " ", ", "), "ipport": "IP:port", "url": "URL", "verifier": "SCRAM-SHA-256 verifier",
+			"oneof": "one of " + strings.ReplaceAll(value, " ", ", "), "ipport": "IP:port", "url": "URL", "verifier": "SCRAM-SHA-256 verifier", "token": "SHA-256$ and 64 hexadecimal digits",
 			"required_if": "needed if " + strings.ToLower(value), "required_without": "needed without " + strings.ToLower(value),
 			"excluded_with": "not with " + strings.ToLower(value), "dive": "", "": "",
 		}[name]
--- a/internal/setup/settings/settings.go
+++ b/internal/setup/settings/settings.go
@@ -51,6 +51,9 @@
 
 // Operators says how operators reach the VM.
 type Operators struct {
+	// Bootstrap holds a token of at least 32 characters that may edit every
+	// section as long as the configuration names no operator.
+	Bootstrap *Source `yaml:"bootstrap"`
 	// Certificate, with the key, turns TLS on.
 	Certificate *Source `yaml:"certificate"`
 	// Key is the private key of the certificate.
--- a/internal/setup/settings/source.go
+++ b/internal/setup/settings/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strings"
 
 	"github.com/go-faster/errors"
 
@@ -54,6 +55,25 @@
 	return c, k, nil
 }
 
+// minToken is the least length of the bootstrap token in characters.
+const minToken = 32
+
+// Token reads the bootstrap token, or returns an empty one when none is named.
+func (o Operators) Token() (string, error) {
+	if o.Bootstrap == nil {
+		return "", nil
+	}
+	text, err := o.Bootstrap.Load()
+	if err != nil {
+		return "", errors.Wrap(err, "operators.bootstrap")
+	}
+	token := strings.TrimSpace(string(text))
+	if len(token) < minToken {
+		return "", errors.Errorf("operators.bootstrap: a token needs at least %d characters", minToken)
+	}
+	return token, nil
+}
+
 // Files lists the files among sources.
 func Files(sources ...Source) []string {
 	var out []string
--- a/internal/setup/strict/bounds.go
+++ b/internal/setup/strict/bounds.go
@@ -25,6 +25,7 @@
 	}
 	register("ipport", func(s string) bool { _, err := netip.ParseAddrPort(s); return err == nil })
 	register("verifier", func(s string) bool { _, err := verifier.Parse(s); return err == nil })
+	register("token", verifier.IsToken)
 	return v
 }
 
@@ -99,6 +100,8 @@
 		return fmt.Sprintf("%s must be IP:port such as 10.0.0.1:5432, is %q", name, e.Value())
 	case "url":
 		return fmt.Sprintf("%s must be a URL such as http://10.0.0.1:8080, is %q", name, e.Value())
+	case "token":
+		return fmt.Sprintf("%s must be SHA-256$ and 64 hexadecimal digits", name)
 	case "verifier":
 		_, err := verifier.Parse(fmt.Sprint(e.Value()))
 		return fmt.Sprintf("%s is wrong: %v", name, err)
--- a/internal/trial/system/system.go
+++ b/internal/trial/system/system.go
@@ -121,11 +121,11 @@
 	if err != nil {
 		return err
 	}
-	_, err = configuration.Apply(ctx, s.Store, map[string]string{
+	_, err = configuration.Apply(ctx, s.Store, configuration.Change{Request: "first", When: time.Now(), Texts: map[string]string{
 		document.SectionDatabases: s.databasesSection(),
 		document.SectionAccounts:  accounts,
 		document.SectionRoutes:    s.options.Routes,
-	}, 0, "first")
+	}})
 	return err
 }
 
