Complete the operators' client

Cause: sycamorectl could only show one VM's status; sections were edited by hand over HTTP and keys could not be granted.

Change: section get, edit, apply, diff and history; key new and withdraw, which edit the text of section accounts and leave every other byte as it was, or refuse; operator new; status over all VMs, each asked in parallel within the timeout and named when it does not answer; check, offline with file, line and column; wait VERSION; version. Conflicts exit with 3, a wait that is over with 4. Edits are checked before they are sent, repeated with the same request when the answer is lost, and kept in a file when they fail. A VM tells its URL for operators on the list of members.

--- a/internal/command/control/control.go
+++ b/internal/command/control/control.go
@@ -2,11 +2,15 @@
 package control
 
 import (
-	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"io"
-	"text/tabwriter"
+	"net/http"
+	"os"
+	"strings"
 
+	"github.com/go-faster/errors"
 	"github.com/jessevdk/go-flags"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
@@ -14,55 +18,112 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/operator"
 )
 
+// TokenVariable is the environment variable that holds the operator's token.
+const TokenVariable = "SYCAMOREDOOR_TOKEN"
+
 // global holds the options of every subcommand.
 type global struct {
-	Address string `long:"address" short:"a" env:"SYCAMOREDOOR_ADDRESS" default:"http://127.0.0.1:7433" description:"Address of a VM for operators"`
-	Timeout int64  `long:"timeout" default:"10000" description:"Longest wait for an answer in milliseconds"`
-	JSON    bool   `long:"json" description:"Print one JSON object"`
+	Address   string `long:"address" short:"a" env:"SYCAMOREDOOR_ADDRESS" default:"http://127.0.0.1:7433" description:"URL of a VM for operators"`
+	Tokenfile string `long:"tokenfile" env:"SYCAMOREDOOR_TOKENFILE" value-name:"FILE" description:"File with the operator's token; without it SYCAMOREDOOR_TOKEN holds the token"`
+	Authority string `long:"authority" env:"SYCAMOREDOOR_AUTHORITY" value-name:"FILE" description:"PEM certificate of the authority that signed the VMs' certificates for operators"`
+	Timeout   int64  `long:"timeout" default:"10000" value-name:"MS" description:"Longest wait for an answer in milliseconds"`
+	JSON      bool   `long:"json" description:"Print one JSON object"`
 
 	out io.Writer
 }
 
-func (g *global) client() *operator.Client {
-	return operator.NewClient(operator.Options{Base: g.Address, Timeout: clock.Millis(g.Timeout)})
+// client returns a client of the VM at --address.
+func (g *global) client() (*operator.Client, error) {
+	return g.clientOf(g.Address, clock.Millis(g.Timeout))
+}
+
+func (g *global) clientOf(url string, timeout clock.Millis) (*operator.Client, error) {
+	o := operator.Options{Base: url, Token: os.Getenv(TokenVariable), Timeout: timeout}
+	if g.Tokenfile != "" {
+		text, err := os.ReadFile(g.Tokenfile)
+		if err != nil {
+			return nil, errors.Wrap(err, "token")
+		}
+		o.Token = strings.TrimSpace(string(text))
+	}
+	if g.Authority != "" {
+		text, err := os.ReadFile(g.Authority)
+		if err != nil {
+			return nil, errors.Wrap(err, "authority")
+		}
+		o.TLS = &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: x509.NewCertPool()}
+		if !o.TLS.RootCAs.AppendCertsFromPEM(text) {
+			return nil, errors.Errorf("no certificate in %s", g.Authority)
+		}
+	}
+	return operator.NewClient(o), nil
+}
+
+// show prints v as JSON or calls text for people.
+func (g *global) show(v any, text func()) error {
+	if g.JSON {
+		return shell.JSON(g.out, v)
+	}
+	text()
+	return nil
+}
+
+func (g *global) say(format string, args ...any) { _, _ = fmt.Fprintf(g.out, format+"\n", args...) }
+
+// coded gives a conflict its exit code.
+func coded(err error) error {
+	var a *operator.AnswerError
+	if errors.As(err, &a) && a.Status == http.StatusConflict {
+		return &shell.CodeError{Code: shell.ExitConflict, Cause: err}
+	}
+	return err
 }
 
+const help = `The operators' client of sycamoredoor.
+
+Exit codes: 0 done; 1 failed; 2 wrong command line; 3 another has changed the
+section since it was read; 4 the wait was over.`
+
 // Main runs the program and returns its exit code.
 func Main(arguments []string, out, fault io.Writer) int {
 	g := &global{out: out}
 	p := flags.NewNamedParser("sycamorectl", flags.None)
-	p.LongDescription = "The operators' client of sycamoredoor."
+	p.LongDescription = help
 	if _, err := p.AddGroup("Options", "", g); err != nil {
 		panic(err)
 	}
-	if _, err := p.AddCommand("status", "Show a VM's view", "Shows the VMs, who holds what, terms, positions and lag.", &statusCommand{global: g}); err != nil {
-		panic(err)
-	}
+	add(p.Command, "status", "Show every VM", "Asks a VM for the others and each of them for what it holds, terms, positions and lag.", &statusCommand{global: g})
+	add(p.Command, "wait", "Wait for a version", "Waits until every live VM has the version or a later one in force.", &waitCommand{global: g})
+	add(p.Command, "check", "Check sections offline", "Checks files named after their sections, such as routes.yaml, or all such files of a folder.", &checkCommand{global: g})
+	add(p.Command, "version", "Print the version", "Prints the version of this program.", &versionCommand{global: g})
+	s := add(p.Command, "section", "Read and edit sections", "Reads and edits the sections databases, accounts, routes and operators.", &struct{}{})
+	add(s, "get", "Print a section", "Prints the text of a section that is in force at the VM.", &getCommand{global: g})
+	add(s, "edit", "Edit a section", "Opens the section in $EDITOR, checks it and applies it. When that fails the text is kept in a file.", &editCommand{global: g})
+	add(s, "apply", "Replace sections", "Replaces sections by files, all in one version.", &applyCommand{global: g})
+	add(s, "diff", "Compare a section", "Compares the section in force with a file; exit code 1 when they differ.", &diffCommand{global: g})
+	add(s, "history", "Show who changed what", "Shows the last versions, the newest first, with times in UTC.", &historyCommand{global: g})
+	k := add(p.Command, "key", "Grant and withdraw keys", "Grants and withdraws keys of client accounts.", &struct{}{})
+	add(k, "new", "Grant a key", "Makes a key, adds its verifier to section accounts and prints the key, this once only.", &newKeyCommand{global: g})
+	add(k, "withdraw", "Withdraw a key", "Takes a key out of section accounts. Its callers are cut off.", &withdrawCommand{global: g})
+	o := add(p.Command, "operator", "Make operators' tokens", "Makes tokens of operators.", &struct{}{})
+	add(o, "new", "Make a token", "Makes a token and the line for section operators. It sends nothing.", &newOperatorCommand{global: g})
 	return shell.Run(p, arguments, out, fault)
 }
 
-type statusCommand struct{ global *global }
-
-// Execute implements flags.Commander.
-func (c *statusCommand) Execute([]string) error {
-	s, err := c.global.client().Status(context.Background())
+func add(to *flags.Command, name, short, long string, command any) *flags.Command {
+	c, err := to.AddCommand(name, short, long, command)
 	if err != nil {
-		return err
-	}
-	if c.global.JSON {
-		return shell.JSON(c.global.out, s)
+		panic(err)
 	}
-	return printStatus(c.global.out, s)
+	return c
 }
 
-func printStatus(out io.Writer, s operator.Status) error {
-	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	_, _ = fmt.Fprintf(w, "VM\t%s\tzone %s\tversion %d\tviolations %d\n", s.VM.Name, s.VM.Zone, s.Version, s.Violations)
-	for _, m := range s.Members {
-		_, _ = fmt.Fprintf(w, "member\t%s\tzone %s\t%s\t\n", m.Name, m.Zone, m.Address)
-	}
-	for _, h := range s.Holdings {
-		_, _ = fmt.Fprintf(w, "holds\t%s/%s\theld %t\tterm %d\tapplied %s\tlag %d ms\n", h.Database, h.State.Server, h.Held, h.State.Term, h.State.Applied, h.State.Lag)
-	}
-	return w.Flush()
+type versionCommand struct{ global *global }
+
+// Execute implements flags.Commander.
+func (c *versionCommand) Execute([]string) error {
+	v := struct {
+		Version string `json:"version"`
+	}{shell.Version}
+	return c.global.show(v, func() { c.global.say("%s", v.Version) })
 }
--- /dev/null
+++ b/internal/command/control/control_test.go
@@ -0,0 +1,130 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/verifier"
+	"github.com/sycamoredoor/sycamoredoor/internal/standin/backend"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/system"
+)
+
+// line is one command line and what it prints.
+type line struct {
+	Run   string `yaml:"run"`
+	Token string `yaml:"token"`
+	// Files are written before.
+	Files map[string]string `yaml:"files"`
+	// Editor replaces $EDITOR.
+	Editor string `yaml:"editor"`
+	Code   int    `yaml:"code"`
+	Out    string `yaml:"out"`
+	Fault  string `yaml:"fault"`
+	// Stop ends a VM by its number before.
+	Stop int `yaml:"stop"`
+}
+
+// varying are the parts of an output that differ from run to run.
+var varying = []struct {
+	pattern *regexp.Regexp
+	with    string
+}{
+	{regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\dZ`), "TIME"},
+	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDRESS"},
+	{regexp.MustCompile(`SCRAM-SHA-256\$[^"]+`), "VERIFIER"},
+	{regexp.MustCompile(`\b[A-Z2-7]{26}\b`), "RANDOM"},
+	{regexp.MustCompile(`\S*sycamorectl-\w+-\d+\.yaml`), "KEPT"},
+	{regexp.MustCompile(`(?m)[ \t]+$`), ""},
+}
+
+func plain(text string) string {
+	for _, v := range varying {
+		text = v.pattern.ReplaceAllString(text, v.with)
+	}
+	return text
+}
+
+// installation starts three VMs; the returned functions stop one and all.
+func installation(t *testing.T) (s *system.System, stop map[int]func()) {
+	t.Helper()
+	t.Cleanup(invariant.Handle(func(n invariant.Name, detail string) { t.Errorf("invariant %s: %s", n, detail) }))
+	ctx, cancel := context.WithCancel(context.Background())
+	s, err := system.New(ctx, system.Options{
+		Places:    []system.Place{{Zone: "abbotsford", Region: "mainland"}, {Zone: "chilliwack", Region: "mainland"}, {Zone: "kelowna", Region: "okanagan"}},
+		Databases: []string{"orders"},
+		Servers:   backend.Options{Slots: 3, Connections: 20},
+		Accounts:  []system.Account{{Name: "counter", Key: "jelly", Rate: 100, Burst: 10, Weight: 1}},
+		Routes:    "routes:\n  - {name: box, database: orders, kind: write} # the box\n",
+		Operators: "operators:\n  - {name: owner, sections: [operators, routes], verifier: " + verifier.OfToken("owner") + "}\n" +
+			"  - {name: finance, sections: [accounts], verifier: " + verifier.OfToken("finance") + "}\n",
+	})
+	if err != nil {
+		cancel()
+		t.Fatal(err)
+	}
+	// A fourth VM of its own context can be stopped while the others go on.
+	own, end := context.WithCancel(ctx)
+	if _, err := s.StartVM(own, "vm4", system.Place{Zone: "kelowna", Region: "okanagan"}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		end()
+		cancel()
+		if err := s.Wait(10 * time.Second); err != nil {
+			t.Error(err)
+		}
+	})
+	return s, map[int]func(){4: func() { end(); <-s.VMs[3].Done() }}
+}
+
+// TestCommandLines runs the program against an installation.
+func TestCommandLines(t *testing.T) {
+	text, err := os.ReadFile("testdata/lines.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var lines []line
+	if err := yaml.UnmarshalWithOptions(text, &lines, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	s, stop := installation(t)
+	t.Chdir(t.TempDir())
+	t.Setenv("TMPDIR", t.TempDir())
+	t.Setenv("SYCAMOREDOOR_ADDRESS", s.VMs[0].OperatorURL())
+	for _, l := range lines {
+		for name, text := range l.Files {
+			if err := os.MkdirAll(filepath.Dir(name), 0o700); err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if l.Stop > 0 {
+			stop[l.Stop]()
+		}
+		t.Setenv(TokenVariable, l.Token)
+		t.Setenv("EDITOR", l.Editor)
+		var out, fault bytes.Buffer
+		code := Main(strings.Fields(l.Run), &out, &fault)
+		if diff := cmp.Diff(l.Code, code); diff != "" {
+			t.Errorf("%s: exit code (-want +got):\n%s", l.Run, diff)
+		}
+		if diff := cmp.Diff(l.Out, plain(out.String())); diff != "" {
+			t.Errorf("%s: output (-want +got):\n%s", l.Run, diff)
+		}
+		if diff := cmp.Diff(l.Fault, plain(fault.String())); diff != "" {
+			t.Errorf("%s: error output (-want +got):\n%s", l.Run, diff)
+		}
+	}
+}
--- /dev/null
+++ b/internal/command/control/diff.go
@@ -0,0 +1,111 @@
+package control
+
+import (
+	"context"
+	"os"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/command/shell"
+)
+
+type diffCommand struct {
+	Args struct {
+		Name string `positional-arg-name:"NAME" required:"yes"`
+		File string `positional-arg-name:"FILE" required:"yes"`
+	} `positional-args:"yes"`
+	global *global
+}
+
+// difference is what differs between a section in force and a file.
+type difference struct {
+	Section string   `json:"section"`
+	Version uint64   `json:"version"`
+	Lines   []string `json:"lines"`
+}
+
+// Execute implements flags.Commander.
+func (c *diffCommand) Execute([]string) error {
+	text, err := os.ReadFile(c.Args.File)
+	if err != nil {
+		return err
+	}
+	client, err := c.global.client()
+	if err != nil {
+		return err
+	}
+	s, err := client.Section(context.Background(), c.Args.Name)
+	if err != nil {
+		return err
+	}
+	d := difference{Section: s.Name, Version: s.Version, Lines: diffLines(s.Text, string(text))}
+	err = c.global.show(d, func() {
+		for _, l := range d.Lines {
+			c.global.say("%s", l)
+		}
+	})
+	if err == nil && len(d.Lines) > 0 {
+		return &shell.CodeError{Code: shell.ExitFailed, Cause: errors.Errorf("section %s of version %d and %s differ", s.Name, s.Version, c.Args.File)}
+	}
+	return err
+}
+
+// diffLines returns the lines that only the old text has, with "-", and those
+// that only the new one has, with "+", in order.
+func diffLines(before, after string) []string {
+	a, b := strings.Split(before, "\n"), strings.Split(after, "\n")
+	for len(a) > 0 && len(b) > 0 && a[0] == b[0] {
+		a, b = a[1:], b[1:]
+	}
+	for len(a) > 0 && len(b) > 0 && a[len(a)-1] == b[len(b)-1] {
+		a, b = a[:len(a)-1], b[:len(b)-1]
+	}
+	if len(a)*len(b) > maxCells {
+		return append(prefixed("-", a), prefixed("+", b)...)
+	}
+	length := commonLengths(a, b)
+	var out []string
+	for len(a) > 0 || len(b) > 0 {
+		i, j := len(length)-1-len(a), len(length[0])-1-len(b)
+		switch {
+		case len(a) > 0 && len(b) > 0 && a[0] == b[0]:
+			a, b = a[1:], b[1:]
+		case len(b) == 0 || len(a) > 0 && length[i+1][j] >= length[i][j+1]:
+			out = append(out, "-"+a[0])
+			a = a[1:]
+		default:
+			out = append(out, "+"+b[0])
+			b = b[1:]
+		}
+	}
+	return out
+}
+
+// maxCells bounds the comparison; longer parts are shown as replaced whole.
+const maxCells = 4 << 20
+
+func prefixed(sign string, lines []string) []string {
+	out := make([]string, 0, len(lines))
+	for _, l := range lines {
+		out = append(out, sign+l)
+	}
+	return out
+}
+
+// commonLengths returns, for each pair of suffixes, the length of their longest
+// common subsequence.
+func commonLengths(a, b []string) [][]int {
+	out := make([][]int, len(a)+1)
+	out[len(a)] = make([]int, len(b)+1)
+	for i := len(a) - 1; i >= 0; i-- {
+		out[i] = make([]int, len(b)+1)
+		for j := len(b) - 1; j >= 0; j-- {
+			out[i][j] = max(out[i+1][j], out[i][j+1])
+			if a[i] == b[j] {
+				out[i][j] = out[i+1][j+1] + 1
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/command/control/key.go
@@ -0,0 +1,88 @@
+package control
+
+import (
+	"crypto/rand"
+	"fmt"
+	"strings"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/verifier"
+)
+
+type newKeyCommand struct {
+	ID   string `long:"id" value-name:"ID" description:"Name of the key within the account; a random one otherwise"`
+	Args struct {
+		Account string `positional-arg-name:"ACCOUNT" required:"yes"`
+	} `positional-args:"yes"`
+	global *global
+}
+
+// granted is a key that has just been made.
+type granted struct {
+	Account string `json:"account"`
+	ID      string `json:"id"`
+	Key     string `json:"key"`
+}
+
+// Execute implements flags.Commander.
+func (c *newKeyCommand) Execute([]string) error {
+	g := granted{Account: c.Args.Account, ID: c.ID, Key: rand.Text()}
+	if g.ID == "" {
+		g.ID = "k" + strings.ToLower(rand.Text()[:8])
+	}
+	salt := make([]byte, verifier.SaltSize)
+	if _, err := rand.Read(salt); err != nil {
+		return err
+	}
+	stored, err := verifier.New(g.Key, salt)
+	if err != nil {
+		return err
+	}
+	quiet := *c.global
+	quiet.out, quiet.JSON = &strings.Builder{}, false
+	err = quiet.replace(document.SectionAccounts, func(text string) (string, error) {
+		return document.AddKey(text, g.Account, document.Key{ID: g.ID, Verifier: stored})
+	})
+	if err != nil {
+		return err
+	}
+	return c.global.show(g, func() {
+		c.global.say("key %s of client account %s: %s", g.ID, g.Account, g.Key)
+		c.global.say("It is kept nowhere else. Withdraw it with: sycamorectl key withdraw %s %s", g.Account, g.ID)
+	})
+}
+
+type withdrawCommand struct {
+	Args struct {
+		Account string `positional-arg-name:"ACCOUNT" required:"yes"`
+		ID      string `positional-arg-name:"ID" required:"yes"`
+	} `positional-args:"yes"`
+	global *global
+}
+
+// Execute implements flags.Commander.
+func (c *withdrawCommand) Execute([]string) error {
+	return c.global.replace(document.SectionAccounts, func(text string) (string, error) {
+		return document.RemoveKey(text, c.Args.Account, c.Args.ID)
+	})
+}
+
+type newOperatorCommand struct {
+	Args struct {
+		Name     string   `positional-arg-name:"NAME" required:"yes"`
+		Sections []string `positional-arg-name:"SECTION" required:"1"`
+	} `positional-args:"yes"`
+	global *global
+}
+
+// Execute implements flags.Commander.
+func (c *newOperatorCommand) Execute([]string) error {
+	o := struct {
+		Token string `json:"token"`
+		Line  string `json:"line"`
+	}{Token: verifier.NewToken()}
+	o.Line = fmt.Sprintf("- {name: %q, sections: [%s], verifier: %q}", c.Args.Name, strings.Join(c.Args.Sections, ", "), verifier.OfToken(o.Token))
+	return c.global.show(o, func() {
+		c.global.say("token: %s\nline for section operators:\n  %s", o.Token, o.Line)
+	})
+}
--- /dev/null
+++ b/internal/command/control/section.go
@@ -0,0 +1,218 @@
+package control
+
+import (
+	"context"
+	"crypto/rand"
+	"os"
+	"os/exec"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/command/shell"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/operator"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+// sendTries is how often an edit is sent when its answer is lost. The request's
+// identifier keeps repeats from becoming further versions.
+const sendTries = 3
+
+// sendPause is the pause between two tries.
+const sendPause = 200 * time.Millisecond
+
+type named struct {
+	Args struct {
+		Name string `positional-arg-name:"NAME" required:"yes" description:"databases, accounts, routes or operators"`
+	} `positional-args:"yes"`
+}
+
+type getCommand struct {
+	named
+	global *global
+}
+
+// Execute implements flags.Commander.
+func (c *getCommand) Execute([]string) error {
+	client, err := c.global.client()
+	if err != nil {
+		return err
+	}
+	s, err := client.Section(context.Background(), c.Args.Name)
+	if err != nil {
+		return err
+	}
+	return c.global.show(s, func() { _, _ = c.global.out.Write([]byte(s.Text)) })
+}
+
+// sections reads every section, so that an edit can be checked before it is sent.
+func sections(client *operator.Client) (map[string]operator.Section, error) {
+	out := map[string]operator.Section{}
+	for _, name := range document.Sections() {
+		s, err := client.Section(context.Background(), name)
+		if err != nil {
+			return nil, err
+		}
+		out[name] = s
+	}
+	return out, nil
+}
+
+// send checks an edit against the sections in force and applies it.
+func send(client *operator.Client, all map[string]operator.Section, texts map[string]string, base uint64) (operator.Applied, error) {
+	whole := map[string]string{}
+	for name, s := range all {
+		if s.Text != "" {
+			whole[name] = s.Text
+		}
+	}
+	for name, text := range texts {
+		whole[name] = text
+	}
+	if _, err := document.Parse(base+1, whole); err != nil {
+		return operator.Applied{}, err
+	}
+	e := operator.Edit{Sections: texts, Version: base, Request: rand.Text()}
+	for try := 1; ; try++ {
+		a, err := client.Apply(context.Background(), e)
+		var answer *operator.AnswerError
+		if err == nil || try == sendTries || errors.As(err, &answer) && answer.Status/100 == 4 {
+			return a, coded(err)
+		}
+		time.Sleep(sendPause)
+	}
+}
+
+// replace applies one section that was changed by a function of its text.
+func (g *global) replace(name string, change func(text string) (string, error)) error {
+	client, err := g.client()
+	if err != nil {
+		return err
+	}
+	all, err := sections(client)
+	if err != nil {
+		return err
+	}
+	text, err := change(all[name].Text)
+	if err != nil {
+		return err
+	}
+	a, err := send(client, all, map[string]string{name: text}, all[name].Version)
+	if err != nil {
+		return err
+	}
+	return g.show(a, func() { g.say("section %s is in version %d", name, a.Version) })
+}
+
+type applyCommand struct {
+	Base *uint64 `long:"base" value-name:"VERSION" description:"Version that the files were made from; without it the version in force"`
+	Args struct {
+		Pairs []string `positional-arg-name:"NAME FILE" required:"2" description:"Section and file, as often as wanted"`
+	} `positional-args:"yes"`
+	global *global
+}
+
+// Execute implements flags.Commander.
+func (c *applyCommand) Execute([]string) error {
+	if len(c.Args.Pairs)%2 != 0 {
+		return &shell.CodeError{Code: shell.ExitUsage, Cause: errors.New("each section needs a file: NAME FILE")}
+	}
+	texts := map[string]string{}
+	for i := 0; i < len(c.Args.Pairs); i += 2 {
+		text, err := os.ReadFile(c.Args.Pairs[i+1])
+		if err != nil {
+			return err
+		}
+		texts[c.Args.Pairs[i]] = string(text)
+	}
+	client, err := c.global.client()
+	if err != nil {
+		return err
+	}
+	all, err := sections(client)
+	if err != nil {
+		return err
+	}
+	// The first section read has the lowest version, since versions only grow.
+	base := all[document.Sections()[0]].Version
+	if c.Base != nil {
+		base = *c.Base
+	}
+	a, err := send(client, all, texts, base)
+	if err != nil {
+		return err
+	}
+	return c.global.show(a, func() { c.global.say("version %d", a.Version) })
+}
+
+type editCommand struct {
+	named
+	global *global
+}
+
+// Execute implements flags.Commander.
+func (c *editCommand) Execute([]string) error {
+	file := ""
+	err := c.global.replace(c.Args.Name, func(text string) (string, error) {
+		var err error
+		file, err = openEditor(c.Args.Name, text)
+		if err != nil {
+			return "", err
+		}
+		edited, err := os.ReadFile(file)
+		if err == nil && string(edited) == text {
+			c.global.say("nothing was changed")
+		}
+		return string(edited), err
+	})
+	if file == "" {
+		return err
+	}
+	if err != nil {
+		return errors.Wrapf(err, "your text is kept in %s", file)
+	}
+	return os.Remove(file)
+}
+
+// openEditor has a person edit a text and returns the file that holds it.
+func openEditor(name, text string) (string, error) {
+	f, err := os.CreateTemp("", "sycamorectl-"+name+"-*.yaml")
+	if err != nil {
+		return "", err
+	}
+	if _, err := f.WriteString(text); err != nil {
+		return f.Name(), err
+	}
+	if err := f.Close(); err != nil {
+		return f.Name(), err
+	}
+	editor := strings.Fields(os.Getenv("EDITOR"))
+	if len(editor) == 0 {
+		editor = []string{"vi"}
+	}
+	e := exec.Command(editor[0], append(editor[1:], f.Name())...)
+	e.Stdin, e.Stdout, e.Stderr = os.Stdin, os.Stdout, os.Stderr
+	if err := e.Run(); err != nil {
+		return f.Name(), errors.Wrap(err, "editor")
+	}
+	return f.Name(), nil
+}
+
+type historyCommand struct {
+	Limit  int `long:"limit" default:"20" description:"Number of versions"`
+	global *global
+}
+
+// Execute implements flags.Commander.
+func (c *historyCommand) Execute([]string) error {
+	client, err := c.global.client()
+	if err != nil {
+		return err
+	}
+	h, err := client.History(context.Background(), c.Limit)
+	if err != nil {
+		return err
+	}
+	return c.global.show(h, func() { printHistory(c.global.out, h) })
+}
--- /dev/null
+++ b/internal/command/control/status.go
@@ -0,0 +1,181 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/command/shell"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/operator"
+)
+
+// answer is what one VM says of itself, or why it says nothing.
+type answer struct {
+	VM      string           `json:"vm"`
+	Leaving bool             `json:"leaving,omitempty"`
+	Status  *operator.Status `json:"status,omitempty"`
+	Error   string           `json:"error,omitempty"`
+}
+
+// maxAsked is the number of VMs that are asked at once.
+const maxAsked = 64
+
+// survey asks one VM for the others and then each of them, all within timeout
+// milliseconds each.
+func (g *global) survey(timeout clock.Millis) ([]answer, error) {
+	client, err := g.clientOf(g.Address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	first, err := client.Status(context.Background())
+	if err != nil {
+		return nil, err
+	}
+	out := make([]answer, len(first.Members))
+	slots := make(chan struct{}, maxAsked)
+	var asked sync.WaitGroup
+	for i, m := range first.Members {
+		out[i] = answer{VM: m.Name, Leaving: m.Leaving}
+		if m.Name == first.VM.Name {
+			out[i].Status = &first
+			continue
+		}
+		asked.Add(1)
+		go func() {
+			defer asked.Done()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			out[i].Status, out[i].Error = g.ask(m.Operator, timeout)
+		}()
+	}
+	asked.Wait()
+	return out, nil
+}
+
+func (g *global) ask(url string, timeout clock.Millis) (*operator.Status, string) {
+	if url == "" {
+		return nil, "its address for operators is not known"
+	}
+	client, err := g.clientOf(url, timeout)
+	if err != nil {
+		return nil, err.Error()
+	}
+	s, err := client.Status(context.Background())
+	if err != nil {
+		return nil, err.Error()
+	}
+	return &s, ""
+}
+
+type statusCommand struct{ global *global }
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error {
+	answers, err := c.global.survey(clock.Millis(c.global.Timeout))
+	if err != nil {
+		return err
+	}
+	err = c.global.show(struct {
+		VMs []answer `json:"vms"`
+	}{answers}, func() { printStatus(c.global.out, answers) })
+	if err != nil {
+		return err
+	}
+	if silent := missing(answers, 0); len(silent) > 0 {
+		return errors.Errorf("no answer from %s", strings.Join(silent, ", "))
+	}
+	return nil
+}
+
+func printStatus(out io.Writer, answers []answer) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "VM\tZONE\tVERSION\tVIOLATIONS\tSTATE")
+	for _, a := range answers {
+		if a.Status == nil {
+			_, _ = fmt.Fprintf(w, "%s\t\t\t\tno answer: %s\n", a.VM, a.Error)
+			continue
+		}
+		state := "live"
+		if a.Leaving {
+			state = "leaving"
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\n", a.VM, a.Status.VM.Zone, a.Status.Version, a.Status.Violations, state)
+	}
+	_, _ = fmt.Fprintln(w, "\nDATABASE\tSERVER\tHOLDER\tHELD\tTERM\tAPPLIED\tLAG")
+	for _, a := range answers {
+		if a.Status == nil {
+			continue
+		}
+		for _, h := range a.Status.Holdings {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%d\t%s\t%d ms\n", h.Database, h.State.Server, a.VM, h.Held, h.State.Term, h.State.Applied, h.State.Lag)
+		}
+	}
+	_ = w.Flush()
+}
+
+// missing names the VMs that did not answer or are before a version.
+func missing(answers []answer, version uint64) []string {
+	var out []string
+	for _, a := range answers {
+		switch {
+		case a.Status == nil:
+			out = append(out, a.VM+" (no answer)")
+		case a.Status.Version < version:
+			out = append(out, fmt.Sprintf("%s (version %d)", a.VM, a.Status.Version))
+		}
+	}
+	return out
+}
+
+type waitCommand struct {
+	Args struct {
+		Version uint64 `positional-arg-name:"VERSION" required:"yes"`
+	} `positional-args:"yes"`
+	global *global
+}
+
+// waitPause is the pause between two looks.
+const waitPause = 100 * clock.Millis(1)
+
+// askTimeout bounds one question of a wait in milliseconds.
+const askTimeout = 2 * clock.Second
+
+// Execute implements flags.Commander.
+func (c *waitCommand) Execute([]string) error {
+	limit := clock.Millis(c.global.Timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), limit.Duration())
+	defer cancel()
+	for {
+		answers, err := c.global.survey(min(limit, askTimeout))
+		late := missing(answers, c.Args.Version)
+		if err == nil && len(late) == 0 {
+			return c.global.show(c.Args, func() { c.global.say("version %d is in force at %d VMs", c.Args.Version, len(answers)) })
+		}
+		if clock.System().Sleep(ctx, waitPause) == nil {
+			continue
+		}
+		if err == nil {
+			err = errors.Errorf("version %d is missing at %s", c.Args.Version, strings.Join(late, ", "))
+		}
+		return &shell.CodeError{Code: shell.ExitTimeout, Cause: err}
+	}
+}
+
+func printHistory(out io.Writer, h operator.History) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "VERSION\tWHEN\tWHO\tSECTIONS\tREQUEST")
+	for _, e := range h.Entries {
+		names := strings.Join(slices.Sorted(maps.Keys(e.Sections)), ", ")
+		_, _ = fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\n", e.Version, e.When.UTC().Format(time.RFC3339), e.Who, names, e.Request)
+	}
+	_ = w.Flush()
+}
--- a/internal/command/shell/shell.go
+++ b/internal/command/shell/shell.go
@@ -18,8 +18,24 @@
 	ExitFailed = 1
 	// ExitUsage means that the command line was wrong.
 	ExitUsage = 2
+	// ExitConflict means that another has changed what was to be changed.
+	ExitConflict = 3
+	// ExitTimeout means that the wait was over before the thing waited for came.
+	ExitTimeout = 4
 )
 
+// CodeError is an error with an exit code of its own.
+type CodeError struct {
+	Code  int
+	Cause error
+}
+
+// Error implements error.
+func (e *CodeError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *CodeError) Unwrap() error { return e.Cause }
+
 // Version is set at build time.
 var Version = "development"
 
@@ -39,6 +55,10 @@
 		return ExitUsage
 	}
 	_, _ = fmt.Fprintf(fault, "%s: %v\n", p.Name, err)
+	var c *CodeError
+	if errors.As(err, &c) {
+		return c.Code
+	}
 	return ExitFailed
 }
 
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -13,7 +13,9 @@
 	Zone    Zone   `json:"zone" yaml:"zone"`
 	Region  string `json:"region" yaml:"region"`
 	Address string `json:"address" yaml:"address"`
-	Leaving bool   `json:"leaving,omitempty" yaml:"leaving"`
+	// Operator is the URL for operators.
+	Operator string `json:"operator,omitempty" yaml:"operator"`
+	Leaving  bool   `json:"leaving,omitempty" yaml:"leaving"`
 }
 
 // Place returns the VM that holds the thing called name. VMs in the wanted zone
--- a/internal/serve/vm/vm.go
+++ b/internal/serve/vm/vm.go
@@ -71,7 +71,7 @@
 	if err := v.listen(); err != nil {
 		return nil, err
 	}
-	v.self = member.VM{Name: o.Name, Zone: o.Zone, Region: o.Region, Address: v.transport.Address()}
+	v.self = member.VM{Name: o.Name, Zone: o.Zone, Region: o.Region, Address: v.transport.Address(), Operator: v.OperatorURL()}
 	v.members.Store(&[]member.VM{v.self})
 	v.holders = newHolders(v)
 	v.entry = entry.New(entry.Options{
--- a/internal/setup/document/document.go
+++ b/internal/setup/document/document.go
@@ -154,3 +154,6 @@
 	}
 	return false
 }
+
+// RouteCount returns the number of routes.
+func (d *Document) RouteCount() int { return len(d.routes) }
--- /dev/null
+++ b/internal/setup/document/keys.go
@@ -0,0 +1,158 @@
+package document
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/strict"
+)
+
+// keyEdit changes the keys of one account in the text of section accounts and
+// leaves every other byte, comments included, as it was.
+type keyEdit struct {
+	text    *strict.Text
+	lines   []string
+	section Accounts
+	account int
+}
+
+func newKeyEdit(source, account string) (*keyEdit, error) {
+	t, err := strict.Parse(SectionAccounts, []byte(source))
+	if err != nil {
+		return nil, err
+	}
+	e := &keyEdit{text: t, lines: strings.SplitAfter(source, "\n")}
+	if err := t.Decode(&e.section); err != nil {
+		return nil, err
+	}
+	e.account = slices.IndexFunc(e.section.Accounts, func(a Account) bool { return a.Name == account })
+	if e.account < 0 {
+		return nil, errors.Errorf("section %s has no client account %q", SectionAccounts, account)
+	}
+	return e, nil
+}
+
+// AddKey returns the text of section accounts with one more key of an account.
+func AddKey(source, account string, k Key) (string, error) {
+	e, err := newKeyEdit(source, account)
+	if err != nil {
+		return "", err
+	}
+	keys := e.section.Accounts[e.account].Keys
+	if slices.ContainsFunc(keys, func(old Key) bool { return old.ID == k.ID }) {
+		return "", errors.Errorf("client account %q already has a key %q", account, k.ID)
+	}
+	e.insert(fmt.Sprintf("{id: %q, verifier: %q}", k.ID, k.Verifier))
+	return e.finish(append([]Key{k}, keys...))
+}
+
+// RemoveKey returns the text of section accounts without a key of an account.
+func RemoveKey(source, account, id string) (string, error) {
+	e, err := newKeyEdit(source, account)
+	if err != nil {
+		return "", err
+	}
+	keys := e.section.Accounts[e.account].Keys
+	i := slices.IndexFunc(keys, func(k Key) bool { return k.ID == id })
+	if i < 0 {
+		return "", errors.Errorf("client account %q has no key %q", account, id)
+	}
+	e.remove(i)
+	return e.finish(slices.Delete(slices.Clone(keys), i, i+1))
+}
+
+func (e *keyEdit) path(rest string) string { return fmt.Sprintf("accounts[%d]%s", e.account, rest) }
+
+// insert writes a key in the style of the text around it.
+func (e *keyEdit) insert(key string) {
+	if line, column, ok := e.text.Place(e.path(".keys")); ok {
+		if e.at(line, column) == '[' {
+			if len(e.section.Accounts[e.account].Keys) > 0 {
+				key += ", "
+			}
+			e.splice(line, column+1, 0, key)
+			return
+		}
+		if e.at(line, column) == '-' {
+			e.splice(line, column, 0, "- "+key+"\n"+strings.Repeat(" ", column-1))
+			return
+		}
+	}
+	line, column, _ := e.text.Place(e.path(""))
+	if e.at(line, column) == '{' {
+		e.splice(line, column+1, 0, "keys: ["+key+"], ")
+		return
+	}
+	e.splice(line, column, 0, "keys: ["+key+"]\n"+strings.Repeat(" ", column-1))
+}
+
+// remove cuts a key out of its list.
+func (e *keyEdit) remove(i int) {
+	line, column, _ := e.text.Place(e.path(fmt.Sprintf(".keys[%d]", i)))
+	if _, start, _ := e.text.Place(e.path(".keys")); e.at(line, start) != '-' || start > column {
+		e.removeFlow(line, column, i)
+		return
+	}
+	last := line
+	for _, name := range []string{".id", ".verifier"} {
+		if n, _, ok := e.text.Place(e.path(fmt.Sprintf(".keys[%d]%s", i, name))); ok {
+			last = max(last, n)
+		}
+	}
+	e.lines = slices.Delete(e.lines, line-1, last)
+}
+
+// removeFlow cuts {…} and the comma on one side of it out of one line.
+func (e *keyEdit) removeFlow(line, column, i int) {
+	text := e.lines[line-1]
+	end := strings.IndexByte(text[column-1:], '}')
+	if end < 0 {
+		return
+	}
+	start, stop := column-1, column+end
+	after := strings.TrimLeft(text[stop:], " ")
+	switch before := strings.TrimRight(text[:start], " "); {
+	case strings.HasPrefix(after, ","):
+		stop = len(text) - len(strings.TrimLeft(after[1:], " "))
+	case i > 0 && strings.HasSuffix(before, ","):
+		start = len(before) - 1
+	}
+	e.lines[line-1] = text[:start] + text[stop:]
+}
+
+func (e *keyEdit) at(line, column int) byte {
+	if line < 1 || line > len(e.lines) || column < 1 || column > len(e.lines[line-1]) {
+		return 0
+	}
+	return e.lines[line-1][column-1]
+}
+
+func (e *keyEdit) splice(line, column, drop int, text string) {
+	old := e.lines[line-1]
+	e.lines[line-1] = old[:column-1] + text + old[column-1+drop:]
+}
+
+// finish checks that nothing but the keys has changed, because a text can be
+// written in more ways than the edit knows.
+func (e *keyEdit) finish(want []Key) (string, error) {
+	out := strings.Join(e.lines, "")
+	var got Accounts
+	err := strict.Decode(SectionAccounts, []byte(out), &got)
+	byID := func(a, b Key) int { return strings.Compare(a.ID, b.ID) }
+	slices.SortFunc(want, byID)
+	if err == nil && len(got.Accounts) == len(e.section.Accounts) {
+		slices.SortFunc(got.Accounts[e.account].Keys, byID)
+		e.section.Accounts[e.account].Keys = want
+		if len(want) == 0 {
+			e.section.Accounts[e.account].Keys = got.Accounts[e.account].Keys
+		}
+		if len(got.Accounts[e.account].Keys) == len(want) && reflect.DeepEqual(e.section, got) {
+			return out, nil
+		}
+	}
+	return "", errors.Errorf("the keys of client account %q are written in a way that cannot be edited by machine; use section edit", e.section.Accounts[e.account].Name)
+}
--- /dev/null
+++ b/internal/setup/document/keys_test.go
@@ -0,0 +1,49 @@
+package document
+
+import (
+	"os"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestKeys adds and removes keys in texts of several styles.
+func TestKeys(t *testing.T) {
+	text, err := os.ReadFile("testdata/keys.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var script struct {
+		Verifier string `yaml:"verifier"`
+		Cases    []struct {
+			Name   string `yaml:"name"`
+			Add    string `yaml:"add"`
+			Remove string `yaml:"remove"`
+			Text   string `yaml:"text"`
+			Want   string `yaml:"want"`
+			Error  string `yaml:"error"`
+		} `yaml:"cases"`
+	}
+	if err := yaml.UnmarshalWithOptions(text, &script, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range script.Cases {
+		t.Run(c.Name, func(t *testing.T) {
+			got, err := RemoveKey(c.Text, "counter", c.Remove)
+			if c.Add != "" {
+				got, err = AddKey(c.Text, "counter", Key{ID: c.Add, Verifier: script.Verifier})
+			}
+			message := ""
+			if err != nil {
+				message = err.Error()
+			}
+			if diff := cmp.Diff(c.Error, message); diff != "" {
+				t.Errorf("error (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(c.Want, got); diff != "" {
+				t.Errorf("text (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/setup/strict/strict.go
+++ b/internal/setup/strict/strict.go
@@ -89,6 +89,16 @@
 	return t.at(locate(t.root, path), format, args...)
 }
 
+// Place returns the line and column at which the value that path names begins,
+// and whether it is written.
+func (t *Text) Place(path string) (line, column int, ok bool) {
+	k := locate(t.root, path)
+	if k == nil || k.Position == nil {
+		return 0, 0, false
+	}
+	return k.Position.Line, k.Position.Column, exists(t.root, path)
+}
+
 func (t *Text) turn(err error) error {
 	var y yaml.Error
 	if !errors.As(err, &y) {
--- a/internal/trial/system/system.go
+++ b/internal/trial/system/system.go
@@ -51,7 +51,9 @@
 	Accounts []Account
 	// Routes is the section of that name.
 	Routes string
-	Log    *log.Logger
+	// Operators is the section of that name; it is left out when empty.
+	Operators string
+	Log       *log.Logger
 }
 
 // System is a running installation.
@@ -121,11 +123,15 @@
 	if err != nil {
 		return err
 	}
-	_, err = configuration.Apply(ctx, s.Store, configuration.Change{Request: "first", When: time.Now(), Texts: map[string]string{
+	texts := map[string]string{
 		document.SectionDatabases: s.databasesSection(),
 		document.SectionAccounts:  accounts,
 		document.SectionRoutes:    s.options.Routes,
-	}})
+	}
+	if s.options.Operators != "" {
+		texts[document.SectionOperators] = s.options.Operators
+	}
+	_, err = configuration.Apply(ctx, s.Store, configuration.Change{Request: "first", When: time.Now(), Texts: texts})
 	return err
 }
 
