Run stand-ins for VMs that are started by hand

Change: sycamoredoor standin runs the platform and one database group, writes settings and keys for N VMs and the owner's token, and keeps the VMs that answer on the platform's list. Reads of sections and of the history start from the last version in the table, and from the one in force while the platform does not answer. A new key goes behind the others. Account names may not contain "/".

--- a/internal/command/control/key.go
+++ b/internal/command/control/key.go
@@ -48,6 +48,7 @@
 	}
 	return c.global.show(g, func() {
 		c.global.say("key %s of client account %s: %s", g.ID, g.Account, g.Key)
+		c.global.say("Callers give it as the password of user %s/%s.", g.Account, g.ID)
 		c.global.say("It is kept nowhere else. Withdraw it with: sycamorectl key withdraw %s %s", g.Account, g.ID)
 	})
 }
--- a/internal/command/daemon/daemon.go
+++ b/internal/command/daemon/daemon.go
@@ -21,6 +21,7 @@
 	}
 	add("serve", "Run the proxy", "Runs the proxy of one VM until it is told to stop.", &serveCommand{out: fault})
 	add("try", "Run a trial on stand-ins", "Runs a whole installation in this process on stand-ins, with a short load, and checks every answer.", &tryCommand{out: out})
+	add("standin", "Run stand-ins for serve", "Runs stand-ins of the platform and of one database group, and writes settings and keys for VMs that are started by hand with serve.", &standinCommand{out: out})
 	add("version", "Print the version", "Prints the version.", &versionCommand{out: out})
 	return shell.Run(p, arguments, out, fault)
 }
--- a/internal/proto/operator/operator.go
+++ b/internal/proto/operator/operator.go
@@ -38,7 +38,7 @@
 // Section is the text of one section of the configuration.
 type Section struct {
 	Name string `json:"name"`
-	// Version is the version in force at the VM; an edit starts from it.
+	// Version is the last one; an edit starts from it. It may not be in force yet.
 	Version uint64 `json:"version"`
 	Text    string `json:"text"`
 }
--- a/internal/serve/vm/sections.go
+++ b/internal/serve/vm/sections.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/operator"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/configuration"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/strict"
@@ -57,8 +58,26 @@
 	return d.Identify(t, v.options.Bootstrap)
 }
 
+// latest returns the document that an edit starts from: the last version in the
+// table, so that edits can follow each other at once, or while the platform does
+// not answer the one in force here. It is nil before the first edit.
+func (v *VM) latest(r *http.Request) (*document.Document, error) {
+	d, _, _, err := configuration.Load(r.Context(), v.options.Store)
+	if err == nil || errors.Is(err, platform.ErrAbsent) {
+		return d, nil
+	}
+	if d := v.document.Load(); d != nil {
+		return d, nil
+	}
+	return nil, err
+}
+
 func (v *VM) getSection(w http.ResponseWriter, r *http.Request) {
-	d := v.document.Load()
+	d, err := v.latest(r)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
 	if _, err := v.identify(r, d); err != nil {
 		refuse(w, err)
 		return
@@ -111,9 +130,9 @@
 }
 
 func (v *VM) getHistory(w http.ResponseWriter, r *http.Request) {
-	d := v.document.Load()
-	if d == nil {
-		problem(w, http.StatusServiceUnavailable, errors.New("no configuration is in force here yet"))
+	d, err := v.latest(r)
+	if err != nil {
+		refuse(w, err)
 		return
 	}
 	if _, err := v.identify(r, d); err != nil {
--- a/internal/setup/document/document.go
+++ b/internal/setup/document/document.go
@@ -66,8 +66,9 @@
 
 // Account is a client account.
 type Account struct {
-	// Name is what callers give as the user in their connection string.
-	Name string `yaml:"name" validate:"required"`
+	// Name is what callers give as the user in their connection string, alone for
+	// the first key or as NAME/ID for another.
+	Name string `yaml:"name" validate:"required,excludes=/"`
 	// Rate is statements per second over all VMs.
 	Rate float64 `yaml:"rate" validate:"gt=0,max=10000000" unit:"statements per second"`
 	// Burst is statements that may come at once.
--- a/internal/setup/document/keys.go
+++ b/internal/setup/document/keys.go
@@ -47,7 +47,7 @@
 		return "", errors.Errorf("client account %q already has a key %q", account, k.ID)
 	}
 	e.insert(fmt.Sprintf("{id: %q, verifier: %q}", k.ID, k.Verifier))
-	return e.finish(append([]Key{k}, keys...))
+	return e.finish(append(slices.Clone(keys), k))
 }
 
 // RemoveKey returns the text of section accounts without a key of an account.
@@ -67,27 +67,49 @@
 
 func (e *keyEdit) path(rest string) string { return fmt.Sprintf("accounts[%d]%s", e.account, rest) }
 
-// insert writes a key in the style of the text around it.
+// insert writes a key behind the others, in the style of the text around it. The
+// first key of an account stays the one for callers who name none.
 func (e *keyEdit) insert(key string) {
-	if line, column, ok := e.text.Place(e.path(".keys")); ok {
-		if e.at(line, column) == '[' {
-			if len(e.section.Accounts[e.account].Keys) > 0 {
-				key += ", "
-			}
-			e.splice(line, column+1, 0, key)
-			return
-		}
-		if e.at(line, column) == '-' {
-			e.splice(line, column, 0, "- "+key+"\n"+strings.Repeat(" ", column-1))
-			return
-		}
+	if line, column, ok := e.text.Place(e.path(".keys")); ok && (e.at(line, column) == '[' || e.at(line, column) == '-') {
+		e.extend(line, column, key)
+		return
 	}
 	line, column, _ := e.text.Place(e.path(""))
 	if e.at(line, column) == '{' {
-		e.splice(line, column+1, 0, "keys: ["+key+"], ")
+		e.splice(line, column+1, "keys: ["+key+"], ")
 		return
 	}
-	e.splice(line, column, 0, "keys: ["+key+"]\n"+strings.Repeat(" ", column-1))
+	e.splice(line, column, "keys: ["+key+"]\n"+strings.Repeat(" ", column-1))
+}
+
+// extend writes a key at the end of the list that begins at a place.
+func (e *keyEdit) extend(line, column int, key string) {
+	last := len(e.section.Accounts[e.account].Keys) - 1
+	if last < 0 {
+		e.splice(line, column+1, key)
+		return
+	}
+	if e.at(line, column) == '-' {
+		end := e.lastLine(last)
+		text := strings.TrimSuffix(e.lines[end-1], "\n")
+		e.lines[end-1] = text + "\n" + strings.Repeat(" ", column-1) + "- " + key + "\n"
+		return
+	}
+	line, column, _ = e.text.Place(e.path(fmt.Sprintf(".keys[%d]", last)))
+	if end := strings.IndexByte(e.lines[line-1][column-1:], '}'); end >= 0 {
+		e.splice(line, column+end+1, ", "+key)
+	}
+}
+
+// lastLine returns the last line of a key.
+func (e *keyEdit) lastLine(i int) int {
+	last := 0
+	for _, name := range []string{"", ".id", ".verifier"} {
+		if n, _, ok := e.text.Place(e.path(fmt.Sprintf(".keys[%d]%s", i, name))); ok {
+			last = max(last, n)
+		}
+	}
+	return last
 }
 
 // remove cuts a key out of its list.
@@ -97,13 +119,7 @@
 		e.removeFlow(line, column, i)
 		return
 	}
-	last := line
-	for _, name := range []string{".id", ".verifier"} {
-		if n, _, ok := e.text.Place(e.path(fmt.Sprintf(".keys[%d]%s", i, name))); ok {
-			last = max(last, n)
-		}
-	}
-	e.lines = slices.Delete(e.lines, line-1, last)
+	e.lines = slices.Delete(e.lines, line-1, e.lastLine(i))
 }
 
 // removeFlow cuts {…} and the comma on one side of it out of one line.
@@ -131,9 +147,9 @@
 	return e.lines[line-1][column-1]
 }
 
-func (e *keyEdit) splice(line, column, drop int, text string) {
+func (e *keyEdit) splice(line, column int, text string) {
 	old := e.lines[line-1]
-	e.lines[line-1] = old[:column-1] + text + old[column-1+drop:]
+	e.lines[line-1] = old[:column-1] + text + old[column-1:]
 }
 
 // finish checks that nothing but the keys has changed, because a text can be
@@ -142,15 +158,12 @@
 	out := strings.Join(e.lines, "")
 	var got Accounts
 	err := strict.Decode(SectionAccounts, []byte(out), &got)
-	byID := func(a, b Key) int { return strings.Compare(a.ID, b.ID) }
-	slices.SortFunc(want, byID)
 	if err == nil && len(got.Accounts) == len(e.section.Accounts) {
-		slices.SortFunc(got.Accounts[e.account].Keys, byID)
-		e.section.Accounts[e.account].Keys = want
-		if len(want) == 0 {
-			e.section.Accounts[e.account].Keys = got.Accounts[e.account].Keys
+		if len(want)+len(got.Accounts[e.account].Keys) == 0 {
+			want = got.Accounts[e.account].Keys
 		}
-		if len(got.Accounts[e.account].Keys) == len(want) && reflect.DeepEqual(e.section, got) {
+		e.section.Accounts[e.account].Keys = want
+		if reflect.DeepEqual(e.section, got) {
 			return out, nil
 		}
 	}
--- a/internal/setup/page/page_test.go
+++ b/internal/setup/page/page_test.go
@@ -136,7 +136,7 @@
 		name, value, _ := strings.Cut(rule, "=")
 		words := map[string]string{
 			"required": "needed", "min": "at least " + value, "max": "at most " + value, "gt": "more than " + value,
-			"oneof": "one of " + strings.ReplaceAll(value, " ", ", "), "ipport": "IP:port", "url": "URL", "verifier": "SCRAM-SHA-256 verifier", "token": "SHA-256$ and 64 hexadecimal digits",
+			"oneof": "one of " + strings.ReplaceAll(value, " ", ", "), "excludes": "without " + value, "ipport": "IP:port", "url": "URL", "verifier": "SCRAM-SHA-256 verifier", "token": "SHA-256$ and 64 hexadecimal digits",
 			"required_if": "needed if " + strings.ToLower(value), "required_without": "needed without " + strings.ToLower(value),
 			"excluded_with": "not with " + strings.ToLower(value), "dive": "", "": "",
 		}[name]
--- a/internal/setup/strict/bounds.go
+++ b/internal/setup/strict/bounds.go
@@ -94,6 +94,8 @@
 			return fmt.Sprintf("%s must have %s %s entries, has %d", name, comparison(e.Tag()), e.Param(), reflect.ValueOf(e.Value()).Len())
 		}
 		return fmt.Sprintf("%s must be %s %s, is %v", name, comparison(e.Tag()), limit, e.Value())
+	case "excludes":
+		return fmt.Sprintf("%s must not contain %q, is %q", name, e.Param(), e.Value())
 	case "oneof":
 		return fmt.Sprintf("%s must be one of %s, is %q", name, strings.ReplaceAll(limit, " ", ", "), e.Value())
 	case "ipport":
--- a/internal/trial/system/system.go
+++ b/internal/trial/system/system.go
@@ -53,7 +53,9 @@
 	Routes string
 	// Operators is the section of that name; it is left out when empty.
 	Operators string
-	Log       *log.Logger
+	// External starts no VM; they are processes of their own.
+	External bool
+	Log      *log.Logger
 }
 
 // System is a running installation.
@@ -93,6 +95,9 @@
 	if err := s.configure(ctx); err != nil {
 		return nil, err
 	}
+	if o.External {
+		return s, nil
+	}
 	for i, p := range o.Places {
 		if _, err := s.StartVM(ctx, fmt.Sprintf("vm%d", i+1), p); err != nil {
 			return nil, err
@@ -167,6 +172,9 @@
 	return b.String(), nil
 }
 
+// Issue makes the keys of a VM.
+func (s *System) Issue(name string) (keys.Material, error) { return s.authority.Issue(name) }
+
 // StartVM starts one more VM and puts it on the platform's list.
 func (s *System) StartVM(ctx context.Context, name string, p Place) (*vm.VM, error) {
 	material, err := s.authority.Issue(name)
