Test the built program as processes that are killed and stopped

Cause: no test ran the real binary; a kill within a transaction and the exit code of a planned stop had never been tried.

Change: the test builds sycamoredoor, runs the stand-ins itself and three serve processes, writes and reads through them with pgx, kills one with SIGKILL within a transaction and stops another with SIGTERM. serve ends its watcher of files also when the VM ends by itself. A test of reloads now looks between the writing of a certificate and of its key.

--- a/internal/command/daemon/serve.go
+++ b/internal/command/daemon/serve.go
@@ -59,6 +59,7 @@
 	go w.Run(ctx, hangups, clock.System())
 	logger.Info("serving", "vm", s.Name, "callers", v.Address(), "operators", v.OperatorURL())
 	<-v.Done()
+	stop()
 	<-w.Done()
 	logger.Info("stopped", "vm", s.Name)
 	return nil
--- a/internal/setup/reload/reload_test.go
+++ b/internal/setup/reload/reload_test.go
@@ -68,6 +68,18 @@
 	f.write(f.key.File, m.Key)
 }
 
+// issueInSteps writes a new pair with a look between the certificate and its key.
+func (f *fixture) issueInSteps(name string) {
+	f.t.Helper()
+	m, err := f.authority.Issue(name)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.write(f.certificate.File, m.Certificate)
+	f.watcher.Poll()
+	f.write(f.key.File, m.Key)
+}
+
 // write gives the file a time of its own, so that no two look the same.
 func (f *fixture) write(file string, text []byte) {
 	f.t.Helper()
@@ -112,7 +124,7 @@
 	if n := strings.Count(f.log.String(), "reload failed"); n != 1 {
 		t.Errorf("want one line for the failure, got %d:\n%s", n, f.log.String())
 	}
-	f.issue("third")
+	f.issueInSteps("third")
 	f.watcher.Poll()
 	if diff := cmp.Diff("third", f.serving()); diff != "" {
 		t.Errorf("after the repair (-want +got):\n%s", diff)
--- /dev/null
+++ b/internal/trial/processes/processes_test.go
@@ -0,0 +1,224 @@
+// Package processes tests the built program as processes of their own.
+package processes
+
+import (
+	"bytes"
+	"context"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/operator"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/stand"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/system"
+)
+
+// deadline bounds each wait for the processes.
+const deadline = 20 * time.Second
+
+// firstPort is the first of the VMs' ports; it lies below the ports that the
+// system gives out.
+const firstPort = 26432
+
+const count = 3
+
+// process is one VM of its own.
+type process struct {
+	stand.VM
+	command *exec.Cmd
+	output  bytes.Buffer
+	ended   chan error
+}
+
+// trial is an installation whose VMs are processes.
+type trial struct {
+	t         *testing.T
+	stand     *stand.Stand
+	processes []*process
+}
+
+func start(t *testing.T) *trial {
+	t.Helper()
+	folder := t.TempDir()
+	program := filepath.Join(folder, "sycamoredoor")
+	if out, err := exec.Command("go", "build", "-o", program, "../../../cmd/sycamoredoor").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s, err := stand.Start(ctx, stand.Options{Folder: folder, Port: firstPort, VMs: count})
+	if err != nil {
+		cancel()
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cancel()
+		if err := s.System.Wait(system.Timeout.Duration()); err != nil {
+			t.Error(err)
+		}
+	})
+	r := &trial{t: t, stand: s}
+	for _, v := range s.VMs {
+		r.launch(program, v)
+	}
+	r.until("every VM knows the others and each server has a holder", func() bool { return r.ready(count) })
+	return r
+}
+
+func (r *trial) launch(program string, v stand.VM) {
+	r.t.Helper()
+	p := &process{VM: v, command: exec.Command(program, "serve", "--settings", v.Settings), ended: make(chan error, 1)}
+	p.command.Stdout, p.command.Stderr = &p.output, &p.output
+	if err := p.command.Start(); err != nil {
+		r.t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.ended <- p.command.Wait()
+	}()
+	r.t.Cleanup(func() {
+		_ = p.command.Process.Kill()
+		<-done
+		if r.t.Failed() {
+			r.t.Logf("%s:\n%s", p.Name, p.output.String())
+		}
+	})
+	r.processes = append(r.processes, p)
+}
+
+// until polls because the processes have clocks of their own.
+func (r *trial) until(what string, good func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(deadline); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if good() {
+			return
+		}
+	}
+	r.t.Fatalf("not within %s: %s", deadline, what)
+}
+
+// ready reports whether the first VM and others know just n members, and all
+// backend servers are held.
+func (r *trial) ready(n int) bool {
+	held, answering := 0, 0
+	for _, p := range r.processes {
+		s, err := operator.NewClient(operator.Options{Base: p.Operators, Timeout: 2000}).Status(r.t.Context())
+		if err != nil {
+			continue
+		}
+		answering++
+		if s.Version == 0 || len(s.Members) != n {
+			return false
+		}
+		for _, h := range s.Holdings {
+			if h.Held {
+				held++
+			}
+		}
+	}
+	return answering == n && held >= len(r.stand.System.Groups[stand.Database].Servers())
+}
+
+func (r *trial) connect(i int, session string) *pgx.Conn {
+	r.t.Helper()
+	c, err := pgx.ParseConfig(r.processes[i].DSN())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	c.RuntimeParams["sycamoredoor.session"] = session
+	ctx, cancel := context.WithTimeout(r.t.Context(), deadline)
+	defer cancel()
+	conn, err := pgx.ConnectConfig(ctx, c)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+const (
+	writeBox = "INSERT INTO box (id, v) VALUES ($1, $2) ON CONFLICT (id) DO UPDATE SET v = EXCLUDED.v /*route='box'*/"
+	readBox  = "SELECT v FROM box WHERE id = $1 /*route='list'*/"
+)
+
+// readWrites writes through one VM and reads through another, in one session.
+func (r *trial) readWrites(writer, reader int, id string, rounds int) {
+	r.t.Helper()
+	session := "member-" + id
+	a, b := r.connect(writer, session), r.connect(reader, session)
+	for n := range rounds {
+		want, got := strconv.Itoa(n), ""
+		if _, err := a.Exec(r.t.Context(), writeBox, id, want); err != nil {
+			r.t.Fatal(err)
+		}
+		if err := b.QueryRow(r.t.Context(), readBox, id).Scan(&got); err != nil {
+			r.t.Fatal(err)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			r.t.Errorf("read after write (-want +got):\n%s", diff)
+		}
+	}
+}
+
+// write tries one write on a connection of its own.
+func (r *trial) write(i int, id, v string) error {
+	c := r.connect(i, "member-"+id)
+	_, err := c.Exec(r.t.Context(), writeBox, id, v)
+	return err
+}
+
+// TestKillAndStop kills one VM within a transaction, goes on with the others and
+// stops one of them in order.
+func TestKillAndStop(t *testing.T) {
+	r := start(t)
+	r.readWrites(0, 1, "before", 10)
+
+	open := r.connect(2, "member-cut")
+	if _, err := open.Exec(t.Context(), "BEGIN /*route='box'*/"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := open.Exec(t.Context(), writeBox, "cut", "never"); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.processes[2].command.Process.Signal(syscall.SIGKILL); err != nil {
+		t.Fatal(err)
+	}
+	<-r.processes[2].ended
+	r.until("the others serve without the killed VM", func() bool { return r.ready(count - 1) })
+
+	var got string
+	err := r.connect(0, "member-cut").QueryRow(t.Context(), readBox, "cut").Scan(&got)
+	if diff := cmp.Diff(pgx.ErrNoRows.Error(), errorText(err)); diff != "" {
+		t.Errorf("row of the cut transaction (-want +got):\n%s", diff)
+	}
+	r.readWrites(0, 1, "after", 10)
+	r.until("the lock of the cut transaction is released", func() bool { return r.write(1, "cut", "first") == nil })
+	r.readWrites(1, 0, "cut", 1)
+
+	if err := r.processes[1].command.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-r.processes[1].ended:
+		if err != nil {
+			t.Errorf("planned stop: %v", err)
+		}
+	case <-time.After(deadline):
+		t.Error("the planned stop did not end")
+	}
+	r.until("the last VM holds everything", func() bool { return r.ready(1) })
+	r.readWrites(0, 0, "last", 10)
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
