Test TLS for callers and operators through the settings

Cause: certificates for callers and operators were loaded and reloaded in tests of their parts only; nobody had connected through the settings of a VM.

--- a/internal/command/control/control_test.go
+++ b/internal/command/control/control_test.go
@@ -42,6 +42,8 @@
 	{regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\dZ`), "TIME"},
 	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDRESS"},
 	{regexp.MustCompile(`SCRAM-SHA-256\$[^"]+`), "VERIFIER"},
+	{regexp.MustCompile(`(?m)^token: [\w-]{43}$`), "token: TOKEN"},
+	{regexp.MustCompile(`SHA-256\$[0-9a-f]{64}`), "HASH"},
 	{regexp.MustCompile(`\b[A-Z2-7]{26}\b`), "RANDOM"},
 	{regexp.MustCompile(`\S*sycamorectl-\w+-\d+\.yaml`), "KEPT"},
 	{regexp.MustCompile(`(?m)[ \t]+$`), ""},
--- /dev/null
+++ b/internal/command/daemon/serve_test.go
@@ -0,0 +1,115 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/command/control"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/vm"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/reload"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/settings"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/stand"
+)
+
+// port is the first port of the test's VM, below those that the system gives out.
+const port = 26532
+
+// startTLS starts a VM whose settings name certificates for callers and operators.
+func startTLS(t *testing.T) (v *vm.VM, w *reload.Watcher, folder string, s *stand.Stand) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	s, err := stand.Start(ctx, stand.Options{Folder: t.TempDir(), Port: port, VMs: 1})
+	if err != nil {
+		cancel()
+		t.Fatal(err)
+	}
+	file := s.VMs[0].Settings
+	folder = filepath.Dir(file)
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pair := fmt.Sprintf("{certificate: {file: %q}, key: {file: %q}}", filepath.Join(folder, "certificate.pem"), filepath.Join(folder, "key.pem"))
+	text = fmt.Appendf(text, "callers: %s\noperators: %s\n", pair, pair)
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	o, err := settings.Read(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	k, logger := newHeld(o), log.New(io.Discard)
+	if w, err = reload.New(k.parts, logger); err != nil {
+		t.Fatal(err)
+	}
+	if v, err = vm.Start(ctx, vmOptions(o, k, logger)); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cancel()
+		<-v.Done()
+		if err := s.System.Wait(10 * time.Second); err != nil {
+			t.Error(err)
+		}
+	})
+	return v, w, folder, s
+}
+
+// serial returns the serial number of the certificate that a caller is shown.
+func serial(t *testing.T, s *stand.Stand, folder string) string {
+	t.Helper()
+	dsn := fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=verify-full&sslrootcert=%s", stand.Account, stand.Key, s.VMs[0].Callers, stand.Database, filepath.Join(folder, "authority.pem"))
+	c, err := pgx.ParseConfig(dsn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := pgx.ConnectConfig(t.Context(), c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close(context.Background()) //nolint:errcheck // the test is over
+	return conn.PgConn().Conn().(*tls.Conn).ConnectionState().PeerCertificates[0].SerialNumber.String()
+}
+
+// TestTLS connects a caller and an operator with checked certificates, and again
+// after the files were replaced.
+func TestTLS(t *testing.T) {
+	v, w, folder, s := startTLS(t)
+	for end := clock.System(); v.Version() == 0 && end.Now() < 10*clock.Second; {
+		_ = end.Sleep(t.Context(), 10)
+	}
+	first := serial(t, s, folder)
+	var out, fault bytes.Buffer
+	code := control.Main([]string{"--address", v.OperatorURL(), "--authority", filepath.Join(folder, "authority.pem"), "--tokenfile", s.Token, "section", "get", "routes"}, &out, &fault)
+	if code != 0 || out.Len() == 0 {
+		t.Errorf("operator over TLS: code %d, %s", code, fault.String())
+	}
+	m, err := s.System.Issue("vm1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, text := range map[string][]byte{"certificate.pem": m.Certificate, "key.pem": m.Key} {
+		if err := os.WriteFile(filepath.Join(folder, name), text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if diff := cmp.Diff(first, serial(t, s, folder)); diff != "" {
+		t.Errorf("changed before the reload (-want +got):\n%s", diff)
+	}
+	w.Reload()
+	if serial(t, s, folder) == first {
+		t.Error("the replaced certificate was not taken up")
+	}
+}
--- a/internal/setup/keys/keys.go
+++ b/internal/setup/keys/keys.go
@@ -12,6 +12,7 @@
 	"encoding/pem"
 	"fmt"
 	"math/big"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -133,7 +134,8 @@
 	}
 	t := &x509.Certificate{
 		SerialNumber: serial, Subject: pkix.Name{CommonName: vm}, DNSNames: []string{ServerName},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().AddDate(1, 0, 0),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		NotBefore:   time.Now().Add(-time.Hour), NotAfter: time.Now().AddDate(1, 0, 0),
 		KeyUsage:    x509.KeyUsageDigitalSignature,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
 	}
--- a/internal/setup/settings/settings_test.go
+++ b/internal/setup/settings/settings_test.go
@@ -61,3 +61,16 @@
 		t.Error("an empty variable was taken for a key")
 	}
 }
+
+// TestToken refuses a bootstrap token that could be guessed.
+func TestToken(t *testing.T) {
+	t.Setenv("BOOTSTRAP", " 0123456789abcdef0123456789abcdef\n")
+	got, err := Operators{Bootstrap: &Source{Env: "BOOTSTRAP"}}.Token()
+	if diff := cmp.Diff("0123456789abcdef0123456789abcdef", got); err != nil || diff != "" {
+		t.Errorf("token: %v (-want +got):\n%s", err, diff)
+	}
+	t.Setenv("BOOTSTRAP", "secret")
+	if _, err := (Operators{Bootstrap: &Source{Env: "BOOTSTRAP"}}).Token(); err == nil {
+		t.Error("a short token was taken")
+	}
+}
