Settle a finished transaction before its connection is reset

Cause: the state and the reset were one query, so a reset that failed made a finished transaction unknown, and every statement paid a further round trip. COPY answers left the protocol in the middle of an exchange, and a shutdown error of the server passed for an ordinary failure. Change: the state is asked in a message of its own, the caller is answered, and the reset follows before the connection is reusable. A batch that certainly is one autocommit transaction has both sent behind it. PREPARE, DEALLOCATE and DISCARD lead to DISCARD ALL. COPY ends in 0A000 with the connection closed, or in unknown where the server may commit. Fatal errors are unknown. A connection that ended while idle is not used. A connection that got a cancel is not reused.

--- a/internal/proto/backend/conn.go
+++ b/internal/proto/backend/conn.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"slices"
 
@@ -54,6 +55,8 @@
 type ServerError struct {
 	Code    string
 	Message string
+	// Fatal is set when the server ended the connection with this error.
+	Fatal bool
 }
 
 // Error implements error.
@@ -69,6 +72,8 @@
 	reader *bufio.Reader
 	cancel func(context.Context) error
 	owner  uint64
+	// PID is the process number of the connection on the server.
+	PID uint32
 	// Prepared holds the statements that exist on the connection.
 	Prepared *Statements
 	// Dirty is set when more than the ordinary reset is needed.
@@ -85,14 +90,14 @@
 	if err != nil {
 		return nil, &ConnectError{Address: o.Address, Cause: err}
 	}
-	cancel := canceller(p)
+	cancel, pid := canceller(p), p.PID()
 	h, err := p.Hijack()
 	if err != nil {
 		return nil, &ConnectError{Address: o.Address, Cause: err}
 	}
 	return &Conn{
 		conn: h.Conn, reader: bufio.NewReaderSize(h.Conn, readBuffer),
-		cancel: cancel, Prepared: NewStatements(MaxStatements),
+		cancel: cancel, PID: pid, Prepared: NewStatements(MaxStatements),
 	}, nil
 }
 
@@ -129,11 +134,22 @@
 		if err != nil {
 			return err
 		}
-		_, err = c.Write(text)
-		return err
+		if _, err = c.Write(text); err != nil {
+			return err
+		}
+		return awaitClose(ctx, c)
 	}
 }
 
+// awaitClose returns once the server has closed the connection, which it does
+// after it has passed the cancel request on.
+func awaitClose(ctx context.Context, c net.Conn) error {
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	_, err := io.Copy(io.Discard, c)
+	return err
+}
+
 // Cancel asks the server to cancel what the connection runs.
 func (c *Conn) Cancel(ctx context.Context) error { return c.cancel(ctx) }
 
@@ -220,7 +236,17 @@
 	if err := e.Decode(m.Body()); err != nil {
 		return &ServerError{Code: "XX000", Message: err.Error()}
 	}
-	return &ServerError{Code: e.Code, Message: e.Message}
+	severity := e.SeverityUnlocalized
+	if severity == "" {
+		severity = e.Severity
+	}
+	return &ServerError{Code: e.Code, Message: e.Message, Fatal: isFatal(severity, e.Code)}
+}
+
+// isFatal reports whether the server ends the connection after an error. The
+// codes are those of a shutdown, a crash and a terminated backend.
+func isFatal(severity, code string) bool {
+	return severity == "FATAL" || severity == "PANIC" || code == "57P01" || code == "57P02"
 }
 
 // QueryMessage builds a simple query.
--- /dev/null
+++ b/internal/serve/holder/autocommit.go
@@ -0,0 +1,156 @@
+package holder
+
+import (
+	"strings"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/pgwire"
+)
+
+// shape is what can be told of a batch before it runs.
+type shape byte
+
+const (
+	// shapeOther is a batch of which nothing is certain.
+	shapeOther shape = iota
+	// shapeIdle runs no statement.
+	shapeIdle
+	// shapeSingle certainly begins and ends its own transaction.
+	shapeSingle
+	// shapeBegin opens a transaction and does nothing else.
+	shapeBegin
+)
+
+// dataWords begin the statements that cannot open, end or outlive a transaction.
+var dataWords = map[string]bool{
+	"SELECT": true, "INSERT": true, "UPDATE": true, "DELETE": true, "MERGE": true,
+	"WITH": true, "VALUES": true, "TABLE": true, "SHOW": true,
+}
+
+// shapeOf tells the shape of the first batch of a transaction. Only the first
+// word of a statement is looked at; in doubt the answer is shapeOther.
+func shapeOf(batch inner.Batch) shape {
+	s := shaper{texts: map[string]string{}}
+	for _, n := range batch.Needs {
+		if m, _ := pgwire.Next(n.Parse); m != nil {
+			s.parse(m)
+		}
+	}
+	rest := batch.Raw
+	for {
+		var m pgwire.Message
+		m, rest = pgwire.Next(rest)
+		if m == nil {
+			return s.shape()
+		}
+		if s.ended || !s.add(m) {
+			return shapeOther
+		}
+	}
+}
+
+// shaper gathers the shape of a batch.
+type shaper struct {
+	texts    map[string]string
+	bound    map[string]string
+	executed []string
+	simple   bool
+	ended    bool
+}
+
+func (s *shaper) parse(m pgwire.Message) {
+	name, rest := cutString(m.Body())
+	text, _ := cutString(rest)
+	s.texts[name] = text
+}
+
+// add takes a message in and reports false when the batch is of no known shape.
+func (s *shaper) add(m pgwire.Message) bool {
+	switch m.Type() {
+	case 'P':
+		s.parse(m)
+	case 'B':
+		return s.bind(m.Body())
+	case 'E':
+		portal, _ := cutString(m.Body())
+		text, ok := s.bound[portal]
+		s.executed = append(s.executed, text)
+		return ok
+	case 'Q':
+		if len(s.executed) > 0 {
+			return false
+		}
+		text, _ := cutString(m.Body())
+		s.executed = append(s.executed, strings.TrimRight(text, "; \t\r\n"))
+		s.simple, s.ended = true, true
+	case 'S':
+		s.ended = true
+	case 'D', 'C':
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *shaper) bind(body []byte) bool {
+	portal, rest := cutString(body)
+	name, _ := cutString(rest)
+	text, ok := s.texts[name]
+	if s.bound == nil {
+		s.bound = map[string]string{}
+	}
+	s.bound[portal] = text
+	return ok
+}
+
+func (s *shaper) shape() shape {
+	if !s.ended {
+		return shapeOther
+	}
+	if len(s.executed) == 0 {
+		return shapeIdle
+	}
+	for _, text := range s.executed {
+		if s.simple && strings.Contains(text, ";") {
+			return shapeOther
+		}
+		word := firstWord(text)
+		if (word == "BEGIN" || word == "START") && len(s.executed) == 1 {
+			return shapeBegin
+		}
+		if !dataWords[word] {
+			return shapeOther
+		}
+	}
+	return shapeSingle
+}
+
+// firstWord returns the first word of a statement in upper case, after comments.
+// It is empty when a comment is nested or has no end.
+func firstWord(text string) string {
+	for {
+		text = strings.TrimLeft(text, " \t\r\n\f\v")
+		end := ""
+		switch {
+		case strings.HasPrefix(text, "--"):
+			end = "\n"
+		case strings.HasPrefix(text, "/*"):
+			end = "*/"
+		default:
+			return letters(text)
+		}
+		inside, after, ok := strings.Cut(text[2:], end)
+		if !ok || strings.Contains(inside, "/*") {
+			return ""
+		}
+		text = after
+	}
+}
+
+func letters(text string) string {
+	i := 0
+	for i < len(text) && (text[i] >= 'a' && text[i] <= 'z' || text[i] >= 'A' && text[i] <= 'Z') {
+		i++
+	}
+	return strings.ToUpper(text[:i])
+}
--- a/internal/serve/holder/expect.go
+++ b/internal/serve/holder/expect.go
@@ -99,6 +99,12 @@
 	}
 }
 
+// prefix puts a simple query of the holder's own before the batch.
+func (p *plan) prefix(sql string) {
+	p.out = append(backend.QueryMessage(sql), p.out...)
+	p.expects = append([]expectation{{kind: 'Q', hidden: true}}, p.expects...)
+}
+
 func (p *plan) forward(m []byte, e expectation) {
 	p.out = append(p.out, m...)
 	p.expects = append(p.expects, e)
--- /dev/null
+++ b/internal/serve/holder/script_test.go
@@ -0,0 +1,332 @@
+package holder
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/pgwire"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+// patience is how long a test waits for what must come.
+const patience = 20 * time.Second
+
+// load reads the cases of a test from its data file.
+func load(t *testing.T, name string, cases any) {
+	t.Helper()
+	text, err := os.ReadFile("testdata/" + name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := yaml.UnmarshalWithOptions(text, cases, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// script is a backend server that answers as told. Answers are written as the
+// type of a message and its text, such as "C SELECT 1" or "E 57P01 text".
+type script struct {
+	answers map[string][]string
+	// hold keeps the answer to a query back until the next one has come.
+	hold string
+
+	mu    sync.Mutex
+	seen  []string
+	opens int
+}
+
+func (s *script) serve(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			go s.session(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (s *script) session(c net.Conn) {
+	defer c.Close() //nolint:errcheck // the peer may be gone
+	w := pgproto3.NewBackend(c, c)
+	if _, err := w.ReceiveStartupMessage(); err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.opens++
+	s.mu.Unlock()
+	w.Send(&pgproto3.AuthenticationOk{})
+	w.Send(&pgproto3.BackendKeyData{ProcessID: 1, SecretKey: []byte{0, 0, 0, 1}})
+	w.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	for w.Flush() == nil {
+		m, err := w.Receive()
+		if err != nil {
+			return
+		}
+		if q, ok := m.(*pgproto3.Query); ok && !s.query(w, q.String) {
+			_ = w.Flush()
+			return
+		}
+	}
+}
+
+func (s *script) query(w *pgproto3.Backend, sql string) bool {
+	control := strings.Contains(sql, "try_advisory") || sql == backend.StateQuery
+	if !control {
+		s.mu.Lock()
+		s.seen = append(s.seen, sql)
+		s.mu.Unlock()
+	}
+	if sql == s.hold {
+		m, err := w.Receive()
+		if q, ok := m.(*pgproto3.Query); err != nil || !ok || !s.queryAfter(w, sql, q.String) {
+			return false
+		}
+		return true
+	}
+	return s.answer(w, sql)
+}
+
+func (s *script) queryAfter(w *pgproto3.Backend, first, second string) bool {
+	return s.answer(w, first) && s.query(w, second)
+}
+
+func (s *script) answer(w *pgproto3.Backend, sql string) bool {
+	answers, ok := s.answers[sql]
+	switch {
+	case ok:
+	case strings.Contains(sql, "try_advisory"):
+		answers = []string{"D t", "C SELECT 1", "Z I"}
+	case strings.Contains(sql, backend.StateQuery):
+		answers = []string{"D 1 primary one 1 5 1 5 0", "C SELECT 1", "D 1", "C SELECT 1", "Z I"}
+	default:
+		answers = []string{"C RESET", "Z I"}
+	}
+	for _, a := range answers {
+		kind, text, _ := strings.Cut(a, " ")
+		switch kind {
+		case "D":
+			w.Send(dataRow(text))
+		case "C":
+			w.Send(&pgproto3.CommandComplete{CommandTag: []byte(text)})
+		case "E", "F":
+			code, message, _ := strings.Cut(text, " ")
+			w.Send(&pgproto3.ErrorResponse{Severity: map[string]string{"E": "ERROR", "F": "FATAL"}[kind], Code: code, Message: message})
+		case "G":
+			w.Send(&pgproto3.CopyInResponse{})
+		case "H":
+			w.Send(&pgproto3.CopyOutResponse{})
+		case "Z":
+			w.Send(&pgproto3.ReadyForQuery{TxStatus: text[0]})
+		case "X":
+			return false
+		}
+	}
+	return true
+}
+
+func dataRow(text string) *pgproto3.DataRow {
+	d := &pgproto3.DataRow{}
+	for _, v := range strings.Fields(text) {
+		d.Values = append(d.Values, []byte(v))
+	}
+	return d
+}
+
+// describe writes raw messages as a script does.
+func describe(raw []byte) []string {
+	var out []string
+	for m, rest := pgwire.Next(raw); m != nil; m, rest = pgwire.Next(rest) {
+		switch m.Type() {
+		case 'E':
+			e := backend.ErrorOf(m)
+			out = append(out, "E "+e.Code+" "+e.Message)
+		case 'C', 'Z':
+			out = append(out, fmt.Sprintf("%c %s", m.Type(), strings.TrimRight(string(m.Body()), "\x00")))
+		case 'D':
+			var d pgproto3.DataRow
+			_ = d.Decode(m.Body())
+			var values []string
+			for _, v := range d.Values {
+				values = append(values, string(v))
+			}
+			out = append(out, "D "+strings.Join(values, " "))
+		default:
+			out = append(out, string(m.Type()))
+		}
+	}
+	return out
+}
+
+// strict makes a broken invariant fail the test.
+func strict(t *testing.T) {
+	t.Cleanup(invariant.Handle(func(n invariant.Name, detail string) { t.Errorf("invariant %s: %s", n, detail) }))
+}
+
+// hold runs a holder and waits until it serves.
+func hold(t *testing.T, o Options) *Holder {
+	t.Helper()
+	h, _ := holdUntil(t, o)
+	await(t, "the holder serves", func() bool { _, held := h.State(); return held })
+	return h
+}
+
+func holdUntil(t *testing.T, o Options) (*Holder, func()) {
+	t.Helper()
+	o.Database, o.User = "orders", "proxy"
+	if o.VM == "" {
+		o.VM = "a"
+	}
+	if o.Clock.NowFunc == nil {
+		o.Clock = clock.System()
+	}
+	o.ConfirmFunc = func(context.Context, string, floor.Term) bool { return true }
+	ctx, cancel := context.WithCancel(context.Background())
+	h := New(o)
+	go h.Run(ctx)
+	stop := func() {
+		cancel()
+		<-h.Done()
+	}
+	t.Cleanup(stop)
+	return h, stop
+}
+
+func await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not in time", what)
+		}
+	}
+}
+
+// call is an exchange with a holder, as an entry proxy has it.
+type call struct {
+	x    inner.Exchange
+	done chan struct{}
+}
+
+func begin(h *Holder, b inner.Begin) *call {
+	here, there := inner.Pipe()
+	c := &call{x: here, done: make(chan struct{})}
+	if b.Deadline == 0 {
+		b.Deadline = 20 * clock.Second
+	}
+	go func() {
+		defer close(c.done)
+		h.Serve(context.Background(), b, there)
+	}()
+	return c
+}
+
+// run sends one batch and describes its answer.
+func (c *call) run(raw []byte) ([]string, inner.End) {
+	if err := c.x.Send(inner.Encode(inner.KindBatch, inner.Batch{Raw: raw})); err != nil {
+		return []string{"lost " + err.Error()}, inner.End{}
+	}
+	var all []byte
+	for {
+		f, err := c.x.Receive()
+		if err != nil {
+			return []string{"lost " + err.Error()}, inner.End{}
+		}
+		switch f.Kind {
+		case inner.KindData:
+			all = append(all, f.Body...)
+		case inner.KindRefuse:
+			var r inner.Refuse
+			_ = inner.Decode(f, &r)
+			return []string{"refused " + string(r.Reason)}, inner.End{}
+		case inner.KindEnd:
+			var e inner.End
+			_ = inner.Decode(f, &e)
+			if e.Unknown != "" {
+				return []string{"unknown"}, e
+			}
+			return describe(append(all, e.Raw...)), e
+		}
+	}
+}
+
+// simple runs one statement in a transaction of its own.
+func simple(h *Holder, b inner.Begin, sql string) []string {
+	c := begin(h, b)
+	out, _ := c.run(backend.QueryMessage(sql))
+	<-c.done
+	return out
+}
+
+// TestSettle drives the end of a transaction with servers that answer badly.
+func TestSettle(t *testing.T) {
+	var cases []struct {
+		Name    string              `yaml:"name"`
+		Kind    document.Kind       `yaml:"kind"`
+		Hold    bool                `yaml:"hold"`
+		Answers map[string][]string `yaml:"answers"`
+		Queries []string            `yaml:"queries"`
+		Want    [][]string          `yaml:"want"`
+		// Seen are the queries of the pool's connections.
+		Seen []string `yaml:"seen"`
+		// Lost is the number of connections that were not reused.
+		Lost int `yaml:"lost"`
+	}
+	load(t, "settle.yaml", &cases)
+	names := map[string]string{resetQuery: "reset", settleQuery("one"): "settle", fullResetQuery: "full"}
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			strict(t)
+			s := &script{answers: map[string][]string{}}
+			for sql, short := range names {
+				if a, ok := c.Answers[short]; ok {
+					c.Answers[sql] = a
+				}
+			}
+			s.answers = c.Answers
+			if c.Hold {
+				s.hold = c.Queries[0]
+			}
+			h := hold(t, Options{Server: document.Server{Name: "one", Address: s.serve(t), Slots: 1, Connections: 2}})
+			var got [][]string
+			for _, sql := range c.Queries {
+				got = append(got, simple(h, inner.Begin{Kind: c.Kind}, sql))
+			}
+			if diff := cmp.Diff(c.Want, got); diff != "" {
+				t.Errorf("answers (-want +got):\n%s", diff)
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			var seen []string
+			for _, sql := range s.seen {
+				if short, ok := names[sql]; ok {
+					sql = short
+				}
+				seen = append(seen, sql)
+			}
+			if diff := cmp.Diff(c.Seen, seen); diff != "" {
+				t.Errorf("queries (-want +got):\n%s", diff)
+			}
+			if lost := s.opens - 2; lost != c.Lost {
+				t.Errorf("connections lost: got %d, want %d", lost, c.Lost)
+			}
+		})
+	}
+}
--- a/internal/serve/holder/txn.go
+++ b/internal/serve/holder/txn.go
@@ -10,7 +10,6 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
-	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 )
 
 // flushSize is how many bytes of an answer are gathered before they are sent on.
@@ -19,11 +18,6 @@
 // cancelTimeout bounds the delivery of a cancel request in milliseconds.
 const cancelTimeout = 2 * clock.Second
 
-// resetQuery tells the state after a transaction and brings the connection back
-// to how it was opened, except for its prepared statements.
-const resetQuery = backend.StateQuery + "; CLOSE ALL; SET SESSION AUTHORIZATION DEFAULT; RESET ALL; UNLISTEN *; " +
-	"SELECT pg_advisory_unlock_all(); DISCARD PLANS; DISCARD TEMP; DISCARD SEQUENCES"
-
 const (
 	readOnlyQuery = "SET default_transaction_read_only = 'on'"
 	statusIdle    = 'I'
@@ -43,6 +37,8 @@
 	conn *backend.Conn
 	sent bool
 	gone bool
+	// canceled is set once a cancel request was sent, which may arrive late.
+	canceled bool
 }
 
 // Serve runs the transaction that a Begin opened. It returns when the
@@ -97,6 +93,7 @@
 func (t *transaction) cancelRunning() {
 	t.mu.Lock()
 	c := t.conn
+	t.canceled = t.canceled || c != nil
 	t.mu.Unlock()
 	if c == nil {
 		return
@@ -136,17 +133,17 @@
 		t.refuse(refusal)
 		return false
 	}
-	answer, status, err := t.exchangeBatch(batch)
+	a, err := t.exchangeBatch(batch)
 	if err != nil {
 		t.holder.admission.pause()
-		t.end(inner.End{Unknown: err.Error()})
+		t.lose(batch, err)
 		return false
 	}
-	if status != statusIdle {
+	if a.status != statusIdle {
 		t.holder.admission.pause()
-		return t.end(inner.End{Status: status, Raw: answer})
+		return t.end(inner.End{Status: a.status, Raw: a.raw})
 	}
-	t.finish(answer)
+	t.finish(a)
 	return false
 }
 
@@ -171,12 +168,24 @@
 	if refusal := t.holder.ready(ctx, t.begin); refusal != nil {
 		return refusal
 	}
-	c, refusal := t.holder.admission.acquire(ctx, t.begin.Account, t.begin.Weight)
-	if refusal != nil {
-		return refusal
+	for {
+		c, refusal := t.holder.admission.acquire(ctx, t.begin.Account, t.begin.Weight)
+		if refusal != nil {
+			return refusal
+		}
+		c.Take(t.owner)
+		if c.Alive() {
+			return t.pin(c)
+		}
+		t.putBack(c, false)
 	}
-	c.Take(t.owner)
-	return t.pin(c)
+}
+
+// putBack returns a connection and its slot before anything was sent.
+func (t *transaction) putBack(c *backend.Conn, reusable bool) {
+	c.Give(t.owner)
+	t.holder.admission.put(c, reusable)
+	t.holder.admission.pause()
 }
 
 // pin makes c the connection of the transaction. What the holder knew before
@@ -193,9 +202,7 @@
 		refusal = outcome.Refuse(outcome.ReasonVM, outcome.CodeUnavailable, "the entry proxy is gone")
 	}
 	if refusal != nil {
-		c.Give(t.owner)
-		t.holder.admission.put(c, true)
-		t.holder.admission.pause()
+		t.putBack(c, true)
 		return refusal
 	}
 	state, _ := t.holder.State()
@@ -204,116 +211,3 @@
 		"backend server at %s got a request of a session that has seen %s", state.Applied, t.begin.Floor)
 	return nil
 }
-
-// exchangeBatch sends a batch and reads its answer. Long answers are sent on
-// while they come.
-func (t *transaction) exchangeBatch(batch inner.Batch) (answer []byte, status byte, err error) {
-	c := t.conn
-	p := planBatch(batch, c.Prepared)
-	if !t.sent && t.begin.Kind == document.KindRead {
-		p.out = append(backend.QueryMessage(readOnlyQuery), p.out...)
-		p.expects = append([]expectation{{kind: 'Q', hidden: true}}, p.expects...)
-	}
-	t.sent = true
-	if err := c.Write(t.owner, p.out); err != nil {
-		return nil, 0, err
-	}
-	buf := p.made(make([]byte, 0, 512))
-	for len(p.expects) > 0 {
-		start := len(buf)
-		grown, m, err := c.Append(t.owner, buf)
-		if err != nil {
-			return nil, 0, err
-		}
-		buf = grown
-		kind := m.Type()
-		if kind == 'Z' {
-			status = m.Body()[0]
-		}
-		if !t.keep(p, kind, m.Body()) {
-			buf = buf[:start]
-		}
-		buf = p.made(buf)
-		if buf, err = t.flush(buf, kind); err != nil {
-			return nil, 0, err
-		}
-	}
-	return buf, status, nil
-}
-
-// keep settles one answer and reports whether the caller sees it.
-func (t *transaction) keep(p *plan, kind byte, body []byte) bool {
-	switch kind {
-	case 'S', 'A':
-		return false
-	case 'N':
-		return true
-	case 'E':
-		p.fail(t.conn.Prepared)
-		return true
-	case 'G', 'H', 'W':
-		t.conn.Dirty = true
-		return false
-	case 'C':
-		t.noteTag(string(body))
-	}
-	return p.take(kind)
-}
-
-// noteTag watches for statements whose effects the ordinary reset leaves behind.
-func (t *transaction) noteTag(tag string) {
-	switch tag {
-	case "PREPARE\x00", "DEALLOCATE\x00", "DEALLOCATE ALL\x00", "DISCARD ALL\x00":
-		t.conn.Dirty = true
-	}
-}
-
-// flush sends rows on once there are many. The end of an answer is kept back,
-// since it may say that a commit has happened.
-func (t *transaction) flush(buf []byte, kind byte) ([]byte, error) {
-	if len(buf) < flushSize || kind != 'D' {
-		return buf, nil
-	}
-	if err := t.x.Send(inner.Frame{Kind: inner.KindData, Body: buf}); err != nil {
-		return nil, err
-	}
-	return make([]byte, 0, flushSize), nil
-}
-
-// finish settles a transaction that has ended on the server: its state is
-// learned, and only then does the caller get the answer.
-func (t *transaction) finish(answer []byte) {
-	c := t.conn
-	rows, err := c.Query(t.owner, resetQuery)
-	t.holder.admission.pause()
-	var state backend.State
-	if err == nil {
-		state, err = backend.ParseState(rows)
-	}
-	if err == nil {
-		err = t.confirm(state)
-	}
-	if err != nil {
-		t.end(inner.End{Unknown: err.Error()})
-		return
-	}
-	t.holder.learn(state)
-	mark := state.Applied
-	if t.begin.Kind == document.KindWrite && t.begin.Session != "" {
-		t.holder.floors.record(t.begin.Session, mark)
-	}
-	t.mu.Lock()
-	t.conn = nil
-	t.mu.Unlock()
-	c.Give(t.owner)
-	t.holder.admission.put(c, !c.Dirty)
-	t.end(inner.End{Status: statusIdle, Mark: mark, Raw: answer})
-}
-
-// confirm refuses to acknowledge a write of a primary that has been replaced.
-func (t *transaction) confirm(s backend.State) error {
-	if t.begin.Kind == document.KindWrite && (s.Role != backend.RolePrimary || s.Term != t.term) {
-		return &outcome.Unknown{Detail: "the primary was replaced before the answer"}
-	}
-	return nil
-}
