Take over a backend server without forgetting sessions' writes

Cause: a new holder began with no floors, so a named session's write through the old one could be missed; a holder that had lost its lock still recorded and answered; and a lock left behind by a VM that is gone was waited for without end. Change: a holder starts with the end of the log, read after it got the lock, as the floor of all sessions, and again when its server becomes the primary. A write's floor counts as recorded only if the lock was this holder's after the commit, else the End says so and Record takes the floor at the present holder. Floors are answered after a look over the lock's own connection that began after the question. A successor ends the backends of a VM that is no member any more.

--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -95,6 +95,10 @@
 	Status byte `cbor:"status"`
 	// Mark is the state of the server after the batch; it is set when Status is 'I'.
 	Mark floor.Mark `cbor:"mark"`
+	// Unrecorded is set when the write of a named session was committed but its
+	// floor was not recorded, because the holder has lost its lock. The floor has
+	// to be reported to the present holder before the caller gets the answer.
+	Unrecorded bool `cbor:"unrecorded,omitempty"`
 	// Unknown is set when the end of the transaction was not seen.
 	Unknown string `cbor:"unknown,omitempty"`
 	// Raw holds the last PostgreSQL messages of the answer.
@@ -130,6 +134,8 @@
 	Database string `cbor:"database,omitempty"`
 	Server   string `cbor:"server,omitempty"`
 	Session  string `cbor:"session,omitempty"`
+	// Floor is the mark to record for the session.
+	Floor floor.Mark `cbor:"floor"`
 	// Secret and Process identify a caller's connection for a cancel.
 	Process uint32 `cbor:"process,omitempty"`
 	Secret  []byte `cbor:"secret,omitempty"`
@@ -140,6 +146,8 @@
 	TopicState  = "state"
 	TopicFloor  = "floor"
 	TopicCancel = "cancel"
+	// TopicRecord records the floor of a named session at the present holder.
+	TopicRecord = "record"
 )
 
 // Answer answers an Ask.
--- a/internal/serve/holder/ask.go
+++ b/internal/serve/holder/ask.go
@@ -9,21 +9,40 @@
 )
 
 // Floor returns the floor of a named session. It answers only when, after the
-// question came, the server was the primary and a majority of the group knew no
-// later term, so that a replaced primary's holder cannot hide a write.
+// question came, the lock was alive, the server was the primary and a majority
+// of the group knew no later term, so that neither a replaced holder nor a
+// replaced primary can hide a write.
 func (h *Holder) Floor(ctx context.Context, session string) (floor.Mark, error) {
-	h.mu.Lock()
-	held, state := h.held, h.state
-	h.mu.Unlock()
-	name := h.options.Server.Name
-	if !held {
-		return floor.Mark{}, outcome.Refuse(outcome.ReasonHolder, outcome.CodeUnavailable, "the VM does not hold backend server %s", name)
-	}
-	if state.Role != backend.RolePrimary {
-		return floor.Mark{}, outcome.Refuse(outcome.ReasonPrimary, outcome.CodeReadOnly, "backend server %s is not the primary", name)
+	state, refusal := h.primary(ctx)
+	if refusal != nil {
+		return floor.Mark{}, refusal
 	}
 	if !h.options.ConfirmFunc(ctx, h.options.Database, state.Term) {
-		return floor.Mark{}, outcome.Refuse(outcome.ReasonPrimary, outcome.CodeUnavailable, "no majority confirms the primary %s", name)
+		return floor.Mark{}, outcome.Refuse(outcome.ReasonPrimary, outcome.CodeUnavailable, "no majority confirms the primary %s", h.options.Server.Name)
 	}
 	return h.floors.of(session), nil
 }
+
+// Record raises the floor of a named session after a holder that had lost the
+// lock committed its write. A holder that gets the lock later starts beyond it.
+func (h *Holder) Record(ctx context.Context, session string, m floor.Mark) error {
+	if _, refusal := h.primary(ctx); refusal != nil {
+		return refusal
+	}
+	h.floors.record(session, m)
+	return nil
+}
+
+// primary returns the state of a server that was the primary and held after the
+// call began.
+func (h *Holder) primary(ctx context.Context) (backend.State, *outcome.NotRun) {
+	if refusal := h.refresh(ctx); refusal != nil {
+		return backend.State{}, refusal
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.state.Role != backend.RolePrimary {
+		return h.state, outcome.Refuse(outcome.ReasonPrimary, outcome.CodeReadOnly, "backend server %s is not the primary", h.options.Server.Name)
+	}
+	return h.state, nil
+}
--- a/internal/serve/holder/control.go
+++ b/internal/serve/holder/control.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
 )
 
@@ -25,7 +25,7 @@
 	defer h.admission.close()
 	for ctx.Err() == nil {
 		h.session(ctx)
-		h.setHeld(false)
+		h.release()
 		h.admission.drop()
 		_ = h.options.Clock.Sleep(ctx, retryInterval)
 	}
@@ -44,48 +44,76 @@
 	if !h.lock(ctx, c) {
 		return
 	}
+	first, err := h.probe(c)
+	if err != nil {
+		return
+	}
+	h.hold(c.PID, first)
+	h.admission.warm(ctx)
 	for ctx.Err() == nil {
-		s, err := probe(c)
+		h.rest(ctx)
+		s, err := h.probe(c)
 		if err != nil {
 			return
 		}
 		h.learn(s)
-		if h.setHeldOnce() {
-			h.admission.warm(ctx)
-		}
-		_ = h.options.Clock.Sleep(ctx, probeInterval)
+		h.finishProbe()
 	}
 }
 
-func (h *Holder) setHeldOnce() bool {
-	h.mu.Lock()
-	held := h.held
-	h.mu.Unlock()
-	if !held {
-		h.setHeld(true)
-	}
-	return !held
-}
-
-func (h *Holder) lock(ctx context.Context, c *backend.Conn) bool {
-	question := fmt.Sprintf("SELECT pg_try_advisory_lock(%d)", lockKey(h.options.Server.Name))
-	for ctx.Err() == nil {
-		rows, err := c.Query(controlOwner, question)
-		if err != nil {
-			return false
-		}
-		if len(rows) == 1 && rows[0][0] == "t" {
-			return true
-		}
-		_ = h.options.Clock.Sleep(ctx, retryInterval)
+// rest waits until the next look at the state is due or asked for.
+func (h *Holder) rest(ctx context.Context) {
+	fired, stop := h.options.Clock.AfterFunc(probeInterval)
+	defer stop()
+	select {
+	case <-ctx.Done():
+	case <-fired:
+	case <-h.wake:
 	}
-	return false
 }
 
-func probe(c *backend.Conn) (backend.State, error) {
+func (h *Holder) probe(c *backend.Conn) (backend.State, error) {
+	h.mu.Lock()
+	h.started++
+	h.mu.Unlock()
 	rows, err := c.Query(controlOwner, backend.StateQuery)
 	if err != nil {
 		return backend.State{}, err
 	}
 	return backend.ParseState(rows)
 }
+
+func (h *Holder) finishProbe() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.finished = h.started
+	h.signalLocked()
+}
+
+// refresh waits until the state was seen over the control connection after the
+// call began. The connection has the lock, so the lock was alive then.
+func (h *Holder) refresh(ctx context.Context) *outcome.NotRun {
+	h.mu.Lock()
+	asked := h.started
+	h.mu.Unlock()
+	for {
+		select {
+		case h.wake <- struct{}{}:
+		default:
+		}
+		h.mu.Lock()
+		held, done, changed := h.held, h.finished > asked, h.changed
+		h.mu.Unlock()
+		if !held {
+			return outcome.Refuse(outcome.ReasonHolder, outcome.CodeUnavailable, "the VM does not hold backend server %s", h.options.Server.Name)
+		}
+		if done {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return outcome.Refuse(outcome.ReasonDeadline, outcome.CodeTimeout, "backend server %s did not confirm the lock in time", h.options.Server.Name)
+		case <-changed:
+		}
+	}
+}
--- a/internal/serve/holder/holder.go
+++ b/internal/serve/holder/holder.go
@@ -8,8 +8,6 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
@@ -30,6 +28,9 @@
 	// ConfirmFunc reports whether a majority of the database's servers, asked
 	// after the call began, know no term above the given one.
 	ConfirmFunc func(ctx context.Context, database string, term floor.Term) bool
+	// AliveFunc reports whether a VM is still a member. When it is nil, every VM
+	// counts as alive and its lock is never taken over.
+	AliveFunc func(vm string) bool
 }
 
 // Holder serves one backend server.
@@ -40,16 +41,22 @@
 	owners    atomic.Uint64
 	done      chan struct{}
 
-	mu      sync.Mutex
-	state   backend.State
-	seen    clock.Millis
-	held    bool
-	changed chan struct{}
+	mu    sync.Mutex
+	state backend.State
+	seen  clock.Millis
+	held  bool
+	// locker is the control connection that has the lock, or 0.
+	locker uint32
+	// started and finished number the looks at the server's state.
+	started  uint64
+	finished uint64
+	changed  chan struct{}
+	wake     chan struct{}
 }
 
 // New returns a holder that serves once Run is called.
 func New(o Options) *Holder {
-	h := &Holder{options: o, done: make(chan struct{}), changed: make(chan struct{}), floors: newFloors(MaxSessions)}
+	h := &Holder{options: o, done: make(chan struct{}), changed: make(chan struct{}), wake: make(chan struct{}, 1), floors: newFloors(MaxSessions)}
 	h.admission = newAdmission(o.Server.Slots, max(o.Server.Connections-controlConnections, 1), h.dial)
 	return h
 }
@@ -68,7 +75,7 @@
 	o := h.options
 	return backend.Options{
 		Address: o.Server.Address, Database: o.Database, User: o.User, Password: o.Password,
-		Name: "sycamoredoor/" + o.VM, Timeout: dialTimeout,
+		Name: namePrefix + o.VM, Timeout: dialTimeout,
 	}
 }
 
@@ -93,21 +100,44 @@
 	if s.Term < h.state.Term || s.Term == h.state.Term && !s.Applied.Covers(h.state.Applied) {
 		return
 	}
+	if s.Role == backend.RolePrimary && (h.state.Role != backend.RolePrimary || s.Term != h.state.Term) {
+		h.floors.restart(s.Last)
+	}
 	h.state, h.seen = s, h.options.Clock.Now()
-	close(h.changed)
-	h.changed = make(chan struct{})
+	h.signalLocked()
 }
 
-func (h *Holder) setHeld(held bool) {
+// hold begins the holding with the state that was seen after the lock was got.
+// What other holders recorded is not known, so all sessions start at the end of
+// the log.
+func (h *Holder) hold(locker uint32, s backend.State) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.held = held
+	h.floors.restart(s.Last)
+	h.state, h.seen, h.held, h.locker = s, h.options.Clock.Now(), true, locker
+	h.signalLocked()
+}
+
+// release ends the holding after the control connection was lost.
+func (h *Holder) release() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.held, h.locker = false, 0
+	h.signalLocked()
+}
+
+func (h *Holder) signalLocked() {
 	close(h.changed)
 	h.changed = make(chan struct{})
 }
 
-// lockKey is the advisory lock that the holder of a server keeps on it.
-func lockKey(server string) uint32 { return uint32(xxhash.Sum64String("sycamoredoor/" + server)) }
+// holds reports whether the given connection of the server is the one with
+// which this holder keeps its lock.
+func (h *Holder) holds(locker uint32) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return locker != 0 && locker == h.locker
+}
 
 // ready waits until the server may run the transaction, or tells why it may not.
 func (h *Holder) ready(ctx context.Context, b inner.Begin) *outcome.NotRun {
--- a/internal/serve/holder/settle.go
+++ b/internal/serve/holder/settle.go
@@ -121,10 +121,13 @@
 	return errors.As(err, &e) && !e.Fatal
 }
 
-// acknowledge records the write of a named session and builds the answer.
+// acknowledge records the write of a named session and builds the answer. The
+// record counts only when the lock was this holder's after the commit: a later
+// holder then starts with a floor that covers it.
 func (t *transaction) acknowledge(s settlement, a *answer) inner.End {
 	e := inner.End{Status: statusIdle, Mark: s.state.Applied, Raw: a.raw}
 	if t.begin.Kind == document.KindWrite && t.begin.Session != "" {
+		e.Unrecorded = !t.holder.holds(s.locker)
 		t.holder.floors.record(t.begin.Session, e.Mark)
 	}
 	return e
--- /dev/null
+++ b/internal/serve/holder/takeover_test.go
@@ -0,0 +1,178 @@
+package holder
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+	standin "github.com/sycamoredoor/sycamoredoor/internal/standin/backend"
+)
+
+// group starts a stand-in group and returns its servers as documents name them.
+func group(t *testing.T, names ...string) (*standin.Group, []document.Server) {
+	t.Helper()
+	strict(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	g, err := standin.NewGroup(ctx, "orders", names, standin.Options{Slots: 3, Connections: 12, Clock: clock.System()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cancel()
+		<-g.Done()
+	})
+	var servers []document.Server
+	for _, s := range g.Servers() {
+		servers = append(servers, document.Server{Name: s.Name(), Address: s.Address(), Slots: 3, Connections: 5})
+	}
+	return g, servers
+}
+
+// pausable is a clock whose timers do not fire while it is paused.
+type pausable struct {
+	mu     sync.Mutex
+	paused chan struct{}
+}
+
+func (p *pausable) clock() clock.Clock {
+	system := clock.System()
+	return clock.Clock{NowFunc: system.NowFunc, AfterFunc: func(m clock.Millis) (<-chan struct{}, func()) {
+		fired := make(chan struct{}, 1)
+		t := time.AfterFunc(m.Duration(), func() {
+			p.mu.Lock()
+			paused := p.paused
+			p.mu.Unlock()
+			if paused != nil {
+				<-paused
+			}
+			fired <- struct{}{}
+		})
+		return fired, func() { t.Stop() }
+	}}
+}
+
+func (p *pausable) pause() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.paused = make(chan struct{})
+}
+
+func (p *pausable) resume() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.paused)
+	p.paused = nil
+}
+
+var member7 = inner.Begin{Kind: document.KindWrite, Session: "member-7"}
+
+func write(t *testing.T, h *Holder) inner.End {
+	t.Helper()
+	c := begin(h, member7)
+	out, end := c.run(backend.QueryMessage("INSERT INTO box (id, v) VALUES ('7', 'plum') ON CONFLICT (id) DO UPDATE SET v = EXCLUDED.v"))
+	<-c.done
+	if len(out) != 2 || out[0] != "C INSERT 0 1" {
+		t.Fatalf("the write was answered with %q", out)
+	}
+	return end
+}
+
+// awaitFloor waits until the holder answers for the session and checks that it
+// covers the mark.
+func awaitFloor(t *testing.T, h *Holder, least floor.Mark) {
+	t.Helper()
+	await(t, "the floor is answered", func() bool {
+		m, err := h.Floor(t.Context(), member7.Session)
+		if err == nil && !m.Covers(least) {
+			t.Fatalf("the floor is %s after a write at %s", m, least)
+		}
+		return err == nil
+	})
+}
+
+// TestTakeoverAfterKill stops the holder; its successor must not forget the
+// session's write.
+func TestTakeoverAfterKill(t *testing.T) {
+	_, servers := group(t, "one", "two", "three")
+	a, stop := holdUntil(t, Options{Server: servers[0], VM: "a"})
+	await(t, "a serves", func() bool { _, held := a.State(); return held })
+	b, _ := holdUntil(t, Options{Server: servers[0], VM: "b"})
+	end := write(t, a)
+	if end.Unrecorded {
+		t.Error("the holder of the lock did not record the floor")
+	}
+	if _, held := b.State(); held {
+		t.Fatal("two holders have the lock")
+	}
+	stop()
+	awaitFloor(t, b, end.Mark)
+}
+
+// TestTakeoverFromPaused pauses the holder's process. Its successor takes the
+// lock only once the VM is no member any more, and the old holder neither
+// answers for sessions nor claims to have recorded a write.
+func TestTakeoverFromPaused(t *testing.T) {
+	_, servers := group(t, "one", "two", "three")
+	p := &pausable{}
+	a := hold(t, Options{Server: servers[0], VM: "a", Clock: p.clock()})
+	first := write(t, a)
+	p.pause()
+	var gone atomic.Bool
+	asked := make(chan struct{}, 1)
+	b, _ := holdUntil(t, Options{Server: servers[0], VM: "b", AliveFunc: func(vm string) bool {
+		select {
+		case asked <- struct{}{}:
+		default:
+		}
+		return vm != "a" || !gone.Load()
+	}})
+	<-asked
+	if _, held := b.State(); held {
+		t.Fatal("the lock of a member was taken over")
+	}
+	gone.Store(true)
+	awaitFloor(t, b, first.Mark)
+	second := write(t, a)
+	if !second.Unrecorded {
+		t.Error("a holder without the lock claims to have recorded a floor")
+	}
+	if err := b.Record(t.Context(), member7.Session, second.Mark); err != nil {
+		t.Fatal(err)
+	}
+	awaitFloor(t, b, second.Mark)
+	p.resume()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	if m, err := a.Floor(ctx, member7.Session); err == nil {
+		t.Errorf("a holder without the lock answered %s for a session", m)
+	}
+}
+
+// TestFloorAfterPromotion asks the holder of a new primary for a session that
+// wrote to the old one.
+func TestFloorAfterPromotion(t *testing.T) {
+	_, servers := group(t, "one", "two", "three")
+	a := hold(t, Options{Server: servers[0]})
+	b := hold(t, Options{Server: servers[1]})
+	end := write(t, a)
+	c, err := backend.Dial(t.Context(), backend.Options{Address: servers[1].Address, Database: "orders", User: "proxy", Timeout: clock.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Take(1)
+	await(t, "the replica has the write", func() bool { s, _ := b.State(); return s.Applied.Covers(end.Mark) })
+	for _, sql := range []string{"SELECT group_seal(2, 'b')", "SELECT group_promote(2, 'b')"} {
+		if _, err := c.Query(1, sql); err != nil {
+			t.Fatal(err)
+		}
+	}
+	awaitFloor(t, b, end.Mark)
+}
--- a/internal/standin/backend/functions.go
+++ b/internal/standin/backend/functions.go
@@ -99,6 +99,14 @@
 	return result{columns: []string{"pid"}, tag: "SELECT 0"}, nil
 }
 
+func (c *session) applicationName(args []string) (result, error) {
+	pid, _ := strconv.ParseUint(args[0], 10, 32)
+	if other := c.server.sessions[uint32(pid)]; other != nil {
+		return one("application_name", other.startup["application_name"]), nil
+	}
+	return result{columns: []string{"application_name"}, tag: "SELECT 0"}, nil
+}
+
 func (c *session) terminate(args []string) (result, error) {
 	pid, _ := strconv.ParseUint(args[0], 10, 32)
 	other := c.server.sessions[uint32(pid)]
