Run a request with an idempotency key at most once

Cause: a once route passed its key to the holder, which ignored it, so a repeat after a lost answer ran again. Change: the holder puts the key into sycamoredoor_once in the same transaction as the statement and keeps the first outcome there. A repeat gets that outcome in its own message sequence, or a 23505 that names why it cannot. An explicit transaction takes its key right after BEGIN. A batch that cannot be kept to one run is refused before it is sent. A keyed statement takes three round trips plus the question for the state; pipelining them is left.

--- a/internal/serve/holder/exchange.go
+++ b/internal/serve/holder/exchange.go
@@ -107,7 +107,10 @@
 		return true, nil
 	case 'G', 'H', 'W':
 		return false, &copyError{running: m.Type() == 'H'}
+	case 'T', 'n', 'D', 'I', 's':
+		t.record(m)
 	case 'C':
+		t.record(m)
 		t.noteTag(string(m.Body()))
 	}
 	return p.take(m.Type()), nil
--- a/internal/serve/holder/expect.go
+++ b/internal/serve/holder/expect.go
@@ -27,11 +27,14 @@
 type plan struct {
 	out     []byte
 	expects []expectation
+	// describe has the rows of each statement described to the holder.
+	describe bool
 }
 
 var (
 	parseComplete = mustEncode(&pgproto3.ParseComplete{})
 	closeComplete = mustEncode(&pgproto3.CloseComplete{})
+	readyIdle     = mustEncode(&pgproto3.ReadyForQuery{TxStatus: statusIdle})
 )
 
 func mustEncode(m interface{ Encode([]byte) ([]byte, error) }) []byte {
@@ -48,7 +51,11 @@
 // planBatch adds the prepared statements that the connection lacks to a batch,
 // and leaves out those that it has.
 func planBatch(batch inner.Batch, statements *backend.Statements) *plan {
-	p := &plan{}
+	return newPlan(batch, statements, false)
+}
+
+func newPlan(batch inner.Batch, statements *backend.Statements, describe bool) *plan {
+	p := &plan{describe: describe}
 	needs := map[string][]byte{}
 	for _, n := range batch.Needs {
 		needs[n.Name] = n.Parse
@@ -92,6 +99,12 @@
 			return
 		}
 		p.forward(m, expectation{kind: 'C'})
+	case 'E':
+		if p.describe {
+			portal, _ := cutString(body)
+			p.forward(mustEncode(&pgproto3.Describe{ObjectType: 'P', Name: portal}), expectation{kind: 'D', hidden: true})
+		}
+		p.forward(m, expectation{kind: 'E'})
 	case 'H':
 		p.out = append(p.out, m...)
 	default:
--- /dev/null
+++ b/internal/serve/holder/once.go
@@ -0,0 +1,262 @@
+package holder
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/pgwire"
+)
+
+// maxOutcome is the size in bytes up to which the rows of a first outcome are
+// kept for repeats.
+const maxOutcome = 8 << 10
+
+// firstOutcome is what a request that must not be repeated came to.
+type firstOutcome struct {
+	Statements []statementOutcome `cbor:"statements"`
+}
+
+// statementOutcome is the outcome of one statement as raw messages.
+type statementOutcome struct {
+	// Columns is a RowDescription; it is empty when there are no rows.
+	Columns []byte `cbor:"columns,omitempty"`
+	Rows    []byte `cbor:"rows,omitempty"`
+	// End is the message that ended the statement.
+	End []byte `cbor:"end"`
+	// Cut is set when there were more rows than are kept.
+	Cut bool `cbor:"cut,omitempty"`
+}
+
+// recorder gathers the first outcome while the answer passes.
+type recorder struct {
+	outcome firstOutcome
+	current statementOutcome
+	size    int
+}
+
+func (r *recorder) note(m pgwire.Message) {
+	switch m.Type() {
+	case 'T':
+		r.current.Columns = append([]byte(nil), m...)
+	case 'n':
+		r.current.Columns = nil
+	case 'D':
+		r.size += len(m)
+		if r.size > maxOutcome {
+			r.current.Rows, r.current.Cut = nil, true
+			return
+		}
+		r.current.Rows = append(r.current.Rows, m...)
+	case 'C', 'I', 's':
+		r.current.End = append([]byte(nil), m...)
+		r.outcome.Statements = append(r.outcome.Statements, r.current)
+		r.current = statementOutcome{}
+	}
+}
+
+// onceID is the identity of a request in the table of keys. Two client accounts
+// may use the same key.
+func onceID(account, key string) string {
+	sum := sha256.Sum256([]byte(account + "\x00" + key))
+	return hex.EncodeToString(sum[:])
+}
+
+func claimQuery(id string) string {
+	return "INSERT INTO sycamoredoor_once (id, v) VALUES ('" + id + "', '') ON CONFLICT (id) DO NOTHING RETURNING v"
+}
+
+func recallQuery(id string) string { return "SELECT v FROM sycamoredoor_once WHERE id = '" + id + "'" }
+
+func keepQuery(id, text string) string {
+	return "UPDATE sycamoredoor_once SET v = '" + text + "' WHERE id = '" + id + "'"
+}
+
+// encodeOutcome builds the text that the table keeps.
+func encodeOutcome(o firstOutcome) (string, error) {
+	text, err := cbor.Marshal(o)
+	return base64.StdEncoding.EncodeToString(text), err
+}
+
+// decodeOutcome reads the text that the table keeps. An empty one has no
+// statements: the request ran in an explicit transaction.
+func decodeOutcome(text string) (firstOutcome, error) {
+	var o firstOutcome
+	b, err := base64.StdEncoding.DecodeString(text)
+	if err != nil || len(b) == 0 {
+		return o, err
+	}
+	return o, cbor.Unmarshal(b, &o)
+}
+
+// repeatError says why a repeat cannot have the first outcome.
+type repeatError struct{ detail string }
+
+// Error implements error.
+func (e *repeatError) Error() string { return "the request already ran" + e.detail }
+
+// replay answers a repeat with the first outcome, in the messages that the
+// repeat itself asks for.
+func replay(o firstOutcome, batch inner.Batch) ([]byte, error) {
+	r := replayer{rest: o.Statements, formats: map[string][]int16{}}
+	for m, rest := pgwire.Next(batch.Raw); m != nil; m, rest = pgwire.Next(rest) {
+		if err := r.add(m); err != nil {
+			return nil, err
+		}
+	}
+	if len(r.rest) > 0 {
+		return nil, &repeatError{detail: " with more statements"}
+	}
+	return r.out, nil
+}
+
+type replayer struct {
+	rest    []statementOutcome
+	formats map[string][]int16
+	out     []byte
+}
+
+func (r *replayer) add(m pgwire.Message) error {
+	switch m.Type() {
+	case 'P':
+		r.out = append(r.out, parseComplete...)
+	case 'C':
+		r.out = append(r.out, closeComplete...)
+	case 'B':
+		return r.bind(m)
+	case 'D':
+		return r.describe(m.Body())
+	case 'E':
+		portal, _ := cutString(m.Body())
+		return r.execute(r.formats[portal])
+	case 'Q':
+		return r.simple()
+	case 'S':
+		r.out = append(r.out, readyIdle...)
+	}
+	return nil
+}
+
+func (r *replayer) bind(m pgwire.Message) error {
+	var b pgproto3.Bind
+	if err := b.Decode(m.Body()); err != nil {
+		return &repeatError{detail: "; the repeat is malformed: " + err.Error()}
+	}
+	r.formats[b.DestinationPortal] = b.ResultFormatCodes
+	r.out = append(r.out, mustEncode(&pgproto3.BindComplete{})...)
+	return nil
+}
+
+func (r *replayer) describe(body []byte) error {
+	if len(r.rest) == 0 || len(body) == 0 || body[0] != 'P' {
+		return &repeatError{detail: "; its parameters cannot be described"}
+	}
+	portal, _ := cutString(body[1:])
+	return r.columns(r.formats[portal], true)
+}
+
+// columns describes the rows of the next statement. Its values must have been
+// kept in the format that the repeat asks for.
+func (r *replayer) columns(formats []int16, visible bool) error {
+	first := r.rest[0]
+	if len(first.Columns) == 0 {
+		if visible {
+			r.out = append(r.out, mustEncode(&pgproto3.NoData{})...)
+		}
+		return nil
+	}
+	var d pgproto3.RowDescription
+	if err := d.Decode(first.Columns[pgwire.HeaderSize:]); err != nil {
+		return &repeatError{detail: "; its rows are damaged: " + err.Error()}
+	}
+	for i, f := range d.Fields {
+		format := formatOf(formats, i)
+		if f.Format != format && !sameInBoth(f.DataTypeOID) {
+			return &repeatError{detail: "; its rows are kept in another format"}
+		}
+		d.Fields[i].Format = format
+	}
+	if visible {
+		r.out = append(r.out, mustEncode(&d)...)
+	}
+	return nil
+}
+
+func formatOf(formats []int16, column int) int16 {
+	switch {
+	case len(formats) == 1:
+		return formats[0]
+	case column < len(formats):
+		return formats[column]
+	}
+	return pgproto3.TextFormat
+}
+
+// sameInBoth reports whether values of a type look the same as text and binary:
+// text, varchar, bpchar, name, json and xml.
+func sameInBoth(oid uint32) bool {
+	switch oid {
+	case 25, 1043, 1042, 19, 114, 142:
+		return true
+	}
+	return false
+}
+
+func (r *replayer) execute(formats []int16) error {
+	if len(r.rest) == 0 {
+		return &repeatError{detail: " with fewer statements"}
+	}
+	if err := r.columns(formats, false); err != nil {
+		return err
+	}
+	return r.rows()
+}
+
+func (r *replayer) simple() error {
+	if len(r.rest) == 0 {
+		return &repeatError{detail: " in a transaction of several statements"}
+	}
+	if len(r.rest[0].Columns) > 0 {
+		if err := r.columns(nil, true); err != nil {
+			return err
+		}
+	}
+	if err := r.rows(); err != nil {
+		return err
+	}
+	r.out = append(r.out, readyIdle...)
+	return nil
+}
+
+// rows answers with the rows and the end of the next statement.
+func (r *replayer) rows() error {
+	s := r.rest[0]
+	if s.Cut {
+		return &repeatError{detail: " with " + tagOf(s.End) + "; its rows were too many to keep"}
+	}
+	r.rest = r.rest[1:]
+	r.out = append(append(r.out, s.Rows...), s.End...)
+	return nil
+}
+
+func tagOf(end []byte) string {
+	if len(end) <= pgwire.HeaderSize {
+		return "no tag"
+	}
+	return strings.TrimRight(string(end[pgwire.HeaderSize:]), "\x00")
+}
+
+// onceRefusal refuses a first batch that cannot be made to run at most once.
+func onceRefusal(batch inner.Batch) *outcome.NotRun {
+	if shapeOf(batch) != shapeOther {
+		return nil
+	}
+	return outcome.Refuse(outcome.ReasonRequest, outcome.CodeUnsupported,
+		"a request with an idempotency key is one statement, or a transaction whose BEGIN is sent alone")
+}
--- /dev/null
+++ b/internal/serve/holder/once_test.go
@@ -0,0 +1,111 @@
+package holder
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+func onceBegin(account, key string) inner.Begin {
+	return inner.Begin{Kind: document.KindWrite, Account: account, Once: true, Key: key}
+}
+
+const renew = "UPDATE cases SET v = v + 1 WHERE id = '7' RETURNING v"
+
+// TestOnce sends requests with idempotency keys, again and in other messages.
+func TestOnce(t *testing.T) {
+	var cases []struct {
+		Name string `yaml:"name"`
+		// Calls are transactions, each a list of batches.
+		Calls []struct {
+			Account string `yaml:"account"`
+			Key     string `yaml:"key"`
+			Batches []struct {
+				Query string   `yaml:"query"`
+				Steps []string `yaml:"steps"`
+				Texts []string `yaml:"texts"`
+				Want  []string `yaml:"want"`
+			} `yaml:"batches"`
+		} `yaml:"calls"`
+		// Value is what row 7 holds in the end.
+		Value string `yaml:"value"`
+	}
+	load(t, "once.yaml", &cases)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			g, servers := group(t, "one")
+			h := hold(t, Options{Server: servers[0]})
+			simple(h, inner.Begin{Kind: document.KindWrite}, "INSERT INTO cases (id, v) VALUES ('7', '0')")
+			for i, call := range c.Calls {
+				x := begin(h, onceBegin(call.Account, call.Key))
+				for _, b := range call.Batches {
+					raw := extended(b.Steps, b.Texts)
+					if len(b.Steps) == 0 {
+						raw = backend.QueryMessage(b.Query)
+					}
+					got, _ := x.run(raw)
+					if diff := cmp.Diff(b.Want, got); diff != "" {
+						t.Errorf("call %d (-want +got):\n%s", i+1, diff)
+					}
+				}
+				x.x.Close()
+				<-x.done
+			}
+			if got, _ := g.Server("one").Value("cases", "7"); got != c.Value {
+				t.Errorf("row 7: got %s, want %s", got, c.Value)
+			}
+		})
+	}
+}
+
+// TestOnceAfterLostAnswer loses the answer after the statement has committed and
+// repeats the request through the next holder.
+func TestOnceAfterLostAnswer(t *testing.T) {
+	g, servers := group(t, "one")
+	a, stop := holdUntil(t, Options{Server: servers[0], VM: "a"})
+	await(t, "a serves", func() bool { _, held := a.State(); return held })
+	simple(a, inner.Begin{Kind: document.KindWrite}, "INSERT INTO cases (id, v) VALUES ('7', '0')")
+	c := begin(a, onceBegin("school", "march"))
+	if err := c.x.Send(inner.Encode(inner.KindBatch, inner.Batch{Raw: backend.QueryMessage(renew)})); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the statement commits", func() bool { v, _ := g.Server("one").Value("cases", "7"); return v == "1" })
+	c.x.Close()
+	<-c.done
+	stop()
+	b := hold(t, Options{Server: servers[0], VM: "b"})
+	want := []string{"T", "D 1", "C UPDATE 1", "Z I"}
+	if diff := cmp.Diff(want, simple(b, onceBegin("school", "march"), renew)); diff != "" {
+		t.Errorf("the repeat (-want +got):\n%s", diff)
+	}
+	if got, _ := g.Server("one").Value("cases", "7"); got != "1" {
+		t.Errorf("row 7: got %s, want 1", got)
+	}
+}
+
+// TestOnceTogether sends one request many times at once.
+func TestOnceTogether(t *testing.T) {
+	g, servers := group(t, "one")
+	h := hold(t, Options{Server: servers[0]})
+	simple(h, inner.Begin{Kind: document.KindWrite}, "INSERT INTO cases (id, v) VALUES ('7', '0')")
+	want := []string{"T", "D 1", "C UPDATE 1", "Z I"}
+	var all sync.WaitGroup
+	for range 8 {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			if diff := cmp.Diff(want, simple(h, onceBegin("school", "march"), renew)); diff != "" {
+				t.Errorf("an answer (-want +got):\n%s", diff)
+			}
+		}()
+	}
+	all.Wait()
+	if got, _ := g.Server("one").Value("cases", "7"); got != "1" {
+		t.Errorf("row 7: got %s, want 1", got)
+	}
+}
--- a/internal/serve/holder/settle.go
+++ b/internal/serve/holder/settle.go
@@ -6,7 +6,6 @@
 	"strconv"
 
 	"github.com/go-faster/errors"
-	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
@@ -173,11 +172,7 @@
 		t.end(inner.End{Unknown: err.Error()})
 		return
 	}
-	raw := mustEncode(&pgproto3.ErrorResponse{
-		Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: outcome.CodeUnsupported, Message: err.Error(),
-	})
-	raw = append(raw, mustEncode(&pgproto3.ReadyForQuery{TxStatus: statusIdle})...)
-	t.end(inner.End{Status: statusIdle, Raw: raw})
+	t.end(inner.End{Status: statusIdle, Raw: failure(outcome.CodeUnsupported, err.Error())})
 }
 
 // endsWithReady reports whether the caller awaits a ReadyForQuery.
--- a/internal/serve/holder/txn.go
+++ b/internal/serve/holder/txn.go
@@ -21,6 +21,7 @@
 const (
 	readOnlyQuery = "SET default_transaction_read_only = 'on'"
 	statusIdle    = 'I'
+	statusOpen    = 'T'
 )
 
 // transaction is one exchange with an entry proxy: a transaction on one
@@ -39,6 +40,10 @@
 	gone bool
 	// canceled is set once a cancel request was sent, which may arrive late.
 	canceled bool
+
+	// ran is set once a batch was sent in a transaction that has its key.
+	ran      bool
+	recorder *recorder
 }
 
 // Serve runs the transaction that a Begin opened. It returns when the
@@ -129,11 +134,17 @@
 
 // batch runs one batch and reports whether the transaction goes on.
 func (t *transaction) batch(batch inner.Batch) bool {
+	if t.keyed() && !t.sent {
+		if refusal := onceRefusal(batch); refusal != nil {
+			t.refuse(refusal)
+			return false
+		}
+	}
 	if refusal := t.admit(); refusal != nil {
 		t.refuse(refusal)
 		return false
 	}
-	a, err := t.exchangeBatch(batch)
+	a, err := t.exchange(batch)
 	if err != nil {
 		t.holder.admission.pause()
 		t.lose(batch, err)
