Admit by age, refuse work for leaving servers, wake waiting readers

Cause: the allowed age was ignored at the holder; a leaving server took new work; its lag counted from when an answer came instead of when it was asked for; waiting readers saw the state every 20 ms at best; an idle transaction kept its connection for ever. Change: a read with an age runs on a replica only if it was level with the primary within it, on a primary only if a majority confirmed it within it. A leaving server refuses new transactions and lets open ones end (Update, and the invariant LeavingServer). State is looked at every 5 ms while readers wait, and any answer wakes them. A transaction idle for 60 s is rolled back (25P03).

--- a/internal/serve/holder/control.go
+++ b/internal/serve/holder/control.go
@@ -14,6 +14,8 @@
 	dialTimeout        = 2 * clock.Second
 	// probeInterval is the pause between two looks at the server's state.
 	probeInterval = 20 * clock.Millis(1)
+	// hurryInterval is the pause while readers wait for the server to catch up.
+	hurryInterval = 5 * clock.Millis(1)
 	// retryInterval is the pause before the lock or the server is tried again.
 	retryInterval = 100 * clock.Millis(1)
 	controlOwner  = ^uint64(0)
@@ -44,31 +46,49 @@
 	if !h.lock(ctx, c) {
 		return
 	}
+	asked := h.options.Clock.Now()
 	first, err := h.probe(c)
 	if err != nil {
 		return
 	}
-	h.hold(c.PID, first)
+	h.hold(c.PID, first, asked)
 	h.admission.warm(ctx)
 	for ctx.Err() == nil {
 		h.rest(ctx)
+		asked := h.options.Clock.Now()
 		s, err := h.probe(c)
 		if err != nil {
 			return
 		}
-		h.learn(s)
+		h.learn(s, asked)
 		h.finishProbe()
 	}
 }
 
-// rest waits until the next look at the state is due or asked for.
+// rest waits until the next look at the state is due or asked for. It is due
+// early while readers wait.
 func (h *Holder) rest(ctx context.Context) {
-	fired, stop := h.options.Clock.AfterFunc(probeInterval)
-	defer stop()
-	select {
-	case <-ctx.Done():
-	case <-fired:
-	case <-h.wake:
+	long, stopLong := h.options.Clock.AfterFunc(probeInterval)
+	defer stopLong()
+	short, stopShort := h.options.Clock.AfterFunc(hurryInterval)
+	defer stopShort()
+	var hurry <-chan struct{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-long:
+			return
+		case <-h.wake:
+			return
+		case <-hurry:
+			return
+		case <-short:
+			if h.readersWait() {
+				return
+			}
+			hurry = h.hurry
+		}
 	}
 }
 
--- a/internal/serve/holder/exchange.go
+++ b/internal/serve/holder/exchange.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
@@ -17,6 +18,8 @@
 	// settled is set when the question for the state and the reset were sent
 	// behind the batch.
 	settled bool
+	// asked is the moment at which the batch was sent.
+	asked clock.Millis
 }
 
 // fatalError is an error with which the server ended the connection, so that
@@ -42,7 +45,7 @@
 // while they come.
 func (t *transaction) exchangeBatch(batch inner.Batch) (*answer, error) {
 	p := planBatch(batch, t.conn.Prepared)
-	a := &answer{settled: !t.sent && shapeOf(batch) == shapeSingle}
+	a := &answer{settled: !t.sent && shapeOf(batch) == shapeSingle, asked: t.holder.options.Clock.Now()}
 	if !t.sent && t.begin.Kind == document.KindRead {
 		p.prefix(readOnlyQuery)
 	}
--- a/internal/serve/holder/holder.go
+++ b/internal/serve/holder/holder.go
@@ -10,7 +10,6 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
-	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
@@ -31,8 +30,14 @@
 	// AliveFunc reports whether a VM is still a member. When it is nil, every VM
 	// counts as alive and its lock is never taken over.
 	AliveFunc func(vm string) bool
+	// Idle is how long a transaction may stay open between two batches, in
+	// milliseconds; 0 means the default.
+	Idle clock.Millis
 }
 
+// defaultIdle is how long a transaction may stay open between two batches.
+const defaultIdle = 60 * clock.Second
+
 // Holder serves one backend server.
 type Holder struct {
 	options   Options
@@ -41,22 +46,39 @@
 	owners    atomic.Uint64
 	done      chan struct{}
 
+	// confirming lets one reader at a time ask the majority.
+	confirming sync.Mutex
+
 	mu    sync.Mutex
 	state backend.State
-	seen  clock.Millis
+	// level is a moment at which the server had all that the primary had.
+	level clock.Millis
 	held  bool
 	// locker is the control connection that has the lock, or 0.
 	locker uint32
+	// leaving is the moment since which the server gets no new work.
+	leaving   clock.Millis
+	isLeaving bool
+	// waiting is the number of readers that wait for the server to catch up.
+	waiting int
+	// confirmed is a moment at which a majority knew of no later primary.
+	confirmed   clock.Millis
+	isConfirmed bool
 	// started and finished number the looks at the server's state.
 	started  uint64
 	finished uint64
 	changed  chan struct{}
 	wake     chan struct{}
+	hurry    chan struct{}
 }
 
 // New returns a holder that serves once Run is called.
 func New(o Options) *Holder {
-	h := &Holder{options: o, done: make(chan struct{}), changed: make(chan struct{}), wake: make(chan struct{}, 1), floors: newFloors(MaxSessions)}
+	if o.Idle <= 0 {
+		o.Idle = defaultIdle
+	}
+	h := &Holder{options: o, done: make(chan struct{}), changed: make(chan struct{}), wake: make(chan struct{}, 1), hurry: make(chan struct{}, 1), floors: newFloors(MaxSessions)}
+	h.setLeaving(o.Server.Leaving)
 	h.admission = newAdmission(o.Server.Slots, max(o.Server.Connections-controlConnections, 1), h.dial)
 	return h
 }
@@ -65,7 +87,13 @@
 func (h *Holder) Done() <-chan struct{} { return h.done }
 
 // Server returns the server that the holder serves.
-func (h *Holder) Server() document.Server { return h.options.Server }
+func (h *Holder) Server() document.Server {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.options.Server
+	s.Leaving = h.isLeaving
+	return s
+}
 
 func (h *Holder) dial(ctx context.Context) (*backend.Conn, error) {
 	return backend.Dial(ctx, h.dialOptions())
@@ -89,32 +117,36 @@
 func (h *Holder) innerState() inner.State {
 	return inner.State{
 		Server: h.options.Server.Name, Term: h.state.Term, Primary: h.state.Leader,
-		Applied: h.state.Applied, Lag: h.state.Lag + h.options.Clock.Now() - h.seen,
+		Applied: h.state.Applied, Lag: h.options.Clock.Now() - h.level,
 	}
 }
 
-// learn takes in a newer state and wakes the readers that wait for one.
-func (h *Holder) learn(s backend.State) {
+// learn takes in a state that was asked for at the given moment, if it is newer,
+// and wakes the readers that wait for one.
+func (h *Holder) learn(s backend.State, asked clock.Millis) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if s.Term < h.state.Term || s.Term == h.state.Term && !s.Applied.Covers(h.state.Applied) {
 		return
 	}
+	if s.Term != h.state.Term || s.Role != h.state.Role {
+		h.isConfirmed = false
+	}
 	if s.Role == backend.RolePrimary && (h.state.Role != backend.RolePrimary || s.Term != h.state.Term) {
 		h.floors.restart(s.Last)
 	}
-	h.state, h.seen = s, h.options.Clock.Now()
+	h.state, h.level = s, max(h.level, asked-s.Lag)
 	h.signalLocked()
 }
 
-// hold begins the holding with the state that was seen after the lock was got.
-// What other holders recorded is not known, so all sessions start at the end of
-// the log.
-func (h *Holder) hold(locker uint32, s backend.State) {
+// hold begins the holding with the state that was asked for after the lock was
+// got. What other holders recorded is not known, so all sessions start at the
+// end of the log.
+func (h *Holder) hold(locker uint32, s backend.State, asked clock.Millis) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.floors.restart(s.Last)
-	h.state, h.seen, h.held, h.locker = s, h.options.Clock.Now(), true, locker
+	h.state, h.level, h.held, h.locker, h.isConfirmed = s, asked-s.Lag, true, locker, false
 	h.signalLocked()
 }
 
@@ -138,40 +170,3 @@
 	defer h.mu.Unlock()
 	return locker != 0 && locker == h.locker
 }
-
-// ready waits until the server may run the transaction, or tells why it may not.
-func (h *Holder) ready(ctx context.Context, b inner.Begin) *outcome.NotRun {
-	deadline := h.options.Clock.Now() + b.Wait
-	for {
-		refusal, changed := h.check(b)
-		left := deadline - h.options.Clock.Now()
-		if refusal == nil || refusal.Reason != outcome.ReasonBehind || left <= 0 {
-			return refusal
-		}
-		fired, stop := h.options.Clock.AfterFunc(left)
-		select {
-		case <-ctx.Done():
-		case <-changed:
-		case <-fired:
-		}
-		stop()
-		if ctx.Err() != nil {
-			return refusal
-		}
-	}
-}
-
-func (h *Holder) check(b inner.Begin) (*outcome.NotRun, <-chan struct{}) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	name := h.options.Server.Name
-	switch {
-	case !h.held:
-		return outcome.Refuse(outcome.ReasonHolder, outcome.CodeUnavailable, "the VM does not hold backend server %s", name), nil
-	case b.Kind == document.KindWrite && h.state.Role != backend.RolePrimary:
-		return outcome.Refuse(outcome.ReasonPrimary, outcome.CodeReadOnly, "backend server %s is not the primary", name), nil
-	case !h.state.Applied.Covers(b.Floor):
-		return outcome.Refuse(outcome.ReasonBehind, outcome.CodeUnavailable, "backend server %s is at %s and the session has seen %s", name, h.state.Applied, b.Floor), h.changed
-	}
-	return nil, nil
-}
--- /dev/null
+++ b/internal/serve/holder/ready.go
@@ -0,0 +1,142 @@
+package holder
+
+import (
+	"context"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+// leavingGrace is the time after which a leaving server must get no new work.
+const leavingGrace = 3 * clock.Second
+
+// Update takes in a change of the server's entry in the configuration. It
+// reports false when the change needs a new holder.
+func (h *Holder) Update(s document.Server) bool {
+	same := s
+	same.Leaving = h.options.Server.Leaving
+	if same != h.options.Server {
+		return false
+	}
+	h.setLeaving(s.Leaving)
+	return true
+}
+
+func (h *Holder) setLeaving(leaving bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if leaving && !h.isLeaving {
+		h.leaving = h.options.Clock.Now()
+	}
+	h.isLeaving = leaving
+}
+
+func (h *Holder) checkLeaving() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	since := h.options.Clock.Now() - h.leaving
+	invariant.Check(!h.isLeaving || since <= leavingGrace, invariant.LeavingServer,
+		"backend server %s got a new transaction after it had been leaving for %d ms", h.options.Server.Name, since)
+}
+
+// ready waits until the server may run the transaction, or tells why it may not.
+func (h *Holder) ready(ctx context.Context, b inner.Begin) *outcome.NotRun {
+	deadline := h.options.Clock.Now() + b.Wait
+	for {
+		if b.Age > 0 && b.Kind == document.KindRead {
+			h.confirmAge(ctx, b.Age)
+		}
+		refusal, changed := h.check(b)
+		left := deadline - h.options.Clock.Now()
+		if refusal == nil || refusal.Reason != outcome.ReasonBehind || left <= 0 {
+			return refusal
+		}
+		h.await(ctx, changed, left)
+		if ctx.Err() != nil {
+			return refusal
+		}
+	}
+}
+
+// await waits for a change of state, which it has looked for more often.
+func (h *Holder) await(ctx context.Context, changed <-chan struct{}, left clock.Millis) {
+	h.countWaiting(1)
+	defer h.countWaiting(-1)
+	select {
+	case h.hurry <- struct{}{}:
+	default:
+	}
+	fired, stop := h.options.Clock.AfterFunc(left)
+	defer stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-fired:
+	}
+}
+
+func (h *Holder) countWaiting(n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.waiting += n
+}
+
+func (h *Holder) readersWait() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.waiting > 0
+}
+
+// confirmAge asks a majority about a primary that has not been confirmed within
+// the age, since an isolated one does not know that it was replaced.
+func (h *Holder) confirmAge(ctx context.Context, age clock.Millis) {
+	h.confirming.Lock()
+	defer h.confirming.Unlock()
+	now := h.options.Clock.Now()
+	h.mu.Lock()
+	needed := h.state.Role == backend.RolePrimary && (!h.isConfirmed || now-h.confirmed > age)
+	term := h.state.Term
+	h.mu.Unlock()
+	if !needed || !h.options.ConfirmFunc(ctx, h.options.Database, term) {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.state.Term == term {
+		h.confirmed, h.isConfirmed = now, true
+	}
+}
+
+// check tells why the transaction may not run, and what to wait for if waiting
+// may help.
+func (h *Holder) check(b inner.Begin) (*outcome.NotRun, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	name := h.options.Server.Name
+	switch {
+	case !h.held:
+		return outcome.Refuse(outcome.ReasonHolder, outcome.CodeUnavailable, "the VM does not hold backend server %s", name), nil
+	case h.isLeaving:
+		return outcome.Refuse(outcome.ReasonLeaving, outcome.CodeUnavailable, "backend server %s is leaving", name), nil
+	case b.Kind == document.KindWrite && h.state.Role != backend.RolePrimary:
+		return outcome.Refuse(outcome.ReasonPrimary, outcome.CodeReadOnly, "backend server %s is not the primary", name), nil
+	case !h.state.Applied.Covers(b.Floor):
+		return outcome.Refuse(outcome.ReasonBehind, outcome.CodeUnavailable, "backend server %s is at %s and the session has seen %s", name, h.state.Applied, b.Floor), h.changed
+	case b.Age > 0 && b.Kind == document.KindRead && h.staleLocked(b.Age):
+		return outcome.Refuse(outcome.ReasonBehind, outcome.CodeUnavailable, "backend server %s may be more than %d ms behind", name, b.Age), h.changed
+	}
+	return nil, nil
+}
+
+// staleLocked reports whether the server may be further behind than the age.
+func (h *Holder) staleLocked(age clock.Millis) bool {
+	now := h.options.Clock.Now()
+	if h.state.Role == backend.RolePrimary {
+		return !h.isConfirmed || now-h.confirmed > age
+	}
+	return now-h.level > age
+}
--- /dev/null
+++ b/internal/serve/holder/ready_test.go
@@ -0,0 +1,128 @@
+package holder
+
+import (
+	"context"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+// TestCheck admits transactions by floor, age, role and what leaves.
+func TestCheck(t *testing.T) {
+	var cases []struct {
+		Name      string        `yaml:"name"`
+		Role      backend.Role  `yaml:"role"`
+		Lag       clock.Millis  `yaml:"lag"`
+		Since     clock.Millis  `yaml:"since"`
+		Leaving   bool          `yaml:"leaving"`
+		Lost      bool          `yaml:"lost"`
+		Confirmed bool          `yaml:"confirmed"`
+		Kind      document.Kind `yaml:"kind"`
+		Floor     uint64        `yaml:"floor"`
+		Age       clock.Millis  `yaml:"age"`
+		Want      string        `yaml:"want"`
+	}
+	load(t, "check.yaml", &cases)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			k := clock.NewFake(5000)
+			h := New(Options{
+				Server: document.Server{Name: "one", Slots: 1, Connections: 2, Leaving: c.Leaving}, Clock: k.Clock(),
+				ConfirmFunc: func(context.Context, string, floor.Term) bool { return c.Confirmed },
+			})
+			at := floor.Mark{Term: 1, Position: 10}
+			h.hold(1, backend.State{Term: 1, Role: c.Role, Applied: at, Last: at, Lag: c.Lag}, k.Clock().Now())
+			if c.Lost {
+				h.release()
+			}
+			k.Advance(c.Since)
+			got := "runs"
+			b := inner.Begin{Kind: c.Kind, Floor: floor.Mark{Term: 1, Position: floor.Position(c.Floor)}, Age: c.Age}
+			if refusal := h.ready(t.Context(), b); refusal != nil {
+				got = string(refusal.Reason)
+			}
+			if diff := cmp.Diff(c.Want, got); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestLeaving lets an open transaction finish on a server that leaves.
+func TestLeaving(t *testing.T) {
+	_, servers := group(t, "one")
+	h := hold(t, Options{Server: servers[0]})
+	c := begin(h, inner.Begin{Kind: document.KindWrite})
+	first, _ := c.run(backend.QueryMessage("BEGIN"))
+	leaving := servers[0]
+	leaving.Leaving = true
+	if !h.Update(leaving) {
+		t.Fatal("a leaving server needs no new holder")
+	}
+	refused := simple(h, inner.Begin{Kind: document.KindRead}, "SELECT 1")
+	last, _ := c.run(backend.QueryMessage("COMMIT"))
+	<-c.done
+	h.Update(servers[0])
+	again := simple(h, inner.Begin{Kind: document.KindRead}, "SELECT '1'")
+	want := [][]string{{"C BEGIN", "Z T"}, {"refused leaving"}, {"C COMMIT", "Z I"}, {"T", "D 1", "C SELECT 1", "Z I"}}
+	if diff := cmp.Diff(want, [][]string{first, refused, last, again}); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+	leaving.Slots++
+	if h.Update(leaving) {
+		t.Error("other slots need a new holder")
+	}
+}
+
+// TestIdle rolls back a transaction that stays open without work.
+func TestIdle(t *testing.T) {
+	g, servers := group(t, "one")
+	h := hold(t, Options{Server: servers[0], Idle: 30})
+	c := begin(h, inner.Begin{Kind: document.KindWrite})
+	first, _ := c.run(backend.QueryMessage("BEGIN; INSERT INTO box (id, v) VALUES ('7', 'plum')"))
+	if diff := cmp.Diff([]string{"C BEGIN", "C INSERT 0 1", "Z T"}, first); diff != "" {
+		t.Fatalf("(-want +got):\n%s", diff)
+	}
+	open := g.Server("one").Sessions()
+	await(t, "the connection ends", func() bool { return g.Server("one").Sessions() < open })
+	last, _ := c.run(backend.QueryMessage("COMMIT"))
+	<-c.done
+	want := []string{"E 25P03 the transaction was idle for too long and was rolled back", "Z I"}
+	if diff := cmp.Diff(want, last); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+	if _, ok := g.Server("one").Value("box", "7"); ok {
+		t.Error("an idle transaction was committed")
+	}
+}
+
+// TestReaderWokenByAnswer has a reader wait on a replica whose holder does not
+// look at the state by itself; another read's answer tells that it caught up.
+func TestReaderWokenByAnswer(t *testing.T) {
+	g, servers := group(t, "one", "two", "three")
+	g.Server("two").SetLag(300)
+	a := hold(t, Options{Server: servers[0]})
+	p := &pausable{}
+	b := hold(t, Options{Server: servers[1], Clock: p.clock()})
+	p.pause()
+	defer p.resume()
+	end := write(t, a)
+	c := begin(b, inner.Begin{Kind: document.KindRead, Floor: end.Mark, Wait: 20 * clock.Second})
+	got := make(chan []string, 1)
+	go func() {
+		out, _ := c.run(backend.QueryMessage("SELECT v FROM box WHERE id = '7'"))
+		got <- out
+	}()
+	await(t, "the reader waits", b.readersWait)
+	await(t, "the replica has the write", func() bool { _, ok := g.Server("two").Value("box", "7"); return ok })
+	simple(b, inner.Begin{Kind: document.KindRead}, "SELECT '1'")
+	if diff := cmp.Diff([]string{"T", "D plum", "C SELECT 1", "Z I"}, <-got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
--- a/internal/serve/holder/settle.go
+++ b/internal/serve/holder/settle.go
@@ -39,6 +39,8 @@
 // settlement is what the server said after a transaction had ended.
 type settlement struct {
 	state backend.State
+	// asked is a moment before the question.
+	asked clock.Millis
 	// locker is the connection that has the holder's lock, or 0.
 	locker uint32
 }
@@ -77,7 +79,7 @@
 		t.end(inner.End{Unknown: err.Error()})
 		return
 	}
-	t.holder.learn(s.state)
+	t.holder.learn(s.state, s.asked)
 	t.end(t.acknowledge(s, a))
 	reusable := !canceled && t.reset(c, a) == nil
 	c.Give(t.owner)
@@ -88,9 +90,11 @@
 // came late may have hit the question, so it is put once more.
 func (t *transaction) settle(a *answer) (settlement, error) {
 	question := settleQuery(t.holder.options.Server.Name)
+	asked := t.holder.options.Clock.Now()
 	var rows [][]string
 	var err error
 	if a.settled {
+		asked = a.asked
 		rows, err = t.conn.Rows(t.owner)
 	} else {
 		rows, err = t.conn.Query(t.owner, question)
@@ -102,7 +106,9 @@
 	if err != nil {
 		return settlement{}, err
 	}
-	return parseSettlement(rows)
+	s, err := parseSettlement(rows)
+	s.asked = asked
+	return s, err
 }
 
 func (t *transaction) settleAgain(a *answer, question string) ([][]string, error) {
--- a/internal/serve/holder/txn.go
+++ b/internal/serve/holder/txn.go
@@ -22,6 +22,8 @@
 	readOnlyQuery = "SET default_transaction_read_only = 'on'"
 	statusIdle    = 'I'
 	statusOpen    = 'T'
+	// codeIdle is idle_in_transaction_session_timeout.
+	codeIdle = "25P03"
 )
 
 // transaction is one exchange with an entry proxy: a transaction on one
@@ -109,9 +111,10 @@
 }
 
 func (t *transaction) run(batches <-chan inner.Frame) {
-	for f := range batches {
+	for {
+		f, ok := t.next(batches)
 		var batch inner.Batch
-		if f.Kind != inner.KindBatch || inner.Decode(f, &batch) != nil {
+		if !ok || f.Kind != inner.KindBatch || inner.Decode(f, &batch) != nil {
 			break
 		}
 		if !t.batch(batch) {
@@ -121,6 +124,27 @@
 	t.discard()
 }
 
+// next waits for the next batch. A transaction that stays idle for too long is
+// rolled back, and its next batch is told so.
+func (t *transaction) next(batches <-chan inner.Frame) (inner.Frame, bool) {
+	if t.conn == nil {
+		f, ok := <-batches
+		return f, ok
+	}
+	fired, stop := t.holder.options.Clock.AfterFunc(t.holder.options.Idle)
+	defer stop()
+	select {
+	case f, ok := <-batches:
+		return f, ok
+	case <-fired:
+	}
+	t.discard()
+	if _, ok := <-batches; ok {
+		t.end(inner.End{Status: statusIdle, Raw: failure(codeIdle, "the transaction was idle for too long and was rolled back")})
+	}
+	return inner.Frame{}, false
+}
+
 // discard closes the connection of a transaction that did not end.
 func (t *transaction) discard() {
 	t.mu.Lock()
@@ -216,6 +240,7 @@
 		t.putBack(c, true)
 		return refusal
 	}
+	t.holder.checkLeaving()
 	state, _ := t.holder.State()
 	t.term = state.Term
 	invariant.Check(state.Applied.Covers(t.begin.Floor), invariant.ReadYourWrites,
