Test the holder's queue, plans, admission and floors; count its waits

Cause: none of these had tests of their own. Writing them showed that a removed request stayed in the fair queue and kept its account's turn; that a failed opening of a connection left requests waiting until something else happened; that requests queued at a server whose lock or role was lost waited for their whole deadline; and that a Close skipped after an error left a statement on the server that was no longer remembered. Change: Remove takes the item out and moves the rest up. Openings are retried while requests wait, and no more are opened than slots are free. Waiting requests are turned away as not run when the lock or the primary role is lost. Such a connection gets the full reset. Metrics queue, open, wait and run, each with the label server.

--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -4,7 +4,10 @@
 // place instead of being an immutable value; it does no I/O and knows no clock.
 package fair
 
-import "container/heap"
+import (
+	"container/heap"
+	"slices"
+)
 
 // Item is one waiting request.
 type Item struct {
@@ -17,8 +20,9 @@
 	// Value is the caller's own.
 	Value any
 
-	start   float64
-	removed bool
+	// pushed is the virtual time at which the item came, start the time of its turn.
+	pushed float64
+	start  float64
 }
 
 // Queue orders items by account. The zero value is not usable; see New.
@@ -35,7 +39,6 @@
 	account string
 	finish  float64
 	items   []*Item
-	waiting int
 	index   int
 }
 
@@ -52,13 +55,12 @@
 		l = &line{account: it.Account, index: -1}
 		q.accounts[it.Account] = l
 	}
-	if l.waiting >= q.limit {
+	if len(l.items) >= q.limit {
 		return false
 	}
-	it.start = max(q.virtual, l.finish)
-	l.finish = it.start + it.Cost/float64(max(it.Weight, 1))
+	it.pushed = q.virtual
+	l.place(it)
 	l.items = append(l.items, it)
-	l.waiting++
 	q.length++
 	if l.index < 0 {
 		heap.Push(&q.ready, l)
@@ -66,40 +68,51 @@
 	return true
 }
 
+// place gives an item its turn behind the line's last one.
+func (l *line) place(it *Item) {
+	it.start = max(it.pushed, l.finish)
+	l.finish = it.start + it.Cost/float64(max(it.Weight, 1))
+}
+
 // Pop takes the next item in fair order, or nil when nothing waits.
 func (q *Queue) Pop() *Item {
-	for len(q.ready) > 0 {
-		l := q.ready[0]
-		it := l.items[0]
-		l.items = l.items[1:]
-		q.settle(l)
-		if it.removed {
-			continue
-		}
-		l.waiting--
-		q.length--
-		q.virtual = max(q.virtual, it.start)
-		q.forget(l)
-		return it
+	if len(q.ready) == 0 {
+		return nil
 	}
-	return nil
+	l := q.ready[0]
+	it := l.items[0]
+	l.items = l.items[1:]
+	q.length--
+	q.virtual = max(q.virtual, it.start)
+	q.settle(l)
+	return it
 }
 
-// Remove takes back an item that still waits.
+// Remove takes back an item that still waits. Its account gets the turn back:
+// the items behind it move up.
 func (q *Queue) Remove(it *Item) {
 	l := q.accounts[it.Account]
-	if l == nil || it.removed {
+	if l == nil {
+		return
+	}
+	i := slices.Index(l.items, it)
+	if i < 0 {
 		return
 	}
-	it.removed = true
-	l.waiting--
+	l.items = slices.Delete(l.items, i, i+1)
 	q.length--
+	l.finish = it.start
+	for _, later := range l.items[i:] {
+		l.place(later)
+	}
+	q.settle(l)
 }
 
-// settle puts a line whose first item changed back in its place.
+// settle puts a line whose items changed back in its place.
 func (q *Queue) settle(l *line) {
 	if len(l.items) == 0 {
 		heap.Remove(&q.ready, l.index)
+		q.forget(l)
 		return
 	}
 	heap.Fix(&q.ready, l.index)
@@ -107,10 +120,10 @@
 
 // forget drops an empty line that has no claim on the future.
 func (q *Queue) forget(l *line) {
-	if len(l.items) == 0 && l.finish <= q.virtual {
+	if l.finish <= q.virtual {
 		delete(q.accounts, l.account)
 	}
-	if q.length == 0 && len(q.ready) == 0 {
+	if q.length == 0 {
 		clear(q.accounts)
 		q.virtual = 0
 	}
--- /dev/null
+++ b/internal/core/fair/fair_test.go
@@ -0,0 +1,169 @@
+package fair
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// TestOrder plays scripts of pushes, removals and pops.
+func TestOrder(t *testing.T) {
+	text, err := os.ReadFile("testdata/order.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []struct {
+		Name    string         `yaml:"name"`
+		Limit   int            `yaml:"limit"`
+		Weights map[string]int `yaml:"weights"`
+		// Steps are "push ACCOUNT COUNT", "remove ACCOUNT INDEX" and "pop COUNT".
+		Steps []string `yaml:"steps"`
+		Want  []string `yaml:"want"`
+	}
+	if err := yaml.UnmarshalWithOptions(text, &cases, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			q := New(c.Limit)
+			pushed := map[string][]*Item{}
+			var got []string
+			for _, s := range c.Steps {
+				var verb, account string
+				var n int
+				f := strings.Fields(s)
+				verb = f[0]
+				if len(f) == 3 {
+					account = f[1]
+				}
+				if _, err := fmt.Sscan(f[len(f)-1], &n); err != nil {
+					t.Fatal(err)
+				}
+				switch verb {
+				case "push":
+					for range n {
+						it := &Item{Account: account, Weight: c.Weights[account], Cost: 1}
+						if !q.Push(it) {
+							got = append(got, "full")
+						}
+						pushed[account] = append(pushed[account], it)
+					}
+				case "remove":
+					q.Remove(pushed[account][n])
+				case "pop":
+					for range n {
+						it := q.Pop()
+						if it == nil {
+							got = append(got, "none")
+							continue
+						}
+						got = append(got, it.Account)
+					}
+				}
+			}
+			if diff := cmp.Diff(c.Want, got); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// oracle is the same order kept in one list and worked out anew at each step.
+type oracle struct {
+	virtual float64
+	finish  map[string]float64
+	items   []*Item
+	pushed  map[*Item]float64
+}
+
+// starts works out the turn of each item from what its account was served.
+func (o *oracle) starts() map[*Item]float64 {
+	out, finish := map[*Item]float64{}, map[string]float64{}
+	for _, it := range o.items {
+		last, ok := finish[it.Account]
+		if !ok {
+			last = o.finish[it.Account]
+		}
+		out[it] = max(o.pushed[it], last)
+		finish[it.Account] = out[it] + it.Cost/float64(it.Weight)
+	}
+	return out
+}
+
+func (o *oracle) pop() *Item {
+	starts := o.starts()
+	var best *Item
+	for _, it := range o.items {
+		if best == nil || starts[it] < starts[best] || starts[it] == starts[best] && it.Account < best.Account {
+			best = it
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	o.virtual = max(o.virtual, starts[best])
+	o.finish[best.Account] = starts[best] + best.Cost/float64(best.Weight)
+	o.drop(best)
+	return best
+}
+
+func (o *oracle) drop(it *Item) {
+	o.items = slices.DeleteFunc(o.items, func(x *Item) bool { return x == it })
+	if len(o.items) == 0 {
+		o.virtual, o.finish = 0, map[string]float64{}
+	}
+}
+
+// TestAgainstOracle compares the queue with the list under random use.
+func TestAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 4
+		q := New(limit)
+		o := &oracle{finish: map[string]float64{}, pushed: map[*Item]float64{}}
+		weights := map[string]int{"a": 1, "b": 2, "c": 4}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				account := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account")
+				it := &Item{Account: account, Weight: weights[account], Cost: float64(rapid.IntRange(1, 3).Draw(t, "cost"))}
+				n := 0
+				for _, x := range o.items {
+					if x.Account == account {
+						n++
+					}
+				}
+				if got := q.Push(it); got != (n < limit) {
+					t.Fatalf("push with %d waiting: %v", n, got)
+				}
+				if n < limit {
+					o.pushed[it] = o.virtual
+					o.items = append(o.items, it)
+				}
+			},
+			"remove": func(t *rapid.T) {
+				if len(o.items) == 0 {
+					t.Skip("nothing waits")
+				}
+				it := rapid.SampledFrom(o.items).Draw(t, "item")
+				q.Remove(it)
+				q.Remove(it)
+				o.drop(it)
+			},
+			"pop": func(t *rapid.T) {
+				if got, want := q.Pop(), o.pop(); got != want {
+					t.Fatalf("pop: got %+v, want %+v", got, want)
+				}
+			},
+			"": func(t *rapid.T) {
+				if q.Len() != len(o.items) {
+					t.Fatalf("length %d, want %d", q.Len(), len(o.items))
+				}
+			},
+		})
+	})
+}
--- a/internal/proto/backend/statements.go
+++ b/internal/proto/backend/statements.go
@@ -42,3 +42,6 @@
 	s.names.Purge()
 	s.evicted = nil
 }
+
+// Len returns the number of statements on the connection.
+func (s *Statements) Len() int { return s.names.Len() }
--- a/internal/serve/holder/admission.go
+++ b/internal/serve/holder/admission.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/fair"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
@@ -17,7 +18,9 @@
 // A running statement has a slot; an open transaction has a connection and
 // keeps it between statements, when it gives up the slot.
 type admission struct {
-	dial func(context.Context) (*backend.Conn, error)
+	dial     func(context.Context) (*backend.Conn, error)
+	clock    clock.Clock
+	counters *counters
 
 	mu      sync.Mutex
 	queue   *fair.Queue
@@ -34,16 +37,17 @@
 }
 
 // waiter is one request that waits for a grant. A pinned one gets a nil
-// connection, since it has its own.
+// connection, since it has its own. The grant of one that is turned away is
+// closed.
 type waiter struct {
 	grant   chan *backend.Conn
 	granted bool
 	item    *fair.Item
 }
 
-func newAdmission(slots, limit int, dial func(context.Context) (*backend.Conn, error)) *admission {
+func newAdmission(slots, limit int, k clock.Clock, c *counters, dial func(context.Context) (*backend.Conn, error)) *admission {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &admission{dial: dial, queue: fair.New(maxWaiting), slots: slots, limit: limit, ctx: ctx, cancel: cancel}
+	return &admission{dial: dial, clock: k, counters: c, queue: fair.New(maxWaiting), slots: slots, limit: limit, ctx: ctx, cancel: cancel}
 }
 
 // acquire waits in fair order for a slot and a connection.
@@ -61,8 +65,13 @@
 	}
 	a.grantLocked()
 	a.mu.Unlock()
+	since := a.clock.Now()
 	select {
-	case c := <-w.grant:
+	case c, ok := <-w.grant:
+		a.counters.waited(a.clock.Now() - since)
+		if !ok {
+			return nil, outcome.Refuse(outcome.ReasonHolder, outcome.CodeUnavailable, "the holder has lost the backend server")
+		}
 		return c, nil
 	case <-ctx.Done():
 		a.abandon(w)
@@ -77,9 +86,24 @@
 		a.queue.Remove(w.item)
 		return
 	}
-	a.slots++
-	a.idle = append(a.idle, <-w.grant)
-	a.grantLocked()
+	if c, ok := <-w.grant; ok {
+		a.slots++
+		a.idle = append(a.idle, c)
+		a.grantLocked()
+	}
+}
+
+// turnAway refuses every request that waits for a connection, so that it can
+// be tried elsewhere within its deadline.
+func (a *admission) turnAway() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for it := a.queue.Pop(); it != nil; it = a.queue.Pop() {
+		w := it.Value.(*waiter)
+		w.granted = true
+		close(w.grant)
+	}
+	a.counters.set(a.queue.Len(), a.open)
 }
 
 // resume waits for a slot for a transaction that has its connection already.
@@ -157,9 +181,10 @@
 		w.granted = true
 		w.grant <- c
 	}
-	if a.queue.Len() > len(a.idle)+a.opening {
+	if min(a.queue.Len(), a.slots) > len(a.idle)+a.opening {
 		a.openLocked()
 	}
+	a.counters.set(a.queue.Len(), a.open)
 }
 
 // openLocked opens one more connection in the background if the limit allows.
@@ -170,22 +195,35 @@
 	a.open++
 	a.opening++
 	a.openers.Add(1)
-	go func() {
-		defer a.openers.Done()
-		c, err := a.dial(a.ctx)
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		a.opening--
-		if err != nil || a.closed {
-			a.open--
-			if c != nil {
-				c.Close()
-			}
-			return
+	go a.opener()
+}
+
+// opener opens one connection. While requests wait for it, a failure is tried
+// again after a pause.
+func (a *admission) opener() {
+	defer a.openers.Done()
+	c, err := a.dial(a.ctx)
+	for err != nil && a.wanted() && a.clock.Sleep(a.ctx, retryInterval) == nil {
+		c, err = a.dial(a.ctx)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.opening--
+	if err != nil || a.closed {
+		a.open--
+		if c != nil {
+			c.Close()
 		}
+	} else {
 		a.idle = append(a.idle, c)
-		a.grantLocked()
-	}()
+	}
+	a.grantLocked()
+}
+
+func (a *admission) wanted() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.closed && a.queue.Len() > 0
 }
 
 // warm opens as many connections as there are slots, and one to spare.
@@ -206,6 +244,7 @@
 		a.open--
 	}
 	a.idle = nil
+	a.counters.set(a.queue.Len(), a.open)
 }
 
 // close refuses new work and waits until nothing is being opened.
@@ -214,6 +253,7 @@
 	a.closed = true
 	a.mu.Unlock()
 	a.cancel()
+	a.turnAway()
 	a.openers.Wait()
 	a.drop()
 }
--- /dev/null
+++ b/internal/serve/holder/admission_test.go
@@ -0,0 +1,239 @@
+package holder
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
+)
+
+// desk drives an admission and keeps its own account of who has what.
+type desk struct {
+	a       *admission
+	slots   int
+	limit   int
+	clients map[string]*client
+	events  chan event
+	owners  uint64
+}
+
+type client struct {
+	state  string
+	owner  uint64
+	conn   *backend.Conn
+	cancel context.CancelFunc
+}
+
+type event struct {
+	name    string
+	conn    *backend.Conn
+	refusal *outcome.NotRun
+}
+
+func newDesk(address string, slots, limit int) *desk {
+	dial := func(ctx context.Context) (*backend.Conn, error) {
+		return backend.Dial(ctx, backend.Options{Address: address, Database: "orders", User: "proxy", Timeout: 5 * clock.Second})
+	}
+	return &desk{
+		a: newAdmission(slots, limit, clock.System(), newCounters("desk"), dial), slots: slots, limit: limit,
+		clients: map[string]*client{}, events: make(chan event, 100),
+	}
+}
+
+// do takes one step such as "acquire x", "pause x", "resume x", "cancel x",
+// "put x" or "lose x".
+func (d *desk) do(verb, name string) {
+	c := d.clients[name]
+	switch verb {
+	case "acquire":
+		d.owners++
+		ctx, cancel := context.WithCancel(context.Background())
+		d.clients[name] = &client{state: verb, owner: d.owners, cancel: cancel}
+		go func() {
+			conn, refusal := d.a.acquire(ctx, name[:1], 1)
+			d.events <- event{name, conn, refusal}
+		}()
+	case "resume":
+		ctx, cancel := context.WithCancel(context.Background())
+		c.state, c.cancel = verb, cancel
+		go func() { d.events <- event{name, nil, d.a.resume(ctx)} }()
+	case "pause":
+		c.state = verb
+		d.a.pause()
+	case "cancel":
+		c.cancel()
+	case "put", "lose":
+		c.cancel()
+		c.conn.Give(c.owner)
+		d.a.put(c.conn, verb == "put")
+		if c.state == "run" {
+			d.a.pause()
+		}
+		delete(d.clients, name)
+	}
+}
+
+// settle takes in events until the account is as it must be.
+func (d *desk) settle() string {
+	var wrong string
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		select {
+		case e := <-d.events:
+			d.take(e)
+			continue
+		default:
+		}
+		if wrong = d.wrong(); wrong == "" {
+			return ""
+		}
+		time.Sleep(100 * time.Microsecond)
+	}
+	return wrong
+}
+
+func (d *desk) take(e event) {
+	c := d.clients[e.name]
+	switch {
+	case e.refusal == nil && e.conn != nil:
+		e.conn.Take(c.owner)
+		c.conn, c.state = e.conn, "run"
+	case e.refusal == nil:
+		c.state = "run"
+	case c.conn != nil:
+		c.state = "pause"
+	default:
+		delete(d.clients, e.name)
+	}
+}
+
+func (d *desk) names(state string) []string {
+	out := []string{}
+	for name, c := range d.clients {
+		if c.state == state {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// wrong compares the admission with the account and tells a difference.
+func (d *desk) wrong() string {
+	running, held := len(d.names("run")), 0
+	for _, c := range d.clients {
+		if c.conn != nil {
+			held++
+		}
+	}
+	d.a.mu.Lock()
+	defer d.a.mu.Unlock()
+	switch {
+	case d.a.slots != d.slots-running:
+		return fmt.Sprintf("%d slots are free with %d of %d running", d.a.slots, running, d.slots)
+	case d.a.open != held+len(d.a.idle)+d.a.opening || d.a.open > d.limit:
+		return fmt.Sprintf("%d connections of %d: %d held, %d idle, %d opening", d.a.open, d.limit, held, len(d.a.idle), d.a.opening)
+	case d.a.queue.Len() != len(d.names("acquire")) || len(d.a.pinned) != len(d.names("resume")):
+		return fmt.Sprintf("%d and %d wait, %+v", d.a.queue.Len(), len(d.a.pinned), d.clients)
+	case len(d.a.pinned) > 0 && running < d.slots:
+		return "an open transaction waits while a slot is free"
+	case d.a.queue.Len() > 0 && running < d.slots && held < d.limit:
+		return "a request waits while a slot and a connection are free"
+	}
+	return ""
+}
+
+// TestAdmission plays scripts and looks who runs after each step.
+func TestAdmission(t *testing.T) {
+	strict(t)
+	var cases []struct {
+		Name  string `yaml:"name"`
+		Slots int    `yaml:"slots"`
+		Limit int    `yaml:"limit"`
+		// Steps are "VERB CLIENT: running clients".
+		Steps []string `yaml:"steps"`
+	}
+	load(t, "admission.yaml", &cases)
+	address := (&script{}).serve(t)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			d := newDesk(address, c.Slots, c.Limit)
+			defer d.a.close()
+			for _, step := range c.Steps {
+				do, want, _ := strings.Cut(step, ":")
+				verb, name, _ := strings.Cut(do, " ")
+				d.do(verb, name)
+				if wrong := d.settle(); wrong != "" {
+					t.Fatalf("%s: %s", step, wrong)
+				}
+				if diff := cmp.Diff(strings.Fields(want), d.names("run")); diff != "" {
+					t.Fatalf("%s (-want +got):\n%s", step, diff)
+				}
+			}
+		})
+	}
+}
+
+// TestAdmissionAccounts compares slots and connections with the account under
+// random use.
+func TestAdmissionAccounts(t *testing.T) {
+	strict(t)
+	address := (&script{}).serve(t)
+	all := []string{"a1", "a2", "a3", "b1", "b2", "c1"}
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 3).Draw(t, "slots")
+		d := newDesk(address, slots, rapid.IntRange(1, 4).Draw(t, "limit"))
+		defer d.a.close()
+		pick := func(t *rapid.T, states ...string) string {
+			var names []string
+			for _, s := range states {
+				names = append(names, d.names(s)...)
+			}
+			if len(names) == 0 {
+				t.Skip("nobody")
+			}
+			return rapid.SampledFrom(names).Draw(t, "client")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"acquire": func(t *rapid.T) {
+				name := rapid.SampledFrom(all).Draw(t, "client")
+				if d.clients[name] != nil {
+					t.Skip("busy")
+				}
+				d.do("acquire", name)
+			},
+			"pause":  func(t *rapid.T) { d.do("pause", pick(t, "run")) },
+			"resume": func(t *rapid.T) { d.do("resume", pick(t, "pause")) },
+			"cancel": func(t *rapid.T) { d.do("cancel", pick(t, "acquire", "resume")) },
+			"put":    func(t *rapid.T) { d.do("put", pick(t, "run")) },
+			"lose":   func(t *rapid.T) { d.do("lose", pick(t, "run", "pause")) },
+			"race": func(t *rapid.T) {
+				name := pick(t, "acquire", "resume")
+				other := pick(t, "run")
+				go d.clients[name].cancel()
+				d.do("put", other)
+				d.awaitLeft(name)
+			},
+			"": func(t *rapid.T) {
+				if wrong := d.settle(); wrong != "" {
+					t.Fatal(wrong)
+				}
+			},
+		})
+	})
+}
+
+// awaitLeft takes in events until a canceled client has got its answer.
+func (d *desk) awaitLeft(name string) {
+	for c := d.clients[name]; d.clients[name] == c && (c.state == "acquire" || c.state == "resume"); {
+		d.take(<-d.events)
+	}
+}
--- a/internal/serve/holder/control.go
+++ b/internal/serve/holder/control.go
@@ -28,6 +28,7 @@
 	for ctx.Err() == nil {
 		h.session(ctx)
 		h.release()
+		h.admission.turnAway()
 		h.admission.drop()
 		_ = h.options.Clock.Sleep(ctx, retryInterval)
 	}
--- a/internal/serve/holder/exchange.go
+++ b/internal/serve/holder/exchange.go
@@ -106,7 +106,8 @@
 		if e := backend.ErrorOf(m); e.Fatal {
 			return false, &fatalError{server: e}
 		}
-		p.fail(t.conn.Prepared)
+		unclean := p.fail(t.conn.Prepared)
+		t.conn.Dirty = t.conn.Dirty || unclean
 		return true, nil
 	case 'G', 'H', 'W':
 		return false, &copyError{running: m.Type() == 'H'}
--- a/internal/serve/holder/expect.go
+++ b/internal/serve/holder/expect.go
@@ -21,6 +21,8 @@
 	made []byte
 	// name is the prepared statement that the answer brings into being.
 	name string
+	// closes is set when the answer ends a statement that made room for another.
+	closes bool
 }
 
 // plan is what is sent for a batch and what is expected back.
@@ -150,7 +152,7 @@
 		return
 	}
 	for _, old := range statements.Add(name) {
-		p.forward(mustEncode(&pgproto3.Close{ObjectType: 'S', Name: old}), expectation{kind: 'C', hidden: true})
+		p.forward(mustEncode(&pgproto3.Close{ObjectType: 'S', Name: old}), expectation{kind: 'C', hidden: true, closes: true})
 	}
 	p.forward(m, expectation{kind: 'P', hidden: hidden, name: name})
 }
@@ -203,16 +205,19 @@
 }
 
 // fail drops what the server skips after an error, and forgets the statements
-// that it did not prepare.
-func (p *plan) fail(statements *backend.Statements) {
+// that it did not prepare. It reports whether the connection has statements
+// that are not remembered, because their Close was skipped.
+func (p *plan) fail(statements *backend.Statements) (unclean bool) {
 	for len(p.expects) > 0 {
 		e := p.expects[0]
 		if e.kind == 'S' || e.kind == 'Q' {
-			return
+			return unclean
 		}
 		if e.name != "" {
 			statements.Remove(e.name)
 		}
+		unclean = unclean || e.closes
 		p.expects = p.expects[1:]
 	}
+	return unclean
 }
--- a/internal/serve/holder/holder.go
+++ b/internal/serve/holder/holder.go
@@ -42,6 +42,7 @@
 type Holder struct {
 	options   Options
 	admission *admission
+	counters  *counters
 	floors    *floors
 	owners    atomic.Uint64
 	done      chan struct{}
@@ -79,7 +80,8 @@
 	}
 	h := &Holder{options: o, done: make(chan struct{}), changed: make(chan struct{}), wake: make(chan struct{}, 1), hurry: make(chan struct{}, 1), floors: newFloors(MaxSessions)}
 	h.setLeaving(o.Server.Leaving)
-	h.admission = newAdmission(o.Server.Slots, max(o.Server.Connections-controlConnections, 1), h.dial)
+	h.counters = newCounters(o.Server.Name)
+	h.admission = newAdmission(o.Server.Slots, max(o.Server.Connections-controlConnections, 1), o.Clock, h.counters, h.dial)
 	return h
 }
 
@@ -124,11 +126,21 @@
 // learn takes in a state that was asked for at the given moment, if it is newer,
 // and wakes the readers that wait for one.
 func (h *Holder) learn(s backend.State, asked clock.Millis) {
+	demoted := h.take(s, asked)
+	if demoted {
+		h.admission.turnAway()
+	}
+}
+
+// take takes in a state and reports whether the server ceased to be
+// the primary.
+func (h *Holder) take(s backend.State, asked clock.Millis) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if s.Term < h.state.Term || s.Term == h.state.Term && !s.Applied.Covers(h.state.Applied) {
-		return
+		return false
 	}
+	demoted := h.state.Role == backend.RolePrimary && s.Role != backend.RolePrimary
 	if s.Term != h.state.Term || s.Role != h.state.Role {
 		h.isConfirmed = false
 	}
@@ -137,6 +149,7 @@
 	}
 	h.state, h.level = s, max(h.level, asked-s.Lag)
 	h.signalLocked()
+	return demoted
 }
 
 // hold begins the holding with the state that was asked for after the lock was
--- /dev/null
+++ b/internal/serve/holder/mix_test.go
@@ -0,0 +1,109 @@
+package holder
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+// TestTransactionsNeverMix opens, uses, ends and cuts transactions on one holder
+// in random order. Each writes rows of its own only; a row read back, a commit
+// or a rollback that touches another's shows that two shared a connection, as
+// does the invariant OneTransaction.
+func TestTransactionsNeverMix(t *testing.T) {
+	g, servers := group(t, "one")
+	servers[0].Connections = 4
+	h := hold(t, Options{Server: servers[0]})
+	serial, stored := 0, map[string]string{}
+	rapid.Check(t, func(t *rapid.T) {
+		type open struct {
+			call  *call
+			row   string
+			value int
+		}
+		var all []*open
+		expect := func(o *open, sql string, want ...string) {
+			if got, _ := o.call.run(backend.QueryMessage(sql)); fmt.Sprint(got) != fmt.Sprint(want) {
+				t.Fatalf("%s: got %q, want %q", sql, got, want)
+			}
+		}
+		pick := func(t *rapid.T) *open {
+			if len(all) == 0 {
+				t.Skip("none is open")
+			}
+			i := rapid.IntRange(0, len(all)-1).Draw(t, "transaction")
+			o := all[i]
+			all[i] = all[len(all)-1]
+			all = all[:len(all)-1]
+			return o
+		}
+		defer func() {
+			for _, o := range all {
+				o.call.x.Close()
+				<-o.call.done
+			}
+		}()
+		t.Repeat(map[string]func(*rapid.T){
+			"begin": func(t *rapid.T) {
+				if len(all) == 3 {
+					t.Skip("no connection is left")
+				}
+				serial++
+				o := &open{call: begin(h, inner.Begin{Kind: document.KindWrite}), row: strconv.Itoa(serial)}
+				expect(o, "BEGIN; INSERT INTO box (id, v) VALUES ('"+o.row+"', '0')", "C BEGIN", "C INSERT 0 1", "Z T")
+				all = append(all, o)
+			},
+			"use": func(t *rapid.T) {
+				o := pick(t)
+				o.value++
+				expect(o, "UPDATE box SET v = v + 1 WHERE id = '"+o.row+"' RETURNING v", "T", "D "+strconv.Itoa(o.value), "C UPDATE 1", "Z T")
+				all = append(all, o)
+			},
+			"commit": func(t *rapid.T) {
+				o := pick(t)
+				expect(o, "COMMIT", "C COMMIT", "Z I")
+				<-o.call.done
+				stored[o.row] = strconv.Itoa(o.value)
+			},
+			"rollback": func(t *rapid.T) {
+				o := pick(t)
+				expect(o, "ROLLBACK", "C ROLLBACK", "Z I")
+				<-o.call.done
+			},
+			"cut": func(t *rapid.T) {
+				o := pick(t)
+				o.call.x.Close()
+				<-o.call.done
+			},
+			"setting": func(t *rapid.T) {
+				if len(all) == 3 {
+					t.Skip("no connection is left")
+				}
+				b := inner.Begin{Kind: document.KindWrite, Deadline: 20 * clock.Second, Floor: floor.Mark{Term: 1}}
+				if got := simple(h, b, "SET search_path = 'mine'"); fmt.Sprint(got) != "[C SET Z I]" {
+					t.Fatalf("SET: got %q", got)
+				}
+				if got := simple(h, b, "SHOW search_path"); fmt.Sprint(got) != "[T D  C SELECT 1 Z I]" {
+					t.Fatalf("a setting outlived its transaction: %q", got)
+				}
+			},
+			"": func(t *rapid.T) {
+				for row := range serial {
+					id := strconv.Itoa(row + 1)
+					got, there := g.Server("one").Value("box", id)
+					if want, ok := stored[id]; there != ok || got != want {
+						t.Fatalf("row %s: got %q, want %q", id, got, want)
+					}
+				}
+			},
+		})
+	})
+}
--- /dev/null
+++ b/internal/serve/holder/plan_test.go
@@ -0,0 +1,179 @@
+package holder
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/pgwire"
+)
+
+// message builds a message from its type and, with a space, a statement's name.
+func message(text string) []byte {
+	name := ""
+	if len(text) > 2 {
+		name = text[2:]
+	}
+	switch text[0] {
+	case 'P':
+		return mustEncode(&pgproto3.Parse{Name: name, Query: "SELECT 1"})
+	case 'B':
+		return mustEncode(&pgproto3.Bind{PreparedStatement: name})
+	case 'D':
+		return mustEncode(&pgproto3.Describe{ObjectType: 'S', Name: name})
+	case 'C':
+		return mustEncode(&pgproto3.Close{ObjectType: 'S', Name: name})
+	case 'E':
+		return mustEncode(&pgproto3.Execute{})
+	case 'H':
+		return mustEncode(&pgproto3.Flush{})
+	case 'S':
+		return mustEncode(&pgproto3.Sync{})
+	}
+	return mustEncode(&pgproto3.Query{String: name})
+}
+
+// sent describes the messages of a plan as message takes them.
+func sent(raw []byte) []string {
+	var out []string
+	for m, rest := pgwire.Next(raw); m != nil; m, rest = pgwire.Next(rest) {
+		body, text := m.Body(), string(m.Type())
+		switch m.Type() {
+		case 'B':
+			_, body = cutString(body)
+		case 'D', 'C':
+			body = body[1:]
+		case 'E':
+			body = nil
+		}
+		if name, _ := cutString(body); name != "" {
+			text += " " + name
+		}
+		out = append(out, text)
+	}
+	return out
+}
+
+// TestPlan plays batches on one connection: what is sent, and which of the
+// server's answers the caller sees.
+func TestPlan(t *testing.T) {
+	strict(t)
+	var cases []struct {
+		Name  string `yaml:"name"`
+		Limit int    `yaml:"limit"`
+		// Batches come one after the other.
+		Batches []struct {
+			Needs []string `yaml:"needs"`
+			In    []string `yaml:"in"`
+			Out   []string `yaml:"out"`
+			// Answers are the types of the server's messages, Seen of those that
+			// the caller gets.
+			Answers string `yaml:"answers"`
+			Seen    string `yaml:"seen"`
+			// Dirty is set when the connection needs the full reset afterwards.
+			Dirty bool `yaml:"dirty"`
+		} `yaml:"batches"`
+		// Has lists the statements that the connection has in the end.
+		Has []string `yaml:"has"`
+	}
+	load(t, "plan.yaml", &cases)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			statements := backend.NewStatements(c.Limit)
+			for _, b := range c.Batches {
+				var batch inner.Batch
+				for _, n := range b.Needs {
+					batch.Needs = append(batch.Needs, inner.Need{Name: n, Parse: message("P " + n)})
+				}
+				for _, m := range b.In {
+					batch.Raw = append(batch.Raw, message(m)...)
+				}
+				p := planBatch(batch, statements)
+				if diff := cmp.Diff(b.Out, sent(p.out)); diff != "" {
+					t.Errorf("sent (-want +got):\n%s", diff)
+				}
+				seen, dirty := play(p, b.Answers, statements)
+				if dirty != b.Dirty {
+					t.Errorf("full reset: got %v, want %v", dirty, b.Dirty)
+				}
+				if diff := cmp.Diff(b.Seen, seen); diff != "" {
+					t.Errorf("seen (-want +got):\n%s", diff)
+				}
+				if len(p.expects) > 0 {
+					t.Errorf("still expected: %+v", p.expects)
+				}
+			}
+			for _, name := range c.Has {
+				if !statements.Has(name) {
+					t.Errorf("the connection has lost statement %s", name)
+				}
+			}
+			if statements.Len() != len(c.Has) {
+				t.Errorf("the connection has %d statements, want %d", statements.Len(), len(c.Has))
+			}
+		})
+	}
+}
+
+// play gives the plan the server's answers and returns what the caller sees and
+// whether the connection needs the full reset.
+func play(p *plan, answers string, statements *backend.Statements) (string, bool) {
+	tr := &transaction{conn: &backend.Conn{Prepared: statements}}
+	raw := p.made(nil)
+	for i := range len(answers) {
+		m := pgwire.Message{answers[i], 0, 0, 0, 4, 0}
+		visible, err := tr.keep(p, m)
+		if err != nil {
+			return err.Error(), false
+		}
+		if visible {
+			raw = append(raw, answers[i], 0, 0, 0, 4)
+		}
+		raw = p.made(raw)
+	}
+	seen := ""
+	for m, rest := pgwire.Next(raw); m != nil; m, rest = pgwire.Next(rest) {
+		seen += string(m.Type())
+	}
+	return seen, tr.conn.Dirty
+}
+
+// TestFloors gives a forgotten session the highest floor that was forgotten.
+func TestFloors(t *testing.T) {
+	var cases []struct {
+		Name  string `yaml:"name"`
+		Limit int    `yaml:"limit"`
+		// Steps are records of a session at a position; an empty session restarts.
+		Steps []struct {
+			Session  string         `yaml:"session"`
+			Term     floor.Term     `yaml:"term"`
+			Position floor.Position `yaml:"position"`
+		} `yaml:"steps"`
+		Want map[string]string `yaml:"want"`
+	}
+	load(t, "floors.yaml", &cases)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			f := newFloors(c.Limit)
+			for _, s := range c.Steps {
+				m := floor.Mark{Term: s.Term, Position: s.Position}
+				if s.Session == "" {
+					f.restart(m)
+					continue
+				}
+				f.record(s.Session, m)
+			}
+			got := map[string]string{}
+			for session := range c.Want {
+				got[session] = f.of(session).String()
+			}
+			if diff := cmp.Diff(c.Want, got); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/serve/holder/txn.go
+++ b/internal/serve/holder/txn.go
@@ -168,7 +168,9 @@
 		t.refuse(refusal)
 		return false
 	}
+	since := t.holder.options.Clock.Now()
 	a, err := t.exchange(batch)
+	t.holder.counters.ran(t.holder.options.Clock.Now() - since)
 	if err != nil {
 		t.holder.admission.pause()
 		t.lose(batch, err)
