--- a/internal/serve/holder/once.go
+++ b/internal/serve/holder/once.go
@@ -172,7 +172,7 @@
 		return nil
 	}
 	var d pgproto3.RowDescription
-	if err := d.Decode(first.Columns[pgwire.HeaderSize:]); err != nil {
+	if err := d.Decode(first.Columns[min(pgwire.HeaderSize, len(first.Columns)):]); err != nil {
 		return &repeatError{detail: "; its rows are damaged: " + err.Error()}
 	}
 	for i, f := range d.Fields {
--- a/internal/serve/holder/settle.go
+++ b/internal/serve/holder/settle.go
@@ -32,8 +32,10 @@
 	return backend.StateQuery + "; " + lockQuery(server)
 }
 
+// lockQuery asks which connection has the lock. A key of 32 bits is in objid,
+// and objsubid 1 marks keys of one number.
 func lockQuery(server string) string {
-	return fmt.Sprintf("SELECT pid FROM pg_locks WHERE locktype = 'advisory' AND key = %d", lockKey(server))
+	return fmt.Sprintf("SELECT pid FROM pg_locks WHERE locktype = 'advisory' AND classid = 0 AND objid = %d AND objsubid = 1 AND granted", lockKey(server))
 }
 
 // settlement is what the server said after a transaction had ended.
--- a/internal/standin/backend/sql.go
+++ b/internal/standin/backend/sql.go
@@ -65,6 +65,7 @@
 		statement(`SELECT pg_try_advisory_lock\((-?\d+)\)`, (*session).advisoryLock),
 		statement(`SELECT pg_advisory_unlock_all\(\)`, (*session).advisoryUnlock),
 		statement(`SELECT pid FROM pg_locks WHERE locktype = 'advisory' AND key = (-?\d+)`, (*session).advisoryHolder),
+		statement(`SELECT pid FROM pg_locks WHERE locktype = 'advisory' AND classid = 0 AND objid = (\d+) AND objsubid = 1 AND granted`, (*session).advisoryHolder),
 		statement(`SELECT application_name FROM pg_stat_activity WHERE pid = (\d+)`, (*session).applicationName),
 		statement(`SELECT pg_terminate_backend\((\d+)\)`, (*session).terminate),
 		statement(`SELECT count\(pg_terminate_backend\(pid\)\) FROM pg_stat_activity WHERE application_name = OPERAND`, (*session).terminateNamed),
