Give a repeat its outcome only when a majority has the first commit

Cause: a server whose commit was cut while it waited for its replicas may show the row to others before a majority has it, so a repeat read there could be acknowledged and then lost. Change: a repeat writes the first outcome once more and commits, also before an explicit transaction is refused as already run.

--- a/internal/serve/holder/oncerun.go
+++ b/internal/serve/holder/oncerun.go
@@ -84,7 +84,8 @@
 	if err != nil || a.status != statusOpen {
 		return a, err
 	}
-	rows, err := t.conn.Query(t.owner, claimQuery(onceID(t.begin.Account, t.begin.Key)))
+	id := onceID(t.begin.Account, t.begin.Key)
+	rows, err := t.conn.Query(t.owner, claimQuery(id))
 	if err != nil {
 		return t.undo(err)
 	}
@@ -93,29 +94,42 @@
 		t.ran = true
 		return a, nil
 	}
-	if _, err := t.conn.Query(t.owner, rollbackQuery); err != nil {
-		return nil, err
+	if _, err := t.recall(id); err != nil {
+		return t.undo(err)
 	}
 	return &answer{raw: failure(outcome.CodeDuplicate, "the transaction already ran"), status: statusIdle}, nil
 }
 
 // repeat answers a request whose key is there with its first outcome.
 func (t *transaction) repeat(id string, batch inner.Batch) (*answer, error) {
-	rows, err := t.conn.Query(t.owner, recallQuery(id)+"; "+rollbackQuery)
+	first, err := t.recall(id)
 	if err != nil {
 		return t.undo(err)
 	}
-	first, err := decodeOutcome(cell(rows))
-	var raw []byte
-	if err == nil {
-		raw, err = replay(first, batch)
-	}
+	raw, err := replay(first, batch)
 	if err != nil {
 		raw = failure(outcome.CodeDuplicate, err.Error())
 	}
 	return &answer{raw: raw, status: statusIdle}, nil
 }
 
+// recall ends the transaction of a repeat and returns the first outcome. It
+// writes the outcome once more: that commit is behind the first one in the log,
+// so an outcome that a majority does not have is not given.
+func (t *transaction) recall(id string) (firstOutcome, error) {
+	rows, err := t.conn.Query(t.owner, recallQuery(id))
+	if err != nil {
+		return firstOutcome{}, err
+	}
+	text := cell(rows)
+	first, err := decodeOutcome(text)
+	if err != nil {
+		return first, &backend.ServerError{Code: outcome.CodeDuplicate, Message: "the first outcome is damaged: " + err.Error()}
+	}
+	_, err = t.conn.Query(t.owner, keepQuery(id, text)+"; COMMIT")
+	return first, err
+}
+
 // undo rolls back after an error of the server outside the caller's own
 // statement, and gives the caller the error. Other errors are passed on.
 func (t *transaction) undo(err error) (*answer, error) {
