--- a/internal/serve/holder/expect.go
+++ b/internal/serve/holder/expect.go
@@ -21,17 +21,22 @@
 	made []byte
 	// name is the prepared statement that the answer brings into being.
 	name string
+	// closes is set when the answer ends a statement that made room for another.
+	closes bool
 }
 
 // plan is what is sent for a batch and what is expected back.
 type plan struct {
 	out     []byte
 	expects []expectation
+	// describe has the rows of each statement described to the holder.
+	describe bool
 }
 
 var (
 	parseComplete = mustEncode(&pgproto3.ParseComplete{})
 	closeComplete = mustEncode(&pgproto3.CloseComplete{})
+	readyIdle     = mustEncode(&pgproto3.ReadyForQuery{TxStatus: statusIdle})
 )
 
 func mustEncode(m interface{ Encode([]byte) ([]byte, error) }) []byte {
@@ -48,7 +53,11 @@
 // planBatch adds the prepared statements that the connection lacks to a batch,
 // and leaves out those that it has.
 func planBatch(batch inner.Batch, statements *backend.Statements) *plan {
-	p := &plan{}
+	return newPlan(batch, statements, false)
+}
+
+func newPlan(batch inner.Batch, statements *backend.Statements, describe bool) *plan {
+	p := &plan{describe: describe}
 	needs := map[string][]byte{}
 	for _, n := range batch.Needs {
 		needs[n.Name] = n.Parse
@@ -92,6 +101,12 @@
 			return
 		}
 		p.forward(m, expectation{kind: 'C'})
+	case 'E':
+		if p.describe {
+			portal, _ := cutString(body)
+			p.forward(mustEncode(&pgproto3.Describe{ObjectType: 'P', Name: portal}), expectation{kind: 'D', hidden: true})
+		}
+		p.forward(m, expectation{kind: 'E'})
 	case 'H':
 		p.out = append(p.out, m...)
 	default:
@@ -99,6 +114,12 @@
 	}
 }
 
+// prefix puts a simple query of the holder's own before the batch.
+func (p *plan) prefix(sql string) {
+	p.out = append(backend.QueryMessage(sql), p.out...)
+	p.expects = append([]expectation{{kind: 'Q', hidden: true}}, p.expects...)
+}
+
 func (p *plan) forward(m []byte, e expectation) {
 	p.out = append(p.out, m...)
 	p.expects = append(p.expects, e)
@@ -131,7 +152,7 @@
 		return
 	}
 	for _, old := range statements.Add(name) {
-		p.forward(mustEncode(&pgproto3.Close{ObjectType: 'S', Name: old}), expectation{kind: 'C', hidden: true})
+		p.forward(mustEncode(&pgproto3.Close{ObjectType: 'S', Name: old}), expectation{kind: 'C', hidden: true, closes: true})
 	}
 	p.forward(m, expectation{kind: 'P', hidden: hidden, name: name})
 }
@@ -184,16 +205,19 @@
 }
 
 // fail drops what the server skips after an error, and forgets the statements
-// that it did not prepare.
-func (p *plan) fail(statements *backend.Statements) {
+// that it did not prepare. It reports whether the connection has statements
+// that are not remembered, because their Close was skipped.
+func (p *plan) fail(statements *backend.Statements) (unclean bool) {
 	for len(p.expects) > 0 {
 		e := p.expects[0]
 		if e.kind == 'S' || e.kind == 'Q' {
-			return
+			return unclean
 		}
 		if e.name != "" {
 			statements.Remove(e.name)
 		}
+		unclean = unclean || e.closes
 		p.expects = p.expects[1:]
 	}
+	return unclean
 }
