Give the servers of the entry's tests addresses of their own

Cause: the configuration now refuses two servers at one address, and the entry's test fixture used one address for three. Change: the fixture numbers its addresses; no check is touched. Measured: go test -race ./internal/serve/entry failed in 7 tests before and passes after.

--- a/internal/serve/entry/bench_test.go
+++ b/internal/serve/entry/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -51,8 +52,8 @@
 
 func databasesSection() string {
 	text := "databases:\n  - name: orders\n    servers:\n"
-	for _, name := range []string{"orders-1", "orders-2", "orders-3"} {
-		text += "      - {name: " + name + ", address: \"127.0.0.1:1\", zone: a, region: r, slots: 1, connections: 2}\n"
+	for i, name := range []string{"orders-1", "orders-2", "orders-3"} {
+		text += "      - {name: " + name + ", address: \"127.0.0.1:" + strconv.Itoa(i+1) + "\", zone: a, region: r, slots: 1, connections: 2}\n"
 	}
 	return text
 }
