Record a write at the holder that has taken over

Cause: a holder that lost its server's lock between a commit and its answer said so in End.Unrecorded, and nobody acted on it; leaving servers restarted their holder, which cut open transactions. Change: the entry asks the primary's present holder to record the write before the caller sees it; holders take in changed settings without a restart and know which VMs are members.

--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -42,6 +42,9 @@
 	// OpenFunc opens an exchange with the holder of a backend server. An error
 	// means that nothing was sent.
 	OpenFunc func(ctx context.Context, s document.Server) (inner.Exchange, error)
+	// RecordFunc has the primary's holder remember a write of a named session that
+	// was committed through a holder which had lost the server meanwhile.
+	RecordFunc func(ctx context.Context, primary document.Server, database, session string, m floor.Mark) error
 	// FloorFunc asks the primary's holder for the floor of a named session.
 	FloorFunc func(ctx context.Context, primary document.Server, database, session string) (floor.Mark, error)
 	// FloorsFunc asks for several sessions at once, in their order; when it is
--- a/internal/serve/entry/relay.go
+++ b/internal/serve/entry/relay.go
@@ -1,9 +1,14 @@
 package entry
 
 import (
+	"context"
+
 	"github.com/go-faster/errors"
 
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/retry"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/pgwire"
@@ -83,6 +88,9 @@
 	if m.Unknown != "" {
 		return s.lost(first, m.Unknown)
 	}
+	if m.Unrecorded && !s.record(m.Mark) {
+		return s.lost(first, "the write could not be recorded for session "+s.name)
+	}
 	if m.Status != statusIdle {
 		s.pinned = server
 		s.block = s.block || m.Status != 0
@@ -101,6 +109,25 @@
 	return s.conn.Write(m.Raw)
 }
 
+// recordWait bounds the search for a holder that remembers a write, in milliseconds.
+const recordWait = 5 * clock.Second
+
+// record has the present holder of the primary remember a write, so that no VM
+// reads behind it. It reports whether that was done.
+func (s *session) record(m floor.Mark) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), recordWait.Duration())
+	defer cancel()
+	o := s.entry.options
+	for ctx.Err() == nil {
+		b, _ := o.DocumentFunc().Database(s.database)
+		if p, ok := s.entry.directory.primary(b); ok && o.RecordFunc(ctx, p, s.database, s.name, m) == nil {
+			return true
+		}
+		_ = o.Clock.Sleep(ctx, retry.LastPause)
+	}
+	return false
+}
+
 // statusIdle is the status of a ReadyForQuery outside a transaction.
 const statusIdle = 'I'
 
--- a/internal/serve/vm/holders.go
+++ b/internal/serve/vm/holders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
@@ -55,7 +56,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for name, r := range h.running {
-		if s, ok := wanted[name]; !ok || s != r.holder.Server() {
+		if s, ok := wanted[name]; !ok || !r.holder.Update(s) {
 			r.cancel()
 			delete(h.running, name)
 		}
@@ -73,6 +74,7 @@
 	r := &runningHolder{database: database, cancel: cancel, holder: holder.New(holder.Options{
 		Server: s, Database: database, VM: o.Name, User: o.User, Password: o.Password, Clock: o.Clock,
 		ConfirmFunc: h.vm.confirm,
+		AliveFunc:   h.vm.isMember,
 	})}
 	h.running[s.Name] = r
 	go r.holder.Run(ctx)
@@ -93,6 +95,11 @@
 	}
 }
 
+// isMember reports whether a VM is one of the members that this VM knows.
+func (v *VM) isMember(name string) bool {
+	return slices.ContainsFunc(*v.members.Load(), func(m member.VM) bool { return m.Name == name })
+}
+
 // holderOf returns the VM that should hold a server.
 func (v *VM) holderOf(s document.Server) (member.VM, bool) {
 	return member.Place(*v.members.Load(), s.Name, s.Zone)
--- a/internal/serve/vm/streams.go
+++ b/internal/serve/vm/streams.go
@@ -126,9 +126,25 @@
 		}
 		return inner.Answer{Floor: m}
 	}
+	if a.Topic == inner.TopicRecord {
+		if err := h.Record(ctx, a.Session, a.Floor); err != nil {
+			return inner.Answer{Error: err.Error()}
+		}
+		return inner.Answer{}
+	}
 	return inner.Answer{Error: "unknown question " + a.Topic}
 }
 
+// record has the primary's holder remember a write of a named session.
+func (v *VM) record(ctx context.Context, primary document.Server, database, session string, m floor.Mark) error {
+	owner, ok := v.holderOf(primary)
+	if !ok {
+		return errors.New("no VM is known")
+	}
+	_, err := v.ask(ctx, owner, inner.Ask{Topic: inner.TopicRecord, Database: database, Server: primary.Name, Session: session, Floor: m})
+	return err
+}
+
 func (v *VM) askFloor(ctx context.Context, primary document.Server, database, session string) (floor.Mark, error) {
 	m, ok := v.holderOf(primary)
 	if !ok {
--- a/internal/serve/vm/vm.go
+++ b/internal/serve/vm/vm.go
@@ -79,6 +79,7 @@
 		DocumentFunc: v.document.Load,
 		OpenFunc:     v.open,
 		FloorFunc:    v.askFloor,
+		RecordFunc:   v.record,
 		CancelFunc:   v.passCancel,
 	})
 	go v.run(ctx)
