Keep VMs in step by heartbeats and hand the configuration down the tree

Cause: every VM read the whole configuration from the platform, and nothing said whether it may still act on it. Change: internal/serve/membership joins the pure heartbeat node with datagrams, reads of the store by the roots alone, a member set in the record and hand-over of versions between VMs.

--- a/internal/core/heartbeat/events.go
+++ b/internal/core/heartbeat/events.go
@@ -57,10 +57,17 @@
 }
 
 func (n Node) newBeat(now clock.Millis, echo uint64, root bool) Beat {
-	return Beat{
+	b := Beat{
 		From: n.self, Sent: n.sent, Echo: echo, Newest: n.newest,
 		Subtree: n.subtree(now), Suspects: n.localSuspects(), Root: root,
 	}
+	for _, v := range n.set.Members {
+		if v.Name == n.self && v.Address == n.address {
+			return b
+		}
+	}
+	b.Address = n.address
+	return b
 }
 
 // localSuspects is what the node and those it relays for have found.
--- a/internal/core/heartbeat/message.go
+++ b/internal/core/heartbeat/message.go
@@ -38,6 +38,9 @@
 	Suspects []string `cbor:"suspects,omitempty"`
 	// Root is set between roots.
 	Root bool `cbor:"root,omitempty"`
+	// Address is where the sender takes answers, IP:port, if it is not where the
+	// member set says.
+	Address string `cbor:"address,omitempty"`
 }
 
 // Answer is what a relay answers to a beat.
--- a/internal/core/heartbeat/node.go
+++ b/internal/core/heartbeat/node.go
@@ -71,6 +71,7 @@
 // Node is the state of one VM.
 type Node struct {
 	self    string
+	address string
 	zone    member.Zone
 	set     Set
 	newest  uint64
@@ -104,7 +105,7 @@
 // New returns the node of a VM that knows nothing yet.
 func New(self member.VM, now clock.Millis) Node {
 	return Node{
-		self: self.Name, zone: self.Zone, started: now, ticked: now, next: now, beats: map[uint64]clock.Millis{},
+		self: self.Name, zone: self.Zone, address: self.Address, started: now, ticked: now, next: now, beats: map[uint64]clock.Millis{},
 		children: map[string]neighbour{}, roots: map[string]neighbour{},
 		suspected: map[string]clock.Millis{}, confirmed: confirmation{at: Never}, majority: confirmation{at: Never},
 	}
@@ -136,6 +137,22 @@
 // IsRoot reports whether the node is the root of its zone.
 func (n Node) IsRoot() bool { return n.tree().IsRoot(n.self) }
 
+// IsFirst reports whether the node is the first of the roots by name, which is
+// the one that keeps the member set.
+func (n Node) IsFirst() bool {
+	roots := n.tree().Roots()
+	return len(roots) > 0 && roots[0] == n.self
+}
+
+// Sources returns the VMs to get a later version from: the relay, or at a root
+// the other roots.
+func (n Node) Sources() []string {
+	if n.parentOf != "" {
+		return []string{n.parentOf}
+	}
+	return slices.DeleteFunc(n.tree().Roots(), func(name string) bool { return name == n.self })
+}
+
 // May reports whether the node may act on its version now: it has a
 // confirmation that is young enough, and no later version is known.
 func (n Node) May(now clock.Millis) bool {
--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -37,6 +37,10 @@
 	KindAsk Kind = 7
 	// KindAnswer answers it; its body is Answer.
 	KindAnswer Kind = 8
+	// KindBeat is a heartbeat in a datagram; its body is heartbeat.Beat.
+	KindBeat Kind = 9
+	// KindReply answers a heartbeat in a datagram; its body is heartbeat.Answer.
+	KindReply Kind = 10
 )
 
 // MaxFrame is the largest body of a frame in bytes.
@@ -139,6 +143,8 @@
 	// Secret and Process identify a caller's connection for a cancel.
 	Process uint32 `cbor:"process,omitempty"`
 	Secret  []byte `cbor:"secret,omitempty"`
+	// Known names objects that the asker has already.
+	Known []string `cbor:"known,omitempty"`
 }
 
 // The topics of a question.
@@ -146,6 +152,8 @@
 	TopicState  = "state"
 	TopicFloor  = "floor"
 	TopicCancel = "cancel"
+	// TopicConfiguration asks for the configuration that a VM has.
+	TopicConfiguration = "configuration"
 	// TopicRecord records the floor of a named session at the present holder.
 	TopicRecord = "record"
 )
@@ -154,6 +162,10 @@
 type Answer struct {
 	State State      `cbor:"state"`
 	Floor floor.Mark `cbor:"floor"`
+	// Record is the configuration's entry in the table, and Objects the texts that
+	// it names, by hash, without those that the asker has.
+	Record  []byte            `cbor:"record,omitempty"`
+	Objects map[string][]byte `cbor:"objects,omitempty"`
 	// Error is set when the question could not be answered.
 	Error string `cbor:"error,omitempty"`
 }
@@ -182,6 +194,17 @@
 	return nil
 }
 
+// Pack puts a frame into a datagram.
+func Pack(f Frame) []byte { return append([]byte{byte(f.Kind)}, f.Body...) }
+
+// Unpack takes the frame out of a datagram.
+func Unpack(datagram []byte) (Frame, error) {
+	if len(datagram) == 0 {
+		return Frame{}, &FrameError{Detail: "empty datagram"}
+	}
+	return Frame{Kind: Kind(datagram[0]), Body: datagram[1:]}, nil
+}
+
 // Write sends one frame in one call to w.
 func Write(w io.Writer, f Frame) error {
 	buf := make([]byte, headerSize+len(f.Body))
--- /dev/null
+++ b/internal/serve/configuration/bundle.go
@@ -0,0 +1,141 @@
+package configuration
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+// Bundle is one version with everything that it names, so that VMs can hand it
+// to each other while the platform is down. It never changes once built.
+type Bundle struct {
+	Record  Record
+	Raw     []byte
+	Objects map[string][]byte
+	// Document is nil until an operator has written one.
+	Document *document.Document
+	Members  []member.VM
+	Old      []member.VM
+}
+
+// NewBundle builds a bundle from the entry in the table; get reads an object.
+func NewBundle(raw []byte, get func(hash string) ([]byte, error)) (*Bundle, error) {
+	b := &Bundle{Raw: bytes.Clone(raw), Objects: map[string][]byte{}}
+	if err := json.Unmarshal(raw, &b.Record); err != nil {
+		return nil, errors.Wrap(err, "configuration record")
+	}
+	texts := map[string]string{}
+	for section, hash := range b.Record.Sections {
+		body, err := b.object(hash, get)
+		if err != nil {
+			return nil, errors.Wrapf(err, "section %s", section)
+		}
+		texts[section] = string(body)
+	}
+	var err error
+	if b.Members, err = b.vms(b.Record.Members, get); err != nil {
+		return nil, err
+	}
+	if b.Old, err = b.vms(b.Record.Old, get); err != nil {
+		return nil, err
+	}
+	if len(texts) > 0 {
+		b.Document, err = document.Parse(b.Record.Version, texts)
+	}
+	return b, err
+}
+
+// object reads one object and checks that it is the one with that hash.
+func (b *Bundle) object(hash string, get func(string) ([]byte, error)) ([]byte, error) {
+	body, err := get(hash)
+	if err != nil {
+		return nil, err
+	}
+	if Hash(body) != hash {
+		return nil, errors.New("another text was given")
+	}
+	b.Objects[hash] = body
+	return body, nil
+}
+
+func (b *Bundle) vms(hash string, get func(string) ([]byte, error)) ([]member.VM, error) {
+	if hash == "" {
+		return nil, nil
+	}
+	body, err := b.object(hash, get)
+	if err != nil {
+		return nil, errors.Wrap(err, "member set")
+	}
+	var out []member.VM
+	if err := json.Unmarshal(body, &out); err != nil {
+		return nil, errors.Wrap(err, "member set")
+	}
+	return out, nil
+}
+
+// Read reads the newest bundle from the platform. Objects that the known bundle
+// has are not read again, and a record that is still the known one is returned
+// as it is.
+func Read(ctx context.Context, store platform.Store, known *Bundle) (*Bundle, error) {
+	v, err := store.GetFunc(ctx, Key)
+	if err != nil {
+		return nil, err
+	}
+	if known != nil && bytes.Equal(v.Body, known.Raw) {
+		return known, nil
+	}
+	return NewBundle(v.Body, func(hash string) ([]byte, error) {
+		if known != nil && known.Objects[hash] != nil {
+			return known.Objects[hash], nil
+		}
+		return store.ObjectFunc(ctx, hash)
+	})
+}
+
+// SetMembers replaces the member set, if the record is still at the given
+// version. That version must be accepted, so that the majorities of the sets on
+// both sides of the change meet. It returns the platform's errors.
+func SetMembers(ctx context.Context, store platform.Store, at uint64, members []member.VM) error {
+	old, tag, err := load(ctx, store)
+	if err != nil && !errors.Is(err, platform.ErrAbsent) {
+		return err
+	}
+	if old.Version != at {
+		return platform.ErrConflict
+	}
+	list, err := json.Marshal(Sorted(members))
+	if err != nil {
+		return errors.Wrap(err, "member set")
+	}
+	next := old
+	next.Version, next.Members, next.Old = old.Version+1, Hash(list), old.Members
+	if err := store.KeepFunc(ctx, next.Members, list); err != nil {
+		return err
+	}
+	body, err := json.Marshal(next)
+	if err != nil {
+		return errors.Wrap(err, "configuration record")
+	}
+	_, err = store.PutFunc(ctx, Key, tag, body)
+	return err
+}
+
+// Sorted returns the VMs by zone and name, the order of a member set.
+func Sorted(vms []member.VM) []member.VM {
+	out := slices.Clone(vms)
+	slices.SortFunc(out, func(a, b member.VM) int {
+		if c := strings.Compare(string(a.Zone), string(b.Zone)); c != 0 {
+			return c
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	return out
+}
--- a/internal/serve/configuration/record.go
+++ b/internal/serve/configuration/record.go
@@ -15,6 +15,10 @@
 	Bases map[string]uint64 `json:"bases"`
 	// History holds the last versions, the oldest first.
 	History []Entry `json:"history"`
+	// Members names the object that lists the VMs which count for a majority, and
+	// Old the one before it. They are empty until the first VM has started.
+	Members string `json:"members,omitempty"`
+	Old     string `json:"old,omitempty"`
 	// Older names the object that holds the versions before, or is empty.
 	Older string `json:"older,omitempty"`
 }
@@ -126,7 +130,8 @@
 }
 
 func (r Record) replace(e Entry) Record {
-	next := Record{Version: e.Version, Sections: map[string]string{}, Bases: map[string]uint64{}, Older: r.Older}
+	next := r
+	next.Version, next.Sections, next.Bases = e.Version, map[string]string{}, map[string]uint64{}
 	maps.Copy(next.Sections, r.Sections)
 	maps.Copy(next.Bases, r.Bases)
 	for section, hash := range e.Sections {
--- /dev/null
+++ b/internal/serve/membership/counters.go
@@ -0,0 +1,40 @@
+package membership
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/heartbeat"
+)
+
+// counters are the metrics of a membership.
+type counters struct {
+	messages *metrics.Counter
+	bytes    *metrics.Counter
+	changes  *metrics.Counter
+	version  *metrics.Gauge
+	accepted *metrics.Gauge
+	members  *metrics.Gauge
+	suspects *metrics.Gauge
+}
+
+func newCounters(vm string) counters {
+	name := func(metric string) string { return fmt.Sprintf("%s{vm=%q}", metric, vm) }
+	return counters{
+		messages: metrics.GetOrCreateCounter(name("beats")),
+		bytes:    metrics.GetOrCreateCounter(name("beatbytes")),
+		changes:  metrics.GetOrCreateCounter(name("setchanges")),
+		version:  metrics.GetOrCreateGauge(name("version"), nil),
+		accepted: metrics.GetOrCreateGauge(name("accepted"), nil),
+		members:  metrics.GetOrCreateGauge(name("members"), nil),
+		suspects: metrics.GetOrCreateGauge(name("suspects"), nil),
+	}
+}
+
+func (c counters) observe(n heartbeat.Node) {
+	c.version.Set(float64(n.Version()))
+	c.accepted.Set(float64(n.Accepted()))
+	c.members.Set(float64(len(n.Members())))
+	c.suspects.Set(float64(len(n.Members()) - len(n.Alive())))
+}
--- /dev/null
+++ b/internal/serve/membership/fetch.go
@@ -0,0 +1,109 @@
+package membership
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/configuration"
+)
+
+// fetchPause is the pause after a fetch that found nothing later.
+const fetchPause = 50 * clock.Millis(1)
+
+// fetchWhenNeeded gets a later version as soon as one is heard of, and at the
+// start the first one from anybody.
+func (m *Membership) fetchWhenNeeded(ctx context.Context) {
+	m.wakeFetch()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.wake:
+		}
+		if !m.fetch(ctx) && m.behind() {
+			m.wakeFetch()
+			_ = m.options.Clock.Sleep(ctx, fetchPause)
+		}
+	}
+}
+
+func (m *Membership) behind() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.Version() == 0 || m.node.Newest() > m.node.Version()
+}
+
+// fetch asks the relay, then the other roots, the given peers and at last the
+// platform. It reports whether a later version came.
+func (m *Membership) fetch(ctx context.Context) bool {
+	for _, address := range m.sources() {
+		b, err := m.ask(ctx, address)
+		if err != nil || b.Record.Version <= m.Version() {
+			continue
+		}
+		m.adopt(ctx, b)
+		return true
+	}
+	before := m.Version()
+	if m.readsStore() {
+		m.readRecord(ctx)
+	}
+	return m.Version() > before
+}
+
+func (m *Membership) sources() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for _, name := range m.node.Sources() {
+		if a := m.addressLocked(name); a != "" {
+			out = append(out, a)
+		}
+	}
+	if len(out) == 0 {
+		out = append(out, m.options.Peers...)
+	}
+	return out
+}
+
+// ask gets the bundle of another VM.
+func (m *Membership) ask(ctx context.Context, address string) (*configuration.Bundle, error) {
+	known := m.bundle.Load()
+	a := inner.Ask{Topic: inner.TopicConfiguration}
+	if known != nil {
+		a.Known = slices.Sorted(maps.Keys(known.Objects))
+	}
+	answer, err := m.options.AskFunc(ctx, address, a)
+	if err != nil {
+		return nil, err
+	}
+	return configuration.NewBundle(answer.Record, func(hash string) ([]byte, error) {
+		if body := answer.Objects[hash]; body != nil {
+			return body, nil
+		}
+		if known != nil && known.Objects[hash] != nil {
+			return known.Objects[hash], nil
+		}
+		return nil, errors.Errorf("VM at %s did not give object %s", address, hash)
+	})
+}
+
+// Serve answers a question for the configuration.
+func (m *Membership) Serve(a inner.Ask) inner.Answer {
+	b := m.bundle.Load()
+	if b == nil {
+		return inner.Answer{Error: "the VM has no configuration yet"}
+	}
+	out := inner.Answer{Record: b.Raw, Objects: map[string][]byte{}}
+	for hash, body := range b.Objects {
+		if !slices.Contains(a.Known, hash) {
+			out.Objects[hash] = body
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/serve/membership/membership.go
@@ -0,0 +1,238 @@
+// Package membership keeps one VM in step with the others: it exchanges
+// heartbeats, spreads the configuration down the relay tree, keeps the member
+// set level with the platform's list, and says whether the VM may act.
+package membership
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/heartbeat"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/configuration"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+// Options makes a membership.
+type Options struct {
+	Self  member.VM
+	Clock clock.Clock
+	Store platform.Store
+	Log   *log.Logger
+	// Peers holds addresses, IP:port, of VMs to ask for the configuration when the
+	// platform is down.
+	Peers []string
+	// SendFunc sends a datagram, which may be lost.
+	SendFunc func(ctx context.Context, address string, body []byte)
+	// AskFunc asks the VM at an address.
+	AskFunc func(ctx context.Context, address string, a inner.Ask) (inner.Answer, error)
+	// ChangedFunc is called after a later version has come, or a VM is suspected.
+	ChangedFunc func(ctx context.Context)
+}
+
+// Membership is the running part.
+type Membership struct {
+	options  Options
+	counters counters
+	done     chan struct{}
+	// wake asks for a fetch.
+	wake   chan struct{}
+	bundle atomic.Pointer[configuration.Bundle]
+
+	mu        sync.Mutex
+	node      heartbeat.Node
+	addresses map[string]string
+	leaving   map[string]bool
+	ctx       context.Context
+}
+
+// New returns a membership that works once Run is called.
+func New(o Options) *Membership {
+	return &Membership{
+		options: o, counters: newCounters(o.Self.Name), done: make(chan struct{}), wake: make(chan struct{}, 1),
+		node: heartbeat.New(o.Self, o.Clock.Now()), addresses: map[string]string{}, leaving: map[string]bool{},
+	}
+}
+
+// Done is closed once Run has ended.
+func (m *Membership) Done() <-chan struct{} { return m.done }
+
+// May reports whether the VM may act on its version now.
+func (m *Membership) May() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.May(m.options.Clock.Now())
+}
+
+// Document returns the configuration that the VM may act on now, or nil.
+func (m *Membership) Document() *document.Document {
+	if b := m.bundle.Load(); b != nil && m.May() {
+		return b.Document
+	}
+	return nil
+}
+
+// Latest returns the configuration that the VM has, whether or not it may act on
+// it; it is nil before the first.
+func (m *Membership) Latest() *document.Document {
+	if b := m.bundle.Load(); b != nil {
+		return b.Document
+	}
+	return nil
+}
+
+// Version returns the version that the VM has.
+func (m *Membership) Version() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.Version()
+}
+
+// Accepted returns the highest version below which nobody acts any more.
+func (m *Membership) Accepted() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.Accepted()
+}
+
+// Set returns the version that the VM has, its member set, and whether the VM
+// may act.
+func (m *Membership) Set() (uint64, []member.VM, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.Version(), m.node.Members(), m.node.May(m.options.Clock.Now())
+}
+
+// Alive returns the VMs that may hold something: members that seem alive, each
+// with the address that it last gave. Before the first member set it is the VM
+// itself.
+func (m *Membership) Alive() []member.VM {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := m.node.Alive()
+	if len(out) == 0 {
+		return []member.VM{m.options.Self}
+	}
+	for i, v := range out {
+		if a := m.addresses[v.Name]; a != "" {
+			out[i].Address = a
+		}
+		out[i].Leaving = out[i].Leaving || m.leaving[v.Name]
+	}
+	return out
+}
+
+// Take takes one datagram from the VM called name.
+func (m *Membership) Take(name string, datagram []byte) {
+	f, err := inner.Unpack(datagram)
+	if err != nil {
+		return
+	}
+	switch f.Kind {
+	case inner.KindBeat:
+		var b heartbeat.Beat
+		if inner.Decode(f, &b) == nil && b.From == name {
+			m.note(b)
+			m.step(func(n heartbeat.Node, now clock.Millis) (heartbeat.Node, []heartbeat.Message) {
+				return n.OnBeat(b, now)
+			})
+		}
+	case inner.KindReply:
+		var a heartbeat.Answer
+		if inner.Decode(f, &a) == nil && a.From == name {
+			m.step(func(n heartbeat.Node, now clock.Millis) (heartbeat.Node, []heartbeat.Message) {
+				return n.OnAnswer(a, now), nil
+			})
+		}
+	}
+}
+
+// note keeps the address of a sender that is not where the member set says.
+func (m *Membership) note(b heartbeat.Beat) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if b.Address == "" {
+		delete(m.addresses, b.From)
+		return
+	}
+	m.addresses[b.From] = b.Address
+}
+
+// step puts one event to the node, sends what it says, and acts on what changed.
+func (m *Membership) step(event func(heartbeat.Node, clock.Millis) (heartbeat.Node, []heartbeat.Message)) {
+	m.mu.Lock()
+	old := m.node
+	node, messages := event(old, m.options.Clock.Now())
+	m.node = node
+	if node.Newest() > old.Newest() || node.Accepted() > old.Accepted() {
+		messages = append(messages, node.Notices()...)
+	}
+	addresses := m.addressesOf(messages)
+	ctx := m.ctx
+	m.mu.Unlock()
+	invariant.Check(node.Version() >= old.Version() && node.Accepted() >= old.Accepted(), invariant.ConfigForward,
+		"version %d came after %d", node.Version(), old.Version())
+	m.counters.observe(node)
+	if node.Newest() > node.Version() {
+		m.wakeFetch()
+	}
+	if ctx == nil {
+		return
+	}
+	m.send(ctx, messages, addresses)
+	if len(node.Alive()) != len(old.Alive()) {
+		m.options.ChangedFunc(ctx)
+	}
+}
+
+func (m *Membership) wakeFetch() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// addressesOf finds where the messages go. The caller holds the lock.
+func (m *Membership) addressesOf(messages []heartbeat.Message) []string {
+	out := make([]string, len(messages))
+	for i, message := range messages {
+		out[i] = m.addressLocked(message.To)
+	}
+	return out
+}
+
+func (m *Membership) addressLocked(name string) string {
+	if a := m.addresses[name]; a != "" {
+		return a
+	}
+	for _, v := range m.node.Members() {
+		if v.Name == name {
+			return v.Address
+		}
+	}
+	return ""
+}
+
+func (m *Membership) send(ctx context.Context, messages []heartbeat.Message, addresses []string) {
+	for i, message := range messages {
+		if addresses[i] == "" {
+			continue
+		}
+		f := inner.Frame{}
+		if message.Beat != nil {
+			f = inner.Encode(inner.KindBeat, message.Beat)
+		} else {
+			f = inner.Encode(inner.KindReply, message.Answer)
+		}
+		m.counters.messages.Inc()
+		m.counters.bytes.Add(len(f.Body) + 1)
+		m.options.SendFunc(ctx, addresses[i], inner.Pack(f))
+	}
+}
