Observe each database group and change its primary

Cause: the decisions of internal/core/primary had nobody to probe, seal, promote and record for them; a holder went on sending writes to a server that no longer answered, and requests waited in its queue until their deadline. A VM runs one observer for each database of which it holds a server. Three more connections of each server are kept out of the pool for the observers. A holder learns the primary of a later term, cuts its running writes as unknown, turns waiting requests away to run elsewhere, sends no write to a server silent for 400 ms, refuses to acknowledge under a term known to be over, and gives every session the end of the log as its floor when the server becomes primary. The stand-in can be frozen towards its callers and ends transactions that could write when it stops being the primary.

--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -140,12 +140,16 @@
 	TopicState  = "state"
 	TopicFloor  = "floor"
 	TopicCancel = "cancel"
+	// TopicLost asks an observer whether it has lost a database's primary.
+	TopicLost = "lost"
 )
 
 // Answer answers an Ask.
 type Answer struct {
 	State State      `cbor:"state"`
 	Floor floor.Mark `cbor:"floor"`
+	// Lost is the term whose primary the observer has lost, or 0.
+	Lost floor.Term `cbor:"lost,omitempty"`
 	// Error is set when the question could not be answered.
 	Error string `cbor:"error,omitempty"`
 }
--- a/internal/serve/holder/control.go
+++ b/internal/serve/holder/control.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// controlConnections is kept out of the pool for the lock and the probes.
-	controlConnections = 1
+	// controlConnections is kept out of the pool: one for the lock and the probes,
+	// and one for each observer of the group.
+	controlConnections = 4
 	dialTimeout        = 2 * clock.Second
 	// probeInterval is the pause between two looks at the server's state.
 	probeInterval = 20 * clock.Millis(1)
--- a/internal/serve/holder/holder.go
+++ b/internal/serve/holder/holder.go
@@ -45,11 +45,16 @@
 	seen    clock.Millis
 	held    bool
 	changed chan struct{}
+	running map[*transaction]struct{}
+	// epoch ends when the server is lost or replaced as the primary.
+	epoch    context.Context
+	endEpoch context.CancelFunc
 }
 
 // New returns a holder that serves once Run is called.
 func New(o Options) *Holder {
-	h := &Holder{options: o, done: make(chan struct{}), changed: make(chan struct{}), floors: newFloors(MaxSessions)}
+	h := &Holder{options: o, done: make(chan struct{}), changed: make(chan struct{}), running: map[*transaction]struct{}{}, floors: newFloors(MaxSessions)}
+	h.epoch, h.endEpoch = context.WithCancel(context.Background())
 	h.admission = newAdmission(o.Server.Slots, max(o.Server.Connections-controlConnections, 1), h.dial)
 	return h
 }
@@ -93,6 +98,9 @@
 	if s.Term < h.state.Term || s.Term == h.state.Term && !s.Applied.Covers(h.state.Applied) {
 		return
 	}
+	if s.Role == backend.RolePrimary && (h.state.Role != backend.RolePrimary || s.Term != h.state.Term) {
+		h.floors.restart(s.Last)
+	}
 	h.state, h.seen = s, h.options.Clock.Now()
 	close(h.changed)
 	h.changed = make(chan struct{})
@@ -101,6 +109,9 @@
 func (h *Holder) setHeld(held bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if !held {
+		h.endEpochLocked()
+	}
 	h.held = held
 	close(h.changed)
 	h.changed = make(chan struct{})
@@ -140,6 +151,8 @@
 		return outcome.Refuse(outcome.ReasonHolder, outcome.CodeUnavailable, "the VM does not hold backend server %s", name), nil
 	case b.Kind == document.KindWrite && h.state.Role != backend.RolePrimary:
 		return outcome.Refuse(outcome.ReasonPrimary, outcome.CodeReadOnly, "backend server %s is not the primary", name), nil
+	case b.Kind == document.KindWrite && h.options.Clock.Now()-h.seen > silenceTime:
+		return outcome.Refuse(outcome.ReasonHolder, outcome.CodeUnavailable, "backend server %s does not answer", name), nil
 	case !h.state.Applied.Covers(b.Floor):
 		return outcome.Refuse(outcome.ReasonBehind, outcome.CodeUnavailable, "backend server %s is at %s and the session has seen %s", name, h.state.Applied, b.Floor), h.changed
 	}
--- /dev/null
+++ b/internal/serve/holder/replaced.go
@@ -0,0 +1,80 @@
+package holder
+
+import (
+	"context"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+// silenceTime is how long a server may leave probes unanswered before no more
+// writes are sent to it, in milliseconds.
+const silenceTime = 400 * clock.Millis(1)
+
+// LearnPrimary takes in the primary of a term that an observer of the group has
+// seen. A server that was the primary of a lower term gets no more writes, and
+// those that run on it end as unknown, even when the server itself is silent.
+func (h *Holder) LearnPrimary(term floor.Term, primary string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if term <= h.state.Term || primary == h.options.Server.Name {
+		return
+	}
+	h.state.Term, h.state.Leader, h.state.Role = term, primary, backend.RoleReplica
+	close(h.changed)
+	h.changed = make(chan struct{})
+	h.endEpochLocked()
+	for t := range h.running {
+		if t.begin.Kind == document.KindWrite {
+			t.cut()
+		}
+	}
+}
+
+// endEpochLocked turns the waiting requests away, as the server was lost or is no
+// longer the primary; they may run elsewhere.
+func (h *Holder) endEpochLocked() {
+	h.endEpoch()
+	h.epoch, h.endEpoch = context.WithCancel(context.Background())
+}
+
+// within returns a context that also ends when the server is lost or replaced,
+// and a function that reports whether this was why it ended.
+func (h *Holder) within(ctx context.Context) (context.Context, context.CancelFunc, func() bool) {
+	h.mu.Lock()
+	epoch := h.epoch
+	h.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(epoch, cancel)
+	return ctx, func() { stop(); cancel() }, func() bool { return epoch.Err() != nil }
+}
+
+// replaced reports whether a later term than the given one is known.
+func (h *Holder) replaced(term floor.Term) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state.Term > term
+}
+
+func (h *Holder) enter(t *transaction) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.running[t] = struct{}{}
+}
+
+func (h *Holder) leave(t *transaction) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.running, t)
+}
+
+// cut closes the connection of a running transaction; its outcome is unknown.
+func (t *transaction) cut() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil {
+		t.conn.Close()
+	}
+}
--- a/internal/serve/holder/txn.go
+++ b/internal/serve/holder/txn.go
@@ -51,6 +51,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t := &transaction{holder: h, begin: b, x: x, owner: h.owners.Add(1), ctx: ctx}
+	h.enter(t)
+	defer h.leave(t)
 	batches := make(chan inner.Frame)
 	read := make(chan struct{})
 	go t.receive(batches, read, cancel)
@@ -168,10 +170,15 @@
 	if t.conn != nil {
 		return t.holder.admission.resume(ctx)
 	}
+	waiting, stop, lost := t.holder.within(ctx)
+	defer stop()
 	if refusal := t.holder.ready(ctx, t.begin); refusal != nil {
 		return refusal
 	}
-	c, refusal := t.holder.admission.acquire(ctx, t.begin.Account, t.begin.Weight)
+	c, refusal := t.holder.admission.acquire(waiting, t.begin.Account, t.begin.Weight)
+	if refusal != nil && ctx.Err() == nil && lost() {
+		return outcome.Refuse(outcome.ReasonHolder, outcome.CodeUnavailable, "backend server %s was lost while the request waited", t.begin.Server)
+	}
 	if refusal != nil {
 		return refusal
 	}
@@ -312,7 +319,7 @@
 
 // confirm refuses to acknowledge a write of a primary that has been replaced.
 func (t *transaction) confirm(s backend.State) error {
-	if t.begin.Kind == document.KindWrite && (s.Role != backend.RolePrimary || s.Term != t.term) {
+	if t.begin.Kind == document.KindWrite && (s.Role != backend.RolePrimary || s.Term != t.term || t.holder.replaced(t.term)) {
 		return &outcome.Unknown{Detail: "the primary was replaced before the answer"}
 	}
 	return nil
--- /dev/null
+++ b/internal/serve/primary/link.go
@@ -0,0 +1,160 @@
+package primary
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/primary"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+const (
+	// probeInterval is the pause between two probes of a server.
+	probeInterval = 100 * clock.Millis(1)
+	// answerTime is how long a server may take to answer.
+	answerTime = 1500 * clock.Millis(1)
+	// linkOwner owns the connection of a link.
+	linkOwner = 1
+	// linkQueue is the number of actions that wait for one server.
+	linkQueue = 8
+)
+
+// link is the observer's connection to one server.
+type link struct {
+	observer *Observer
+	server   document.Server
+	actions  chan primary.Action
+	conn     *backend.Conn
+}
+
+func newLink(v *Observer, s document.Server) *link {
+	return &link{observer: v, server: s, actions: make(chan primary.Action, linkQueue)}
+}
+
+// send queues an action. One that finds no room is dropped, as its sender
+// repeats it.
+func (l *link) send(a primary.Action) {
+	select {
+	case l.actions <- a:
+	default:
+	}
+}
+
+// run probes the server and runs actions on it until the context ends.
+func (l *link) run(ctx context.Context) {
+	defer l.drop()
+	c := l.observer.options.Clock
+	for ctx.Err() == nil {
+		l.probe(ctx)
+		fired, stop := c.AfterFunc(probeInterval)
+		select {
+		case <-ctx.Done():
+		case <-fired:
+		case a := <-l.actions:
+			l.act(ctx, a)
+		}
+		stop()
+	}
+}
+
+func (l *link) drop() {
+	if l.conn != nil {
+		l.conn.Close()
+		l.conn = nil
+	}
+}
+
+// query runs one question within the time for an answer. After any error other
+// than the server's own the connection is closed.
+func (l *link) query(ctx context.Context, sql string) ([][]string, error) {
+	o := l.observer.options
+	ctx, cancel := context.WithTimeout(ctx, answerTime.Duration())
+	defer cancel()
+	if l.conn == nil {
+		c, err := backend.Dial(ctx, backend.Options{
+			Address: l.server.Address, Database: o.Database.Name, User: o.User, Password: o.Password,
+			Name: "sycamoredoor/observer/" + o.Self.VM, Timeout: answerTime,
+		})
+		if err != nil {
+			return nil, err
+		}
+		c.Take(linkOwner)
+		l.conn = c
+	}
+	stop := context.AfterFunc(ctx, l.conn.Close)
+	rows, err := l.conn.Query(linkOwner, sql)
+	var refusal *backend.ServerError
+	if !stop() || err != nil && !errors.As(err, &refusal) {
+		l.drop()
+	}
+	return rows, err
+}
+
+func (l *link) probe(ctx context.Context) {
+	rows, err := l.query(ctx, backend.StateQuery)
+	if err != nil {
+		return
+	}
+	s, err := backend.ParseState(rows)
+	if err != nil {
+		return
+	}
+	l.observer.send(ctx, primary.Event{Kind: primary.Answered, Server: l.server.Name, State: primary.State{
+		Term: s.Term, Role: primary.Role(s.Role), Leader: s.Leader, Last: s.Last, Lag: s.Lag,
+	}})
+}
+
+func (l *link) act(ctx context.Context, a primary.Action) {
+	switch a.Verb {
+	case primary.Seal:
+		l.observer.counter("seals").Inc()
+		l.claim(ctx, a, primary.Sealed, "group_seal")
+	case primary.Promote:
+		invariant.Check(a.Chosen.Covers(a.Mark), invariant.CurrentPrimary,
+			"backend server %s at %s would be promoted over one at %s", a.Server, a.Chosen, a.Mark)
+		l.claim(ctx, a, primary.Promoted, "group_promote")
+	case primary.Follow:
+		_, _ = l.query(ctx, fmt.Sprintf("SELECT group_follow(%d, %s)", a.Term, quote(a.Leader)))
+	}
+}
+
+// claim runs a step of a claim. No event follows when the outcome is unknown;
+// the step is then repeated.
+func (l *link) claim(ctx context.Context, a primary.Action, kind primary.Kind, function string) {
+	rows, err := l.query(ctx, fmt.Sprintf("SELECT %s(%d, %s)", function, a.Term, quote(a.Claimant)))
+	e := primary.Event{Kind: kind, Server: l.server.Name, Claimant: a.Claimant, Term: a.Term}
+	var refusal *backend.ServerError
+	switch {
+	case errors.As(err, &refusal) && refusal.Code == codeSealed:
+		e.Refused = true
+	case err != nil || len(rows) == 0:
+		return
+	default:
+		m, ok := parseMark(rows[0][0])
+		if !ok {
+			return
+		}
+		e.Mark = m
+	}
+	l.observer.send(ctx, e)
+}
+
+// codeSealed is the SQLSTATE of a server that is sealed for another claim.
+const codeSealed = "55000"
+
+func quote(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
+
+func parseMark(s string) (floor.Mark, bool) {
+	term, position, ok := strings.Cut(s, "/")
+	t, err := strconv.ParseUint(term, 10, 64)
+	p, err2 := strconv.ParseUint(position, 10, 64)
+	return floor.Mark{Term: floor.Term(t), Position: floor.Position(p)}, ok && err == nil && err2 == nil
+}
--- /dev/null
+++ b/internal/serve/primary/primary.go
@@ -0,0 +1,194 @@
+// Package primary observes a database group for one VM and carries out the
+// change of its primary: it probes the group's servers, asks the other observers,
+// and runs the actions that internal/core/primary decides on.
+package primary
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/primary"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+// tickInterval is the pause between two looks at the time.
+const tickInterval = 25 * clock.Millis(1)
+
+// Options makes an observer of one database group.
+type Options struct {
+	Database document.Database
+	Self     primary.Voter
+	// Nonce differs for each start of the process.
+	Nonce    string
+	User     string
+	Password string
+	Store    platform.Store
+	Clock    clock.Clock
+	Log      *log.Logger
+	// VotersFunc lists the VMs that observe the group.
+	VotersFunc func() []primary.Voter
+	// AskFunc asks another VM for the term whose primary it has lost.
+	AskFunc func(ctx context.Context, vm, database string) (floor.Term, error)
+	// ToldFunc passes the highest term and its primary on to the holders.
+	ToldFunc func(term floor.Term, leader string)
+}
+
+// Observer runs the observation of one group.
+type Observer struct {
+	options Options
+	value   atomic.Pointer[primary.Observer]
+	events  chan primary.Event
+	links   map[string]*link
+	parts   sync.WaitGroup
+	asking  atomic.Int32
+	done    chan struct{}
+}
+
+// New returns an observer that works once Run is called.
+func New(o Options) *Observer {
+	s := primary.Settings{Database: o.Database.Name, Self: o.Self, Nonce: o.Nonce}
+	v := &Observer{options: o, events: make(chan primary.Event), links: map[string]*link{}, done: make(chan struct{})}
+	for _, server := range o.Database.Servers {
+		s.Servers = append(s.Servers, server.Name)
+		v.links[server.Name] = newLink(v, server)
+	}
+	first := primary.New(s)
+	v.value.Store(&first)
+	return v
+}
+
+// Done is closed once Run has ended and every connection is closed.
+func (v *Observer) Done() <-chan struct{} { return v.done }
+
+// Database returns the group that is observed.
+func (v *Observer) Database() document.Database { return v.options.Database }
+
+// Lost returns the term whose primary this observer has lost, or 0.
+func (v *Observer) Lost() floor.Term { return v.value.Load().Lost(v.options.Clock.Now()) }
+
+// Run observes the group until the context ends.
+func (v *Observer) Run(ctx context.Context) {
+	defer close(v.done)
+	defer v.parts.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for _, l := range v.links {
+		v.start(func() { l.run(ctx) })
+	}
+	fired, stop := v.options.Clock.AfterFunc(0)
+	defer func() { stop() }()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-v.events:
+			v.take(ctx, e)
+		case <-fired:
+			v.take(ctx, primary.Event{Kind: primary.Tick, Voters: v.options.VotersFunc()})
+			v.tell()
+			fired, stop = v.options.Clock.AfterFunc(tickInterval)
+		}
+	}
+}
+
+func (v *Observer) start(f func()) {
+	v.parts.Add(1)
+	go func() {
+		defer v.parts.Done()
+		f()
+	}()
+}
+
+func (v *Observer) tell() {
+	if term, leader := v.value.Load().Leader(); leader != "" {
+		v.options.ToldFunc(term, leader)
+	}
+}
+
+// take passes an event to the decisions and runs the actions.
+func (v *Observer) take(ctx context.Context, e primary.Event) {
+	old := v.value.Load()
+	value, actions := old.With(e, v.options.Clock.Now())
+	v.value.Store(&value)
+	v.note(*old, value)
+	for _, a := range actions {
+		v.perform(ctx, a)
+	}
+}
+
+// note counts and logs changes of state.
+func (v *Observer) note(old, value primary.Observer) {
+	oldTerm, oldLeader := old.Leader()
+	term, leader := value.Leader()
+	if term != oldTerm || leader != oldLeader {
+		v.gauge("term").Set(float64(term))
+		if leader != "" && oldTerm != 0 {
+			v.counter("changes").Inc()
+		}
+		v.options.Log.Info("term of the database group", "vm", v.options.Self.VM, "database", v.options.Database.Name, "term", term, "primary", leader)
+		v.tell()
+	}
+	if !old.Claiming() && value.Claiming() {
+		v.counter("claims").Inc()
+		v.options.Log.Warn("the primary is lost; claiming the next term", "vm", v.options.Self.VM, "database", v.options.Database.Name, "term", term)
+	}
+}
+
+func (v *Observer) counter(name string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`%s{database=%q}`, name, v.options.Database.Name))
+}
+
+func (v *Observer) gauge(name string) *metrics.Gauge {
+	return metrics.GetOrCreateGauge(fmt.Sprintf(`%s{database=%q}`, name, v.options.Database.Name), nil)
+}
+
+func (v *Observer) perform(ctx context.Context, a primary.Action) {
+	switch a.Verb {
+	case primary.Ask:
+		v.counter("suspicions").Inc()
+		v.ask(ctx)
+	case primary.Order, primary.Record:
+		v.start(func() { v.order(ctx, a) })
+	default:
+		v.links[a.Server].send(a)
+	}
+}
+
+// send gives an event to the loop.
+func (v *Observer) send(ctx context.Context, e primary.Event) {
+	select {
+	case v.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+// askTime bounds a question to another observer in milliseconds.
+const askTime = 500 * clock.Millis(1)
+
+// maxAsking bounds the questions that wait for an answer.
+const maxAsking = 16
+
+func (v *Observer) ask(ctx context.Context) {
+	for _, o := range v.options.VotersFunc() {
+		if o.VM == v.options.Self.VM || v.asking.Load() >= maxAsking {
+			continue
+		}
+		v.asking.Add(1)
+		v.start(func() {
+			defer v.asking.Add(-1)
+			asked, cancel := context.WithTimeout(ctx, askTime.Duration())
+			defer cancel()
+			if term, err := v.options.AskFunc(asked, o.VM, v.options.Database.Name); err == nil {
+				v.send(ctx, primary.Event{Kind: primary.Voted, Voter: o, Term: term})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/serve/primary/record.go
@@ -0,0 +1,68 @@
+package primary
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/primary"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
+)
+
+// record is the entry of the platform's table for one group. It orders claimants
+// and tells operators; no safety rests on it.
+type record struct {
+	Term     floor.Term `json:"term"`
+	Claimant string     `json:"claimant"`
+	Primary  string     `json:"primary,omitempty"`
+}
+
+// order writes a claim or its result. A claim is refused only when the table
+// surely names another claimant of the same or a later term.
+func (v *Observer) order(ctx context.Context, a primary.Action) {
+	wanted := record{Term: a.Term, Claimant: a.Claimant, Primary: a.Leader}
+	known, err := v.write(ctx, wanted)
+	if a.Verb == primary.Record {
+		return
+	}
+	refused := err == nil && known.Claimant != wanted.Claimant
+	v.send(ctx, primary.Event{Kind: primary.Ordered, Term: known.Term, Claimant: a.Claimant, Refused: refused})
+}
+
+// maxWrites bounds the attempts to write the record.
+const maxWrites = 3
+
+// write returns the record that is in force afterwards.
+func (v *Observer) write(ctx context.Context, wanted record) (record, error) {
+	key := "group/" + v.options.Database.Name
+	body, err := json.Marshal(wanted)
+	if err != nil {
+		return wanted, err
+	}
+	for range maxWrites {
+		r, err := v.options.Store.GetFunc(ctx, key)
+		if err != nil && !errors.Is(err, platform.ErrAbsent) {
+			return wanted, err
+		}
+		var known record
+		if err == nil && json.Unmarshal(r.Body, &known) == nil && wanted.beaten(known) {
+			return known, nil
+		}
+		_, err = v.options.Store.PutFunc(ctx, key, r.Tag, body)
+		var lost *platform.LostError
+		if !errors.Is(err, platform.ErrConflict) && !errors.As(err, &lost) {
+			return wanted, err
+		}
+	}
+	return wanted, errors.New("the record keeps changing")
+}
+
+// beaten reports whether known stands before or equals r.
+func (r record) beaten(known record) bool {
+	if known.Term != r.Term || known.Claimant != r.Claimant {
+		return known.Term >= r.Term
+	}
+	return known.Primary == r.Primary
+}
--- a/internal/serve/vm/streams.go
+++ b/internal/serve/vm/streams.go
@@ -108,6 +108,9 @@
 		v.entry.Cancel(a.Process, a.Secret)
 		return inner.Answer{}
 	}
+	if a.Topic == inner.TopicLost {
+		return v.answerLost(a.Database)
+	}
 	h := v.holders.get(a.Server)
 	if h == nil {
 		return inner.Answer{Error: "the VM does not hold backend server " + a.Server}
--- a/internal/serve/vm/vm.go
+++ b/internal/serve/vm/vm.go
@@ -55,6 +55,7 @@
 	operators net.Listener
 	entry     *entry.Entry
 	holders   *holders
+	observers *observers
 	document  atomic.Pointer[document.Document]
 	members   atomic.Pointer[[]member.VM]
 	done      chan struct{}
@@ -69,6 +70,7 @@
 	v.self = member.VM{Name: o.Name, Zone: o.Zone, Region: o.Region, Address: v.transport.Address()}
 	v.members.Store(&[]member.VM{v.self})
 	v.holders = newHolders(v)
+	v.observers = newObservers(v)
 	v.entry = entry.New(entry.Options{
 		VM: v.self, Clock: o.Clock, Limits: o.Limits, Callers: o.Callers, Silence: o.Silence, TLS: o.TLS,
 		DocumentFunc: v.document.Load,
@@ -132,6 +134,7 @@
 	start(func() { v.entry.Run(ctx, v.callers) })
 	start(func() { v.serveOperators(ctx) })
 	parts.Wait()
+	v.observers.wait()
 	v.holders.wait()
 }
 
--- a/internal/serve/vm/watch.go
+++ b/internal/serve/vm/watch.go
@@ -20,6 +20,7 @@
 		v.readMembers(ctx)
 		v.readDocument(ctx)
 		v.holders.update(ctx)
+		v.observers.update(ctx)
 		_ = v.options.Clock.Sleep(ctx, watchInterval)
 	}
 }
--- a/internal/standin/backend/functions.go
+++ b/internal/standin/backend/functions.go
@@ -37,6 +37,7 @@
 		return result{}, &sqlError{code: "55000", message: "term " + number(uint64(s.term)) + " is sealed for " + strconv.Quote(s.claimant)}
 	}
 	if term > s.term {
+		s.demote(c)
 		s.term, s.claimant, s.role, s.leader = term, claimant, roleSealed, ""
 		s.group.changed.Broadcast()
 	}
@@ -63,6 +64,7 @@
 	if term < s.term || leader == s.name || s.role == rolePrimary && term == s.term {
 		return result{}, &sqlError{code: "55000", message: "the server is at term " + number(uint64(s.term))}
 	}
+	s.demote(c)
 	s.term, s.leader, s.role = term, leader, roleReplica
 	s.group.replicate()
 	return one("mark", s.lastMark().String()), nil
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -26,6 +26,7 @@
 	listener net.Listener
 	slots    chan struct{}
 	done     chan struct{}
+	stopped  <-chan struct{}
 
 	// The fields below are guarded by the group's lock.
 	role     role
@@ -41,6 +42,7 @@
 	sessions map[uint32]*session
 	nextPID  uint32
 	down     bool
+	frozen   bool
 	lag      clock.Millis
 	seen     func(sql string)
 }
@@ -76,6 +78,15 @@
 	s.group.changed.Broadcast()
 }
 
+// SetFrozen isolates the server from its callers, or ends that: connections are
+// accepted but neither answered nor closed. Replication goes on.
+func (s *Server) SetFrozen(frozen bool) {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.frozen = frozen
+	s.group.changed.Broadcast()
+}
+
 // SetLag changes how long the server waits before it applies a record.
 func (s *Server) SetLag(lag clock.Millis) {
 	s.group.mu.Lock()
@@ -90,6 +101,13 @@
 	s.seen = f
 }
 
+// Leader returns the name of the primary that the server follows or is.
+func (s *Server) Leader() string {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return s.leader
+}
+
 // Sessions returns the number of open connections.
 func (s *Server) Sessions() int {
 	s.group.mu.Lock()
@@ -113,6 +131,7 @@
 }
 
 func (s *Server) start(ctx context.Context) {
+	s.stopped = ctx.Done()
 	go func() {
 		<-ctx.Done()
 		_ = s.listener.Close()
@@ -144,6 +163,19 @@
 	running.Wait()
 }
 
+// demote ends the transactions that could write, as a server does that stops
+// being the primary. The session that asked for it goes on.
+func (s *Server) demote(by *session) {
+	if s.role != rolePrimary {
+		return
+	}
+	for _, c := range s.sessions {
+		if c != by && c.txn != nil && !c.txn.readOnly {
+			c.kill()
+		}
+	}
+}
+
 // startTerm writes the first record of the server's term. The caller holds the
 // group's lock, or nobody else knows the group yet.
 func (s *Server) startTerm() { s.append(nil) }
--- a/internal/standin/backend/session.go
+++ b/internal/standin/backend/session.go
@@ -68,12 +68,28 @@
 		if err != nil {
 			return
 		}
-		if !c.handle(m) {
+		if !c.thawed() || !c.handle(m) {
 			return
 		}
 	}
 }
 
+// thawed waits while the server is isolated from its callers and reports whether
+// the connection goes on.
+func (c *session) thawed() bool {
+	c.group().mu.Lock()
+	defer c.group().mu.Unlock()
+	for c.server.frozen && !c.killed {
+		select {
+		case <-c.server.stopped:
+			return false
+		default:
+		}
+		c.group().changed.Wait()
+	}
+	return true
+}
+
 func (c *session) open(ctx context.Context) bool {
 	m, err := c.wire.ReceiveStartupMessage()
 	if err != nil {
@@ -107,6 +123,9 @@
 	if err := c.group().options.Clock.Sleep(ctx, c.group().options.Connect); err != nil {
 		return false
 	}
+	if !c.thawed() {
+		return false
+	}
 	if !c.register(m.Parameters) {
 		c.wire.Send(&pgproto3.ErrorResponse{Severity: "FATAL", Code: "53300", Message: "sorry, too many clients already"})
 		_ = c.wire.Flush()
@@ -388,6 +407,9 @@
 }
 
 func (c *session) ready() bool {
+	if !c.thawed() {
+		return false
+	}
 	c.group().mu.Lock()
 	status, killed := byte('I'), c.killed
 	switch {
