Test changes of primary under load

Cause: no test took a primary away while sessions were writing. Change: internal/trial/change writes unique rows from six sessions through three VMs, takes the primary away (killed, isolated, hidden from callers alone, cut from its replicas alone), with the store up, down and losing answers, and checks that nothing was refused, every acknowledged row is on the new primary and the old one follows. TestRandomChanges runs 3 seeded changes, or as many as SYCAMOREDOOR_CHANGES says, and prints the gaps.

--- /dev/null
+++ b/internal/trial/change/change_test.go
@@ -0,0 +1,299 @@
+package change
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/standin/backend"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/system"
+)
+
+const (
+	routes = `routes:
+  - {name: box, database: orders, kind: write, deadline: 10000}
+`
+	sessions = 6
+	// bound is the longest gap allowed, in milliseconds.
+	bound = 7 * clock.Second
+	// patience is how long a test waits for anything.
+	patience = 60 * time.Second
+	// changesVariable names the number of randomised changes.
+	changesVariable = "SYCAMOREDOOR_CHANGES"
+)
+
+func start(t *testing.T) *system.System {
+	t.Helper()
+	t.Cleanup(invariant.Handle(func(n invariant.Name, detail string) { t.Errorf("invariant %s: %s", n, detail) }))
+	ctx, cancel := context.WithCancel(context.Background())
+	s, err := system.New(ctx, system.Options{
+		Places:    []system.Place{{Zone: "abbotsford", Region: "mainland"}, {Zone: "chilliwack", Region: "mainland"}, {Zone: "kelowna", Region: "okanagan"}},
+		Databases: []string{"orders"},
+		Servers:   backend.Options{Slots: 3, Connections: 20, Connect: 12, Work: time.Millisecond, Lag: 30},
+		Accounts:  []system.Account{{Name: "counter", Key: "jelly", Rate: 100000, Burst: 1000, Weight: 1}},
+		Routes:    routes,
+	})
+	if err != nil {
+		cancel()
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cancel()
+		if err := s.Wait(patience); err != nil {
+			t.Error(err)
+		}
+	})
+	return s
+}
+
+// load is a set of sessions that insert unique rows until told to stop.
+type load struct {
+	system  *system.System
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+
+	mu      sync.Mutex
+	acked   map[string]time.Time
+	refused []string
+	unknown int
+}
+
+func startLoad(s *system.System) *load {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &load{system: s, cancel: cancel, acked: map[string]time.Time{}}
+	for i := range sessions {
+		l.running.Add(1)
+		go func() {
+			defer l.running.Done()
+			l.session(ctx, i)
+		}()
+	}
+	return l
+}
+
+func (l *load) session(ctx context.Context, number int) {
+	var c *pgx.Conn
+	for n := 0; ctx.Err() == nil; n++ {
+		if c == nil || c.IsClosed() {
+			var err error
+			if c, err = pgx.Connect(ctx, l.system.DSN(l.system.VMs[number%len(l.system.VMs)], "counter", "jelly", "orders")); err != nil {
+				l.note(ctx, "", err)
+				continue
+			}
+		}
+		id := fmt.Sprintf("%d-%d", number, n)
+		_, err := c.Exec(context.Background(), "INSERT INTO box (id, v) VALUES ($1, $2) /*route='box'*/", id, id)
+		l.note(ctx, id, err)
+	}
+	if c != nil {
+		_ = c.Close(context.Background())
+	}
+}
+
+func (l *load) note(ctx context.Context, id string, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var answer *pgconn.PgError
+	switch {
+	case err == nil:
+		l.acked[id] = time.Now()
+	case errors.As(err, &answer) && answer.Code == outcome.CodeUnknown:
+		l.unknown++
+	case ctx.Err() == nil:
+		l.refused = append(l.refused, id+": "+err.Error())
+	}
+}
+
+func (l *load) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.acked)
+}
+
+// gap returns the longest time without an acknowledged write over all sessions.
+func (l *load) gap() clock.Millis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	moments := make([]time.Time, 0, len(l.acked))
+	for _, m := range l.acked {
+		moments = append(moments, m)
+	}
+	slices.SortFunc(moments, time.Time.Compare)
+	var longest time.Duration
+	for i := 1; i < len(moments); i++ {
+		longest = max(longest, moments[i].Sub(moments[i-1]))
+	}
+	return clock.Of(longest)
+}
+
+func until(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !f(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s did not happen in %v", what, patience)
+		}
+	}
+}
+
+// fault takes the primary away; heal ends the fault.
+type fault struct {
+	name       string
+	take, heal func(g *backend.Group, primary *backend.Server)
+}
+
+var faults = []fault{
+	{
+		"killed",
+		func(_ *backend.Group, p *backend.Server) { p.SetDown(true) },
+		func(_ *backend.Group, p *backend.Server) { p.SetDown(false) },
+	},
+	{
+		"isolated",
+		func(g *backend.Group, p *backend.Server) { p.SetFrozen(true); cutAll(g, p, true) },
+		func(g *backend.Group, p *backend.Server) { p.SetFrozen(false); cutAll(g, p, false) },
+	},
+	{
+		"hidden",
+		func(_ *backend.Group, p *backend.Server) { p.SetFrozen(true) },
+		func(_ *backend.Group, p *backend.Server) { p.SetFrozen(false) },
+	},
+	{
+		"partitioned",
+		func(g *backend.Group, p *backend.Server) { cutAll(g, p, true) },
+		func(g *backend.Group, p *backend.Server) { cutAll(g, p, false) },
+	},
+}
+
+func cutAll(g *backend.Group, p *backend.Server, cut bool) {
+	for _, s := range g.Servers() {
+		if s != p {
+			g.Cut(p.Name(), s.Name(), cut)
+		}
+	}
+}
+
+// change loads the system, takes the primary away, waits for writes under a new
+// one, heals the old one, and checks every acknowledged write.
+func change(t *testing.T, s *system.System, f fault, random *rand.Rand) clock.Millis {
+	t.Helper()
+	g := s.Groups["orders"]
+	l := startLoad(s)
+	stopped := false
+	defer func() {
+		if !stopped {
+			l.cancel()
+			l.running.Wait()
+		}
+	}()
+	until(t, "the first writes", func() bool { return l.count() > sessions })
+	time.Sleep(time.Duration(random.IntN(100)) * time.Millisecond)
+	old := g.Primary()
+	f.take(g, old)
+	until(t, "a new primary", func() bool { return g.Primary() != old })
+	before := l.count()
+	until(t, "writes under the new primary", func() bool { return l.count() > before+sessions })
+	f.heal(g, old)
+	until(t, "the return of the old primary as a replica", func() bool { return follows(g) })
+	l.cancel()
+	l.running.Wait()
+	stopped = true
+	check(t, g, l)
+	return l.gap()
+}
+
+// follows reports whether every server has the same end of the log.
+func follows(g *backend.Group) bool {
+	p := g.Primary()
+	for _, s := range g.Servers() {
+		if s.Leader() != p.Name() {
+			return false
+		}
+	}
+	return true
+}
+
+func check(t *testing.T, g *backend.Group, l *load) {
+	t.Helper()
+	if diff := cmp.Diff([]string(nil), l.refused); diff != "" {
+		t.Errorf("refused requests (-want +got):\n%s", diff)
+	}
+	var lost []string
+	for id := range l.acked {
+		if _, ok := g.Primary().Value("box", id); !ok {
+			lost = append(lost, id)
+		}
+	}
+	if diff := cmp.Diff([]string(nil), lost); diff != "" {
+		t.Errorf("acknowledged writes that are lost (-want +got):\n%s", diff)
+	}
+}
+
+// TestChangeOfPrimary takes the primary away in each way under load.
+func TestChangeOfPrimary(t *testing.T) {
+	for _, f := range faults {
+		t.Run(f.name, func(t *testing.T) {
+			gap := change(t, start(t), f, rand.New(rand.NewPCG(1, 1)))
+			t.Logf("gap %d ms", gap)
+			if gap > bound {
+				t.Errorf("gap of %d ms is over %d ms", gap, bound)
+			}
+		})
+	}
+}
+
+// TestStoreDown changes the primary while the platform cannot be asked.
+func TestStoreDown(t *testing.T) {
+	s := start(t)
+	s.Platform.SetDown(true)
+	t.Logf("gap %d ms", change(t, s, faults[1], rand.New(rand.NewPCG(2, 2))))
+}
+
+// TestStoreAnswerLost changes the primary while the platform's answers to writes are lost.
+func TestStoreAnswerLost(t *testing.T) {
+	s := start(t)
+	s.Platform.LoseAnswers(1000)
+	t.Logf("gap %d ms", change(t, s, faults[1], rand.New(rand.NewPCG(3, 3))))
+}
+
+// TestRandomChanges runs changes one after another, each on a system of its own,
+// as many as the environment names.
+func TestRandomChanges(t *testing.T) {
+	changes := 3
+	if n, err := strconv.Atoi(os.Getenv(changesVariable)); err == nil {
+		changes = n
+	}
+	gaps := make([]clock.Millis, 0, changes)
+	for i := range changes {
+		t.Run(strconv.Itoa(i), func(t *testing.T) {
+			seed := uint64(i) + 100
+			random := rand.New(rand.NewPCG(seed, seed))
+			f := faults[random.IntN(len(faults))]
+			s := start(t)
+			if random.IntN(4) == 0 {
+				s.Platform.SetDown(true)
+			}
+			gap := change(t, s, f, random)
+			t.Logf("seed %d, %s: gap %d ms", seed, f.name, gap)
+			gaps = append(gaps, gap)
+		})
+	}
+	slices.Sort(gaps)
+	if len(gaps) > 0 {
+		n := len(gaps)
+		t.Logf("%d changes: p50 %d ms, p99 %d ms, max %d ms", n, gaps[n/2], gaps[min(n*99/100, n-1)], gaps[n-1])
+	}
+}
