Keep replicas in use after a change of primary

Cause: a replica last asked in an earlier term scored nothing for a floor of the new term, so it was never asked again and never known to have caught up; and a holder sent reads to a server that had stopped answering. Change: positions go on from term to term, so the estimate of how far behind a replica is no longer stops at the term. It stays a hint: the holder checks the floor. A server silent for 400 ms gets no reads either.

--- a/internal/core/choice/choice.go
+++ b/internal/core/choice/choice.go
@@ -83,10 +83,9 @@
 	if s.Applied.Covers(r.Floor) {
 		return scoreCovers
 	}
-	if s.Applied.Term != r.Floor.Term {
-		return 0
-	}
-	ahead := float64(r.Floor.Position - s.Applied.Position)
+	// Positions go on from term to term, so they tell how far behind a replica
+	// is that was last asked in an earlier one.
+	ahead := float64(r.Floor.Position) - float64(s.Applied.Position)
 	reached := s.Rate * float64(r.Now+r.Wait-s.Seen) / float64(clock.Second)
 	if reached >= ahead {
 		return scoreCovers
--- a/internal/serve/holder/holder.go
+++ b/internal/serve/holder/holder.go
@@ -151,7 +151,7 @@
 		return outcome.Refuse(outcome.ReasonHolder, outcome.CodeUnavailable, "the VM does not hold backend server %s", name), nil
 	case b.Kind == document.KindWrite && h.state.Role != backend.RolePrimary:
 		return outcome.Refuse(outcome.ReasonPrimary, outcome.CodeReadOnly, "backend server %s is not the primary", name), nil
-	case b.Kind == document.KindWrite && h.options.Clock.Now()-h.seen > silenceTime:
+	case h.options.Clock.Now()-h.seen > silenceTime:
 		return outcome.Refuse(outcome.ReasonHolder, outcome.CodeUnavailable, "backend server %s does not answer", name), nil
 	case !h.state.Applied.Covers(b.Floor):
 		return outcome.Refuse(outcome.ReasonBehind, outcome.CodeUnavailable, "backend server %s is at %s and the session has seen %s", name, h.state.Applied, b.Floor), h.changed
--- a/internal/serve/holder/replaced.go
+++ b/internal/serve/holder/replaced.go
@@ -9,8 +9,8 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 )
 
-// silenceTime is how long a server may leave probes unanswered before no more
-// writes are sent to it, in milliseconds.
+// silenceTime is how long a server may leave probes unanswered before nothing
+// more is sent to it, in milliseconds.
 const silenceTime = 400 * clock.Millis(1)
 
 // LearnPrimary takes in the primary of a term that an observer of the group has
