--- a/internal/command/daemon/try.go
+++ b/internal/command/daemon/try.go
@@ -43,8 +43,8 @@
 }
 
 func (c *tryCommand) print(r try.Report) error {
-	_, err := fmt.Fprintf(c.out, "reads             %d, of which %.1f %% on replicas\nwrites            %d\nwrong answers     %d\nviolations        %d\nwrongful refusals %d\n",
-		r.Reads, 100*r.ReplicaShare, r.Writes, r.Wrong, r.Violations, r.Wrongful)
+	_, err := fmt.Fprintf(c.out, "reads             %d, of which %.1f %% on replicas\nwrites            %d\nwrong answers     %d\nviolations        %d\nwrongful refusals %d\nunknown outcomes  %d\nfailover gap      %d ms\n",
+		r.Reads, 100*r.ReplicaShare, r.Writes, r.Wrong, r.Violations, r.Wrongful, r.Unknown, r.FailoverGap)
 	for _, e := range r.Errors {
 		_, _ = fmt.Fprintln(c.out, "  ", e)
 	}
