Bound the wait for a VM that is gone, and test the loss of a zone

Cause: with the primary and the VM that held it lost together, every request waited 2 s for a connection to that VM, again and again until the others knew the new primary. Change: opening an exchange with another VM waits at most 400 ms for the connection, and then counts as not run. The installation of the trials can stop a VM that stays on the platform's list; TestZoneLost takes the primary and its VM away under load. The fake group and the load of the tests have files of their own.

--- /dev/null
+++ b/internal/core/primary/group_test.go
@@ -0,0 +1,155 @@
+package primary
+
+import (
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+)
+
+// record is one write in a fake server's log; id is unique over the run.
+type record struct {
+	mark floor.Mark
+	id   int
+}
+
+// server is a fake backend server.
+type server struct {
+	name, leader, claimant string
+	term                   floor.Term
+	role                   Role
+	log                    []record
+	touch                  clock.Millis
+	down                   bool
+	slow                   clock.Millis
+	full                   bool
+}
+
+func (s *server) last() floor.Mark {
+	if len(s.log) == 0 {
+		return floor.Mark{}
+	}
+	return s.log[len(s.log)-1].mark
+}
+
+func (w *world) sealed(s *server, a Action) Event {
+	e := Event{Kind: Sealed, Server: s.name, Claimant: a.Claimant, Term: s.term}
+	if a.Term < s.term || a.Term == s.term && s.claimant != a.Claimant {
+		e.Refused = true
+		return e
+	}
+	if a.Term > s.term {
+		s.term, s.claimant, s.role, s.leader = a.Term, a.Claimant, RoleSealed, ""
+	}
+	e.Term, e.Mark = s.term, s.last()
+	return e
+}
+
+func (w *world) promoted(s *server, a Action) Event {
+	e := Event{Kind: Promoted, Server: s.name, Claimant: a.Claimant, Term: s.term}
+	if s.term != a.Term || s.claimant != a.Claimant {
+		e.Refused = true
+		return e
+	}
+	if s.role == RolePrimary {
+		return e
+	}
+	if old := w.primary[s.term]; old != "" && old != s.name {
+		w.fail("term %d has the primaries %s and %s", s.term, old, s.name)
+	}
+	w.primary[s.term] = s.name
+	s.role, s.leader = RolePrimary, s.name
+	w.verify(s)
+	w.write(s)
+	return e
+}
+
+// verify checks that a primary has every acknowledged write.
+func (w *world) verify(s *server) {
+	has := map[int]bool{}
+	for _, r := range s.log {
+		has[r.id] = true
+	}
+	for id := range w.acked {
+		if !has[id] {
+			w.fail("the primary %s of term %d lacks the acknowledged write %d", s.name, s.term, id)
+		}
+	}
+}
+
+func (w *world) follow(s *server, a Action) {
+	if a.Term < s.term || a.Leader == s.name || s.role == RolePrimary && a.Term == s.term {
+		return
+	}
+	s.term, s.leader, s.role = a.Term, a.Leader, RoleReplica
+}
+
+func (w *world) write(s *server) {
+	w.nextID++
+	s.log = append(s.log, record{mark: floor.Mark{Term: s.term, Position: floor.Position(len(s.log) + 1)}, id: w.nextID})
+}
+
+// replicate copies the primaries' logs and acknowledges what a majority has.
+func (w *world) replicate() {
+	for _, p := range w.servers {
+		if p.role != RolePrimary || p.down {
+			continue
+		}
+		w.write(p)
+		for _, r := range w.servers {
+			if w.follows(r, p) && !r.down && !w.cut[p.name+">"+r.name] && !w.cut[r.name+">"+p.name] {
+				r.copyLog(p)
+				r.touch = w.now
+			}
+		}
+		w.acknowledge(p)
+	}
+}
+
+func (w *world) follows(r, p *server) bool {
+	return r != p && r.leader == p.name && r.term == p.term
+}
+
+// copyLog makes the log that of p.
+func (s *server) copyLog(p *server) {
+	same := min(len(s.log), len(p.log))
+	for same > 0 && s.log[same-1] != p.log[same-1] {
+		same--
+	}
+	s.log = append(s.log[:same:same], p.log[same:]...)
+}
+
+// has reports whether the log holds record i of p.
+func (s *server) has(p *server, i int) bool { return len(s.log) > i && s.log[i] == p.log[i] }
+
+// acknowledge finds the last record of the primary's own term that a majority
+// has. That record and all before it are committed.
+func (w *world) acknowledge(p *server) {
+	i := len(p.log) - 1
+	for ; i >= 0 && p.log[i].mark.Term == p.term && !w.acked[p.log[i].id]; i-- {
+		holders := 1
+		for _, r := range w.servers {
+			if w.follows(r, p) && r.has(p, i) {
+				holders++
+			}
+		}
+		if holders >= 2 {
+			w.commit(p, i)
+			return
+		}
+	}
+}
+
+func (w *world) commit(p *server, last int) {
+	later := 0
+	for _, s := range w.servers {
+		if s.term > p.term {
+			later++
+		}
+	}
+	if later >= 2 {
+		w.fail("%s acknowledges in term %d after a later one was sealed", p.name, p.term)
+	}
+	for i := last; i >= 0 && !w.acked[p.log[i].id]; i-- {
+		w.acked[p.log[i].id] = true
+	}
+	w.gap, w.ackedAt = max(w.gap, w.now-w.ackedAt), w.now
+}
--- a/internal/serve/vm/streams.go
+++ b/internal/serve/vm/streams.go
@@ -18,6 +18,10 @@
 // askTimeout bounds a question to another VM in milliseconds.
 const askTimeout = clock.Second
 
+// openTimeout bounds the wait for a connection to another VM in milliseconds. A
+// VM that is gone must not keep a request for longer, as another may hold by now.
+const openTimeout = 400 * clock.Millis(1)
+
 // stream serves one stream of another VM.
 func (v *VM) stream(ctx context.Context, _ string, x inner.Exchange) {
 	f, err := x.Receive()
@@ -57,6 +61,8 @@
 		return inner.Exchange{}, errors.New("no VM is known")
 	}
 	if m.Name != v.self.Name {
+		ctx, cancel := context.WithTimeout(ctx, openTimeout.Duration())
+		defer cancel()
 		return v.transport.Open(ctx, m.Address)
 	}
 	here, there := inner.Pipe()
--- a/internal/trial/change/change_test.go
+++ b/internal/trial/change/change_test.go
@@ -2,23 +2,17 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"os"
 	"slices"
 	"strconv"
-	"sync"
 	"testing"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/google/go-cmp/cmp"
-	"github.com/jackc/pgx/v5"
-	"github.com/jackc/pgx/v5/pgconn"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
-	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
 	"github.com/sycamoredoor/sycamoredoor/internal/standin/backend"
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/system"
 )
@@ -60,87 +54,6 @@
 	return s
 }
 
-// load is a set of sessions that insert unique rows until told to stop.
-type load struct {
-	system  *system.System
-	name    uint64
-	cancel  context.CancelFunc
-	running sync.WaitGroup
-
-	mu      sync.Mutex
-	acked   map[string]time.Time
-	refused []string
-	unknown int
-}
-
-func startLoad(s *system.System, name uint64) *load {
-	ctx, cancel := context.WithCancel(context.Background())
-	l := &load{system: s, name: name, cancel: cancel, acked: map[string]time.Time{}}
-	for i := range sessions {
-		l.running.Add(1)
-		go func() {
-			defer l.running.Done()
-			l.session(ctx, i)
-		}()
-	}
-	return l
-}
-
-func (l *load) session(ctx context.Context, number int) {
-	var c *pgx.Conn
-	for n := 0; ctx.Err() == nil; n++ {
-		if c == nil || c.IsClosed() {
-			var err error
-			if c, err = pgx.Connect(ctx, l.system.DSN(l.system.VMs[number%len(l.system.VMs)], "counter", "jelly", "orders")); err != nil {
-				l.note(ctx, "", err)
-				continue
-			}
-		}
-		id := fmt.Sprintf("%x-%d-%d", l.name, number, n)
-		_, err := c.Exec(context.Background(), "INSERT INTO box (id, v) VALUES ($1, $2) /*route='box'*/", id, id)
-		l.note(ctx, id, err)
-	}
-	if c != nil {
-		_ = c.Close(context.Background())
-	}
-}
-
-func (l *load) note(ctx context.Context, id string, err error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var answer *pgconn.PgError
-	switch {
-	case err == nil:
-		l.acked[id] = time.Now()
-	case errors.As(err, &answer) && answer.Code == outcome.CodeUnknown:
-		l.unknown++
-	case ctx.Err() == nil:
-		l.refused = append(l.refused, id+": "+err.Error())
-	}
-}
-
-func (l *load) count() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.acked)
-}
-
-// gap returns the longest time without an acknowledged write over all sessions.
-func (l *load) gap() clock.Millis {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	moments := make([]time.Time, 0, len(l.acked))
-	for _, m := range l.acked {
-		moments = append(moments, m)
-	}
-	slices.SortFunc(moments, time.Time.Compare)
-	var longest time.Duration
-	for i := 1; i < len(moments); i++ {
-		longest = max(longest, moments[i].Sub(moments[i-1]))
-	}
-	return clock.Of(longest)
-}
-
 func until(t *testing.T, what string, f func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); !f(); time.Sleep(5 * time.Millisecond) {
@@ -270,6 +183,22 @@
 	t.Logf("gap %d ms", change(t, s, faults[1], rand.New(rand.NewPCG(3, 3))))
 }
 
+// TestZoneLost takes the primary away together with the VM that holds it.
+func TestZoneLost(t *testing.T) {
+	s := start(t)
+	lost := faults[1]
+	take := lost.take
+	lost.take = func(g *backend.Group, p *backend.Server) {
+		take(g, p)
+		s.StopVM("vm1")
+	}
+	gap := change(t, s, lost, rand.New(rand.NewPCG(5, 5)))
+	t.Logf("gap %d ms", gap)
+	if gap > bound {
+		t.Errorf("gap of %d ms is over %d ms", gap, bound)
+	}
+}
+
 // TestChangesInTurn takes each new primary away as soon as it acknowledges.
 func TestChangesInTurn(t *testing.T) {
 	s := start(t)
--- /dev/null
+++ b/internal/trial/change/load_test.go
@@ -0,0 +1,101 @@
+package change
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/vm"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/system"
+)
+
+// load is a set of sessions that insert unique rows until told to stop.
+type load struct {
+	system  *system.System
+	name    uint64
+	vms     []*vm.VM
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+
+	mu      sync.Mutex
+	acked   map[string]time.Time
+	refused []string
+	unknown int
+}
+
+// startLoad runs sessions at the last VMs, since the first may be stopped.
+func startLoad(s *system.System, name uint64) *load {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &load{system: s, name: name, vms: s.VMs[1:], cancel: cancel, acked: map[string]time.Time{}}
+	for i := range sessions {
+		l.running.Add(1)
+		go func() {
+			defer l.running.Done()
+			l.session(ctx, i)
+		}()
+	}
+	return l
+}
+
+func (l *load) session(ctx context.Context, number int) {
+	var c *pgx.Conn
+	for n := 0; ctx.Err() == nil; n++ {
+		if c == nil || c.IsClosed() {
+			var err error
+			if c, err = pgx.Connect(ctx, l.system.DSN(l.vms[number%len(l.vms)], "counter", "jelly", "orders")); err != nil {
+				l.note(ctx, "", err)
+				continue
+			}
+		}
+		id := fmt.Sprintf("%x-%d-%d", l.name, number, n)
+		_, err := c.Exec(context.Background(), "INSERT INTO box (id, v) VALUES ($1, $2) /*route='box'*/", id, id)
+		l.note(ctx, id, err)
+	}
+	if c != nil {
+		_ = c.Close(context.Background())
+	}
+}
+
+func (l *load) note(ctx context.Context, id string, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var answer *pgconn.PgError
+	switch {
+	case err == nil:
+		l.acked[id] = time.Now()
+	case errors.As(err, &answer) && answer.Code == outcome.CodeUnknown:
+		l.unknown++
+	case ctx.Err() == nil:
+		l.refused = append(l.refused, id+": "+err.Error())
+	}
+}
+
+func (l *load) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.acked)
+}
+
+// gap returns the longest time without an acknowledged write over all sessions.
+func (l *load) gap() clock.Millis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	moments := make([]time.Time, 0, len(l.acked))
+	for _, m := range l.acked {
+		moments = append(moments, m)
+	}
+	slices.SortFunc(moments, time.Time.Compare)
+	var longest time.Duration
+	for i := 1; i < len(moments); i++ {
+		longest = max(longest, moments[i].Sub(moments[i-1]))
+	}
+	return clock.Of(longest)
+}
--- a/internal/trial/system/system.go
+++ b/internal/trial/system/system.go
@@ -62,6 +62,7 @@
 	options   Options
 	clock     clock.Clock
 	authority *keys.Authority
+	stops     map[string]context.CancelFunc
 }
 
 const (
@@ -75,7 +76,7 @@
 	if o.Log == nil {
 		o.Log = log.New(io.Discard)
 	}
-	s := &System{options: o, clock: clock.System(), Groups: map[string]*backend.Group{}}
+	s := &System{options: o, clock: clock.System(), Groups: map[string]*backend.Group{}, stops: map[string]context.CancelFunc{}}
 	var err error
 	if s.Platform, err = standin.New(ctx); err != nil {
 		return nil, err
@@ -170,6 +171,7 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, s.stops[name] = context.WithCancel(ctx)
 	d := settings.Default().Callers
 	v, err := vm.Start(ctx, vm.Options{
 		Name: name, Zone: p.Zone, Region: p.Region, Listen: "127.0.0.1:0", Inner: "127.0.0.1:0", Operator: "127.0.0.1:0",
@@ -185,6 +187,9 @@
 	return v, nil
 }
 
+// StopVM ends a VM at once; the platform's list still names it.
+func (s *System) StopVM(name string) { s.stops[name]() }
+
 // WaitReady waits until every VM has the configuration and every backend server
 // has its holder.
 func (s *System) WaitReady(ctx context.Context) error {
