--- a/internal/serve/holder/control.go
+++ b/internal/serve/holder/control.go
@@ -20,6 +20,12 @@
 	controlOwner  = ^uint64(0)
 )
 
+// poolSize is the number of connections left for transactions. A small server
+// keeps four fifths for them, and some observers may then find none left.
+func poolSize(connections int) int {
+	return max(connections-controlConnections, connections*4/5, 1)
+}
+
 // Run keeps the lock and the state of the server until the context ends.
 func (h *Holder) Run(ctx context.Context) {
 	defer close(h.done)
@@ -46,7 +52,9 @@
 		return
 	}
 	for ctx.Err() == nil {
+		h.setProbing(true)
 		s, err := probe(c)
+		h.setProbing(false)
 		if err != nil {
 			return
 		}
--- a/internal/serve/holder/holder.go
+++ b/internal/serve/holder/holder.go
@@ -45,6 +45,9 @@
 	seen    clock.Millis
 	held    bool
 	changed chan struct{}
+	// probing is set while a probe that was sent at asked has no answer.
+	probing bool
+	asked   clock.Millis
 	running map[*transaction]struct{}
 	// epoch ends when the server is lost or replaced as the primary.
 	epoch    context.Context
@@ -55,7 +58,7 @@
 func New(o Options) *Holder {
 	h := &Holder{options: o, done: make(chan struct{}), changed: make(chan struct{}), running: map[*transaction]struct{}{}, floors: newFloors(MaxSessions)}
 	h.epoch, h.endEpoch = context.WithCancel(context.Background())
-	h.admission = newAdmission(o.Server.Slots, max(o.Server.Connections-controlConnections, 1), h.dial)
+	h.admission = newAdmission(o.Server.Slots, poolSize(o.Server.Connections), h.dial)
 	return h
 }
 
@@ -151,7 +154,7 @@
 		return outcome.Refuse(outcome.ReasonHolder, outcome.CodeUnavailable, "the VM does not hold backend server %s", name), nil
 	case b.Kind == document.KindWrite && h.state.Role != backend.RolePrimary:
 		return outcome.Refuse(outcome.ReasonPrimary, outcome.CodeReadOnly, "backend server %s is not the primary", name), nil
-	case h.options.Clock.Now()-h.seen > silenceTime:
+	case h.silentLocked():
 		return outcome.Refuse(outcome.ReasonHolder, outcome.CodeUnavailable, "backend server %s does not answer", name), nil
 	case !h.state.Applied.Covers(b.Floor):
 		return outcome.Refuse(outcome.ReasonBehind, outcome.CodeUnavailable, "backend server %s is at %s and the session has seen %s", name, h.state.Applied, b.Floor), h.changed
--- a/internal/serve/holder/replaced.go
+++ b/internal/serve/holder/replaced.go
@@ -51,6 +51,18 @@
 	return ctx, func() { stop(); cancel() }, func() bool { return epoch.Err() != nil }
 }
 
+// silentLocked reports whether a probe has waited too long for its answer.
+func (h *Holder) silentLocked() bool {
+	return h.probing && h.options.Clock.Now()-h.asked > silenceTime
+}
+
+// setProbing notes that a probe was sent or answered.
+func (h *Holder) setProbing(probing bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.probing, h.asked = probing, h.options.Clock.Now()
+}
+
 // replaced reports whether a later term than the given one is known.
 func (h *Holder) replaced(term floor.Term) bool {
 	h.mu.Lock()
