--- a/internal/serve/entry/session.go
+++ b/internal/serve/entry/session.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
-	"regexp"
 	"strings"
 	"sync"
 
@@ -31,9 +28,22 @@
 	hint       route.Hint
 	floor      floor.Mark
 	statements map[string]*statement
+	// prepared is the size of the statements in bytes.
+	prepared int
+	// portals holds the portals of commands that the proxy carries out itself.
+	portals map[string]*statement
+	// held is the memory in bytes that the batch has taken from Entry.held.
+	held int
+	// pending is a message that was read and begins the next batch.
+	pending pgwire.Message
 	// pinned is the server of an open transaction.
 	pinned string
-	write  bool
+	// block is set within a transaction block, as opposed to a transaction that
+	// ends with the batch.
+	block bool
+	write bool
+	// name is the named session that the transaction belongs to, if any.
+	name string
 	// failed is set when an open transaction was lost and the caller has not
 	// ended it yet.
 	failed bool
@@ -42,12 +52,15 @@
 
 	mu      sync.Mutex
 	running *inner.Exchange
-	closed  bool
+	// waiting is set while the session is idle outside a transaction, and busy
+	// while it serves a batch.
+	waiting bool
+	busy    bool
+	// ending is set once the session is to end, and says why.
+	ending *outcome.NotRun
+	closed bool
 }
 
-// hintPrefix marks the settings that are meant for the proxy.
-const hintPrefix = "sycamoredoor."
-
 func (s *session) startupHint(name, value string) error {
 	field, ours := strings.CutPrefix(name, hintPrefix)
 	if !ours {
@@ -73,44 +86,34 @@
 	return nil
 }
 
-// token is the floor of a session in the form that a caller may carry to
-// another VM.
-func token(database string, m floor.Mark) string { return database + ":" + m.String() }
-
-func parseToken(database, text string) (floor.Mark, error) {
-	var m floor.Mark
-	name, mark, ok := strings.Cut(text, ":")
-	if !ok || name != database {
-		return m, errors.Errorf("%q is no token of database %s", text, database)
-	}
-	var rest string
-	n, err := fmt.Sscanf(mark+" end", "%d/%d %s", &m.Term, &m.Position, &rest)
-	if err != nil || n != 3 || rest != "end" {
-		return m, errors.Errorf("%q is no token", text)
-	}
-	return m, nil
-}
-
 // run serves the caller until it leaves.
 func (s *session) run(ctx context.Context) {
 	defer s.drop()
 	for {
 		b, err := s.readBatch()
-		var refusal *outcome.NotRun
-		if errors.As(err, &refusal) {
-			s.entry.counters.refused(refusal.Reason)
-			_ = s.conn.Write(caller.ErrorMessage("FATAL", refusal.Code, "%s", refusal.Detail))
-			return
+		if err == nil {
+			s.setBusy(true)
+			err = s.serveBatch(ctx, b)
+			s.setBusy(false)
 		}
+		_ = s.hold(0)
 		if err != nil {
-			return
-		}
-		if err := s.serveBatch(ctx, b); err != nil {
+			s.bid(err)
 			return
 		}
 	}
 }
 
+// bid tells the caller why its connection ends, if it can still be told.
+func (s *session) bid(err error) {
+	var refusal *outcome.NotRun
+	if !errors.As(err, &refusal) {
+		return
+	}
+	s.entry.counters.refused(refusal.Reason)
+	_ = s.conn.Write(caller.ErrorMessage("FATAL", refusal.Code, "%s", refusal.Detail))
+}
+
 // drop ends an open transaction; the holder rolls it back.
 func (s *session) drop() {
 	s.mu.Lock()
@@ -142,60 +145,30 @@
 	}
 }
 
-// cut ends the session at once.
-func (s *session) cut() {
-	s.mu.Lock()
-	x := s.running
-	s.closed = true
-	s.mu.Unlock()
-	s.conn.Close()
-	if x != nil {
-		x.Close()
-	}
-}
-
-var (
-	setPattern = regexp.MustCompile(`(?is)^\s*SET\s+(?:SESSION\s+)?sycamoredoor\.(\w+)\s*(?:=|TO)\s*'((?:[^']|'')*)'\s*;?\s*$`)
-	endPattern = regexp.MustCompile(`(?is)^\s*(COMMIT|END|ROLLBACK|ABORT)\b`)
-)
-
 // serveBatch answers one batch. An error ends the connection.
 func (s *session) serveBatch(ctx context.Context, b *batch) error {
-	if s.skipping {
-		return s.skip(b)
-	}
-	if s.failed {
-		return s.serveFailed(b)
+	if err := s.checkKey(); err != nil {
+		return err
 	}
-	if b.refusal != nil {
+	switch {
+	case s.skipping:
+		return s.skip()
+	case b.refusal != nil:
 		return s.refuse(b, b.refusal)
-	}
-	if b.empty() && s.pinned == "" {
-		return s.conn.Write(caller.Ready('I'))
-	}
-	if m := setPattern.FindStringSubmatch(b.query); m != nil {
-		return s.serveSet(b, m[1], strings.ReplaceAll(m[2], "''", "'"))
+	case len(b.steps) > 0:
+		return s.serveLocal(b)
+	case b.empty() && s.pinned == "":
+		return s.conn.Write(caller.Ready(s.status()))
 	}
 	return s.dispatch(ctx, b)
 }
 
-func (s *session) serveSet(b *batch, field, value string) error {
-	if err := s.setHint(strings.ToLower(field), value); err != nil {
-		return s.refuse(b, err)
-	}
-	status := byte('I')
+// skip ends a failed batch at its Sync, on the server too when it has one.
+func (s *session) skip() error {
+	s.skipping = false
 	if s.pinned != "" {
-		status = 'T'
+		return s.goOn(syncBatch())
 	}
-	return s.conn.Write(append(caller.Complete("SET"), caller.Ready(status)...))
-}
-
-// skip passes over messages until the Sync that ends a failed batch.
-func (s *session) skip(b *batch) error {
-	if b.end == 'H' {
-		return nil
-	}
-	s.skipping = false
 	return s.conn.Write(caller.Ready(s.status()))
 }
 
@@ -203,23 +176,12 @@
 	switch {
 	case s.failed:
 		return 'E'
-	case s.pinned != "":
+	case s.pinned != "" && s.block:
 		return 'T'
 	}
 	return 'I'
 }
 
-const codeAborted = "25P02"
-
-// serveFailed answers as a server does whose transaction has failed.
-func (s *session) serveFailed(b *batch) error {
-	if m := endPattern.FindString(b.firstSQL()); m != "" {
-		s.failed = false
-		return s.conn.Write(b.answerLocally("ROLLBACK", s.status()))
-	}
-	return s.fail(b, codeAborted, "current transaction is aborted, commands ignored until end of transaction block")
-}
-
 // refuse answers that nothing of the batch was run. An open transaction is
 // rolled back, as after any error.
 func (s *session) refuse(b *batch, err error) error {
@@ -235,10 +197,11 @@
 // loseTransaction gives up the exchange; a transaction that was open counts as
 // failed until the caller ends it.
 func (s *session) loseTransaction() {
-	if s.pinned != "" {
+	if s.pinned != "" && s.block {
 		s.failed = true
 	}
 	s.drop()
+	s.block = false
 }
 
 func (s *session) fail(b *batch, code, detail string) error {
@@ -249,17 +212,3 @@
 	}
 	return s.conn.Write(append(out, caller.Ready(s.status())...))
 }
-
-// protocolError turns a reading error of the wire into a refusal where the
-// caller can be told.
-func protocolError(err error) error {
-	var size *pgwire.SizeError
-	var length *pgwire.LengthError
-	if errors.As(err, &size) || errors.As(err, &length) {
-		return outcome.Refuse(outcome.ReasonRequest, outcome.CodeProtocol, "%v", err)
-	}
-	if errors.Is(err, io.EOF) {
-		return io.EOF
-	}
-	return err
-}
--- a/internal/serve/holder/replaced.go
+++ b/internal/serve/holder/replaced.go
@@ -1,8 +1,6 @@
 package holder
 
 import (
-	"context"
-
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
@@ -23,9 +21,9 @@
 		return
 	}
 	h.state.Term, h.state.Leader, h.state.Role = term, primary, backend.RoleReplica
-	close(h.changed)
-	h.changed = make(chan struct{})
-	h.endEpochLocked()
+	h.isConfirmed = false
+	h.signalLocked()
+	h.admission.turnAway()
 	for t := range h.running {
 		if t.begin.Kind == document.KindWrite {
 			t.cut()
@@ -33,24 +31,6 @@
 	}
 }
 
-// endEpochLocked turns the waiting requests away, as the server was lost or is no
-// longer the primary; they may run elsewhere.
-func (h *Holder) endEpochLocked() {
-	h.endEpoch()
-	h.epoch, h.endEpoch = context.WithCancel(context.Background())
-}
-
-// within returns a context that also ends when the server is lost or replaced,
-// and a function that reports whether this was why it ended.
-func (h *Holder) within(ctx context.Context) (context.Context, context.CancelFunc, func() bool) {
-	h.mu.Lock()
-	epoch := h.epoch
-	h.mu.Unlock()
-	ctx, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(epoch, cancel)
-	return ctx, func() { stop(); cancel() }, func() bool { return epoch.Err() != nil }
-}
-
 // silentLocked reports whether a probe has waited too long for its answer.
 func (h *Holder) silentLocked() bool {
 	return h.probing && h.options.Clock.Now()-h.asked > silenceTime
--- a/internal/trial/system/system.go
+++ b/internal/trial/system/system.go
@@ -22,6 +22,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/keys"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/settings"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/verifier"
 	"github.com/sycamoredoor/sycamoredoor/internal/standin/backend"
 	standin "github.com/sycamoredoor/sycamoredoor/internal/standin/platform"
 )
@@ -50,7 +51,11 @@
 	Accounts []Account
 	// Routes is the section of that name.
 	Routes string
-	Log    *log.Logger
+	// Operators is the section of that name; it is left out when empty.
+	Operators string
+	// External starts no VM; they are processes of their own.
+	External bool
+	Log      *log.Logger
 }
 
 // System is a running installation.
@@ -91,6 +96,9 @@
 	if err := s.configure(ctx); err != nil {
 		return nil, err
 	}
+	if o.External {
+		return s, nil
+	}
 	for i, p := range o.Places {
 		if _, err := s.StartVM(ctx, fmt.Sprintf("vm%d", i+1), p); err != nil {
 			return nil, err
@@ -121,11 +129,15 @@
 	if err != nil {
 		return err
 	}
-	_, err = configuration.Apply(ctx, s.Store, map[string]string{
+	texts := map[string]string{
 		document.SectionDatabases: s.databasesSection(),
 		document.SectionAccounts:  accounts,
 		document.SectionRoutes:    s.options.Routes,
-	}, 0, "first")
+	}
+	if s.options.Operators != "" {
+		texts[document.SectionOperators] = s.options.Operators
+	}
+	_, err = configuration.Apply(ctx, s.Store, configuration.Change{Request: "first", When: time.Now(), Texts: texts})
 	return err
 }
 
@@ -148,19 +160,22 @@
 	var b strings.Builder
 	b.WriteString("accounts:\n")
 	for _, a := range accounts {
-		salt := make([]byte, 16)
+		salt := make([]byte, verifier.SaltSize)
 		if _, err := rand.Read(salt); err != nil {
 			return "", err
 		}
-		verifier, err := caller.NewVerifier(a.Key, salt)
+		stored, err := verifier.New(a.Key, salt)
 		if err != nil {
 			return "", err
 		}
-		fmt.Fprintf(&b, "  - name: %s\n    rate: %g\n    burst: %g\n    weight: %d\n    keys:\n      - {id: k1, verifier: %q}\n", a.Name, a.Rate, a.Burst, a.Weight, verifier)
+		fmt.Fprintf(&b, "  - name: %s\n    rate: %g\n    burst: %g\n    weight: %d\n    keys:\n      - {id: k1, verifier: %q}\n", a.Name, a.Rate, a.Burst, a.Weight, stored)
 	}
 	return b.String(), nil
 }
 
+// Issue makes the keys of a VM.
+func (s *System) Issue(name string) (keys.Material, error) { return s.authority.Issue(name) }
+
 // StartVM starts one more VM and puts it on the platform's list.
 func (s *System) StartVM(ctx context.Context, name string, p Place) (*vm.VM, error) {
 	material, err := s.authority.Issue(name)
