--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -146,6 +146,8 @@
 	TopicState  = "state"
 	TopicFloor  = "floor"
 	TopicCancel = "cancel"
+	// TopicLost asks an observer whether it has lost a database's primary.
+	TopicLost = "lost"
 	// TopicRecord records the floor of a named session at the present holder.
 	TopicRecord = "record"
 )
@@ -154,6 +156,8 @@
 type Answer struct {
 	State State      `cbor:"state"`
 	Floor floor.Mark `cbor:"floor"`
+	// Lost is the term whose primary the observer has lost, or 0.
+	Lost floor.Term `cbor:"lost,omitempty"`
 	// Error is set when the question could not be answered.
 	Error string `cbor:"error,omitempty"`
 }
--- a/internal/serve/holder/ready.go
+++ b/internal/serve/holder/ready.go
@@ -122,6 +122,8 @@
 		return outcome.Refuse(outcome.ReasonHolder, outcome.CodeUnavailable, "the VM does not hold backend server %s", name), nil
 	case h.isLeaving:
 		return outcome.Refuse(outcome.ReasonLeaving, outcome.CodeUnavailable, "backend server %s is leaving", name), nil
+	case h.silentLocked():
+		return outcome.Refuse(outcome.ReasonHolder, outcome.CodeUnavailable, "backend server %s does not answer", name), nil
 	case b.Kind == document.KindWrite && h.state.Role != backend.RolePrimary:
 		return outcome.Refuse(outcome.ReasonPrimary, outcome.CodeReadOnly, "backend server %s is not the primary", name), nil
 	case !h.state.Applied.Covers(b.Floor):
--- a/internal/serve/holder/settle.go
+++ b/internal/serve/holder/settle.go
@@ -164,7 +164,7 @@
 
 // confirm refuses to acknowledge a write of a primary that has been replaced.
 func (t *transaction) confirm(s backend.State) error {
-	if t.begin.Kind == document.KindWrite && (s.Role != backend.RolePrimary || s.Term != t.term) {
+	if t.begin.Kind == document.KindWrite && (s.Role != backend.RolePrimary || s.Term != t.term || t.holder.replaced(t.term)) {
 		return &outcome.Unknown{Detail: "the primary was replaced before the answer"}
 	}
 	return nil
