--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -154,6 +154,8 @@
 	TopicCancel = "cancel"
 	// TopicConfiguration asks for the configuration that a VM has.
 	TopicConfiguration = "configuration"
+	// TopicLost asks an observer whether it has lost a database's primary.
+	TopicLost = "lost"
 	// TopicRecord records the floor of a named session at the present holder.
 	TopicRecord = "record"
 )
@@ -166,6 +168,8 @@
 	// it names, by hash, without those that the asker has.
 	Record  []byte            `cbor:"record,omitempty"`
 	Objects map[string][]byte `cbor:"objects,omitempty"`
+	// Lost is the term whose primary the observer has lost, or 0.
+	Lost floor.Term `cbor:"lost,omitempty"`
 	// Error is set when the question could not be answered.
 	Error string `cbor:"error,omitempty"`
 }
--- a/internal/serve/holder/control.go
+++ b/internal/serve/holder/control.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// controlConnections is kept out of the pool for the lock and the probes.
-	controlConnections = 1
+	// controlConnections is kept out of the pool: one for the lock and the probes,
+	// and one for each observer of the group.
+	controlConnections = 4
 	dialTimeout        = 2 * clock.Second
 	// probeInterval is the pause between two looks at the server's state.
 	probeInterval = 20 * clock.Millis(1)
@@ -21,6 +22,12 @@
 	controlOwner  = ^uint64(0)
 )
 
+// poolSize is the number of connections left for transactions. A small server
+// keeps four fifths for them, and some observers may then find none left.
+func poolSize(connections int) int {
+	return max(connections-controlConnections, connections*4/5, 1)
+}
+
 // Run keeps the lock and the state of the server until the context ends.
 func (h *Holder) Run(ctx context.Context) {
 	defer close(h.done)
@@ -97,6 +104,8 @@
 	h.mu.Lock()
 	h.started++
 	h.mu.Unlock()
+	h.setProbing(true)
+	defer h.setProbing(false)
 	rows, err := c.Query(controlOwner, backend.StateQuery)
 	if err != nil {
 		return backend.State{}, err
--- a/internal/serve/holder/holder.go
+++ b/internal/serve/holder/holder.go
@@ -69,8 +69,12 @@
 	started  uint64
 	finished uint64
 	changed  chan struct{}
-	wake     chan struct{}
-	hurry    chan struct{}
+	// probing is set while a probe that was sent at asked has no answer.
+	probing bool
+	asked   clock.Millis
+	running map[*transaction]struct{}
+	wake    chan struct{}
+	hurry   chan struct{}
 }
 
 // New returns a holder that serves once Run is called.
@@ -78,10 +82,10 @@
 	if o.Idle <= 0 {
 		o.Idle = defaultIdle
 	}
-	h := &Holder{options: o, done: make(chan struct{}), changed: make(chan struct{}), wake: make(chan struct{}, 1), hurry: make(chan struct{}, 1), floors: newFloors(MaxSessions)}
+	h := &Holder{options: o, done: make(chan struct{}), changed: make(chan struct{}), running: map[*transaction]struct{}{}, wake: make(chan struct{}, 1), hurry: make(chan struct{}, 1), floors: newFloors(MaxSessions)}
 	h.setLeaving(o.Server.Leaving)
 	h.counters = newCounters(o.Server.Name)
-	h.admission = newAdmission(o.Server.Slots, max(o.Server.Connections-controlConnections, 1), o.Clock, h.counters, h.dial)
+	h.admission = newAdmission(o.Server.Slots, poolSize(o.Server.Connections), o.Clock, h.counters, h.dial)
 	return h
 }
 
--- a/internal/serve/holder/txn.go
+++ b/internal/serve/holder/txn.go
@@ -54,6 +54,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t := &transaction{holder: h, begin: b, x: x, owner: h.owners.Add(1), ctx: ctx}
+	h.enter(t)
+	defer h.leave(t)
 	batches := make(chan inner.Frame)
 	read := make(chan struct{})
 	go t.receive(batches, read, cancel)
--- a/internal/serve/vm/streams.go
+++ b/internal/serve/vm/streams.go
@@ -18,6 +18,10 @@
 // askTimeout bounds a question to another VM in milliseconds.
 const askTimeout = clock.Second
 
+// openTimeout bounds the wait for a connection to another VM in milliseconds. A
+// VM that is gone must not keep a request for longer, as another may hold by now.
+const openTimeout = 400 * clock.Millis(1)
+
 // stream serves one stream of another VM.
 func (v *VM) stream(ctx context.Context, _ string, x inner.Exchange) {
 	f, err := x.Receive()
@@ -57,6 +61,8 @@
 		return inner.Exchange{}, errors.New("no VM is known")
 	}
 	if m.Name != v.self.Name {
+		ctx, cancel := context.WithTimeout(ctx, openTimeout.Duration())
+		defer cancel()
 		return v.transport.Open(ctx, m.Address)
 	}
 	here, there := inner.Pipe()
@@ -108,6 +114,9 @@
 		v.entry.Cancel(a.Process, a.Secret)
 		return inner.Answer{}
 	}
+	if a.Topic == inner.TopicLost {
+		return v.answerLost(a.Database)
+	}
 	h := v.holders.get(a.Server)
 	if h == nil {
 		return inner.Answer{Error: "the VM does not hold backend server " + a.Server}
