Refuse VMs with wrong keys before anything is sent

Cause: TLS 1.3 tells a dialing VM nothing about its own certificate, so that Open succeeded towards a VM that refused it and the request was lost on the way. An accepting VM did not look at the name in the certificate at all. A full stream limit made Open forget a live connection, which was never closed again. Change: The accepting VM checks the name and greets the dialing one on a unidirectional stream, which Open waits for once for each connection. A failed attempt answers the callers of the next 200 ms. Each goroutine of the transport is waited for by Serve; the address is closed last, so that peers hear of the shutdown. Datagrams pass beside the streams.

--- /dev/null
+++ b/internal/proto/peer/datagram.go
@@ -0,0 +1,35 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/quic-go/quic-go"
+)
+
+// MaxDatagram is the largest datagram in bytes; it fits the smallest packet
+// that QUIC allows.
+const MaxDatagram = 1100
+
+// Datagram sends a small message that may be lost. An error is an
+// UnreachableError and means that it was not sent.
+func (t *Transport) Datagram(ctx context.Context, address string, body []byte) error {
+	c, err := t.connect(ctx, address)
+	if err == nil {
+		err = c.SendDatagram(body)
+	}
+	if err != nil {
+		return &UnreachableError{Address: address, Cause: err}
+	}
+	return nil
+}
+
+// receiveDatagrams hands datagrams on until the connection ends.
+func receiveDatagrams(c *quic.Conn, name string, take func(name string, body []byte)) {
+	for {
+		body, err := c.ReceiveDatagram(c.Context())
+		if err != nil {
+			return
+		}
+		take(name, body)
+	}
+}
--- /dev/null
+++ b/internal/proto/peer/keys_test.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/goccy/go-yaml"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/keys"
+)
+
+// authority signs certificates with any DNS name.
+type authority struct {
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	a := &authority{}
+	a.cert = a.sign(t, &x509.Certificate{IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign})
+	return a
+}
+
+// sign signs a certificate. Each carries the authority's own key, which is made
+// with the first one.
+func (a *authority) sign(t *testing.T, c *x509.Certificate) *x509.Certificate {
+	t.Helper()
+	var err error
+	parent := a.cert
+	if a.key == nil {
+		parent = c
+		if a.key, err = ecdsa.GenerateKey(elliptic.P256(), rand.Reader); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.SerialNumber, c.NotBefore, c.NotAfter = big.NewInt(1), time.Now().Add(-time.Hour), time.Now().Add(time.Hour)
+	der, err := x509.CreateCertificate(rand.Reader, c, parent, &a.key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// ring returns keys signed by a for a DNS name; they trust the given authority.
+func (a *authority) ring(t *testing.T, trusted *authority, dns string) *keys.Ring {
+	t.Helper()
+	r, err := keys.NewRing(a.material(t, trusted, dns))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func (a *authority) material(t *testing.T, trusted *authority, dns string) keys.Material {
+	t.Helper()
+	c := a.sign(t, &x509.Certificate{
+		Subject: pkix.Name{CommonName: "vm"}, DNSNames: []string{dns}, KeyUsage: x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	})
+	private, err := x509.MarshalECPrivateKey(a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return keys.Material{
+		Authority:   pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: trusted.cert.Raw}),
+		Certificate: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: c.Raw}),
+		Key:         pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: private}),
+	}
+}
+
+// TestRefusesWrongKeys checks that either side refuses a VM whose keys are wrong,
+// and that the dialing side learns it before it sends anything.
+func TestRefusesWrongKeys(t *testing.T) {
+	text, err := os.ReadFile("testdata/tls.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []struct {
+		Name, Dialer, Acceptor string
+		Served                 bool
+	}
+	if err := yaml.Unmarshal(text, &cases); err != nil {
+		t.Fatal(err)
+	}
+	ours, other := newAuthority(t), newAuthority(t)
+	rings := map[string]*keys.Ring{
+		"right": ours.ring(t, ours, keys.ServerName), "other": other.ring(t, ours, keys.ServerName),
+		"wrongname": ours.ring(t, ours, "other.internal"), "none": ours.ring(t, ours, keys.ServerName),
+	}
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			acceptor := serve(t, rings[c.Acceptor], Options{}, echo)
+			dialer := serve(t, rings[c.Dialer], Options{}, echo)
+			if c.Dialer == "none" {
+				withoutCertificate(dialer)
+			}
+			err := talk(t, dialer, acceptor.Address())
+			var unreachable *UnreachableError
+			if err != nil && !errors.As(err, &unreachable) {
+				t.Errorf("not refused at Open: %v", err)
+			}
+			if diff := cmp.Diff(c.Served, err == nil); diff != "" {
+				t.Errorf("served (-want +got):\n%s\n%v", diff, err)
+			}
+		})
+	}
+}
+
+func withoutCertificate(t *Transport) {
+	client := t.clientFunc
+	t.clientFunc = func() *tls.Config {
+		c := client()
+		c.Certificates = nil
+		return c
+	}
+}
+
+// TestReloadsKeys replaces the keys of a running VM: new connections in both
+// directions use the new ones and the open one goes on.
+func TestReloadsKeys(t *testing.T) {
+	before, after := newAuthority(t), newAuthority(t)
+	ring := before.ring(t, before, keys.ServerName)
+	changed := serve(t, ring, Options{}, echo)
+	old := serve(t, before.ring(t, before, keys.ServerName), Options{}, echo)
+	fresh := serve(t, after.ring(t, after, keys.ServerName), Options{}, echo)
+	x, err := changed.Open(t.Context(), old.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer x.Close()
+	if err := ring.Load(after.material(t, after, keys.ServerName)); err != nil {
+		t.Fatal(err)
+	}
+	if err := exchangeOnce(x, inner.Frame{Kind: inner.KindData, Body: []byte("open")}); err != nil {
+		t.Errorf("the open connection was cut: %v", err)
+	}
+	if err := talk(t, changed, fresh.Address()); err != nil {
+		t.Errorf("dialing with the new keys: %v", err)
+	}
+	if err := talk(t, fresh, changed.Address()); err != nil {
+		t.Errorf("accepting with the new keys: %v", err)
+	}
+	if err := talk(t, old, changed.Address()); err == nil {
+		t.Error("a VM with the old keys was accepted")
+	}
+}
--- /dev/null
+++ b/internal/proto/peer/link.go
@@ -0,0 +1,122 @@
+package peer
+
+import (
+	"context"
+	"maps"
+	"net"
+
+	"github.com/go-faster/errors"
+	"github.com/quic-go/quic-go"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+)
+
+// redialPause is how long a failed attempt to reach a VM answers for the next
+// ones, in milliseconds.
+const redialPause = 200 * clock.Millis(1)
+
+var errClosed = errors.New("the transport is closed")
+
+// link is the connection to one VM, being opened, open or failed. The fields
+// below ready are set before it is closed.
+type link struct {
+	ready chan struct{}
+	conn  *quic.Conn
+	err   error
+	// until is when a failed link may be dialed again.
+	until clock.Millis
+}
+
+// usable reports whether callers may share the link at a moment.
+func (l *link) usable(now clock.Millis) bool {
+	select {
+	case <-l.ready:
+	default:
+		return true
+	}
+	if l.err != nil {
+		return now < l.until
+	}
+	return l.conn.Context().Err() == nil
+}
+
+// connect returns the open connection to an address or opens one; callers that
+// come meanwhile wait for the same.
+func (t *Transport) connect(ctx context.Context, address string) (*quic.Conn, error) {
+	l, err := t.link(address)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-l.ready:
+		return l.conn, l.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (t *Transport) link(address string) (*link, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return nil, errClosed
+	}
+	now := t.options.Clock.Now()
+	if l := t.links[address]; l != nil && l.usable(now) {
+		return l, nil
+	}
+	maps.DeleteFunc(t.links, func(_ string, l *link) bool { return !l.usable(now) })
+	l := &link{ready: make(chan struct{})}
+	t.links[address] = l
+	t.dials.Add(1)
+	go t.dial(address, l)
+	return l, nil
+}
+
+// dial fills a link; its end is reported by the link's ready channel and by the
+// group that closeLinks waits for.
+func (t *Transport) dial(address string, l *link) {
+	defer t.dials.Done()
+	defer close(l.ready)
+	ctx, cancel := context.WithTimeout(t.ctx, dialTimeout.Duration())
+	defer cancel()
+	l.conn, l.err = t.dialVM(ctx, address)
+	if l.err != nil {
+		l.conn, l.until = nil, t.options.Clock.Now()+redialPause
+	}
+}
+
+// dialVM connects and waits for the greeting.
+func (t *Transport) dialVM(ctx context.Context, address string) (*quic.Conn, error) {
+	client := t.clientFunc()
+	a, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	c, err := t.udp.Dial(ctx, a, client, t.settings())
+	if err != nil {
+		return nil, err
+	}
+	if _, err := c.AcceptUniStream(ctx); err != nil {
+		_ = c.CloseWithError(shutdownCode, "no greeting")
+		return nil, err
+	}
+	return c, nil
+}
+
+// closeLinks closes every connection that this VM opened.
+func (t *Transport) closeLinks() {
+	t.mu.Lock()
+	t.closed = true
+	t.mu.Unlock()
+	t.cancel()
+	t.dials.Wait()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, l := range t.links {
+		if l.conn != nil {
+			_ = l.conn.CloseWithError(shutdownCode, "shutdown")
+		}
+	}
+	clear(t.links)
+}
--- a/internal/proto/peer/peer.go
+++ b/internal/proto/peer/peer.go
@@ -2,8 +2,8 @@
 package peer
 
 import (
-	"bufio"
 	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 
@@ -18,11 +18,11 @@
 const (
 	dialTimeout      = 2 * clock.Second
 	idleTimeout      = 10 * clock.Second
-	keepAlive        = 2 * clock.Second
+	keepAliveDivisor = 5
 	maxStreams       = 1 << 16
-	streamBuffer     = 4096
 	abandoned        = quic.StreamErrorCode(1)
 	shutdownCode     = quic.ApplicationErrorCode(0)
+	refusedCode      = quic.ApplicationErrorCode(1)
 	streamWindow     = 512 << 10
 	connectionWindow = 8 << 20
 )
@@ -42,29 +42,43 @@
 // Unwrap returns the cause.
 func (e *UnreachableError) Unwrap() error { return e.Cause }
 
-// Handler serves one stream from the VM called name.
-type Handler func(ctx context.Context, name string, x inner.Exchange)
+// Options makes a transport.
+type Options struct {
+	Clock clock.Clock
+	// Idle is how long a VM may be silent before its connection is given up, in
+	// milliseconds; 0 means ten seconds.
+	Idle clock.Millis
+}
+
+// Handlers serve what other VMs send. The name is that in the certificate of
+// the other VM.
+type Handlers struct {
+	// StreamFunc serves one stream; the stream is closed when it returns.
+	StreamFunc func(ctx context.Context, name string, x inner.Exchange)
+	// DatagramFunc takes one datagram and must not block; nil ignores them all.
+	DatagramFunc func(name string, body []byte)
+}
 
 // Transport opens and accepts streams on one UDP address.
 type Transport struct {
-	ring     *keys.Ring
+	options  Options
 	udp      *quic.Transport
 	listener *quic.Listener
 	done     chan struct{}
+	// clientFunc returns the keys for a new connection to another VM.
+	clientFunc func() *tls.Config
 
-	mu    sync.Mutex
-	conns map[string]*link
-}
+	ctx    context.Context
+	cancel context.CancelFunc
+	dials  sync.WaitGroup
 
-// link is the connection to one VM, being opened or open.
-type link struct {
-	ready chan struct{}
-	conn  *quic.Conn
-	err   error
+	mu     sync.Mutex
+	closed bool
+	links  map[string]*link
 }
 
-// Listen opens a transport at IP:port.
-func Listen(address string, ring *keys.Ring) (*Transport, error) {
+// Listen opens a transport at IP:port. Serve must be called to use and to close it.
+func Listen(address string, ring *keys.Ring, o Options) (*Transport, error) {
 	a, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "inner address")
@@ -73,20 +87,25 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "inner address")
 	}
-	t := &Transport{ring: ring, udp: &quic.Transport{Conn: c}, conns: map[string]*link{}, done: make(chan struct{})}
-	t.listener, err = t.udp.Listen(ring.Server(), settings())
+	if o.Idle == 0 {
+		o.Idle = idleTimeout
+	}
+	t := &Transport{options: o, clientFunc: ring.Client, udp: &quic.Transport{Conn: c}, links: map[string]*link{}, done: make(chan struct{})}
+	t.ctx, t.cancel = context.WithCancel(context.Background())
+	t.listener, err = t.udp.Listen(ring.Server(), t.settings())
 	if err != nil {
+		t.cancel()
 		_ = c.Close()
 		return nil, errors.Wrap(err, "inner address")
 	}
 	return t, nil
 }
 
-func settings() *quic.Config {
+func (t *Transport) settings() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:           dialTimeout.Duration(),
-		MaxIdleTimeout:                 idleTimeout.Duration(),
-		KeepAlivePeriod:                keepAlive.Duration(),
+		MaxIdleTimeout:                 t.options.Idle.Duration(),
+		KeepAlivePeriod:                t.options.Idle.Duration() / keepAliveDivisor,
 		MaxIncomingStreams:             maxStreams,
 		InitialStreamReceiveWindow:     streamWindow,
 		InitialConnectionReceiveWindow: connectionWindow,
@@ -97,46 +116,53 @@
 // Address returns IP:port of the transport.
 func (t *Transport) Address() string { return t.udp.Conn.LocalAddr().String() }
 
-// Done is closed once every stream that was accepted has been served.
+// Done is closed once every stream that was accepted has been served, every
+// connection is closed and the address is free.
 func (t *Transport) Done() <-chan struct{} { return t.done }
 
-// Serve accepts streams until the context ends.
-func (t *Transport) Serve(ctx context.Context, handle Handler) {
+// Serve accepts connections until the context ends, then closes the transport.
+func (t *Transport) Serve(ctx context.Context, h Handlers) {
 	defer close(t.done)
-	stop := context.AfterFunc(ctx, t.close)
-	defer stop()
 	var running sync.WaitGroup
-	defer running.Wait()
 	for {
 		c, err := t.listener.Accept(ctx)
 		if err != nil {
-			return
+			break
 		}
 		running.Add(1)
 		go func() {
 			defer running.Done()
-			serveConn(ctx, c, handle)
+			serveConn(ctx, c, h)
 		}()
 	}
-}
-
-func (t *Transport) close() {
+	t.closeLinks()
+	running.Wait()
 	_ = t.listener.Close()
-	t.mu.Lock()
-	for _, l := range t.conns {
-		if l.conn != nil {
-			_ = l.conn.CloseWithError(shutdownCode, "shutdown")
-		}
-	}
-	t.mu.Unlock()
 	_ = t.udp.Close()
 	_ = t.udp.Conn.Close()
 }
 
-func serveConn(ctx context.Context, c *quic.Conn, handle Handler) {
-	name := c.ConnectionState().TLS.PeerCertificates[0].Subject.CommonName
+// serveConn serves one accepted connection until it or the context ends.
+func serveConn(ctx context.Context, c *quic.Conn, h Handlers) {
+	certificate := c.ConnectionState().TLS.PeerCertificates[0]
+	if err := certificate.VerifyHostname(keys.ServerName); err != nil {
+		_ = c.CloseWithError(refusedCode, "the certificate is not that of a VM")
+		return
+	}
+	name := certificate.Subject.CommonName
 	var running sync.WaitGroup
 	defer running.Wait()
+	if err := greet(c); err != nil {
+		_ = c.CloseWithError(shutdownCode, "no greeting")
+		return
+	}
+	if h.DatagramFunc != nil {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			receiveDatagrams(c, name, h.DatagramFunc)
+		}()
+	}
 	for {
 		s, err := c.AcceptStream(ctx)
 		if err != nil {
@@ -146,27 +172,25 @@
 		running.Add(1)
 		go func() {
 			defer running.Done()
-			x := exchange(s, func() {
-				s.CancelRead(abandoned)
-				_ = s.Close()
-			})
+			x := accepted(s)
 			defer x.Close()
-			handle(c.Context(), name, x)
+			h.StreamFunc(c.Context(), name, x)
 		}()
 	}
 }
 
-func exchange(s *quic.Stream, closeStream func()) inner.Exchange {
-	r := bufio.NewReaderSize(s, streamBuffer)
-	return inner.Exchange{
-		SendFunc:    func(f inner.Frame) error { return inner.Write(s, f) },
-		ReceiveFunc: func() (inner.Frame, error) { return inner.Read(r) },
-		CloseFunc:   closeStream,
+// greet tells the dialing VM that its certificate was accepted. TLS itself tells
+// the client nothing, so that it would send requests to a VM that refuses it.
+func greet(c *quic.Conn) error {
+	s, err := c.OpenUniStream()
+	if err != nil {
+		return err
 	}
+	return s.Close()
 }
 
-// Open opens a stream to the VM at an address. An error means that nothing was
-// sent.
+// Open opens a stream to the VM at an address. An error is an UnreachableError
+// and means that nothing was sent.
 func (t *Transport) Open(ctx context.Context, address string) (inner.Exchange, error) {
 	c, err := t.connect(ctx, address)
 	if err != nil {
@@ -174,58 +198,7 @@
 	}
 	s, err := c.OpenStream()
 	if err != nil {
-		t.forget(address, c)
 		return inner.Exchange{}, &UnreachableError{Address: address, Cause: err}
 	}
-	return exchange(s, func() {
-		s.CancelRead(abandoned)
-		s.CancelWrite(abandoned)
-	}), nil
-}
-
-// connect returns the open connection to an address or opens one; callers that
-// come meanwhile wait for the same.
-func (t *Transport) connect(ctx context.Context, address string) (*quic.Conn, error) {
-	t.mu.Lock()
-	l := t.conns[address]
-	if l != nil && l.conn != nil && l.conn.Context().Err() != nil {
-		l = nil
-	}
-	if l == nil {
-		l = &link{ready: make(chan struct{})}
-		t.conns[address] = l
-		go t.dial(address, l)
-	}
-	t.mu.Unlock()
-	select {
-	case <-l.ready:
-		return l.conn, l.err
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-func (t *Transport) dial(address string, l *link) {
-	defer close(l.ready)
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout.Duration())
-	defer cancel()
-	var c *quic.Conn
-	a, err := net.ResolveUDPAddr("udp", address)
-	if err == nil {
-		c, err = t.udp.Dial(ctx, a, t.ring.Client(), settings())
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	l.conn, l.err = c, err
-	if err != nil && t.conns[address] == l {
-		delete(t.conns, address)
-	}
-}
-
-func (t *Transport) forget(address string, c *quic.Conn) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if l := t.conns[address]; l != nil && l.conn == c {
-		delete(t.conns, address)
-	}
+	return opened(s), nil
 }
--- /dev/null
+++ b/internal/proto/peer/peer_test.go
@@ -0,0 +1,289 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/keys"
+)
+
+// patience bounds every wait of these tests.
+const patience = 20 * time.Second
+
+var echo = Handlers{StreamFunc: func(_ context.Context, _ string, x inner.Exchange) {
+	for {
+		f, err := x.Receive()
+		if err != nil || x.Send(f) != nil {
+			return
+		}
+	}
+}}
+
+func testRing(t *testing.T) *keys.Ring {
+	t.Helper()
+	a := newAuthority(t)
+	return a.ring(t, a, keys.ServerName)
+}
+
+func serve(t *testing.T, r *keys.Ring, o Options, h Handlers) *Transport {
+	t.Helper()
+	p, stop := serveAt(t, "127.0.0.1:0", r, o, h)
+	t.Cleanup(stop)
+	return p
+}
+
+func serveAt(t *testing.T, address string, r *keys.Ring, o Options, h Handlers) (*Transport, func()) {
+	t.Helper()
+	if o.Clock.NowFunc == nil {
+		o.Clock = clock.System()
+	}
+	p, err := Listen(address, r, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go p.Serve(ctx, h)
+	return p, func() {
+		cancel()
+		select {
+		case <-p.Done():
+		case <-time.After(patience):
+			t.Error("the transport did not stop")
+		}
+	}
+}
+
+func exchangeOnce(x inner.Exchange, f inner.Frame) error {
+	if err := x.Send(f); err != nil {
+		return err
+	}
+	got, err := x.Receive()
+	if err != nil {
+		return err
+	}
+	if diff := cmp.Diff(f, got); diff != "" {
+		return fmt.Errorf("echo (-want +got):\n%s", diff)
+	}
+	return nil
+}
+
+func talk(t *testing.T, p *Transport, address string) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	x, err := p.Open(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer x.Close()
+	return exchangeOnce(x, inner.Frame{Kind: inner.KindData, Body: bytes.Repeat([]byte("jelly"), 1000)})
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !f(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("did not happen: %s", what)
+		}
+	}
+}
+
+// TestDeadVM kills a VM without a word: what waits for it ends, and a VM that
+// comes back under the same address is dialed again.
+func TestDeadVM(t *testing.T) {
+	r := testRing(t)
+	a := serve(t, r, Options{Idle: clock.Second}, echo)
+	b, stop := serveAt(t, "127.0.0.1:0", r, Options{Idle: clock.Second}, echo)
+	address := b.Address()
+	x, err := a.Open(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer x.Close()
+	if err := exchangeOnce(x, inner.Frame{Kind: inner.KindData, Body: []byte("1")}); err != nil {
+		t.Fatal(err)
+	}
+	_ = b.udp.Conn.Close()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := x.Receive()
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		if err == nil {
+			t.Error("a dead VM answered")
+		}
+	case <-time.After(patience):
+		t.Fatal("the stream to a dead VM did not end")
+	}
+	stop()
+	_, stop = serveAt(t, address, r, Options{}, echo)
+	defer stop()
+	eventually(t, "the VM is reached again", func() bool { return talk(t, a, address) == nil })
+}
+
+// TestFailedDialIsRemembered checks that one failed attempt answers the callers
+// of the next 200 ms and none after.
+func TestFailedDialIsRemembered(t *testing.T) {
+	fake := clock.NewFake(0)
+	a := serve(t, testRing(t), Options{Clock: fake.Clock()}, echo)
+	var dials atomic.Int32
+	client := a.clientFunc
+	a.clientFunc = func() *tls.Config {
+		dials.Add(1)
+		return client()
+	}
+	var got []int32
+	for _, step := range []clock.Millis{0, 1, redialPause - 2, 1, 0} {
+		fake.Advance(step)
+		var unreachable *UnreachableError
+		if _, err := a.Open(t.Context(), "no address"); !errors.As(err, &unreachable) {
+			t.Errorf("want an UnreachableError, got %v", err)
+		}
+		got = append(got, dials.Load())
+	}
+	if diff := cmp.Diff([]int32{1, 1, 1, 2, 2}, got); diff != "" {
+		t.Errorf("dials (-want +got):\n%s", diff)
+	}
+}
+
+// TestSilentAddress checks that callers who come together wait for one attempt,
+// and that a caller's own deadline ends its wait.
+func TestSilentAddress(t *testing.T) {
+	silent, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = silent.Close() }()
+	a := serve(t, testRing(t), Options{}, echo)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	if _, err := a.Open(ctx, silent.LocalAddr().String()); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("want the caller's deadline, got %v", err)
+	}
+	ends := make(chan error, 8)
+	for range cap(ends) {
+		go func() {
+			_, err := a.Open(t.Context(), silent.LocalAddr().String())
+			ends <- err
+		}()
+	}
+	for range cap(ends) {
+		if err := <-ends; err == nil {
+			t.Error("a silent address was reached")
+		}
+	}
+}
+
+// TestClose checks what the other side sees of a close: the side that answers
+// loses nothing it sent, the side that asks ends the work at once.
+func TestClose(t *testing.T) {
+	r := testRing(t)
+	seen := make(chan error, 1)
+	b := serve(t, r, Options{}, Handlers{StreamFunc: func(_ context.Context, _ string, x inner.Exchange) {
+		f, _ := x.Receive()
+		if string(f.Body) == "answer" {
+			_ = x.Send(f)
+			return
+		}
+		_, err := x.Receive()
+		seen <- err
+	}})
+	a := serve(t, r, Options{}, echo)
+	open := func(body string) inner.Exchange {
+		x, err := a.Open(t.Context(), b.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := x.Send(inner.Frame{Kind: inner.KindData, Body: []byte(body)}); err != nil {
+			t.Fatal(err)
+		}
+		return x
+	}
+	x := open("answer")
+	if f, err := x.Receive(); err != nil || string(f.Body) != "answer" {
+		t.Errorf("the answer was lost: %q, %v", f.Body, err)
+	}
+	if _, err := x.Receive(); !errors.Is(err, io.EOF) {
+		t.Errorf("want the end of the stream, got %v", err)
+	}
+	x.Close()
+	y := open("wait")
+	y.Close()
+	y.Close()
+	if err := y.Send(inner.Frame{Kind: inner.KindData}); err == nil {
+		t.Error("a closed exchange sent a frame")
+	}
+	select {
+	case err := <-seen:
+		if err == nil {
+			t.Error("the other side did not see the close")
+		}
+	case <-time.After(patience):
+		t.Error("the other side did not see the close")
+	}
+}
+
+// TestDatagram sends datagrams until one arrives, since any may be lost.
+func TestDatagram(t *testing.T) {
+	r := testRing(t)
+	got := make(chan string, 100)
+	b := serve(t, r, Options{}, Handlers{StreamFunc: echo.StreamFunc, DatagramFunc: func(name string, body []byte) {
+		select {
+		case got <- name + " " + string(body):
+		default:
+		}
+	}})
+	a := serve(t, r, Options{}, echo)
+	eventually(t, "a datagram arrives", func() bool {
+		if err := a.Datagram(t.Context(), b.Address(), []byte("beat")); err != nil {
+			t.Fatal(err)
+		}
+		return len(got) > 0
+	})
+	if diff := cmp.Diff("vm beat", <-got); diff != "" {
+		t.Errorf("datagram (-want +got):\n%s", diff)
+	}
+	if err := a.Datagram(t.Context(), b.Address(), make([]byte, MaxDatagram)); err != nil {
+		t.Errorf("the largest datagram: %v", err)
+	}
+	if err := a.Datagram(t.Context(), b.Address(), make([]byte, 1<<16)); err == nil {
+		t.Error("a datagram of 64 KB was sent")
+	}
+}
+
+// TestNoGoroutineIsLeft opens streams and leaves them open on both sides of a
+// shutdown.
+func TestNoGoroutineIsLeft(t *testing.T) {
+	r := testRing(t)
+	before := runtime.NumGoroutine()
+	a, stopA := serveAt(t, "127.0.0.1:0", r, Options{}, echo)
+	b, stopB := serveAt(t, "127.0.0.1:0", r, Options{}, echo)
+	for range 20 {
+		for _, way := range [][2]*Transport{{a, b}, {b, a}} {
+			if _, err := way[0].Open(t.Context(), way[1].Address()); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	stopA()
+	stopB()
+	eventually(t, "every goroutine ends", func() bool { return runtime.NumGoroutine() <= before })
+	if _, err := a.Open(t.Context(), b.Address()); err == nil {
+		t.Error("a closed transport opened a stream")
+	}
+}
--- a/internal/serve/vm/vm.go
+++ b/internal/serve/vm/vm.go
@@ -89,7 +89,7 @@
 
 func (v *VM) listen() error {
 	var err error
-	if v.transport, err = peer.Listen(v.options.Inner, v.options.Ring); err != nil {
+	if v.transport, err = peer.Listen(v.options.Inner, v.options.Ring, peer.Options{Clock: v.options.Clock}); err != nil {
 		return err
 	}
 	if v.callers, err = net.Listen("tcp", v.options.Listen); err != nil {
@@ -143,7 +143,7 @@
 			f()
 		}()
 	}
-	start(func() { v.transport.Serve(ctx, v.stream) })
+	start(func() { v.transport.Serve(ctx, peer.Handlers{StreamFunc: v.stream}) })
 	start(func() { v.watch(ctx) })
 	start(func() { v.entry.Run(ctx, v.callers) })
 	start(func() { v.serveOperators(ctx) })
