Share the link between regions by bytes in fair order

Cause: What goes to a VM in another region went out as fast as QUIC took it, so that a client account with long answers filled the slow link for all others. Open takes a label with account, weight and region; answers are labelled with the account of the Begin message.

--- a/internal/command/daemon/serve.go
+++ b/internal/command/daemon/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/base/logs"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/pace"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/vm"
@@ -72,5 +73,6 @@
 		Store: platform.Dial(s.Platform, platformTimeout), Clock: clock.System(), Log: logger,
 		Callers: s.Callers.Max, Silence: s.Callers.Silence,
 		Limits: caller.Limits{Message: s.Callers.Message, Startup: s.Callers.Startup, Write: s.Callers.Write},
+		Link:   pace.Link{Rate: float64(s.Link.Rate), Burst: float64(s.Link.Burst)},
 	}
 }
--- /dev/null
+++ b/internal/core/pace/bucket.go
@@ -0,0 +1,36 @@
+package pace
+
+import (
+	"math"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+)
+
+// bucket is a token bucket of bytes.
+type bucket struct {
+	rate   float64 // bytes a millisecond
+	burst  float64
+	tokens float64
+	at     clock.Millis
+}
+
+// newBucket returns a full bucket; the rate is in bytes a second.
+func newBucket(rate, burst float64, now clock.Millis) bucket {
+	return bucket{rate: rate / float64(clock.Second), burst: burst, tokens: burst, at: now}
+}
+
+// take removes tokens and reports false when there are too few.
+func (b *bucket) take(size float64, now clock.Millis) bool {
+	b.tokens = min(b.burst, b.tokens+b.rate*float64(max(now-b.at, 0)))
+	b.at = max(b.at, now)
+	if b.tokens < size {
+		return false
+	}
+	b.tokens -= size
+	return true
+}
+
+// wait returns how long it takes until there are enough tokens, at least 1 ms.
+func (b *bucket) wait(size float64) clock.Millis {
+	return max(clock.Millis(math.Ceil((size-b.tokens)/b.rate)), 1)
+}
--- /dev/null
+++ b/internal/core/pace/pace_test.go
@@ -0,0 +1,122 @@
+package pace
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+)
+
+type step struct {
+	At     clock.Millis
+	Push   []string
+	Remove []string
+	Expect []string
+}
+
+func parsePiece(t *testing.T, text string) *Piece {
+	t.Helper()
+	f := strings.Fields(text)
+	e := &Piece{Value: f[0], Account: f[1], Weight: 1, Control: f[1] == "control"}
+	if len(f) == 4 {
+		e.Weight, _ = strconv.Atoi(f[2])
+	}
+	var err error
+	if e.Size, err = strconv.Atoi(f[len(f)-1]); err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+func drain(p *Pacer, now clock.Millis) []string {
+	out := []string{}
+	for e, _ := p.Next(now); e != nil; e, _ = p.Next(now) {
+		out = append(out, e.Value.(string))
+	}
+	return out
+}
+
+func TestScript(t *testing.T) {
+	text, err := os.ReadFile("testdata/script.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []struct {
+		Name  string
+		Steps []step
+	}
+	if err := yaml.Unmarshal(text, &cases); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			p := New(Link{Rate: 1000, Burst: 1000}, 0)
+			pieces := map[string]*Piece{}
+			for _, s := range c.Steps {
+				for _, text := range s.Push {
+					e := parsePiece(t, text)
+					pieces[e.Value.(string)] = e
+					p.Push(e, s.At)
+				}
+				for _, name := range s.Remove {
+					p.Remove(pieces[name])
+				}
+				if diff := cmp.Diff(s.Expect, drain(p, s.At)); diff != "" {
+					t.Errorf("at %d (-want +got):\n%s", s.At, diff)
+				}
+			}
+		})
+	}
+}
+
+// TestNeverFasterThanTheLink pushes at random and checks after each step that no
+// window, from any earlier moment on, has had more than rate and burst, that the
+// wait is never too short to be worth a look, and that nothing is lost.
+func TestNeverFasterThanTheLink(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		l := Link{Rate: float64(rapid.IntRange(100, 100000).Draw(r, "rate")), Burst: 2000}
+		p := New(l, 0)
+		var now clock.Millis
+		var sent float64
+		least := 0.0 // the least of sent - rate × time over all moments
+		waiting := 0
+		for i := range rapid.IntRange(1, 60).Draw(r, "steps") {
+			now += clock.Millis(rapid.IntRange(0, 300).Draw(r, "pause"))
+			least = min(least, sent-l.Rate*float64(now)/1000)
+			e := &Piece{
+				Account: fmt.Sprint(rapid.IntRange(1, 3).Draw(r, "account")), Weight: rapid.IntRange(1, 4).Draw(r, "weight"),
+				Size: rapid.IntRange(1, 2000).Draw(r, "size"), Control: rapid.Bool().Draw(r, "control"), Value: i,
+			}
+			p.Push(e, now)
+			waiting++
+			for {
+				e, wait := p.Next(now)
+				if e == nil {
+					if (wait == 0) != (waiting == 0) {
+						r.Fatalf("wait is %d with %d pieces waiting", wait, waiting)
+					}
+					break
+				}
+				waiting--
+				sent += float64(e.Size)
+			}
+			if over := sent - l.Rate*float64(now)/1000 - least - l.Burst; over > 0.01 {
+				r.Fatalf("%.2f bytes over rate and burst at %d", over, now)
+			}
+		}
+		for waiting > 0 {
+			e, wait := p.Next(now)
+			now += wait
+			if e != nil {
+				waiting--
+			}
+		}
+	})
+}
--- a/internal/proto/peer/keys_test.go
+++ b/internal/proto/peer/keys_test.go
@@ -140,7 +140,7 @@
 	changed := serve(t, ring, Options{}, echo)
 	old := serve(t, before.ring(t, before, keys.ServerName), Options{}, echo)
 	fresh := serve(t, after.ring(t, after, keys.ServerName), Options{}, echo)
-	x, err := changed.Open(t.Context(), old.Address())
+	x, err := changed.Open(t.Context(), old.Address(), Label{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/proto/peer/link.go
+++ b/internal/proto/peer/link.go
@@ -68,7 +68,7 @@
 	maps.DeleteFunc(t.links, func(_ string, l *link) bool { return !l.usable(now) })
 	l := &link{ready: make(chan struct{})}
 	t.links[address] = l
-	t.dials.Add(1)
+	t.parts.Add(1)
 	go t.dial(address, l)
 	return l, nil
 }
@@ -76,7 +76,7 @@
 // dial fills a link; its end is reported by the link's ready channel and by the
 // group that closeLinks waits for.
 func (t *Transport) dial(address string, l *link) {
-	defer t.dials.Done()
+	defer t.parts.Done()
 	defer close(l.ready)
 	ctx, cancel := context.WithTimeout(t.ctx, dialTimeout.Duration())
 	defer cancel()
@@ -110,7 +110,7 @@
 	t.closed = true
 	t.mu.Unlock()
 	t.cancel()
-	t.dials.Wait()
+	t.parts.Wait()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, l := range t.links {
--- /dev/null
+++ b/internal/proto/peer/pacer_test.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/pace"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+)
+
+// sink reads until the other side is gone.
+var sink = Handlers{StreamFunc: func(_ context.Context, _ string, s Stream) {
+	for {
+		if _, err := s.Receive(); err != nil {
+			return
+		}
+	}
+}}
+
+// send sends one frame of a size on a stream of its own and reports the account
+// once it has entered the link.
+func send(t *testing.T, p *Transport, address string, l Label, size int, entered chan<- string) inner.Exchange {
+	t.Helper()
+	x, err := p.Open(t.Context(), address, l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		if x.Send(inner.Frame{Kind: inner.KindData, Body: make([]byte, size)}) == nil {
+			entered <- l.Account
+		} else {
+			entered <- "error"
+		}
+	}()
+	return x
+}
+
+func next(t *testing.T, entered <-chan string) string {
+	t.Helper()
+	select {
+	case account := <-entered:
+		return account
+	case <-time.After(patience):
+		t.Fatal("no frame entered the link")
+		return ""
+	}
+}
+
+// TestHeavyAccountDoesNotStarve lets one account fill the link to another region
+// with ten long frames. A short frame of another account that comes last enters
+// it among the first, and one within the region does not wait at all.
+func TestHeavyAccountDoesNotStarve(t *testing.T) {
+	fake := clock.NewFake(0)
+	r := testRing(t)
+	b := serve(t, r, Options{}, sink)
+	a := serve(t, r, Options{Clock: fake.Clock(), Region: "mainland", Link: pace.Link{Rate: 1000, Burst: 2 * pieceSize}}, echo)
+	entered := make(chan string, 20)
+	const heavy = 10
+	for range heavy {
+		send(t, a, b.Address(), Label{Region: "okanagan", Account: "heavy", Weight: 1}, 2*pieceSize, entered)
+	}
+	eventually(t, "the first frames wait", func() bool { return waiting(a, "okanagan") >= heavy-1 })
+	send(t, a, b.Address(), Label{Region: "mainland", Account: "near", Weight: 1}, 100, entered)
+	if diff := cmp.Diff("near", next(t, entered)); diff != "" {
+		t.Errorf("entered first (-want +got):\n%s", diff)
+	}
+	send(t, a, b.Address(), Label{Region: "okanagan", Account: "light", Weight: 1}, 100, entered)
+	eventually(t, "the light account waits", func() bool { return waiting(a, "okanagan") >= heavy })
+	var order []string
+	eventually(t, "the light account's frame enters the link", func() bool {
+		fake.Advance(20)
+		for len(entered) > 0 {
+			order = append(order, <-entered)
+		}
+		return slices.Contains(order, "light")
+	})
+	if n := len(order) - 1; n > heavy/2 {
+		t.Errorf("%d of %d frames of the heavy account went first", n, heavy)
+	}
+}
+
+func waiting(t *Transport, region string) int {
+	t.mu.Lock()
+	p := t.pacers[region]
+	t.mu.Unlock()
+	if p == nil {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.paces.Len()
+}
+
+// TestCloseWhileWaiting closes a stream whose frame waits for the link: the
+// sender learns it at once and the next frame takes the place.
+func TestCloseWhileWaiting(t *testing.T) {
+	fake := clock.NewFake(0)
+	r := testRing(t)
+	b := serve(t, r, Options{}, sink)
+	a := serve(t, r, Options{Clock: fake.Clock(), Link: pace.Link{Rate: 1, Burst: 1000}}, echo)
+	entered := make(chan string, 3)
+	far := Label{Region: "okanagan", Account: "a"}
+	send(t, a, b.Address(), far, 900, entered)
+	if diff := cmp.Diff("a", next(t, entered)); diff != "" {
+		t.Fatal(diff)
+	}
+	x := send(t, a, b.Address(), far, 800, entered)
+	eventually(t, "the frame waits", func() bool { return waiting(a, "okanagan") == 1 })
+	x.Close()
+	if diff := cmp.Diff("error", next(t, entered)); diff != "" {
+		t.Errorf("closed while waiting (-want +got):\n%s", diff)
+	}
+	if n := waiting(a, "okanagan"); n != 0 {
+		t.Errorf("%d pieces of a closed stream wait", n)
+	}
+	send(t, a, b.Address(), far, 50, entered)
+	if diff := cmp.Diff("a", next(t, entered)); diff != "" {
+		t.Errorf("after the close (-want +got):\n%s", diff)
+	}
+}
+
+// BenchmarkLink measures how long a short frame takes to enter a link of 1 MB/s
+// that another account keeps full from eight streams: with an account of its
+// own, and in the same line as first come first served would have it.
+func BenchmarkLink(b *testing.B) {
+	for _, c := range []struct{ name, account string }{{"fair", "light"}, {"fifo", "heavy"}} {
+		b.Run(c.name, func(b *testing.B) {
+			p := &pacer{clock: clock.System(), kick: make(chan struct{}, 1)}
+			p.paces = pace.New(pace.Link{Rate: 1e6, Burst: 16 << 10}, p.clock.Now())
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan struct{}, 9)
+			go func() { p.run(ctx); ended <- struct{}{} }()
+			for range 8 {
+				go func() {
+					var err error
+					for err == nil {
+						err = p.wait(ctx, &pace.Piece{Account: "heavy", Weight: 1, Size: pieceSize})
+					}
+					ended <- struct{}{}
+				}()
+			}
+			waits := make([]time.Duration, 0, b.N)
+			for b.Loop() {
+				start := time.Now()
+				_ = p.wait(ctx, &pace.Piece{Account: c.account, Weight: 1, Size: 200})
+				waits = append(waits, time.Since(start))
+				time.Sleep(5 * time.Millisecond)
+			}
+			cancel()
+			for range cap(ended) {
+				<-ended
+			}
+			slices.Sort(waits)
+			b.ReportMetric(float64(waits[len(waits)/2].Microseconds())/1000, "p50-ms")
+			b.ReportMetric(float64(waits[len(waits)*99/100].Microseconds())/1000, "p99-ms")
+		})
+	}
+}
--- a/internal/proto/peer/peer.go
+++ b/internal/proto/peer/peer.go
@@ -11,6 +11,7 @@
 	"github.com/quic-go/quic-go"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/pace"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/keys"
 )
@@ -48,13 +49,17 @@
 	// Idle is how long a VM may be silent before its connection is given up, in
 	// milliseconds; 0 means ten seconds.
 	Idle clock.Millis
+	// Region is that of this VM.
+	Region string
+	// Link paces what goes to each other region; a rate of 0 does not pace.
+	Link pace.Link
 }
 
 // Handlers serve what other VMs send. The name is that in the certificate of
 // the other VM.
 type Handlers struct {
 	// StreamFunc serves one stream; the stream is closed when it returns.
-	StreamFunc func(ctx context.Context, name string, x inner.Exchange)
+	StreamFunc func(ctx context.Context, name string, s Stream)
 	// DatagramFunc takes one datagram and must not block; nil ignores them all.
 	DatagramFunc func(name string, body []byte)
 }
@@ -70,11 +75,12 @@
 
 	ctx    context.Context
 	cancel context.CancelFunc
-	dials  sync.WaitGroup
+	parts  sync.WaitGroup
 
 	mu     sync.Mutex
 	closed bool
 	links  map[string]*link
+	pacers map[string]*pacer
 }
 
 // Listen opens a transport at IP:port. Serve must be called to use and to close it.
@@ -90,7 +96,7 @@
 	if o.Idle == 0 {
 		o.Idle = idleTimeout
 	}
-	t := &Transport{options: o, clientFunc: ring.Client, udp: &quic.Transport{Conn: c}, links: map[string]*link{}, done: make(chan struct{})}
+	t := &Transport{options: o, clientFunc: ring.Client, udp: &quic.Transport{Conn: c}, links: map[string]*link{}, pacers: map[string]*pacer{}, done: make(chan struct{})}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.listener, err = t.udp.Listen(ring.Server(), t.settings())
 	if err != nil {
@@ -132,7 +138,7 @@
 		running.Add(1)
 		go func() {
 			defer running.Done()
-			serveConn(ctx, c, h)
+			t.serveConn(ctx, c, h)
 		}()
 	}
 	t.closeLinks()
@@ -143,7 +149,7 @@
 }
 
 // serveConn serves one accepted connection until it or the context ends.
-func serveConn(ctx context.Context, c *quic.Conn, h Handlers) {
+func (t *Transport) serveConn(ctx context.Context, c *quic.Conn, h Handlers) {
 	certificate := c.ConnectionState().TLS.PeerCertificates[0]
 	if err := certificate.VerifyHostname(keys.ServerName); err != nil {
 		_ = c.CloseWithError(refusedCode, "the certificate is not that of a VM")
@@ -172,7 +178,7 @@
 		running.Add(1)
 		go func() {
 			defer running.Done()
-			x := accepted(s)
+			x := t.accepted(s)
 			defer x.Close()
 			h.StreamFunc(c.Context(), name, x)
 		}()
@@ -189,9 +195,9 @@
 	return s.Close()
 }
 
-// Open opens a stream to the VM at an address. An error is an UnreachableError
-// and means that nothing was sent.
-func (t *Transport) Open(ctx context.Context, address string) (inner.Exchange, error) {
+// Open opens a stream to the VM at an address; what it sends belongs to the
+// label. An error is an UnreachableError and means that nothing was sent.
+func (t *Transport) Open(ctx context.Context, address string, l Label) (inner.Exchange, error) {
 	c, err := t.connect(ctx, address)
 	if err != nil {
 		return inner.Exchange{}, &UnreachableError{Address: address, Cause: err}
@@ -200,5 +206,5 @@
 	if err != nil {
 		return inner.Exchange{}, &UnreachableError{Address: address, Cause: err}
 	}
-	return opened(s), nil
+	return t.opened(s, l), nil
 }
--- a/internal/proto/peer/peer_test.go
+++ b/internal/proto/peer/peer_test.go
@@ -23,7 +23,7 @@
 // patience bounds every wait of these tests.
 const patience = 20 * time.Second
 
-var echo = Handlers{StreamFunc: func(_ context.Context, _ string, x inner.Exchange) {
+var echo = Handlers{StreamFunc: func(_ context.Context, _ string, x Stream) {
 	for {
 		f, err := x.Receive()
 		if err != nil || x.Send(f) != nil {
@@ -84,7 +84,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
-	x, err := p.Open(ctx, address)
+	x, err := p.Open(ctx, address, Label{})
 	if err != nil {
 		return err
 	}
@@ -108,7 +108,7 @@
 	a := serve(t, r, Options{Idle: clock.Second}, echo)
 	b, stop := serveAt(t, "127.0.0.1:0", r, Options{Idle: clock.Second}, echo)
 	address := b.Address()
-	x, err := a.Open(t.Context(), address)
+	x, err := a.Open(t.Context(), address, Label{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -151,7 +151,7 @@
 	for _, step := range []clock.Millis{0, 1, redialPause - 2, 1, 0} {
 		fake.Advance(step)
 		var unreachable *UnreachableError
-		if _, err := a.Open(t.Context(), "no address"); !errors.As(err, &unreachable) {
+		if _, err := a.Open(t.Context(), "no address", Label{}); !errors.As(err, &unreachable) {
 			t.Errorf("want an UnreachableError, got %v", err)
 		}
 		got = append(got, dials.Load())
@@ -172,13 +172,13 @@
 	a := serve(t, testRing(t), Options{}, echo)
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
 	defer cancel()
-	if _, err := a.Open(ctx, silent.LocalAddr().String()); !errors.Is(err, context.DeadlineExceeded) {
+	if _, err := a.Open(ctx, silent.LocalAddr().String(), Label{}); !errors.Is(err, context.DeadlineExceeded) {
 		t.Errorf("want the caller's deadline, got %v", err)
 	}
 	ends := make(chan error, 8)
 	for range cap(ends) {
 		go func() {
-			_, err := a.Open(t.Context(), silent.LocalAddr().String())
+			_, err := a.Open(t.Context(), silent.LocalAddr().String(), Label{})
 			ends <- err
 		}()
 	}
@@ -194,7 +194,7 @@
 func TestClose(t *testing.T) {
 	r := testRing(t)
 	seen := make(chan error, 1)
-	b := serve(t, r, Options{}, Handlers{StreamFunc: func(_ context.Context, _ string, x inner.Exchange) {
+	b := serve(t, r, Options{}, Handlers{StreamFunc: func(_ context.Context, _ string, x Stream) {
 		f, _ := x.Receive()
 		if string(f.Body) == "answer" {
 			_ = x.Send(f)
@@ -205,7 +205,7 @@
 	}})
 	a := serve(t, r, Options{}, echo)
 	open := func(body string) inner.Exchange {
-		x, err := a.Open(t.Context(), b.Address())
+		x, err := a.Open(t.Context(), b.Address(), Label{})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -275,7 +275,7 @@
 	b, stopB := serveAt(t, "127.0.0.1:0", r, Options{}, echo)
 	for range 20 {
 		for _, way := range [][2]*Transport{{a, b}, {b, a}} {
-			if _, err := way[0].Open(t.Context(), way[1].Address()); err != nil {
+			if _, err := way[0].Open(t.Context(), way[1].Address(), Label{}); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -283,7 +283,7 @@
 	stopA()
 	stopB()
 	eventually(t, "every goroutine ends", func() bool { return runtime.NumGoroutine() <= before })
-	if _, err := a.Open(t.Context(), b.Address()); err == nil {
+	if _, err := a.Open(t.Context(), b.Address(), Label{}); err == nil {
 		t.Error("a closed transport opened a stream")
 	}
 }
--- a/internal/proto/peer/stream.go
+++ b/internal/proto/peer/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 
 	"github.com/quic-go/quic-go"
 
@@ -12,28 +13,53 @@
 // read without it.
 const streamBuffer = 512
 
+// Label says whose bytes a stream sends, and whereto.
+type Label struct {
+	// Region is that of the VM at the other end.
+	Region string
+	// Account is the client account.
+	Account string
+	// Weight is the account's share relative to others.
+	Weight int
+	// Control marks messages between VMs that belong to no client account.
+	Control bool
+}
+
+// Stream is an accepted stream.
+type Stream struct {
+	inner.Exchange
+	// LabelFunc says whose bytes the answers are; until then they are not paced.
+	// It is called before the first Send.
+	LabelFunc func(Label)
+}
+
 // opened returns the side that asks. Close abandons both directions, so that
 // the VM that serves the stream stops at once.
-func opened(s *quic.Stream) inner.Exchange {
-	return exchange(s, func() {
+func (t *Transport) opened(s *quic.Stream, l Label) inner.Exchange {
+	x := exchange(s, t.paced(s, l))
+	x.CloseFunc = func() {
 		s.CancelRead(abandoned)
 		s.CancelWrite(abandoned)
-	})
+	}
+	return x
 }
 
 // accepted returns the side that answers. Close lets what was sent arrive.
-func accepted(s *quic.Stream) inner.Exchange {
-	return exchange(s, func() {
+func (t *Transport) accepted(s *quic.Stream) Stream {
+	var w io.Writer = s
+	x := exchange(s, s)
+	x.SendFunc = func(f inner.Frame) error { return inner.Write(w, f) }
+	x.CloseFunc = func() {
 		s.CancelRead(abandoned)
 		_ = s.Close()
-	})
+	}
+	return Stream{Exchange: x, LabelFunc: func(l Label) { w = t.paced(s, l) }}
 }
 
-func exchange(s *quic.Stream, closeStream func()) inner.Exchange {
+func exchange(s *quic.Stream, w io.Writer) inner.Exchange {
 	r := bufio.NewReaderSize(s, streamBuffer)
 	return inner.Exchange{
-		SendFunc:    func(f inner.Frame) error { return inner.Write(s, f) },
+		SendFunc:    func(f inner.Frame) error { return inner.Write(w, f) },
 		ReceiveFunc: func() (inner.Frame, error) { return inner.Read(r) },
-		CloseFunc:   closeStream,
 	}
 }
--- a/internal/serve/entry/bench_test.go
+++ b/internal/serve/entry/bench_test.go
@@ -90,7 +90,7 @@
 	return b
 }
 
-func (b *bench) open(context.Context, document.Server) (inner.Exchange, error) {
+func (b *bench) open(context.Context, document.Server, string, int) (inner.Exchange, error) {
 	here, there := inner.Pipe()
 	b.count(1)
 	go func() {
--- a/internal/serve/entry/dispatch.go
+++ b/internal/serve/entry/dispatch.go
@@ -174,7 +174,7 @@
 	if err := s.checkKey(); err != nil {
 		return err
 	}
-	x, err := s.entry.options.OpenFunc(ctx, server)
+	x, err := s.entry.options.OpenFunc(ctx, server, s.account, r.weight)
 	if err != nil {
 		return outcome.Refuse(outcome.ReasonVM, outcome.CodeUnavailable, "%v", err)
 	}
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -39,9 +39,9 @@
 	TLS *tls.Config
 	// DocumentFunc returns the configuration in force, or nil when none is.
 	DocumentFunc func() *document.Document
-	// OpenFunc opens an exchange with the holder of a backend server. An error
-	// means that nothing was sent.
-	OpenFunc func(ctx context.Context, s document.Server) (inner.Exchange, error)
+	// OpenFunc opens an exchange with the holder of a backend server on behalf of
+	// a client account. An error means that nothing was sent.
+	OpenFunc func(ctx context.Context, s document.Server, account string, weight int) (inner.Exchange, error)
 	// FloorFunc asks the primary's holder for the floor of a named session.
 	FloorFunc func(ctx context.Context, primary document.Server, database, session string) (floor.Mark, error)
 	// FloorsFunc asks for several sessions at once, in their order; when it is
--- a/internal/serve/entry/retries_test.go
+++ b/internal/serve/entry/retries_test.go
@@ -21,7 +21,7 @@
 	var mu sync.Mutex
 	rounds := 0
 	b = newBench(t, func(o *Options) {
-		o.OpenFunc = func(ctx context.Context, s document.Server) (inner.Exchange, error) {
+		o.OpenFunc = func(ctx context.Context, s document.Server, account string, weight int) (inner.Exchange, error) {
 			mu.Lock()
 			defer mu.Unlock()
 			switch s.Name {
@@ -38,7 +38,7 @@
 			if rounds <= 3 {
 				return refuseWith(inner.State{Server: s.Name, Term: 1, Primary: "orders-1"}), nil
 			}
-			return b.open(ctx, s)
+			return b.open(ctx, s, account, weight)
 		}
 	})
 	b.entry.budget = budget.New(0, 0)
--- a/internal/serve/vm/streams.go
+++ b/internal/serve/vm/streams.go
@@ -11,6 +11,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/peer"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/entry"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 )
@@ -22,8 +23,28 @@
 // VM that is gone must not keep a request for longer, as another may hold by now.
 const openTimeout = 400 * clock.Millis(1)
 
-// stream serves one stream of another VM.
-func (v *VM) stream(ctx context.Context, _ string, x inner.Exchange) {
+// accept serves one stream of another VM. Its answers count as control on the
+// link between regions until they belong to a client account.
+func (v *VM) accept(ctx context.Context, name string, s peer.Stream) {
+	region := v.regionOf(name)
+	s.LabelFunc(peer.Label{Region: region, Control: true})
+	v.stream(ctx, s.Exchange, func(b inner.Begin) {
+		s.LabelFunc(peer.Label{Region: region, Account: b.Account, Weight: b.Weight})
+	})
+}
+
+// regionOf returns the region of a VM, or "" when it is unknown.
+func (v *VM) regionOf(name string) string {
+	for _, m := range *v.members.Load() {
+		if m.Name == name {
+			return m.Region
+		}
+	}
+	return ""
+}
+
+// stream serves one exchange; begun is told whom a transaction belongs to.
+func (v *VM) stream(ctx context.Context, x inner.Exchange, begun func(inner.Begin)) {
 	f, err := x.Receive()
 	if err != nil {
 		return
@@ -32,6 +53,7 @@
 	case inner.KindBegin:
 		var b inner.Begin
 		if inner.Decode(f, &b) == nil {
+			begun(b)
 			v.serveBegin(ctx, b, x)
 		}
 	case inner.KindAsk:
@@ -55,7 +77,7 @@
 
 // open opens an exchange with the holder of a server; when this VM is the
 // holder, the hop is skipped.
-func (v *VM) open(ctx context.Context, s document.Server) (inner.Exchange, error) {
+func (v *VM) open(ctx context.Context, s document.Server, account string, weight int) (inner.Exchange, error) {
 	m, ok := v.holderOf(s)
 	if !ok {
 		return inner.Exchange{}, errors.New("no VM is known")
@@ -63,12 +85,12 @@
 	if m.Name != v.self.Name {
 		ctx, cancel := context.WithTimeout(ctx, openTimeout.Duration())
 		defer cancel()
-		return v.transport.Open(ctx, m.Address)
+		return v.transport.Open(ctx, m.Address, peer.Label{Region: m.Region, Account: account, Weight: weight})
 	}
 	here, there := inner.Pipe()
 	go func() {
 		defer there.Close()
-		v.stream(context.WithoutCancel(ctx), v.self.Name, there)
+		v.stream(context.WithoutCancel(ctx), there, func(inner.Begin) {})
 	}()
 	return here, nil
 }
@@ -80,7 +102,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
 	defer cancel()
-	x, err := v.transport.Open(ctx, m.Address)
+	x, err := v.transport.Open(ctx, m.Address, peer.Label{Region: m.Region, Control: true})
 	if err != nil {
 		return inner.Answer{}, err
 	}
--- a/internal/serve/vm/vm.go
+++ b/internal/serve/vm/vm.go
@@ -16,6 +16,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/pace"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/peer"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
@@ -49,6 +50,8 @@
 	OperatorTLS *tls.Config
 	// Bootstrap is the token that may edit while the configuration names no operator.
 	Bootstrap string
+	// Link is this VM's part of the link to each other region.
+	Link pace.Link
 }
 
 // VM is a running VM.
@@ -89,7 +92,7 @@
 
 func (v *VM) listen() error {
 	var err error
-	if v.transport, err = peer.Listen(v.options.Inner, v.options.Ring, peer.Options{Clock: v.options.Clock}); err != nil {
+	if v.transport, err = peer.Listen(v.options.Inner, v.options.Ring, peer.Options{Clock: v.options.Clock, Region: v.options.Region, Link: v.options.Link}); err != nil {
 		return err
 	}
 	if v.callers, err = net.Listen("tcp", v.options.Listen); err != nil {
@@ -143,7 +146,7 @@
 			f()
 		}()
 	}
-	start(func() { v.transport.Serve(ctx, peer.Handlers{StreamFunc: v.stream}) })
+	start(func() { v.transport.Serve(ctx, peer.Handlers{StreamFunc: v.accept}) })
 	start(func() { v.watch(ctx) })
 	start(func() { v.entry.Run(ctx, v.callers) })
 	start(func() { v.serveOperators(ctx) })
--- a/internal/setup/settings/settings.go
+++ b/internal/setup/settings/settings.go
@@ -78,6 +78,14 @@
 	Share float64 `yaml:"share" default:"0.01" validate:"min=0,max=1" unit:"of requests"`
 }
 
+// Link is this VM's part of the link to each other region.
+type Link struct {
+	// Rate is in bytes a second; 0 does not pace.
+	Rate int64 `yaml:"rate" default:"0" validate:"min=0" unit:"bytes a second"`
+	// Burst is what may enter at once after a pause, in bytes.
+	Burst int64 `yaml:"burst" default:"16384" validate:"min=1500" unit:"bytes"`
+}
+
 // Settings is the whole file.
 type Settings struct {
 	// Name is unique among the VMs and the same as on the platform's list.
@@ -106,6 +114,8 @@
 	Log Log `yaml:"log"`
 	// Trace says where spans go.
 	Trace Trace `yaml:"trace"`
+	// Link is this VM's part of the link to each other region.
+	Link Link `yaml:"link"`
 }
 
 // Default returns the settings before a file is read.
