Record a trace with a span for each hop of a request

Cause: A traceparent of the caller went as far as the Begin message and nothing recorded it, so nobody could see where a slow request spent its time. Change: A tracer over OpenTelemetry, to stdout or a collector by setting; spans for entry, hop, queue and backend, one connected trace through the VMs. The flag of the caller decides, else the share of the settings; what is not recorded is decided before any attribute is built.

--- /dev/null
+++ b/internal/base/trace/span.go
@@ -0,0 +1,56 @@
+package trace
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	otrace "go.opentelemetry.io/otel/trace"
+)
+
+// Attributes describe a span; empty ones are left out. None of them ever holds
+// a key or the text of a statement.
+type Attributes struct {
+	Account  string
+	Route    string
+	Database string
+	Server   string
+	// Outcome is ran, notrun, unknown or lost.
+	Outcome string
+	// Reason says why a request was not run.
+	Reason string
+}
+
+// Span is a part of a request. The zero value is not recorded.
+type Span struct{ span otrace.Span }
+
+// Parent returns the traceparent for spans below this one, or "" when the
+// request is not recorded.
+func (s Span) Parent() string {
+	if s.span == nil {
+		return ""
+	}
+	c := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(otrace.ContextWithSpan(context.Background(), s.span), c)
+	return c[parentField]
+}
+
+// End ends the span with its attributes.
+func (s Span) End(a Attributes) {
+	if s.span == nil {
+		return
+	}
+	for _, f := range [...]struct{ name, value string }{
+		{"account", a.Account},
+		{"route", a.Route},
+		{"database", a.Database},
+		{"server", a.Server},
+		{"outcome", a.Outcome},
+		{"reason", a.Reason},
+	} {
+		if f.value != "" {
+			s.span.SetAttributes(attribute.String(f.name, f.value))
+		}
+	}
+	s.span.End()
+}
--- /dev/null
+++ b/internal/base/trace/trace_test.go
@@ -0,0 +1,82 @@
+package trace
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+)
+
+const (
+	sampled   = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+	unsampled = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-00"
+)
+
+// TestWhoDecides checks that the caller's flag goes before the share, and that a
+// traceparent that cannot be read starts a trace of its own.
+func TestWhoDecides(t *testing.T) {
+	got := map[string]bool{}
+	for share, name := range map[float64]string{0: "none", 1: "all"} {
+		tracer := With(sdk.NewSimpleSpanProcessor(tracetest.NewInMemoryExporter()), Options{Share: share})
+		for what, parent := range map[string]string{"sampled": sampled, "unsampled": unsampled, "absent": "", "broken": "00-broken"} {
+			got[name+" "+what] = tracer.Root(parent, Entry).Parent() != ""
+		}
+		got[name+" child"] = tracer.Child("", Hop).Parent() != ""
+	}
+	want := map[string]bool{
+		"none sampled": true, "none unsampled": false, "none absent": false, "none broken": false, "none child": false,
+		"all sampled": true, "all unsampled": false, "all absent": true, "all broken": true, "all child": false,
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("recorded (-want +got):\n%s", diff)
+	}
+}
+
+// TestUnsampledAllocatesNothing bounds the cost of requests that are not recorded.
+func TestUnsampledAllocatesNothing(t *testing.T) {
+	for name, tracer := range map[string]*Tracer{
+		"off": nil, "share 0": With(sdk.NewSimpleSpanProcessor(tracetest.NewInMemoryExporter()), Options{}),
+	} {
+		n := testing.AllocsPerRun(100, func() {
+			s := tracer.Root("", Entry)
+			tracer.Child(s.Parent(), Hop).End(Attributes{Account: "a", Outcome: "ran"})
+			s.End(Attributes{Route: "r"})
+		})
+		if n != 0 {
+			t.Errorf("%s: %v allocations", name, n)
+		}
+	}
+}
+
+func TestStdout(t *testing.T) {
+	var out bytes.Buffer
+	tracer, err := New(t.Context(), Options{To: ToStdout, VM: "vm1"}, &out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tracer.Root(sampled, Entry).End(Attributes{Account: "counter"})
+	if err := tracer.Close(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []string{"0af7651916cd43dd8448eb211c80319c", "counter", "vm1"} {
+		if !strings.Contains(out.String(), part) {
+			t.Errorf("no %s in %s", part, out.String())
+		}
+	}
+	if _, err := New(t.Context(), Options{To: "file"}, &out); err == nil {
+		t.Error("an unknown place was accepted")
+	}
+}
+
+func BenchmarkUnsampled(b *testing.B) {
+	tracer := With(sdk.NewSimpleSpanProcessor(tracetest.NewNoopExporter()), Options{Share: 0})
+	b.ReportAllocs()
+	for b.Loop() {
+		s := tracer.Root("", Entry)
+		tracer.Child(s.Parent(), Hop).End(Attributes{Account: "a"})
+		s.End(Attributes{Route: "r"})
+	}
+}
--- a/internal/command/daemon/serve.go
+++ b/internal/command/daemon/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/base/logs"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/trace"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/pace"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
@@ -22,6 +23,9 @@
 // platformTimeout bounds a request to the platform in milliseconds.
 const platformTimeout = 2 * clock.Second
 
+// traceTimeout bounds the sending of the last spans in milliseconds.
+const traceTimeout = 2 * clock.Second
+
 type serveCommand struct {
 	out      io.Writer
 	Settings string `long:"settings" required:"true" value-name:"FILE" description:"Settings file of this VM"`
@@ -50,6 +54,10 @@
 	defer stop()
 	o := vmOptions(s, k, logger)
 	o.Bootstrap = bootstrap
+	o.Trace, err = trace.New(ctx, trace.Options{VM: s.Name, To: s.Trace.To, URL: s.Trace.URL, Share: s.Trace.Share}, os.Stdout)
+	if err != nil {
+		return err
+	}
 	v, err := vm.Start(ctx, o)
 	if err != nil {
 		return err
@@ -62,10 +70,20 @@
 	<-v.Done()
 	stop()
 	<-w.Done()
+	closeTrace(o)
 	logger.Info("stopped", "vm", s.Name)
 	return nil
 }
 
+// closeTrace sends the last spans.
+func closeTrace(o vm.Options) {
+	ctx, cancel := context.WithTimeout(context.Background(), traceTimeout.Duration())
+	defer cancel()
+	if err := o.Trace.Close(ctx); err != nil {
+		o.Log.Warn("the last spans were not sent", "err", err)
+	}
+}
+
 func vmOptions(s settings.Settings, k *held, logger *log.Logger) vm.Options {
 	return vm.Options{
 		Name: s.Name, Zone: s.Zone, Region: s.Region, Listen: s.Listen, Inner: s.Inner, Operator: s.Operator,
--- a/internal/serve/entry/dispatch.go
+++ b/internal/serve/entry/dispatch.go
@@ -34,6 +34,9 @@
 	tried    map[string]bool
 	// salt spreads the choices and the pauses of requests.
 	salt uint64
+	// parent and inner are the traceparents of the entry and of the attempt.
+	parent string
+	inner  string
 }
 
 // dispatch runs a batch: in the open transaction if there is one, else in a new
@@ -46,7 +49,7 @@
 	if err != nil {
 		return s.refuse(b, err)
 	}
-	err = r.run(ctx)
+	err = r.traced(ctx)
 	var refusal *outcome.NotRun
 	var unknown *outcome.Unknown
 	switch {
@@ -143,7 +146,7 @@
 	if !ok {
 		return outcome.Refuse(outcome.ReasonPrimary, outcome.CodeUnavailable, "no backend server of database %s is usable now", r.database.Name)
 	}
-	err := r.attempt(ctx, server)
+	err := r.hop(ctx, server)
 	var refusal *outcome.NotRun
 	if !errors.As(err, &refusal) {
 		return err
@@ -209,7 +212,7 @@
 	return inner.Begin{
 		Database: r.database.Name, Server: server.Name, Account: r.session.account, Weight: r.weight,
 		Kind: r.route.Kind, Floor: r.floor, Wait: min(replicaWait, max(r.left(), 0)), Age: r.route.Age,
-		Deadline: max(r.left(), 1), Session: r.hint.Session, Key: r.hint.Key, Once: r.route.Once, Parent: r.hint.Parent,
+		Deadline: max(r.left(), 1), Session: r.hint.Session, Key: r.hint.Key, Once: r.route.Once, Parent: r.inner,
 	}
 }
 
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/trace"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/budget"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
@@ -35,6 +36,8 @@
 	Callers int
 	// Silence ends an open transaction whose caller sends nothing for so long, in milliseconds.
 	Silence clock.Millis
+	// Trace records spans; nil records none.
+	Trace *trace.Tracer
 	// TLS is nil when callers connect without.
 	TLS *tls.Config
 	// DocumentFunc returns the configuration in force, or nil when none is.
--- a/internal/serve/holder/holder.go
+++ b/internal/serve/holder/holder.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/trace"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
@@ -24,6 +25,8 @@
 	User     string
 	Password string
 	Clock    clock.Clock
+	// Trace records spans; nil records none.
+	Trace *trace.Tracer
 	// ConfirmFunc reports whether a majority of the database's servers, asked
 	// after the call began, know no term above the given one.
 	ConfirmFunc func(ctx context.Context, database string, term floor.Term) bool
--- a/internal/serve/holder/txn.go
+++ b/internal/serve/holder/txn.go
@@ -166,12 +166,12 @@
 			return false
 		}
 	}
-	if refusal := t.admit(); refusal != nil {
+	if refusal := t.admitTraced(); refusal != nil {
 		t.refuse(refusal)
 		return false
 	}
 	since := t.holder.options.Clock.Now()
-	a, err := t.exchange(batch)
+	a, err := t.exchangeTraced(batch)
 	t.holder.counters.ran(t.holder.options.Clock.Now() - since)
 	if err != nil {
 		t.holder.admission.pause()
--- a/internal/serve/vm/holders.go
+++ b/internal/serve/vm/holders.go
@@ -72,7 +72,7 @@
 	o := h.vm.options
 	r := &runningHolder{database: database, cancel: cancel, holder: holder.New(holder.Options{
 		Server: s, Database: database, VM: o.Name, User: o.User, Password: o.Password, Clock: o.Clock,
-		ConfirmFunc: h.vm.confirm,
+		Trace: o.Trace, ConfirmFunc: h.vm.confirm,
 	})}
 	h.running[s.Name] = r
 	go r.holder.Run(ctx)
--- a/internal/serve/vm/vm.go
+++ b/internal/serve/vm/vm.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/trace"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/pace"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
@@ -50,6 +51,8 @@
 	OperatorTLS *tls.Config
 	// Bootstrap is the token that may edit while the configuration names no operator.
 	Bootstrap string
+	// Trace records spans; nil records none.
+	Trace *trace.Tracer
 	// Link is this VM's part of the link to each other region.
 	Link pace.Link
 }
@@ -80,7 +83,7 @@
 	v.holders = newHolders(v)
 	v.observers = newObservers(v)
 	v.entry = entry.New(entry.Options{
-		VM: v.self, Clock: o.Clock, Limits: o.Limits, Callers: o.Callers, Silence: o.Silence, TLS: o.TLS,
+		VM: v.self, Clock: o.Clock, Limits: o.Limits, Callers: o.Callers, Silence: o.Silence, TLS: o.TLS, Trace: o.Trace,
 		DocumentFunc: v.document.Load,
 		OpenFunc:     v.open,
 		FloorFunc:    v.askFloor,
--- a/internal/trial/system/system.go
+++ b/internal/trial/system/system.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/trace"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
@@ -55,7 +56,9 @@
 	Operators string
 	// External starts no VM; they are processes of their own.
 	External bool
-	Log      *log.Logger
+	// Trace records the spans of every VM; nil records none.
+	Trace *trace.Tracer
+	Log   *log.Logger
 }
 
 // System is a running installation.
@@ -192,7 +195,7 @@
 		Name: name, Zone: p.Zone, Region: p.Region, Listen: "127.0.0.1:0", Inner: "127.0.0.1:0", Operator: "127.0.0.1:0",
 		User: "proxy", Ring: ring, Store: platform.Dial(s.Platform.URL(), platformTimeout), Clock: s.clock, Log: s.options.Log,
 		Limits:  caller.Limits{Message: d.Message, Startup: d.Startup, Write: d.Write},
-		Callers: d.Max, Silence: d.Silence,
+		Callers: d.Max, Silence: d.Silence, Trace: s.options.Trace,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/trial/system/system_test.go
+++ b/internal/trial/system/system_test.go
@@ -17,17 +17,21 @@
   - {name: list, database: orders, kind: read}
 `
 
-func start(t *testing.T) *System {
+func start(t *testing.T, changes ...func(*Options)) *System {
 	t.Helper()
 	t.Cleanup(invariant.Handle(func(n invariant.Name, detail string) { t.Errorf("invariant %s: %s", n, detail) }))
 	ctx, cancel := context.WithCancel(context.Background())
-	s, err := New(ctx, Options{
+	o := Options{
 		Places:    []Place{{"abbotsford", "mainland"}, {"chilliwack", "mainland"}, {"kelowna", "okanagan"}},
 		Databases: []string{"orders"},
 		Servers:   backend.Options{Slots: 3, Connections: 20, Connect: 12, Lag: 30},
 		Accounts:  []Account{{Name: "counter", Key: "jelly", Rate: 100, Burst: 10, Weight: 1}},
 		Routes:    routes,
-	})
+	}
+	for _, change := range changes {
+		change(&o)
+	}
+	s, err := New(ctx, o)
 	if err != nil {
 		cancel()
 		t.Fatal(err)
