--- a/internal/serve/entry/counters.go
+++ b/internal/serve/entry/counters.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 )
 
 // counters are the metrics of an entry proxy.
@@ -17,6 +19,8 @@
 	writes   *metrics.Counter
 	retries  *metrics.Counter
 	unknown  *metrics.Counter
+	hops     *metrics.Counter
+	latency  map[document.Kind]*metrics.Histogram
 }
 
 func newCounters(vm string) *counters {
@@ -29,6 +33,22 @@
 		writes:   metrics.GetOrCreateCounter(name("writes")),
 		retries:  metrics.GetOrCreateCounter(name("retries")),
 		unknown:  metrics.GetOrCreateCounter(name("unknown")),
+		hops:     metrics.GetOrCreateCounter(name("hops")),
+		latency: map[document.Kind]*metrics.Histogram{
+			document.KindRead:  latency(vm, document.KindRead),
+			document.KindWrite: latency(vm, document.KindWrite),
+		},
+	}
+}
+
+func latency(vm string, kind document.Kind) *metrics.Histogram {
+	return metrics.GetOrCreateHistogram(fmt.Sprintf("latency{vm=%q,kind=%q}", vm, string(kind)))
+}
+
+// observe takes in how long a request took.
+func (c *counters) observe(kind document.Kind, start time.Time) {
+	if h := c.latency[kind]; h != nil {
+		h.UpdateDuration(start)
 	}
 }
 
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -86,6 +86,9 @@
 	}
 }
 
+// CountHop counts an attempt whose holder is another VM.
+func (e *Entry) CountHop() { e.counters.hops.Inc() }
+
 // Done is closed once Run has ended.
 func (e *Entry) Done() <-chan struct{} { return e.done }
 
--- a/internal/serve/entry/span.go
+++ b/internal/serve/entry/span.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -10,13 +11,15 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 )
 
-// traced runs the request within the span of the entry proxy.
+// traced runs the request within the span of the entry proxy and measures it.
 func (r *request) traced(ctx context.Context) error {
 	span := r.session.entry.options.Trace.Root(r.hint.Parent, trace.Entry)
 	if r.parent = span.Parent(); r.parent == "" {
 		r.parent = r.hint.Parent
 	}
+	start := time.Now()
 	err := r.run(ctx)
+	r.session.entry.counters.observe(r.route.Kind, start)
 	span.End(r.attributes("", err))
 	return err
 }
--- a/internal/serve/vm/streams.go
+++ b/internal/serve/vm/streams.go
@@ -83,6 +83,7 @@
 		return inner.Exchange{}, errors.New("no VM is known")
 	}
 	if m.Name != v.self.Name {
+		v.entry.CountHop()
 		ctx, cancel := context.WithTimeout(ctx, openTimeout.Duration())
 		defer cancel()
 		return v.transport.Open(ctx, m.Address, peer.Label{Region: m.Region, Account: account, Weight: weight})
