--- /dev/null
+++ b/internal/trial/cost/cost.go
@@ -0,0 +1,18 @@
+// Package cost measures what a statement costs: direct at the stand-in of a
+// backend server, through a proxy that is its holder, and through an entry proxy
+// and a holder on different VMs. The measurement is in the benchmarks.
+package cost
+
+import (
+	"syscall"
+	"time"
+)
+
+// Processor returns the processor time that this process has used.
+func Processor() (time.Duration, error) {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0, err
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano()), nil
+}
