Leave empty fields out of the messages of a statement

Cause: Begin, Batch and End carried the names of fields that an ordinary request leaves empty, over a link that is paid by volume. Change: Empty fields are left out; a decoder leaves what is absent at zero, so both forms are read. A benchmark and a round trip test cover the three messages.

--- /dev/null
+++ b/internal/proto/inner/codec_test.go
@@ -0,0 +1,51 @@
+package inner
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+// ordinary are the messages of an ordinary read: no session, no key, no trace.
+var ordinary = struct {
+	begin Begin
+	batch Batch
+	end   End
+}{
+	Begin{Database: "orders", Server: "orders-1", Account: "counter", Weight: 1, Kind: document.KindRead, Wait: 50, Deadline: 5000},
+	Batch{Needs: []Need{{Name: "s1", Parse: make([]byte, 60)}}, Raw: make([]byte, 60)},
+	End{Status: 'I', Mark: floor.Mark{Term: 1, Position: 100}, Raw: make([]byte, 60)},
+}
+
+func roundTrip(t testing.TB) (b Begin, a Batch, e End) {
+	t.Helper()
+	for _, err := range []error{
+		Decode(Encode(KindBegin, ordinary.begin), &b),
+		Decode(Encode(KindBatch, ordinary.batch), &a),
+		Decode(Encode(KindEnd, ordinary.end), &e),
+	} {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return b, a, e
+}
+
+func TestRoundTrip(t *testing.T) {
+	b, a, e := roundTrip(t)
+	if diff := cmp.Diff([]any{ordinary.begin, ordinary.batch, ordinary.end}, []any{b, a, e}); diff != "" {
+		t.Errorf("messages (-want +got):\n%s", diff)
+	}
+}
+
+// BenchmarkCodec encodes and decodes the messages of an ordinary read.
+func BenchmarkCodec(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		roundTrip(b)
+	}
+	b.ReportMetric(float64(len(Encode(KindBegin, ordinary.begin).Body)+len(Encode(KindBatch, ordinary.batch).Body)+len(Encode(KindEnd, ordinary.end).Body)), "bytes")
+}
--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -52,57 +52,57 @@
 
 // Begin opens a transaction at the holder of a backend server.
 type Begin struct {
-	Database string        `cbor:"database"`
-	Server   string        `cbor:"server"`
-	Account  string        `cbor:"account"`
-	Weight   int           `cbor:"weight"`
-	Kind     document.Kind `cbor:"kind"`
+	Database string        `cbor:"database,omitzero"`
+	Server   string        `cbor:"server,omitzero"`
+	Account  string        `cbor:"account,omitzero"`
+	Weight   int           `cbor:"weight,omitzero"`
+	Kind     document.Kind `cbor:"kind,omitzero"`
 	// Floor is what the server must have applied.
-	Floor floor.Mark `cbor:"floor"`
+	Floor floor.Mark `cbor:"floor,omitzero"`
 	// Wait is how long the holder may wait for the floor, in milliseconds.
-	Wait clock.Millis `cbor:"wait"`
+	Wait clock.Millis `cbor:"wait,omitzero"`
 	// Age is the staleness allowed in milliseconds; 0 asks for Floor alone.
-	Age clock.Millis `cbor:"age"`
+	Age clock.Millis `cbor:"age,omitzero"`
 	// Deadline is the time left for the request in milliseconds.
-	Deadline clock.Millis `cbor:"deadline"`
+	Deadline clock.Millis `cbor:"deadline,omitzero"`
 	// Session names a roaming session whose floor the holder records.
-	Session string `cbor:"session"`
+	Session string `cbor:"session,omitzero"`
 	// Key is the idempotency key of a request that must not be repeated.
-	Key string `cbor:"key"`
+	Key string `cbor:"key,omitzero"`
 	// Once marks a request that must not be repeated.
-	Once bool `cbor:"once"`
+	Once bool `cbor:"once,omitzero"`
 	// Parent is the W3C traceparent of the entry's span.
-	Parent string `cbor:"parent"`
+	Parent string `cbor:"parent,omitzero"`
 }
 
 // Need is a prepared statement that a batch refers to.
 type Need struct {
-	Name string `cbor:"name"`
+	Name string `cbor:"name,omitzero"`
 	// Parse is the raw Parse message that makes it.
-	Parse []byte `cbor:"parse"`
+	Parse []byte `cbor:"parse,omitzero"`
 }
 
 // Batch is a run of statements up to a Sync, a Flush or a simple Query.
 type Batch struct {
-	Needs []Need `cbor:"needs,omitempty"`
+	Needs []Need `cbor:"needs,omitzero"`
 	// Raw holds whole PostgreSQL messages.
-	Raw []byte `cbor:"raw"`
+	Raw []byte `cbor:"raw,omitzero"`
 }
 
 // End ends a batch.
 type End struct {
 	// Status is the transaction status of ReadyForQuery, or 0 after a Flush.
-	Status byte `cbor:"status"`
+	Status byte `cbor:"status,omitzero"`
 	// Mark is the state of the server after the batch; it is set when Status is 'I'.
-	Mark floor.Mark `cbor:"mark"`
+	Mark floor.Mark `cbor:"mark,omitzero"`
 	// Unrecorded is set when the write of a named session was committed but its
 	// floor was not recorded, because the holder has lost its lock. The floor has
 	// to be reported to the present holder before the caller gets the answer.
-	Unrecorded bool `cbor:"unrecorded,omitempty"`
+	Unrecorded bool `cbor:"unrecorded,omitzero"`
 	// Unknown is set when the end of the transaction was not seen.
-	Unknown string `cbor:"unknown,omitempty"`
+	Unknown string `cbor:"unknown,omitzero"`
 	// Raw holds the last PostgreSQL messages of the answer.
-	Raw []byte `cbor:"raw,omitempty"`
+	Raw []byte `cbor:"raw,omitzero"`
 }
 
 // Refuse says that nothing of the batch reached the backend server.
