Make the test of a starved account see first come first served

Cause: The heavy frames were two pieces long, and a sender queues its second piece anew; so the light frame came before the last heavy one in either order, and the test passed with the fair order turned off. Change: Each heavy frame is one piece, all wait before the light one comes.

--- a/internal/proto/peer/pacer_test.go
+++ b/internal/proto/peer/pacer_test.go
@@ -52,22 +52,26 @@
 }
 
 // TestHeavyAccountDoesNotStarve lets one account fill the link to another region
-// with ten long frames. A short frame of another account that comes last enters
+// with ten frames of a whole piece. A short frame of another account that comes last enters
 // it among the first, and one within the region does not wait at all.
 func TestHeavyAccountDoesNotStarve(t *testing.T) {
 	fake := clock.NewFake(0)
 	r := testRing(t)
 	b := serve(t, r, Options{}, sink)
-	a := serve(t, r, Options{Clock: fake.Clock(), Region: "mainland", Link: pace.Link{Rate: 1000, Burst: 2 * pieceSize}}, echo)
+	a := serve(t, r, Options{Clock: fake.Clock(), Region: "mainland", Link: pace.Link{Rate: 1000, Burst: pieceSize}}, echo)
 	entered := make(chan string, 20)
-	const heavy = 10
+	// Each heavy frame is one piece, so that its sender does not queue anew.
+	const heavy, headerSize = 10, 5
 	for range heavy {
-		send(t, a, b.Address(), Label{Region: "okanagan", Account: "heavy", Weight: 1}, 2*pieceSize, entered)
+		send(t, a, b.Address(), Label{Region: "okanagan", Account: "heavy", Weight: 1}, pieceSize-headerSize, entered)
 	}
 	eventually(t, "the first frames wait", func() bool { return waiting(a, "okanagan") >= heavy-1 })
+	if diff := cmp.Diff("heavy", next(t, entered)); diff != "" {
+		t.Errorf("entered first (-want +got):\n%s", diff)
+	}
 	send(t, a, b.Address(), Label{Region: "mainland", Account: "near", Weight: 1}, 100, entered)
 	if diff := cmp.Diff("near", next(t, entered)); diff != "" {
-		t.Errorf("entered first (-want +got):\n%s", diff)
+		t.Errorf("entered without waiting (-want +got):\n%s", diff)
 	}
 	send(t, a, b.Address(), Label{Region: "okanagan", Account: "light", Weight: 1}, 100, entered)
 	eventually(t, "the light account waits", func() bool { return waiting(a, "okanagan") >= heavy })
@@ -80,7 +84,7 @@
 		return slices.Contains(order, "light")
 	})
 	if n := len(order) - 1; n > heavy/2 {
-		t.Errorf("%d of %d frames of the heavy account went first", n, heavy)
+		t.Errorf("%d of the %d waiting frames of the heavy account went first", n, heavy-1)
 	}
 }
 
