--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/trace"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/budget"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
@@ -35,13 +36,15 @@
 	Callers int
 	// Silence ends an open transaction whose caller sends nothing for so long, in milliseconds.
 	Silence clock.Millis
+	// Trace records spans; nil records none.
+	Trace *trace.Tracer
 	// TLS is nil when callers connect without.
 	TLS *tls.Config
 	// DocumentFunc returns the configuration in force, or nil when none is.
 	DocumentFunc func() *document.Document
-	// OpenFunc opens an exchange with the holder of a backend server. An error
-	// means that nothing was sent.
-	OpenFunc func(ctx context.Context, s document.Server) (inner.Exchange, error)
+	// OpenFunc opens an exchange with the holder of a backend server on behalf of
+	// a client account. An error means that nothing was sent.
+	OpenFunc func(ctx context.Context, s document.Server, account string, weight int) (inner.Exchange, error)
 	// FloorFunc asks the primary's holder for the floor of a named session.
 	FloorFunc func(ctx context.Context, primary document.Server, database, session string) (floor.Mark, error)
 	// FloorsFunc asks for several sessions at once, in their order; when it is
@@ -83,6 +86,9 @@
 	}
 }
 
+// CountHop counts an attempt whose holder is another VM.
+func (e *Entry) CountHop() { e.counters.hops.Inc() }
+
 // Done is closed once Run has ended.
 func (e *Entry) Done() <-chan struct{} { return e.done }
 
--- a/internal/serve/vm/vm.go
+++ b/internal/serve/vm/vm.go
@@ -15,7 +15,9 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/trace"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/pace"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/peer"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
@@ -49,6 +51,10 @@
 	OperatorTLS *tls.Config
 	// Bootstrap is the token that may edit while the configuration names no operator.
 	Bootstrap string
+	// Trace records spans; nil records none.
+	Trace *trace.Tracer
+	// Link is this VM's part of the link to each other region.
+	Link pace.Link
 }
 
 // VM is a running VM.
@@ -77,7 +83,7 @@
 	v.holders = newHolders(v)
 	v.observers = newObservers(v)
 	v.entry = entry.New(entry.Options{
-		VM: v.self, Clock: o.Clock, Limits: o.Limits, Callers: o.Callers, Silence: o.Silence, TLS: o.TLS,
+		VM: v.self, Clock: o.Clock, Limits: o.Limits, Callers: o.Callers, Silence: o.Silence, TLS: o.TLS, Trace: o.Trace,
 		DocumentFunc: v.document.Load,
 		OpenFunc:     v.open,
 		FloorFunc:    v.askFloor,
@@ -89,7 +95,7 @@
 
 func (v *VM) listen() error {
 	var err error
-	if v.transport, err = peer.Listen(v.options.Inner, v.options.Ring); err != nil {
+	if v.transport, err = peer.Listen(v.options.Inner, v.options.Ring, peer.Options{Clock: v.options.Clock, Region: v.options.Region, Link: v.options.Link}); err != nil {
 		return err
 	}
 	if v.callers, err = net.Listen("tcp", v.options.Listen); err != nil {
@@ -143,7 +149,7 @@
 			f()
 		}()
 	}
-	start(func() { v.transport.Serve(ctx, v.stream) })
+	start(func() { v.transport.Serve(ctx, peer.Handlers{StreamFunc: v.accept}) })
 	start(func() { v.watch(ctx) })
 	start(func() { v.entry.Run(ctx, v.callers) })
 	start(func() { v.serveOperators(ctx) })
