Act only on a configuration that is confirmed to be in force

Cause: a VM cut off from the platform went on with what it had, so a withdrawn key worked there for ever; a change was in force when somebody had polled it, and member lists came from the platform alone, which lags.

Change: internal/serve/membership is wired into the VM. The record carries the member set and a revision beside the operators' version; VMs act while a read of the store or a majority confirms the revision, refuse as not run after 2 s without (reason unconfirmed), and resume by themselves. Suspected VMs are probed until they answer or leave the set; a suspicion that was merely forgotten made holdings move every 7 s in the process test. Members that the platform no longer lists leave the set at once when they have ended, else a majority stays. status and wait know what is accepted.

--- a/internal/command/control/control_test.go
+++ b/internal/command/control/control_test.go
@@ -79,6 +79,9 @@
 	if _, err := s.StartVM(own, "vm4", system.Place{Zone: "kelowna", Region: "okanagan"}); err != nil {
 		t.Fatal(err)
 	}
+	if err := s.WaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
 	t.Cleanup(func() {
 		end()
 		cancel()
--- a/internal/command/control/status.go
+++ b/internal/command/control/status.go
@@ -136,6 +136,18 @@
 	return out
 }
 
+// accepted returns the highest version that some VM knows to be accepted: no VM,
+// not even one that does not answer, acts on an earlier one any more.
+func accepted(answers []answer) uint64 {
+	var out uint64
+	for _, a := range answers {
+		if a.Status != nil {
+			out = max(out, a.Status.Accepted)
+		}
+	}
+	return out
+}
+
 type waitCommand struct {
 	Args struct {
 		Version uint64 `positional-arg-name:"VERSION" required:"yes"`
@@ -157,8 +169,8 @@
 	for {
 		answers, err := c.global.survey(min(limit, askTimeout))
 		late := missing(answers, c.Args.Version)
-		if err == nil && len(late) == 0 {
-			return c.global.show(c.Args, func() { c.global.say("version %d is in force at %d VMs", c.Args.Version, len(answers)) })
+		if err == nil && (len(late) == 0 || accepted(answers) >= c.Args.Version) {
+			return c.global.show(c.Args, func() { c.global.say("version %d is in force at %d VMs", c.Args.Version, len(answers)-len(late)) })
 		}
 		if clock.System().Sleep(ctx, waitPause) == nil {
 			continue
--- a/internal/command/daemon/serve.go
+++ b/internal/command/daemon/serve.go
@@ -54,6 +54,7 @@
 	defer stop()
 	o := vmOptions(s, k, logger)
 	o.Bootstrap = bootstrap
+	o.Peers = s.Peers
 	o.Trace, err = trace.New(ctx, trace.Options{VM: s.Name, To: s.Trace.To, URL: s.Trace.URL, Share: s.Trace.Share}, os.Stdout)
 	if err != nil {
 		return err
--- a/internal/core/heartbeat/events.go
+++ b/internal/core/heartbeat/events.go
@@ -1,6 +1,7 @@
 package heartbeat
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -22,7 +23,9 @@
 		return n, nil
 	}
 	n.next = now + Period
-	return n.beat(now)
+	n, beats := n.beat(now)
+	n, probes := n.probe(now)
+	return n, append(beats, probes...)
 }
 
 // beat sends one beat to the relay, or from a root to every other root.
@@ -48,6 +51,30 @@
 	return n, out
 }
 
+// probe asks suspected VMs whether they are there; the longest suspected first.
+func (n Node) probe(now clock.Millis) (Node, []Message) {
+	if now-n.probed < Probing || len(n.suspected) == 0 {
+		return n, nil
+	}
+	n.probed = now
+	names := slices.SortedFunc(maps.Keys(n.suspected), func(a, b string) int {
+		if c := cmp.Compare(n.suspected[a], n.suspected[b]); c != 0 {
+			return c
+		}
+		return strings.Compare(a, b)
+	})
+	names = names[:min(len(names), maxProbes)]
+	n.suspected = maps.Clone(n.suspected)
+	var out []Message
+	for _, name := range names {
+		n.suspected[name] = now
+		b := n.newBeat(now, 0, false)
+		b.Probe = true
+		out = append(out, Message{To: name, Beat: &b})
+	}
+	return n, out
+}
+
 func (n Node) withBeat(now clock.Millis) Node {
 	n.sent++
 	n.beats = maps.Clone(n.beats)
@@ -88,6 +115,10 @@
 func (n Node) OnBeat(b Beat, now clock.Millis) (Node, []Message) {
 	n.newest = max(n.newest, b.Newest, b.Subtree.Version)
 	n = n.withoutSuspect(b.From)
+	if b.Probe {
+		answer := n.answer(b, now)
+		return n.refresh(), []Message{{To: b.From, Answer: &answer}}
+	}
 	known := n.children
 	if b.Root {
 		known = n.roots
@@ -161,8 +192,8 @@
 		n.list = max(n.list, a.List)
 		return n.refresh().settle(now)
 	}
-	if n.parentOf != "" {
-		return n
+	if n.parentOf != "" || !slices.Contains(n.tree().Roots(), a.From) {
+		return n.refresh()
 	}
 	r := n.roots[a.From].withSummary(a.Zone, sent)
 	r.heard, r.answered, r.suspects = now, a.Number, a.Suspects
@@ -270,7 +301,7 @@
 		n.majority = confirmation{version: s.Version, at: now}
 	}
 	everyone := !s.Pending && members >= len(n.set.Members) && old >= len(n.set.Old)
-	if everyone || now-n.majority.at >= Valid+Drift {
+	if everyone || n.set.First || now-n.majority.at >= Valid+Drift {
 		n.accepted = max(n.accepted, s.Version)
 	}
 	return n
@@ -283,14 +314,20 @@
 func (n Node) ended(acting Bits, set []member.VM, now clock.Millis) int {
 	out := 0
 	for i, v := range set {
-		since, missing := n.missing[v.Name]
-		if acting.has(i) || missing && now-since >= Gone {
+		if acting.has(i) || n.Ended(v.Name, now) {
 			out++
 		}
 	}
 	return out
 }
 
+// Ended reports whether a member has been off the platform's list for so long
+// that it acts on nothing any more.
+func (n Node) Ended(name string, now clock.Millis) bool {
+	since, missing := n.missing[name]
+	return missing && now-since >= Gone
+}
+
 // suspectSilent suspects a relay that does not answer and children that no
 // longer beat, and forgets old suspicions.
 func (n Node) suspectSilent(now clock.Millis) Node {
@@ -305,21 +342,14 @@
 		n = n.suspectRoots(now)
 	}
 	n = n.dropSilent(now)
-	for name, at := range n.suspected {
-		if now-at > Forget {
-			n = n.withoutSuspect(name).withoutRoot(name)
+	for name := range n.suspected {
+		if !n.isMember(name) {
+			n = n.withoutSuspect(name)
 		}
 	}
 	return n
 }
 
-// withoutRoot gives a root that was suspected a new start.
-func (n Node) withoutRoot(name string) Node {
-	n.roots = maps.Clone(n.roots)
-	delete(n.roots, name)
-	return n
-}
-
 // excuse gives everybody a new start after the node itself was paused.
 func (n Node) excuse(now clock.Millis) Node {
 	n.parent.heard = now
--- a/internal/core/heartbeat/message.go
+++ b/internal/core/heartbeat/message.go
@@ -38,6 +38,8 @@
 	Suspects []string `cbor:"suspects,omitempty"`
 	// Root is set between roots.
 	Root bool `cbor:"root,omitempty"`
+	// Probe is set when the sender only asks a suspected VM whether it is there.
+	Probe bool `cbor:"probe,omitempty"`
 	// Address is where the sender takes answers, IP:port, if it is not where the
 	// member set says.
 	Address string `cbor:"address,omitempty"`
--- a/internal/core/heartbeat/node.go
+++ b/internal/core/heartbeat/node.go
@@ -23,8 +23,10 @@
 	Silent clock.Millis = 1600
 	// Gone is how long a member must be off the platform's list to count as ended.
 	Gone clock.Millis = Valid
-	// Forget is how long a suspicion lasts that nothing renews.
-	Forget clock.Millis = 5000
+	// Probing is the pause between two questions to the VMs that a node suspects.
+	Probing clock.Millis = 2000
+	// maxProbes is the number of VMs that are asked at once.
+	maxProbes = 8
 )
 
 // Never is a moment before every other.
@@ -36,6 +38,9 @@
 	// Members is the version's own set, Old the one before it.
 	Members []member.VM
 	Old     []member.VM
+	// First is set for the version that brought the first member set: nobody can
+	// act on an earlier one.
+	First bool
 }
 
 // confirmation says that at a moment a version was the newest.
@@ -79,6 +84,7 @@
 	// ticked is the moment of the last Tick, next that of the next beat.
 	ticked clock.Millis
 	next   clock.Millis
+	probed clock.Millis
 	sent   uint64
 	// beats holds the moments at which the last beats were sent, by number.
 	beats    map[uint64]clock.Millis
@@ -98,6 +104,8 @@
 	relays  member.Tree
 	built   uint64
 	skipped map[string]bool
+	// revision grows whenever Alive changes.
+	revision uint64
 	// missing holds the moments since which members are off the platform's list.
 	missing map[string]clock.Millis
 }
@@ -156,18 +164,21 @@
 // May reports whether the node may act on its version now: it has a
 // confirmation that is young enough, and no later version is known.
 func (n Node) May(now clock.Millis) bool {
-	return n.set.Version > 0 && n.newest <= n.set.Version &&
-		n.confirmed.version == n.set.Version && now-n.confirmed.at < Valid
+	return now < n.Until()
 }
 
-// Until returns the moment at which May ends without a further confirmation.
+// Until returns the moment at which May ends without a further confirmation; it
+// is Never while the node may not act.
 func (n Node) Until() clock.Millis {
-	if n.confirmed.version != n.set.Version {
+	if n.set.Version == 0 || n.newest > n.set.Version || n.confirmed.version != n.set.Version {
 		return Never
 	}
 	return n.confirmed.at + Valid
 }
 
+// Revision grows whenever Alive changes.
+func (n Node) Revision() uint64 { return n.revision }
+
 // Alive returns the members that are not suspected.
 func (n Node) Alive() []member.VM {
 	skip := n.skipped
@@ -208,6 +219,7 @@
 	if n.built == n.set.Version && maps.Equal(skip, n.skipped) {
 		return n
 	}
+	n.revision++
 	n.built, n.skipped, n.relays = n.set.Version, skip, member.NewTree(n.set.Members, skip)
 	return n
 }
@@ -280,16 +292,22 @@
 }
 
 func (n Node) withSuspect(name string, now clock.Millis) Node {
+	if _, known := n.suspected[name]; known {
+		return n
+	}
 	n.suspected = maps.Clone(n.suspected)
 	n.suspected[name] = now
 	return n
 }
 
+// withoutSuspect ends a suspicion; a root that was suspected gets a new start.
 func (n Node) withoutSuspect(name string) Node {
 	if _, ok := n.suspected[name]; !ok {
 		return n
 	}
 	n.suspected = maps.Clone(n.suspected)
 	delete(n.suspected, name)
+	n.roots = maps.Clone(n.roots)
+	delete(n.roots, name)
 	return n
 }
--- a/internal/core/outcome/outcome.go
+++ b/internal/core/outcome/outcome.go
@@ -57,6 +57,8 @@
 	ReasonLeaving Reason = "leaving"
 	// ReasonDenied means the account or key may not run the request.
 	ReasonDenied Reason = "denied"
+	// ReasonUnconfirmed means the VM cannot confirm that its configuration is in force.
+	ReasonUnconfirmed Reason = "unconfirmed"
 	// ReasonRoute means the request names no usable route.
 	ReasonRoute Reason = "route"
 	// ReasonRequest means the request itself is malformed or unsupported.
--- a/internal/proto/operator/operator.go
+++ b/internal/proto/operator/operator.go
@@ -27,8 +27,12 @@
 
 // Status is what a VM knows of itself and the others.
 type Status struct {
-	VM         member.VM   `json:"vm"`
-	Version    uint64      `json:"version"`
+	VM      member.VM `json:"vm"`
+	Version uint64    `json:"version"`
+	// Accepted is the highest version below which no VM acts any more.
+	Accepted uint64 `json:"accepted"`
+	// Confirmed is set while the VM may act on its version.
+	Confirmed  bool        `json:"confirmed"`
 	Members    []member.VM `json:"members"`
 	Holdings   []Holding   `json:"holdings"`
 	Callers    int         `json:"callers"`
--- a/internal/serve/configuration/bundle.go
+++ b/internal/serve/configuration/bundle.go
@@ -101,14 +101,14 @@
 }
 
 // SetMembers replaces the member set, if the record is still at the given
-// version. That version must be accepted, so that the majorities of the sets on
+// revision. That revision must be accepted, so that the majorities of the sets on
 // both sides of the change meet. It returns the platform's errors.
 func SetMembers(ctx context.Context, store platform.Store, at uint64, members []member.VM) error {
 	old, tag, err := load(ctx, store)
 	if err != nil && !errors.Is(err, platform.ErrAbsent) {
 		return err
 	}
-	if old.Version != at {
+	if old.Revision != at {
 		return platform.ErrConflict
 	}
 	list, err := json.Marshal(Sorted(members))
@@ -116,7 +116,8 @@
 		return errors.Wrap(err, "member set")
 	}
 	next := old
-	next.Version, next.Members, next.Old = old.Version+1, Hash(list), old.Members
+	next.Revision, next.Members, next.Old = old.Revision+1, Hash(list), old.Members
+	next.Since = next.Revision
 	if err := store.KeepFunc(ctx, next.Members, list); err != nil {
 		return err
 	}
--- a/internal/serve/configuration/configuration.go
+++ b/internal/serve/configuration/configuration.go
@@ -145,7 +145,7 @@
 		}
 	}
 	next, version, err := old.With(c, who)
-	if err != nil || next.Version == old.Version {
+	if err != nil || next.Revision == old.Revision {
 		return version, err
 	}
 	return version, write(ctx, store, replaced, next, tag, c.Texts)
--- a/internal/serve/configuration/record.go
+++ b/internal/serve/configuration/record.go
@@ -9,7 +9,11 @@
 
 // Record is the entry in the table. It never changes once built.
 type Record struct {
-	Version  uint64            `json:"version"`
+	// Version counts the operators' edits.
+	Version uint64 `json:"version"`
+	// Revision counts every change, those of the member set too. It is what VMs
+	// agree on.
+	Revision uint64            `json:"revision"`
 	Sections map[string]string `json:"sections"`
 	// Bases holds, for each section, the version that last changed it.
 	Bases map[string]uint64 `json:"bases"`
@@ -19,6 +23,8 @@
 	// Old the one before it. They are empty until the first VM has started.
 	Members string `json:"members,omitempty"`
 	Old     string `json:"old,omitempty"`
+	// Since is the revision that brought Members.
+	Since uint64 `json:"since,omitempty"`
 	// Older names the object that holds the versions before, or is empty.
 	Older string `json:"older,omitempty"`
 }
@@ -131,7 +137,8 @@
 
 func (r Record) replace(e Entry) Record {
 	next := r
-	next.Version, next.Sections, next.Bases = e.Version, map[string]string{}, map[string]uint64{}
+	next.Version, next.Revision = e.Version, r.Revision+1
+	next.Sections, next.Bases = map[string]string{}, map[string]uint64{}
 	maps.Copy(next.Sections, r.Sections)
 	maps.Copy(next.Bases, r.Bases)
 	for section, hash := range e.Sections {
--- /dev/null
+++ b/internal/serve/entry/confirm.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+const (
+	// confirmWait is how long a request waits for the VM to confirm its
+	// configuration, as after a pause of the VM, before it is refused.
+	confirmWait = 2 * clock.Second
+	// confirmPause is the pause between two looks.
+	confirmPause = 20 * clock.Millis(1)
+)
+
+// document returns the configuration that the VM may act on now.
+func (e *Entry) document(ctx context.Context) (*document.Document, error) {
+	if d := e.options.DocumentFunc(); d != nil {
+		return d, nil
+	}
+	deadline := e.options.Clock.Now() + confirmWait
+	for e.options.Clock.Now() < deadline && e.options.Clock.Sleep(ctx, confirmPause) == nil {
+		if d := e.options.DocumentFunc(); d != nil {
+			return d, nil
+		}
+	}
+	return nil, outcome.Refuse(outcome.ReasonUnconfirmed, cannotConnect, "the VM cannot confirm that its configuration is in force")
+}
--- a/internal/serve/entry/dispatch.go
+++ b/internal/serve/entry/dispatch.go
@@ -42,10 +42,14 @@
 // dispatch runs a batch: in the open transaction if there is one, else in a new
 // transaction on the server that suits it best.
 func (s *session) dispatch(ctx context.Context, b *batch) error {
+	d, err := s.entry.document(ctx)
+	if err != nil {
+		return s.refuse(b, err)
+	}
 	if s.pinned != "" {
 		return s.goOn(b)
 	}
-	r, err := s.request(b)
+	r, err := s.request(d, b)
 	if err != nil {
 		return s.refuse(b, err)
 	}
@@ -67,8 +71,7 @@
 	return s.fail(b, outcome.CodeUnknown, u.Error())
 }
 
-func (s *session) request(b *batch) (*request, error) {
-	d := s.entry.options.DocumentFunc()
+func (s *session) request(d *document.Document, b *batch) (*request, error) {
 	h := s.hint.With(b.hint)
 	t, err := route.Resolve(d, s.database, s.account, h)
 	if err != nil {
@@ -138,15 +141,19 @@
 // attemptNext runs the request on the best server that is left, and takes note
 // of a refusal.
 func (r *request) attemptNext(ctx context.Context) error {
+	d, err := r.session.entry.document(ctx)
+	if err != nil {
+		return err
+	}
 	var known bool
-	if r.database, known = r.session.entry.options.DocumentFunc().Database(r.session.database); !known {
+	if r.database, known = d.Database(r.session.database); !known {
 		return refuseRemoved(r.session.database)
 	}
 	server, ok := serverOf(r.database, r.choose())
 	if !ok {
 		return outcome.Refuse(outcome.ReasonPrimary, outcome.CodeUnavailable, "no backend server of database %s is usable now", r.database.Name)
 	}
-	err := r.hop(ctx, server)
+	err = r.hop(ctx, server)
 	var refusal *outcome.NotRun
 	if !errors.As(err, &refusal) {
 		return err
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -40,7 +40,8 @@
 	Trace *trace.Tracer
 	// TLS is nil when callers connect without.
 	TLS *tls.Config
-	// DocumentFunc returns the configuration in force, or nil when none is.
+	// DocumentFunc returns the configuration that the VM may act on now, or nil
+	// while it can confirm none.
 	DocumentFunc func() *document.Document
 	// OpenFunc opens an exchange with the holder of a backend server on behalf of
 	// a client account. An error means that nothing was sent.
@@ -183,9 +184,9 @@
 	if err != nil {
 		return nil, err
 	}
-	d := e.options.DocumentFunc()
-	if d == nil {
-		return nil, outcome.Refuse(outcome.ReasonLeaving, cannotConnect, "no configuration is in force yet")
+	d, err := e.document(ctx)
+	if err != nil {
+		return nil, err
 	}
 	s := &session{entry: e, conn: c, database: parameters["database"]}
 	if s.database == "" {
--- a/internal/serve/entry/relay.go
+++ b/internal/serve/entry/relay.go
@@ -119,7 +119,11 @@
 	defer cancel()
 	o := s.entry.options
 	for ctx.Err() == nil {
-		b, _ := o.DocumentFunc().Database(s.database)
+		d, err := s.entry.document(ctx)
+		if err != nil {
+			continue
+		}
+		b, _ := d.Database(s.database)
 		if p, ok := s.entry.directory.primary(b); ok && o.RecordFunc(ctx, p, s.database, s.name, m) == nil {
 			return true
 		}
--- a/internal/serve/entry/stop.go
+++ b/internal/serve/entry/stop.go
@@ -41,9 +41,13 @@
 
 // checkKey refuses every batch of a caller whose key has been withdrawn.
 func (s *session) checkKey() error {
-	if s.authorized(s.entry.options.DocumentFunc()) {
+	d := s.entry.options.DocumentFunc()
+	if s.authorized(d) {
 		return nil
 	}
+	if d == nil {
+		return outcome.Refuse(outcome.ReasonUnconfirmed, cannotConnect, "the VM cannot confirm that the key still works")
+	}
 	return refuseWithdrawn(s.account)
 }
 
--- a/internal/serve/membership/fetch.go
+++ b/internal/serve/membership/fetch.go
@@ -43,17 +43,17 @@
 func (m *Membership) fetch(ctx context.Context) bool {
 	for _, address := range m.sources() {
 		b, err := m.ask(ctx, address)
-		if err != nil || b.Record.Version <= m.Version() {
+		if err != nil || b.Record.Revision <= m.Revision() {
 			continue
 		}
-		m.adopt(ctx, b)
+		m.Adopt(ctx, b)
 		return true
 	}
-	before := m.Version()
+	before := m.Revision()
 	if m.readsStore() {
 		m.readRecord(ctx)
 	}
-	return m.Version() > before
+	return m.Revision() > before
 }
 
 func (m *Membership) sources() []string {
--- a/internal/serve/membership/membership.go
+++ b/internal/serve/membership/membership.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -45,20 +46,27 @@
 	// wake asks for a fetch.
 	wake   chan struct{}
 	bundle atomic.Pointer[configuration.Bundle]
+	// until is the moment up to which the VM may act; alive is what Alive returns.
+	until atomic.Int64
+	alive atomic.Pointer[[]member.VM]
 
 	mu        sync.Mutex
 	node      heartbeat.Node
 	addresses map[string]string
-	leaving   map[string]bool
-	ctx       context.Context
+	// accepted is a version of the operators' document.
+	accepted uint64
+	ctx      context.Context
 }
 
 // New returns a membership that works once Run is called.
 func New(o Options) *Membership {
-	return &Membership{
+	m := &Membership{
 		options: o, counters: newCounters(o.Self.Name), done: make(chan struct{}), wake: make(chan struct{}, 1),
-		node: heartbeat.New(o.Self, o.Clock.Now()), addresses: map[string]string{}, leaving: map[string]bool{},
+		node: heartbeat.New(o.Self, o.Clock.Now()), addresses: map[string]string{},
 	}
+	m.until.Store(int64(heartbeat.Never))
+	m.alive.Store(&[]member.VM{o.Self})
+	return m
 }
 
 // Done is closed once Run has ended.
@@ -66,9 +74,7 @@
 
 // May reports whether the VM may act on its version now.
 func (m *Membership) May() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.node.May(m.options.Clock.Now())
+	return int64(m.options.Clock.Now()) < m.until.Load()
 }
 
 // Document returns the configuration that the VM may act on now, or nil.
@@ -88,21 +94,37 @@
 	return nil
 }
 
-// Version returns the version that the VM has.
+// Version returns the version of the operators' document that the VM has.
 func (m *Membership) Version() uint64 {
+	if b := m.bundle.Load(); b != nil {
+		return b.Record.Version
+	}
+	return 0
+}
+
+// Accepted returns the highest version of the operators' document below which
+// nobody acts any more.
+func (m *Membership) Accepted() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.accepted
+}
+
+// Revision returns the revision of the agreed record that the VM has.
+func (m *Membership) Revision() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.node.Version()
 }
 
-// Accepted returns the highest version below which nobody acts any more.
-func (m *Membership) Accepted() uint64 {
+// AcceptedRevision returns the highest revision below which nobody acts any more.
+func (m *Membership) AcceptedRevision() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.node.Accepted()
 }
 
-// Set returns the version that the VM has, its member set, and whether the VM
+// Set returns the revision that the VM has, its member set, and whether the VM
 // may act.
 func (m *Membership) Set() (uint64, []member.VM, bool) {
 	m.mu.Lock()
@@ -112,21 +134,36 @@
 
 // Alive returns the VMs that may hold something: members that seem alive, each
 // with the address that it last gave. Before the first member set it is the VM
-// itself.
-func (m *Membership) Alive() []member.VM {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+// itself. The caller must not change the list.
+func (m *Membership) Alive() []member.VM { return *m.alive.Load() }
+
+// Listed returns every member, those that are suspected too; before the first
+// member set it is the VM itself.
+func (m *Membership) Listed() []member.VM {
+	if _, members, _ := m.Set(); len(members) > 0 {
+		return members
+	}
+	return []member.VM{m.options.Self}
+}
+
+// publishLocked renews what May and Alive tell. The caller holds the lock.
+func (m *Membership) publishLocked() {
+	m.until.Store(int64(m.node.Until()))
+	if b := m.bundle.Load(); b != nil && m.node.Accepted() >= b.Record.Revision {
+		m.accepted = max(m.accepted, b.Record.Version)
+	}
 	out := m.node.Alive()
 	if len(out) == 0 {
-		return []member.VM{m.options.Self}
+		out = []member.VM{m.options.Self}
 	}
 	for i, v := range out {
 		if a := m.addresses[v.Name]; a != "" {
 			out[i].Address = a
 		}
-		out[i].Leaving = out[i].Leaving || m.leaving[v.Name]
 	}
-	return out
+	if !slices.Equal(out, *m.alive.Load()) {
+		m.alive.Store(&out)
+	}
 }
 
 // Take takes one datagram from the VM called name.
@@ -171,6 +208,7 @@
 	old := m.node
 	node, messages := event(old, m.options.Clock.Now())
 	m.node = node
+	m.publishLocked()
 	if node.Newest() > old.Newest() || node.Accepted() > old.Accepted() {
 		messages = append(messages, node.Notices()...)
 	}
@@ -187,7 +225,7 @@
 		return
 	}
 	m.send(ctx, messages, addresses)
-	if len(node.Alive()) != len(old.Alive()) {
+	if node.Revision() != old.Revision() {
 		m.options.ChangedFunc(ctx)
 	}
 }
--- /dev/null
+++ b/internal/serve/membership/membership_test.go
@@ -0,0 +1,172 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/configuration"
+	standin "github.com/sycamoredoor/sycamoredoor/internal/standin/platform"
+)
+
+// network joins memberships of one process; VMs that are cut reach nobody.
+type network struct {
+	platform *standin.Platform
+
+	mu    sync.Mutex
+	parts map[string]*Membership
+	cut   map[string]bool
+}
+
+func newNetwork(t *testing.T) *network {
+	t.Helper()
+	t.Cleanup(invariant.Handle(func(n invariant.Name, detail string) { t.Errorf("invariant %s: %s", n, detail) }))
+	p, err := standin.New(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &network{platform: p, parts: map[string]*Membership{}, cut: map[string]bool{}}
+}
+
+// reach returns the membership at an address, unless one of the two is cut.
+func (w *network) reach(from, to string) *Membership {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cut[from] || w.cut[to] {
+		return nil
+	}
+	return w.parts[to]
+}
+
+func (w *network) setCut(name string, cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[name] = cut
+}
+
+func (w *network) isCut(name string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut[name]
+}
+
+// start adds a VM; names stand for addresses.
+func (w *network) start(t *testing.T, name string, zone int) *Membership {
+	t.Helper()
+	store := platform.Dial(w.platform.URL(), clock.Second)
+	get := store.GetFunc
+	store.GetFunc = func(ctx context.Context, key string) (platform.Record, error) {
+		if w.isCut(name) {
+			return platform.Record{}, &platform.UnavailableError{Cause: errors.New("cut")}
+		}
+		return get(ctx, key)
+	}
+	self := member.VM{Name: name, Zone: member.Zone(fmt.Sprintf("zone%d", zone)), Address: name}
+	m := New(Options{
+		Self: self, Clock: clock.System(), Store: store, Log: log.New(io.Discard), Peers: []string{"vm1", "vm2"},
+		SendFunc: func(_ context.Context, address string, body []byte) {
+			if to := w.reach(name, address); to != nil {
+				go to.Take(name, body)
+			}
+		},
+		AskFunc: func(_ context.Context, address string, a inner.Ask) (inner.Answer, error) {
+			if to := w.reach(name, address); to != nil {
+				return to.Serve(a), nil
+			}
+			return inner.Answer{}, errors.New("unreachable")
+		},
+		ChangedFunc: func(context.Context) {},
+	})
+	w.mu.Lock()
+	w.parts[name] = m
+	w.mu.Unlock()
+	w.platform.SetVM(self)
+	ctx, cancel := context.WithCancel(context.Background())
+	go m.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-m.Done()
+	})
+	return m
+}
+
+// until polls until a condition holds, for at most 20 s.
+func until(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for range 2000 {
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("it never came true that %s", what)
+}
+
+const (
+	databases = "databases: [{name: orders, servers: [{name: o1, address: \"127.0.0.1:1\", zone: zone0, slots: 1, connections: 2}]}]"
+	accounts  = "accounts: [{name: counter, rate: %d, burst: 10, weight: 1, keys: []}]"
+)
+
+func (w *network) apply(t *testing.T, rate int, base uint64) uint64 {
+	t.Helper()
+	version, err := configuration.Apply(t.Context(), platform.Dial(w.platform.URL(), clock.Second), configuration.Change{
+		Texts: map[string]string{"databases": databases, "accounts": fmt.Sprintf(accounts, rate)}, Base: base,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return version
+}
+
+// TestOutage takes the platform away from VMs that go on, cuts one of them off,
+// starts another, and brings all back.
+func TestOutage(t *testing.T) {
+	w := newNetwork(t)
+	parts := []*Membership{w.start(t, "vm1", 0), w.start(t, "vm2", 1), w.start(t, "vm3", 2)}
+	all := func(condition func(*Membership) bool) func() bool {
+		return func() bool {
+			for _, m := range parts {
+				if !condition(m) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	w.apply(t, 5, 0)
+	until(t, "every VM acts on a set of three", all(func(m *Membership) bool {
+		return m.Document() != nil && len(m.Alive()) == 3
+	}))
+	version := w.apply(t, 6, parts[0].Version())
+	until(t, "the change is accepted", all(func(m *Membership) bool { return m.Accepted() >= version }))
+
+	w.platform.SetDown(true)
+	time.Sleep(5 * time.Second)
+	until(t, "every VM acts while the platform is down", all((*Membership).May))
+
+	late := w.start(t, "vm4", 0)
+	until(t, "a VM that starts now takes the configuration from another", late.May)
+
+	w.setCut("vm3", true)
+	until(t, "a VM that is cut off stops", func() bool { return !parts[2].May() })
+	until(t, "the others suspect it", func() bool { return len(parts[0].Alive()) == 2 })
+	if !parts[0].May() || !parts[1].May() {
+		t.Error("the majority stopped with the VM that was cut off")
+	}
+	w.setCut("vm3", false)
+	until(t, "it acts again by itself", parts[2].May)
+
+	w.platform.SetDown(false)
+	until(t, "the new VM becomes a member", func() bool { return len(parts[0].Alive()) == 4 })
+}
--- a/internal/serve/membership/run.go
+++ b/internal/serve/membership/run.go
@@ -19,6 +19,8 @@
 	storeInterval = 500 * clock.Millis(1)
 	// listInterval is the pause between two reads of the platform's list by a root.
 	listInterval = clock.Second
+	// startInterval is the same while there is no member set.
+	startInterval = 100 * clock.Millis(1)
 )
 
 // Run works until the context ends.
@@ -68,37 +70,46 @@
 	if err != nil {
 		return
 	}
-	m.adopt(ctx, b)
+	m.Adopt(ctx, b)
 	m.step(func(n heartbeat.Node, _ clock.Millis) (heartbeat.Node, []heartbeat.Message) {
-		return n.WithStore(b.Record.Version, began), nil
+		return n.WithStore(b.Record.Revision, began), nil
 	})
 }
 
-// adopt puts a later version in force.
-func (m *Membership) adopt(ctx context.Context, b *configuration.Bundle) {
+// Adopt puts a later version in force.
+func (m *Membership) Adopt(ctx context.Context, b *configuration.Bundle) {
 	m.mu.Lock()
-	if known := m.bundle.Load(); known != nil && known.Record.Version >= b.Record.Version {
+	if known := m.bundle.Load(); known != nil && known.Record.Revision >= b.Record.Revision {
 		m.mu.Unlock()
 		return
 	}
 	m.bundle.Store(b)
 	m.mu.Unlock()
-	m.options.ChangedFunc(ctx)
 	m.step(func(n heartbeat.Node, now clock.Millis) (heartbeat.Node, []heartbeat.Message) {
-		return n.WithSet(heartbeat.Set{Version: b.Record.Version, Members: b.Members, Old: b.Old}, now)
+		return n.WithSet(heartbeat.Set{
+			Version: b.Record.Revision, Members: b.Members, Old: b.Old,
+			First: len(b.Old) == 0 && b.Record.Since == b.Record.Revision,
+		}, now)
 	})
-	m.options.Log.Info("configuration in force", "vm", m.options.Self.Name, "version", b.Record.Version)
+	m.options.ChangedFunc(ctx)
+	m.options.Log.Info("configuration in force", "vm", m.options.Self.Name, "version", b.Record.Version, "revision", b.Record.Revision)
 }
 
 func (m *Membership) readList(ctx context.Context) {
-	for ctx.Err() == nil {
+	for m.options.Clock.Sleep(ctx, m.listPause()) == nil {
 		if m.readsStore() {
 			m.reconcile(ctx)
 		}
-		_ = m.options.Clock.Sleep(ctx, listInterval)
 	}
 }
 
+func (m *Membership) listPause() clock.Millis {
+	if _, members, _ := m.Set(); len(members) == 0 {
+		return startInterval
+	}
+	return listInterval
+}
+
 // reconcile brings the member set level with the platform's list. The first
 // root by name does so, or anybody while there is no member set.
 func (m *Membership) reconcile(ctx context.Context) {
@@ -111,13 +122,14 @@
 		names[i] = v.Name
 	}
 	m.mu.Lock()
-	m.node = m.node.WithList(names, identity(list), m.options.Clock.Now())
-	version, members, first := m.node.Version(), m.node.Members(), m.node.IsFirst()
-	ready := len(members) == 0 || first && m.node.Accepted() >= version
+	now := m.options.Clock.Now()
+	m.node = m.node.WithList(names, identity(list), now)
+	revision, members, first := m.node.Version(), m.node.Members(), m.node.IsFirst()
+	ready := len(members) == 0 || first && m.node.Accepted() >= revision
+	next := nextSet(members, list, func(name string) bool { return m.node.Ended(name, now) })
 	m.mu.Unlock()
-	next := nextSet(members, list)
 	if ready && len(next) > 0 && !slices.Equal(next, members) {
-		if configuration.SetMembers(ctx, m.options.Store, version, next) == nil {
+		if configuration.SetMembers(ctx, m.options.Store, revision, next) == nil {
 			m.counters.changes.Inc()
 			m.readRecord(ctx)
 		}
@@ -133,12 +145,13 @@
 }
 
 // nextSet returns the set that follows a member set towards the platform's list.
-// A majority of the earlier set always stays, so that it can accept the change.
-func nextSet(members, list []member.VM) []member.VM {
+// Members that have ended go at once; of the others that are off the list, a
+// majority of the earlier set stays, so that it can accept the change.
+func nextSet(members, list []member.VM, ended func(name string) bool) []member.VM {
 	next := configuration.Sorted(list)
 	spare := (len(members) - 1) / 2
 	for _, v := range members {
-		if slices.ContainsFunc(list, func(o member.VM) bool { return o.Name == v.Name }) {
+		if slices.ContainsFunc(list, func(o member.VM) bool { return o.Name == v.Name }) || ended(v.Name) {
 			continue
 		}
 		if spare > 0 {
--- a/internal/serve/vm/holders.go
+++ b/internal/serve/vm/holders.go
@@ -40,7 +40,7 @@
 
 // update starts and stops holders after a change of members or configuration.
 func (h *holders) update(ctx context.Context) {
-	d := h.vm.document.Load()
+	d := h.vm.members.Latest()
 	if d == nil {
 		return
 	}
@@ -97,10 +97,10 @@
 
 // isMember reports whether a VM is one of the members that this VM knows.
 func (v *VM) isMember(name string) bool {
-	return slices.ContainsFunc(*v.members.Load(), func(m member.VM) bool { return m.Name == name })
+	return slices.ContainsFunc(v.members.Alive(), func(m member.VM) bool { return m.Name == name })
 }
 
 // holderOf returns the VM that should hold a server.
 func (v *VM) holderOf(s document.Server) (member.VM, bool) {
-	return member.Place(*v.members.Load(), s.Name, s.Zone)
+	return member.Place(v.members.Alive(), s.Name, s.Zone)
 }
--- a/internal/serve/vm/observers.go
+++ b/internal/serve/vm/observers.go
@@ -45,7 +45,7 @@
 
 // update starts and stops observers after a change of members or configuration.
 func (o *observers) update(ctx context.Context) {
-	d := o.vm.document.Load()
+	d := o.vm.members.Latest()
 	if d == nil {
 		return
 	}
@@ -108,7 +108,7 @@
 
 // askLost asks another VM for the term whose primary it has lost.
 func (v *VM) askLost(ctx context.Context, name, database string) (floor.Term, error) {
-	for _, m := range *v.members.Load() {
+	for _, m := range v.members.Alive() {
 		if m.Name == name {
 			a, err := v.ask(ctx, m, inner.Ask{Topic: inner.TopicLost, Database: database})
 			return a.Lost, err
--- a/internal/serve/vm/operator.go
+++ b/internal/serve/vm/operator.go
@@ -34,7 +34,10 @@
 
 // Status tells what the VM knows.
 func (v *VM) Status() operator.Status {
-	s := operator.Status{VM: v.self, Version: v.Version(), Members: *v.members.Load(), Violations: invariant.Total()}
+	s := operator.Status{
+		VM: v.self, Version: v.Version(), Accepted: v.members.Accepted(), Confirmed: v.members.May(),
+		Members: v.members.Listed(), Violations: invariant.Total(),
+	}
 	v.holders.mu.Lock()
 	defer v.holders.mu.Unlock()
 	for _, r := range v.holders.running {
--- a/internal/serve/vm/sections.go
+++ b/internal/serve/vm/sections.go
@@ -66,7 +66,7 @@
 	if err == nil || errors.Is(err, platform.ErrAbsent) {
 		return d, nil
 	}
-	if d := v.document.Load(); d != nil {
+	if d := v.members.Latest(); d != nil {
 		return d, nil
 	}
 	return nil, err
--- a/internal/serve/vm/sections_test.go
+++ b/internal/serve/vm/sections_test.go
@@ -1,20 +1,24 @@
 package vm
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/http/httptest"
 	"os"
 	"strings"
 	"testing"
 
+	"github.com/charmbracelet/log"
 	"github.com/go-faster/errors"
 	"github.com/goccy/go-yaml"
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/operator"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/configuration"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/membership"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/verifier"
 	standin "github.com/sycamoredoor/sycamoredoor/internal/standin/platform"
 )
@@ -88,7 +92,9 @@
 	}
 	v := &VM{options: Options{Store: platform.Dial(p.URL(), 10_000), Bootstrap: "bootstrap-token"}}
 	v.holders = newHolders(v)
-	v.members.Store(&[]member.VM{})
+	v.members = membership.New(membership.Options{
+		Clock: clock.System(), Store: v.options.Store, Log: log.New(io.Discard), ChangedFunc: func(context.Context) {},
+	})
 	s := httptest.NewServer(v.operatorHandler())
 	defer s.Close()
 	for i, step := range steps {
@@ -98,8 +104,8 @@
 		if step.Stale {
 			continue
 		}
-		if d, _, _, err := configuration.Load(t.Context(), v.options.Store); err == nil {
-			v.document.Store(d)
+		if b, err := configuration.Read(t.Context(), v.options.Store, nil); err == nil {
+			v.members.Adopt(t.Context(), b)
 		}
 	}
 }
--- a/internal/serve/vm/streams.go
+++ b/internal/serve/vm/streams.go
@@ -35,7 +35,7 @@
 
 // regionOf returns the region of a VM, or "" when it is unknown.
 func (v *VM) regionOf(name string) string {
-	for _, m := range *v.members.Load() {
+	for _, m := range v.members.Alive() {
 		if m.Name == name {
 			return m.Region
 		}
@@ -101,9 +101,18 @@
 	if m.Name == v.self.Name {
 		return settle(v.answer(ctx, a))
 	}
+	return v.askOver(ctx, m.Address, peer.Label{Region: m.Region, Control: true}, a)
+}
+
+// askAt puts one question to the VM at an address.
+func (v *VM) askAt(ctx context.Context, address string, a inner.Ask) (inner.Answer, error) {
+	return v.askOver(ctx, address, peer.Label{Control: true}, a)
+}
+
+func (v *VM) askOver(ctx context.Context, address string, label peer.Label, a inner.Ask) (inner.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
 	defer cancel()
-	x, err := v.transport.Open(ctx, m.Address, peer.Label{Region: m.Region, Control: true})
+	x, err := v.transport.Open(ctx, address, label)
 	if err != nil {
 		return inner.Answer{}, err
 	}
@@ -137,6 +146,9 @@
 		v.entry.Cancel(a.Process, a.Secret)
 		return inner.Answer{}
 	}
+	if a.Topic == inner.TopicConfiguration {
+		return v.members.Serve(a)
+	}
 	if a.Topic == inner.TopicLost {
 		return v.answerLost(a.Database)
 	}
@@ -189,7 +201,7 @@
 // confirm reports whether a majority of a database's servers know no term above
 // the given one.
 func (v *VM) confirm(ctx context.Context, database string, term floor.Term) bool {
-	d := v.document.Load()
+	d := v.members.Latest()
 	b, _ := d.Database(database)
 	answers := make(chan bool, len(b.Servers))
 	for _, s := range b.Servers {
@@ -217,7 +229,7 @@
 	if len(secret) < 4 || binary.BigEndian.Uint32(secret) == 0 {
 		return
 	}
-	for _, m := range *v.members.Load() {
+	for _, m := range v.members.Alive() {
 		if entry.VMTag(m.Name) == uint16(process>>16) {
 			_, _ = v.ask(ctx, m, inner.Ask{Topic: inner.TopicCancel, Process: process, Secret: secret})
 		}
--- a/internal/serve/vm/vm.go
+++ b/internal/serve/vm/vm.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -22,7 +21,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/peer"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/entry"
-	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/membership"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/keys"
 )
 
@@ -45,6 +44,8 @@
 	Limits   caller.Limits
 	Callers  int
 	Silence  clock.Millis
+	// Peers holds addresses of VMs, IP:port, to start from while the platform is down.
+	Peers []string
 	// TLS is nil when callers connect without.
 	TLS *tls.Config
 	// OperatorTLS is nil when operators connect without.
@@ -67,24 +68,31 @@
 	entry     *entry.Entry
 	holders   *holders
 	observers *observers
-	document  atomic.Pointer[document.Document]
-	members   atomic.Pointer[[]member.VM]
-	done      chan struct{}
+	members   *membership.Membership
+	changed   chan struct{}
+	// beats counts heartbeats on their way.
+	beats sync.WaitGroup
+	done  chan struct{}
 }
 
 // Start opens the VM's addresses and serves until the context ends.
 func Start(ctx context.Context, o Options) (*VM, error) {
-	v := &VM{options: o, done: make(chan struct{})}
+	v := &VM{options: o, changed: make(chan struct{}, 1), done: make(chan struct{})}
 	if err := v.listen(); err != nil {
 		return nil, err
 	}
 	v.self = member.VM{Name: o.Name, Zone: o.Zone, Region: o.Region, Address: v.transport.Address(), Operator: v.OperatorURL()}
-	v.members.Store(&[]member.VM{v.self})
+	v.members = membership.New(membership.Options{
+		Self: v.self, Clock: o.Clock, Store: o.Store, Log: o.Log, Peers: o.Peers,
+		SendFunc:    v.sendBeat,
+		AskFunc:     v.askAt,
+		ChangedFunc: func(context.Context) { v.noteChange() },
+	})
 	v.holders = newHolders(v)
 	v.observers = newObservers(v)
 	v.entry = entry.New(entry.Options{
 		VM: v.self, Clock: o.Clock, Limits: o.Limits, Callers: o.Callers, Silence: o.Silence, TLS: o.TLS, Trace: o.Trace,
-		DocumentFunc: v.document.Load,
+		DocumentFunc: v.members.Document,
 		OpenFunc:     v.open,
 		FloorFunc:    v.askFloor,
 		RecordFunc:   v.record,
@@ -129,13 +137,11 @@
 // Entry returns the VM's entry proxy.
 func (v *VM) Entry() *entry.Entry { return v.entry }
 
-// Version returns the version of the configuration in force, or 0.
-func (v *VM) Version() uint64 {
-	if d := v.document.Load(); d != nil {
-		return d.Version
-	}
-	return 0
-}
+// Version returns the version of the configuration that the VM has, or 0.
+func (v *VM) Version() uint64 { return v.members.Version() }
+
+// Members returns the VM's part in the agreement of all VMs.
+func (v *VM) Members() *membership.Membership { return v.members }
 
 // Done is closed once every part of the VM has stopped.
 func (v *VM) Done() <-chan struct{} { return v.done }
@@ -150,11 +156,13 @@
 			f()
 		}()
 	}
-	start(func() { v.transport.Serve(ctx, peer.Handlers{StreamFunc: v.accept}) })
-	start(func() { v.watch(ctx) })
+	start(func() { v.transport.Serve(ctx, peer.Handlers{StreamFunc: v.accept, DatagramFunc: v.members.Take}) })
+	start(func() { v.members.Run(ctx) })
+	start(func() { v.follow(ctx) })
 	start(func() { v.entry.Run(ctx, v.callers) })
 	start(func() { v.serveOperators(ctx) })
 	parts.Wait()
+	v.beats.Wait()
 	v.observers.wait()
 	v.holders.wait()
 }
--- a/internal/setup/settings/settings.go
+++ b/internal/setup/settings/settings.go
@@ -102,6 +102,9 @@
 	Operator string `yaml:"operator" validate:"required,ipport"`
 	// Platform is the URL of the platform's table, objects and list of VMs.
 	Platform string `yaml:"platform" validate:"required,url"`
+	// Peers holds addresses of other VMs for the inner protocol; a VM that starts
+	// while the platform is down takes the configuration from them.
+	Peers []string `yaml:"peers" validate:"dive,ipport"`
 	// Backend holds the proxy's own credentials at backend servers.
 	Backend Backend `yaml:"backend"`
 	// Keys are the certificates of the inner protocol.
