Withdraw a key while a VM is paused

Cause: the promise that a withdrawn key stops at a paused VM was proved by the pure tests alone; the process tests used fixed ports and failed when two ran at once. Change: a process is stopped, the key of its connected caller withdrawn, the withdrawal accepted, and the process continued; neither the open transaction nor a new connection may work. Ports differ between runs.

--- a/internal/command/daemon/serve_test.go
+++ b/internal/command/daemon/serve_test.go
@@ -23,8 +23,9 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/stand"
 )
 
-// port is the first port of the test's VM, below those that the system gives out.
-const port = 26532
+// port is the first port of the test's VM, below those that the system gives out;
+// it differs between runs at the same time.
+var port = 26010 + 10*(os.Getpid()%600)
 
 // startTLS starts a VM whose settings name certificates for callers and operators.
 func startTLS(t *testing.T) (v *vm.VM, w *reload.Watcher, folder string, s *stand.Stand) {
--- a/internal/trial/processes/processes_test.go
+++ b/internal/trial/processes/processes_test.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"context"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
@@ -15,6 +16,8 @@
 	"github.com/jackc/pgx/v5"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/operator"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/configuration"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/stand"
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/system"
 )
@@ -23,8 +26,8 @@
 const deadline = 20 * time.Second
 
 // firstPort is the first of the VMs' ports; it lies below the ports that the
-// system gives out.
-const firstPort = 26432
+// system gives out and differs between runs at the same time.
+var firstPort = 20000 + 10*(os.Getpid()%600)
 
 const count = 3
 
@@ -127,19 +130,23 @@
 
 func (r *trial) connect(i int, session string) *pgx.Conn {
 	r.t.Helper()
-	c, err := pgx.ParseConfig(r.processes[i].DSN())
+	conn, err := r.tryConnect(i, session)
 	if err != nil {
 		r.t.Fatal(err)
 	}
+	r.t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+func (r *trial) tryConnect(i int, session string) (*pgx.Conn, error) {
+	c, err := pgx.ParseConfig(r.processes[i].DSN())
+	if err != nil {
+		return nil, err
+	}
 	c.RuntimeParams["sycamoredoor.session"] = session
 	ctx, cancel := context.WithTimeout(r.t.Context(), deadline)
 	defer cancel()
-	conn, err := pgx.ConnectConfig(ctx, c)
-	if err != nil {
-		r.t.Fatal(err)
-	}
-	r.t.Cleanup(func() { _ = conn.Close(context.Background()) })
-	return conn
+	return pgx.ConnectConfig(ctx, c)
 }
 
 const (
@@ -222,3 +229,60 @@
 	}
 	return err.Error()
 }
+
+// TestPausedVM stops a VM's process while the key of a caller that is connected
+// to it is withdrawn, and lets it go on after the withdrawal is accepted: nothing
+// of that caller may run any more.
+func TestPausedVM(t *testing.T) {
+	r := start(t)
+	r.readWrites(0, 1, "before", 3)
+	caller := r.connect(2, "member-paused")
+	if _, err := caller.Exec(t.Context(), "BEGIN /*route='box'*/"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := caller.Exec(t.Context(), writeBox, "paused", "open"); err != nil {
+		t.Fatal(err)
+	}
+	pid := r.processes[2].command.Process
+	if err := pid.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	version := r.withdraw()
+	r.until("the withdrawal is accepted", func() bool { return r.accepted(0) >= version && r.accepted(1) >= version })
+	if err := pid.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := caller.Exec(t.Context(), "COMMIT"); err == nil {
+		t.Error("a VM that was paused committed for a caller whose key had been withdrawn")
+	}
+	if _, err := r.tryConnect(2, "member-late"); err == nil {
+		t.Error("a VM that was paused let in a caller whose key had been withdrawn")
+	}
+}
+
+// withdraw takes every key from the caller's account and returns the version
+// that does.
+func (r *trial) withdraw() uint64 {
+	r.t.Helper()
+	b, err := configuration.Read(r.t.Context(), r.stand.System.Store, nil)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	version, err := configuration.Apply(r.t.Context(), r.stand.System.Store, configuration.Change{
+		Texts: map[string]string{document.SectionAccounts: "accounts: []\n"}, Base: b.Record.Version,
+	})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return version
+}
+
+// accepted returns the version that a VM knows to be accepted.
+func (r *trial) accepted(i int) uint64 {
+	client := operator.NewClient(operator.Options{Base: r.processes[i].Operators, Timeout: 2000})
+	s, err := client.Status(r.t.Context())
+	if err != nil {
+		return 0
+	}
+	return s.Accepted
+}
