Show that a VM without confirmation sends nothing to a server

Cause: a trial that gave out the configuration without confirmation still passed the process test, since the news reached the resumed VM at once. Change: the entry's test takes the confirmation away under an open transaction and an idle caller; the membership's outage test looks at what is given out. The process test says what it shows and what it does not.

--- /dev/null
+++ b/internal/serve/entry/confirm_test.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+// TestUnconfirmed takes the confirmation away from a VM with a caller in a
+// transaction and one outside: nothing of either reaches a server, the open
+// transaction is rolled back, and both are served again afterwards.
+func TestUnconfirmed(t *testing.T) {
+	var confirmed atomic.Bool
+	confirmed.Store(true)
+	d := parseDocument(t, "")
+	b := newBench(t, func(o *Options) {
+		o.DocumentFunc = func() *document.Document {
+			if confirmed.Load() {
+				return d
+			}
+			return nil
+		}
+	})
+	c, open := b.dial(t)
+	e, idle := b.dial(t)
+	send := func(i int, text string) {
+		t.Helper()
+		if _, err := [2]net.Conn{c, e}[i].Write(messageOf(t, text)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	send(0, "Q BEGIN")
+	want(t, func() string { return receive(t, open) }, "C BEGIN", "Z T")
+	confirmed.Store(false)
+	send(0, "Q COMMIT")
+	send(1, "Q SELECT 1")
+	want(t, func() string { return receive(t, open) }, "E 57P03", "Z E")
+	want(t, func() string { return receive(t, idle) }, "E 57P03", "Z I")
+	until(t, "the open transaction is given up", func() bool { return b.running() == 0 })
+	if n := b.note("after"); n != 2 {
+		t.Errorf("%d batches reached a server, and only BEGIN was allowed to", n-1)
+	}
+	confirmed.Store(true)
+	send(0, "Q ROLLBACK")
+	want(t, func() string { return receive(t, open) }, "C ROLLBACK", "Z I")
+	send(1, "Q SELECT 1")
+	want(t, func() string { return receive(t, idle) }, "C SELECT 1", "Z I")
+}
--- a/internal/serve/membership/membership_test.go
+++ b/internal/serve/membership/membership_test.go
@@ -160,6 +160,9 @@
 
 	w.setCut("vm3", true)
 	until(t, "a VM that is cut off stops", func() bool { return !parts[2].May() })
+	if parts[2].Document() != nil {
+		t.Error("a VM that is cut off gives out a configuration to act on")
+	}
 	until(t, "the others suspect it", func() bool { return len(parts[0].Alive()) == 2 })
 	if !parts[0].May() || !parts[1].May() {
 		t.Error("the majority stopped with the VM that was cut off")
--- a/internal/trial/processes/processes_test.go
+++ b/internal/trial/processes/processes_test.go
@@ -232,7 +232,9 @@
 
 // TestPausedVM stops a VM's process while the key of a caller that is connected
 // to it is withdrawn, and lets it go on after the withdrawal is accepted: nothing
-// of that caller may run any more.
+// of that caller may run any more. It shows the promise on real processes; that a
+// VM which can confirm nothing refuses is shown by TestUnconfirmed of the entry and
+// TestOutage of the membership, since here the news itself comes soon as well.
 func TestPausedVM(t *testing.T) {
 	r := start(t)
 	r.readWrites(0, 1, "before", 3)
