Shrink heartbeats and give roots fewer children

Cause: the capacity run put a relay at 10 KB/s and a root at 19 KB/s of heartbeats, over the 9 KB/s that control may cost a node; most of a message was the names of its fields. Change: heartbeat messages are arrays on the wire; a root relays for 9 VMs, the others for 16, so that two steps still reach 154 VMs of a zone and the confirmation's age, which grows with each step, stays under its 4 s.

--- a/internal/core/heartbeat/bits.go
+++ b/internal/core/heartbeat/bits.go
@@ -12,8 +12,9 @@
 // counted by two relays. The first Base*8 places are left out of Bytes, so that
 // the members of one zone, which stand together, take little space.
 type Bits struct {
-	Base  int    `cbor:"base"`
-	Bytes []byte `cbor:"bytes"`
+	_     struct{} `cbor:",toarray"`
+	Base  int      `cbor:"base"`
+	Bytes []byte   `cbor:"bytes"`
 }
 
 // maxBase bounds the places that a message may name.
--- a/internal/core/heartbeat/message.go
+++ b/internal/core/heartbeat/message.go
@@ -3,6 +3,9 @@
 // send beats up the relay tree of their availability zone and get answers down;
 // the roots of the zones exchange beats among themselves. A node is an immutable
 // value that takes an event and the time and returns a new value and messages.
+//
+// The messages go on the wire as arrays without names, since each VM sends tens of
+// them a second; a field may only be added at the end.
 package heartbeat
 
 import "github.com/sycamoredoor/sycamoredoor/internal/base/clock"
@@ -10,7 +13,8 @@
 // Summary names the members that act on a version. Each of them did so, and knew
 // of no later version, at some moment at most Age before the summary was sent.
 type Summary struct {
-	Version uint64 `cbor:"version"`
+	_       struct{} `cbor:",toarray"`
+	Version uint64   `cbor:"version"`
 	// Members is by place in the version's own member set.
 	Members Bits `cbor:"members"`
 	// Old is by place in the set before it.
@@ -24,7 +28,8 @@
 
 // Beat is what a VM sends to its relay, or a root to the other roots.
 type Beat struct {
-	From string `cbor:"from"`
+	_    struct{} `cbor:",toarray"`
+	From string   `cbor:"from"`
 	// Sent numbers the sender's beats.
 	Sent uint64 `cbor:"sent"`
 	// Echo is the number of the last answer that the sender had from the receiver,
@@ -47,7 +52,8 @@
 
 // Answer is what a relay answers to a beat.
 type Answer struct {
-	From string `cbor:"from"`
+	_    struct{} `cbor:",toarray"`
+	From string   `cbor:"from"`
 	// Sent is the number of the beat.
 	Sent uint64 `cbor:"sent"`
 	// Number is to be echoed in the next beat.
--- a/internal/core/member/tree.go
+++ b/internal/core/member/tree.go
@@ -2,13 +2,18 @@
 
 import "slices"
 
-// FanOut is the number of children of a VM in the relay tree of its zone.
-const FanOut = 12
+// FanOut is the number of children of a VM in the relay tree of its zone, and
+// RootFanOut that of a root, which has the other roots to speak to as well. Two
+// steps lead from a root to any of 154 VMs.
+const (
+	FanOut     = 16
+	RootFanOut = 9
+)
 
 // Tree is the relay tree that one VM sees: in each availability zone the VMs
-// stand in an order that every VM computes alike, and the one at place i relays
-// for those at places FanOut*i+1 to FanOut*i+FanOut. The first of each zone is
-// its root. Views differ for a while when VMs come and go; a VM whose relay does
+// stand in an order that every VM computes alike. The first is the zone's root
+// and relays for the next RootFanOut; each of those and of all that follow relays
+// for FanOut further on. Views differ for a while when VMs come and go; a VM whose relay does
 // not answer passes over it.
 type Tree struct {
 	order map[Zone][]string
@@ -57,7 +62,7 @@
 	i := slices.Index(names, name)
 	switch {
 	case i > 0:
-		return names[(i-1)/FanOut]
+		return names[parentPlace(i)]
 	case i == 0:
 		return ""
 	case len(names) > 0:
@@ -75,8 +80,20 @@
 	if i < 0 {
 		return nil
 	}
-	from := min(FanOut*i+1, len(names))
-	return names[from:min(from+FanOut, len(names))]
+	from, count := 1, RootFanOut
+	if i > 0 {
+		from, count = 1+RootFanOut+FanOut*(i-1), FanOut
+	}
+	from = min(from, len(names))
+	return names[from:min(from+count, len(names))]
+}
+
+// parentPlace returns the place of the VM that relays for the one at place i.
+func parentPlace(i int) int {
+	if i <= RootFanOut {
+		return 0
+	}
+	return 1 + (i-1-RootFanOut)/FanOut
 }
 
 // Roots returns the root of each zone, in order of their names.
