--- a/internal/proto/platform/platform.go
+++ b/internal/proto/platform/platform.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"github.com/go-faster/errors"
+	lru "github.com/hashicorp/golang-lru/v2"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
@@ -63,12 +64,19 @@
 	base    string
 	timeout clock.Millis
 	http    *http.Client
+	// known holds the last records read, so that a record which has not changed
+	// is not sent again.
+	known *lru.Cache[string, Record]
 }
 
+// maxKnown is the number of records that a client remembers.
+const maxKnown = 64
+
 // Dial returns a store at a URL; no request is made yet. The timeout in
 // milliseconds holds for each request.
 func Dial(base string, timeout clock.Millis) Store {
-	c := &client{base: strings.TrimRight(base, "/"), timeout: timeout, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
+	known, _ := lru.New[string, Record](maxKnown)
+	c := &client{known: known, base: strings.TrimRight(base, "/"), timeout: timeout, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
 	return Store{GetFunc: c.get, PutFunc: c.put, ObjectFunc: c.object, KeepFunc: c.keep, ListFunc: c.list}
 }
 
@@ -100,16 +108,27 @@
 }
 
 func (c *client) get(ctx context.Context, key string) (Record, error) {
-	status, header, body, err := c.do(ctx, http.MethodGet, "/table/"+key, nil, nil)
+	known, had := c.known.Get(key)
+	condition := http.Header{}
+	if had {
+		condition.Set("If-None-Match", known.Tag)
+	}
+	status, header, body, err := c.do(ctx, http.MethodGet, "/table/"+key, nil, condition)
 	switch {
 	case err != nil:
 		return Record{}, err
+	case status == http.StatusNotModified && had:
+		return known, nil
 	case status == http.StatusNotFound:
 		return Record{}, ErrAbsent
 	case status != http.StatusOK:
 		return Record{}, statusError(status, body)
 	}
-	return Record{Body: body, Tag: header.Get("ETag")}, nil
+	r := Record{Body: body, Tag: header.Get("ETag")}
+	if r.Tag != "" {
+		c.known.Add(key, r)
+	}
+	return r, nil
 }
 
 func (c *client) put(ctx context.Context, key, tag string, body []byte) (string, error) {
--- a/internal/serve/membership/membership_test.go
+++ b/internal/serve/membership/membership_test.go
@@ -27,6 +27,7 @@
 	mu    sync.Mutex
 	parts map[string]*Membership
 	cut   map[string]bool
+	stop  map[string]func()
 }
 
 func newNetwork(t *testing.T) *network {
@@ -36,7 +37,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &network{platform: p, parts: map[string]*Membership{}, cut: map[string]bool{}}
+	return &network{platform: p, parts: map[string]*Membership{}, cut: map[string]bool{}, stop: map[string]func(){}}
 }
 
 // reach returns the membership at an address, unless one of the two is cut.
@@ -94,10 +95,11 @@
 	w.platform.SetVM(self)
 	ctx, cancel := context.WithCancel(context.Background())
 	go m.Run(ctx)
-	t.Cleanup(func() {
+	w.stop[name] = func() {
 		cancel()
 		<-m.Done()
-	})
+	}
+	t.Cleanup(w.stop[name])
 	return m
 }
 
@@ -173,3 +175,40 @@
 	w.platform.SetDown(false)
 	until(t, "the new VM becomes a member", func() bool { return len(parts[0].Alive()) == 4 })
 }
+
+// TestRestart starts all VMs anew at once, first while the platform is down: with
+// nobody to ask, none may act until it is back.
+func TestRestart(t *testing.T) {
+	w := newNetwork(t)
+	names := []string{"vm1", "vm2", "vm3"}
+	parts := map[string]*Membership{}
+	act := func() int {
+		n := 0
+		for _, m := range parts {
+			if m.Document() != nil {
+				n++
+			}
+		}
+		return n
+	}
+	for i, name := range names {
+		parts[name] = w.start(t, name, i)
+	}
+	w.apply(t, 5, 0)
+	until(t, "all act", func() bool { return act() == 3 })
+	w.platform.SetDown(true)
+	for _, name := range names {
+		w.stop[name]()
+	}
+	for i, name := range names {
+		parts[name] = w.start(t, name, i)
+	}
+	for range 20 {
+		time.Sleep(50 * time.Millisecond)
+		if n := act(); n > 0 {
+			t.Fatalf("%d VMs act on a configuration that nobody has", n)
+		}
+	}
+	w.platform.SetDown(false)
+	until(t, "all act again", func() bool { return act() == 3 })
+}
