--- a/internal/core/heartbeat/node_test.go
+++ b/internal/core/heartbeat/node_test.go
@@ -21,11 +21,13 @@
 	random *rand.Rand
 	rough  bool
 	now    clock.Millis
+	pace   clock.Millis
 	nodes  map[string]*host
 	names  []string
 	// sets holds the record of each version; the last one is in the store.
 	sets     []Set
 	down     bool
+	far      map[string]bool // VMs that cannot reach the store
 	flying   []flight
 	cut      map[[2]string]bool
 	accepted uint64
@@ -62,7 +64,7 @@
 
 func newWorld(t *rapid.T, n int) *world {
 	random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "network"), 1))
-	w := &world{t: t, random: random, nodes: map[string]*host{}, cut: map[[2]string]bool{}, sets: []Set{{Version: 1, Members: vms(n)}}}
+	w := &world{t: t, random: random, pace: 10, nodes: map[string]*host{}, cut: map[[2]string]bool{}, far: map[string]bool{}, sets: []Set{{Version: 1, Members: vms(n)}}}
 	for _, v := range vms(n) {
 		h := &host{rate: rapid.IntRange(99, 101).Draw(t, "rate"), offset: clock.Millis(rapid.IntRange(0, 100000).Draw(t, "offset"))}
 		h.node = New(v, w.local(h))
@@ -94,9 +96,9 @@
 	}
 }
 
-// step lets ten milliseconds pass.
+// step lets one interval pass.
 func (w *world) step() {
-	w.now += 10
+	w.now += w.pace
 	var kept []flight
 	due := w.flying
 	w.flying = nil
@@ -148,7 +150,7 @@
 		h.read = h.read[1:]
 		w.fetch(name, h)
 	}
-	if !w.down && len(h.read) == 0 && h.node.IsRoot() && w.now%500 == 0 {
+	if !w.down && !w.far[name] && len(h.read) == 0 && h.node.IsRoot() && w.now%500 == 0 {
 		delay := clock.Millis(10)
 		if w.rough {
 			delay = []clock.Millis{10, 10, 50, 3000}[w.random.IntN(4)]
@@ -258,6 +260,7 @@
 func TestStoreDown(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, 9)
+		w.pace = 50
 		w.run(3000)
 		w.down = true
 		w.run(30000)
@@ -288,6 +291,7 @@
 	const bound = 6000
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, 9)
+		w.pace = 50
 		w.run(3000)
 		if rapid.Bool().Draw(t, "silent") {
 			lost := rapid.SampledFrom(w.names).Draw(t, "lost")
@@ -304,3 +308,92 @@
 		}
 	})
 }
+
+// zoneNames returns the VMs of a zone.
+func (w *world) zoneNames(zone member.Zone) []string {
+	var out []string
+	for _, v := range vms(len(w.names)) {
+		if v.Zone == zone {
+			out = append(out, v.Name)
+		}
+	}
+	return out
+}
+
+// acting returns how many of the named VMs may act.
+func (w *world) acting(names []string) int {
+	n := 0
+	for _, name := range names {
+		if h := w.nodes[name]; !w.paused(h) && h.node.May(w.local(h)) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestZoneLost ends every VM of a zone at once, with the store up or down: the
+// others go on without a break, suspect the lost ones, and accept a change within
+// the bound.
+func TestZoneLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 9)
+		w.pace = 50
+		w.run(3000)
+		zone := rapid.SampledFrom([]member.Zone{"zone0", "zone1", "zone2"}).Draw(t, "zone")
+		lost := w.zoneNames(zone)
+		w.down = rapid.Bool().Draw(t, "down")
+		for _, name := range lost {
+			w.nodes[name].until = w.now + 1000000
+		}
+		for range 160 {
+			w.step()
+			if n := w.acting(w.names); n != 6 {
+				t.Fatalf("at %d %d VMs act, and 6 are there", w.now, n)
+			}
+		}
+		for _, name := range w.names {
+			if h := w.nodes[name]; !w.paused(h) && len(h.node.Alive()) != 6 {
+				t.Fatalf("%s takes %d VMs for alive, and 6 are there", name, len(h.node.Alive()))
+			}
+		}
+		w.down = false
+		w.write()
+		w.run(6000)
+		if w.accepted < uint64(len(w.sets)) {
+			t.Fatal("a change was not accepted within 6 s")
+		}
+	})
+}
+
+// TestRegionCut cuts one zone, which stands for the smaller region, off from the
+// others and from the store for a minute: it stops, the larger region goes on and
+// accepts changes, and the smaller one resumes by itself.
+func TestRegionCut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 9)
+		w.pace = 50
+		w.run(3000)
+		small := w.zoneNames("zone2")
+		for _, a := range small {
+			w.far[a] = true
+			for _, b := range append(w.zoneNames("zone0"), w.zoneNames("zone1")...) {
+				w.cut[[2]string{a, b}], w.cut[[2]string{b, a}] = true, true
+			}
+		}
+		w.run(Valid + Drift)
+		if n := w.acting(small); n != 0 {
+			t.Fatalf("%d VMs act that can confirm nothing", n)
+		}
+		w.write()
+		w.run(55000)
+		if w.accepted < uint64(len(w.sets)) || w.acting(w.names) != 6 {
+			t.Fatalf("the larger region has accepted %d of %d, and %d of its VMs act", w.accepted, len(w.sets), w.acting(w.names))
+		}
+		clear(w.cut)
+		clear(w.far)
+		w.run(8000)
+		if n := w.acting(w.names); n != 9 {
+			t.Fatalf("%d of 9 VMs act after the link is back", n)
+		}
+	})
+}
