Measure how costs grow and write the capacity page

Cause: the design is to be decided by 900 nodes before 1,000 databases, and no page said what each role costs there. Change: sycamorebench capacity measures control, connections between VMs, holders, observers, callers, statements, the document and the store on stand-ins in one process, fits lines and rewrites the tables of docs/CAPACITY.md.

--- /dev/null
+++ b/internal/command/bench/bench.go
@@ -0,0 +1,53 @@
+// Package bench is the command line of sycamorebench.
+package bench
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/command/shell"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/capacity"
+)
+
+// Main runs the program and returns its exit code.
+func Main(arguments []string, out, fault io.Writer) int {
+	p := flags.NewNamedParser("sycamorebench", flags.None)
+	p.LongDescription = "Measures sycamoredoor on this machine."
+	if _, err := p.AddCommand("capacity", "Measure how costs grow",
+		"Measures what each role costs on this machine and writes the tables of the capacity page.", &capacityCommand{out: out}); err != nil {
+		panic(err)
+	}
+	return shell.Run(p, arguments, out, fault)
+}
+
+type capacityCommand struct {
+	out  io.Writer
+	JSON bool   `long:"json" description:"Print one JSON object and leave the page as it is"`
+	Page string `long:"page" default:"docs/CAPACITY.md" value-name:"FILE" description:"Page whose tables are replaced"`
+}
+
+// Execute implements flags.Commander.
+func (c *capacityCommand) Execute([]string) error {
+	r, err := capacity.Measure(context.Background())
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return shell.JSON(c.out, r)
+	}
+	page, err := os.ReadFile(c.Page)
+	if err != nil {
+		return err
+	}
+	text, err := capacity.Replace(string(page), r.Markdown())
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(c.Page, []byte(text), pageMode)
+}
+
+// pageMode is the mode of a page that is written anew.
+const pageMode = 0o644
--- /dev/null
+++ b/internal/trial/capacity/capacity_test.go
@@ -0,0 +1,60 @@
+package capacity
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestFit finds the line that points lie on, and the best one beside them.
+func TestFit(t *testing.T) {
+	for name, p := range map[string]struct {
+		x, y []float64
+		want Line
+	}{
+		"exact":   {[]float64{1, 2, 4}, []float64{5, 7, 11}, Line{Base: 3, Slope: 2}},
+		"nearest": {[]float64{0, 1, 2}, []float64{0, 3, 0}, Line{Base: 1}},
+		"level":   {[]float64{3, 3}, []float64{1, 5}, Line{Base: 3}},
+		"nothing": {},
+	} {
+		if diff := cmp.Diff(p.want, Fit(p.x, p.y)); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", name, diff)
+		}
+	}
+}
+
+// TestControl checks the roles of a small installation and that every beat is
+// answered, so that each message is counted at both its ends.
+func TestControl(t *testing.T) {
+	got := map[string]float64{}
+	for _, c := range newInstallation(27).measure(27) {
+		got[c.Role] = float64(c.Count)
+		got[c.Role+" messages"] = c.Messages
+		if c.Bytes < c.Messages*datagramOverhead {
+			t.Errorf("%s: %.0f bytes in %.0f messages", c.Role, c.Bytes, c.Messages)
+		}
+	}
+	// A leaf sends two beats a second. A root answers those of 3.5 leaves and
+	// exchanges beats with five other roots.
+	want := map[string]float64{RoleLeaf: 21, RoleRoot: 6, "leaf messages": 4, "root messages": 3.5*4 + 5*8}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("roles (-want +got):\n%s", diff)
+	}
+}
+
+// TestReplace changes what is between the markers only.
+func TestReplace(t *testing.T) {
+	const page = "before\n" + MarkerBegin + "\nold\n" + MarkerEnd + "\nafter\n"
+	got, err := Replace(page, "new\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff("before\n"+MarkerBegin+"\nnew\n"+MarkerEnd+"\nafter\n", got); diff != "" {
+		t.Errorf("page (-want +got):\n%s", diff)
+	}
+	for _, page := range []string{"none", MarkerBegin, MarkerEnd + MarkerBegin} {
+		if _, err := Replace(page, ""); err == nil {
+			t.Errorf("%q was taken for a page", page)
+		}
+	}
+}
--- /dev/null
+++ b/internal/trial/capacity/document.go
@@ -0,0 +1,83 @@
+package capacity
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/verifier"
+)
+
+// documentSizes is the numbers of databases; each has as many client accounts
+// and two routes.
+var documentSizes = []int{10, 100, Databases}
+
+// Document is what a configuration costs a node.
+type Document struct {
+	Databases int `json:"databases"`
+	// Section is the bytes of the largest section, Whole those of all.
+	Section int `json:"section"`
+	Whole   int `json:"whole"`
+	// Parse is processor time in milliseconds.
+	Parse float64 `json:"parse"`
+	// Memory is bytes of the parsed document.
+	Memory int64 `json:"memory"`
+}
+
+func measureDocuments() ([]Document, error) {
+	var out []Document
+	for _, n := range documentSizes {
+		d, err := measureDocument(n)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, d)
+	}
+	return out, nil
+}
+
+func measureDocument(n int) (Document, error) {
+	texts, err := documentTexts(n)
+	if err != nil {
+		return Document{}, err
+	}
+	out := Document{Databases: n}
+	for _, text := range texts {
+		out.Whole += len(text)
+		out.Section = max(out.Section, len(text))
+	}
+	size, used := memory(), processor()
+	d, err := document.Parse(1, texts)
+	if err != nil {
+		return Document{}, err
+	}
+	out.Parse = float64(processor()-used) / float64(time.Millisecond)
+	out.Memory = memory() - size
+	_ = d.Databases()
+	return out, nil
+}
+
+func documentTexts(n int) (map[string]string, error) {
+	stored, err := verifier.New("key", make([]byte, verifier.SaltSize))
+	if err != nil {
+		return nil, err
+	}
+	var databases, accounts, routes strings.Builder
+	databases.WriteString("databases:\n")
+	accounts.WriteString("accounts:\n")
+	routes.WriteString("routes:\n")
+	for i := range n {
+		fmt.Fprintf(&databases, "  - name: orders%d\n    servers:\n", i)
+		for k := range 3 {
+			fmt.Fprintf(&databases, "      - {name: orders%d-%d, address: \"10.%d.%d.%d:5432\", zone: zone%d, region: region%d, slots: 3, connections: 20}\n", i, k+1, k+1, i/250, i%250+1, (i+k)%Zones+1, (i+k)%2+1)
+		}
+		fmt.Fprintf(&accounts, "  - name: account%d\n    rate: 510\n    burst: 510\n    weight: 1\n    keys:\n      - {id: k1, verifier: %q}\n", i, stored)
+		fmt.Fprintf(&routes, "  - {name: box%d, database: orders%d, kind: write}\n  - {name: list%d, database: orders%d, kind: read}\n", i, i, i, i)
+	}
+	return map[string]string{
+		document.SectionDatabases: databases.String(),
+		document.SectionAccounts:  accounts.String(),
+		document.SectionRoutes:    routes.String(),
+	}, nil
+}
--- /dev/null
+++ b/internal/trial/capacity/probe.go
@@ -0,0 +1,280 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	decide "github.com/sycamoredoor/sycamoredoor/internal/core/primary"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/holder"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/primary"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+	"github.com/sycamoredoor/sycamoredoor/internal/standin/backend"
+)
+
+const (
+	// probeTime is how long watchers at rest are measured.
+	probeTime = 3 * time.Second
+	// restTime passes between the start of watchers and their measurement.
+	restTime = 2 * clock.Second
+	// startLimit bounds the start of holders and stand-ins.
+	startLimit = 20 * time.Second
+	// probeOverhead is the bytes of TCP and IP headers around a question and its
+	// answer, with one acknowledgement.
+	probeOverhead = 3 * 40
+)
+
+// probeGroups is the numbers of database groups that are watched.
+var probeGroups = []int{1, 3, 9, 27}
+
+// The kinds of watcher of a backend server or a database group.
+const (
+	KindHolder   = "holder"
+	KindObserver = "observer"
+)
+
+// Watcher is what a holder of one server, or an observer of one group, costs at
+// rest. The part of the stand-ins that answer is included.
+type Watcher struct {
+	Kind   string         `json:"kind"`
+	Points []WatcherPoint `json:"points"`
+	// Core is percent of one core and Memory bytes by the number of watchers.
+	Core   Line `json:"core"`
+	Memory Line `json:"memory"`
+	// Queries and Bytes are for one watcher a second, both ways.
+	Queries float64 `json:"queries"`
+	Bytes   float64 `json:"bytes"`
+}
+
+// WatcherPoint is one number of groups of three servers.
+type WatcherPoint struct {
+	Groups   int     `json:"groups"`
+	Watchers int     `json:"watchers"`
+	Core     float64 `json:"core"`
+	Memory   float64 `json:"memory"`
+}
+
+// starter starts the watchers of one database and returns their Done channels
+// once they are at rest.
+type starter func(ctx context.Context, d document.Database) ([]<-chan struct{}, error)
+
+func measureWatchers(ctx context.Context) ([]Watcher, error) {
+	var out []Watcher
+	for _, k := range []struct {
+		kind  string
+		start starter
+	}{{KindHolder, startHolders}, {KindObserver, startObserver}} {
+		w, err := measureWatcher(ctx, k.start)
+		if err != nil {
+			return nil, errors.Wrap(err, k.kind)
+		}
+		w.Kind = k.kind
+		out = append(out, w)
+	}
+	return out, nil
+}
+
+func measureWatcher(ctx context.Context, start starter) (Watcher, error) {
+	var w Watcher
+	var x, core, size []float64
+	for _, n := range probeGroups {
+		p, err := measureGroups(ctx, n, start)
+		if err != nil {
+			return w, err
+		}
+		w.Points = append(w.Points, p)
+		x, core, size = append(x, float64(p.Watchers)), append(core, p.Core), append(size, p.Memory)
+	}
+	w.Core, w.Memory = Fit(x, core), Fit(x, size)
+	var err error
+	w.Queries, w.Bytes, err = countProbes(ctx, start)
+	return w, err
+}
+
+// measureGroups watches n groups; what the groups cost without is taken off.
+func measureGroups(ctx context.Context, n int, start starter) (WatcherPoint, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var parts []<-chan struct{}
+	defer func() {
+		cancel()
+		for _, p := range parts {
+			<-p
+		}
+	}()
+	var databases []document.Database
+	for i := range n {
+		g, err := newGroup(ctx, fmt.Sprintf("orders%d", i))
+		if err != nil {
+			return WatcherPoint{}, err
+		}
+		parts, databases = append(parts, g.Done()), append(databases, databaseOf(g))
+	}
+	alone, size := coreOver(ctx, probeTime), memory()
+	watchers := 0
+	for _, d := range databases {
+		done, err := start(ctx, d)
+		parts, watchers = append(parts, done...), watchers+len(done)
+		if err != nil {
+			return WatcherPoint{}, err
+		}
+	}
+	if err := clock.System().Sleep(ctx, restTime); err != nil {
+		return WatcherPoint{}, err
+	}
+	p := WatcherPoint{Groups: n, Watchers: watchers, Memory: float64(memory() - size)}
+	p.Core = coreOver(ctx, probeTime) - alone
+	return p, nil
+}
+
+func newGroup(ctx context.Context, name string) (*backend.Group, error) {
+	names := []string{name + "-1", name + "-2", name + "-3"}
+	return backend.NewGroup(ctx, name, names, backend.Options{Slots: 3, Connections: 20, Connect: 12, Clock: clock.System()})
+}
+
+func databaseOf(g *backend.Group) document.Database {
+	out := document.Database{Name: "orders"}
+	for _, s := range g.Servers() {
+		out.Servers = append(out.Servers, document.Server{Name: s.Name(), Address: s.Address(), Zone: "zone1", Region: "region1", Slots: 3, Connections: 20})
+	}
+	return out
+}
+
+// coreOver returns the processor time over a while in percent of one core.
+func coreOver(ctx context.Context, d time.Duration) float64 {
+	before, began := processor(), time.Now()
+	_ = clock.System().Sleep(ctx, clock.Millis(d.Milliseconds()))
+	return 100 * float64(processor()-before) / float64(time.Since(began))
+}
+
+func startHolders(ctx context.Context, d document.Database) ([]<-chan struct{}, error) {
+	var parts []<-chan struct{}
+	var holders []*holder.Holder
+	for _, s := range d.Servers {
+		h := holder.New(holder.Options{
+			Server: s, Database: d.Name, VM: "vm1", User: "proxy", Clock: clock.System(),
+			ConfirmFunc: func(context.Context, string, floor.Term) bool { return true },
+		})
+		go h.Run(ctx)
+		holders, parts = append(holders, h), append(parts, h.Done())
+	}
+	for began := time.Now(); !heldAll(holders); time.Sleep(time.Millisecond) {
+		if time.Since(began) > startLimit {
+			return parts, errors.New("the holders did not get their backend servers")
+		}
+	}
+	return parts, nil
+}
+
+func heldAll(holders []*holder.Holder) bool {
+	for _, h := range holders {
+		if _, held := h.State(); !held {
+			return false
+		}
+	}
+	return true
+}
+
+func startObserver(ctx context.Context, d document.Database) ([]<-chan struct{}, error) {
+	self := decide.Voter{VM: "vm1", Zone: "zone1"}
+	v := primary.New(primary.Options{
+		Database: d, Self: self, Nonce: "capacity", User: "proxy", Clock: clock.System(), Log: log.New(io.Discard),
+		VotersFunc: func() []decide.Voter { return []decide.Voter{self} },
+		ToldFunc:   func(floor.Term, string) {},
+	})
+	go v.Run(ctx)
+	return []<-chan struct{}{v.Done()}, nil
+}
+
+// counter is a TCP relay in front of a stand-in that counts what passes.
+type counter struct {
+	bytes   atomic.Int64
+	queries atomic.Int64
+}
+
+// Write counts what goes to the server.
+func (c *counter) Write(p []byte) (int, error) {
+	c.queries.Add(1)
+	c.bytes.Add(int64(len(p)))
+	return len(p), nil
+}
+
+// countProbes counts what one watcher sends and gets; the counts of several that
+// start together are shared out.
+func countProbes(ctx context.Context, start starter) (queries, size float64, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var parts []<-chan struct{}
+	defer func() {
+		cancel()
+		for _, p := range parts {
+			<-p
+		}
+	}()
+	g, err := newGroup(ctx, "orders")
+	if err != nil {
+		return 0, 0, err
+	}
+	parts = append(parts, g.Done())
+	d, c := databaseOf(g), &counter{}
+	for i, s := range d.Servers {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return 0, 0, err
+		}
+		defer func() { _ = l.Close() }()
+		go c.relay(l, s.Address)
+		d.Servers[i].Address = l.Addr().String()
+	}
+	done, err := start(ctx, d)
+	parts = append(parts, done...)
+	if err != nil {
+		return 0, 0, err
+	}
+	if err := clock.System().Sleep(ctx, restTime); err != nil {
+		return 0, 0, err
+	}
+	startQueries, startBytes := c.queries.Load(), c.bytes.Load()
+	coreOver(ctx, probeTime)
+	share := probeTime.Seconds() * float64(len(done))
+	queries = float64(c.queries.Load()-startQueries) / share
+	return queries, float64(c.bytes.Load()-startBytes)/share + queries*probeOverhead, nil
+}
+
+// relay passes on every connection until the listener is closed.
+func (c *counter) relay(l net.Listener, address string) {
+	for {
+		in, err := l.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", address)
+		if err != nil {
+			_ = in.Close()
+			continue
+		}
+		go func() {
+			_, _ = io.Copy(io.MultiWriter(out, c), in)
+			_ = out.Close()
+		}()
+		go func() {
+			_, _ = io.Copy(io.MultiWriter(in, byteCounter{c}), out)
+			_ = in.Close()
+		}()
+	}
+}
+
+// byteCounter counts answers, which are no queries.
+type byteCounter struct{ counter *counter }
+
+// Write counts what comes from the server.
+func (b byteCounter) Write(p []byte) (int, error) {
+	b.counter.bytes.Add(int64(len(p)))
+	return len(p), nil
+}
