Break promises on purpose and see their checks catch it

Cause: no test made any named check fire, and a check that never fired is not yet one. Variants for nine of the thirteen promises stand beside the code that they break; shared connections, unlisted parameters and messages, a late refusal, a repeat, a server that steps back, a leaving server, a closed route, a cut statement and a promotion of the shorter log. None needs a hook in the program. ConfigForward has a check without a variant yet, and KeyWithdrawn, AccountRate and WholeAnswer have no check yet.

--- /dev/null
+++ b/internal/proto/backend/broken_test.go
@@ -0,0 +1,29 @@
+package backend
+
+import (
+	"testing"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/broken"
+)
+
+// TestBrokenOwners shares a connection between two transactions.
+func TestBrokenOwners(t *testing.T) {
+	owned := func() *Conn {
+		c := &Conn{}
+		c.Take(1)
+		return c
+	}
+	broken.Variant(t, invariant.OneTransaction, func() { owned().Take(2) })
+	broken.Variant(t, invariant.OneTransaction, func() { owned().Give(2) })
+	broken.Variant(t, invariant.OneTransaction, func() { _ = owned().Write(2, nil) })
+	broken.Variant(t, invariant.OneTransaction, func() { (&Conn{}).Give(0) })
+}
+
+// TestBrokenParameters has a startup parameter that is not on the list.
+func TestBrokenParameters(t *testing.T) {
+	whole := allowedParameters
+	defer func() { allowedParameters = whole }()
+	allowedParameters = []string{"user", "database"}
+	broken.Variant(t, invariant.NoKeys, func() { _, _ = settings(Options{Address: "127.0.0.1:5432"}) })
+}
--- /dev/null
+++ b/internal/serve/entry/broken_test.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/broken"
+)
+
+// TestBrokenAttempt sends work to a leaving server, and runs a route that is not
+// open for a caller without a key.
+func TestBrokenAttempt(t *testing.T) {
+	for name, p := range map[invariant.Name]struct {
+		route  document.Route
+		server document.Server
+	}{
+		invariant.LeavingServer: {document.Route{Open: true}, document.Server{Name: "orders-1", Leaving: true}},
+		invariant.OwnAccount:    {document.Route{}, document.Server{Name: "orders-1"}},
+	} {
+		t.Run(string(name), func(t *testing.T) {
+			b := newBench(t, nil)
+			b.dial(t)
+			r := &request{session: b.entry.list()[0], route: p.route}
+			broken.Variant(t, name, func() { _ = r.attempt(t.Context(), p.server) })
+		})
+	}
+}
+
+// TestBrokenStop cuts a statement that runs, as no planned stop may.
+func TestBrokenStop(t *testing.T) {
+	b := newBench(t, nil)
+	c, _ := b.dial(t)
+	if _, err := c.Write(messageOf(t, "Q HOLD")); err != nil {
+		t.Fatal(err)
+	}
+	b.waitFor("hold")
+	broken.Variant(t, invariant.PlannedStop, b.entry.cutAll)
+	b.note("release")
+}
--- /dev/null
+++ b/internal/serve/holder/broken_test.go
@@ -0,0 +1,56 @@
+package holder
+
+import (
+	"testing"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/broken"
+)
+
+// TestBrokenOutcome refuses as not run what was sent, and sends again what must
+// not be repeated.
+func TestBrokenOutcome(t *testing.T) {
+	broken.Variant(t, invariant.NotRun, func() {
+		(&transaction{sent: true}).refuse(outcome.Refuse(outcome.ReasonDeadline, outcome.CodeTimeout, "too late"))
+	})
+	broken.Variant(t, invariant.AtMostOnce, func() { _, _ = (&transaction{ran: true}).runOnce(inner.Batch{}) })
+}
+
+// TestBrokenBatch has a key among the messages for a backend server.
+func TestBrokenBatch(t *testing.T) {
+	password := []byte("p\x00\x00\x00\x0ajelly\x00")
+	broken.Variant(t, invariant.NoKeys, func() { planBatch(inner.Batch{Raw: password}, backend.NewStatements(1)) })
+}
+
+// TestBrokenPin changes the server between the last look at it and the use of
+// its connection, which nothing in the program does.
+func TestBrokenPin(t *testing.T) {
+	for name, change := range map[invariant.Name]func(*Holder){
+		invariant.ReadYourWrites: func(h *Holder) { h.state.Applied = floor.Mark{} },
+		invariant.LeavingServer: func(h *Holder) {
+			h.isLeaving, h.leaving = true, -2*leavingGrace
+		},
+	} {
+		t.Run(string(name), func(t *testing.T) {
+			var h *Holder
+			checked := false
+			h = New(Options{Clock: clock.Clock{NowFunc: func() clock.Millis {
+				if checked {
+					change(h)
+				}
+				return 0
+			}}})
+			seen := floor.Mark{Term: 1, Position: 7}
+			h.held, h.state.Applied = true, seen
+			checked = true
+			begin := inner.Begin{Kind: document.KindRead, Floor: seen, Age: clock.Second}
+			broken.Variant(t, name, func() { (&transaction{holder: h, begin: begin}).pin(nil) })
+		})
+	}
+}
--- /dev/null
+++ b/internal/serve/primary/broken_test.go
@@ -0,0 +1,16 @@
+package primary
+
+import (
+	"testing"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/primary"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/broken"
+)
+
+// TestBrokenPromotion promotes a server that lacks what another has.
+func TestBrokenPromotion(t *testing.T) {
+	a := primary.Action{Verb: primary.Promote, Server: "orders-2", Chosen: floor.Mark{Term: 1, Position: 3}, Mark: floor.Mark{Term: 1, Position: 4}}
+	broken.Variant(t, invariant.CurrentPrimary, func() { (&link{}).act(t.Context(), a) })
+}
