--- a/internal/setup/page/page_test.go
+++ b/internal/setup/page/page_test.go
@@ -1,5 +1,5 @@
 // Package page checks that docs/CONFIG.md tells what the structs of the settings
-// and of the configuration say.
+// and of the configuration say, and docs/ARCHITECTURE.md what the packages are.
 package page
 
 import (
