Read scripts, sections and memory in one place each

Cause: fourteen tests had the same lines to read a YAML script, two of them without strictness; two commands fetched a section alike, and two measurements counted memory alike. Change: scripted.Read reads the scripts of tests, strictly everywhere; a section is read by one method in sycamorectl; cost.Memory serves the test of the idle caller and the capacity measurement. No test asserts less than before; those of pace and of the keys between VMs now refuse unknown words in their scripts.

--- a/internal/command/control/control_test.go
+++ b/internal/command/control/control_test.go
@@ -10,12 +10,12 @@
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/verifier"
 	"github.com/sycamoredoor/sycamoredoor/internal/standin/backend"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/system"
 )
 
@@ -94,14 +94,8 @@
 
 // TestCommandLines runs the program against an installation.
 func TestCommandLines(t *testing.T) {
-	text, err := os.ReadFile("testdata/lines.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var lines []line
-	if err := yaml.UnmarshalWithOptions(text, &lines, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
+	scripted.Read(t, "testdata/lines.yaml", &lines)
 	s, stop := installation(t)
 	t.Chdir(t.TempDir())
 	t.Setenv("TMPDIR", t.TempDir())
--- a/internal/command/control/diff.go
+++ b/internal/command/control/diff.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"context"
 	"os"
 	"strings"
 
@@ -31,11 +30,7 @@
 	if err != nil {
 		return err
 	}
-	client, err := c.global.client()
-	if err != nil {
-		return err
-	}
-	s, err := client.Section(context.Background(), c.Args.Name)
+	s, err := c.global.section(c.Args.Name)
 	if err != nil {
 		return err
 	}
--- a/internal/command/control/section.go
+++ b/internal/command/control/section.go
@@ -35,15 +35,20 @@
 
 // Execute implements flags.Commander.
 func (c *getCommand) Execute([]string) error {
-	client, err := c.global.client()
+	s, err := c.global.section(c.Args.Name)
 	if err != nil {
 		return err
 	}
-	s, err := client.Section(context.Background(), c.Args.Name)
+	return c.global.show(s, func() { _, _ = c.global.out.Write([]byte(s.Text)) })
+}
+
+// section reads one section in force.
+func (g *global) section(name string) (operator.Section, error) {
+	client, err := g.client()
 	if err != nil {
-		return err
+		return operator.Section{}, err
 	}
-	return c.global.show(s, func() { _, _ = c.global.out.Write([]byte(s.Text)) })
+	return client.Section(context.Background(), name)
 }
 
 // sections reads every section, so that an edit can be checked before it is sent.
--- a/internal/core/choice/choice_test.go
+++ b/internal/core/choice/choice_test.go
@@ -1,15 +1,14 @@
 package choice
 
 import (
-	"os"
 	"testing"
 
-	"github.com/goccy/go-yaml"
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
 type script struct {
@@ -55,14 +54,8 @@
 
 // TestScripts plays choices between servers.
 func TestScripts(t *testing.T) {
-	text, err := os.ReadFile("testdata/choice.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var scripts []script
-	if err := yaml.UnmarshalWithOptions(text, &scripts, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
+	scripted.Read(t, "testdata/choice.yaml", &scripts)
 	for _, p := range scripts {
 		t.Run(p.Name, func(t *testing.T) {
 			if diff := cmp.Diff(p.Want, p.choose()); diff != "" {
--- a/internal/core/fair/fair_test.go
+++ b/internal/core/fair/fair_test.go
@@ -2,22 +2,18 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"testing"
 
-	"github.com/goccy/go-yaml"
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
 // TestOrder plays scripts of pushes, removals and pops.
 func TestOrder(t *testing.T) {
-	text, err := os.ReadFile("testdata/order.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var cases []struct {
 		Name    string         `yaml:"name"`
 		Limit   int            `yaml:"limit"`
@@ -26,9 +22,7 @@
 		Steps []string `yaml:"steps"`
 		Want  []string `yaml:"want"`
 	}
-	if err := yaml.UnmarshalWithOptions(text, &cases, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
+	scripted.Read(t, "testdata/order.yaml", &cases)
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			q := New(c.Limit)
--- a/internal/core/pace/pace_test.go
+++ b/internal/core/pace/pace_test.go
@@ -2,16 +2,15 @@
 
 import (
 	"fmt"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
 
-	"github.com/goccy/go-yaml"
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
 type step struct {
@@ -44,17 +43,11 @@
 }
 
 func TestScript(t *testing.T) {
-	text, err := os.ReadFile("testdata/script.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var cases []struct {
 		Name  string
 		Steps []step
 	}
-	if err := yaml.Unmarshal(text, &cases); err != nil {
-		t.Fatal(err)
-	}
+	scripted.Read(t, "testdata/script.yaml", &cases)
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			p := New(Link{Rate: 1000, Burst: 1000}, 0)
--- a/internal/core/primary/primary_test.go
+++ b/internal/core/primary/primary_test.go
@@ -1,15 +1,14 @@
 package primary
 
 import (
-	"os"
 	"strings"
 	"testing"
 
-	"github.com/goccy/go-yaml"
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
 // script is one scripted run; see testdata/changes.yaml.
@@ -75,14 +74,8 @@
 
 // TestChanges plays the scripts.
 func TestChanges(t *testing.T) {
-	text, err := os.ReadFile("testdata/changes.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var scripts []script
-	if err := yaml.UnmarshalWithOptions(text, &scripts, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
+	scripted.Read(t, "testdata/changes.yaml", &scripts)
 	for _, s := range scripts {
 		t.Run(strings.ReplaceAll(s.Name, " ", "-"), func(t *testing.T) { s.play(t) })
 	}
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"io"
-	"os"
 	"testing"
 
-	"github.com/goccy/go-yaml"
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
 type script struct {
@@ -39,14 +38,8 @@
 
 // TestScripts plays attempts with many seeds.
 func TestScripts(t *testing.T) {
-	text, err := os.ReadFile("testdata/retry.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var scripts []script
-	if err := yaml.UnmarshalWithOptions(text, &scripts, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
+	scripted.Read(t, "testdata/retry.yaml", &scripts)
 	for _, p := range scripts {
 		t.Run(p.Name, func(t *testing.T) {
 			for seed := range uint64(100) {
--- a/internal/core/route/route_test.go
+++ b/internal/core/route/route_test.go
@@ -1,35 +1,23 @@
 package route
 
 import (
-	"os"
 	"testing"
 
 	"github.com/go-faster/errors"
-	"github.com/goccy/go-yaml"
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
-func read(t *testing.T, file string, target any) {
-	t.Helper()
-	text, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := yaml.UnmarshalWithOptions(text, target, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
-}
-
 // TestHints plays statements against what they say about themselves.
 func TestHints(t *testing.T) {
 	var scripts []struct {
 		SQL  string `yaml:"sql"`
 		Want Hint   `yaml:"want"`
 	}
-	read(t, "testdata/hints.yaml", &scripts)
+	scripted.Read(t, "testdata/hints.yaml", &scripts)
 	for _, p := range scripts {
 		if diff := cmp.Diff(p.Want, Parse(p.SQL)); diff != "" {
 			t.Errorf("%s (-want +got):\n%s", p.SQL, diff)
@@ -65,7 +53,7 @@
 		Want     document.Kind  `yaml:"want"`
 		Refused  outcome.Reason `yaml:"refused"`
 	}
-	read(t, "testdata/resolve.yaml", &scripts)
+	scripted.Read(t, "testdata/resolve.yaml", &scripts)
 	for _, p := range scripts {
 		t.Run(p.Name, func(t *testing.T) {
 			r, err := Resolve(d, pick(p.Database, "orders"), pick(p.Account, "counter"), Hint{Route: p.Route})
--- a/internal/proto/peer/keys_test.go
+++ b/internal/proto/peer/keys_test.go
@@ -9,16 +9,15 @@
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"math/big"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/goccy/go-yaml"
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/keys"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
 // authority signs certificates with any DNS name.
@@ -88,17 +87,11 @@
 // TestRefusesWrongKeys checks that either side refuses a VM whose keys are wrong,
 // and that the dialing side learns it before it sends anything.
 func TestRefusesWrongKeys(t *testing.T) {
-	text, err := os.ReadFile("testdata/tls.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var cases []struct {
 		Name, Dialer, Acceptor string
 		Served                 bool
 	}
-	if err := yaml.Unmarshal(text, &cases); err != nil {
-		t.Fatal(err)
-	}
+	scripted.Read(t, "testdata/tls.yaml", &cases)
 	ours, other := newAuthority(t), newAuthority(t)
 	rings := map[string]*keys.Ring{
 		"right": ours.ring(t, ours, keys.ServerName), "other": other.ring(t, ours, keys.ServerName),
--- a/internal/serve/entry/bounds_test.go
+++ b/internal/serve/entry/bounds_test.go
@@ -2,13 +2,15 @@
 
 import (
 	"net"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/cost"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
 type startupScript struct {
@@ -21,7 +23,7 @@
 // TestStartupRefused plays first messages that must be refused clearly.
 func TestStartupRefused(t *testing.T) {
 	var scripts []startupScript
-	readScripts(t, "testdata/startup.yaml", &scripts)
+	scripted.Read(t, "testdata/startup.yaml", &scripts)
 	b := newBench(t, nil)
 	for _, p := range scripts {
 		t.Run(p.Name, func(t *testing.T) {
@@ -171,28 +173,20 @@
 		"user": "nobody", "database": "orders", "sycamoredoor.route": "list",
 	}}).Encode(nil)
 	query := messageOf(t, "Q SELECT 1")
-	before := memory()
+	before := cost.Memory()
 	for range callers {
 		c := b.raw(t)
 		readReady(t, c, startup)
 		readReady(t, c, query)
 	}
 	until(t, "every caller is idle", func() bool { return b.running() == 0 })
-	each := (memory() - before) / callers
+	each := (cost.Memory() - before) / callers
 	t.Logf("%d bytes of heap and stack for each idle caller", each)
 	if each > limit {
 		t.Errorf("an idle caller costs %d bytes, over %d", each, limit)
 	}
 }
 
-func memory() int64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc + m.StackInuse)
-}
-
 // readReady sends a message and reads up to the ReadyForQuery, without buffers
 // that outlive it.
 func readReady(t *testing.T, c net.Conn, raw []byte) {
--- a/internal/serve/entry/protocol_test.go
+++ b/internal/serve/entry/protocol_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"io"
-	"os"
 	"strings"
 	"testing"
 
-	"github.com/goccy/go-yaml"
 	"github.com/google/go-cmp/cmp"
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
 type exchange struct {
@@ -23,21 +23,10 @@
 	Sent []string `yaml:"sent"`
 }
 
-func readScripts(t *testing.T, file string, target any) {
-	t.Helper()
-	text, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := yaml.UnmarshalWithOptions(text, target, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
-}
-
 // TestProtocol plays messages of callers against the answers they must get.
 func TestProtocol(t *testing.T) {
 	var scripts []protocolScript
-	readScripts(t, "testdata/protocol.yaml", &scripts)
+	scripted.Read(t, "testdata/protocol.yaml", &scripts)
 	for _, p := range scripts {
 		t.Run(p.Name, func(t *testing.T) {
 			b := newBench(t, nil)
--- a/internal/serve/entry/sessions_test.go
+++ b/internal/serve/entry/sessions_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
 type sessionScript struct {
@@ -21,7 +23,7 @@
 // their transactions must ask for.
 func TestSessions(t *testing.T) {
 	var scripts []sessionScript
-	readScripts(t, "testdata/sessions.yaml", &scripts)
+	scripted.Read(t, "testdata/sessions.yaml", &scripts)
 	for _, p := range scripts {
 		t.Run(p.Name, func(t *testing.T) {
 			b := newBench(t, nil)
--- a/internal/serve/holder/admission_test.go
+++ b/internal/serve/holder/admission_test.go
@@ -14,6 +14,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
 // desk drives an admission and keeps its own account of who has what.
@@ -161,7 +162,7 @@
 		// Steps are "VERB CLIENT: running clients".
 		Steps []string `yaml:"steps"`
 	}
-	load(t, "admission.yaml", &cases)
+	scripted.Read(t, "testdata/admission.yaml", &cases)
 	address := (&script{}).serve(t)
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
--- a/internal/serve/holder/once_test.go
+++ b/internal/serve/holder/once_test.go
@@ -9,6 +9,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
 func onceBegin(account, key string) inner.Begin {
@@ -35,7 +36,7 @@
 		// Value is what row 7 holds in the end.
 		Value string `yaml:"value"`
 	}
-	load(t, "once.yaml", &cases)
+	scripted.Read(t, "testdata/once.yaml", &cases)
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			g, servers := group(t, "one")
--- a/internal/serve/holder/plan_test.go
+++ b/internal/serve/holder/plan_test.go
@@ -10,6 +10,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/pgwire"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
 // message builds a message from its type and, with a space, a statement's name.
@@ -80,7 +81,7 @@
 		// Has lists the statements that the connection has in the end.
 		Has []string `yaml:"has"`
 	}
-	load(t, "plan.yaml", &cases)
+	scripted.Read(t, "testdata/plan.yaml", &cases)
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			statements := backend.NewStatements(c.Limit)
@@ -155,7 +156,7 @@
 		} `yaml:"steps"`
 		Want map[string]string `yaml:"want"`
 	}
-	load(t, "floors.yaml", &cases)
+	scripted.Read(t, "testdata/floors.yaml", &cases)
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			f := newFloors(c.Limit)
--- a/internal/serve/holder/ready_test.go
+++ b/internal/serve/holder/ready_test.go
@@ -11,6 +11,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
 // TestCheck admits transactions by floor, age, role and what leaves.
@@ -28,7 +29,7 @@
 		Age       clock.Millis  `yaml:"age"`
 		Want      string        `yaml:"want"`
 	}
-	load(t, "check.yaml", &cases)
+	scripted.Read(t, "testdata/check.yaml", &cases)
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			k := clock.NewFake(5000)
--- a/internal/serve/holder/script_test.go
+++ b/internal/serve/holder/script_test.go
@@ -4,13 +4,11 @@
 	"context"
 	"fmt"
 	"net"
-	"os"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
@@ -24,18 +22,6 @@
 // patience is how long a test waits for what must come.
 const patience = 20 * time.Second
 
-// load reads the cases of a test from its data file.
-func load(t *testing.T, name string, cases any) {
-	t.Helper()
-	text, err := os.ReadFile("testdata/" + name)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := yaml.UnmarshalWithOptions(text, cases, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
-}
-
 // script is a backend server that answers as told. Answers are written as the
 // type of a message and its text, such as "C SELECT 1" or "E 57P01 text".
 type script struct {
--- a/internal/serve/holder/settle_test.go
+++ b/internal/serve/holder/settle_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
 // TestSettle drives the end of a transaction with servers that answer badly.
@@ -23,7 +24,7 @@
 		// Lost is the number of connections that were not reused.
 		Lost int `yaml:"lost"`
 	}
-	load(t, "settle.yaml", &cases)
+	scripted.Read(t, "testdata/settle.yaml", &cases)
 	names := map[string]string{resetQuery: "reset", settleQuery("one"): "settle", fullResetQuery: "full"}
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
--- a/internal/serve/holder/shape_test.go
+++ b/internal/serve/holder/shape_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
 // extended builds a batch from steps such as {parse: "a SELECT 1"}.
@@ -41,7 +42,7 @@
 		Texts []string `yaml:"texts"`
 		Want  string   `yaml:"want"`
 	}
-	load(t, "shape.yaml", &cases)
+	scripted.Read(t, "testdata/shape.yaml", &cases)
 	names := map[shape]string{shapeOther: "other", shapeIdle: "idle", shapeSingle: "single", shapeBegin: "begin"}
 	for _, c := range cases {
 		raw := extended(c.Steps, c.Texts)
--- a/internal/setup/document/keys_test.go
+++ b/internal/setup/document/keys_test.go
@@ -1,19 +1,15 @@
 package document
 
 import (
-	"os"
 	"testing"
 
-	"github.com/goccy/go-yaml"
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
 // TestKeys adds and removes keys in texts of several styles.
 func TestKeys(t *testing.T) {
-	text, err := os.ReadFile("testdata/keys.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var script struct {
 		Verifier string `yaml:"verifier"`
 		Cases    []struct {
@@ -25,9 +21,7 @@
 			Error  string `yaml:"error"`
 		} `yaml:"cases"`
 	}
-	if err := yaml.UnmarshalWithOptions(text, &script, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
+	scripted.Read(t, "testdata/keys.yaml", &script)
 	for _, c := range script.Cases {
 		t.Run(c.Name, func(t *testing.T) {
 			got, err := RemoveKey(c.Text, "counter", c.Remove)
--- a/internal/setup/document/parse_test.go
+++ b/internal/setup/document/parse_test.go
@@ -1,19 +1,15 @@
 package document
 
 import (
-	"os"
 	"testing"
 
-	"github.com/goccy/go-yaml"
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
 // TestMistakes takes a good document, replaces sections and compares the message.
 func TestMistakes(t *testing.T) {
-	text, err := os.ReadFile("testdata/mistakes.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var script struct {
 		Good  map[string]string `yaml:"good"`
 		Cases []struct {
@@ -23,9 +19,7 @@
 			Error   string `yaml:"error"`
 		} `yaml:"cases"`
 	}
-	if err := yaml.UnmarshalWithOptions(text, &script, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
+	scripted.Read(t, "testdata/mistakes.yaml", &script)
 	for _, c := range script.Cases {
 		t.Run(c.Name, func(t *testing.T) {
 			texts := map[string]string{c.Section: c.Text}
--- a/internal/setup/settings/settings_test.go
+++ b/internal/setup/settings/settings_test.go
@@ -6,8 +6,9 @@
 	"strings"
 	"testing"
 
-	"github.com/goccy/go-yaml"
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
 type readCase struct {
@@ -18,14 +19,8 @@
 
 func cases(t *testing.T) []readCase {
 	t.Helper()
-	text, err := os.ReadFile("testdata/read.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var out []readCase
-	if err := yaml.UnmarshalWithOptions(text, &out, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
+	scripted.Read(t, "testdata/read.yaml", &out)
 	return out
 }
 
--- a/internal/setup/strict/strict_test.go
+++ b/internal/setup/strict/strict_test.go
@@ -1,11 +1,11 @@
 package strict
 
 import (
-	"os"
 	"testing"
 
-	"github.com/goccy/go-yaml"
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
 type inner struct {
@@ -26,19 +26,13 @@
 // TestDecode reads texts with mistakes and compares the message, and texts
 // without and compares the values.
 func TestDecode(t *testing.T) {
-	text, err := os.ReadFile("testdata/decode.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var cases []struct {
 		Name  string `yaml:"name"`
 		Text  string `yaml:"text"`
 		Error string `yaml:"error"`
 		Want  outer  `yaml:"want"`
 	}
-	if err := yaml.UnmarshalWithOptions(text, &cases, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
+	scripted.Read(t, "testdata/decode.yaml", &cases)
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			var got outer
--- a/internal/trial/capacity/caller.go
+++ b/internal/trial/capacity/caller.go
@@ -10,6 +10,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/standin/backend"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/cost"
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/system"
 )
 
@@ -75,11 +76,11 @@
 		{"holder", s.DSN(s.VMs[0], "counter", "jelly", "orders")},
 		{"hop", s.DSN(s.VMs[1], "counter", "jelly", "orders")},
 	} {
-		cost, err := measurePath(ctx, p.dsn, idle)
+		core, err := measurePath(ctx, p.dsn, idle)
 		if err != nil {
 			return nil, errors.Wrapf(err, "path %s", p.name)
 		}
-		out = append(out, Statement{Path: p.name, Core: cost})
+		out = append(out, Statement{Path: p.name, Core: core})
 	}
 	return out, nil
 }
@@ -113,7 +114,7 @@
 			_ = c.Close()
 		}
 	}()
-	out := []Callers{{Memory: memory()}}
+	out := []Callers{{Memory: cost.Memory()}}
 	for _, n := range callerSteps {
 		for len(conns) < n {
 			c, err := idleCaller(s.VMs[len(conns)%len(s.VMs)].Address())
@@ -122,7 +123,7 @@
 			}
 			conns = append(conns, c)
 		}
-		out = append(out, Callers{Count: n, Memory: memory()})
+		out = append(out, Callers{Count: n, Memory: cost.Memory()})
 	}
 	return out, nil
 }
--- a/internal/trial/capacity/capacity.go
+++ b/internal/trial/capacity/capacity.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"runtime"
 	"time"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/cost"
@@ -78,12 +77,3 @@
 	}
 	return d
 }
-
-// memory returns the bytes of heap and stacks in use.
-func memory() int64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc + m.StackInuse)
-}
--- a/internal/trial/capacity/control.go
+++ b/internal/trial/capacity/control.go
@@ -10,6 +10,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/heartbeat"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/cost"
 )
 
 const (
@@ -154,11 +155,11 @@
 
 // forget drops the nodes of a role and returns the memory that they took.
 func (s *installation) forget(role string) float64 {
-	before := memory()
+	before := cost.Memory()
 	for _, name := range s.names[role] {
 		delete(s.nodes, name)
 	}
-	freed := before - memory()
+	freed := before - cost.Memory()
 	runtime.KeepAlive(s.nodes)
 	return float64(freed)
 }
--- a/internal/trial/capacity/document.go
+++ b/internal/trial/capacity/document.go
@@ -7,6 +7,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/verifier"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/cost"
 )
 
 // documentSizes is the numbers of databases; each has as many client accounts
@@ -47,13 +48,13 @@
 		out.Whole += len(text)
 		out.Section = max(out.Section, len(text))
 	}
-	size, used := memory(), processor()
+	size, used := cost.Memory(), processor()
 	d, err := document.Parse(1, texts)
 	if err != nil {
 		return Document{}, err
 	}
 	out.Parse = float64(processor()-used) / float64(time.Millisecond)
-	out.Memory = memory() - size
+	out.Memory = cost.Memory() - size
 	_ = d.Databases()
 	return out, nil
 }
--- a/internal/trial/capacity/link.go
+++ b/internal/trial/capacity/link.go
@@ -11,6 +11,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/peer"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/keys"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/cost"
 )
 
 const (
@@ -84,7 +85,7 @@
 		})
 		all = append(all, t)
 	}
-	size, alone := memory(), coreOver(ctx, time.Second)
+	size, alone := cost.Memory(), coreOver(ctx, time.Second)
 	for _, t := range all[1:] {
 		if err := all[0].Datagram(ctx, t.Address(), make([]byte, datagramSize)); err != nil {
 			return LinkPoint{}, 0, err
@@ -93,7 +94,7 @@
 	if err := clock.System().Sleep(ctx, clock.Second); err != nil {
 		return LinkPoint{}, 0, err
 	}
-	p := LinkPoint{Connections: n, Memory: float64(memory() - size)}
+	p := LinkPoint{Connections: n, Memory: float64(cost.Memory() - size)}
 	p.Core = coreOver(ctx, linkTime) - alone
 	datagram, err := measureDatagrams(ctx, all, &received)
 	return p, datagram, err
--- a/internal/trial/capacity/probe.go
+++ b/internal/trial/capacity/probe.go
@@ -18,6 +18,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/primary"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 	"github.com/sycamoredoor/sycamoredoor/internal/standin/backend"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/cost"
 )
 
 const (
@@ -117,7 +118,7 @@
 		}
 		parts, databases = append(parts, g.Done()), append(databases, databaseOf(g))
 	}
-	alone, size := coreOver(ctx, probeTime), memory()
+	alone, size := coreOver(ctx, probeTime), cost.Memory()
 	watchers := 0
 	for _, d := range databases {
 		done, err := start(ctx, d)
@@ -129,7 +130,7 @@
 	if err := clock.System().Sleep(ctx, restTime); err != nil {
 		return WatcherPoint{}, err
 	}
-	p := WatcherPoint{Groups: n, Watchers: watchers, Memory: float64(memory() - size)}
+	p := WatcherPoint{Groups: n, Watchers: watchers, Memory: float64(cost.Memory() - size)}
 	p.Core = coreOver(ctx, probeTime) - alone
 	return p, nil
 }
--- a/internal/trial/cost/cost.go
+++ b/internal/trial/cost/cost.go
@@ -1,9 +1,11 @@
 // Package cost measures what a statement costs: direct at the stand-in of a
 // backend server, through a proxy that is its holder, and through an entry proxy
-// and a holder on different VMs. The measurement is in the benchmarks.
+// and a holder on different VMs. The measurement is in the benchmarks; what they
+// read of the process is here.
 package cost
 
 import (
+	"runtime"
 	"syscall"
 	"time"
 )
@@ -16,3 +18,12 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano()), nil
 }
+
+// Memory returns the bytes of heap and stacks in use after a collection.
+func Memory() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
