--- /dev/null
+++ b/internal/serve/membership/broken_test.go
@@ -0,0 +1,24 @@
+package membership
+
+import (
+	"testing"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/heartbeat"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/broken"
+)
+
+// TestBrokenVersion goes back to an earlier version.
+func TestBrokenVersion(t *testing.T) {
+	self := member.VM{Name: "vm1", Zone: "abbotsford"}
+	m := New(Options{Self: self, Clock: clock.System()})
+	set := func(version uint64) {
+		m.step(func(_ heartbeat.Node, now clock.Millis) (heartbeat.Node, []heartbeat.Message) {
+			return heartbeat.New(self, now).WithSet(heartbeat.Set{Version: version, Members: []member.VM{self}}, now)
+		})
+	}
+	set(8)
+	broken.Variant(t, invariant.ConfigForward, func() { set(7) })
+}
