--- a/internal/trial/capacity/control.go
+++ b/internal/trial/capacity/control.go
@@ -18,7 +18,7 @@
 	// header, tag and frame, and half of an acknowledgement in a packet of its own.
 	datagramOverhead = 90
 	// tickInterval is the pause between two looks at the time.
-	tickInterval = 100 * clock.Millis(1)
+	tickInterval = 50 * clock.Millis(1)
 	// settleTime passes before anything is counted.
 	settleTime = 10 * clock.Second
 	// countTime is how long messages and processor time are counted.
@@ -215,9 +215,9 @@
 	for _, m := range messages {
 		l := delivery{to: m.To, beat: m.Beat != nil}
 		if l.beat {
-			l.frame = inner.Encode(inner.KindAsk, *m.Beat)
+			l.frame = inner.Encode(inner.KindBeat, *m.Beat)
 		} else {
-			l.frame = inner.Encode(inner.KindAnswer, *m.Answer)
+			l.frame = inner.Encode(inner.KindReply, *m.Answer)
 		}
 		s.count(role, l)
 		out = append(out, l)
@@ -227,7 +227,7 @@
 
 func (s *installation) count(role string, l delivery) {
 	s.cost[role].Messages++
-	s.cost[role].Bytes += float64(len(l.frame.Body) + datagramOverhead)
+	s.cost[role].Bytes += float64(len(inner.Pack(l.frame)) + datagramOverhead)
 }
 
 // deliver hands the nodes of a role their messages and returns the answers.
--- a/internal/trial/capacity/store.go
+++ b/internal/trial/capacity/store.go
@@ -24,11 +24,15 @@
 // Store is what the platform's store is asked.
 type Store struct {
 	Points []StorePoint `json:"points"`
-	// Requests is requests a second by the number of VMs.
+	// Requests is requests a second by the number of VMs, in three zones.
 	Requests Line `json:"requests"`
 	// Edit is the requests of one edit, Record the bytes of the record after many.
 	Edit   int64 `json:"edit"`
 	Record int   `json:"record"`
+	// Set is the requests of one change of the member set, and Members the bytes
+	// of a set of full size.
+	Set     int64 `json:"set"`
+	Members int   `json:"members"`
 }
 
 // StorePoint is the requests a second of VMs at rest.
@@ -73,10 +77,40 @@
 	if s.Edit, _, err = edit(ctx, Databases, 1); err != nil {
 		return err
 	}
-	_, s.Record, err = edit(ctx, documentSizes[0], edits)
+	if _, s.Record, err = edit(ctx, documentSizes[0], edits); err != nil {
+		return err
+	}
+	s.Set, s.Members, err = changeSet(ctx)
 	return err
 }
 
+// AtSize returns the requests a second at full size: one root reads the store in
+// each zone, whatever the number of VMs, and each VM adds what the slope says.
+func (s Store) AtSize() float64 {
+	return s.Requests.Base*Zones/float64(len(places)) + s.Requests.Slope*Nodes
+}
+
+// changeSet returns the requests of one change of the member set and the bytes
+// of the set.
+func changeSet(ctx context.Context) (requests int64, size int, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	p, err := standin.New(ctx)
+	if err != nil {
+		cancel()
+		return 0, 0, err
+	}
+	defer func() { <-p.Done() }()
+	defer cancel()
+	store := platform.Dial(p.URL(), storeTimeout)
+	keep := store.KeepFunc
+	store.KeepFunc = func(ctx context.Context, name string, body []byte) error {
+		size = len(body)
+		return keep(ctx, name, body)
+	}
+	err = configuration.SetMembers(ctx, store, 0, newMembers(Nodes))
+	return p.Requests(), size, err
+}
+
 // edit makes some edits of one section and returns the requests of the last one
 // and the size of the record after it.
 func edit(ctx context.Context, databases, count int) (requests int64, size int, err error) {
--- a/internal/trial/capacity/table.go
+++ b/internal/trial/capacity/table.go
@@ -221,10 +221,13 @@
 	}
 	s := r.Store
 	verdict := "within"
-	if s.Requests.At(Nodes) > StoreReads {
+	if s.AtSize() > StoreReads {
 		verdict = "**misses**"
 	}
-	fmt.Fprintf(b, "\nA VM at rest makes %.1f requests/s; %d make %.0f/s against %d reads/s: %s.\n", s.Requests.Slope, Nodes, s.Requests.At(Nodes), StoreReads, verdict)
+	fmt.Fprintf(b, "\nAt rest, in three zones: %.1f requests/s, and %.2f for each VM. In %d zones, %d VMs make %.0f requests/s against %d reads/s: %s.\n",
+		s.Requests.Base, s.Requests.Slope, Zones, Nodes, s.AtSize(), StoreReads, verdict)
 	fmt.Fprintf(b, "An edit of one section at %d databases makes %d requests and leaves a record of %d bytes; %d a day are %.2f requests/s.\n",
 		Databases, s.Edit, s.Record, Changes, float64(s.Edit)*Changes/86400)
+	fmt.Fprintf(b, "A change of the member set makes %d requests and one object of %d KB; %d a day, passed on once to each VM with the record, are %.2f KB/s for a VM.\n",
+		s.Set, s.Members/1024, 2*Replaced, float64(2*Replaced*(s.Members+s.Record))/86400/1024)
 }
