Check that an answer ends with its ReadyForQuery

Cause: the promise of a whole answer had no check in the program. Measured: tests of entry, holder, system, try and change of primary pass with the check in place; TestBrokenAnswer makes it fire.

--- a/internal/serve/entry/broken_test.go
+++ b/internal/serve/entry/broken_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/broken"
 )
@@ -27,6 +29,14 @@
 	}
 }
 
+// TestBrokenAnswer ends an answer before its last message.
+func TestBrokenAnswer(t *testing.T) {
+	b := newBench(t, nil)
+	b.dial(t)
+	f := inner.Encode(inner.KindEnd, inner.End{Status: statusIdle, Raw: caller.Complete("SELECT 1")})
+	broken.Variant(t, invariant.WholeAnswer, func() { _ = b.entry.list()[0].ended(f, "orders-1", true) })
+}
+
 // TestBrokenStop cuts a statement that runs, as no planned stop may.
 func TestBrokenStop(t *testing.T) {
 	b := newBench(t, nil)
--- a/internal/serve/entry/relay.go
+++ b/internal/serve/entry/relay.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 
 	"github.com/go-faster/errors"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/retry"
@@ -88,6 +90,8 @@
 	if m.Unknown != "" {
 		return s.lost(first, m.Unknown)
 	}
+	invariant.Check(m.Status == 0 || bytes.HasSuffix(m.Raw, caller.Ready(m.Status)), invariant.WholeAnswer,
+		"backend server %s gave an answer that ends in status %q without its ReadyForQuery", server, m.Status)
 	if m.Unrecorded && !s.record(m.Mark) {
 		return s.lost(first, "the write could not be recorded for session "+s.name)
 	}
