--- a/internal/trial/capacity/link.go
+++ b/internal/trial/capacity/link.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// datagramSize is the bytes of an ordinary beat.
+	// datagramSize is the bytes of a large beat.
 	datagramSize = 115
 	// datagrams is the number of datagrams that are sent, a few at a time.
 	datagrams = 4000
