Keep accounts to their limits at each VM

Cause: the decisions on limits need somebody to ask and answer, and statements that wait. Change: internal/serve/limit renews the parts of active accounts, one question to each owner a second, answers as an owner, follows the version, and lets statements wait while the account may be due more. The inner protocol gets topic share. Leave hands everything back at a planned stop. Measured: TestTogether floods three VMs in 4 s of real time through two changes of members: the flooding account stays within rate and burst, the account within its rate is refused nothing.

--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -12,6 +12,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/limit"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 )
@@ -145,6 +146,24 @@
 	Secret  []byte `cbor:"secret,omitempty"`
 	// Known names objects that the asker has already.
 	Known []string `cbor:"known,omitempty"`
+	// Share is set for TopicShare.
+	Share *Share `cbor:"share,omitempty"`
+}
+
+// Share is about the parts of client accounts' limits. It goes from a VM to the
+// owner of the accounts, or the other way when Begin is set.
+type Share struct {
+	// From is the name of the VM, Process that of its running process.
+	From    string `cbor:"from"`
+	Process string `cbor:"process,omitempty"`
+	// Version is the one that the VM acts on.
+	Version uint64 `cbor:"version"`
+	// Begin asks the receiver to report all parts of accounts that From owns, and
+	// to give Mark back with them.
+	Begin bool   `cbor:"begin,omitempty"`
+	Mark  uint64 `cbor:"mark,omitempty"`
+	// Reports are by account.
+	Reports []limit.Report `cbor:"reports,omitempty"`
 }
 
 // The topics of a question.
@@ -158,6 +177,8 @@
 	TopicLost = "lost"
 	// TopicRecord records the floor of a named session at the present holder.
 	TopicRecord = "record"
+	// TopicShare is about limits; Ask.Share says more.
+	TopicShare = "share"
 )
 
 // Answer answers an Ask.
@@ -170,6 +191,8 @@
 	Objects map[string][]byte `cbor:"objects,omitempty"`
 	// Lost is the term whose primary the observer has lost, or 0.
 	Lost floor.Term `cbor:"lost,omitempty"`
+	// Grants answer the reports of a Share.
+	Grants []limit.Grant `cbor:"grants,omitempty"`
 	// Error is set when the question could not be answered.
 	Error string `cbor:"error,omitempty"`
 }
--- /dev/null
+++ b/internal/serve/limit/limiter_test.go
@@ -0,0 +1,216 @@
+package limit
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+)
+
+// bench is a few VMs on the system's clock that act on one version.
+type bench struct {
+	limiters []*Limiter
+	vms      []member.VM
+	document *document.Document
+	// state is the version that all VMs act on; may is false while none may.
+	state atomic.Pointer[state]
+	may   atomic.Bool
+	bytes atomic.Int64
+}
+
+type state struct {
+	version uint64
+	members []member.VM
+}
+
+func newBench(t testing.TB, vms, accounts int, limits string) *bench {
+	t.Helper()
+	t.Cleanup(invariant.Handle(func(n invariant.Name, detail string) { t.Errorf("invariant %s: %s", n, detail) }))
+	text := "accounts:\n"
+	for i := range accounts {
+		text += fmt.Sprintf("  - {name: a%d, %s, keys: []}\n", i, limits)
+	}
+	d, err := document.Parse(1, map[string]string{
+		document.SectionDatabases: "databases: []\n", document.SectionAccounts: text, document.SectionRoutes: "routes: []\n",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{document: d}
+	b.may.Store(true)
+	ctx, cancel := context.WithCancel(context.Background())
+	for i := range vms {
+		b.vms = append(b.vms, member.VM{Name: fmt.Sprint("vm", i)})
+	}
+	b.state.Store(&state{version: 1, members: b.vms})
+	for _, vm := range b.vms {
+		b.limiters = append(b.limiters, New(Options{
+			VM: vm, Clock: clock.System(), MembersFunc: b.members, AcceptedFunc: func() uint64 { return b.state.Load().version },
+			DocumentFunc: func() *document.Document { return b.document }, AskFunc: b.ask,
+		}))
+	}
+	for _, l := range b.limiters {
+		go l.Run(ctx)
+	}
+	t.Cleanup(func() {
+		cancel()
+		for _, l := range b.limiters {
+			<-l.Done()
+		}
+	})
+	return b
+}
+
+func (b *bench) members() (uint64, []member.VM, bool) {
+	s := b.state.Load()
+	return s.version, s.members, b.may.Load()
+}
+
+func (b *bench) ask(_ context.Context, vm member.VM, a inner.Ask) (inner.Answer, error) {
+	for i, v := range b.vms {
+		if v.Name == vm.Name {
+			out := b.limiters[i].Serve(a)
+			b.bytes.Add(int64(len(inner.Encode(inner.KindAsk, a).Body) + len(inner.Encode(inner.KindAnswer, out).Body)))
+			if out.Error != "" {
+				return out, errors.New(out.Error)
+			}
+			return out, nil
+		}
+	}
+	return inner.Answer{}, errors.New("no such VM")
+}
+
+// TestTogether floods three VMs and changes the members: the account gets its
+// rate over all VMs and no more, and the others are whole.
+func TestTogether(t *testing.T) {
+	b := newBench(t, 3, 2, "rate: 200, burst: 20")
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	began := time.Now()
+	var flooded, refused atomic.Int64
+	var callers sync.WaitGroup
+	for i := range 30 {
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				if b.limiters[i%3].Take(ctx, "a0") == nil {
+					flooded.Add(1)
+				}
+			}
+		})
+	}
+	callers.Go(func() {
+		for i := 0; ctx.Err() == nil; i++ {
+			if err := b.limiters[i%3].Take(ctx, "a1"); err != nil && ctx.Err() == nil {
+				refused.Add(1)
+				t.Logf("refused after %v: %v", time.Since(began), err)
+			}
+			time.Sleep(20 * time.Millisecond)
+			switch i {
+			case 50:
+				b.state.Store(&state{version: 2, members: b.vms[1:]})
+			case 55:
+				b.state.Store(&state{version: 3, members: b.vms})
+			}
+		}
+	})
+	callers.Wait()
+	most := int64(time.Since(began).Seconds()*200*1.01) + 20
+	if n := flooded.Load(); n > most || n < 400 {
+		t.Errorf("an account over its rate ran %d statements; it may run %d", n, most)
+	}
+	if diff := cmp.Diff(int64(0), refused.Load()); diff != "" {
+		t.Errorf("refusals of an account within its rate (-want +got):\n%s", diff)
+	}
+}
+
+// TestLeave hands a part back at once.
+func TestLeave(t *testing.T) {
+	b := newBench(t, 1, 1, "rate: 1, burst: 3")
+	l := b.limiters[0]
+	if err := l.Take(context.Background(), "a0"); err != nil {
+		t.Fatal(err)
+	}
+	l.Leave(context.Background())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if diff := cmp.Diff(0, l.owners["a0"].Held()); diff != "" {
+		t.Errorf("VMs that hold a part (-want +got):\n%s", diff)
+	}
+}
+
+// TestMayNot refuses while the VM may not act, and goes on when it may.
+func TestMayNot(t *testing.T) {
+	b := newBench(t, 1, 1, "rate: 1000, burst: 100")
+	ctx := context.Background()
+	if err := b.limiters[0].Take(ctx, "a0"); err != nil {
+		t.Fatal(err)
+	}
+	b.may.Store(false)
+	short, cancel := context.WithTimeout(ctx, 30*time.Millisecond)
+	defer cancel()
+	var refusal *outcome.NotRun
+	if err := b.limiters[0].Take(short, "a0"); !errors.As(err, &refusal) {
+		t.Errorf("a VM that may not act let a statement run: %v", err)
+	}
+	b.may.Store(true)
+	if err := b.limiters[0].Take(ctx, "a0"); err != nil {
+		t.Error(err)
+	}
+	if err := b.limiters[0].Take(ctx, "nobody"); err != nil {
+		t.Errorf("an account without a limit: %v", err)
+	}
+}
+
+// BenchmarkTake measures one statement that finds a token.
+func BenchmarkTake(b *testing.B) {
+	s := newBench(b, 1, 1, "rate: 10000000, burst: 10000000")
+	ctx := context.Background()
+	if err := s.limiters[0].Take(ctx, "a0"); err != nil {
+		b.Fatal(err)
+	}
+	time.Sleep(2 * time.Second)
+	for b.Loop() {
+		if err := s.limiters[0].Take(ctx, "a0"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkRenewal measures the bytes between a VM and the owner in a second.
+func BenchmarkRenewal(b *testing.B) {
+	for _, accounts := range []int{1, 10, 100} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			s := newBench(b, 1, accounts, "rate: 1000, burst: 100")
+			ctx, cancel := context.WithCancel(context.Background())
+			var callers sync.WaitGroup
+			for i := range accounts {
+				callers.Go(func() {
+					for ctx.Err() == nil {
+						_ = s.limiters[0].Take(ctx, fmt.Sprint("a", i))
+						time.Sleep(100 * time.Millisecond)
+					}
+				})
+			}
+			time.Sleep(3 * time.Second)
+			before := s.bytes.Load()
+			for b.Loop() {
+				time.Sleep(5 * time.Second)
+			}
+			b.ReportMetric(float64(s.bytes.Load()-before)/float64(b.N)/5, "bytes/s")
+			cancel()
+			callers.Wait()
+		})
+	}
+}
--- /dev/null
+++ b/internal/serve/limit/owner.go
@@ -0,0 +1,224 @@
+package limit
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/limit"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+)
+
+// shards is the number of parts into which accounts are hashed. The owner of a
+// shard follows from the members of the version alone.
+const shards = 256
+
+// shard is what this VM knows of one shard.
+type shard struct {
+	owned bool
+	// ready is set once no earlier owner can grant; what they granted has lapsed
+	// Lapse after started.
+	ready   bool
+	started clock.Millis
+	// known is set once every member has reported what earlier owners gave it;
+	// started is set back then.
+	known bool
+}
+
+// survey asks every member what it has from earlier owners.
+type survey struct {
+	// mark is new with each version; a report with it was sent after the question.
+	mark  uint64
+	heard map[string]bool
+	at    clock.Millis
+}
+
+func shardOf(account string) int { return int(xxhash.Sum64String(account) % shards) }
+
+func (l *Limiter) ownerOf(account string) member.VM { return l.placed[shardOf(account)] }
+
+// refresh follows the version and reports whether this VM may act. It needs the
+// lock.
+func (l *Limiter) refresh(now clock.Millis) bool {
+	version, members, may := l.options.MembersFunc()
+	if version != l.version {
+		l.adopt(version, members, now)
+	}
+	if !may || !l.isMember(l.options.VM.Name) {
+		return false
+	}
+	if l.survey.mark == 0 && l.options.AcceptedFunc() >= version {
+		l.begin(now)
+	}
+	return true
+}
+
+func (l *Limiter) isMember(name string) bool {
+	return slices.ContainsFunc(l.members, func(v member.VM) bool { return v.Name == name })
+}
+
+// adopt takes over a version. A shard that this VM owned in the version just
+// before is kept with all that is known of it; the others begin anew.
+func (l *Limiter) adopt(version uint64, members []member.VM, now clock.Millis) {
+	next := version == l.version+1
+	l.version, l.members, l.survey = version, members, survey{}
+	before := l.placed
+	for i := range l.placed {
+		l.placed[i], _ = member.Place(members, "limit/"+strconv.Itoa(i), "")
+		owned := l.placed[i].Name == l.options.VM.Name
+		if !owned || !next || !l.shards[i].ready {
+			l.shards[i] = shard{owned: owned}
+		}
+	}
+	for account := range l.owners {
+		if !l.shards[shardOf(account)].ready {
+			delete(l.owners, account)
+		}
+	}
+	inside := l.isMember(l.options.VM.Name)
+	for account, h := range l.holdings {
+		if !inside {
+			h.holder = limit.NewHolder(now)
+		}
+		if before[shardOf(account)].Name != l.ownerOf(account).Name {
+			h.holder = h.holder.WithLost()
+		}
+	}
+	clear(l.asked)
+}
+
+// begin makes the shards ready that this VM has got, since no earlier owner can
+// grant any more.
+func (l *Limiter) begin(now clock.Millis) {
+	l.survey = survey{mark: randomMark(), heard: map[string]bool{}, at: now - surveyPause}
+	for i, s := range l.shards {
+		if s.owned && !s.ready {
+			l.shards[i] = shard{owned: true, ready: true, started: now}
+		}
+	}
+}
+
+func randomMark() uint64 {
+	raw := make([]byte, 8)
+	_, _ = rand.Read(raw)
+	return binary.BigEndian.Uint64(raw) | 1
+}
+
+// surveyPause is the pause between two questions to a member that has not
+// reported, in milliseconds.
+const surveyPause clock.Millis = 300
+
+// sendSurvey asks the members that have not reported to the shards that are
+// new, and returns the number of questions. It needs the lock.
+func (l *Limiter) sendSurvey(ctx context.Context, now clock.Millis) int {
+	unknown := slices.ContainsFunc(l.shards[:], func(s shard) bool { return s.ready && !s.known })
+	if l.survey.mark == 0 || !unknown || now-l.survey.at < surveyPause {
+		return 0
+	}
+	l.survey.at = now
+	sent := 0
+	s := inner.Share{From: l.options.VM.Name, Version: l.version, Begin: true, Mark: l.survey.mark}
+	for _, vm := range l.members {
+		if l.survey.heard[vm.Name] {
+			continue
+		}
+		sent++
+		go func() {
+			defer func() { l.ends <- struct{}{} }()
+			bounded, cancel := context.WithTimeout(ctx, surveyPause.Duration())
+			defer cancel()
+			_, _ = l.options.AskFunc(bounded, vm, inner.Ask{Topic: inner.TopicShare, Share: &s})
+		}()
+	}
+	return sent
+}
+
+// hear notes that a member has reported all it has from earlier owners.
+func (l *Limiter) hear(s *inner.Share, now clock.Millis) {
+	if s.Mark == 0 || s.Mark != l.survey.mark {
+		return
+	}
+	l.survey.heard[s.From] = true
+	if len(l.survey.heard) < len(l.members) {
+		return
+	}
+	for i, s := range l.shards {
+		if s.ready && !s.known {
+			l.shards[i].known, l.shards[i].started = true, now-limit.Lapse
+		}
+	}
+	for account, o := range l.owners {
+		l.owners[account] = o.WithKnown(now)
+	}
+}
+
+// Serve answers a question of topic share.
+func (l *Limiter) Serve(a inner.Ask) inner.Answer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.options.Clock.Now()
+	s := a.Share
+	switch {
+	case s == nil:
+		return inner.Answer{Error: "the question about limits is empty"}
+	case !l.refresh(now):
+		return inner.Answer{Error: "the VM may not act now"}
+	case !l.isMember(s.From):
+		return inner.Answer{Error: "VM " + s.From + " is no member"}
+	case s.Begin && s.Version != l.version:
+		return inner.Answer{Error: "the VM acts on another version"}
+	case s.Begin:
+		l.asked[s.From] = s.Mark
+		l.wake()
+		return inner.Answer{}
+	}
+	var out inner.Answer
+	for _, r := range s.Reports {
+		if g, ok := l.grant(s.Process, r, now); ok {
+			out.Grants = append(out.Grants, g)
+		}
+	}
+	l.hear(s, now)
+	return out
+}
+
+// grant takes in one report as the owner of its account.
+func (l *Limiter) grant(process string, r limit.Report, now clock.Millis) (limit.Grant, bool) {
+	s := l.shards[shardOf(r.Account)]
+	d := l.options.DocumentFunc()
+	if !s.ready || d == nil {
+		return limit.Grant{}, false
+	}
+	a, ok := d.Account(r.Account)
+	if !ok {
+		return limit.Grant{}, false
+	}
+	o, ok := l.owners[r.Account]
+	if !ok {
+		o = limit.NewOwner(a.Rate, a.Burst, s.started, now)
+	}
+	o, g, ok := o.WithLimit(a.Rate, a.Burst, now).WithReport(process, r, now)
+	l.owners[r.Account] = o
+	invariant.Check(o.Whole(), invariant.AccountRate, "the parts of account %s exceed %g statements per second or %g at once", r.Account, a.Rate, a.Burst)
+	return g, ok
+}
+
+// sweep forgets accounts that nobody holds and whose bucket is full.
+func (l *Limiter) sweep(now clock.Millis) {
+	if now-l.swept < limit.Period {
+		return
+	}
+	l.swept = now
+	for account, o := range l.owners {
+		if o.Full(now) {
+			delete(l.owners, account)
+		}
+	}
+}
