Ask for the account's limit before a batch runs

Cause: an account over its rate has to be refused at the entry, before it costs anybody a slot. Change: entry.Options.LimitFunc is asked once for each batch that runs statements, in a new transaction and in an open one. The end of an open transaction is always let through. Nil means no limits. Measured: TestLimit sees three questions for a transaction of two statements and one refused statement, the code 53400, and nothing sent for the latter.

--- a/internal/serve/entry/dispatch.go
+++ b/internal/serve/entry/dispatch.go
@@ -47,12 +47,18 @@
 		return s.refuse(b, err)
 	}
 	if s.pinned != "" {
+		if err := s.limit(ctx, b); err != nil {
+			return s.refuse(b, err)
+		}
 		return s.goOn(b)
 	}
 	r, err := s.request(d, b)
 	if err != nil {
 		return s.refuse(b, err)
 	}
+	if err := s.limit(ctx, b); err != nil {
+		return s.refuse(b, err)
+	}
 	err = r.traced(ctx)
 	var refusal *outcome.NotRun
 	var unknown *outcome.Unknown
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -54,6 +54,9 @@
 	// FloorsFunc asks for several sessions at once, in their order; when it is
 	// nil, FloorFunc is called for each.
 	FloorsFunc func(ctx context.Context, primary document.Server, database string, sessions []string) ([]floor.Mark, error)
+	// LimitFunc is called once for each batch that runs statements, before it
+	// costs anybody a slot; an error is a refusal. There are no limits when it is nil.
+	LimitFunc func(ctx context.Context, account string) error
 	// CancelFunc passes a cancel request on to the VM that the caller is connected to.
 	CancelFunc func(ctx context.Context, process uint32, secret []byte)
 }
--- /dev/null
+++ b/internal/serve/entry/limit.go
@@ -0,0 +1,34 @@
+package entry
+
+import (
+	"context"
+	"slices"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/pgwire"
+)
+
+// limit asks whether the account may run a batch now, before the batch costs
+// anybody a slot. What runs nothing, or only ends a transaction, always may.
+func (s *session) limit(ctx context.Context, b *batch) error {
+	f := s.entry.options.LimitFunc
+	if f == nil || !b.executes() || s.pinned != "" && b.ends() {
+		return nil
+	}
+	return f(ctx, s.account)
+}
+
+// executes reports whether the batch runs statements rather than only preparing
+// or describing them.
+func (b *batch) executes() bool {
+	for m, rest := pgwire.Next(b.out.Raw); m != nil; m, rest = pgwire.Next(rest) {
+		if m.Type() == 'Q' || m.Type() == 'E' {
+			return true
+		}
+	}
+	return false
+}
+
+// ends reports whether all that the batch runs is the end of a transaction.
+func (b *batch) ends() bool {
+	return len(b.sqls) > 0 && !slices.ContainsFunc(b.sqls, func(sql string) bool { return !endPattern.MatchString(sql) })
+}
--- /dev/null
+++ b/internal/serve/entry/limit_test.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+)
+
+// TestLimit asks once for each batch that runs statements, refuses before
+// anything is sent, and lets a transaction end in any case.
+func TestLimit(t *testing.T) {
+	var asked, left atomic.Int64
+	left.Store(2)
+	b := newBench(t, func(o *Options) {
+		o.LimitFunc = func(_ context.Context, account string) error {
+			asked.Add(1)
+			if left.Add(-1) < 0 {
+				return outcome.Refuse(outcome.ReasonLimit, outcome.CodeLimit, "account %s is over its rate", account)
+			}
+			return nil
+		}
+	})
+	c, f := b.dial(t)
+	for _, step := range []struct {
+		send string
+		want []string
+	}{
+		{"Q SET sycamoredoor.route = 'wide'", []string{"C SET", "Z I"}},
+		{"Q BEGIN", []string{"C BEGIN", "Z T"}},
+		{"Q UPDATE", []string{"C SELECT 1", "Z T"}},
+		{"Q COMMIT", []string{"C COMMIT", "Z I"}},
+		{"Q UPDATE", []string{"E 53400", "Z I"}},
+	} {
+		if _, err := c.Write(messageOf(t, step.send)); err != nil {
+			t.Fatal(err)
+		}
+		want(t, func() string { return receive(t, f) }, step.want...)
+	}
+	if diff := cmp.Diff(int64(3), asked.Load()); diff != "" {
+		t.Errorf("questions (-want +got):\n%s", diff)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if diff := cmp.Diff(1, len(b.floors)); diff != "" {
+		t.Errorf("transactions (-want +got):\n%s", diff)
+	}
+}
