Test what a new owner of limits may answer

Cause: a change of owner was tested in the decisions and in one run on real time, but not step by step at the adapter. Change: TestTakeover asks an owner on the fake clock: before the acceptance, during the questions to the members, with a wrong mark, from no member. TestOne adds the hand-back to the test of a VM that may not act.

--- a/internal/serve/limit/limiter_test.go
+++ b/internal/serve/limit/limiter_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/limit"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
@@ -135,23 +136,45 @@
 	}
 }
 
-// TestLeave hands a part back at once.
-func TestLeave(t *testing.T) {
-	b := newBench(t, 1, 1, "rate: 1, burst: 3")
-	l := b.limiters[0]
-	if err := l.Take(context.Background(), "a0"); err != nil {
-		t.Fatal(err)
+// TestTakeover asks an owner without a running loop: it grants nothing before its
+// version is accepted, nothing new before every member has reported with its
+// mark, and nothing to others than members.
+func TestTakeover(t *testing.T) {
+	b := newBench(t, 1, 1, "rate: 10, burst: 100")
+	fake, accepted := clock.NewFake(0), uint64(0)
+	o := b.limiters[0].options
+	o.Clock, o.AcceptedFunc = fake.Clock(), func() uint64 { return accepted }
+	o.MembersFunc = func() (uint64, []member.VM, bool) { return 7, append([]member.VM{{Name: "other"}}, b.vms...), true }
+	l := New(o)
+	number, mark := uint64(0), uint64(0)
+	ask := func(from string, marked uint64, part limit.Part) string {
+		number++
+		r := limit.Report{Account: "a0", Number: number, Part: part, Demand: 4, Need: 1}
+		a := l.Serve(inner.Ask{Share: &inner.Share{From: from, Process: from, Version: 7, Mark: marked, Reports: []limit.Report{r}}})
+		fake.Advance(200)
+		if len(a.Grants) == 0 {
+			return "none " + a.Error
+		}
+		return fmt.Sprintf("rate %.2f of %.2f", a.Grants[0].Rate, part.Rate)
 	}
-	l.Leave(context.Background())
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if diff := cmp.Diff(0, l.owners["a0"].Held()); diff != "" {
-		t.Errorf("VMs that hold a part (-want +got):\n%s", diff)
+	held := limit.Part{Rate: 4, Burst: 4}
+	got := []string{ask("other", 0, held), ask("gone", 0, held)}
+	accepted = 7
+	got = append(got, ask("other", 0, held))
+	mark = l.survey.mark
+	got = append(got, ask("vm0", 0, limit.Part{}), ask("other", mark, held), ask("vm0", mark+2, limit.Part{}), ask("vm0", mark, limit.Part{}), ask("vm0", 0, limit.Part{}))
+	want := []string{
+		"none ", "none VM gone is no member", "rate 4.00 of 4.00", "rate 0.00 of 0.00", "rate 4.00 of 4.00",
+		"rate 0.00 of 0.00", "rate 0.00 of 0.00", "rate 3.00 of 0.00",
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("answers (-want +got):\n%s", diff)
 	}
 }
 
-// TestMayNot refuses while the VM may not act, and goes on when it may.
-func TestMayNot(t *testing.T) {
+// TestOne refuses while the VM may not act, goes on when it may, and hands its
+// part back when it leaves.
+func TestOne(t *testing.T) {
 	b := newBench(t, 1, 1, "rate: 1000, burst: 100")
 	ctx := context.Background()
 	if err := b.limiters[0].Take(ctx, "a0"); err != nil {
@@ -171,6 +194,13 @@
 	if err := b.limiters[0].Take(ctx, "nobody"); err != nil {
 		t.Errorf("an account without a limit: %v", err)
 	}
+	l := b.limiters[0]
+	l.Leave(ctx)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if diff := cmp.Diff(0, l.owners["a0"].Held()); diff != "" {
+		t.Errorf("VMs that hold a part (-want +got):\n%s", diff)
+	}
 }
 
 // BenchmarkTake measures one statement that finds a token.
