--- a/internal/serve/vm/streams.go
+++ b/internal/serve/vm/streams.go
@@ -140,6 +140,16 @@
 	return a, nil
 }
 
+// askShare asks a member at the address that it last gave.
+func (v *VM) askShare(ctx context.Context, m member.VM, a inner.Ask) (inner.Answer, error) {
+	for _, alive := range v.members.Alive() {
+		if alive.Name == m.Name {
+			m = alive
+		}
+	}
+	return v.ask(ctx, m, a)
+}
+
 // answer answers a question.
 func (v *VM) answer(ctx context.Context, a inner.Ask) inner.Answer {
 	if a.Topic == inner.TopicCancel {
@@ -149,6 +159,9 @@
 	if a.Topic == inner.TopicConfiguration {
 		return v.members.Serve(a)
 	}
+	if a.Topic == inner.TopicShare {
+		return v.limiter.Serve(a)
+	}
 	if a.Topic == inner.TopicLost {
 		return v.answerLost(a.Database)
 	}
--- a/internal/serve/vm/vm.go
+++ b/internal/serve/vm/vm.go
@@ -21,6 +21,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/peer"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/entry"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/limit"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/membership"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/keys"
 )
@@ -69,6 +70,7 @@
 	holders   *holders
 	observers *observers
 	members   *membership.Membership
+	limiter   *limit.Limiter
 	changed   chan struct{}
 	// beats counts heartbeats on their way.
 	beats sync.WaitGroup
@@ -90,6 +92,13 @@
 	})
 	v.holders = newHolders(v)
 	v.observers = newObservers(v)
+	v.limiter = limit.New(limit.Options{
+		VM: v.self, Clock: o.Clock,
+		MembersFunc:  v.members.Set,
+		AcceptedFunc: v.members.AcceptedRevision,
+		DocumentFunc: v.members.Document,
+		AskFunc:      v.askShare,
+	})
 	v.entry = entry.New(entry.Options{
 		VM: v.self, Clock: o.Clock, Limits: o.Limits, Callers: o.Callers, Silence: o.Silence, TLS: o.TLS, Trace: o.Trace,
 		DocumentFunc: v.members.Document,
@@ -97,6 +106,7 @@
 		FloorFunc:    v.askFloor,
 		RecordFunc:   v.record,
 		CancelFunc:   v.passCancel,
+		LimitFunc:    v.limiter.Take,
 	})
 	go v.run(ctx)
 	return v, nil
@@ -158,6 +168,7 @@
 	}
 	start(func() { v.transport.Serve(ctx, peer.Handlers{StreamFunc: v.accept, DatagramFunc: v.members.Take}) })
 	start(func() { v.members.Run(ctx) })
+	start(func() { v.limiter.Run(ctx) })
 	start(func() { v.follow(ctx) })
 	start(func() { v.entry.Run(ctx, v.callers) })
 	start(func() { v.serveOperators(ctx) })
