Look less often at a backend server at rest

Change: an answer that tells the server's state counts as a look; a server that nothing has used for 1 s is looked at every 500 ms. Readers that wait still have it looked at every 5 ms. Measured: race tests of holder (twice), system and change pass.

--- a/internal/serve/holder/control.go
+++ b/internal/serve/holder/control.go
@@ -13,8 +13,12 @@
 	// and one for each observer of the group.
 	controlConnections = 4
 	dialTimeout        = 2 * clock.Second
-	// probeInterval is the pause between two looks at the server's state.
+	// probeInterval is the pause between two looks at the state of a server in use;
+	// an answer of the server that tells it counts as a look.
 	probeInterval = 20 * clock.Millis(1)
+	// restInterval is the same once nothing has used the server for calmTime.
+	restInterval = 500 * clock.Millis(1)
+	calmTime     = clock.Second
 	// hurryInterval is the pause while readers wait for the server to catch up.
 	hurryInterval = 5 * clock.Millis(1)
 	// retryInterval is the pause before the lock or the server is tried again.
@@ -73,10 +77,24 @@
 	}
 }
 
+// use notes that a transaction has come, so that the server is looked at often.
+func (h *Holder) use() { h.used.Store(int64(h.options.Clock.Now())) }
+
+// untilProbe returns how long the present knowledge of the server is good for.
+func (h *Holder) untilProbe() clock.Millis {
+	now := h.options.Clock.Now()
+	if clock.Millis(h.used.Load())+calmTime <= now {
+		return restInterval
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return max(h.told+probeInterval-now, 1)
+}
+
 // rest waits until the next look at the state is due or asked for. It is due
 // early while readers wait.
 func (h *Holder) rest(ctx context.Context) {
-	long, stopLong := h.options.Clock.AfterFunc(probeInterval)
+	long, stopLong := h.options.Clock.AfterFunc(h.untilProbe())
 	defer stopLong()
 	short, stopShort := h.options.Clock.AfterFunc(hurryInterval)
 	defer stopShort()
--- a/internal/serve/holder/holder.go
+++ b/internal/serve/holder/holder.go
@@ -48,13 +48,17 @@
 	counters  *counters
 	floors    *floors
 	owners    atomic.Uint64
-	done      chan struct{}
+	// used is the moment of the last transaction.
+	used atomic.Int64
+	done chan struct{}
 
 	// confirming lets one reader at a time ask the majority.
 	confirming sync.Mutex
 
 	mu    sync.Mutex
 	state backend.State
+	// told is the moment at which the present state was asked for.
+	told clock.Millis
 	// level is a moment at which the server had all that the primary had.
 	level clock.Millis
 	held  bool
@@ -154,7 +158,7 @@
 	if s.Role == backend.RolePrimary && (h.state.Role != backend.RolePrimary || s.Term != h.state.Term) {
 		h.floors.restart(s.Last)
 	}
-	h.state, h.level = s, max(h.level, asked-s.Lag)
+	h.state, h.level, h.told = s, max(h.level, asked-s.Lag), max(h.told, asked)
 	h.signalLocked()
 	return demoted
 }
@@ -166,7 +170,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.floors.restart(s.Last)
-	h.state, h.level, h.held, h.locker, h.isConfirmed = s, asked-s.Lag, true, locker, false
+	h.state, h.level, h.told, h.held, h.locker, h.isConfirmed = s, asked-s.Lag, asked, true, locker, false
 	h.signalLocked()
 }
 
--- a/internal/serve/holder/replaced.go
+++ b/internal/serve/holder/replaced.go
@@ -51,6 +51,7 @@
 }
 
 func (h *Holder) enter(t *transaction) {
+	h.use()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.running[t] = struct{}{}
