Ask a replica again whose state was not seen for long

Cause: a replica last seen in an earlier term, or far behind with no known rate, was never chosen again, so nothing renewed what was known of it. After a change of primary its reads all went to the primary. Change: a replica that was not seen for 300 ms and for which this VM waits for no answer gets one request, before the primary and after any replica that is known to cover the floor. Its answer or refusal renews the state.

--- a/internal/core/choice/choice.go
+++ b/internal/core/choice/choice.go
@@ -48,6 +48,7 @@
 // only between equals, except that load outweighs nearness in the end.
 const (
 	scoreCovers  = 1000.0
+	scoreAgain   = 950.0
 	scoreWaits   = 400.0
 	scoreReplica = 200.0
 	scoreRegion  = 100.0
@@ -56,9 +57,14 @@
 	scoreLoad = 20.0
 )
 
+// askAgain is the age from which what is known of a replica is too old to rule it
+// out, in milliseconds.
+const askAgain = 300 * clock.Millis(1)
+
 // ForRead returns the name of the best server for a read, or "" when none is left.
-// A replica that covers the floor comes first, then one that will within the
-// wait, then the primary; among these the nearest, and among equals the one that
+// A replica that covers the floor comes first, or that will within the wait, then
+// one whose state was not seen for so long that one request is spent on asking,
+// then the primary; among these the nearest, and among equals the one that
 // this VM waits for least. Ties fall by hash.
 func ForRead(servers []Server, r Read) string {
 	best, bestScore := "", -1.0
@@ -96,11 +102,17 @@
 }
 
 // coverage estimates whether a replica is at the floor by the time it is asked.
+// An answer or a refusal renews the state, so a replica that stays behind gets
+// one such request at a time, and none for askAgain after it.
 func (r Read) coverage(s Server) float64 {
 	if s.Applied.Covers(r.Floor) {
 		return scoreCovers
 	}
+	again := r.Now-s.Seen >= askAgain && s.Waiting == 0
 	if s.Applied.Term != r.Floor.Term {
+		if again {
+			return scoreAgain
+		}
 		return 0
 	}
 	ahead := float64(r.Floor.Position - s.Applied.Position)
@@ -108,6 +120,9 @@
 	if reached >= ahead {
 		return scoreCovers
 	}
+	if again {
+		return scoreAgain
+	}
 	return scoreWaits
 }
 
