Let the stand-in's resets cost no work and its lag follow what is applied

Cause: every statement of the stand-in kept a slot for the time of the work, the eight of a reset and the questions for its state too, so one write cost ten times its work and the observers' probes waited behind it. And a replica that always had a record on its way told a lag that grew without end, though all older records were applied: with 100 ms of lag and a steady load both replicas seemed to be out of touch with the primary, which was replaced again two seconds after each change. Change: only statements on rows keep a slot for the work. A replica that waits for the lag of a committed record tells that it had all that came before it.

--- a/internal/standin/backend/group.go
+++ b/internal/standin/backend/group.go
@@ -20,7 +20,7 @@
 	Connections int
 	// Connect is how long opening a connection takes, in milliseconds.
 	Connect clock.Millis
-	// Work is how long a statement keeps its slot.
+	// Work is how long a statement on rows keeps its slot.
 	Work time.Duration
 	// Lag is how long a replica waits before it applies a record, in milliseconds.
 	Lag clock.Millis
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -200,7 +200,12 @@
 func (s *Server) applyDue(now clock.Millis) {
 	for s.applied < len(s.log) {
 		r := s.log[s.applied]
-		if !r.committed || s.role != rolePrimary && now < r.at+s.lag {
+		if !r.committed {
+			return
+		}
+		if s.role != rolePrimary && now < r.at+s.lag {
+			// What the primary had before this record is all applied.
+			s.level = max(s.level, r.at-1)
 			return
 		}
 		s.applyRecord(r)
--- a/internal/standin/backend/session.go
+++ b/internal/standin/backend/session.go
@@ -363,10 +363,11 @@
 	return p.run(c, args)
 }
 
-// takeSlot keeps a slot for the length of the work. Control statements need none.
+// takeSlot keeps a slot for the length of the work. Statements that touch no
+// rows need none.
 func (c *session) takeSlot(p pattern) {
 	work := c.group().options.Work
-	if work <= 0 || p.control {
+	if work <= 0 || !p.works {
 		return
 	}
 	c.server.slots <- struct{}{}
--- a/internal/standin/backend/sql.go
+++ b/internal/standin/backend/sql.go
@@ -28,6 +28,8 @@
 	run   func(c *session, args []string) (result, error)
 	// control statements run while a transaction has failed.
 	control bool
+	// works is set for statements that keep a slot for Options.Work.
+	works bool
 }
 
 const operand = `(\$\d+|'(?:[^']|'')*'|-?\d+)`
@@ -36,6 +38,10 @@
 	return pattern{match: compile(expression), run: run}
 }
 
+func data(expression string, run func(*session, []string) (result, error)) pattern {
+	return pattern{match: compile(expression), run: run, works: true}
+}
+
 func control(expression string, run func(*session, []string) (result, error)) pattern {
 	return pattern{match: compile(expression), run: run, control: true}
 }
@@ -53,13 +59,13 @@
 		control(`(?:BEGIN|START TRANSACTION)(?: (READ ONLY|READ WRITE))?`, (*session).begin),
 		control(`(?:COMMIT|END)`, (*session).commit),
 		control(`(?:ROLLBACK|ABORT)`, (*session).rollback),
-		statement(`SELECT (?:v|value) FROM (\w+) WHERE id = OPERAND`, (*session).selectRow),
-		statement(`SELECT id, v FROM (\w+)`, (*session).selectAll),
-		statement(`SELECT count\(\*\) FROM (\w+)`, (*session).count),
-		statement(`INSERT INTO (\w+) \(id, v\) VALUES \(OPERAND, OPERAND\)(?: ON CONFLICT \(id\) DO (NOTHING|UPDATE SET v = EXCLUDED\.v))?(?: RETURNING (v))?`, (*session).insert),
-		statement(`UPDATE (\w+) SET v = (v \+ )?OPERAND WHERE id = OPERAND(?: RETURNING (v))?`, (*session).update),
-		statement(`DELETE FROM (\w+) WHERE id = OPERAND`, (*session).remove),
-		statement(`SELECT OPERAND`, (*session).selectLiteral),
+		data(`SELECT (?:v|value) FROM (\w+) WHERE id = OPERAND`, (*session).selectRow),
+		data(`SELECT id, v FROM (\w+)`, (*session).selectAll),
+		data(`SELECT count\(\*\) FROM (\w+)`, (*session).count),
+		data(`INSERT INTO (\w+) \(id, v\) VALUES \(OPERAND, OPERAND\)(?: ON CONFLICT \(id\) DO (NOTHING|UPDATE SET v = EXCLUDED\.v))?(?: RETURNING (v))?`, (*session).insert),
+		data(`UPDATE (\w+) SET v = (v \+ )?OPERAND WHERE id = OPERAND(?: RETURNING (v))?`, (*session).update),
+		data(`DELETE FROM (\w+) WHERE id = OPERAND`, (*session).remove),
+		data(`SELECT OPERAND`, (*session).selectLiteral),
 		statement(`SELECT pg_sleep\(([\d.]+)\)`, (*session).sleep),
 		statement(`SELECT current_user`, func(c *session, _ []string) (result, error) { return one("current_user", c.user), nil }),
 		statement(`SELECT pg_try_advisory_lock\((-?\d+)\)`, (*session).advisoryLock),
