Measure accounts, configuration and keys in try and force faults in its test

Cause: try did not say how the worst served client account fares, nor how long a change of configuration and the withdrawal of a key take, and nothing showed that its oracle sees a fault. Change: in the second half of the load three accounts write at their own pace while a fourth asks for all there is; worstaccount is the least of served to entitled, by weight and demand. An operator's client adds a route and then withdraws the key of callers connected to each VM; configlag ends when the last VM acts, keylag when the last caller was told 28000. Callers pause 60 ms on average, and replicas lag 100 ms. vm.Options.ExchangeFunc stands between entry and holder, for tests alone: they force a stale read, an answer to the wrong caller and a lost write, and the oracle has to see each. A person gets a table with units. A write cut on the caller's side counts as unknown in the oracle; a refusal still counts as not run.

--- a/internal/command/daemon/try.go
+++ b/internal/command/daemon/try.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"text/tabwriter"
 
 	"github.com/go-faster/errors"
 
@@ -16,11 +17,11 @@
 	out    io.Writer
 	JSON   bool   `long:"json" description:"Print one JSON object"`
 	Seed   uint64 `long:"seed" default:"1" description:"Seed of the load"`
-	Length int64  `long:"length" default:"5000" description:"Length of the load in milliseconds"`
+	Length int64  `long:"length" default:"10000" description:"Length of the load in milliseconds"`
 }
 
 // trySessions is the number of callers of a trial.
-const trySessions = 12
+const trySessions = 24
 
 // Execute implements flags.Commander.
 func (c *tryCommand) Execute([]string) error {
@@ -43,10 +44,25 @@
 }
 
 func (c *tryCommand) print(r try.Report) error {
-	_, err := fmt.Fprintf(c.out, "reads             %d, of which %.1f %% on replicas\nwrites            %d\nwrong answers     %d\nviolations        %d\nwrongful refusals %d\nunknown outcomes  %d\nfailover gap      %d ms\n",
-		r.Reads, 100*r.ReplicaShare, r.Writes, r.Wrong, r.Violations, r.Wrongful, r.Unknown, r.FailoverGap)
+	rows := []struct{ name, value, unit string }{
+		{"reads", fmt.Sprint(r.Reads), "requests"},
+		{"  of these on replicas", fmt.Sprintf("%.1f", 100*r.ReplicaShare), "%"},
+		{"writes", fmt.Sprint(r.Writes), "requests"},
+		{"wrong answers", fmt.Sprint(r.Wrong), "answers"},
+		{"broken invariants", fmt.Sprint(r.Violations), "checks"},
+		{"wrongful refusals", fmt.Sprint(r.Wrongful), "requests"},
+		{"unknown outcomes", fmt.Sprint(r.Unknown), "writes"},
+		{"worst served account", fmt.Sprintf("%.1f", 100*r.WorstAccount), "% of its share"},
+		{"failover gap", fmt.Sprint(r.FailoverGap), "ms"},
+		{"change of configuration in force", fmt.Sprint(r.ConfigLag), "ms"},
+		{"callers of a withdrawn key cut", fmt.Sprint(r.KeyLag), "ms"},
+	}
+	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\n", row.name, row.value, row.unit)
+	}
 	for _, e := range r.Errors {
-		_, _ = fmt.Fprintln(c.out, "  ", e)
+		_, _ = fmt.Fprintln(w, " ", e)
 	}
-	return err
+	return w.Flush()
 }
--- a/internal/serve/vm/streams.go
+++ b/internal/serve/vm/streams.go
@@ -75,6 +75,15 @@
 	}))
 }
 
+// openWrapped opens an exchange as open does and passes it through ExchangeFunc.
+func (v *VM) openWrapped(ctx context.Context, s document.Server, account string, weight int) (inner.Exchange, error) {
+	x, err := v.open(ctx, s, account, weight)
+	if err != nil || v.options.ExchangeFunc == nil {
+		return x, err
+	}
+	return v.options.ExchangeFunc(x), nil
+}
+
 // open opens an exchange with the holder of a server; when this VM is the
 // holder, the hop is skipped.
 func (v *VM) open(ctx context.Context, s document.Server, account string, weight int) (inner.Exchange, error) {
--- a/internal/serve/vm/vm.go
+++ b/internal/serve/vm/vm.go
@@ -18,6 +18,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/pace"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/peer"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/entry"
@@ -56,6 +57,9 @@
 	Trace *trace.Tracer
 	// Link is this VM's part of the link to each other region.
 	Link pace.Link
+	// ExchangeFunc, unless nil, stands between the entry proxy and the holders. It
+	// is for trials that force faults; no setting reaches it.
+	ExchangeFunc func(inner.Exchange) inner.Exchange
 }
 
 // VM is a running VM.
@@ -93,7 +97,7 @@
 	v.entry = entry.New(entry.Options{
 		VM: v.self, Clock: o.Clock, Limits: o.Limits, Callers: o.Callers, Silence: o.Silence, TLS: o.TLS, Trace: o.Trace,
 		DocumentFunc: v.members.Document,
-		OpenFunc:     v.open,
+		OpenFunc:     v.openWrapped,
 		FloorFunc:    v.askFloor,
 		RecordFunc:   v.record,
 		CancelFunc:   v.passCancel,
--- a/internal/trial/system/system.go
+++ b/internal/trial/system/system.go
@@ -17,6 +17,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/trace"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/configuration"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/vm"
@@ -58,7 +59,9 @@
 	External bool
 	// Trace records the spans of every VM; nil records none.
 	Trace *trace.Tracer
-	Log   *log.Logger
+	// ExchangeFunc, unless nil, stands between the entry proxies and the holders.
+	ExchangeFunc func(inner.Exchange) inner.Exchange
+	Log          *log.Logger
 }
 
 // System is a running installation.
@@ -196,6 +199,7 @@
 		User: "proxy", Ring: ring, Store: platform.Dial(s.Platform.URL(), platformTimeout), Clock: s.clock, Log: s.options.Log,
 		Limits:  caller.Limits{Message: d.Message, Startup: d.Startup, Write: d.Write},
 		Callers: d.Max, Silence: d.Silence, Trace: s.options.Trace,
+		ExchangeFunc: s.options.ExchangeFunc,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/trial/try/change.go
+++ b/internal/trial/try/change.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// changeShare is the part of the load that runs before the change of primary.
-	changeShare = 3
 	// healPause is how long the former primary stays isolated after the change.
 	healPause = 500 * clock.Millis(1)
 	pollPause = 5 * clock.Millis(1)
@@ -20,8 +18,7 @@
 // changePrimary isolates the primary of the first database in the middle of the
 // load, and ends the isolation once there is another.
 func (t *trial) changePrimary(ctx context.Context) {
-	c := clock.System()
-	if c.Sleep(ctx, t.options.Length/changeShare) != nil {
+	if !t.at(ctx, changeTenth) {
 		return
 	}
 	g := t.system.Groups[database]
@@ -30,11 +27,11 @@
 	isolate(g, old, true)
 	defer isolate(g, old, false)
 	for g.Primary() == old {
-		if c.Sleep(ctx, pollPause) != nil {
+		if t.clock.Sleep(ctx, pollPause) != nil {
 			return
 		}
 	}
-	_ = c.Sleep(ctx, healPause)
+	_ = t.clock.Sleep(ctx, healPause)
 }
 
 // isolate cuts a server off from its callers and from the rest of its group.
--- a/internal/trial/try/oracle.go
+++ b/internal/trial/try/oracle.go
@@ -34,6 +34,12 @@
 	return expected{last: got, unknown: e.unknown[i+1:]}, true
 }
 
+// isAnswer reports whether a VM answered at all.
+func isAnswer(err error) bool {
+	var answer *pgconn.PgError
+	return errors.As(err, &answer)
+}
+
 func isUnknown(err error) bool {
 	var answer *pgconn.PgError
 	return errors.As(err, &answer) && answer.Code == outcome.CodeUnknown
--- /dev/null
+++ b/internal/trial/try/session.go
@@ -0,0 +1,109 @@
+package try
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/vm"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/system"
+)
+
+// thinkTime is the mean pause of a caller between two requests, in milliseconds.
+const thinkTime = 60 * clock.Millis(1)
+
+// session is one caller, in a named session that roams between the VMs. Nobody
+// else writes its row, so the oracle is what it wrote itself.
+func (t *trial) session(ctx context.Context, number int) {
+	random := rand.New(rand.NewPCG(t.options.Seed, uint64(number)))
+	c := newCaller(t, counter, "member-"+strconv.Itoa(number))
+	defer c.close()
+	row := expected{}
+	for n := 0; t.clock.Sleep(ctx, clock.Millis(random.Int64N(2*int64(thinkTime)))) == nil; n++ {
+		conn, err := c.connection(ctx, t.system.VMs[random.IntN(len(t.system.VMs))])
+		if err != nil {
+			t.fail(ctx, err)
+			continue
+		}
+		if row.last == "" || random.IntN(10) == 0 {
+			row = t.write(ctx, conn, c.name, fmt.Sprintf("%d-%d", number, n), row)
+			continue
+		}
+		row = t.read(ctx, conn, c.name, row)
+	}
+}
+
+// caller has a connection to each VM, all in one named session.
+type caller struct {
+	trial   *trial
+	account system.Account
+	name    string
+	conns   map[string]*pgx.Conn
+}
+
+func newCaller(t *trial, a system.Account, name string) *caller {
+	return &caller{trial: t, account: a, name: name, conns: map[string]*pgx.Conn{}}
+}
+
+func (c *caller) close() {
+	for _, conn := range c.conns {
+		_ = conn.Close(context.Background())
+	}
+}
+
+// connection returns the connection to a VM, and opens it when there is none.
+func (c *caller) connection(ctx context.Context, v *vm.VM) (*pgx.Conn, error) {
+	name := v.Self().Name
+	if conn := c.conns[name]; conn != nil && !conn.IsClosed() {
+		return conn, nil
+	}
+	o, err := pgx.ParseConfig(c.trial.system.DSN(v, c.account.Name, c.account.Key, database))
+	if err != nil {
+		return nil, err
+	}
+	o.RuntimeParams["sycamoredoor.session"] = c.name
+	conn, err := pgx.ConnectConfig(ctx, o)
+	if err == nil {
+		c.conns[name] = conn
+	}
+	return conn, err
+}
+
+func (t *trial) write(ctx context.Context, c *pgx.Conn, id, v string, row expected) expected {
+	_, err := c.Exec(ctx, "INSERT INTO box (id, v) VALUES ($1, $2) ON CONFLICT (id) DO UPDATE SET v = EXCLUDED.v /*route='box'*/", id, v)
+	if isUnknown(err) {
+		t.unknown.Add(1)
+		return row.withUnknown(v)
+	}
+	if err != nil {
+		t.fail(ctx, err)
+		if !isAnswer(err) {
+			return row.withUnknown(v)
+		}
+		return row
+	}
+	t.writes.Add(1)
+	t.gap.acknowledged()
+	return expected{last: v}
+}
+
+func (t *trial) read(ctx context.Context, c *pgx.Conn, id string, row expected) expected {
+	var got string
+	err := c.QueryRow(ctx, "SELECT v FROM box WHERE id = $1 /*route='list'*/", id).Scan(&got)
+	if err != nil && !errors.Is(err, pgx.ErrNoRows) {
+		t.fail(ctx, err)
+		return row
+	}
+	t.reads.Add(1)
+	next, ok := row.withRead(got)
+	if !ok {
+		t.wrong.Add(1)
+		t.note(fmt.Sprintf("session %s read %q after writing %q", id, got, row.last))
+	}
+	return next
+}
