Let a keyed batch wait while a change of configuration is confirmed

Cause: from the moment at which a VM hears of a new version until it has it confirmed, it may not act. Requests wait for that, but the check of the key refused a connected caller's batch at once, with every change. Change: the check waits as the request does, up to confirmWait. TestKeyWaitsForConfirmation failed before.

--- a/internal/serve/entry/confirm_test.go
+++ b/internal/serve/entry/confirm_test.go
@@ -5,7 +5,10 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/jackc/pgx/v5/pgconn"
+
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/verifier"
 )
 
 // TestUnconfirmed takes the confirmation away from a VM with a caller in a
@@ -48,3 +51,34 @@
 	send(1, "Q SELECT 1")
 	want(t, func() string { return receive(t, idle) }, "C SELECT 1", "Z I")
 }
+
+// TestKeyWaitsForConfirmation takes the confirmation away for one look, as a
+// change of configuration does; the caller's batch waits instead of being refused.
+func TestKeyWaitsForConfirmation(t *testing.T) {
+	known, err := verifier.New("jelly", []byte("0123456789abcdef"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var missing atomic.Bool
+	d := parseDocument(t, `{id: k1, verifier: "`+known+`"}`)
+	b := newBench(t, func(o *Options) {
+		o.DocumentFunc = func() *document.Document {
+			if missing.Swap(false) {
+				return nil
+			}
+			return d
+		}
+	})
+	c, err := pgconn.Connect(t.Context(), "postgres://counter:jelly@"+b.address+"/orders?sslmode=disable")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close(t.Context()) //nolint:errcheck // the bench ends it too
+	missing.Store(true)
+	if _, err := c.Exec(t.Context(), "SELECT 1").ReadAll(); err != nil {
+		t.Error(err)
+	}
+	if missing.Load() {
+		t.Error("nobody looked for the confirmation")
+	}
+}
--- a/internal/serve/entry/dispatch.go
+++ b/internal/serve/entry/dispatch.go
@@ -181,7 +181,7 @@
 // attempt runs the request on one server.
 func (r *request) attempt(ctx context.Context, server document.Server) error {
 	s := r.session
-	if err := s.checkKey(); err != nil {
+	if err := s.checkKey(ctx); err != nil {
 		return err
 	}
 	x, err := s.entry.options.OpenFunc(ctx, server, s.account, r.weight)
--- a/internal/serve/entry/session.go
+++ b/internal/serve/entry/session.go
@@ -147,7 +147,7 @@
 
 // serveBatch answers one batch. An error ends the connection.
 func (s *session) serveBatch(ctx context.Context, b *batch) error {
-	if err := s.checkKey(); err != nil {
+	if err := s.checkKey(ctx); err != nil {
 		return err
 	}
 	switch {
--- a/internal/serve/entry/stop.go
+++ b/internal/serve/entry/stop.go
@@ -39,14 +39,18 @@
 	return s.account == route.Nobody || d != nil && d.HasKey(s.account, s.key)
 }
 
-// checkKey refuses every batch of a caller whose key has been withdrawn.
-func (s *session) checkKey() error {
-	d := s.entry.options.DocumentFunc()
-	if s.authorized(d) {
+// checkKey refuses every batch of a caller whose key has been withdrawn. While a
+// change of configuration is not confirmed yet, the batch waits.
+func (s *session) checkKey(ctx context.Context) error {
+	if s.account == route.Nobody {
 		return nil
 	}
-	if d == nil {
-		return outcome.Refuse(outcome.ReasonUnconfirmed, cannotConnect, "the VM cannot confirm that the key still works")
+	d, err := s.entry.document(ctx)
+	if err != nil {
+		return err
+	}
+	if s.authorized(d) {
+		return nil
 	}
 	return refuseWithdrawn(s.account)
 }
