Count a change of configuration as in force once every VM may act on it

Cause: try took the moment at which a VM had a version, which since the confirmation is not the one at which it acts on it. Change: configlag waits for the configuration that the VM may act on.

--- a/internal/trial/try/edit.go
+++ b/internal/trial/try/edit.go
@@ -11,6 +11,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/operator"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/vm"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/system"
 )
@@ -70,7 +71,7 @@
 		return 0, err
 	}
 	for _, v := range t.system.VMs {
-		for v.Version() < version {
+		for !acts(v, version) {
 			if err := t.clock.Sleep(ctx, pollPause); err != nil {
 				return 0, err
 			}
@@ -79,6 +80,12 @@
 	return max(t.clock.Now()-since, 1), nil
 }
 
+// acts reports whether a VM acts on a version or a later one.
+func acts(v *vm.VM, version uint64) bool {
+	d := v.Members().Document()
+	return d != nil && d.Version >= version
+}
+
 // withdraw withdraws the key of callers that are connected to every VM and waits
 // until the last of them is cut.
 func (t *trial) withdraw(ctx context.Context) (clock.Millis, error) {
