Take a VM out of service without cutting or refusing a statement

Cause: a signal ended the VM's context at once: callers were cut, transactions of other VMs on its connections were lost, and its servers were held by nobody until the others missed it. A holder that moved gave its lock up under open writes, which then looked for a holder that could record them. Change: VM.Drain tells callers 57P01 once they are idle, waits until the member set gives its holdings to others, gives up what is left and waits for open transactions. The daemon drains on SIGTERM and SIGINT, bounded by 30 s; a second signal ends it at once.

--- a/internal/command/daemon/serve.go
+++ b/internal/command/daemon/serve.go
@@ -23,6 +23,9 @@
 // platformTimeout bounds a request to the platform in milliseconds.
 const platformTimeout = 2 * clock.Second
 
+// leaveTimeout bounds a planned stop in milliseconds; what still runs then is cut.
+const leaveTimeout = 30 * clock.Second
+
 // traceTimeout bounds the sending of the last spans in milliseconds.
 const traceTimeout = 2 * clock.Second
 
@@ -50,7 +53,9 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	signaled, stopSignals := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stopSignals()
+	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	o := vmOptions(s, k, logger)
 	o.Bootstrap = bootstrap
@@ -68,14 +73,26 @@
 	defer signal.Stop(hangups)
 	go w.Run(ctx, hangups, clock.System())
 	logger.Info("serving", "vm", s.Name, "callers", v.Address(), "operators", v.OperatorURL())
-	<-v.Done()
+	<-signaled.Done()
+	stopSignals()
+	leave(v, logger)
 	stop()
+	<-v.Done()
 	<-w.Done()
 	closeTrace(o)
 	logger.Info("stopped", "vm", s.Name)
 	return nil
 }
 
+// leave takes the VM out of service. A second signal ends the process at once.
+func leave(v *vm.VM, logger *log.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout.Duration())
+	defer cancel()
+	if err := v.Drain(ctx); err != nil {
+		logger.Warn("the planned stop was not complete", "err", err)
+	}
+}
+
 // closeTrace sends the last spans.
 func closeTrace(o vm.Options) {
 	ctx, cancel := context.WithTimeout(context.Background(), traceTimeout.Duration())
--- a/internal/serve/holder/holder.go
+++ b/internal/serve/holder/holder.go
@@ -63,6 +63,8 @@
 	// leaving is the moment since which the server gets no new work.
 	leaving   clock.Millis
 	isLeaving bool
+	// departing is set once the VM gives the server up.
+	departing bool
 	// waiting is the number of readers that wait for the server to catch up.
 	waiting int
 	// confirmed is a moment at which a majority knew of no later primary.
--- a/internal/serve/holder/ready.go
+++ b/internal/serve/holder/ready.go
@@ -120,6 +120,8 @@
 	switch {
 	case !h.held:
 		return outcome.Refuse(outcome.ReasonHolder, outcome.CodeUnavailable, "the VM does not hold backend server %s", name), nil
+	case h.departing:
+		return outcome.Refuse(outcome.ReasonHolder, outcome.CodeUnavailable, "the VM gives up backend server %s", name), nil
 	case h.isLeaving:
 		return outcome.Refuse(outcome.ReasonLeaving, outcome.CodeUnavailable, "backend server %s is leaving", name), nil
 	case h.silentLocked():
--- a/internal/serve/vm/holders.go
+++ b/internal/serve/vm/holders.go
@@ -16,6 +16,12 @@
 
 	mu      sync.Mutex
 	running map[string]*runningHolder
+	// retired are former holders, some of which still have open transactions.
+	retired []*runningHolder
+	// leaving is set once the VM takes no server any more.
+	leaving bool
+	// leavers counts the retired holders that have not released their locks.
+	leavers sync.WaitGroup
 }
 
 type runningHolder struct {
@@ -57,10 +63,12 @@
 	defer h.mu.Unlock()
 	for name, r := range h.running {
 		if s, ok := wanted[name]; !ok || !r.holder.Update(s) {
-			r.cancel()
-			delete(h.running, name)
+			h.retireLocked(name)
 		}
 	}
+	if h.leaving {
+		return
+	}
 	for name, s := range wanted {
 		if h.running[name] == nil {
 			h.startLocked(ctx, s, database[name])
@@ -84,7 +92,7 @@
 // wait waits for every holder to stop.
 func (h *holders) wait() {
 	h.mu.Lock()
-	list := make([]*runningHolder, 0, len(h.running))
+	list := slices.Clone(h.retired)
 	for _, r := range h.running {
 		list = append(list, r)
 	}
@@ -93,6 +101,7 @@
 		r.cancel()
 		<-r.holder.Done()
 	}
+	h.leavers.Wait()
 }
 
 // isMember reports whether a VM is one of the members that this VM knows.
--- a/internal/serve/vm/observers.go
+++ b/internal/serve/vm/observers.go
@@ -135,4 +135,9 @@
 			r.holder.LearnPrimary(term, leader)
 		}
 	}
+	for _, r := range h.retired {
+		if r.database == database {
+			r.holder.LearnPrimary(term, leader)
+		}
+	}
 }
--- /dev/null
+++ b/internal/trial/system/leave_test.go
@@ -0,0 +1,168 @@
+package system
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/vm"
+)
+
+// rolling is a load whose callers connect to another VM when theirs leaves.
+type rolling struct {
+	t      *testing.T
+	system *System
+	mu     sync.Mutex
+	vms    []*vm.VM
+	count  int
+	moves  int
+}
+
+func (r *rolling) set(vms []*vm.VM) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.vms = vms
+}
+
+func (r *rolling) pick(random *rand.Rand) *vm.VM {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.vms[random.IntN(len(r.vms))]
+}
+
+func (r *rolling) note(counted *int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	*counted++
+}
+
+func (r *rolling) done() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.count
+}
+
+// isMove reports whether a caller was told, as the protocol has it, to connect
+// elsewhere, or found the address of a VM that has left.
+func isMove(err error) bool {
+	var told *pgconn.PgError
+	var unconnected *pgconn.ConnectError
+	return errors.As(err, &told) && told.Code == outcome.CodeShutdown || !errors.As(err, &told) && errors.As(err, &unconnected)
+}
+
+// caller writes and reads its row in a transaction and outside until ctx ends.
+func (r *rolling) caller(ctx context.Context, number int) {
+	random := rand.New(rand.NewPCG(1, uint64(number)))
+	var conn *pgx.Conn
+	defer func() {
+		if conn != nil {
+			_ = conn.Close(context.Background())
+		}
+	}()
+	for n := 0; ctx.Err() == nil; n++ {
+		if conn == nil || conn.IsClosed() {
+			c, err := pgx.ParseConfig(r.system.DSN(r.pick(random), "counter", "jelly", "orders"))
+			if err != nil {
+				r.t.Error(err)
+				return
+			}
+			c.RuntimeParams["sycamoredoor.session"] = "member-" + strconv.Itoa(number)
+			if conn, err = pgx.ConnectConfig(context.Background(), c); err != nil {
+				conn = nil
+				if !isMove(err) {
+					r.t.Errorf("caller %d could not connect: %v", number, err)
+					return
+				}
+				continue
+			}
+		}
+		err := r.visit(conn, strconv.Itoa(number), strconv.Itoa(n))
+		if err != nil && !isMove(err) {
+			r.t.Errorf("caller %d, request %d: %v", number, n, err)
+			return
+		}
+		if err != nil {
+			r.note(&r.moves)
+		}
+		r.note(&r.count)
+		time.Sleep(time.Duration(random.IntN(10)) * time.Millisecond)
+	}
+}
+
+// visit writes a value in a transaction of two statements and reads it back.
+func (r *rolling) visit(conn *pgx.Conn, id, want string) error {
+	const insert = "INSERT INTO box (id, v) VALUES ($1, $2) ON CONFLICT (id) DO UPDATE SET v = EXCLUDED.v"
+	ctx := context.Background()
+	tx, err := conn.Begin(ctx)
+	if err != nil {
+		return err
+	}
+	for _, v := range []string{"draft", want} {
+		if _, err := tx.Exec(ctx, insert, id, v); err != nil {
+			return fmt.Errorf("in the transaction: %w", err)
+		}
+	}
+	if err := tx.Commit(ctx); err != nil {
+		return fmt.Errorf("commit: %w", err)
+	}
+	var got string
+	if err := conn.QueryRow(ctx, "SELECT v FROM box WHERE id = $1 /*route='list'*/", id).Scan(&got); err != nil {
+		return err
+	}
+	if got != want {
+		return errors.Errorf("read %q after writing %q", got, want)
+	}
+	return nil
+}
+
+// TestRollingReplacement replaces every VM by a new one under load. No statement
+// is cut or refused, and none has an unknown outcome.
+func TestRollingReplacement(t *testing.T) {
+	s := start(t, func(o *Options) { o.Accounts[0].Rate, o.Accounts[0].Burst = 100_000, 100_000 })
+	r := &rolling{t: t, system: s, vms: s.VMs}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	for i := range 8 {
+		running.Go(func() { r.caller(ctx, i) })
+	}
+	for i, old := range s.VMs {
+		before := r.done()
+		place := Place{old.Self().Zone, old.Self().Region}
+		if _, err := s.StartVM(t.Context(), fmt.Sprintf("vm%d", i+4), place); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.WaitReady(ctx); err != nil {
+			t.Fatal(err)
+		}
+		var rest []*vm.VM
+		for _, v := range s.VMs {
+			if v != old {
+				rest = append(rest, v)
+			}
+		}
+		r.set(rest)
+		bounded, stop := context.WithTimeout(ctx, 20*time.Second)
+		if err := s.LeaveVM(bounded, old.Self().Name); err != nil {
+			t.Errorf("%s: %v", old.Self().Name, err)
+		}
+		stop()
+		if err := s.WaitReady(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if r.done() == before {
+			t.Error("no caller was served during a replacement")
+		}
+	}
+	cancel()
+	running.Wait()
+	t.Logf("%d requests, %d told to connect elsewhere", r.done(), r.moves)
+}
--- a/internal/trial/system/system.go
+++ b/internal/trial/system/system.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -212,6 +213,22 @@
 // StopVM ends a VM at once; the platform's list still names it.
 func (s *System) StopVM(name string) { s.stops[name]() }
 
+// LeaveVM takes a VM out of service as planned: the platform lists it as leaving,
+// it drains and stops, and then it is off the list.
+func (s *System) LeaveVM(ctx context.Context, name string) error {
+	i := slices.IndexFunc(s.VMs, func(v *vm.VM) bool { return v.Self().Name == name })
+	v := s.VMs[i]
+	self := v.Self()
+	self.Leaving = true
+	s.Platform.SetVM(self)
+	s.VMs = slices.Delete(slices.Clone(s.VMs), i, i+1)
+	err := v.Drain(ctx)
+	s.StopVM(name)
+	<-v.Done()
+	s.Platform.RemoveVM(name)
+	return err
+}
+
 // WaitReady waits until every VM has the configuration and every backend server
 // has its holder.
 func (s *System) WaitReady(ctx context.Context) error {
