Swap only answers to statements that ran in the test of forced faults

Change: only answers with the end of an Execute are swapped, and only batches with an Execute are dropped. What the oracle has to see is the same.

--- a/internal/trial/try/fault_test.go
+++ b/internal/trial/try/fault_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/pgwire"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 )
 
@@ -73,7 +74,8 @@
 		if f.Kind == inner.KindBegin {
 			_ = inner.Decode(f, &b)
 		}
-		if f.Kind == inner.KindBatch && b.Kind == document.KindWrite {
+		var batch inner.Batch
+		if f.Kind == inner.KindBatch && b.Kind == document.KindWrite && inner.Decode(f, &batch) == nil && has(batch.Raw, 'E') {
 			if f, ok := p.instead(); ok {
 				made <- f
 				return nil
@@ -88,7 +90,8 @@
 		default:
 		}
 		f, err := receive()
-		if err == nil && f.Kind == inner.KindEnd {
+		var e inner.End
+		if err == nil && f.Kind == inner.KindEnd && inner.Decode(f, &e) == nil && has(e.Raw, 'C') {
 			f = p.swap(b.Kind, f)
 		}
 		return f, err
@@ -96,6 +99,17 @@
 	return x
 }
 
+// has reports whether messages contain one of a type: an Execute or the end of
+// one. The answers to a statement that is only prepared keep their places.
+func has(raw []byte, kind byte) bool {
+	for m, rest := pgwire.Next(raw); m != nil; m, rest = pgwire.Next(rest) {
+		if m.Type() == kind {
+			return true
+		}
+	}
+	return false
+}
+
 func never() (inner.Frame, bool) { return inner.Frame{}, false }
 
 // wrongCallers gives each read the answer to the read before it, whoever asked.
