--- a/internal/trial/system/system.go
+++ b/internal/trial/system/system.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/trace"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/caller"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/configuration"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/vm"
@@ -58,7 +60,9 @@
 	External bool
 	// Trace records the spans of every VM; nil records none.
 	Trace *trace.Tracer
-	Log   *log.Logger
+	// ExchangeFunc, unless nil, stands between the entry proxies and the holders.
+	ExchangeFunc func(inner.Exchange) inner.Exchange
+	Log          *log.Logger
 }
 
 // System is a running installation.
@@ -196,6 +200,7 @@
 		User: "proxy", Ring: ring, Store: platform.Dial(s.Platform.URL(), platformTimeout), Clock: s.clock, Log: s.options.Log,
 		Limits:  caller.Limits{Message: d.Message, Startup: d.Startup, Write: d.Write},
 		Callers: d.Max, Silence: d.Silence, Trace: s.options.Trace,
+		ExchangeFunc: s.options.ExchangeFunc,
 	})
 	if err != nil {
 		return nil, err
@@ -208,6 +213,22 @@
 // StopVM ends a VM at once; the platform's list still names it.
 func (s *System) StopVM(name string) { s.stops[name]() }
 
+// LeaveVM takes a VM out of service as planned: the platform lists it as leaving,
+// it drains and stops, and then it is off the list.
+func (s *System) LeaveVM(ctx context.Context, name string) error {
+	i := slices.IndexFunc(s.VMs, func(v *vm.VM) bool { return v.Self().Name == name })
+	v := s.VMs[i]
+	self := v.Self()
+	self.Leaving = true
+	s.Platform.SetVM(self)
+	s.VMs = slices.Delete(slices.Clone(s.VMs), i, i+1)
+	err := v.Drain(ctx)
+	s.StopVM(name)
+	<-v.Done()
+	s.Platform.RemoveVM(name)
+	return err
+}
+
 // WaitReady waits until every VM has the configuration and every backend server
 // has its holder.
 func (s *System) WaitReady(ctx context.Context) error {
