Measure the server's part of what the holder adds

Cause: the stand-in matched some thirty patterns against each text, seven texts in each reset, and this work counted as cost of the proxy. Change: the stand-in remembers the texts it has taken apart. The benchmark gets two paths without a client library: the statement alone, and with the state question and reset behind it.

--- a/internal/standin/backend/sql.go
+++ b/internal/standin/backend/sql.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
 )
 
 // result is the answer to one statement.
@@ -30,6 +32,22 @@
 	control bool
 }
 
+// found is a statement taken apart.
+type found struct {
+	pattern pattern
+	args    []string
+}
+
+// cachedTexts is the number of texts that are remembered taken apart, so that
+// the stand-in's own work does not hide what the proxy adds to it.
+const cachedTexts = 1024
+
+// An error means a size below 1.
+var (
+	foundTexts, _ = lru.New[string, found](cachedTexts)
+	splitTexts, _ = lru.New[string, []string](cachedTexts)
+)
+
 const operand = `(\$\d+|'(?:[^']|'')*'|-?\d+)`
 
 func statement(expression string, run func(*session, []string) (result, error)) pattern {
@@ -104,10 +122,14 @@
 }
 
 // find returns the pattern of a statement and its arguments before parameters
-// are filled in.
+// are filled in. The arguments are shared and must not be changed.
 func find(sql string) (pattern, []string, error) {
+	if f, ok := foundTexts.Get(sql); ok {
+		return f.pattern, f.args, nil
+	}
 	for _, p := range patterns {
 		if m := p.match.FindStringSubmatch(sql); m != nil {
+			foundTexts.Add(sql, found{pattern: p, args: m[1:]})
 			return p, m[1:], nil
 		}
 	}
@@ -155,8 +177,18 @@
 	return a, nil
 }
 
-// split cuts a simple query at semicolons outside quotes.
+// split cuts a simple query at semicolons outside quotes. The result is shared
+// and must not be changed.
 func split(sql string) []string {
+	if out, ok := splitTexts.Get(sql); ok {
+		return out
+	}
+	out := cut(sql)
+	splitTexts.Add(sql, out)
+	return out
+}
+
+func cut(sql string) []string {
 	var out []string
 	quoted, start := false, 0
 	for i := 0; i < len(sql); i++ {
--- a/internal/trial/cost/cost_test.go
+++ b/internal/trial/cost/cost_test.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 
+	proto "github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
 	"github.com/sycamoredoor/sycamoredoor/internal/standin/backend"
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/system"
 )
@@ -17,9 +19,17 @@
 // statement reads at the primary, whose holder is the first VM.
 const statement = "SELECT v FROM box WHERE id = $1 /*route='box'*/"
 
+// settling is what the holder sends behind a statement in the same write: the
+// question for the state and the lock, and the reset.
+const settling = "SELECT * FROM group_state(); SELECT pid FROM pg_locks WHERE locktype = 'advisory' AND classid = 0 AND objid = 7 AND objsubid = 1 AND granted; " +
+	"CLOSE ALL; SET SESSION AUTHORIZATION DEFAULT; RESET ALL; UNLISTEN *; " +
+	"SELECT pg_advisory_unlock_all(); DISCARD PLANS; DISCARD TEMP; DISCARD SEQUENCES"
+
 // BenchmarkStatement runs the same statement over each path of one installation.
 // cpu-us/op is the processor time of the whole process, caller and stand-ins
-// included, less what the idle installation takes in the same time.
+// included, less what the idle installation takes in the same time. raw and settled run the statement at the
+// stand-in without a client library, alone and with what the holder sends behind
+// it: their difference is the server's part of what the holder adds.
 func BenchmarkStatement(b *testing.B) {
 	s := start(b)
 	idle := idleShare(b)
@@ -31,6 +41,9 @@
 	for _, p := range paths {
 		b.Run(p.name, func(b *testing.B) { run(b, p.dsn, idle) })
 	}
+	address := s.Groups["orders"].Servers()[0].Address()
+	b.Run("raw", func(b *testing.B) { runRaw(b, address, idle, "") })
+	b.Run("settled", func(b *testing.B) { runRaw(b, address, idle, settling) })
 }
 
 func start(b *testing.B) *system.System {
@@ -93,3 +106,61 @@
 	own := float64(processor(b)-used) - idle*float64(time.Since(begin))
 	b.ReportMetric(own/float64(b.N)/1000, "cpu-us/op")
 }
+
+// runRaw runs the statement over a bare connection, and a simple query behind it
+// if there is one.
+func runRaw(b *testing.B, address string, idle float64, behind string) {
+	c, err := proto.Dial(b.Context(), proto.Options{Address: address, Database: "orders", User: "proxy"})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	c.Take(1)
+	answers(b, c, message(b, &pgproto3.Parse{Name: "s", Query: statement}, &pgproto3.Sync{}), 1)
+	out, ends := message(b, &pgproto3.Bind{PreparedStatement: "s", Parameters: [][]byte{[]byte("7")}},
+		&pgproto3.Describe{ObjectType: 'P'}, &pgproto3.Execute{}, &pgproto3.Sync{}), 1
+	if behind != "" {
+		out, ends = append(out, proto.QueryMessage(behind)...), 2
+	}
+	b.ReportAllocs()
+	begin, used := time.Now(), processor(b)
+	for b.Loop() {
+		answers(b, c, out, ends)
+	}
+	own := float64(processor(b)-used) - idle*float64(time.Since(begin))
+	b.ReportMetric(own/float64(b.N)/1000, "cpu-us/op")
+}
+
+func message(b *testing.B, list ...pgproto3.FrontendMessage) []byte {
+	b.Helper()
+	var out []byte
+	for _, m := range list {
+		var err error
+		if out, err = m.Encode(out); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return out
+}
+
+// answers sends messages and reads until so many ReadyForQuery have come.
+func answers(b *testing.B, c *proto.Conn, out []byte, ends int) {
+	b.Helper()
+	if err := c.Write(1, out); err != nil {
+		b.Fatal(err)
+	}
+	buf := make([]byte, 0, 512)
+	for ends > 0 {
+		grown, m, err := c.Append(1, buf[:0])
+		if err != nil {
+			b.Fatal(err)
+		}
+		buf = grown
+		if m.Type() == 'E' {
+			b.Fatal(proto.ErrorOf(m))
+		}
+		if m.Type() == 'Z' {
+			ends--
+		}
+	}
+}
