Close unused connections between VMs and drop those of a suspect

Cause: each connection sent a ping every two seconds whether it was used or not, which a full mesh of many VMs pays for; and a VM that is suspected kept its streams waiting until the idle timeout. Change: the dialing VM keeps a connection open only while streams are open on it and closes one that was unused for half the idle timeout. Transport.Drop and Transport.DropPeer close the connections to and from a suspected VM at once. Measured: the new TestUnusedLinkCloses and TestDrop, and the package's other tests and those of internal/trial/system, pass with -race.

--- a/internal/proto/peer/datagram.go
+++ b/internal/proto/peer/datagram.go
@@ -10,12 +10,14 @@
 // that QUIC allows.
 const MaxDatagram = 1100
 
-// Datagram sends a small message that may be lost. An error is an
+// Datagram sends a small message that may be lost; its body must not be empty.
+// An error is an
 // UnreachableError and means that it was not sent.
 func (t *Transport) Datagram(ctx context.Context, address string, body []byte) error {
-	c, err := t.connect(ctx, address)
+	l, err := t.connect(ctx, address)
 	if err == nil {
-		err = c.SendDatagram(body)
+		err = l.conn.SendDatagram(body)
+		t.release(l)
 	}
 	if err != nil {
 		return &UnreachableError{Address: address, Cause: err}
@@ -23,13 +25,16 @@
 	return nil
 }
 
-// receiveDatagrams hands datagrams on until the connection ends.
+// receiveDatagrams hands datagrams on until the connection ends. An empty one
+// only keeps the connection open.
 func receiveDatagrams(c *quic.Conn, name string, take func(name string, body []byte)) {
 	for {
 		body, err := c.ReceiveDatagram(c.Context())
 		if err != nil {
 			return
 		}
-		take(name, body)
+		if len(body) > 0 {
+			take(name, body)
+		}
 	}
 }
--- /dev/null
+++ b/internal/proto/peer/keep_test.go
@@ -0,0 +1,71 @@
+package peer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+)
+
+func (t *Transport) counts() [2]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return [2]int{len(t.links), len(t.accepts)}
+}
+
+// TestUnusedLinkCloses leaves a stream open for longer than the idle timeout and
+// then closes it: only then does the connection end.
+func TestUnusedLinkCloses(t *testing.T) {
+	r, o := testRing(t), Options{Idle: clock.Second}
+	a, b := serve(t, r, o, echo), serve(t, r, o, echo)
+	x, err := a.Open(t.Context(), b.Address(), Label{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * o.Idle.Duration())
+	if err := exchangeOnce(x, inner.Frame{Kind: inner.KindData, Body: []byte("1")}); err != nil {
+		t.Error("an open stream was lost: ", err)
+	}
+	x.Close()
+	x.Close()
+	eventually(t, "the connection ends", func() bool { return a.counts() == [2]int{} && b.counts() == [2]int{} })
+	if err := talk(t, a, b.Address()); err != nil {
+		t.Error("the next stream: ", err)
+	}
+}
+
+// TestDrop ends the streams of a suspected VM from either side.
+func TestDrop(t *testing.T) {
+	r := testRing(t)
+	a := serve(t, r, Options{}, echo)
+	served := make(chan string, 1)
+	b := serve(t, r, Options{}, Handlers{StreamFunc: func(_ context.Context, name string, x Stream) {
+		served <- name
+		_, _ = x.Receive()
+		_, _ = x.Receive()
+		served <- name
+	}})
+	cases := map[string]func(name string){
+		"opened":   func(string) { a.Drop(b.Address()) },
+		"accepted": func(name string) { b.DropPeer(name) },
+	}
+	for what, drop := range cases {
+		t.Run(what, func(t *testing.T) {
+			x, err := a.Open(t.Context(), b.Address(), Label{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer x.Close()
+			if err := x.Send(inner.Frame{Kind: inner.KindData}); err != nil {
+				t.Fatal(err)
+			}
+			drop(<-served)
+			if _, err := x.Receive(); err == nil {
+				t.Error("the stream goes on")
+			}
+			<-served
+		})
+	}
+}
--- a/internal/proto/peer/link.go
+++ b/internal/proto/peer/link.go
@@ -25,6 +25,11 @@
 	err   error
 	// until is when a failed link may be dialed again.
 	until clock.Millis
+
+	// users and used are guarded by the transport's lock: how many use the link
+	// now, and when it was used last.
+	users int
+	used  clock.Millis
 }
 
 // usable reports whether callers may share the link at a moment.
@@ -41,20 +46,26 @@
 }
 
 // connect returns the open connection to an address or opens one; callers that
-// come meanwhile wait for the same.
-func (t *Transport) connect(ctx context.Context, address string) (*quic.Conn, error) {
+// come meanwhile wait for the same. The link must be released after use.
+func (t *Transport) connect(ctx context.Context, address string) (*link, error) {
 	l, err := t.link(address)
 	if err != nil {
 		return nil, err
 	}
 	select {
 	case <-l.ready:
-		return l.conn, l.err
+		err = l.err
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		err = ctx.Err()
 	}
+	if err != nil {
+		t.release(l)
+		return nil, err
+	}
+	return l, nil
 }
 
+// link returns the link to an address with one more user.
 func (t *Transport) link(address string) (*link, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -62,17 +73,25 @@
 		return nil, errClosed
 	}
 	now := t.options.Clock.Now()
-	if l := t.links[address]; l != nil && l.usable(now) {
-		return l, nil
+	l := t.links[address]
+	if l == nil || !l.usable(now) {
+		maps.DeleteFunc(t.links, func(_ string, l *link) bool { return !l.usable(now) })
+		l = &link{ready: make(chan struct{})}
+		t.links[address] = l
+		t.parts.Add(1)
+		go t.dial(address, l)
 	}
-	maps.DeleteFunc(t.links, func(_ string, l *link) bool { return !l.usable(now) })
-	l := &link{ready: make(chan struct{})}
-	t.links[address] = l
-	t.parts.Add(1)
-	go t.dial(address, l)
+	l.users++
 	return l, nil
 }
 
+func (t *Transport) release(l *link) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l.users--
+	l.used = t.options.Clock.Now()
+}
+
 // dial fills a link; its end is reported by the link's ready channel and by the
 // group that closeLinks waits for.
 func (t *Transport) dial(address string, l *link) {
--- a/internal/proto/peer/peer.go
+++ b/internal/proto/peer/peer.go
@@ -19,11 +19,11 @@
 const (
 	dialTimeout      = 2 * clock.Second
 	idleTimeout      = 10 * clock.Second
-	keepAliveDivisor = 5
 	maxStreams       = 1 << 16
 	abandoned        = quic.StreamErrorCode(1)
 	shutdownCode     = quic.ApplicationErrorCode(0)
 	refusedCode      = quic.ApplicationErrorCode(1)
+	droppedCode      = quic.ApplicationErrorCode(2)
 	streamWindow     = 512 << 10
 	connectionWindow = 8 << 20
 )
@@ -47,7 +47,8 @@
 type Options struct {
 	Clock clock.Clock
 	// Idle is how long a VM may be silent before its connection is given up, in
-	// milliseconds; 0 means ten seconds.
+	// milliseconds; 0 means ten seconds. A connection without streams is closed
+	// after half of it.
 	Idle clock.Millis
 	// Region is that of this VM.
 	Region string
@@ -80,7 +81,9 @@
 	mu     sync.Mutex
 	closed bool
 	links  map[string]*link
-	pacers map[string]*pacer
+	// accepts holds the names of the VMs that opened a connection to this one.
+	accepts map[*quic.Conn]string
+	pacers  map[string]*pacer
 }
 
 // Listen opens a transport at IP:port. Serve must be called to use and to close it.
@@ -96,7 +99,7 @@
 	if o.Idle == 0 {
 		o.Idle = idleTimeout
 	}
-	t := &Transport{options: o, clientFunc: ring.Client, udp: &quic.Transport{Conn: c}, links: map[string]*link{}, pacers: map[string]*pacer{}, done: make(chan struct{})}
+	t := &Transport{options: o, clientFunc: ring.Client, udp: &quic.Transport{Conn: c}, links: map[string]*link{}, accepts: map[*quic.Conn]string{}, pacers: map[string]*pacer{}, done: make(chan struct{})}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.listener, err = t.udp.Listen(ring.Server(), t.settings())
 	if err != nil {
@@ -111,7 +114,6 @@
 	return &quic.Config{
 		HandshakeIdleTimeout:           dialTimeout.Duration(),
 		MaxIdleTimeout:                 t.options.Idle.Duration(),
-		KeepAlivePeriod:                t.options.Idle.Duration() / keepAliveDivisor,
 		MaxIncomingStreams:             maxStreams,
 		InitialStreamReceiveWindow:     streamWindow,
 		InitialConnectionReceiveWindow: connectionWindow,
@@ -130,6 +132,11 @@
 func (t *Transport) Serve(ctx context.Context, h Handlers) {
 	defer close(t.done)
 	var running sync.WaitGroup
+	t.parts.Add(1)
+	go func() {
+		defer t.parts.Done()
+		t.keepLinks(t.ctx)
+	}()
 	for {
 		c, err := t.listener.Accept(ctx)
 		if err != nil {
@@ -156,6 +163,8 @@
 		return
 	}
 	name := certificate.Subject.CommonName
+	t.noteAccept(c, name)
+	defer t.forgetAccept(c)
 	var running sync.WaitGroup
 	defer running.Wait()
 	if err := greet(c); err != nil {
@@ -198,13 +207,14 @@
 // Open opens a stream to the VM at an address; what it sends belongs to the
 // label. An error is an UnreachableError and means that nothing was sent.
 func (t *Transport) Open(ctx context.Context, address string, l Label) (inner.Exchange, error) {
-	c, err := t.connect(ctx, address)
+	link, err := t.connect(ctx, address)
 	if err != nil {
 		return inner.Exchange{}, &UnreachableError{Address: address, Cause: err}
 	}
-	s, err := c.OpenStream()
+	s, err := link.conn.OpenStream()
 	if err != nil {
+		t.release(link)
 		return inner.Exchange{}, &UnreachableError{Address: address, Cause: err}
 	}
-	return t.opened(s, l), nil
+	return t.opened(s, l, func() { t.release(link) }), nil
 }
--- a/internal/proto/peer/stream.go
+++ b/internal/proto/peer/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"sync"
 
 	"github.com/quic-go/quic-go"
 
@@ -34,10 +35,12 @@
 }
 
 // opened returns the side that asks. Close abandons both directions, so that
-// the VM that serves the stream stops at once.
-func (t *Transport) opened(s *quic.Stream, l Label) inner.Exchange {
+// the VM that serves the stream stops at once; the first one calls closed.
+func (t *Transport) opened(s *quic.Stream, l Label, closed func()) inner.Exchange {
 	x := exchange(s, t.paced(s, l))
+	var once sync.Once
 	x.CloseFunc = func() {
+		once.Do(closed)
 		s.CancelRead(abandoned)
 		s.CancelWrite(abandoned)
 	}
