Watch an exchange and read a reset only when needed

Cause: each transaction started a goroutine that read its exchange, and waited for the answer to the reset after the caller had its own. Change: the first batch is read in place, and the exchange is watched once a batch has run for a millisecond or the transaction stays open. The answer to a reset that was sent with the batch is read when the connection is used next, before it runs anything; a failure drops the connection as before. The question for the state is built once for each holder.

--- a/internal/proto/backend/conn.go
+++ b/internal/proto/backend/conn.go
@@ -78,6 +78,8 @@
 	Prepared *Statements
 	// Dirty is set when more than the ordinary reset is needed.
 	Dirty bool
+	// Resetting is set while the answer to a reset that was sent is still to be read.
+	Resetting bool
 }
 
 // Dial opens a connection.
--- a/internal/serve/holder/exchange.go
+++ b/internal/serve/holder/exchange.go
@@ -50,8 +50,7 @@
 		p.prefix(readOnlyQuery)
 	}
 	if a.settled {
-		p.out = append(p.out, backend.QueryMessage(settleQuery(t.holder.options.Server.Name))...)
-		p.out = append(p.out, backend.QueryMessage(resetQuery)...)
+		p.out = append(p.out, t.holder.settling...)
 	}
 	t.sent = true
 	if err := t.conn.Write(t.owner, p.out); err != nil {
--- a/internal/serve/holder/holder.go
+++ b/internal/serve/holder/holder.go
@@ -48,7 +48,11 @@
 	counters  *counters
 	floors    *floors
 	owners    atomic.Uint64
-	done      chan struct{}
+	// question asks for the state after a transaction; settling is the messages
+	// of it and of the reset.
+	question string
+	settling []byte
+	done     chan struct{}
 
 	// confirming lets one reader at a time ask the majority.
 	confirming sync.Mutex
@@ -86,6 +90,8 @@
 		o.Idle = defaultIdle
 	}
 	h := &Holder{options: o, done: make(chan struct{}), changed: make(chan struct{}), running: map[*transaction]struct{}{}, wake: make(chan struct{}, 1), hurry: make(chan struct{}, 1), floors: newFloors(MaxSessions)}
+	h.question = settleQuery(o.Server.Name)
+	h.settling = append(backend.QueryMessage(h.question), backend.QueryMessage(resetQuery)...)
 	h.setLeaving(o.Server.Leaving)
 	h.counters = newCounters(o.Server.Name)
 	h.admission = newAdmission(o.Server.Slots, poolSize(o.Server.Connections), o.Clock, h.counters, h.dial)
--- a/internal/serve/holder/settle.go
+++ b/internal/serve/holder/settle.go
@@ -91,7 +91,7 @@
 // settle asks for the state, unless that was done with the batch. A cancel that
 // came late may have hit the question, so it is put once more.
 func (t *transaction) settle(a *answer) (settlement, error) {
-	question := settleQuery(t.holder.options.Server.Name)
+	question := t.holder.question
 	asked := t.holder.options.Clock.Now()
 	var rows [][]string
 	var err error
@@ -141,14 +141,18 @@
 }
 
 // reset makes the connection as it was when it was opened. The answer to a
-// reset that was sent with the batch is only read.
+// reset that was sent with the batch is read when the connection is used next.
 func (t *transaction) reset(c *backend.Conn, a *answer) error {
+	if a.settled && !c.Dirty {
+		c.Resetting = true
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), resetTimeout.Duration())
 	defer cancel()
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
 	if a.settled {
-		if _, err := c.Rows(t.owner); err != nil || !c.Dirty {
+		if _, err := c.Rows(t.owner); err != nil {
 			return err
 		}
 	}
@@ -162,6 +166,18 @@
 	return err
 }
 
+// awaitReset reads the answer to a reset, which has mostly come already.
+func (t *transaction) awaitReset(ctx context.Context, c *backend.Conn) error {
+	if !c.Resetting {
+		return nil
+	}
+	c.Resetting = false
+	stop := context.AfterFunc(ctx, c.Close)
+	defer stop()
+	_, err := c.Rows(t.owner)
+	return err
+}
+
 // confirm refuses to acknowledge a write of a primary that has been replaced.
 func (t *transaction) confirm(s backend.State) error {
 	if t.begin.Kind == document.KindWrite && (s.Role != backend.RolePrimary || s.Term != t.term || t.holder.replaced(t.term)) {
--- a/internal/serve/holder/txn.go
+++ b/internal/serve/holder/txn.go
@@ -34,8 +34,11 @@
 	x      inner.Exchange
 	owner  uint64
 	ctx    context.Context
+	cancel context.CancelFunc
 	term   floor.Term
 
+	watcher watcher
+
 	mu   sync.Mutex
 	conn *backend.Conn
 	sent bool
@@ -53,40 +56,13 @@
 func (h *Holder) Serve(ctx context.Context, b inner.Begin, x inner.Exchange) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	t := &transaction{holder: h, begin: b, x: x, owner: h.owners.Add(1), ctx: ctx}
+	t := &transaction{holder: h, begin: b, x: x, owner: h.owners.Add(1), ctx: ctx, cancel: cancel}
 	h.enter(t)
 	defer h.leave(t)
-	batches := make(chan inner.Frame)
-	read := make(chan struct{})
-	go t.receive(batches, read, cancel)
-	t.run(batches)
+	t.run()
 	cancel()
 	x.Close()
-	<-read
-}
-
-// receive passes batches on and acts on a cancel or the end of the stream even
-// while a statement runs.
-func (t *transaction) receive(batches chan<- inner.Frame, done chan<- struct{}, cancel context.CancelFunc) {
-	defer close(done)
-	defer close(batches)
-	for {
-		f, err := t.x.Receive()
-		if err != nil {
-			t.abort()
-			cancel()
-			return
-		}
-		if f.Kind == inner.KindCancel {
-			t.cancelRunning()
-			continue
-		}
-		select {
-		case batches <- f:
-		case <-t.ctx.Done():
-			return
-		}
-	}
+	t.endWatch()
 }
 
 // abort closes the connection of an unfinished transaction; the server rolls it back.
@@ -112,27 +88,28 @@
 	_ = c.Cancel(ctx)
 }
 
-func (t *transaction) run(batches <-chan inner.Frame) {
-	for {
-		f, ok := t.next(batches)
+func (t *transaction) run() {
+	defer t.discard()
+	f, ok := t.first()
+	for ok {
 		var batch inner.Batch
-		if !ok || f.Kind != inner.KindBatch || inner.Decode(f, &batch) != nil {
-			break
+		if f.Kind != inner.KindBatch || inner.Decode(f, &batch) != nil {
+			return
 		}
-		if !t.batch(batch) {
-			break
+		ended := t.watchLater()
+		goesOn := t.batch(batch)
+		ended()
+		if !goesOn {
+			return
 		}
+		t.watch()
+		f, ok = t.next(t.watcher.batches)
 	}
-	t.discard()
 }
 
-// next waits for the next batch. A transaction that stays idle for too long is
-// rolled back, and its next batch is told so.
+// next waits for the next batch of an open transaction. One that stays idle for
+// too long is rolled back, and its next batch is told so.
 func (t *transaction) next(batches <-chan inner.Frame) (inner.Frame, bool) {
-	if t.conn == nil {
-		f, ok := <-batches
-		return f, ok
-	}
 	fired, stop := t.holder.options.Clock.AfterFunc(t.holder.options.Idle)
 	defer stop()
 	select {
@@ -213,7 +190,7 @@
 			return refusal
 		}
 		c.Take(t.owner)
-		if c.Alive() {
+		if t.awaitReset(ctx, c) == nil && c.Alive() {
 			return t.pin(c)
 		}
 		t.putBack(c, false)
