Take a free connection at once and read rows in place

Cause: a transaction set a deadline and queued even when a connection was free, each row of the state was decoded with a large buffer, COPY was looked for by a regular expression at each Bind and Describe, and each use of a connection boxed the arguments of its check. Change: a free connection is handed out at once while nothing waits, which leaves the same order since an empty queue remembers nobody; rows are read by our own code, checked against pgproto3 by a fuzz target; COPY is looked for once for each prepared statement; the answer to a reset is only drained.

--- a/internal/proto/backend/conn.go
+++ b/internal/proto/backend/conn.go
@@ -5,10 +5,12 @@
 import (
 	"bufio"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
 	"slices"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5/pgconn"
@@ -80,6 +82,8 @@
 	Dirty bool
 	// Resetting is set while the answer to a reset that was sent is still to be read.
 	Resetting bool
+	// scratch is the memory for messages of which nothing is kept.
+	scratch []byte
 }
 
 // Dial opens a connection.
@@ -168,6 +172,9 @@
 }
 
 func (c *Conn) verify(owner uint64) {
+	if c.owner == owner && owner != 0 {
+		return
+	}
 	invariant.Check(c.owner == owner && owner != 0, invariant.OneTransaction, "owner %d used the connection of owner %d", owner, c.owner)
 }
 
@@ -197,14 +204,12 @@
 func (c *Conn) Rows(owner uint64) ([][]string, error) {
 	var rows [][]string
 	var failure error
-	buf := make([]byte, 0, 512)
 	for {
-		var m pgwire.Message
-		var err error
-		buf, m, err = c.Append(owner, buf[:0])
+		buf, m, err := c.Append(owner, c.scratch[:0])
 		if err != nil {
 			return nil, err
 		}
+		c.keep(buf)
 		switch m.Type() {
 		case 'Z':
 			return rows, failure
@@ -220,14 +225,64 @@
 	}
 }
 
+// maxScratch is the largest memory in bytes that is kept for the next message.
+const maxScratch = 4 << 10
+
+func (c *Conn) keep(buf []byte) {
+	if cap(buf) <= maxScratch {
+		c.scratch = buf
+	}
+}
+
+var errRow = errors.New("a row of the backend server is cut short")
+
+// Drain reads the answer to a simple query that was sent before, for at most the
+// given length. After an error the connection is of no use.
+func (c *Conn) Drain(owner uint64, limit clock.Millis) error {
+	if err := c.conn.SetReadDeadline(time.Now().Add(limit.Duration())); err != nil {
+		return err
+	}
+	if err := c.drain(owner); err != nil {
+		return err
+	}
+	return c.conn.SetReadDeadline(time.Time{})
+}
+
+func (c *Conn) drain(owner uint64) error {
+	for {
+		buf, m, err := c.Append(owner, c.scratch[:0])
+		if err != nil {
+			return err
+		}
+		c.keep(buf)
+		switch m.Type() {
+		case 'Z':
+			return nil
+		case 'E':
+			return ErrorOf(m)
+		}
+	}
+}
+
+// textRow copies the values of a row; NULL becomes "".
 func textRow(m pgwire.Message) ([]string, error) {
-	var d pgproto3.DataRow
-	if err := d.Decode(m.Body()); err != nil {
-		return nil, errors.Wrap(err, "row of the backend server")
+	body := m.Body()
+	if len(body) < 2 {
+		return nil, errRow
 	}
-	row := make([]string, len(d.Values))
-	for i, v := range d.Values {
-		row[i] = string(v)
+	text := string(body[2:])
+	row := make([]string, 0, min(int(binary.BigEndian.Uint16(body)), len(text)/4))
+	for n := binary.BigEndian.Uint16(body); n > 0; n-- {
+		if len(text) < 4 {
+			return nil, errRow
+		}
+		size := int(int32(binary.BigEndian.Uint32(body[len(body)-len(text):])))
+		text = text[4:]
+		if size > len(text) {
+			return nil, errRow
+		}
+		size = max(size, 0)
+		row, text = append(row, text[:size]), text[size:]
 	}
 	return row, nil
 }
--- /dev/null
+++ b/internal/proto/backend/row_test.go
@@ -0,0 +1,43 @@
+package backend
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/pgwire"
+)
+
+// FuzzTextRow compares the reading of rows with that of pgproto3.
+func FuzzTextRow(f *testing.F) {
+	for _, values := range [][][]byte{nil, {nil}, {[]byte("plum"), nil, {}, []byte("7")}} {
+		text, err := (&pgproto3.DataRow{Values: values}).Encode(nil)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(text[pgwire.HeaderSize:])
+		f.Add(text[pgwire.HeaderSize : len(text)-1])
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var d pgproto3.DataRow
+		wrong := d.Decode(body)
+		got, err := textRow(append(make(pgwire.Message, pgwire.HeaderSize), body...))
+		if err != nil {
+			if wrong == nil {
+				t.Fatal(err)
+			}
+			return
+		}
+		if wrong != nil {
+			return
+		}
+		want := make([]string, len(d.Values))
+		for i, v := range d.Values {
+			want[i] = string(v)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("values (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/serve/entry/batch.go
+++ b/internal/serve/entry/batch.go
@@ -167,7 +167,7 @@
 		b.steps = append(b.steps, step{kind: 'Q', statement: st})
 		return nil
 	}
-	s.note(b, st.sql, route.Parse(st.sql))
+	s.note(b, st.sql, route.Parse(st.sql), copyPattern.MatchString(st.sql))
 	b.remote++
 	b.out.Raw = append(b.out.Raw, m...)
 	return nil
@@ -178,13 +178,13 @@
 }
 
 // note takes a statement's own account of itself into the batch.
-func (s *session) note(b *batch, sql string, h route.Hint) {
+func (*session) note(b *batch, sql string, h route.Hint, copies bool) {
 	b.sqls = append(b.sqls, sql)
 	if b.hint.Route != "" && h.Route != "" && h.Route != b.hint.Route {
 		b.refusal = outcome.Refuse(outcome.ReasonRoute, outcome.CodeParameter, "one batch names routes %q and %q", b.hint.Route, h.Route)
 	}
 	b.hint = b.hint.With(h)
-	if copyPattern.MatchString(sql) {
+	if copies {
 		b.refusal = outcome.Refuse(outcome.ReasonRequest, outcome.CodeUnsupported, "COPY is not supported")
 	}
 }
@@ -193,7 +193,7 @@
 
 // useStatement has the holder prepare a statement if the connection lacks it.
 func (s *session) useStatement(b *batch, st *statement) {
-	s.note(b, st.sql, st.hint)
+	s.note(b, st.sql, st.hint, st.copies)
 	for _, n := range b.out.Needs {
 		if n.Name == st.name {
 			return
--- a/internal/serve/entry/extended.go
+++ b/internal/serve/entry/extended.go
@@ -166,7 +166,7 @@
 	b.remote++
 	switch {
 	case e.kind == 'P':
-		s.note(b, e.statement.sql, e.statement.hint)
+		s.note(b, e.statement.sql, e.statement.hint, e.statement.copies)
 		b.out.Raw = append(b.out.Raw, e.statement.parse...)
 	case e.kind == 'B':
 		s.useStatement(b, e.statement)
--- a/internal/serve/holder/admission.go
+++ b/internal/serve/holder/admission.go
@@ -79,6 +79,21 @@
 	}
 }
 
+// try hands out what is free while nothing waits, and nil otherwise. It leaves
+// no trace in the order, since an empty queue remembers nobody.
+func (a *admission) try() *backend.Conn {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed || a.slots <= 0 || len(a.idle) == 0 || a.queue.Len() > 0 || len(a.pinned) > 0 {
+		return nil
+	}
+	a.slots--
+	c := a.idle[len(a.idle)-1]
+	a.idle = a.idle[:len(a.idle)-1]
+	a.counters.waited(0)
+	return c
+}
+
 func (a *admission) abandon(w *waiter) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/serve/holder/expect.go
+++ b/internal/serve/holder/expect.go
@@ -52,12 +52,19 @@
 
 // planBatch adds the prepared statements that the connection lacks to a batch,
 // and leaves out those that it has.
+const (
+	// spareBytes is room for what the holder adds to a batch.
+	spareBytes = 512
+	// spareExpects is room for the answers of an ordinary batch.
+	spareExpects = 8
+)
+
 func planBatch(batch inner.Batch, statements *backend.Statements) *plan {
 	return newPlan(batch, statements, false)
 }
 
 func newPlan(batch inner.Batch, statements *backend.Statements, describe bool) *plan {
-	p := &plan{describe: describe}
+	p := &plan{describe: describe, out: make([]byte, 0, len(batch.Raw)+spareBytes), expects: make([]expectation, 0, spareExpects)}
 	needs := map[string][]byte{}
 	for _, n := range batch.Needs {
 		needs[n.Name] = n.Parse
--- a/internal/serve/holder/settle.go
+++ b/internal/serve/holder/settle.go
@@ -167,15 +167,12 @@
 }
 
 // awaitReset reads the answer to a reset, which has mostly come already.
-func (t *transaction) awaitReset(ctx context.Context, c *backend.Conn) error {
+func (t *transaction) awaitReset(c *backend.Conn) error {
 	if !c.Resetting {
 		return nil
 	}
 	c.Resetting = false
-	stop := context.AfterFunc(ctx, c.Close)
-	defer stop()
-	_, err := c.Rows(t.owner)
-	return err
+	return c.Drain(t.owner, min(t.begin.Deadline, resetTimeout))
 }
 
 // confirm refuses to acknowledge a write of a primary that has been replaced.
--- a/internal/serve/holder/txn.go
+++ b/internal/serve/holder/txn.go
@@ -10,6 +10,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 )
 
 // flushSize is how many bytes of an answer are gathered before they are sent on.
@@ -176,6 +177,9 @@
 // admit waits for what the next batch needs: at first the state of the server,
 // a connection and a slot, later a slot alone.
 func (t *transaction) admit() *outcome.NotRun {
+	if c := t.tryConnection(); c != nil {
+		return t.pin(c)
+	}
 	ctx, cancel := context.WithTimeout(t.ctx, t.begin.Deadline.Duration())
 	defer cancel()
 	if t.conn != nil {
@@ -190,13 +194,41 @@
 			return refusal
 		}
 		c.Take(t.owner)
-		if t.awaitReset(ctx, c) == nil && c.Alive() {
+		if t.usable(c) {
 			return t.pin(c)
 		}
-		t.putBack(c, false)
 	}
 }
 
+// tryConnection returns a connection if the transaction need not wait for
+// anything.
+func (t *transaction) tryConnection() *backend.Conn {
+	b := t.begin
+	if t.conn != nil || b.Age > 0 && b.Kind == document.KindRead {
+		return nil
+	}
+	if refusal, _ := t.holder.check(b); refusal != nil {
+		return nil
+	}
+	if c := t.holder.admission.try(); c != nil {
+		c.Take(t.owner)
+		if t.usable(c) {
+			return c
+		}
+	}
+	return nil
+}
+
+// usable reports whether a connection can run the transaction. One that cannot
+// is closed.
+func (t *transaction) usable(c *backend.Conn) bool {
+	if t.awaitReset(c) == nil && c.Alive() {
+		return true
+	}
+	t.putBack(c, false)
+	return false
+}
+
 // putBack returns a connection and its slot before anything was sent.
 func (t *transaction) putBack(c *backend.Conn, reusable bool) {
 	c.Give(t.owner)
