Use one stream for several transactions

Cause: each transaction through another VM opened a stream and reset it at its end, which takes packets in both directions besides those of the transaction. Change: when a transaction has ended without having been watched and its reset was sent along, the holder says so in End; the entry proxy then releases the stream instead of closing it, and its next transaction to that VM begins on it. Anything else still resets the stream, which stops exactly the transaction that runs on it. A late Close of a released stream does nothing, and a cancel and a release exclude each other, so that a cancel cannot meet the next transaction. New TestRelease; the tests of internal/serve, internal/proto and internal/trial/system pass with -race.

--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -110,6 +110,8 @@
 	Unrecorded bool `cbor:"unrecorded,omitzero"`
 	// Unknown is set when the end of the transaction was not seen.
 	Unknown string `cbor:"unknown,omitzero"`
+	// Open is set when the stream takes another Begin.
+	Open bool `cbor:"open,omitzero"`
 	// Raw holds the last PostgreSQL messages of the answer.
 	Raw []byte `cbor:"raw,omitzero"`
 }
@@ -306,6 +308,9 @@
 	ReceiveFunc func() (Frame, error)
 	// CloseFunc ends the stream at once; the other side sees an error.
 	CloseFunc func()
+	// ReleaseFunc lets another transaction use the stream after this one has
+	// ended; when it is nil, the stream is closed.
+	ReleaseFunc func()
 }
 
 // Send sends one frame.
@@ -316,3 +321,13 @@
 
 // Close ends the stream at once.
 func (x Exchange) Close() { x.CloseFunc() }
+
+// Release ends the use of the stream after an End with Open set. Nothing may be
+// sent any more; a Close that comes late does nothing.
+func (x Exchange) Release() {
+	if x.ReleaseFunc == nil {
+		x.CloseFunc()
+		return
+	}
+	x.ReleaseFunc()
+}
--- a/internal/proto/peer/keep_test.go
+++ b/internal/proto/peer/keep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -69,3 +70,31 @@
 		})
 	}
 }
+
+// TestRelease uses one stream for two transactions, whatever the first one's
+// holder of the exchange still does to it, and a new one after a Close.
+func TestRelease(t *testing.T) {
+	r := testRing(t)
+	var streams atomic.Int32
+	a := serve(t, r, Options{}, echo)
+	b := serve(t, r, Options{}, Handlers{StreamFunc: func(ctx context.Context, name string, x Stream) {
+		streams.Add(1)
+		echo.StreamFunc(ctx, name, x)
+	}})
+	for i, want := range []int32{1, 1, 2} {
+		x, err := a.Open(t.Context(), b.Address(), Label{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := exchangeOnce(x, inner.Frame{Kind: inner.KindData, Body: []byte{byte(i)}}); err != nil {
+			t.Fatal(err)
+		}
+		if i == 0 {
+			x.Release()
+		}
+		x.Close()
+		if got := streams.Load(); got != want {
+			t.Errorf("transaction %d: %d streams, want %d", i, got, want)
+		}
+	}
+}
--- a/internal/proto/peer/link.go
+++ b/internal/proto/peer/link.go
@@ -30,6 +30,9 @@
 	// now, and when it was used last.
 	users int
 	used  clock.Millis
+	// idle holds streams whose last transaction has ended; it is guarded by the
+	// transport's lock too.
+	idle []*outgoing
 }
 
 // usable reports whether callers may share the link at a moment.
--- a/internal/proto/peer/peer.go
+++ b/internal/proto/peer/peer.go
@@ -204,17 +204,17 @@
 	return s.Close()
 }
 
-// Open opens a stream to the VM at an address; what it sends belongs to the
-// label. An error is an UnreachableError and means that nothing was sent.
+// Open opens a stream to the VM at an address, or takes one that was released;
+// what it sends belongs to the label. An error is an UnreachableError and means that nothing was sent.
 func (t *Transport) Open(ctx context.Context, address string, l Label) (inner.Exchange, error) {
 	link, err := t.connect(ctx, address)
 	if err != nil {
 		return inner.Exchange{}, &UnreachableError{Address: address, Cause: err}
 	}
-	s, err := link.conn.OpenStream()
+	o, err := t.stream(link)
 	if err != nil {
 		t.release(link)
 		return inner.Exchange{}, &UnreachableError{Address: address, Cause: err}
 	}
-	return t.opened(s, l, func() { t.release(link) }), nil
+	return t.opened(o, l), nil
 }
--- a/internal/proto/peer/stream.go
+++ b/internal/proto/peer/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"io"
-	"sync"
 
 	"github.com/quic-go/quic-go"
 
@@ -34,35 +33,17 @@
 	LabelFunc func(Label)
 }
 
-// opened returns the side that asks. Close abandons both directions, so that
-// the VM that serves the stream stops at once; the first one calls closed.
-func (t *Transport) opened(s *quic.Stream, l Label, closed func()) inner.Exchange {
-	x := exchange(s, t.paced(s, l))
-	var once sync.Once
-	x.CloseFunc = func() {
-		once.Do(closed)
-		s.CancelRead(abandoned)
-		s.CancelWrite(abandoned)
-	}
-	return x
-}
-
 // accepted returns the side that answers. Close lets what was sent arrive.
 func (t *Transport) accepted(s *quic.Stream) Stream {
 	var w io.Writer = s
-	x := exchange(s, s)
-	x.SendFunc = func(f inner.Frame) error { return inner.Write(w, f) }
-	x.CloseFunc = func() {
-		s.CancelRead(abandoned)
-		_ = s.Close()
-	}
-	return Stream{Exchange: x, LabelFunc: func(l Label) { w = t.paced(s, l) }}
-}
-
-func exchange(s *quic.Stream, w io.Writer) inner.Exchange {
 	r := bufio.NewReaderSize(s, streamBuffer)
-	return inner.Exchange{
+	x := inner.Exchange{
 		SendFunc:    func(f inner.Frame) error { return inner.Write(w, f) },
 		ReceiveFunc: func() (inner.Frame, error) { return inner.Read(r) },
+		CloseFunc: func() {
+			s.CancelRead(abandoned)
+			_ = s.Close()
+		},
 	}
+	return Stream{Exchange: x, LabelFunc: func(l Label) { w = t.paced(s, l) }}
 }
--- a/internal/serve/entry/relay.go
+++ b/internal/serve/entry/relay.go
@@ -101,7 +101,11 @@
 		s.skipping = m.Status == 0 && hasError(m.Raw)
 		return s.conn.Write(m.Raw)
 	}
-	s.drop()
+	if m.Open {
+		s.release()
+	} else {
+		s.drop()
+	}
 	s.block = false
 	clear(s.portals)
 	s.entry.directory.see(server, m.Mark, s.entry.options.Clock.Now())
--- a/internal/serve/entry/session.go
+++ b/internal/serve/entry/session.go
@@ -50,6 +50,9 @@
 	// skipping is set after an error until the caller's Sync.
 	skipping bool
 
+	// canceling keeps a cancel from reaching the next user of a released stream.
+	canceling sync.Mutex
+
 	mu      sync.Mutex
 	running *inner.Exchange
 	// waiting is set while the session is idle outside a transaction, and busy
@@ -116,13 +119,27 @@
 
 // drop ends an open transaction; the holder rolls it back.
 func (s *session) drop() {
+	if x := s.take(); x != nil {
+		x.Close()
+	}
+}
+
+// release gives up the exchange of a transaction that has ended.
+func (s *session) release() {
+	s.canceling.Lock()
+	defer s.canceling.Unlock()
+	if x := s.take(); x != nil {
+		x.Release()
+	}
+}
+
+// take returns the exchange of the session, which has none any more.
+func (s *session) take() *inner.Exchange {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	x := s.running
 	s.running, s.pinned = nil, ""
-	s.mu.Unlock()
-	if x != nil {
-		x.Close()
-	}
+	return x
 }
 
 // start makes x the exchange of the session, unless the session was cut.
@@ -137,6 +154,8 @@
 }
 
 func (s *session) cancel() {
+	s.canceling.Lock()
+	defer s.canceling.Unlock()
 	s.mu.Lock()
 	x := s.running
 	s.mu.Unlock()
--- a/internal/serve/holder/settle.go
+++ b/internal/serve/holder/settle.go
@@ -82,7 +82,10 @@
 		return
 	}
 	t.holder.learn(s.state, s.asked)
-	t.end(t.acknowledge(s, a))
+	e := t.acknowledge(s, a)
+	// What comes after a wait for a reset must not be held up.
+	e.Open = a.settled && !c.Dirty && t.stayUnwatched()
+	t.again = t.end(e) && e.Open
 	reusable := !canceled && t.reset(c, a) == nil
 	c.Give(t.owner)
 	t.holder.admission.put(c, reusable)
--- a/internal/serve/holder/txn.go
+++ b/internal/serve/holder/txn.go
@@ -46,6 +46,8 @@
 	gone bool
 	// canceled is set once a cancel request was sent, which may arrive late.
 	canceled bool
+	// again is set when the exchange takes another Begin.
+	again bool
 
 	// ran is set once a batch was sent in a transaction that has its key.
 	ran      bool
@@ -53,17 +55,22 @@
 }
 
 // Serve runs the transaction that a Begin opened. It returns when the
-// transaction has ended or the entry proxy is gone.
-func (h *Holder) Serve(ctx context.Context, b inner.Begin, x inner.Exchange) {
+// transaction has ended or the entry proxy is gone, and reports whether the
+// exchange takes another Begin; if not, it is closed.
+func (h *Holder) Serve(ctx context.Context, b inner.Begin, x inner.Exchange) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t := &transaction{holder: h, begin: b, x: x, owner: h.owners.Add(1), ctx: ctx, cancel: cancel}
 	h.enter(t)
 	defer h.leave(t)
 	t.run()
+	if t.again {
+		return true
+	}
 	cancel()
 	x.Close()
 	t.endWatch()
+	return false
 }
 
 // abort closes the connection of an unfinished transaction; the server rolls it back.
--- a/internal/serve/holder/watch.go
+++ b/internal/serve/holder/watch.go
@@ -51,14 +51,20 @@
 	go t.receive(w.batches, w.done)
 }
 
-// endWatch waits for the watcher, whose exchange was closed before.
-func (t *transaction) endWatch() {
+// stayUnwatched keeps the watcher from starting and reports whether the exchange
+// can be used again, which is so when nothing reads it.
+func (t *transaction) stayUnwatched() bool {
 	w := &t.watcher
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.ended = true
-	w.mu.Unlock()
-	if w.started {
-		<-w.done
+	return !w.started
+}
+
+// endWatch waits for the watcher, whose exchange was closed before.
+func (t *transaction) endWatch() {
+	if !t.stayUnwatched() {
+		<-t.watcher.done
 	}
 }
 
--- a/internal/serve/vm/streams.go
+++ b/internal/serve/vm/streams.go
@@ -28,9 +28,11 @@
 func (v *VM) accept(ctx context.Context, name string, s peer.Stream) {
 	region := v.regionOf(name)
 	s.LabelFunc(peer.Label{Region: region, Control: true})
-	v.stream(ctx, s.Exchange, func(b inner.Begin) {
+	begun := func(b inner.Begin) {
 		s.LabelFunc(peer.Label{Region: region, Account: b.Account, Weight: b.Weight})
-	})
+	}
+	for v.stream(ctx, s.Exchange, begun) {
+	}
 }
 
 // regionOf returns the region of a VM, or "" when it is unknown.
@@ -43,18 +45,22 @@
 	return ""
 }
 
-// stream serves one exchange; begun is told whom a transaction belongs to.
-func (v *VM) stream(ctx context.Context, x inner.Exchange, begun func(inner.Begin)) {
+// stream serves one transaction or question of an exchange and reports whether
+// another may follow; begun is told whom a transaction belongs to.
+func (v *VM) stream(ctx context.Context, x inner.Exchange, begun func(inner.Begin)) bool {
 	f, err := x.Receive()
 	if err != nil {
-		return
+		return false
 	}
 	switch f.Kind {
+	case inner.KindCancel:
+		// The transaction that it meant has ended.
+		return true
 	case inner.KindBegin:
 		var b inner.Begin
 		if inner.Decode(f, &b) == nil {
 			begun(b)
-			v.serveBegin(ctx, b, x)
+			return v.serveBegin(ctx, b, x)
 		}
 	case inner.KindAsk:
 		var a inner.Ask
@@ -62,17 +68,18 @@
 			_ = x.Send(inner.Encode(inner.KindAnswer, v.answer(ctx, a)))
 		}
 	}
+	return false
 }
 
-func (v *VM) serveBegin(ctx context.Context, b inner.Begin, x inner.Exchange) {
+func (v *VM) serveBegin(ctx context.Context, b inner.Begin, x inner.Exchange) bool {
 	if h := v.holders.get(b.Server); h != nil {
-		h.Serve(ctx, b, x)
-		return
+		return h.Serve(ctx, b, x)
 	}
 	_ = x.Send(inner.Encode(inner.KindRefuse, inner.Refuse{
 		Reason: outcome.ReasonHolder, Code: outcome.CodeUnavailable,
 		Detail: "the VM does not hold backend server " + b.Server, State: inner.State{Server: b.Server},
 	}))
+	return false
 }
 
 // open opens an exchange with the holder of a server; when this VM is the
