Encode the messages of no transaction at once

Cause: the membership counts the bytes of a frame by its body, which was not set before the frame was packed. Change: only Begin, Batch and End stay unencoded, as nothing but the codec of frames reads their bodies. Measured: internal/proto/inner and internal/serve/membership pass with -race; a search found no other reader of a body that Encode built.

--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -52,7 +52,7 @@
 // Frame is one unit on a stream.
 type Frame struct {
 	Kind Kind
-	// Body is not set yet in a frame that Encode built.
+	// Body is not set yet in a frame that has a Message.
 	Body []byte
 	// Message becomes the body once the frame leaves the VM. A frame that stays
 	// is read without the codec.
@@ -209,8 +209,16 @@
 // Error implements error.
 func (e *FrameError) Error() string { return "inner protocol: " + e.Detail }
 
-// Encode builds a frame from a message, which must not be changed any more.
-func Encode(kind Kind, message any) Frame { return Frame{Kind: kind, Message: message} }
+// Encode builds a frame from a message, which must not be changed any more. The
+// messages of a transaction are encoded when the frame leaves the VM.
+func Encode(kind Kind, message any) Frame {
+	f := Frame{Kind: kind, Message: message}
+	switch message.(type) {
+	case Begin, Batch, End:
+		return f
+	}
+	return f.encoded()
+}
 
 // encoded returns the frame with its body. Encoding a message of this package
 // cannot fail, so a failure panics.
