Forget the lines of accounts that a busy queue has served

Cause: an account's empty line stayed until the queue ran empty, since its last item ends later than the present turn; a crowded server's queue never runs empty. Lines of removed items alone were dropped already. Change: once the lines have doubled, the empty ones whose turn has passed go.

--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -32,6 +32,8 @@
 	accounts map[string]*line
 	ready    lines
 	length   int
+	// sweepAt is the number of lines at which the next sweep is due.
+	sweepAt int
 }
 
 // line is the queue of one account.
@@ -43,7 +45,7 @@
 }
 
 // New returns a queue that keeps at most limit items for each account.
-func New(limit int) *Queue { return &Queue{limit: limit, accounts: map[string]*line{}} }
+func New(limit int) *Queue { return &Queue{limit: limit, accounts: map[string]*line{}, sweepAt: minSwept} }
 
 // Len returns the number of waiting items.
 func (q *Queue) Len() int { return q.length }
@@ -52,6 +54,7 @@
 func (q *Queue) Push(it *Item) bool {
 	l := q.accounts[it.Account]
 	if l == nil {
+		q.sweep()
 		l = &line{account: it.Account, index: -1}
 		q.accounts[it.Account] = l
 	}
@@ -129,6 +132,23 @@
 	}
 }
 
+// minSwept is the number of lines below which empty ones are left alone.
+const minSwept = 64
+
+// sweep drops the empty lines whose turn has come meanwhile, once most lines may
+// be empty, so that a queue that never runs empty does not keep them.
+func (q *Queue) sweep() {
+	if len(q.accounts) < q.sweepAt {
+		return
+	}
+	for name, l := range q.accounts {
+		if len(l.items) == 0 && l.finish <= q.virtual {
+			delete(q.accounts, name)
+		}
+	}
+	q.sweepAt = max(2*len(q.accounts), minSwept)
+}
+
 // lines is a heap of the lines that have items, by the start of the first one.
 type lines []*line
 
--- a/internal/core/fair/fair_test.go
+++ b/internal/core/fair/fair_test.go
@@ -161,3 +161,19 @@
 		})
 	})
 }
+
+// TestForgetsLines serves many accounts once each beside one that always waits,
+// so that the queue never runs empty.
+func TestForgetsLines(t *testing.T) {
+	q := New(4)
+	for i := range 10_000 {
+		q.Push(&Item{Account: "heavy", Weight: 1, Cost: 1})
+		q.Push(&Item{Account: fmt.Sprint(i), Weight: 1, Cost: 1})
+		for q.Len() > 2 {
+			q.Pop()
+		}
+	}
+	if n := len(q.accounts); n > 2*minSwept {
+		t.Errorf("%d lines are kept for %d items", n, q.Len())
+	}
+}
