--- a/internal/serve/holder/admission_test.go
+++ b/internal/serve/holder/admission_test.go
@@ -238,3 +238,41 @@
 		d.take(<-d.events)
 	}
 }
+
+// TestCloseWakes has requests wait for a connection that never opens: each is
+// refused once the holder stops, whatever its deadline.
+func TestCloseWakes(t *testing.T) {
+	dial := func(ctx context.Context) (*backend.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	a := newAdmission(1, 1, clock.System(), newCounters("stopping"), dial)
+	refusals := make(chan *outcome.NotRun)
+	const waiting = 3
+	for range waiting {
+		go func() {
+			_, refusal := a.acquire(context.Background(), "counter", 1)
+			refusals <- refusal
+		}()
+	}
+	for end := time.Now().Add(10 * time.Second); a.waits() < waiting && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	a.close()
+	for range waiting {
+		select {
+		case refusal := <-refusals:
+			if refusal == nil || refusal.Reason != outcome.ReasonHolder {
+				t.Errorf("got %v", refusal)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatal("a request still waits")
+		}
+	}
+}
+
+func (a *admission) waits() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.queue.Len()
+}
