Wake open transactions that wait for a slot when the holder stops

Cause: a stopping holder refused the requests that wait for a connection but left open transactions waiting for a slot until their deadline. The refusal of such a batch also counted as a broken invariant, because an earlier batch of the same transaction had been sent, although nothing of the refused one was. Change: close refuses them too, and later ones at once. The check of NotRun looks at the present batch, which is what the refusal speaks of; it is as strict for the first batch and for any other. Measured: the new TestNoSlotForOpenTransaction failed with both faults before (20.2 s, two violations) and passes three times with -race.

--- a/internal/serve/holder/admission.go
+++ b/internal/serve/holder/admission.go
@@ -57,7 +57,7 @@
 	a.mu.Lock()
 	if a.closed {
 		a.mu.Unlock()
-		return nil, outcome.Refuse(outcome.ReasonHolder, outcome.CodeUnavailable, "the holder is stopping")
+		return nil, refuseStopping()
 	}
 	if !a.queue.Push(w.item) {
 		a.mu.Unlock()
@@ -121,15 +121,26 @@
 	a.counters.set(a.queue.Len(), a.open)
 }
 
+func refuseStopping() *outcome.NotRun {
+	return outcome.Refuse(outcome.ReasonHolder, outcome.CodeUnavailable, "the holder is stopping")
+}
+
 // resume waits for a slot for a transaction that has its connection already.
 func (a *admission) resume(ctx context.Context) *outcome.NotRun {
 	w := &waiter{grant: make(chan *backend.Conn, 1)}
 	a.mu.Lock()
+	if a.closed {
+		a.mu.Unlock()
+		return refuseStopping()
+	}
 	a.pinned = append(a.pinned, w)
 	a.grantLocked()
 	a.mu.Unlock()
 	select {
-	case <-w.grant:
+	case _, ok := <-w.grant:
+		if !ok {
+			return refuseStopping()
+		}
 		return nil
 	case <-ctx.Done():
 		a.leave(w)
@@ -141,8 +152,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if w.granted {
-		a.slots++
-		a.grantLocked()
+		if _, ok := <-w.grant; ok {
+			a.slots++
+			a.grantLocked()
+		}
 		return
 	}
 	for i, p := range a.pinned {
@@ -266,6 +279,11 @@
 func (a *admission) close() {
 	a.mu.Lock()
 	a.closed = true
+	for _, w := range a.pinned {
+		w.granted = true
+		close(w.grant)
+	}
+	a.pinned = nil
 	a.mu.Unlock()
 	a.cancel()
 	a.turnAway()
--- a/internal/serve/holder/admission_test.go
+++ b/internal/serve/holder/admission_test.go
@@ -14,6 +14,8 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
@@ -276,3 +278,42 @@
 	defer a.mu.Unlock()
 	return a.queue.Len()
 }
+
+// TestNoSlotForOpenTransaction leaves an open transaction without a slot until
+// its deadline, and until the holder stops: its next batch is refused as not run.
+func TestNoSlotForOpenTransaction(t *testing.T) {
+	strict(t)
+	s := &script{answers: map[string][]string{"BEGIN": {"C BEGIN", "Z T"}}}
+	h, stop := holdUntil(t, Options{Server: document.Server{Name: "orders-1", Address: s.serve(t), Slots: 1, Connections: 8}})
+	await(t, "the holder serves", func() bool { _, held := h.State(); return held })
+	for _, c := range []struct {
+		deadline clock.Millis
+		want     string
+	}{{200, "refused deadline"}, {20 * clock.Second, "refused holder"}} {
+		x := begin(h, inner.Begin{Account: "counter", Kind: document.KindWrite, Deadline: c.deadline})
+		if got, _ := x.run(backend.QueryMessage("BEGIN")); !slices.Equal(got, []string{"C BEGIN", "Z T"}) {
+			t.Fatal(got)
+		}
+		h.admission.mu.Lock()
+		h.admission.slots--
+		h.admission.mu.Unlock()
+		answer := make(chan []string, 1)
+		go func() {
+			got, _ := x.run(backend.QueryMessage("SELECT 1"))
+			answer <- got
+		}()
+		if c.deadline > clock.Second {
+			await(t, "the transaction waits", func() bool {
+				h.admission.mu.Lock()
+				defer h.admission.mu.Unlock()
+				return len(h.admission.pinned) > 0
+			})
+			stop()
+		}
+		if got := <-answer; !slices.Equal(got, []string{c.want}) {
+			t.Errorf("got %q, want %q", got, c.want)
+		}
+		<-x.done
+		h.admission.pause()
+	}
+}
--- a/internal/serve/holder/exchange.go
+++ b/internal/serve/holder/exchange.go
@@ -52,7 +52,7 @@
 	if a.settled {
 		p.out = append(p.out, t.holder.settling...)
 	}
-	t.sent = true
+	t.sent, t.reached = true, true
 	if err := t.conn.Write(t.owner, p.out); err != nil {
 		return nil, err
 	}
--- a/internal/serve/holder/oncerun.go
+++ b/internal/serve/holder/oncerun.go
@@ -39,7 +39,7 @@
 // key, and keeps its outcome under the key.
 func (t *transaction) onceSingle(batch inner.Batch) (*answer, error) {
 	id := onceID(t.begin.Account, t.begin.Key)
-	t.sent = true
+	t.sent, t.reached = true, true
 	rows, err := t.conn.Query(t.owner, "BEGIN; "+claimQuery(id))
 	if err != nil {
 		return t.undo(err)
--- a/internal/serve/holder/txn.go
+++ b/internal/serve/holder/txn.go
@@ -43,7 +43,9 @@
 	mu   sync.Mutex
 	conn *backend.Conn
 	sent bool
-	gone bool
+	// reached is set once something of the present batch was sent.
+	reached bool
+	gone    bool
 	// canceled is set once a cancel request was sent, which may arrive late.
 	canceled bool
 	// again is set when the exchange takes another Begin.
@@ -145,6 +147,7 @@
 
 // batch runs one batch and reports whether the transaction goes on.
 func (t *transaction) batch(batch inner.Batch) bool {
+	t.reached = false
 	if t.keyed() && !t.sent {
 		if refusal := onceRefusal(batch); refusal != nil {
 			t.refuse(refusal)
@@ -176,7 +179,7 @@
 }
 
 func (t *transaction) refuse(e *outcome.NotRun) {
-	invariant.Check(!t.sent, invariant.NotRun, "a request that was sent would be refused as not run: %s", e.Detail)
+	invariant.Check(!t.reached, invariant.NotRun, "a request that was sent would be refused as not run: %s", e.Detail)
 	state, _ := t.holder.State()
 	_ = t.x.Send(inner.Encode(inner.KindRefuse, inner.Refuse{Reason: e.Reason, Code: e.Code, Detail: e.Detail, State: state}))
 }
