Pass over a cancel that comes before Begin

Cause: a cancel that overtook the Begin of its request closed the exchange. Change: the holder's VM passes over it, since nothing runs yet; fair.go formatted.

--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -45,7 +45,9 @@
 }
 
 // New returns a queue that keeps at most limit items for each account.
-func New(limit int) *Queue { return &Queue{limit: limit, accounts: map[string]*line{}, sweepAt: minSwept} }
+func New(limit int) *Queue {
+	return &Queue{limit: limit, accounts: map[string]*line{}, sweepAt: minSwept}
+}
 
 // Len returns the number of waiting items.
 func (q *Queue) Len() int { return q.length }
--- a/internal/serve/vm/streams.go
+++ b/internal/serve/vm/streams.go
@@ -49,13 +49,14 @@
 // another may follow; begun is told whom a transaction belongs to.
 func (v *VM) stream(ctx context.Context, x inner.Exchange, begun func(inner.Begin)) bool {
 	f, err := x.Receive()
+	for err == nil && f.Kind == inner.KindCancel {
+		// It meant a transaction that has ended, or has not begun.
+		f, err = x.Receive()
+	}
 	if err != nil {
 		return false
 	}
 	switch f.Kind {
-	case inner.KindCancel:
-		// The transaction that it meant has ended.
-		return true
 	case inner.KindBegin:
 		var b inner.Begin
 		if inner.Decode(f, &b) == nil {
