Break the check of NotRun by the present batch

Cause: the check of a refusal now looks at the present batch, since the refusal of a later batch of an open transaction was wrongly counted; the test that breaks the promise on purpose set only the field of the whole transaction. Change: it sets that the present batch has reached the server; the check must still report it. Measured: TestBrokenOutcome failed without this and passes; the package passes with -race.

--- a/internal/serve/holder/broken_test.go
+++ b/internal/serve/holder/broken_test.go
@@ -17,7 +17,7 @@
 // not be repeated.
 func TestBrokenOutcome(t *testing.T) {
 	broken.Variant(t, invariant.NotRun, func() {
-		(&transaction{sent: true}).refuse(outcome.Refuse(outcome.ReasonDeadline, outcome.CodeTimeout, "too late"))
+		(&transaction{reached: true}).refuse(outcome.Refuse(outcome.ReasonDeadline, outcome.CodeTimeout, "too late"))
 	})
 	broken.Variant(t, invariant.AtMostOnce, func() { _, _ = (&transaction{ran: true}).runOnce(inner.Batch{}) })
 }
