--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -52,7 +52,11 @@
 // Frame is one unit on a stream.
 type Frame struct {
 	Kind Kind
+	// Body is not set yet in a frame that has a Message.
 	Body []byte
+	// Message becomes the body once the frame leaves the VM. A frame that stays
+	// is read without the codec.
+	Message any
 }
 
 // Begin opens a transaction at the holder of a backend server.
@@ -106,6 +110,8 @@
 	Unrecorded bool `cbor:"unrecorded,omitzero"`
 	// Unknown is set when the end of the transaction was not seen.
 	Unknown string `cbor:"unknown,omitzero"`
+	// Open is set when the stream takes another Begin.
+	Open bool `cbor:"open,omitzero"`
 	// Raw holds the last PostgreSQL messages of the answer.
 	Raw []byte `cbor:"raw,omitzero"`
 }
@@ -203,26 +209,44 @@
 // Error implements error.
 func (e *FrameError) Error() string { return "inner protocol: " + e.Detail }
 
-// Encode builds a frame from a message. Encoding a message of this package
-// cannot fail, so a failure panics.
+// Encode builds a frame from a message, which must not be changed any more. The
+// messages of a transaction are encoded when the frame leaves the VM.
 func Encode(kind Kind, message any) Frame {
-	body, err := cbor.Marshal(message)
+	f := Frame{Kind: kind, Message: message}
+	switch message.(type) {
+	case Begin, Batch, End:
+		return f
+	}
+	return f.encoded()
+}
+
+// encoded returns the frame with its body. Encoding a message of this package
+// cannot fail, so a failure panics.
+func (f Frame) encoded() Frame {
+	if f.Message == nil {
+		return f
+	}
+	body, err := cbor.Marshal(f.Message)
 	if err != nil {
-		panic(fmt.Sprintf("inner protocol: cannot encode %T: %v", message, err))
+		panic(fmt.Sprintf("inner protocol: cannot encode %T: %v", f.Message, err))
 	}
-	return Frame{Kind: kind, Body: body}
+	return Frame{Kind: f.Kind, Body: body}
 }
 
-// Decode reads the body of f into the message that target points to.
+// Decode reads the body of f into the message that target points to. What it
+// reads of a frame of this VM is shared with the sender and must not be changed.
 func Decode(f Frame, target any) error {
-	if err := cbor.Unmarshal(f.Body, target); err != nil {
+	if f.give(target) {
+		return nil
+	}
+	if err := cbor.Unmarshal(f.encoded().Body, target); err != nil {
 		return &FrameError{Detail: fmt.Sprintf("frame %d: %v", f.Kind, err)}
 	}
 	return nil
 }
 
 // Pack puts a frame into a datagram.
-func Pack(f Frame) []byte { return append([]byte{byte(f.Kind)}, f.Body...) }
+func Pack(f Frame) []byte { return append([]byte{byte(f.Kind)}, f.encoded().Body...) }
 
 // Unpack takes the frame out of a datagram.
 func Unpack(datagram []byte) (Frame, error) {
@@ -232,8 +256,34 @@
 	return Frame{Kind: Kind(datagram[0]), Body: datagram[1:]}, nil
 }
 
+// give copies the message of a frame of this VM, if it is one of a transaction.
+func (f Frame) give(target any) bool {
+	switch t := target.(type) {
+	case *Begin:
+		m, ok := f.Message.(Begin)
+		if ok {
+			*t = m
+		}
+		return ok
+	case *Batch:
+		m, ok := f.Message.(Batch)
+		if ok {
+			*t = m
+		}
+		return ok
+	case *End:
+		m, ok := f.Message.(End)
+		if ok {
+			*t = m
+		}
+		return ok
+	}
+	return false
+}
+
 // Write sends one frame in one call to w.
 func Write(w io.Writer, f Frame) error {
+	f = f.encoded()
 	buf := make([]byte, headerSize+len(f.Body))
 	buf[0] = byte(f.Kind)
 	binary.BigEndian.PutUint32(buf[1:], uint32(len(f.Body)))
@@ -266,6 +316,9 @@
 	ReceiveFunc func() (Frame, error)
 	// CloseFunc ends the stream at once; the other side sees an error.
 	CloseFunc func()
+	// ReleaseFunc lets another transaction use the stream after this one has
+	// ended; when it is nil, the stream is closed.
+	ReleaseFunc func()
 }
 
 // Send sends one frame.
@@ -276,3 +329,13 @@
 
 // Close ends the stream at once.
 func (x Exchange) Close() { x.CloseFunc() }
+
+// Release ends the use of the stream after an End with Open set. Nothing may be
+// sent any more; a Close that comes late does nothing.
+func (x Exchange) Release() {
+	if x.ReleaseFunc == nil {
+		x.CloseFunc()
+		return
+	}
+	x.ReleaseFunc()
+}
--- a/internal/serve/holder/admission.go
+++ b/internal/serve/holder/admission.go
@@ -57,7 +57,7 @@
 	a.mu.Lock()
 	if a.closed {
 		a.mu.Unlock()
-		return nil, outcome.Refuse(outcome.ReasonHolder, outcome.CodeUnavailable, "the holder is stopping")
+		return nil, refuseStopping()
 	}
 	if !a.queue.Push(w.item) {
 		a.mu.Unlock()
@@ -79,6 +79,21 @@
 	}
 }
 
+// try hands out what is free while nothing waits, and nil otherwise. It leaves
+// no trace in the order, since an empty queue remembers nobody.
+func (a *admission) try() *backend.Conn {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed || a.slots <= 0 || len(a.idle) == 0 || a.queue.Len() > 0 || len(a.pinned) > 0 {
+		return nil
+	}
+	a.slots--
+	c := a.idle[len(a.idle)-1]
+	a.idle = a.idle[:len(a.idle)-1]
+	a.counters.waited(0)
+	return c
+}
+
 func (a *admission) abandon(w *waiter) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -106,15 +121,26 @@
 	a.counters.set(a.queue.Len(), a.open)
 }
 
+func refuseStopping() *outcome.NotRun {
+	return outcome.Refuse(outcome.ReasonHolder, outcome.CodeUnavailable, "the holder is stopping")
+}
+
 // resume waits for a slot for a transaction that has its connection already.
 func (a *admission) resume(ctx context.Context) *outcome.NotRun {
 	w := &waiter{grant: make(chan *backend.Conn, 1)}
 	a.mu.Lock()
+	if a.closed {
+		a.mu.Unlock()
+		return refuseStopping()
+	}
 	a.pinned = append(a.pinned, w)
 	a.grantLocked()
 	a.mu.Unlock()
 	select {
-	case <-w.grant:
+	case _, ok := <-w.grant:
+		if !ok {
+			return refuseStopping()
+		}
 		return nil
 	case <-ctx.Done():
 		a.leave(w)
@@ -126,8 +152,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if w.granted {
-		a.slots++
-		a.grantLocked()
+		if _, ok := <-w.grant; ok {
+			a.slots++
+			a.grantLocked()
+		}
 		return
 	}
 	for i, p := range a.pinned {
@@ -251,6 +279,11 @@
 func (a *admission) close() {
 	a.mu.Lock()
 	a.closed = true
+	for _, w := range a.pinned {
+		w.granted = true
+		close(w.grant)
+	}
+	a.pinned = nil
 	a.mu.Unlock()
 	a.cancel()
 	a.turnAway()
--- a/internal/serve/holder/settle.go
+++ b/internal/serve/holder/settle.go
@@ -82,7 +82,10 @@
 		return
 	}
 	t.holder.learn(s.state, s.asked)
-	t.end(t.acknowledge(s, a))
+	e := t.acknowledge(s, a)
+	// What comes after a wait for a reset must not be held up.
+	e.Open = a.settled && !c.Dirty && t.stayUnwatched()
+	t.again = t.end(e) && e.Open
 	reusable := !canceled && t.reset(c, a) == nil
 	c.Give(t.owner)
 	t.holder.admission.put(c, reusable)
@@ -91,7 +94,7 @@
 // settle asks for the state, unless that was done with the batch. A cancel that
 // came late may have hit the question, so it is put once more.
 func (t *transaction) settle(a *answer) (settlement, error) {
-	question := settleQuery(t.holder.options.Server.Name)
+	question := t.holder.question
 	asked := t.holder.options.Clock.Now()
 	var rows [][]string
 	var err error
@@ -141,14 +144,18 @@
 }
 
 // reset makes the connection as it was when it was opened. The answer to a
-// reset that was sent with the batch is only read.
+// reset that was sent with the batch is read when the connection is used next.
 func (t *transaction) reset(c *backend.Conn, a *answer) error {
+	if a.settled && !c.Dirty {
+		c.Resetting = true
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), resetTimeout.Duration())
 	defer cancel()
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
 	if a.settled {
-		if _, err := c.Rows(t.owner); err != nil || !c.Dirty {
+		if _, err := c.Rows(t.owner); err != nil {
 			return err
 		}
 	}
@@ -162,6 +169,15 @@
 	return err
 }
 
+// awaitReset reads the answer to a reset, which has mostly come already.
+func (t *transaction) awaitReset(c *backend.Conn) error {
+	if !c.Resetting {
+		return nil
+	}
+	c.Resetting = false
+	return c.Drain(t.owner, min(t.begin.Deadline, resetTimeout))
+}
+
 // confirm refuses to acknowledge a write of a primary that has been replaced.
 func (t *transaction) confirm(s backend.State) error {
 	if t.begin.Kind == document.KindWrite && (s.Role != backend.RolePrimary || s.Term != t.term || t.holder.replaced(t.term)) {
--- a/internal/serve/holder/txn.go
+++ b/internal/serve/holder/txn.go
@@ -10,6 +10,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/backend"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 )
 
 // flushSize is how many bytes of an answer are gathered before they are sent on.
@@ -34,14 +35,21 @@
 	x      inner.Exchange
 	owner  uint64
 	ctx    context.Context
+	cancel context.CancelFunc
 	term   floor.Term
 
+	watcher watcher
+
 	mu   sync.Mutex
 	conn *backend.Conn
 	sent bool
-	gone bool
+	// reached is set once something of the present batch was sent.
+	reached bool
+	gone    bool
 	// canceled is set once a cancel request was sent, which may arrive late.
 	canceled bool
+	// again is set when the exchange takes another Begin.
+	again bool
 
 	// ran is set once a batch was sent in a transaction that has its key.
 	ran      bool
@@ -49,44 +57,22 @@
 }
 
 // Serve runs the transaction that a Begin opened. It returns when the
-// transaction has ended or the entry proxy is gone.
-func (h *Holder) Serve(ctx context.Context, b inner.Begin, x inner.Exchange) {
+// transaction has ended or the entry proxy is gone, and reports whether the
+// exchange takes another Begin; if not, it is closed.
+func (h *Holder) Serve(ctx context.Context, b inner.Begin, x inner.Exchange) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	t := &transaction{holder: h, begin: b, x: x, owner: h.owners.Add(1), ctx: ctx}
+	t := &transaction{holder: h, begin: b, x: x, owner: h.owners.Add(1), ctx: ctx, cancel: cancel}
 	h.enter(t)
 	defer h.leave(t)
-	batches := make(chan inner.Frame)
-	read := make(chan struct{})
-	go t.receive(batches, read, cancel)
-	t.run(batches)
+	t.run()
+	if t.again {
+		return true
+	}
 	cancel()
 	x.Close()
-	<-read
-}
-
-// receive passes batches on and acts on a cancel or the end of the stream even
-// while a statement runs.
-func (t *transaction) receive(batches chan<- inner.Frame, done chan<- struct{}, cancel context.CancelFunc) {
-	defer close(done)
-	defer close(batches)
-	for {
-		f, err := t.x.Receive()
-		if err != nil {
-			t.abort()
-			cancel()
-			return
-		}
-		if f.Kind == inner.KindCancel {
-			t.cancelRunning()
-			continue
-		}
-		select {
-		case batches <- f:
-		case <-t.ctx.Done():
-			return
-		}
-	}
+	t.endWatch()
+	return false
 }
 
 // abort closes the connection of an unfinished transaction; the server rolls it back.
@@ -112,27 +98,28 @@
 	_ = c.Cancel(ctx)
 }
 
-func (t *transaction) run(batches <-chan inner.Frame) {
-	for {
-		f, ok := t.next(batches)
+func (t *transaction) run() {
+	defer t.discard()
+	f, ok := t.first()
+	for ok {
 		var batch inner.Batch
-		if !ok || f.Kind != inner.KindBatch || inner.Decode(f, &batch) != nil {
-			break
+		if f.Kind != inner.KindBatch || inner.Decode(f, &batch) != nil {
+			return
 		}
-		if !t.batch(batch) {
-			break
+		ended := t.watchLater()
+		goesOn := t.batch(batch)
+		ended()
+		if !goesOn {
+			return
 		}
+		t.watch()
+		f, ok = t.next(t.watcher.batches)
 	}
-	t.discard()
 }
 
-// next waits for the next batch. A transaction that stays idle for too long is
-// rolled back, and its next batch is told so.
+// next waits for the next batch of an open transaction. One that stays idle for
+// too long is rolled back, and its next batch is told so.
 func (t *transaction) next(batches <-chan inner.Frame) (inner.Frame, bool) {
-	if t.conn == nil {
-		f, ok := <-batches
-		return f, ok
-	}
 	fired, stop := t.holder.options.Clock.AfterFunc(t.holder.options.Idle)
 	defer stop()
 	select {
@@ -160,6 +147,7 @@
 
 // batch runs one batch and reports whether the transaction goes on.
 func (t *transaction) batch(batch inner.Batch) bool {
+	t.reached = false
 	if t.keyed() && !t.sent {
 		if refusal := onceRefusal(batch); refusal != nil {
 			t.refuse(refusal)
@@ -191,7 +179,7 @@
 }
 
 func (t *transaction) refuse(e *outcome.NotRun) {
-	invariant.Check(!t.sent, invariant.NotRun, "a request that was sent would be refused as not run: %s", e.Detail)
+	invariant.Check(!t.reached, invariant.NotRun, "a request that was sent would be refused as not run: %s", e.Detail)
 	state, _ := t.holder.State()
 	_ = t.x.Send(inner.Encode(inner.KindRefuse, inner.Refuse{Reason: e.Reason, Code: e.Code, Detail: e.Detail, State: state}))
 }
@@ -199,6 +187,9 @@
 // admit waits for what the next batch needs: at first the state of the server,
 // a connection and a slot, later a slot alone.
 func (t *transaction) admit() *outcome.NotRun {
+	if c := t.tryConnection(); c != nil {
+		return t.pin(c)
+	}
 	ctx, cancel := context.WithTimeout(t.ctx, t.begin.Deadline.Duration())
 	defer cancel()
 	if t.conn != nil {
@@ -213,13 +204,41 @@
 			return refusal
 		}
 		c.Take(t.owner)
-		if c.Alive() {
+		if t.usable(c) {
 			return t.pin(c)
 		}
-		t.putBack(c, false)
 	}
 }
 
+// tryConnection returns a connection if the transaction need not wait for
+// anything.
+func (t *transaction) tryConnection() *backend.Conn {
+	b := t.begin
+	if t.conn != nil || b.Age > 0 && b.Kind == document.KindRead {
+		return nil
+	}
+	if refusal, _ := t.holder.check(b); refusal != nil {
+		return nil
+	}
+	if c := t.holder.admission.try(); c != nil {
+		c.Take(t.owner)
+		if t.usable(c) {
+			return c
+		}
+	}
+	return nil
+}
+
+// usable reports whether a connection can run the transaction. One that cannot
+// is closed.
+func (t *transaction) usable(c *backend.Conn) bool {
+	if t.awaitReset(c) == nil && c.Alive() {
+		return true
+	}
+	t.putBack(c, false)
+	return false
+}
+
 // putBack returns a connection and its slot before anything was sent.
 func (t *transaction) putBack(c *backend.Conn, reusable bool) {
 	c.Give(t.owner)
