Accept changes faster while VMs are replaced, and cut off what a lost VM left

Cause: with limits wired in, a rolling replacement refused 8 statements as over a rate of 100,000: limit owners waited for acceptance, which took the slow way each time, since VMs that had just started might have given their word before, and members off the platform's list counted for 4 s more. A killed VM's row locks lasted until a 10 s timeout of its connections.

Change: a VM whose name was in no member set when it started counts at once; a VM outside the set gives its word to nobody; a member counts as ended after 1 s off the list, which is sound as members are named one by one. Connections with a VM suspected for 2 s are closed. The restart test removes a stopped VM from its network, which had gone on answering.

--- a/internal/core/heartbeat/node.go
+++ b/internal/core/heartbeat/node.go
@@ -22,7 +22,7 @@
 	// Silent is how long a VM may miss beats or answers before it is suspected.
 	Silent clock.Millis = 1600
 	// Gone is how long a member must be off the platform's list to count as ended.
-	Gone clock.Millis = Valid
+	Gone = clock.Second
 	// Probing is the pause between two questions to the VMs that a node suspects.
 	Probing clock.Millis = 2000
 	// maxProbes is the number of VMs that are asked at once.
@@ -81,6 +81,9 @@
 	set     Set
 	newest  uint64
 	started clock.Millis
+	// fresh is set when the first set that the node saw did not have it, so that
+	// no VM of its name can have given its word lately.
+	fresh bool
 	// ticked is the moment of the last Tick, next that of the next beat.
 	ticked clock.Millis
 	next   clock.Millis
@@ -138,8 +141,10 @@
 // Parent returns the VM that relays for this one, or "" at a root.
 func (n Node) Parent() string { return n.parentOf }
 
-func (n Node) isMember(name string) bool {
-	return slices.ContainsFunc(n.set.Members, func(v member.VM) bool { return v.Name == name })
+func (n Node) isMember(name string) bool { return contains(n.set.Members, name) }
+
+func contains(set []member.VM, name string) bool {
+	return slices.ContainsFunc(set, func(v member.VM) bool { return v.Name == name })
 }
 
 // IsRoot reports whether the node is the root of its zone.
--- a/internal/core/heartbeat/receive.go
+++ b/internal/core/heartbeat/receive.go
@@ -59,6 +59,10 @@
 		From: n.self, Sent: b.Sent, Number: b.Sent, Newest: n.newest, Version: n.confirmed.version,
 		Age: now - n.confirmed.at, Accepted: n.accepted, List: n.list, Suspects: n.answerSuspects(b.From),
 	}
+	if !n.isMember(n.self) {
+		// Nobody counts what a VM outside the set answers for.
+		a.Version = 0
+	}
 	if b.Root {
 		a.Zone = n.subtree(now)
 		a.Suspects = n.localSuspects()
--- a/internal/core/heartbeat/settle.go
+++ b/internal/core/heartbeat/settle.go
@@ -22,9 +22,9 @@
 
 // answersForEarlier reports whether a VM that is no member, such as one that has
 // just started, may still act on an earlier version on the word of this node. A
-// node that has just started may have given its word before.
+// node that has just started under a member's name may have given its word before.
 func (n Node) answersForEarlier(now clock.Millis) bool {
-	if now-n.started < Valid+Drift {
+	if !n.fresh && now-n.started < Valid+Drift {
 		return true
 	}
 	for name, c := range n.children {
--- a/internal/core/heartbeat/with.go
+++ b/internal/core/heartbeat/with.go
@@ -14,6 +14,9 @@
 	if s.Version <= n.set.Version {
 		return n, nil
 	}
+	if n.set.Version == 0 {
+		n.fresh = !contains(s.Members, n.self) && !contains(s.Old, n.self)
+	}
 	n.set = s
 	n.newest = max(n.newest, s.Version)
 	n.majority = confirmation{version: s.Version, at: Never}
--- a/internal/serve/membership/membership_test.go
+++ b/internal/serve/membership/membership_test.go
@@ -98,6 +98,11 @@
 	w.stop[name] = func() {
 		cancel()
 		<-m.Done()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.parts[name] == m {
+			delete(w.parts, name)
+		}
 	}
 	t.Cleanup(w.stop[name])
 	return m
--- a/internal/serve/vm/watch.go
+++ b/internal/serve/vm/watch.go
@@ -9,6 +9,9 @@
 const (
 	// followInterval is the longest pause between two looks at what falls to this VM.
 	followInterval = clock.Second
+	// dropAfter is how long a VM is suspected before the connections with it are
+	// closed, so that what it left open is rolled back.
+	dropAfter = 2 * clock.Second
 	// beatTimeout bounds the delivery of a heartbeat in milliseconds.
 	beatTimeout = 400 * clock.Millis(1)
 )
@@ -24,12 +27,14 @@
 // follow starts and stops holders and observers, and cuts off callers whose key
 // has been withdrawn, after each change of members or configuration.
 func (v *VM) follow(ctx context.Context) {
+	suspected := map[string]clock.Millis{}
 	for ctx.Err() == nil {
 		if d := v.members.Latest(); d != nil {
 			v.entry.CutWithdrawn(d)
 		}
 		v.holders.update(ctx)
 		v.observers.update(ctx)
+		v.dropSuspects(suspected)
 		fired, stop := v.options.Clock.AfterFunc(followInterval)
 		select {
 		case <-ctx.Done():
@@ -51,3 +56,26 @@
 		_ = v.transport.Datagram(ctx, address, body)
 	}()
 }
+
+// dropSuspects closes the connections with VMs that have been suspected for long,
+// once for each suspicion; a dropped VM is kept in the map with moment 0.
+func (v *VM) dropSuspects(suspected map[string]clock.Millis) {
+	alive := map[string]bool{}
+	for _, m := range v.members.Alive() {
+		alive[m.Name] = true
+		delete(suspected, m.Name)
+	}
+	now := v.options.Clock.Now()
+	for _, m := range v.members.Listed() {
+		since, known := suspected[m.Name]
+		switch {
+		case alive[m.Name]:
+		case !known:
+			suspected[m.Name] = now
+		case since > 0 && now-since >= dropAfter:
+			suspected[m.Name] = 0
+			v.transport.Drop(m.Address)
+			v.transport.DropPeer(m.Name)
+		}
+	}
+}
