Look at a caller's key right before work is sent

Cause: the key was looked at before the exchange was opened and before the wait for the account's limit, which may take seconds; nothing in the program asserted the promise. Change: the look comes last, KeyWithdrawn is asserted at both places that send work, and a test breaks it on purpose. The two places that told a caller of an outcome are one. Measured: race tests of entry, invariant, system and try pass; TestBrokenKey sees the check fire.

--- a/internal/serve/entry/broken_test.go
+++ b/internal/serve/entry/broken_test.go
@@ -48,3 +48,12 @@
 	broken.Variant(t, invariant.PlannedStop, b.entry.cutAll)
 	b.note("release")
 }
+
+// TestBrokenKey sends work of an account long after its key was looked at.
+func TestBrokenKey(t *testing.T) {
+	b := newBench(t, nil)
+	b.dial(t)
+	s := b.entry.list()[0]
+	s.account, s.checked = "counter", b.entry.options.Clock.Now()-2*keyGrace
+	broken.Variant(t, invariant.KeyWithdrawn, func() { _ = s.goOn(&batch{}) })
+}
--- a/internal/serve/entry/dispatch.go
+++ b/internal/serve/entry/dispatch.go
@@ -50,6 +50,9 @@
 		if err := s.limit(ctx, b); err != nil {
 			return s.refuse(b, err)
 		}
+		if err := s.checkKey(ctx); err != nil {
+			return s.refuse(b, err)
+		}
 		return s.goOn(b)
 	}
 	r, err := s.request(d, b)
@@ -59,7 +62,12 @@
 	if err := s.limit(ctx, b); err != nil {
 		return s.refuse(b, err)
 	}
-	err = r.traced(ctx)
+	return s.conclude(b, r.traced(ctx))
+}
+
+// conclude tells the caller of an outcome that is an error. Other errors mean that
+// the caller is gone.
+func (s *session) conclude(b *batch, err error) error {
 	var refusal *outcome.NotRun
 	var unknown *outcome.Unknown
 	switch {
@@ -187,9 +195,6 @@
 // attempt runs the request on one server.
 func (r *request) attempt(ctx context.Context, server document.Server) error {
 	s := r.session
-	if err := s.checkKey(ctx); err != nil {
-		return err
-	}
 	x, err := s.entry.options.OpenFunc(ctx, server, s.account, r.weight)
 	if err != nil {
 		return outcome.Refuse(outcome.ReasonVM, outcome.CodeUnavailable, "%v", err)
@@ -198,12 +203,17 @@
 		x.Close()
 		return errTerminated
 	}
+	if err := s.checkKey(ctx); err != nil {
+		s.drop()
+		return err
+	}
 	s.entry.directory.wait(server.Name, 1)
 	defer s.entry.directory.wait(server.Name, -1)
 	begin := r.beginMessage(server)
 	invariant.Check(!server.Leaving, invariant.LeavingServer, "backend server %s is leaving and would get new work", server.Name)
 	invariant.Check(begin.Account == s.account && (s.account != route.Nobody || r.route.Open), invariant.OwnAccount,
 		"a request of %q would run for %q on route %q", s.account, begin.Account, r.route.Name)
+	s.assertKey()
 	if err := x.Send(inner.Encode(inner.KindBegin, begin)); err != nil {
 		s.drop()
 		return outcome.Refuse(outcome.ReasonVM, outcome.CodeUnavailable, "the holder of %s is gone: %v", server.Name, err)
--- a/internal/serve/entry/relay.go
+++ b/internal/serve/entry/relay.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 
-	"github.com/go-faster/errors"
-
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
@@ -18,6 +16,7 @@
 
 // goOn runs a batch in the open transaction.
 func (s *session) goOn(b *batch) error {
+	s.assertKey()
 	s.mu.Lock()
 	x := s.running
 	s.mu.Unlock()
@@ -28,16 +27,7 @@
 	if err := x.Send(inner.Encode(inner.KindBatch, b.out)); err != nil {
 		return s.unknown(b, &outcome.Unknown{Detail: "the holder of " + s.pinned + " was lost: " + err.Error()})
 	}
-	err := s.relay(*x, s.pinned, false)
-	var refusal *outcome.NotRun
-	var unknown *outcome.Unknown
-	switch {
-	case errors.As(err, &refusal):
-		return s.refuse(b, refusal)
-	case errors.As(err, &unknown):
-		return s.unknown(b, unknown)
-	}
-	return err
+	return s.conclude(b, s.relay(*x, s.pinned, false))
 }
 
 // relay passes the answer to a batch on to the caller. Other errors than
--- a/internal/serve/entry/session.go
+++ b/internal/serve/entry/session.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/route"
@@ -22,8 +23,10 @@
 	database string
 	account  string
 	key      string
-	process  uint32
-	secret   []byte
+	// checked is the moment at which the key was last found to work.
+	checked clock.Millis
+	process uint32
+	secret  []byte
 
 	hint       route.Hint
 	floor      floor.Mark
--- a/internal/serve/entry/stop.go
+++ b/internal/serve/entry/stop.go
@@ -50,11 +50,24 @@
 		return err
 	}
 	if s.authorized(d) {
+		s.checked = s.entry.options.Clock.Now()
 		return nil
 	}
 	return refuseWithdrawn(s.account)
 }
 
+// keyGrace is how old the look at a caller's key may be when work is sent, in
+// milliseconds.
+const keyGrace = clock.Second
+
+// assertKey reports work that is sent on a look at the key that is too old, as
+// after a pause of the VM.
+func (s *session) assertKey() {
+	age := s.entry.options.Clock.Now() - s.checked
+	invariant.Check(s.account == route.Nobody || age <= keyGrace, invariant.KeyWithdrawn,
+		"work of client account %s is sent %d ms after its key was looked at", s.account, age)
+}
+
 // CutWithdrawn ends the connections whose key is no longer in the configuration.
 // What they run is rolled back.
 func (e *Entry) CutWithdrawn(d *document.Document) {
