Replace a leaving primary, and keep one whose replicas are merely behind

Cause: observers ignored the mark, so writes to a primary marked as leaving ran into their deadlines; and they took the time since a replica was level for the time since it was in touch, so that replicas 3 s behind had a live primary replaced. Change: group_state tells the contact apart from the lag; a leaving primary is treated as lost while another may take over. Measured: TestLeavingPrimary and TestReplicasFarBehind pass; with the old reading of the lag the latter fails after 1.7 s with an unknown outcome.

--- a/internal/core/primary/observe.go
+++ b/internal/core/primary/observe.go
@@ -97,12 +97,31 @@
 		return 0
 	}
 	limit := o.patience(now)
+	if o.isLeaving(o.leader) && o.hasSuccessor(limit, now) {
+		return o.term
+	}
 	if now-max(o.views[o.leader].at, o.learned) > limit || !o.canCommit(limit, now) {
 		return o.term
 	}
 	return 0
 }
 
+func (o Observer) isLeaving(server string) bool { return slices.Contains(o.settings.Leaving, server) }
+
+// hasSuccessor reports whether a majority without the primary answers, of which
+// one stays.
+func (o Observer) hasSuccessor(limit, now clock.Millis) bool {
+	answering, staying := 0, false
+	for name, v := range o.views {
+		if name == o.leader || now-v.at > limit || v.state.Term != o.term {
+			continue
+		}
+		answering++
+		staying = staying || !o.isLeaving(name)
+	}
+	return staying && answering >= o.majority()
+}
+
 // canCommit reports whether a majority may be in touch with the primary. A
 // replica that does not answer is given the benefit of the doubt.
 func (o Observer) canCommit(limit, now clock.Millis) bool {
--- a/internal/core/primary/primary.go
+++ b/internal/core/primary/primary.go
@@ -43,7 +43,10 @@
 type Settings struct {
 	Database string
 	Servers  []string
-	Self     Voter
+	// Leaving names servers that are to be replaced; a primary among them is
+	// treated as lost while another server can take over.
+	Leaving []string
+	Self    Voter
 	// Nonce differs for each start of the process, so that a restarted observer
 	// never continues the claim of its predecessor.
 	Nonce string
--- a/internal/proto/backend/state.go
+++ b/internal/proto/backend/state.go
@@ -30,14 +30,17 @@
 	Last floor.Mark
 	// Applied is what reads see.
 	Applied floor.Mark
-	// Lag is the time since the server was last in touch with the primary, in milliseconds.
+	// Lag is the time since reads saw all that the primary had, in milliseconds.
 	Lag clock.Millis
+	// Contact is the time since the server was in touch with the primary, in
+	// milliseconds. A server may be in touch and yet far behind in what it applies.
+	Contact clock.Millis
 }
 
 // StateQuery asks for the state of a server.
 const StateQuery = "SELECT * FROM group_state()"
 
-const stateColumns = 8
+const stateColumns = 9
 
 // StateError reports an answer that is no state.
 type StateError struct{ Detail string }
@@ -48,11 +51,11 @@
 // ParseState reads the first row of an answer to StateQuery.
 func ParseState(rows [][]string) (State, error) {
 	if len(rows) == 0 || len(rows[0]) < stateColumns {
-		return State{}, &StateError{Detail: "no row of eight columns"}
+		return State{}, &StateError{Detail: "no row of nine columns"}
 	}
 	r := rows[0]
-	numbers := [6]uint64{}
-	for i, column := range []int{0, 3, 4, 5, 6, 7} {
+	numbers := [7]uint64{}
+	for i, column := range []int{0, 3, 4, 5, 6, 7, 8} {
 		n, err := strconv.ParseUint(r[column], 10, 63)
 		if err != nil {
 			return State{}, &StateError{Detail: fmt.Sprintf("column %d: %q is no number", column+1, r[column])}
@@ -63,6 +66,6 @@
 		Term: floor.Term(numbers[0]), Role: Role(r[1]), Leader: r[2],
 		Last:    floor.Mark{Term: floor.Term(numbers[1]), Position: floor.Position(numbers[2])},
 		Applied: floor.Mark{Term: floor.Term(numbers[3]), Position: floor.Position(numbers[4])},
-		Lag:     clock.Millis(numbers[5]),
+		Lag:     clock.Millis(numbers[5]), Contact: clock.Millis(numbers[6]),
 	}, nil
 }
--- a/internal/serve/primary/link.go
+++ b/internal/serve/primary/link.go
@@ -129,7 +129,7 @@
 		return
 	}
 	l.observer.send(ctx, primary.Event{Kind: primary.Answered, Server: l.server.Name, State: primary.State{
-		Term: s.Term, Role: primary.Role(s.Role), Leader: s.Leader, Last: s.Last, Lag: s.Lag,
+		Term: s.Term, Role: primary.Role(s.Role), Leader: s.Leader, Last: s.Last, Lag: s.Contact,
 	}})
 }
 
--- a/internal/serve/primary/primary.go
+++ b/internal/serve/primary/primary.go
@@ -60,6 +60,9 @@
 	v := &Observer{options: o, events: make(chan primary.Event), links: map[string]*link{}, done: make(chan struct{})}
 	for _, server := range o.Database.Servers {
 		s.Servers = append(s.Servers, server.Name)
+		if server.Leaving {
+			s.Leaving = append(s.Leaving, server.Name)
+		}
 		v.links[server.Name] = newLink(v, server)
 	}
 	first := primary.New(s)
--- a/internal/standin/backend/functions.go
+++ b/internal/standin/backend/functions.go
@@ -7,17 +7,18 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 )
 
-var stateColumns = []string{"term", "role", "leader", "logterm", "logposition", "term_applied", "position_applied", "lag"}
+var stateColumns = []string{"term", "role", "leader", "logterm", "logposition", "term_applied", "position_applied", "lag", "contact"}
 
 // groupState answers what the platform's function group_state answers.
 func (c *session) groupState([]string) (result, error) {
 	s := c.server
 	applied, last := s.appliedMark(), s.lastMark()
-	lag := s.group.options.Clock.Now() - s.level
+	now := s.group.options.Clock.Now()
+	lag, contact := now-s.level, now-s.touched
 	row := []string{
 		number(uint64(s.term)), string(s.role), s.leader,
 		number(uint64(last.Term)), number(uint64(last.Position)),
-		number(uint64(applied.Term)), number(uint64(applied.Position)), strconv.FormatInt(int64(lag), 10),
+		number(uint64(applied.Term)), number(uint64(applied.Position)), strconv.FormatInt(int64(lag), 10), strconv.FormatInt(int64(contact), 10),
 	}
 	return result{columns: stateColumns, rows: [][]string{row}, tag: "SELECT 1"}, nil
 }
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -36,6 +36,7 @@
 	log      []*record
 	applied  int
 	level    clock.Millis
+	touched  clock.Millis
 	rows     map[string]map[string]string
 	locks    map[[2]string]*session
 	advisory map[int64]*session
@@ -198,6 +199,9 @@
 
 // applyDue applies committed records in order once their lag has passed.
 func (s *Server) applyDue(now clock.Millis) {
+	if s.role == rolePrimary || s.group.leaderLinked(s) {
+		s.touched = now
+	}
 	for s.applied < len(s.log) {
 		r := s.log[s.applied]
 		if !r.committed {
--- a/internal/trial/system/server_test.go
+++ b/internal/trial/system/server_test.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -51,3 +52,55 @@
 		t.Errorf("a leaving server got %d statements after %v", n, grace)
 	}
 }
+
+// TestLeavingPrimary marks the primary as leaving under writes: another server
+// takes over, and no write is refused or lost.
+func TestLeavingPrimary(t *testing.T) {
+	s := start(t, func(o *Options) { o.Accounts[0].Rate, o.Accounts[0].Burst = 100_000, 100_000 })
+	conn := connect(t, s, 1, nil)
+	write := func(id string) {
+		t.Helper()
+		if _, err := conn.Exec(t.Context(), "INSERT INTO box (id, v) VALUES ($1, 'x') /*route='box'*/", id); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("before")
+	old := s.Groups["orders"].Primary()
+	text := strings.Replace(s.databasesSection(), "{name: "+old.Name()+",", "{name: "+old.Name()+", leaving: true,", 1)
+	if _, err := configuration.Apply(t.Context(), s.Store, configuration.Change{
+		Request: "leave", When: time.Now(), Base: s.VMs[0].Version(), Texts: map[string]string{document.SectionDatabases: text},
+	}); err != nil {
+		t.Fatal(err)
+	}
+	begin := time.Now()
+	for n := 0; s.Groups["orders"].Primary() == old; n++ {
+		if time.Since(begin) > 20*time.Second {
+			t.Fatal("the leaving primary was not replaced")
+		}
+		write("during" + strconv.Itoa(n))
+	}
+	write("after")
+	if got := s.Groups["orders"].Primary().Name(); got == old.Name() {
+		t.Errorf("%s is the primary again", got)
+	}
+}
+
+// TestReplicasFarBehind lets every replica apply 3 s late: the primary is in touch
+// with them and stays.
+func TestReplicasFarBehind(t *testing.T) {
+	s := start(t, func(o *Options) { o.Accounts[0].Rate, o.Accounts[0].Burst = 100_000, 100_000 })
+	g := s.Groups["orders"]
+	for _, v := range g.Servers() {
+		v.SetLag(3000)
+	}
+	conn, first := connect(t, s, 1, nil), g.Primary()
+	for n, begin := 0, time.Now(); time.Since(begin) < 4*time.Second; n++ {
+		if _, err := conn.Exec(t.Context(), "INSERT INTO box (id, v) VALUES ($1, 'x') /*route='box'*/", strconv.Itoa(n)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if p := g.Primary(); p != first {
+		t.Errorf("%s replaced %s, which was in touch with its replicas", p.Name(), first.Name())
+	}
+}
