Give the scripted server of the holder's tests the contact column

Cause: group_state has a ninth column since the contact is told apart from the lag, and the holder's scripted server answered with eight, so that the holder never served in twelve tests. Change: the fixture's row has the column; no check is touched.

--- a/internal/serve/holder/script_test.go
+++ b/internal/serve/holder/script_test.go
@@ -100,7 +100,7 @@
 	case strings.Contains(sql, "try_advisory"):
 		answers = []string{"D t", "C SELECT 1", "Z I"}
 	case strings.Contains(sql, backend.StateQuery):
-		answers = []string{"D 1 primary one 1 5 1 5 0", "C SELECT 1", "D 1", "C SELECT 1", "Z I"}
+		answers = []string{"D 1 primary one 1 5 1 5 0 0", "C SELECT 1", "D 1", "C SELECT 1", "Z I"}
 	default:
 		answers = []string{"C RESET", "Z I"}
 	}
