Share the oracle and the operator's edits between trials

Cause: the experiment tool needs what try already has: the oracle of a row, the worst served account, the gap at a change of primary, and edits. Measured: go test of internal/trial/oracle and internal/trial/try passed.

--- a/internal/trial/try/change.go
+++ b/internal/trial/try/change.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"sync"
-	"time"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
-	"github.com/sycamoredoor/sycamoredoor/internal/standin/backend"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/edit"
 )
 
 const (
@@ -23,9 +21,9 @@
 	}
 	g := t.system.Groups[database]
 	old := g.Primary()
-	t.gap.begin()
-	isolate(g, old, true)
-	defer isolate(g, old, false)
+	t.gap.Begin()
+	edit.Isolate(g, old, true)
+	defer edit.Isolate(g, old, false)
 	for g.Primary() == old {
 		if t.clock.Sleep(ctx, pollPause) != nil {
 			return
@@ -33,49 +31,3 @@
 	}
 	_ = t.clock.Sleep(ctx, healPause)
 }
-
-// isolate cuts a server off from its callers and from the rest of its group.
-func isolate(g *backend.Group, s *backend.Server, isolated bool) {
-	s.SetFrozen(isolated)
-	for _, o := range g.Servers() {
-		if o != s {
-			g.Cut(s.Name(), o.Name(), isolated)
-		}
-	}
-}
-
-// gap measures the longest time without an acknowledged write that ends after
-// the primary was taken away.
-type gap struct {
-	mu      sync.Mutex
-	begun   bool
-	last    time.Time
-	longest time.Duration
-}
-
-func (p *gap) begin() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.begun = true
-}
-
-func (p *gap) acknowledged() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	if p.begun && !p.last.IsZero() {
-		p.longest = max(p.longest, now.Sub(p.last))
-	}
-	p.last = now
-}
-
-// length returns the gap in milliseconds. A change of which no acknowledged write
-// saw the end counts as lasting until now.
-func (p *gap) length() clock.Millis {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.begun {
-		return 0
-	}
-	return clock.Of(max(p.longest, time.Since(p.last)))
-}
--- a/internal/trial/try/crowd.go
+++ b/internal/trial/try/crowd.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/oracle"
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/system"
 )
 
@@ -73,13 +74,13 @@
 	if ctx.Err() != nil {
 		return
 	}
-	claims := make([]claim, len(crowds))
+	claims := make([]oracle.Claim, len(crowds))
 	for i, c := range crowds {
-		claims[i] = claim{weight: float64(c.account.Weight), demand: c.demanded(length), served: float64(counts[i].Load())}
+		claims[i] = oracle.Claim{Weight: float64(c.account.Weight), Demand: c.demanded(length), Served: float64(counts[i].Load())}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.worst = worst(claims)
+	t.worst = oracle.Worst(claims)
 }
 
 // pace says when the account's next request is due.
@@ -106,17 +107,17 @@
 		t.fail(ctx, err)
 		return
 	}
-	row := expected{}
+	row := oracle.Row{}
 	for n := 0; c.next(asking, due); n++ {
 		v := strconv.Itoa(n)
-		if row = t.write(ctx, conn, id, v, row); row.last == v && asking.Err() == nil {
+		if row = t.write(ctx, conn, id, v, row); row.Last == v && asking.Err() == nil {
 			served.Add(1)
 		}
 		if conn.IsClosed() {
 			return
 		}
 	}
-	if row.last != "" {
+	if row.Last != "" {
 		t.read(ctx, conn, id, row)
 	}
 }
--- a/internal/trial/try/report.go
+++ b/internal/trial/try/report.go
@@ -52,7 +52,7 @@
 	r := Report{
 		Seed: t.options.Seed, Reads: t.reads.Load(), Writes: t.writes.Load(),
 		Wrong: t.wrong.Load(), Wrongful: t.refused.Load(), Errors: t.failures,
-		Unknown: t.unknown.Load(), FailoverGap: t.gap.length(),
+		Unknown: t.unknown.Load(), FailoverGap: t.gap.Length(),
 		WorstAccount: t.worst, ConfigLag: t.lags.config, KeyLag: t.lags.key,
 	}
 	var reads, replicas uint64
--- a/internal/trial/try/session.go
+++ b/internal/trial/try/session.go
@@ -11,6 +11,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/vm"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/oracle"
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/system"
 )
 
@@ -23,14 +24,14 @@
 	random := rand.New(rand.NewPCG(t.options.Seed, uint64(number)))
 	c := newCaller(t, counter, "member-"+strconv.Itoa(number))
 	defer c.close()
-	row := expected{}
+	row := oracle.Row{}
 	for n := 0; t.clock.Sleep(ctx, clock.Millis(random.Int64N(2*int64(thinkTime)))) == nil; n++ {
 		conn, err := c.connection(ctx, t.system.VMs[random.IntN(len(t.system.VMs))])
 		if err != nil {
 			t.fail(ctx, err)
 			continue
 		}
-		if row.last == "" || random.IntN(10) == 0 {
+		if row.Last == "" || random.IntN(10) == 0 {
 			row = t.write(ctx, conn, c.name, fmt.Sprintf("%d-%d", number, n), row)
 			continue
 		}
@@ -74,25 +75,25 @@
 	return conn, err
 }
 
-func (t *trial) write(ctx context.Context, c *pgx.Conn, id, v string, row expected) expected {
+func (t *trial) write(ctx context.Context, c *pgx.Conn, id, v string, row oracle.Row) oracle.Row {
 	_, err := c.Exec(ctx, "INSERT INTO box (id, v) VALUES ($1, $2) ON CONFLICT (id) DO UPDATE SET v = EXCLUDED.v /*route='box'*/", id, v)
-	if isUnknown(err) {
+	if oracle.IsUnknown(err) {
 		t.unknown.Add(1)
-		return row.withUnknown(v)
+		return row.WithUnknown(v)
 	}
 	if err != nil {
 		t.fail(ctx, err)
-		if !isAnswer(err) {
-			return row.withUnknown(v)
+		if !oracle.IsAnswer(err) {
+			return row.WithUnknown(v)
 		}
 		return row
 	}
 	t.writes.Add(1)
-	t.gap.acknowledged()
-	return expected{last: v}
+	t.gap.Acknowledged()
+	return oracle.Row{Last: v}
 }
 
-func (t *trial) read(ctx context.Context, c *pgx.Conn, id string, row expected) expected {
+func (t *trial) read(ctx context.Context, c *pgx.Conn, id string, row oracle.Row) oracle.Row {
 	var got string
 	err := c.QueryRow(ctx, "SELECT v FROM box WHERE id = $1 /*route='list'*/", id).Scan(&got)
 	if err != nil && !errors.Is(err, pgx.ErrNoRows) {
@@ -100,10 +101,10 @@
 		return row
 	}
 	t.reads.Add(1)
-	next, ok := row.withRead(got)
+	next, ok := row.WithRead(got)
 	if !ok {
 		t.wrong.Add(1)
-		t.note(fmt.Sprintf("session %s read %q after writing %q", id, got, row.last))
+		t.note(fmt.Sprintf("session %s read %q after writing %q", id, got, row.Last))
 	}
 	return next
 }
--- a/internal/trial/try/try.go
+++ b/internal/trial/try/try.go
@@ -15,6 +15,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/verifier"
 	"github.com/sycamoredoor/sycamoredoor/internal/standin/backend"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/oracle"
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/system"
 )
 
@@ -82,7 +83,7 @@
 	wrong    atomic.Int64
 	refused  atomic.Int64
 	unknown  atomic.Int64
-	gap      gap
+	gap      oracle.Gap
 	mu       sync.Mutex
 	lags     lags
 	worst    float64
