Run experiments with sycamorebench run

System gains KillVM. There are no plots and no baselines yet. Measured: go test ./internal/trial/experiment passed.

--- a/internal/command/bench/bench.go
+++ b/internal/command/bench/bench.go
@@ -20,6 +20,7 @@
 		"Measures what each role costs on this machine and writes the tables of the capacity page.", &capacityCommand{out: out}); err != nil {
 		panic(err)
 	}
+	AddRun(p, out, fault)
 	return shell.Run(p, arguments, out, fault)
 }
 
--- /dev/null
+++ b/internal/trial/experiment/experiment_test.go
@@ -0,0 +1,108 @@
+package experiment
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+)
+
+func read(t *testing.T, path string) []byte {
+	t.Helper()
+	b, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// TestTiny runs an experiment of three VMs and two seconds.
+func TestTiny(t *testing.T) {
+	defer invariant.Handle(func(n invariant.Name, detail string) { t.Errorf("%s: %s", n, detail) })()
+	f, err := Parse("tiny.yaml", read(t, "testdata/tiny.yaml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Run(t.Context(), f, Options{Seed: f.Seed, Length: f.Length, ProgressFunc: func(line string) { t.Log(line) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if broken := r.Broken(); len(broken) > 0 || r.Reads == 0 || r.Writes == 0 || r.Charges == 0 {
+		t.Errorf("broken: %q\n%+v", broken, r)
+	}
+}
+
+// TestExperiments reads the files of the repository.
+func TestExperiments(t *testing.T) {
+	paths, err := filepath.Glob("../../../experiments/*.yaml")
+	if err != nil || len(paths) == 0 {
+		t.Fatal(paths, err)
+	}
+	for _, p := range paths {
+		if _, err := Parse(p, read(t, p)); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// TestMistakes checks what a writer of a file is told.
+func TestMistakes(t *testing.T) {
+	var cases []struct {
+		Replace string
+		By      string
+		Want    string
+	}
+	if err := yaml.Unmarshal(read(t, "testdata/mistakes.yaml"), &cases); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		source := read(t, "testdata/tiny.yaml")
+		text := strings.Replace(string(source), c.Replace, c.By, 1)
+		_, err := Parse("tiny.yaml", []byte(text))
+		got := ""
+		if err != nil {
+			got = err.Error()
+		}
+		if diff := cmp.Diff(c.Want, got); diff != "" {
+			t.Errorf("%s by %s (-want +got):\n%s", c.Replace, c.By, diff)
+		}
+	}
+}
+
+// TestJudge tells how a request came out by its error.
+func TestJudge(t *testing.T) {
+	r := &run{fleet: newFleet(nil)}
+	calm, greedy := Account{Rate: 10, Wanted: 9}, Account{Rate: 10, Wanted: 11}
+	cases := []struct {
+		account Account
+		code    string
+		want    ending
+	}{
+		{calm, outcome.CodeUnknown, unknown},
+		{calm, outcome.CodeShutdown, moved},
+		{calm, outcome.CodeLimit, refused},
+		{greedy, outcome.CodeLimit, limited},
+		{greedy, outcome.CodeUnavailable, refused},
+	}
+	for _, c := range cases {
+		if got := r.judge(c.account, nil, &pgconn.PgError{Code: c.code}); got != c.want {
+			t.Errorf("%s: %s, want %s", c.code, got, c.want)
+		}
+	}
+}
+
+// TestCharged refuses a charge that is lost or there twice.
+func TestCharged(t *testing.T) {
+	for text, want := range map[string]bool{"": false, "2": false, "3": true, "4": true, "5": false} {
+		if got := charged(text, 3, 1); got != want {
+			t.Errorf("tally %q: %v, want %v", text, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/trial/experiment/file.go
@@ -0,0 +1,101 @@
+// Package experiment runs an installation on stand-ins under the load and the
+// faults that a file describes, checks every answer and measures.
+package experiment
+
+import (
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/strict"
+)
+
+// Zone is an availability zone.
+type Zone struct {
+	Name   member.Zone `yaml:"name" validate:"required"`
+	Region string      `yaml:"region" validate:"required"`
+}
+
+// Servers sizes the backend servers; each database has three.
+type Servers struct {
+	Slots       int `yaml:"slots" validate:"min=1,max=1000" unit:"statements"`
+	Connections int `yaml:"connections" validate:"min=2,max=10000" unit:"connections"`
+	// Connect is how long opening a connection takes in milliseconds.
+	Connect clock.Millis `yaml:"connect" validate:"min=0,max=10000" unit:"ms"`
+	// Lag is how long a replica waits before it applies a record, in milliseconds.
+	Lag clock.Millis `yaml:"lag" validate:"min=0,max=60000" unit:"ms"`
+	// Work is how long a statement keeps its slot, in microseconds.
+	Work int64 `yaml:"work" validate:"min=0,max=10000000" unit:"µs"`
+}
+
+// Window is a part of the run in which an account asks for more.
+type Window struct {
+	// From and Until are percent of the length.
+	From  int64 `yaml:"from" validate:"min=0,max=100" unit:"%"`
+	Until int64 `yaml:"until" validate:"min=1,max=100" unit:"%"`
+	// Factor multiplies the account's load.
+	Factor float64 `yaml:"factor" validate:"gt=0,max=100"`
+}
+
+// Account is a client account and its load.
+type Account struct {
+	Name     string `yaml:"name" validate:"required,excludes=/"`
+	Database string `yaml:"database" validate:"required"`
+	// Rate, Burst and Weight are those of the configuration.
+	Rate   float64 `yaml:"rate" validate:"gt=0,max=100000" unit:"statements per second"`
+	Burst  float64 `yaml:"burst" validate:"min=1,max=100000" unit:"statements"`
+	Weight int     `yaml:"weight" default:"1" validate:"min=1,max=1000"`
+	// Wanted is the load outside the windows.
+	Wanted float64 `yaml:"wanted" validate:"gt=0,max=10000" unit:"statements per second"`
+	// Reads is the share of reads; a fifth of the others are charges, which must
+	// not be repeated.
+	Reads float64 `yaml:"reads" validate:"min=0,max=1"`
+	// Sessions is the number of named sessions, each of which roams between the VMs.
+	Sessions int      `yaml:"sessions" validate:"min=1,max=1000" unit:"sessions"`
+	Windows  []Window `yaml:"windows" validate:"dive"`
+}
+
+// Fault is something that happens during the run.
+type Fault struct {
+	// At is in percent of the length.
+	At int64 `yaml:"at" validate:"min=0,max=100" unit:"%"`
+	// Kind names one of the functions of faults.
+	Kind string `yaml:"kind" validate:"required,oneof=isolate down storedown storelossy stop kill replace withdraw edit"`
+	// Database is needed for isolate and down.
+	Database string `yaml:"database" validate:"required_if=Kind isolate,required_if=Kind down"`
+	// VM is needed for stop, kill and replace.
+	VM string `yaml:"vm" validate:"required_if=Kind stop,required_if=Kind kill,required_if=Kind replace"`
+	// For is how long a fault of the store or a server stays, in milliseconds.
+	For clock.Millis `yaml:"for" default:"500" validate:"min=1,max=600000" unit:"ms"`
+	// Answers is the number of answers that a lossy store loses.
+	Answers int `yaml:"answers" default:"10" validate:"min=1,max=10000" unit:"answers"`
+}
+
+// File is an experiment.
+type File struct {
+	Seed uint64 `yaml:"seed"`
+	// Length is how long the load runs, Short how long with --short, in milliseconds.
+	Length clock.Millis `yaml:"length" validate:"min=1000,max=3600000" unit:"ms"`
+	Short  clock.Millis `yaml:"short" validate:"min=1000,max=3600000" unit:"ms"`
+	// Replicas is the least share of the reads that replicas must serve.
+	Replicas float64 `yaml:"replicas" default:"0.9" validate:"min=0,max=1"`
+	Zones    []Zone  `yaml:"zones" validate:"min=3,max=20,dive"`
+	// VMs is the number in each zone.
+	VMs       int       `yaml:"vms" validate:"min=1,max=20" unit:"VMs"`
+	Databases []string  `yaml:"databases" validate:"min=1,max=20,dive,required"`
+	Servers   Servers   `yaml:"servers"`
+	Accounts  []Account `yaml:"accounts" validate:"min=1,max=100,dive"`
+	Faults    []Fault   `yaml:"faults" validate:"max=100,dive"`
+}
+
+// Parse reads an experiment. It returns a *strict.Error for every mistake of the
+// writer.
+func Parse(name string, source []byte) (File, error) {
+	var f File
+	t, err := strict.Parse(name, source)
+	if err != nil {
+		return f, err
+	}
+	if err := t.Decode(&f); err != nil {
+		return f, err
+	}
+	return f, f.check(t)
+}
--- a/internal/trial/system/system.go
+++ b/internal/trial/system/system.go
@@ -213,6 +213,13 @@
 // StopVM ends a VM at once; the platform's list still names it.
 func (s *System) StopVM(name string) { s.stops[name]() }
 
+// KillVM ends a VM at once, as a crash does; the platform soon lists it no more.
+func (s *System) KillVM(name string) {
+	s.StopVM(name)
+	s.VMs = slices.DeleteFunc(slices.Clone(s.VMs), func(v *vm.VM) bool { return v.Self().Name == name })
+	s.Platform.RemoveVM(name)
+}
+
 // LeaveVM takes a VM out of service as planned: the platform lists it as leaving,
 // it drains and stops, and then it is off the list.
 func (s *System) LeaveVM(ctx context.Context, name string) error {
