Count exactly what an account may ask for in a rush

Cause: the entitlement of an account over its rate assumed a full burst at the start of the rush, which an account near its rate does not have, so that it was overstated. Change: a token bucket over the arrivals says which of them are allowed. Measured: go test -race of internal/trial/experiment and internal/command/bench passed.

--- a/internal/trial/experiment/experiment_test.go
+++ b/internal/trial/experiment/experiment_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/goccy/go-yaml"
 	"github.com/google/go-cmp/cmp"
@@ -106,3 +107,17 @@
 		}
 	}
 }
+
+// TestAllowance lets the burst pass at once and then the rate.
+func TestAllowance(t *testing.T) {
+	a := allowance{rate: 10, burst: 2, tokens: 2}
+	begin := time.Unix(1, 0)
+	var got []bool
+	for _, ms := range []time.Duration{0, 0, 0, 50, 110, 120, 1000, 1000, 1000} {
+		got = append(got, a.take(begin.Add(ms*time.Millisecond)))
+	}
+	want := []bool{true, true, false, false, true, false, true, true, false}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("allowed (-want +got):\n%s", diff)
+	}
+}
--- a/internal/trial/experiment/load.go
+++ b/internal/trial/experiment/load.go
@@ -48,15 +48,17 @@
 	dropped int64
 	// recent is the highest latency since the last look.
 	recent time.Duration
-	// offered and served are of the rush only.
-	offered float64
+	// allowance says which arrivals are within the rate and burst.
+	allowance allowance
+	// allowed and served are of the rush only.
+	allowed float64
 	served  float64
 }
 
 func newLoad(r *run, a Account) *load {
 	return &load{
 		run: r, account: a, due: make(chan arrival, maxDue), endings: map[ending]int64{},
-		latency: hdrhistogram.New(1, maxLatency, digits),
+		latency: hdrhistogram.New(1, maxLatency, digits), allowance: allowance{rate: a.Rate, burst: a.Burst, tokens: a.Burst},
 	}
 }
 
@@ -81,8 +83,8 @@
 func (l *load) arrive(a arrival) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if a.rush {
-		l.offered++
+	if l.allowance.take(a.at) && a.rush {
+		l.allowed++
 	}
 	select {
 	case l.due <- a:
@@ -142,22 +144,9 @@
 	return d
 }
 
-// claim is what the account asked for and got during the rush. It may not ask
-// for more than its rate and burst.
+// claim is what the account was allowed to ask for, and got, during the rush.
 func (l *load) claim() oracle.Claim {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	most := l.account.Rate*l.run.file.rushSeconds(l.run.length) + l.account.Burst
-	return oracle.Claim{Weight: float64(l.account.Weight), Demand: min(l.offered, most), Served: l.served}
-}
-
-// rushSeconds is how long some account asks for a multiple, in seconds.
-func (f File) rushSeconds(length clock.Millis) float64 {
-	percents := 0
-	for p := range int64(100) {
-		if f.rush(p) {
-			percents++
-		}
-	}
-	return float64(percents) / 100 * length.Duration().Seconds()
+	return oracle.Claim{Weight: float64(l.account.Weight), Demand: l.allowed, Served: l.served}
 }
