Wait for a change of configuration before a limit is refused

Cause: a rolling replacement had one statement of a transaction refused: in the moment in which a VM takes up a revision it may act on none, and the limiter refused at once where the entry waits. Change: the limiter waits up to 2 s too.

--- a/internal/serve/limit/holding.go
+++ b/internal/serve/limit/holding.go
@@ -8,6 +8,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/limit"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 )
 
 // idle is how long an account without statements keeps a part, in milliseconds.
@@ -39,7 +40,7 @@
 // for a token while the account may be due one. An account without a limit in
 // the configuration has none.
 func (l *Limiter) Take(ctx context.Context, account string) error {
-	d := l.options.DocumentFunc()
+	d := l.document(ctx)
 	if d == nil {
 		return refuseNow()
 	}
@@ -66,6 +67,26 @@
 	return nil
 }
 
+const (
+	// confirmWait is how long a statement waits while the VM may not act, as in the
+	// moment in which it takes up a change of configuration.
+	confirmWait = 2 * clock.Second
+	// confirmPause is the pause between two looks.
+	confirmPause = 5 * clock.Millis(1)
+)
+
+// document returns the configuration that the VM may act on, or nil when it may
+// act on none for confirmWait.
+func (l *Limiter) document(ctx context.Context) *document.Document {
+	deadline := l.options.Clock.Now() + confirmWait
+	for {
+		d := l.options.DocumentFunc()
+		if d != nil || l.options.Clock.Now() >= deadline || l.options.Clock.Sleep(ctx, confirmPause) != nil {
+			return d
+		}
+	}
+}
+
 func refuse(account string, rate float64) error {
 	return outcome.Refuse(outcome.ReasonLimit, outcome.CodeLimit, "account %s is over its rate of %g statements per second", account, rate)
 }
