--- a/internal/serve/vm/sections.go
+++ b/internal/serve/vm/sections.go
@@ -72,14 +72,23 @@
 	return nil, err
 }
 
-func (v *VM) getSection(w http.ResponseWriter, r *http.Request) {
+// readable returns the last document if the request comes from one of its
+// operators, and otherwise answers why not.
+func (v *VM) readable(w http.ResponseWriter, r *http.Request) (*document.Document, bool) {
 	d, err := v.latest(r)
+	if err == nil {
+		_, err = v.identify(r, d)
+	}
 	if err != nil {
 		refuse(w, err)
-		return
+		return nil, false
 	}
-	if _, err := v.identify(r, d); err != nil {
-		refuse(w, err)
+	return d, true
+}
+
+func (v *VM) getSection(w http.ResponseWriter, r *http.Request) {
+	d, ok := v.readable(w, r)
+	if !ok {
 		return
 	}
 	name := r.PathValue("name")
@@ -130,13 +139,7 @@
 }
 
 func (v *VM) getHistory(w http.ResponseWriter, r *http.Request) {
-	d, err := v.latest(r)
-	if err != nil {
-		refuse(w, err)
-		return
-	}
-	if _, err := v.identify(r, d); err != nil {
-		refuse(w, err)
+	if _, ok := v.readable(w, r); !ok {
 		return
 	}
 	limit := historyLimit
