--- a/cmd/sycamoredoor/main.go
+++ b/cmd/sycamoredoor/main.go
@@ -6,6 +6,13 @@
 	"os"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/command/daemon"
+	"github.com/sycamoredoor/sycamoredoor/platform"
 )
 
-func main() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr, daemon.Command{
+		Name: "frontend", Short: "Run the proxy on the platform",
+		Long:   "Runs the proxy of one VM of the users' platform, with the settings file that the environment names.",
+		Runner: &platform.Command{Out: os.Stdout},
+	}))
+}
--- a/internal/command/daemon/daemon.go
+++ b/internal/command/daemon/daemon.go
@@ -10,8 +10,15 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/command/shell"
 )
 
-// Main runs the program and returns its exit code.
-func Main(arguments []string, out, fault io.Writer) int {
+// Command is one more command of the program.
+type Command struct {
+	Name, Short, Long string
+	// Runner implements flags.Commander.
+	Runner any
+}
+
+// Main runs the program, with more commands than its own, and returns its exit code.
+func Main(arguments []string, out, fault io.Writer, more ...Command) int {
 	p := flags.NewNamedParser("sycamoredoor", flags.None)
 	p.LongDescription = "A database proxy with session consistency."
 	add := func(name, short, long string, command any) {
@@ -23,6 +30,9 @@
 	add("try", "Run a trial on stand-ins", "Runs a whole installation in this process on stand-ins, with a short load, and checks every answer.", &tryCommand{out: out})
 	add("standin", "Run stand-ins for serve", "Runs stand-ins of the platform and of one database group, and writes settings and keys for VMs that are started by hand with serve.", &standinCommand{out: out})
 	add("version", "Print the version", "Prints the version.", &versionCommand{out: out})
+	for _, c := range more {
+		add(c.Name, c.Short, c.Long, c.Runner)
+	}
 	return shell.Run(p, arguments, out, fault)
 }
 
--- /dev/null
+++ b/internal/core/choice/cheapest.go
@@ -0,0 +1,91 @@
+package choice
+
+import (
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+)
+
+// Candidate is a backend server that a VM has connections to itself.
+type Candidate struct {
+	Name    string
+	Zone    member.Zone
+	Region  string
+	Primary bool
+	Leaving bool
+	// Avoided is set after a failure.
+	Avoided bool
+	// Applied is the latest state that it was seen at.
+	Applied floor.Mark
+	// Latency is a moving mean of its answers in milliseconds, and Waiting the
+	// requests of this VM that it has not answered.
+	Latency float64
+	Waiting int
+	Slots   int
+}
+
+// Need is what a read asks of a server.
+type Need struct {
+	Floor  floor.Mark
+	Zone   member.Zone
+	Region string
+	Tried  map[string]bool
+}
+
+// Costs in milliseconds that are added to the expected time of an answer, so
+// that dear ways are taken only when they save more than that.
+const (
+	// costPrimary keeps the primary free for what only it can serve.
+	costPrimary = 12.0
+	// costZone and costRegion stand for bytes that leave the zone or the region.
+	costZone   = 6.0
+	costRegion = 25.0
+	// costBehind is what an attempt costs that a replica behind the floor refuses.
+	costBehind = 60.0
+	// costAvoided keeps work away from a server that failed, while another is left.
+	costAvoided = 5000.0
+)
+
+// Cheapest returns the name of the server that should answer a read soonest at
+// the least cost, or "" when none is left. It answers loads in which slots are
+// few: work goes to the server with the shortest queue, as this VM knows it.
+func Cheapest(servers []Candidate, n Need) string {
+	best, least := "", 0.0
+	for _, s := range servers {
+		if s.Leaving || n.Tried[s.Name] {
+			continue
+		}
+		if c := n.cost(s); best == "" || c < least || c == least && s.Name < best {
+			best, least = s.Name, c
+		}
+	}
+	return best
+}
+
+func (n Need) cost(s Candidate) float64 {
+	c := s.Latency * (1 + float64(s.Waiting)/float64(max(s.Slots, 1)))
+	switch {
+	case s.Region != n.Region:
+		c += costRegion
+	case s.Zone != n.Zone:
+		c += costZone
+	}
+	if s.Primary {
+		c += costPrimary
+	} else if !s.Applied.Covers(n.Floor) {
+		c += costBehind
+	}
+	if s.Avoided {
+		c += costAvoided
+	}
+	return c
+}
+
+// Decayed returns a moving mean of latencies after a time without any, so that a
+// server that was slow is tried again. The lengths are in milliseconds.
+func Decayed(latency float64, idle clock.Millis) float64 {
+	return latency * float64(latencyMemory) / float64(latencyMemory+max(idle, 0))
+}
+
+// latencyMemory is the time in which a latency without news counts half.
+const latencyMemory = clock.Second
--- /dev/null
+++ b/internal/core/tenure/watch.go
@@ -0,0 +1,254 @@
+// Package tenure decides, at one VM, whether the primary that it knows of a
+// database group may still be used, and how far the log of the group had come at
+// a moment, so that reads are as fresh as they must be.
+//
+// A VM uses a primary only while it has a proof younger than Lease that the
+// group had not begun to seal a later term. A claimant promotes another server
+// only Lease and Drift after the last seal. So no VM reads from or writes to a
+// primary of a term once a later one has acknowledged anything, whichever VMs,
+// servers and stores it can reach.
+package tenure
+
+import (
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
+)
+
+const (
+	// Lease is how long a proof lets a VM use a primary, in milliseconds.
+	Lease = clock.Millis(1000)
+	// Drift covers clocks that run apart during a lease, in milliseconds.
+	Drift = clock.Millis(50)
+	// Renew is the age of a proof from which a VM asks for another, in milliseconds.
+	Renew = clock.Millis(400)
+	// spacing is the least distance of two samples, in milliseconds.
+	spacing = clock.Millis(40)
+	// kept is the number of samples.
+	kept = 80
+	// Never is a moment before every other.
+	Never = clock.Millis(-1 << 40)
+)
+
+// sample says that the log had reached mark in a moment not before at.
+type sample struct {
+	at   clock.Millis
+	mark floor.Mark
+}
+
+// Watch is what one VM knows of a database group. It is never changed.
+type Watch struct {
+	synced int
+	term   floor.Term
+	leader string
+	// proved is the moment up to which no later term had been sealed for certain.
+	proved clock.Millis
+	// asked is the moment of the last question that the leader answered as primary.
+	asked clock.Millis
+	// free holds, by replica, the moment of the last question that it answered unsealed.
+	free map[string]clock.Millis
+	// samples are in order of their moments, and end with the newest.
+	samples []sample
+	// sealed is the highest term that a server was seen sealed for.
+	sealed floor.Term
+	// sealedAt is the moment at which sealed rose.
+	sealedAt clock.Millis
+}
+
+// New returns a watch that knows nothing of a group whose commits are on the
+// primary and as many replicas.
+func New(synced int) Watch {
+	return Watch{synced: max(synced, 1), proved: Never, asked: Never, free: map[string]clock.Millis{}}
+}
+
+// Leader returns the newest term known and its primary, or "" while none is known.
+func (w Watch) Leader() (floor.Term, string) { return w.term, w.leader }
+
+// Proved returns the moment up to which the leader was the primary for certain.
+func (w Watch) Proved() clock.Millis { return w.proved }
+
+// May reports whether the leader may be used at a moment.
+func (w Watch) May(now clock.Millis) bool {
+	return w.leader != "" && now < w.proved+Lease
+}
+
+// Stale reports whether the leader should be asked again.
+func (w Watch) Stale(now clock.Millis) bool { return w.leader == "" || now >= w.proved+Renew }
+
+// Sealed returns the highest term that a server is known to be sealed for above
+// that of the leader, or 0, and since when.
+func (w Watch) Sealed() (floor.Term, clock.Millis) {
+	if w.sealed > w.term {
+		return w.sealed, w.sealedAt
+	}
+	return 0, 0
+}
+
+// Floor returns a mark that covers every commit acknowledged before the moment
+// since, and false when none is known. It is the lowest of those that do. What
+// the leader said while it was not proved to lead counts for nothing.
+func (w Watch) Floor(since clock.Millis) (floor.Mark, bool) {
+	for _, s := range w.samples {
+		if s.at >= since && s.at < w.proved+Lease {
+			return s.mark, true
+		}
+	}
+	return floor.Mark{}, false
+}
+
+// Latest returns the newest mark known of the leader's term, which covers every
+// commit of earlier terms that was acknowledged, and false when none is known.
+func (w Watch) Latest() (floor.Mark, bool) {
+	if len(w.samples) == 0 {
+		return floor.Mark{}, false
+	}
+	return w.samples[len(w.samples)-1].mark, true
+}
+
+// Raise returns the floor for a read that must see mark too. A mark of an
+// earlier term says only that a commit of then is to be seen; every position of
+// the present term covers it.
+func (w Watch) Raise(f, mark floor.Mark) (floor.Mark, bool) {
+	if mark.IsZero() || f.Covers(mark) {
+		return f, true
+	}
+	if mark.Term < w.term {
+		latest, ok := w.Latest()
+		return latest.Max(f), ok
+	}
+	return mark, true
+}
+
+// WithTerm takes in that a term is in force, and its primary if that is known.
+func (w Watch) WithTerm(term floor.Term, leader string) Watch {
+	if term < w.term || term == w.term && (leader == "" || leader == w.leader) {
+		return w
+	}
+	if term > w.term {
+		w.samples, w.free = nil, map[string]clock.Millis{}
+	}
+	w.term, w.leader = term, leader
+	w.proved, w.asked = Never, Never
+	return w
+}
+
+// WithTenure takes in the answer of a server to a question about its tenure that
+// was sent at a moment.
+func (w Watch) WithTenure(server string, t statement.Tenure, sent, now clock.Millis) Watch {
+	if t.Sealed > w.sealed {
+		w.sealed, w.sealedAt = t.Sealed, now
+	}
+	if t.Primary {
+		w = w.WithTerm(t.Term, server)
+	} else {
+		w = w.WithTerm(t.Term, "")
+	}
+	if t.Term != w.term || t.Sealed > t.Term {
+		return w
+	}
+	switch {
+	case t.Primary && server == w.leader:
+		w.asked = max(w.asked, sent)
+		w = w.withSample(sent, t.Received)
+	case !t.Primary && server == w.leader:
+		return w.withoutLeader()
+	case !t.Primary:
+		w.free = cloned(w.free)
+		w.free[server] = max(w.moment(server), sent)
+	}
+	return w.settle()
+}
+
+// withoutLeader forgets a leader that says that it leads no more.
+func (w Watch) withoutLeader() Watch {
+	w.leader, w.proved, w.asked = "", Never, Never
+	return w
+}
+
+func (w Watch) moment(server string) clock.Millis {
+	if at, ok := w.free[server]; ok {
+		return at
+	}
+	return Never
+}
+
+// settle finds the proof that the answers to questions give: the primary and as
+// many replicas as a commit needs have answered unsealed.
+func (w Watch) settle() Watch {
+	for server := range w.free {
+		at := w.free[server]
+		with := 0
+		for _, other := range w.free {
+			if other >= at {
+				with++
+			}
+		}
+		if with >= w.synced {
+			w.proved = max(w.proved, min(at, w.asked))
+		}
+	}
+	return w
+}
+
+// WithMark takes in the end of a server's log, as it came with an answer to a
+// statement that was sent at a moment.
+func (w Watch) WithMark(server string, m floor.Mark, sent clock.Millis) Watch {
+	if m.IsZero() || m.Term < w.term {
+		return w
+	}
+	if m.Term > w.term {
+		return w.WithTerm(m.Term, "")
+	}
+	if server == w.leader {
+		return w.withSample(sent, m)
+	}
+	return w.withProgress(m)
+}
+
+// WithCommit takes in that the leader acknowledged a write that was sent at a
+// moment, which a sealed group cannot do.
+func (w Watch) WithCommit(server string, m floor.Mark, sent clock.Millis) Watch {
+	if server == w.leader && m.Term == w.term {
+		w.proved = max(w.proved, sent)
+		return w.withSample(sent, m)
+	}
+	return w.WithMark(server, m, sent)
+}
+
+// withProgress takes in that a replica has an entry which the leader did not
+// have at the moment of a sample: a server receives nothing once it is sealed.
+// With more than one synchronous replica one of them proves too little.
+func (w Watch) withProgress(m floor.Mark) Watch {
+	if w.synced > 1 {
+		return w
+	}
+	for i := len(w.samples) - 1; i >= 0; i-- {
+		if s := w.samples[i]; s.mark.Position < m.Position {
+			w.proved = max(w.proved, s.at)
+			return w
+		}
+	}
+	return w
+}
+
+func (w Watch) withSample(at clock.Millis, m floor.Mark) Watch {
+	n := len(w.samples)
+	if n > 0 && at < w.samples[n-1].at+spacing {
+		return w
+	}
+	first := 0
+	if n >= kept {
+		first = n - kept + 1
+	}
+	// A full slice expression, so that no two watches share what is appended.
+	w.samples = append(w.samples[first:n:n], sample{at: at, mark: m})
+	return w
+}
+
+func cloned(m map[string]clock.Millis) map[string]clock.Millis {
+	out := make(map[string]clock.Millis, len(m)+1)
+	for k, v := range m {
+		out[k] = v
+	}
+	return out
+}
--- /dev/null
+++ b/internal/serve/database/group.go
@@ -0,0 +1,290 @@
+package database
+
+import (
+	"context"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/choice"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
+)
+
+// Counters are those of all groups of a VM.
+type Counters struct {
+	connections *metrics.Counter
+	probes      *metrics.Counter
+	leaders     *metrics.Counter
+}
+
+// NewCounters registers the counters.
+func NewCounters() Counters {
+	return Counters{
+		connections: metrics.GetOrCreateCounter("sycamoredoor_server_connections_total"),
+		probes:      metrics.GetOrCreateCounter("sycamoredoor_server_probes_total"),
+		leaders:     metrics.GetOrCreateCounter("sycamoredoor_primary_changes_total"),
+	}
+}
+
+// Options makes a group.
+type Options struct {
+	Name     string
+	Zone     member.Zone
+	Region   string
+	Clock    clock.Clock
+	Log      *log.Logger
+	Protocol Protocol
+	Counters Counters
+	// Synced is the number of replicas that have a commit before it is acknowledged.
+	Synced int
+	// ShareFunc returns the connections that this VM may have to one server.
+	ShareFunc func() int
+}
+
+// Group is a database group as one VM serves it.
+type Group struct {
+	options Options
+
+	mu    sync.Mutex
+	watch tenure.Watch
+	pools map[string]*pool
+	// marks and seen are the latest state of each server and its moment.
+	marks map[string]floor.Mark
+	// changed is closed and replaced when the leader or its proof changed.
+	changed chan struct{}
+	// leader is what was logged last.
+	leader string
+	// probing holds the servers that are being asked.
+	probing map[string]clock.Millis
+}
+
+// NewGroup returns a group without servers.
+func NewGroup(o Options) *Group {
+	return &Group{
+		options: o, watch: tenure.New(o.Synced), pools: map[string]*pool{}, marks: map[string]floor.Mark{},
+		changed: make(chan struct{}), probing: map[string]clock.Millis{},
+	}
+}
+
+func (g *Group) share() int { return max(g.options.ShareFunc(), 1) }
+
+// Update takes in the servers that the directory lists for the group.
+func (g *Group) Update(servers []Server) {
+	listed := map[string]bool{}
+	g.mu.Lock()
+	var closing []*pool
+	for _, s := range servers {
+		listed[s.ID] = true
+		p := g.pools[s.ID]
+		if p != nil && (p.server.Address != s.Address || p.server.Born != s.Born) {
+			closing = append(closing, p)
+			p = nil
+		}
+		if p == nil {
+			g.pools[s.ID] = newPool(g, s)
+			g.options.Log.Info("backend server listed", "group", g.options.Name, "server", s.ID, "zone", s.Zone, "leaving", s.Leaving)
+			continue
+		}
+		if p.server.Leaving != s.Leaving {
+			g.options.Log.Info("backend server changed", "group", g.options.Name, "server", s.ID, "leaving", s.Leaving)
+		}
+		p.mu.Lock()
+		p.server = s
+		p.mu.Unlock()
+	}
+	for id, p := range g.pools {
+		if !listed[id] {
+			delete(g.pools, id)
+			delete(g.marks, id)
+			closing = append(closing, p)
+			g.options.Log.Info("backend server gone", "group", g.options.Name, "server", id)
+		}
+	}
+	g.mu.Unlock()
+	for _, p := range closing {
+		p.close()
+	}
+}
+
+// noteMark takes in the end of a server's log as an answer gave it.
+func (g *Group) noteMark(server string, m floor.Mark, sent clock.Millis) {
+	if m.IsZero() {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.marks[server] = g.marks[server].Max(m)
+	g.put(g.watch.WithMark(server, m, sent))
+}
+
+func (g *Group) noteCommit(server string, m floor.Mark, sent clock.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.put(g.watch.WithCommit(server, m, sent))
+}
+
+// put replaces the watch and tells those who wait for a leader. It needs the lock.
+func (g *Group) put(w tenure.Watch) {
+	now := g.options.Clock.Now()
+	before := g.watch.May(now)
+	g.watch = w
+	term, leader := w.Leader()
+	if leader != g.leader && leader != "" {
+		g.options.Counters.leaders.Inc()
+		g.options.Log.Info("primary of the group", "group", g.options.Name, "term", term, "server", leader, "before", g.leader)
+		g.leader = leader
+	}
+	if !before && w.May(now) {
+		close(g.changed)
+		g.changed = make(chan struct{})
+	}
+}
+
+// Ready reports whether the group has a primary that may be used now.
+func (g *Group) Ready() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.watch.May(g.options.Clock.Now())
+}
+
+// Floor returns what a read must see that began at a moment: every commit older
+// than age, and the mark of its session. It is false while that is not known.
+func (g *Group) Floor(began, age clock.Millis, own floor.Mark) (floor.Mark, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f, ok := g.watch.Floor(began - age)
+	if !ok {
+		return floor.Mark{}, false
+	}
+	return g.watch.Raise(f, own)
+}
+
+// Term returns the newest term known.
+func (g *Group) Term() floor.Term {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	term, _ := g.watch.Leader()
+	return term
+}
+
+// ErrLeaderless means that no server may be used as the primary now.
+var ErrLeaderless = errors.New("the database group has no confirmed primary now")
+
+// ErrNone means that no server is left to try.
+var ErrNone = errors.New("no backend server is left to try")
+
+// Who asks for a connection.
+type Who struct {
+	Account string
+	Weight  int
+}
+
+// Primary returns a connection to the primary within the wait in milliseconds.
+func (g *Group) Primary(ctx context.Context, w Who, wait clock.Millis) (*Held, error) {
+	c := g.options.Clock
+	end := c.Now() + wait
+	p, err := g.primary(ctx, end)
+	if err != nil {
+		return nil, err
+	}
+	h, err := p.acquire(ctx, w.Account, w.Weight, end-c.Now())
+	if err != nil {
+		return nil, err
+	}
+	if !g.confirmed(p) {
+		h.Release()
+		return nil, ErrLeaderless
+	}
+	return h, nil
+}
+
+// confirmed reports whether a pool's server may be used as the primary now.
+func (g *Group) confirmed(p *pool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, leader := g.watch.Leader()
+	return leader == p.server.ID && g.watch.May(g.options.Clock.Now())
+}
+
+// primary waits until the group has a confirmed primary.
+func (g *Group) primary(ctx context.Context, end clock.Millis) (*pool, error) {
+	for {
+		g.mu.Lock()
+		now := g.options.Clock.Now()
+		_, leader := g.watch.Leader()
+		p, changed := g.pools[leader], g.changed
+		may := g.watch.May(now)
+		g.mu.Unlock()
+		if may && p != nil {
+			return p, nil
+		}
+		if now >= end {
+			return nil, ErrLeaderless
+		}
+		fired, stop := g.options.Clock.AfterFunc(end - now)
+		select {
+		case <-changed:
+		case <-fired:
+		case <-ctx.Done():
+		}
+		stop()
+		if ctx.Err() != nil {
+			return nil, ErrLeaderless
+		}
+	}
+}
+
+// Read is a read that may run on a replica.
+type Read struct {
+	Who   Who
+	Floor floor.Mark
+	Tried map[string]bool
+	// Wait is in milliseconds.
+	Wait clock.Millis
+}
+
+// Reader returns a connection to the server that should answer a read best.
+func (g *Group) Reader(ctx context.Context, r Read) (*Held, error) {
+	p := g.choose(r)
+	if p == nil {
+		return nil, ErrNone
+	}
+	r.Tried[p.server.ID] = true
+	return p.acquire(ctx, r.Who.Account, r.Who.Weight, r.Wait)
+}
+
+func (g *Group) choose(r Read) *pool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.options.Clock.Now()
+	_, leader := g.watch.Leader()
+	may := g.watch.May(now)
+	candidates := make([]choice.Candidate, 0, len(g.pools))
+	for id, p := range g.pools {
+		if id == leader && !may {
+			continue
+		}
+		waiting, latency, avoided := p.load(now)
+		candidates = append(candidates, choice.Candidate{
+			Name: id, Zone: p.server.Zone, Region: p.server.Region, Primary: id == leader,
+			Leaving: p.server.Leaving, Avoided: avoided, Applied: g.marks[id],
+			Latency: latency, Waiting: waiting, Slots: p.server.Slots,
+		})
+	}
+	return g.pools[choice.Cheapest(candidates, choice.Need{
+		Floor: r.Floor, Zone: g.options.Zone, Region: g.options.Region, Tried: r.Tried,
+	})]
+}
+
+// IsLeader reports whether a server may be used as the primary now.
+func (g *Group) IsLeader(server string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, leader := g.watch.Leader()
+	return leader == server && g.watch.May(g.options.Clock.Now())
+}
--- /dev/null
+++ b/internal/serve/database/held.go
@@ -0,0 +1,110 @@
+package database
+
+import (
+	"maps"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
+)
+
+// Held is a connection that one session has for itself until it is released.
+type Held struct {
+	pool    *pool
+	conn    *Conn
+	account string
+	// values and prepared are what the server's session has.
+	values   map[string]string
+	prepared map[statement.Shape]string
+	used     clock.Millis
+	broken   bool
+}
+
+// Server returns the server that the connection leads to.
+func (h *Held) Server() Server { return h.pool.server }
+
+// Run runs a statement and takes in what the answer says of the server's log.
+// After an error the connection is of no more use.
+func (h *Held) Run(r Request) (statement.Answer, error) {
+	c := h.pool.group.options.Clock
+	sent := c.Now()
+	h.pool.begin()
+	a, err := h.conn.RunFunc(r)
+	h.pool.end(c.Now()-sent, err)
+	if err != nil {
+		h.broken = true
+		return a, err
+	}
+	h.pool.group.noteMark(h.pool.server.ID, a.Mark, sent)
+	return a, nil
+}
+
+// NoteCommit takes in that the server acknowledged a write that was sent at a moment.
+func (h *Held) NoteCommit(m floor.Mark, sent clock.Millis) {
+	h.pool.group.noteCommit(h.pool.server.ID, m, sent)
+}
+
+// Order carries out an order of a claimant, or asks for the tenure.
+func (h *Held) Order(o Order, term floor.Term, timeout clock.Millis) (statement.Tenure, error) {
+	t, err := h.conn.OrderFunc(o, term, timeout)
+	if err != nil {
+		h.broken = true
+	}
+	return t, err
+}
+
+// Align gives the server's session the values of a caller's session and no others.
+func (h *Held) Align(values map[string]string, timeout clock.Millis) error {
+	if maps.Equal(h.values, values) {
+		return nil
+	}
+	for name := range h.values {
+		if _, wanted := values[name]; wanted {
+			continue
+		}
+		if err := h.conn.ResetFunc(timeout); err != nil {
+			h.broken = true
+			return err
+		}
+		clear(h.values)
+		clear(h.prepared)
+		break
+	}
+	for name, value := range values {
+		if old, ok := h.values[name]; ok && old == value {
+			continue
+		}
+		if err := h.conn.SetFunc(name, value, timeout); err != nil {
+			h.broken = true
+			return err
+		}
+		h.values[name] = value
+	}
+	return nil
+}
+
+// Prepare returns the name of a prepared statement of a shape at the server.
+func (h *Held) Prepare(s statement.Shape, timeout clock.Millis) (string, error) {
+	if name, ok := h.prepared[s]; ok {
+		return name, nil
+	}
+	name := "r" + s.Text
+	if s.Writes {
+		name = "w" + s.Text
+	}
+	if err := h.conn.PrepareFunc(name, s, timeout); err != nil {
+		h.broken = true
+		return "", err
+	}
+	h.prepared[s] = name
+	return name, nil
+}
+
+// Forget drops a prepared statement that the server says it does not know.
+func (h *Held) Forget(s statement.Shape) { delete(h.prepared, s) }
+
+// Break marks the connection as one that must not be used again.
+func (h *Held) Break() { h.broken = true }
+
+// Release gives the connection back. One that is broken is closed.
+func (h *Held) Release() { h.pool.release(h) }
--- /dev/null
+++ b/internal/serve/database/probe.go
@@ -0,0 +1,95 @@
+package database
+
+import (
+	"context"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
+)
+
+const (
+	// probeTimeout bounds a question about the tenure, in milliseconds.
+	probeTimeout = clock.Millis(700)
+	// probeWait bounds the wait for a connection to ask on.
+	probeWait = clock.Millis(200)
+	// probePause is the least pause between two questions to one server.
+	probePause = clock.Millis(150)
+	// prober is the account that connections for questions are opened for.
+	prober = "sycamoredoor"
+)
+
+// Tick asks servers for their tenure when the proof of the primary grows old.
+// It returns at once; parts counts what it started.
+func (g *Group) Tick(ctx context.Context, start func(func())) {
+	now := g.options.Clock.Now()
+	for _, p := range g.due(now) {
+		start(func() { g.probe(ctx, p) })
+	}
+}
+
+// due returns the servers to ask now.
+func (g *Group) due(now clock.Millis) []*pool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.watch.Stale(now) {
+		return nil
+	}
+	var out []*pool
+	for id, p := range g.pools {
+		if last, ok := g.probing[id]; ok && now-last < probePause {
+			continue
+		}
+		g.probing[id] = now
+		out = append(out, p)
+	}
+	return out
+}
+
+// probe asks one server.
+func (g *Group) probe(ctx context.Context, p *pool) {
+	g.options.Counters.probes.Inc()
+	sent := g.options.Clock.Now()
+	t, err := g.Order(ctx, p.server.ID, Tell, 0)
+	if err != nil {
+		g.options.Log.Debug("probe failed", "group", g.options.Name, "server", p.server.ID, "err", err)
+		return
+	}
+	g.noteTenure(p.server.ID, t, sent)
+}
+
+func (g *Group) noteTenure(server string, t statement.Tenure, sent clock.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.put(g.watch.WithTenure(server, t, sent, g.options.Clock.Now()))
+}
+
+// Order gives an order of a claimant to a server, or asks for its tenure.
+func (g *Group) Order(ctx context.Context, server string, o Order, term floor.Term) (statement.Tenure, error) {
+	g.mu.Lock()
+	p := g.pools[server]
+	g.mu.Unlock()
+	if p == nil {
+		return statement.Tenure{}, ErrGone
+	}
+	h, err := p.control(ctx)
+	if err != nil {
+		return statement.Tenure{}, err
+	}
+	defer h.Release()
+	return h.Order(o, term, probeTimeout)
+}
+
+// control returns a connection for a question or an order: any idle one, since
+// these run for no account.
+func (p *pool) control(ctx context.Context) (*Held, error) {
+	p.mu.Lock()
+	if n := len(p.idle); n > 0 {
+		h := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		p.mu.Unlock()
+		return h, nil
+	}
+	p.mu.Unlock()
+	return p.acquire(ctx, prober, 1, probeWait)
+}
--- /dev/null
+++ b/internal/serve/frontend/follow.go
@@ -0,0 +1,103 @@
+package frontend
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
+)
+
+const (
+	// feedWait is how long the store is asked to hold a question for changes, in milliseconds.
+	feedWait = 10 * clock.Second
+	// errorPause is the pause after a failed call of the store.
+	errorPause = clock.Millis(300)
+)
+
+// ErrForgotten means that the changes after a version are not to be had any more.
+var ErrForgotten = errors.New("the changes have been forgotten")
+
+// Source is where the operators' configuration comes from.
+type Source struct {
+	// ParseFunc decodes a configuration.
+	ParseFunc func(text []byte) (*catalog.Catalog, error)
+	// ReadFunc returns the newest text, or nil, and the store's version.
+	ReadFunc func(ctx context.Context) ([]byte, uint64, error)
+	// WaitFunc returns a text that came after a version of the store, or nil after
+	// the wait, and the version to go on from.
+	WaitFunc func(ctx context.Context, after uint64, wait clock.Millis) ([]byte, uint64, error)
+}
+
+// follow keeps the configuration in force until the context ends.
+func (f *Frontend) follow(ctx context.Context) {
+	after, known := uint64(0), false
+	for ctx.Err() == nil {
+		var text []byte
+		var err error
+		if known {
+			text, after, err = f.next(ctx, after)
+		} else {
+			text, after, err = f.options.Source.ReadFunc(ctx)
+		}
+		known = err == nil
+		f.dependency("configuration", err)
+		if err != nil {
+			if !errors.Is(err, ErrForgotten) {
+				_ = f.options.Clock.Sleep(ctx, errorPause)
+			}
+			continue
+		}
+		if text != nil {
+			f.adopt(text, "store")
+		}
+	}
+}
+
+func (f *Frontend) next(ctx context.Context, after uint64) ([]byte, uint64, error) {
+	text, version, err := f.options.Source.WaitFunc(ctx, after, feedWait)
+	if err != nil {
+		return nil, after, err
+	}
+	return text, version, nil
+}
+
+// adopt puts a configuration in force unless a later one is.
+func (f *Frontend) adopt(text []byte, from string) {
+	c, err := f.options.Source.ParseFunc(text)
+	if err != nil {
+		f.options.Log.Error("configuration not understood; the earlier one stays in force", "from", from, "err", err)
+		return
+	}
+	f.mu.Lock()
+	old := f.catalog.Load()
+	if old != nil && old.Version >= c.Version {
+		f.mu.Unlock()
+		return
+	}
+	f.catalog.Store(c)
+	f.text = text
+	f.mu.Unlock()
+	invariant.Check(old == nil || f.catalog.Load().Version > old.Version, invariant.ConfigForward, "version %d replaced a later one", c.Version)
+	f.options.Log.Info("configuration in force", "version", c.Version, "from", from)
+	f.arrange()
+}
+
+// dependency logs a dependency that was lost or regained.
+func (f *Frontend) dependency(name string, err error) {
+	if errors.Is(err, ErrForgotten) || errors.Is(err, context.Canceled) {
+		return
+	}
+	f.mu.Lock()
+	was := f.lost[name]
+	f.lost[name] = err != nil
+	f.mu.Unlock()
+	switch {
+	case err != nil && !was:
+		f.options.Log.Warn("dependency lost", "name", name, "err", err)
+	case err == nil && was:
+		f.options.Log.Info("dependency regained", "name", name)
+	}
+}
--- /dev/null
+++ b/internal/serve/frontend/frontend.go
@@ -0,0 +1,183 @@
+// Package frontend is one running VM for callers whose sessions are served
+// statement by statement: it joins the configuration, the directory of backend
+// servers, the database groups and the callers' sessions.
+package frontend
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/session"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
+)
+
+// Options makes a VM.
+type Options struct {
+	Self  member.VM
+	Clock clock.Clock
+	Log   *log.Logger
+	// Listen is IP:port for callers.
+	Listen string
+	// Grace is how long a planned stop may take, in milliseconds.
+	Grace  clock.Millis
+	Source Source
+	// ServersFunc lists the backend servers.
+	ServersFunc func(ctx context.Context) ([]database.Server, error)
+	Protocol    database.Protocol
+	// AcceptFunc reads the start of a caller's session.
+	AcceptFunc func(c net.Conn) (session.Caller, error)
+	// VMs returns the number of VMs that share the connections.
+	VMsFunc func() int
+}
+
+// Frontend is a running VM.
+type Frontend struct {
+	options  Options
+	listener net.Listener
+	sessions session.Options
+	counters database.Counters
+	catalog  atomic.Pointer[catalog.Catalog]
+	stopping atomic.Bool
+	open     atomic.Int64
+	parts    sync.WaitGroup
+	done     chan struct{}
+
+	mu     sync.Mutex
+	text   []byte
+	lost   map[string]bool
+	groups map[string]*database.Group
+	// servers is the directory as it was read last.
+	servers []database.Server
+	conns   map[net.Conn]*atomic.Bool
+}
+
+// Start listens for callers and serves until the context ends.
+func Start(ctx context.Context, o Options) (*Frontend, error) {
+	l, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return nil, err
+	}
+	f := &Frontend{
+		options: o, listener: l, counters: database.NewCounters(), done: make(chan struct{}),
+		lost: map[string]bool{}, groups: map[string]*database.Group{}, conns: map[net.Conn]*atomic.Bool{},
+	}
+	f.sessions = session.Options{
+		Clock: o.Clock, Log: o.Log, Protocol: o.Protocol, Counters: session.NewCounters(),
+		CatalogFunc: f.catalog.Load, GroupFunc: f.Group, StoppingFunc: f.stopping.Load,
+		LimitFunc: func(context.Context, catalog.Account) bool { return true },
+	}
+	f.start(func() { f.follow(ctx) })
+	f.start(func() { f.list(ctx) })
+	f.start(func() { f.tick(ctx) })
+	f.start(func() { f.accept(ctx) })
+	go func() {
+		<-ctx.Done()
+		_ = l.Close()
+		f.parts.Wait()
+		close(f.done)
+	}()
+	return f, nil
+}
+
+// Done is closed once every part has ended.
+func (f *Frontend) Done() <-chan struct{} { return f.done }
+
+func (f *Frontend) start(part func()) {
+	f.parts.Add(1)
+	go func() {
+		defer f.parts.Done()
+		part()
+	}()
+}
+
+// Group returns a database group, or nil.
+func (f *Frontend) Group(name string) *database.Group {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.groups[name]
+}
+
+// Ready reports whether the VM should get new callers: it has a configuration
+// and the servers, and is not to stop.
+func (f *Frontend) Ready() bool {
+	if f.stopping.Load() || f.catalog.Load() == nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.servers) > 0
+}
+
+// tickPause is the pause between two looks at the groups, in milliseconds.
+const tickPause = clock.Millis(100)
+
+func (f *Frontend) tick(ctx context.Context) {
+	for f.options.Clock.Sleep(ctx, tickPause) == nil {
+		f.mu.Lock()
+		groups := make([]*database.Group, 0, len(f.groups))
+		for _, g := range f.groups {
+			groups = append(groups, g)
+		}
+		f.mu.Unlock()
+		for _, g := range groups {
+			g.Tick(ctx, f.start)
+		}
+	}
+}
+
+// accept serves every caller that connects.
+func (f *Frontend) accept(ctx context.Context) {
+	for {
+		c, err := f.listener.Accept()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			f.options.Log.Warn("a caller could not be accepted", "err", err)
+			_ = f.options.Clock.Sleep(ctx, errorPause)
+			continue
+		}
+		f.start(func() { f.serve(ctx, c) })
+	}
+}
+
+func (f *Frontend) serve(ctx context.Context, c net.Conn) {
+	f.open.Add(1)
+	defer f.open.Add(-1)
+	defer func() { _ = c.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	caller, err := f.options.AcceptFunc(c)
+	if err != nil {
+		f.options.Log.Debug("no session", "err", err)
+		return
+	}
+	idle := f.register(c)
+	defer f.forget(c)
+	read, answer := caller.ReadFunc, caller.AnswerFunc
+	caller.ReadFunc = read
+	caller.AnswerFunc = answer
+	_ = idle
+	session.Serve(ctx, f.sessions, caller)
+}
+
+func (f *Frontend) register(c net.Conn) *atomic.Bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	idle := &atomic.Bool{}
+	f.conns[c] = idle
+	return idle
+}
+
+func (f *Frontend) forget(c net.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.conns, c)
+}
--- /dev/null
+++ b/internal/serve/session/session.go
@@ -0,0 +1,230 @@
+// Package session serves callers' sessions statement by statement: who the
+// caller is, which route holds, where a statement runs, and what the caller may
+// be told when it did not.
+package session
+
+import (
+	"context"
+	"maps"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
+)
+
+// Caller is a caller's connection. Its fields are the seams of the protocol.
+type Caller struct {
+	// Database and Key are what the caller gave at the start.
+	Database string
+	Key      string
+	// ReadFunc waits for the next statement, at most the given length in
+	// milliseconds, 0 for ever. It returns ErrIdle when the length has passed.
+	ReadFunc func(wait clock.Millis) (statement.Statement, error)
+	// AnswerFunc sends the answer to the last statement.
+	AnswerFunc func(a statement.Answer) error
+	// GreetFunc accepts the session, RefuseFunc refuses it.
+	GreetFunc  func() error
+	RefuseFunc func(c statement.Code, detail string)
+}
+
+// Options makes sessions.
+type Options struct {
+	Clock    clock.Clock
+	Log      *log.Logger
+	Protocol database.Protocol
+	// CatalogFunc returns the configuration in force, or nil before the first.
+	CatalogFunc func() *catalog.Catalog
+	// GroupFunc returns a database group, or nil.
+	GroupFunc func(name string) *database.Group
+	// LimitFunc takes one operation of an account out of its limit; it returns
+	// false when there is none, at once.
+	LimitFunc func(ctx context.Context, a catalog.Account) bool
+	// StoppingFunc reports whether the VM is to stop.
+	StoppingFunc func() bool
+	Counters     Counters
+}
+
+// session is one caller's session. Only its own goroutine uses it.
+type session struct {
+	options  Options
+	caller   Caller
+	account  catalog.Account
+	route    catalog.Route
+	values   map[string]string
+	prepared map[string]statement.Shape
+	// own is the last commit of the session.
+	own floor.Mark
+	// txn is nil outside a transaction.
+	txn *transaction
+}
+
+// Serve serves one session until the caller leaves or the VM stops. The context
+// ends the session at once.
+func Serve(ctx context.Context, o Options, c Caller) {
+	s := &session{options: o, caller: c, values: map[string]string{}, prepared: map[string]statement.Shape{}}
+	o.Counters.opened.Inc()
+	if code, detail := s.enter(); code != statement.None {
+		o.Counters.refuse(code)
+		o.Log.Debug("session refused", "database", c.Database, "reason", detail)
+		c.RefuseFunc(code, detail)
+		return
+	}
+	if c.GreetFunc() != nil {
+		return
+	}
+	defer s.abandon()
+	s.loop(ctx)
+}
+
+// loop answers one statement after the other.
+func (s *session) loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		st, err := s.caller.ReadFunc(s.patience())
+		if err == ErrIdle && s.txn != nil { //nolint:errorlint // a sentinel of this package
+			s.expire()
+			continue
+		}
+		if err != nil {
+			return
+		}
+		a := s.answer(ctx, st)
+		if err := s.caller.AnswerFunc(a); err != nil {
+			return
+		}
+		if s.txn == nil && s.options.StoppingFunc() {
+			return
+		}
+	}
+}
+
+// patience is how long the caller may be silent, in milliseconds; 0 sets no bound.
+func (s *session) patience() clock.Millis {
+	if s.txn == nil || s.txn.held == nil {
+		return 0
+	}
+	if c := s.options.CatalogFunc(); c != nil {
+		return c.TransactionIdle
+	}
+	return 0
+}
+
+// enter finds the route and the account for the present configuration.
+func (s *session) enter() (statement.Code, string) {
+	c := s.options.CatalogFunc()
+	if c == nil {
+		return statement.Busy, "no configuration yet; try again in 1 s"
+	}
+	r, ok := c.Route(s.caller.Database)
+	if !ok {
+		return statement.Absent, "no route has the name of the database"
+	}
+	name, known := c.Owner(s.caller.Key)
+	if !known && !r.Open {
+		return statement.Denied, "the key is not known"
+	}
+	s.route = r
+	s.account, _ = c.Account(name)
+	return statement.None, ""
+}
+
+func (s *session) status() statement.Status {
+	switch {
+	case s.txn == nil:
+		return statement.Idle
+	case s.txn.failed:
+		return statement.Broken
+	}
+	return statement.Open
+}
+
+// answer serves one statement.
+func (s *session) answer(ctx context.Context, st statement.Statement) statement.Answer {
+	if s.txn != nil && s.txn.failed && st.Kind != statement.Commit && st.Kind != statement.Rollback {
+		return statement.Refuse(statement.Invalid, "the transaction has failed; end it", statement.Broken)
+	}
+	switch st.Kind {
+	case statement.Begin, statement.BeginRead:
+		return s.begin(ctx, st)
+	case statement.Commit:
+		return s.commit(ctx, st)
+	case statement.Rollback:
+		return s.rollback(st)
+	case statement.Set:
+		return s.set(st)
+	case statement.Prepare:
+		s.prepared = with(s.prepared, st.Name, st.Shape)
+		return statement.Done(s.status())
+	case statement.Deallocate:
+		delete(s.prepared, st.Name)
+		return statement.Done(s.status())
+	case statement.Read, statement.Write, statement.Execute:
+		return s.data(ctx, st)
+	}
+	return statement.Refuse(statement.Invalid, "the text is no statement", s.status())
+}
+
+func (s *session) set(st statement.Statement) statement.Answer {
+	values := maps.Clone(s.values)
+	values[st.Name] = st.Value
+	s.values = values
+	return statement.Done(s.status())
+}
+
+func with(m map[string]statement.Shape, name string, v statement.Shape) map[string]statement.Shape {
+	m[name] = v
+	return m
+}
+
+// admit checks, for a new operation, that the configuration still has the route
+// and the key, and that the account is within its limit.
+func (s *session) admit(ctx context.Context) (statement.Code, string) {
+	if code, detail := s.enter(); code != statement.None {
+		return code, detail
+	}
+	if s.account.Name != "" && !s.options.LimitFunc(ctx, s.account) {
+		return statement.Busy, "the account is over its rate; try again in 1 s"
+	}
+	return statement.None, ""
+}
+
+// writes reports whether a data statement changes something.
+func (s *session) writes(st statement.Statement) (bool, bool) {
+	if st.Kind != statement.Execute {
+		return st.Kind == statement.Write, true
+	}
+	shape, ok := s.prepared[st.Name]
+	return shape.Writes, ok
+}
+
+// data serves a read or a write.
+func (s *session) data(ctx context.Context, st statement.Statement) statement.Answer {
+	writes, known := s.writes(st)
+	if !known {
+		return s.refuse(st, statement.Unprepared, "no prepared statement has this name")
+	}
+	if s.txn != nil {
+		return s.inside(ctx, st)
+	}
+	if code, detail := s.admit(ctx); code != statement.None {
+		return s.refuse(st, code, detail)
+	}
+	r := s.newRun(st)
+	if writes {
+		return r.write(ctx)
+	}
+	return r.read(ctx)
+}
+
+// refuse answers that a statement was not run, and says so in the log.
+func (s *session) refuse(st statement.Statement, code statement.Code, detail string) statement.Answer {
+	s.options.Counters.refuse(code)
+	s.options.Log.Info("statement refused", "id", st.ID, "database", s.route.Database, "account", s.account.Name, "code", int(code), "reason", detail)
+	if s.txn != nil {
+		s.txn.fail()
+	}
+	return statement.Refuse(code, detail, s.status())
+}
--- /dev/null
+++ b/internal/serve/session/transaction.go
@@ -0,0 +1,238 @@
+package session
+
+import (
+	"context"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
+)
+
+// transaction is a caller's open transaction. It has a server from its first
+// statement on.
+type transaction struct {
+	begin statement.Statement
+	held  *database.Held
+	// written is set once a write was sent, committing once the commit was.
+	written bool
+	failed  bool
+}
+
+// fail ends the transaction at the server; the caller still has to end its own.
+func (t *transaction) fail() {
+	t.failed = true
+	t.drop()
+}
+
+// drop closes the connection of an open transaction, so that the server rolls back.
+func (t *transaction) drop() {
+	if t.held == nil {
+		return
+	}
+	t.held.Break()
+	t.held.Release()
+	t.held = nil
+}
+
+// abandon ends what is open when the caller has left.
+func (s *session) abandon() {
+	if s.txn != nil {
+		s.rollbackServer()
+		s.txn = nil
+	}
+}
+
+// expire ends a transaction whose caller has been silent for too long.
+func (s *session) expire() {
+	s.options.Counters.expired.Inc()
+	s.options.Log.Info("transaction rolled back after a pause", "id", s.txn.begin.ID, "database", s.route.Database)
+	s.rollbackServer()
+	s.txn.failed = true
+}
+
+// begin opens a transaction; the server hears of it with the first statement.
+func (s *session) begin(ctx context.Context, st statement.Statement) statement.Answer {
+	if s.txn != nil {
+		return statement.Refuse(statement.Invalid, "a transaction is open", s.status())
+	}
+	if code, detail := s.admit(ctx); code != statement.None {
+		return s.refuse(st, code, detail)
+	}
+	s.txn = &transaction{begin: st}
+	return statement.Done(statement.Open)
+}
+
+// inside runs a statement of the open transaction.
+func (s *session) inside(ctx context.Context, st statement.Statement) statement.Answer {
+	if s.txn.held == nil {
+		return s.first(ctx, st)
+	}
+	a, err := s.sendInside(st)
+	if err != nil {
+		return s.refuse(st, statement.Aborted, "the connection to the backend server was lost; the transaction is rolled back")
+	}
+	return s.after(st, a)
+}
+
+// after takes in a server's answer to a statement of the transaction.
+func (s *session) after(st statement.Statement, a statement.Answer) statement.Answer {
+	if a.Code == statement.None {
+		return a.WithStatus(statement.Open)
+	}
+	s.options.Counters.refuse(a.Code)
+	s.options.Log.Info("statement failed at the server", "id", st.ID, "server", s.txn.held.Server().ID, "code", int(a.Code), "detail", a.Detail)
+	s.rollbackServer()
+	s.txn.failed = true
+	return a.WithStatus(statement.Broken)
+}
+
+func (s *session) sendInside(st statement.Statement) (statement.Answer, error) {
+	r := s.newRun(st)
+	if writes, _ := s.writes(st); writes {
+		s.txn.written = true
+	}
+	return r.send(s.txn.held, floor.Mark{})
+}
+
+// first finds a server for the transaction, begins it there and runs its first
+// statement. Nothing of the transaction can have run before, so a refusal leads
+// to another server.
+func (s *session) first(ctx context.Context, st statement.Statement) statement.Answer {
+	r := s.newRun(st)
+	reads := s.txn.begin.Kind == statement.BeginRead
+	for {
+		h, f, err := r.place(ctx, !reads)
+		if err != nil {
+			if r.again(ctx, err.Error()) {
+				continue
+			}
+			return s.refuse(st, statement.Busy, r.last+"; try again in 1 s")
+		}
+		a, err := r.open(h, f)
+		if err == nil && a.Code == statement.None {
+			s.txn.held = h
+			return a.WithStatus(statement.Open)
+		}
+		h.Break()
+		h.Release()
+		if err == nil && !a.Code.NotRun() {
+			s.options.Counters.refuse(a.Code)
+			s.txn.failed = true
+			return a.WithStatus(statement.Broken)
+		}
+		if !r.again(ctx, reason(a, err)) {
+			return s.refuse(st, statement.Aborted, r.last+"; try again in 1 s")
+		}
+	}
+}
+
+// open begins the transaction at a server and runs the first statement. An
+// error or a refusal leaves nothing behind once the connection is closed.
+func (r *run) open(h *database.Held, f floor.Mark) (statement.Answer, error) {
+	s := r.session
+	text, err := s.text(h, r.st, r.left())
+	if err != nil {
+		return statement.Answer{}, err
+	}
+	a, err := h.Run(database.Request{ID: s.txn.begin.ID, Text: s.txn.begin.Text, Floor: f, Timeout: r.left()})
+	if err != nil || a.Code != statement.None {
+		return a, err
+	}
+	if writes, _ := s.writes(r.st); writes {
+		s.txn.written = true
+	}
+	return h.Run(database.Request{ID: r.st.ID, Text: text, Timeout: r.left()})
+}
+
+// commit ends the transaction with all its writes, or none.
+func (s *session) commit(ctx context.Context, st statement.Statement) statement.Answer {
+	t := s.txn
+	switch {
+	case t == nil:
+		return statement.Refuse(statement.Invalid, "no transaction is open", statement.Idle)
+	case t.failed:
+		s.txn = nil
+		return statement.Refuse(statement.Aborted, "the transaction had failed and is rolled back", statement.Idle)
+	case t.held == nil:
+		if a := s.empty(ctx, st); a.Code != statement.None {
+			s.txn = nil
+			return a.WithStatus(statement.Idle)
+		}
+	}
+	return s.commitServer(st)
+}
+
+// empty begins a transaction at a server that has had no statement.
+func (s *session) empty(ctx context.Context, st statement.Statement) statement.Answer {
+	r := s.newRun(st)
+	for {
+		h, f, err := r.place(ctx, s.txn.begin.Kind != statement.BeginRead)
+		if err == nil {
+			a, err := h.Run(database.Request{ID: s.txn.begin.ID, Text: s.txn.begin.Text, Floor: f, Timeout: r.left()})
+			if err == nil && a.Code == statement.None {
+				s.txn.held = h
+				return a
+			}
+			h.Break()
+			h.Release()
+		}
+		if !r.again(ctx, "no backend server took the transaction") {
+			return s.refuse(st, statement.Aborted, r.last+"; try again in 1 s")
+		}
+	}
+}
+
+func (s *session) commitServer(st statement.Statement) statement.Answer {
+	t := s.txn
+	s.txn = nil
+	r := s.newRun(st)
+	sent := s.options.Clock.Now()
+	a, err := t.held.Run(database.Request{ID: st.ID, Text: st.Text, Timeout: r.left()})
+	if err != nil {
+		t.drop()
+		if !t.written {
+			return s.refuse(st, statement.Aborted, "the connection was lost; the transaction had written nothing")
+		}
+		return s.refuse(st, statement.Unknown, "the end of the commit was not seen")
+	}
+	if a.Code != statement.None {
+		s.options.Counters.refuse(a.Code)
+		s.options.Log.Info("commit failed at the server", "id", st.ID, "server", t.held.Server().ID, "code", int(a.Code), "detail", a.Detail)
+		t.drop()
+		return a.WithStatus(statement.Idle)
+	}
+	if t.written {
+		t.held.NoteCommit(a.Mark, sent)
+		s.own = a.Mark
+	}
+	t.held.Release()
+	return a.WithStatus(statement.Idle)
+}
+
+// rollback ends the transaction without its writes.
+func (s *session) rollback(statement.Statement) statement.Answer {
+	if s.txn == nil {
+		return statement.Refuse(statement.Invalid, "no transaction is open", statement.Idle)
+	}
+	s.rollbackServer()
+	s.txn = nil
+	return statement.Done(statement.Idle)
+}
+
+// rollbackServer rolls back at the server and gives the connection back; when
+// that fails, closing the connection rolls back too.
+func (s *session) rollbackServer() {
+	t := s.txn
+	if t.held == nil {
+		return
+	}
+	a, err := t.held.Run(database.Request{ID: "-", Text: s.options.Protocol.RollbackFunc(), Timeout: rollbackTimeout})
+	if err != nil || a.Code != statement.None || a.Status != statement.Idle {
+		t.held.Break()
+	}
+	t.held.Release()
+	t.held = nil
+}
+
+// rollbackTimeout bounds the wait for the end of a rollback, in milliseconds.
+const rollbackTimeout = 300
