--- /dev/null
+++ b/internal/core/quota/bucket.go
@@ -0,0 +1,221 @@
+// Package quota keeps a client account to its rate and burst over all VMs
+// without an owner: each VM keeps an estimate of one token bucket from what the
+// others report, and spends between two reports at most its share of what is
+// left, by demand. An account within its rate is never refused for want of a
+// message; one over it gets its whole rate.
+//
+// The shares of all VMs add up to about one, so that together they spend about
+// what is there, however late the reports are. A VM that is not heard is taken to
+// go on as it last did, and a VM that hears nobody goes on so for Silence and then
+// keeps to the part of the tolerance that is its own.
+package quota
+
+import (
+	"maps"
+	"math"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+)
+
+const (
+	// memory is the time constant of the estimate of a demand, in milliseconds.
+	memory = clock.Millis(1000)
+	// Overdue is the time without a report from which a VM's spending is guessed.
+	Overdue = clock.Millis(900)
+	// Silence is how long a VM that is not heard is taken to spend on.
+	Silence = 15 * clock.Second
+	// leastShare is the share of a VM without a demand, relative to an even one.
+	leastShare = 0.25
+	// firstTokens is the part of the burst that a bucket starts with where nothing
+	// is known of what was spent before.
+	firstTokens = 0.5
+)
+
+// Report is what a VM says of its use of an account.
+type Report struct {
+	// Process tells the starts of the VM apart.
+	Process uint64
+	// Spent counts the operations that ran since the process started.
+	Spent uint64
+	// Demand is the operations a second that callers wanted.
+	Demand float64
+	// Tokens is the VM's estimate of the bucket.
+	Tokens float64
+}
+
+// use is what is known of another VM.
+type use struct {
+	report Report
+	at     clock.Millis
+	// guessed is what was taken off since the last report.
+	guessed float64
+}
+
+// Bucket is one account at one VM. It is never changed.
+type Bucket struct {
+	rate, burst float64
+	// tokens is the estimate for all VMs, credit what this VM may take of it.
+	tokens, credit float64
+	at             clock.Millis
+	spent          uint64
+	demand         float64
+	others         map[string]use
+	fresh          bool
+	// vms is the number of VMs, this one included, and tolerance the operations a
+	// second over the rate that all of them may run unheard.
+	vms       int
+	tolerance float64
+}
+
+// New returns the bucket of an account of which nothing is known.
+func New(rate, burst float64, now clock.Millis) Bucket {
+	return Bucket{rate: rate, burst: burst, tokens: burst * firstTokens, at: now, others: map[string]use{}, fresh: true, vms: 1}
+}
+
+// WithVMs takes in how many VMs there are, and how many operations a second over
+// the rate all of them together may run while they do not hear each other.
+func (b Bucket) WithVMs(vms int, tolerance float64) Bucket {
+	b.vms, b.tolerance = max(vms, 1), tolerance
+	return b
+}
+
+// alone reports whether there are other VMs and none is heard.
+func (b Bucket) alone() bool { return len(b.others) == 0 && b.vms > 1 }
+
+// WithLimit takes in a change of the rate or the burst.
+func (b Bucket) WithLimit(rate, burst float64, now clock.Millis) Bucket {
+	if rate == b.rate && burst == b.burst {
+		return b
+	}
+	b = b.advance(now)
+	b.tokens = min(b.tokens+max(burst-b.burst, 0), burst)
+	b.credit = min(b.credit, b.tokens)
+	b.rate, b.burst = rate, burst
+	return b
+}
+
+// advance brings the estimates to a moment.
+func (b Bucket) advance(now clock.Millis) Bucket {
+	length := now - b.at
+	if length <= 0 {
+		return b
+	}
+	b.at = now
+	grown := b.rate * float64(length) / float64(clock.Second)
+	b.tokens = min(b.tokens+grown, b.burst)
+	b.demand *= math.Exp(-float64(length) / float64(memory))
+	b = b.guess(now)
+	if b.alone() {
+		grown = b.tolerance * float64(length) / float64(clock.Second)
+	}
+	b.credit = min(b.credit+grown*b.share(now), max(b.tokens, 0))
+	return b
+}
+
+// guess takes off what VMs spend that have not reported for some time.
+func (b Bucket) guess(now clock.Millis) Bucket {
+	for name, u := range b.others {
+		silent := now - u.at
+		if silent <= Overdue {
+			continue
+		}
+		b.others = maps.Clone(b.others)
+		if silent > Silence {
+			delete(b.others, name)
+			continue
+		}
+		spent := min(u.report.Demand, b.rate) * float64(silent) / float64(clock.Second)
+		b.tokens -= max(spent-u.guessed, 0)
+		u.guessed = max(u.guessed, spent)
+		b.others[name] = u
+	}
+	return b
+}
+
+// share is the part of the bucket that is this VM's by demand.
+func (b Bucket) share(now clock.Millis) float64 {
+	if b.alone() {
+		return 1 / float64(b.vms)
+	}
+	sum := b.demand
+	for _, u := range b.others {
+		if now-u.at <= Silence {
+			sum += u.report.Demand
+		}
+	}
+	least := leastShare / float64(len(b.others)+1)
+	if sum <= 0 {
+		return least
+	}
+	return max(b.demand/sum, least)
+}
+
+// WithRound begins a round, in which this VM may take its share of the bucket.
+// It is called with each report to the others.
+func (b Bucket) WithRound(now clock.Millis) (Bucket, Report) {
+	b = b.advance(now)
+	if !b.alone() || b.fresh {
+		b.credit = b.share(now) * max(b.tokens, 0)
+	}
+	b.fresh = false
+	return b, Report{Spent: b.spent, Demand: b.demand, Tokens: b.tokens}
+}
+
+// WithTake takes one operation and reports whether there was one.
+func (b Bucket) WithTake(now clock.Millis) (Bucket, bool) {
+	b = b.advance(now)
+	b.demand += float64(clock.Second) / float64(memory)
+	if len(b.others) == 0 && b.vms <= 1 {
+		b.credit = b.tokens
+	}
+	if b.tokens < 1 || b.credit < 1 && !b.spare() {
+		return b, false
+	}
+	b.tokens--
+	b.credit--
+	b.spent++
+	return b, true
+}
+
+// spare reports whether a VM whose credit is a fraction may take one more: there
+// is a token for every VM, and it has not done so in this round.
+func (b Bucket) spare() bool {
+	return b.credit > 0 && !b.alone() && b.tokens >= float64(len(b.others)+2)
+}
+
+// WithReport takes in what another VM says.
+func (b Bucket) WithReport(vm string, r Report, now clock.Millis) Bucket {
+	b = b.advance(now)
+	u, known := b.others[vm]
+	b.others = maps.Clone(b.others)
+	switch {
+	case known && u.report.Process == r.Process && r.Spent >= u.report.Spent:
+		b.tokens -= float64(r.Spent-u.report.Spent) - u.guessed
+	case known:
+		b.tokens -= float64(r.Spent) - u.guessed
+	}
+	if !known && b.spent == 0 {
+		b.tokens = min(b.tokens, r.Tokens)
+	}
+	b.tokens = min(b.tokens, b.burst)
+	b.others[vm] = use{report: r, at: now}
+	return b
+}
+
+// Tokens returns the estimate of what the account may still spend.
+func (b Bucket) Tokens(now clock.Millis) float64 { return b.advance(now).tokens }
+
+// Urgent reports whether the others should hear at once of what was spent since
+// a report with the given count: it is much of what is left.
+func (b Bucket) Urgent(reported uint64) bool {
+	return float64(b.spent-reported) > max(b.tokens, 1)*urgentPart
+}
+
+// urgentPart is the part of the tokens left that is worth a report of its own.
+const urgentPart = 0.25
+
+// Idle reports whether nothing was asked of the account for long.
+func (b Bucket) Idle(now clock.Millis) bool { return b.advance(now).demand < idleDemand }
+
+// idleDemand is operations a second that count as none.
+const idleDemand = 0.02
--- a/internal/core/tenure/watch.go
+++ b/internal/core/tenure/watch.go
@@ -49,16 +49,15 @@
 	free map[string]clock.Millis
 	// samples are in order of their moments, and end with the newest.
 	samples []sample
-	// sealed is the highest term that a server was seen sealed for.
-	sealed floor.Term
-	// sealedAt is the moment at which sealed rose.
-	sealedAt clock.Millis
+	// released is the moment up to which no proof counts, since a claimant was
+	// told so.
+	released clock.Millis
 }
 
 // New returns a watch that knows nothing of a group whose commits are on the
 // primary and as many replicas.
 func New(synced int) Watch {
-	return Watch{synced: max(synced, 1), proved: Never, asked: Never, free: map[string]clock.Millis{}}
+	return Watch{synced: max(synced, 1), proved: Never, asked: Never, released: Never, free: map[string]clock.Millis{}}
 }
 
 // Leader returns the newest term known and its primary, or "" while none is known.
@@ -75,15 +74,6 @@
 // Stale reports whether the leader should be asked again.
 func (w Watch) Stale(now clock.Millis) bool { return w.leader == "" || now >= w.proved+Renew }
 
-// Sealed returns the highest term that a server is known to be sealed for above
-// that of the leader, or 0, and since when.
-func (w Watch) Sealed() (floor.Term, clock.Millis) {
-	if w.sealed > w.term {
-		return w.sealed, w.sealedAt
-	}
-	return 0, 0
-}
-
 // Floor returns a mark that covers every commit acknowledged before the moment
 // since, and false when none is known. It is the lowest of those that do. What
 // the leader said while it was not proved to lead counts for nothing.
@@ -105,6 +95,17 @@
 	return w.samples[len(w.samples)-1].mark, true
 }
 
+// Reached returns the newest state that the log is known to have had at a
+// moment, in the present term.
+func (w Watch) Reached(before clock.Millis) (floor.Mark, bool) {
+	for i := len(w.samples) - 1; i >= 0; i-- {
+		if w.samples[i].at <= before {
+			return w.samples[i].mark, true
+		}
+	}
+	return floor.Mark{}, false
+}
+
 // Raise returns the floor for a read that must see mark too. A mark of an
 // earlier term says only that a commit of then is to be seen; every position of
 // the present term covers it.
@@ -128,16 +129,13 @@
 		w.samples, w.free = nil, map[string]clock.Millis{}
 	}
 	w.term, w.leader = term, leader
-	w.proved, w.asked = Never, Never
+	w.proved, w.asked, w.released = Never, Never, Never
 	return w
 }
 
 // WithTenure takes in the answer of a server to a question about its tenure that
 // was sent at a moment.
-func (w Watch) WithTenure(server string, t statement.Tenure, sent, now clock.Millis) Watch {
-	if t.Sealed > w.sealed {
-		w.sealed, w.sealedAt = t.Sealed, now
-	}
+func (w Watch) WithTenure(server string, t statement.Tenure, sent clock.Millis) Watch {
 	if t.Primary {
 		w = w.WithTerm(t.Term, server)
 	} else {
@@ -184,7 +182,7 @@
 			}
 		}
 		if with >= w.synced {
-			w.proved = max(w.proved, min(at, w.asked))
+			w = w.withProof(min(at, w.asked))
 		}
 	}
 	return w
@@ -205,12 +203,65 @@
 	return w.withProgress(m)
 }
 
+// withProof takes in that no later term had been sealed at a moment.
+func (w Watch) withProof(at clock.Millis) Watch {
+	if at > w.released {
+		w.proved = max(w.proved, at)
+	}
+	return w
+}
+
+// WithRelease gives the present term up at the wish of a claimant that has sealed
+// the group: only what is proved from now on counts, which is nothing until the
+// servers are let go.
+func (w Watch) WithRelease(now clock.Millis) Watch {
+	w.released, w.proved = now, Never
+	return w
+}
+
+// Hearsay is what another VM tells of a group, in moments of this VM's clock
+// that what it tells is not older than.
+type Hearsay struct {
+	Term   floor.Term
+	Leader string
+	// Proved is Never without a proof.
+	Proved clock.Millis
+	// Log is a state that the leader's log had reached At.
+	Log floor.Position
+	At  clock.Millis
+}
+
+// WithHearsay takes in what another VM tells.
+func (w Watch) WithHearsay(h Hearsay) Watch {
+	if h.Term < w.term {
+		return w
+	}
+	if h.Term > w.term || w.leader == "" {
+		w = w.WithTerm(h.Term, h.Leader)
+	}
+	if h.Leader == "" || h.Leader != w.leader {
+		return w
+	}
+	if h.Log > 0 {
+		w = w.withSample(h.At, floor.Mark{Term: h.Term, Position: h.Log})
+	}
+	return w.withProof(h.Proved)
+}
+
+// Tell returns what to tell other VMs, in moments of this VM's clock.
+func (w Watch) Tell() Hearsay {
+	h := Hearsay{Term: w.term, Leader: w.leader, Proved: w.proved}
+	if n := len(w.samples); n > 0 {
+		h.Log, h.At = w.samples[n-1].mark.Position, w.samples[n-1].at
+	}
+	return h
+}
+
 // WithCommit takes in that the leader acknowledged a write that was sent at a
 // moment, which a sealed group cannot do.
 func (w Watch) WithCommit(server string, m floor.Mark, sent clock.Millis) Watch {
 	if server == w.leader && m.Term == w.term {
-		w.proved = max(w.proved, sent)
-		return w.withSample(sent, m)
+		return w.withProof(sent).withSample(sent, m)
 	}
 	return w.WithMark(server, m, sent)
 }
@@ -224,8 +275,7 @@
 	}
 	for i := len(w.samples) - 1; i >= 0; i-- {
 		if s := w.samples[i]; s.mark.Position < m.Position {
-			w.proved = max(w.proved, s.at)
-			return w
+			return w.withProof(s.at)
 		}
 	}
 	return w
--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -42,6 +42,8 @@
 	KindBeat Kind = 9
 	// KindReply answers a heartbeat in a datagram; its body is heartbeat.Answer.
 	KindReply Kind = 10
+	// KindGossip tells, in a datagram, what a VM knows; its body is Gossip.
+	KindGossip Kind = 11
 )
 
 // MaxFrame is the largest body of a frame in bytes.
@@ -185,6 +187,8 @@
 	TopicRecord = "record"
 	// TopicShare is about limits; Ask.Share says more.
 	TopicShare = "share"
+	// TopicText asks for the text of the configuration in force.
+	TopicText = "text"
 )
 
 // Answer answers an Ask.
--- a/internal/proto/peer/datagram.go
+++ b/internal/proto/peer/datagram.go
@@ -38,3 +38,20 @@
 		}
 	}
 }
+
+// TryDatagram sends as Datagram does, but does not wait for a connection: while
+// one is being opened, the datagram is lost.
+func (t *Transport) TryDatagram(_ context.Context, address string, body []byte) error {
+	l, err := t.link(address)
+	if err != nil {
+		return &UnreachableError{Address: address, Cause: err}
+	}
+	defer t.release(l)
+	if !l.open() {
+		return &UnreachableError{Address: address, Cause: errOpening}
+	}
+	if err := l.conn.SendDatagram(body); err != nil {
+		return &UnreachableError{Address: address, Cause: err}
+	}
+	return nil
+}
--- a/internal/proto/peer/link.go
+++ b/internal/proto/peer/link.go
@@ -15,7 +15,10 @@
 // ones, in milliseconds.
 const redialPause = 200 * clock.Millis(1)
 
-var errClosed = errors.New("the transport is closed")
+var (
+	errClosed  = errors.New("the transport is closed")
+	errOpening = errors.New("the connection is not open yet")
+)
 
 // link is the connection to one VM, being opened, open or failed. The fields
 // below ready are set before it is closed.
--- /dev/null
+++ b/internal/serve/database/claim.go
@@ -0,0 +1,531 @@
+package database
+
+import (
+	"context"
+	"sync"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
+)
+
+const (
+	// claimTime bounds one attempt to change the primary, in milliseconds.
+	claimTime = 6 * clock.Second
+	// sealPause is the pause between two attempts to seal a server.
+	sealPause = clock.Millis(150)
+	// releasePause is the pause between two looks at what the others released.
+	releasePause = clock.Millis(20)
+	// promotePause is the pause between two attempts to order a promotion.
+	promotePause = clock.Millis(200)
+	// claimPause is the pause after an attempt that failed.
+	claimPause = clock.Millis(400)
+	// formerPause is how long replicas alone are sealed before the former primary
+	// is told to step down too: one that is cut off would be chosen again.
+	formerPause = clock.Millis(500)
+)
+
+// ErrTaken means that another VM has the claim.
+var ErrTaken = errors.New("another VM has the claim")
+
+// ErrTarget means that the server which was to be promoted does not run.
+var ErrTarget = errors.New("the server to be promoted does not run")
+
+// errRecovered means that the primary is back before another was chosen.
+var errRecovered = errors.New("the primary may be used again")
+
+// Claims keeps the records of changes of primary, and orders promotions. Its
+// fields are the seams of the platform.
+type Claims struct {
+	// ReadFunc returns the record of a group, its version (0 when there is none)
+	// and the moment of the store's clock.
+	ReadFunc func(ctx context.Context, group string) (failover.Claim, uint64, clock.Millis, error)
+	// WriteFunc replaces the record if it still has the version.
+	WriteFunc func(ctx context.Context, group string, c failover.Claim, version uint64) (uint64, error)
+	// PromoteFunc has a server lead the group. The token never repeats and rises
+	// with each claim. It returns ErrTarget when the server does not run.
+	PromoteFunc func(ctx context.Context, group, server, holder string, token uint64) error
+}
+
+// attempt is one try to change the primary of a group.
+type attempt struct {
+	group *Group
+	claim failover.Claim
+	// version is that of the claim's record.
+	version uint64
+	// token is the version of the first write of this attempt.
+	token   uint64
+	term    floor.Term
+	former  string
+	planned bool
+	// began is the moment of the attempt, sealedAt that at which enough was sealed.
+	began    clock.Millis
+	sealedAt clock.Millis
+
+	mu      sync.Mutex
+	members map[string]failover.Member
+}
+
+// consider begins a change of primary when it is this VM's turn.
+func (g *Group) consider(ctx context.Context, start func(func())) {
+	now := g.options.Clock.Now()
+	g.mu.Lock()
+	lost := g.lostLocked(now)
+	if !lost {
+		g.lostSince = 0
+	} else if g.lostSince == 0 {
+		g.lostSince = now
+		g.options.NudgeFunc()
+	}
+	sight := g.sightLocked(now, lost)
+	since, claiming := g.lostSince, g.claiming
+	pause := now < g.claimAfter
+	g.mu.Unlock()
+	if !lost || claiming || pause || g.options.StoppingFunc() {
+		return
+	}
+	delay, turn := sight.Delay(g.options.Name)
+	if !turn || now < since+delay {
+		return
+	}
+	g.mu.Lock()
+	g.claiming = true
+	g.mu.Unlock()
+	start(func() { g.attempt(ctx) })
+}
+
+// lostLocked reports whether this VM has lost the primary. It needs the lock.
+func (g *Group) lostLocked(now clock.Millis) bool {
+	term, leader := g.watch.Leader()
+	if term == 0 {
+		return false
+	}
+	if leader == "" {
+		return now-g.learned > failover.LostAfter
+	}
+	p := g.pools[leader]
+	switch {
+	case p != nil && p.server.Leaving && g.successorLocked(leader):
+		return true
+	case now-max(g.watch.Proved(), g.learned) > failover.LostAfter:
+		return true
+	case p != nil && p.unreachable(now):
+		return true
+	}
+	return g.stuckLocked(now)
+}
+
+// successorLocked reports whether a replica stays that may follow a leaving primary.
+func (g *Group) successorLocked(leader string) bool {
+	for id, p := range g.pools {
+		if id != leader && !p.server.Leaving && !p.unreachable(g.options.Clock.Now()) {
+			return true
+		}
+	}
+	return false
+}
+
+// stuckLocked reports whether the replicas have long not received what the
+// primary's log has, so that it cannot acknowledge anything.
+func (g *Group) stuckLocked(now clock.Millis) bool {
+	_, leader := g.watch.Leader()
+	reached, ok := g.watch.Reached(now - stuckAfter)
+	if !ok || now-g.learned < 2*stuckAfter || now < g.stuckUntil {
+		return false
+	}
+	fresh := false
+	for id := range g.pools {
+		if id == leader {
+			continue
+		}
+		r, ok := g.received[id]
+		if !ok || now-r.at > receivedFresh {
+			continue
+		}
+		fresh = true
+		if r.mark.Covers(reached) || g.marks[id].Covers(reached) {
+			return false
+		}
+	}
+	return fresh
+}
+
+const (
+	// stuckAfter is how long every replica may lack what the primary has.
+	stuckAfter = clock.Millis(1500)
+	// receivedFresh is the age up to which a replica's answer counts for that.
+	receivedFresh = clock.Millis(700)
+	// stuckPause is the least time between two changes for that reason.
+	stuckPause = 8 * clock.Second
+)
+
+// sightLocked sums up what the VMs see. It needs the lock.
+func (g *Group) sightLocked(now clock.Millis, lost bool) failover.Sight {
+	s := failover.Sight{Self: g.options.Self, VMs: g.options.VMsFunc(), Known: g.options.KnownFunc(), Holder: g.holder}
+	term, _ := g.watch.Leader()
+	for _, vm := range s.VMs {
+		v, ok := g.votes[vm]
+		if vm == s.Self && lost || ok && v.lost && v.term == term && now-v.at < voteTime {
+			s.Lost = append(s.Lost, vm)
+		}
+	}
+	return s
+}
+
+// voteTime is how long another VM's word counts, in milliseconds.
+const voteTime = clock.Millis(1200)
+
+// attempt tries to change the primary once.
+func (g *Group) attempt(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, claimTime.Duration())
+	defer cancel()
+	a := &attempt{group: g, began: g.options.Clock.Now(), members: map[string]failover.Member{}}
+	err := a.run(ctx)
+	now := g.options.Clock.Now()
+	g.mu.Lock()
+	g.claiming, g.claimAfter = false, now+claimPause
+	if err == nil {
+		g.stuckUntil = now + stuckPause
+	}
+	g.mu.Unlock()
+	if err != nil {
+		g.options.Log.Warn("change of primary not made", "group", g.options.Name, "term", a.term, "took", now-a.began, "err", err)
+		return
+	}
+	g.options.Log.Info("primary changed", "group", g.options.Name, "term", a.term, "server", a.claim.Target, "before", a.former, "token", a.token, "took", now-a.began)
+}
+
+// run makes the steps of a change of primary.
+func (a *attempt) run(ctx context.Context) error {
+	if err := a.begin(ctx); err != nil {
+		return err
+	}
+	if err := a.seal(ctx); err != nil {
+		a.unseal(ctx)
+		return err
+	}
+	if err := a.awaitRelease(ctx); err != nil {
+		a.unseal(ctx)
+		return err
+	}
+	if err := a.promote(ctx); err != nil {
+		return err
+	}
+	a.settle(ctx)
+	return nil
+}
+
+// begin takes the claim's record.
+func (a *attempt) begin(ctx context.Context) error {
+	g := a.group
+	g.mu.Lock()
+	a.term, a.former = g.watch.Leader()
+	p := g.pools[a.former]
+	a.planned = p != nil && p.server.Leaving
+	g.mu.Unlock()
+	old, version, now, err := g.options.Claims.ReadFunc(ctx, g.options.Name)
+	if err != nil {
+		return errors.Wrap(err, "record of the claim")
+	}
+	g.mu.Lock()
+	g.holder = old.Holder
+	g.mu.Unlock()
+	if !old.Takes(g.options.Self, now, contains(g.options.VMsFunc(), old.Holder)) {
+		return ErrTaken
+	}
+	a.claim = failover.Claim{Holder: g.options.Self, Term: a.term, At: now}
+	if old.Term == a.term {
+		a.claim.Target = old.Target
+	}
+	if a.version, err = g.options.Claims.WriteFunc(ctx, g.options.Name, a.claim, version); err != nil {
+		return errors.Wrap(err, "record of the claim")
+	}
+	a.token = a.version
+	g.options.Log.Info("claiming the next term", "group", g.options.Name, "term", a.term, "primary", a.former, "planned", a.planned, "token", a.token)
+	return nil
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
+
+// seal seals servers until the claim is safe.
+func (a *attempt) seal(ctx context.Context) error {
+	c := a.group.options.Clock
+	for ctx.Err() == nil {
+		servers := a.group.counted(a.former)
+		var wait sync.WaitGroup
+		for id, m := range servers {
+			if a.isSealed(id) || m.Former && (a.planned || c.Now()-a.began < formerPause) {
+				continue
+			}
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				a.sealOne(ctx, id, m)
+			}()
+		}
+		a.awaitSafe(ctx, &wait, servers)
+		if a.safe(servers) {
+			a.sealedAt = c.Now()
+			return nil
+		}
+		if a.group.usable() && !a.planned {
+			return errRecovered
+		}
+		_ = c.Sleep(ctx, sealPause)
+	}
+	return errors.New("not enough servers could be sealed")
+}
+
+// awaitSafe waits for the answers, or until enough have come.
+func (a *attempt) awaitSafe(ctx context.Context, wait *sync.WaitGroup, servers map[string]failover.Member) {
+	all := make(chan struct{})
+	go func() {
+		wait.Wait()
+		close(all)
+	}()
+	for !a.safe(servers) && ctx.Err() == nil {
+		select {
+		case <-all:
+			return
+		default:
+			_ = a.group.options.Clock.Sleep(ctx, releasePause)
+		}
+	}
+}
+
+func (a *attempt) isSealed(id string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.members[id].Sealed
+}
+
+// list returns the servers as they are known now.
+func (a *attempt) list(servers map[string]failover.Member) []failover.Member {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := make([]failover.Member, 0, len(servers))
+	for id, m := range servers {
+		if sealed, ok := a.members[id]; ok {
+			sealed.Leaving = m.Leaving
+			m = sealed
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func (a *attempt) safe(servers map[string]failover.Member) bool {
+	return failover.Safe(a.list(servers), a.group.options.Synced)
+}
+
+// sealOne seals a replica, or has the former primary step down.
+func (a *attempt) sealOne(ctx context.Context, id string, m failover.Member) {
+	order := Seal
+	if m.Former {
+		order = StepDown
+	}
+	t, err := a.group.Order(ctx, id, order, a.term+1)
+	if err != nil {
+		a.group.options.Log.Debug("not sealed", "group", a.group.options.Name, "server", id, "err", err)
+		return
+	}
+	if t.Primary || !m.Former && t.Sealed < a.term+1 || t.Term > a.term {
+		a.group.options.Log.Info("server not sealed as asked", "group", a.group.options.Name, "server", id, "primary", t.Primary, "term", t.Term, "sealed", t.Sealed)
+		a.group.noteTenure(id, t, tenure.Never)
+		return
+	}
+	m.Sealed, m.Log = true, t.Received
+	a.mu.Lock()
+	a.members[id] = m
+	a.mu.Unlock()
+}
+
+// awaitRelease waits until no VM uses the old term any more: all have said so,
+// or what they could have is over.
+func (a *attempt) awaitRelease(ctx context.Context) error {
+	g := a.group
+	g.release(a.token)
+	g.options.NudgeFunc()
+	end := a.sealedAt + tenure.Lease + tenure.Drift
+	// Only a list that was read after the seal has every VM that may use the term.
+	complete := g.options.RefreshFunc(ctx) == nil
+	for g.options.Clock.Now() < end && !(complete && g.released(a.token)) {
+		if g.options.Clock.Sleep(ctx, releasePause) != nil {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// promote has the sealed server with the furthest log lead.
+func (a *attempt) promote(ctx context.Context) error {
+	g := a.group
+	for ctx.Err() == nil {
+		servers := g.counted(a.former)
+		members := a.list(servers)
+		if !failover.Safe(members, g.options.Synced) {
+			return errors.New("a server was listed that is not sealed")
+		}
+		target := failover.Target(members)
+		a.check(members, target)
+		if target != a.claim.Target {
+			a.claim.Target = target
+			version, err := g.options.Claims.WriteFunc(ctx, g.options.Name, a.claim, a.version)
+			if err != nil {
+				return errors.Wrap(err, "record of the claim")
+			}
+			a.version = version
+		}
+		err := g.options.Claims.PromoteFunc(ctx, g.options.Name, target, g.options.Self, a.token)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, ErrTarget):
+			a.mu.Lock()
+			delete(a.members, target)
+			a.mu.Unlock()
+			return err
+		}
+		g.options.Log.Warn("promotion not confirmed; ordering it again", "group", g.options.Name, "server", target, "err", err)
+		_ = g.options.Clock.Sleep(ctx, promotePause)
+	}
+	return ctx.Err()
+}
+
+// check asserts that no sealed server has more than the one to be promoted.
+func (a *attempt) check(members []failover.Member, target string) {
+	var chosen floor.Mark
+	for _, m := range members {
+		if m.ID == target {
+			chosen = m.Log
+		}
+	}
+	for _, m := range members {
+		invariant.Check(!m.Sealed || chosen.Covers(m.Log), invariant.CurrentPrimary,
+			"backend server %s at %s would be promoted over %s at %s", target, chosen, m.ID, m.Log)
+	}
+}
+
+// settle finds the new term, lets the other servers go, and has the former
+// primary step down.
+func (a *attempt) settle(ctx context.Context) {
+	g := a.group
+	for ctx.Err() == nil {
+		sent := g.options.Clock.Now()
+		if t, err := g.Order(ctx, a.claim.Target, Tell, 0); err == nil {
+			g.noteTenure(a.claim.Target, t, sent)
+			if t.Primary && t.Term > a.term {
+				break
+			}
+		}
+		_ = g.options.Clock.Sleep(ctx, releasePause)
+	}
+	g.options.NudgeFunc()
+	a.unseal(ctx)
+	if term := g.Term(); term > a.term && a.former != "" && a.former != a.claim.Target {
+		if _, err := g.Order(ctx, a.former, StepDown, term); err != nil {
+			g.options.Log.Debug("the former primary was not told to step down", "group", g.options.Name, "server", a.former, "err", err)
+		}
+	}
+}
+
+// unseal lets the sealed replicas receive again.
+func (a *attempt) unseal(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout.Duration())
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, m := range a.list(a.group.counted(a.former)) {
+		if !m.Sealed || m.Former || m.ID == a.claim.Target && a.group.Term() > a.term {
+			continue
+		}
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			if t, err := a.group.Order(ctx, m.ID, Unseal, 0); err == nil {
+				a.group.noteTenure(m.ID, t, tenure.Never)
+			}
+		}()
+	}
+	wait.Wait()
+}
+
+// counted returns the servers that may have acknowledged commits: those listed,
+// and those off the directory for less than what makes them gone.
+func (g *Group) counted(former string) map[string]failover.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.options.Clock.Now()
+	out := map[string]failover.Member{}
+	for id, p := range g.pools {
+		out[id] = failover.Member{ID: id, Leaving: p.server.Leaving, Former: id == former}
+	}
+	for id, at := range g.unlisted {
+		if now-at < failover.GoneAfter && out[id].ID == "" {
+			out[id] = failover.Member{ID: id, Leaving: true, Former: id == former}
+		}
+	}
+	return out
+}
+
+// usable reports whether the primary may be used, at this VM's sight.
+func (g *Group) usable() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.lostLocked(g.options.Clock.Now())
+}
+
+// release gives the present term up for a claim.
+func (g *Group) release(token uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.token = max(g.token, token)
+	g.put(g.watch.WithRelease(g.options.Clock.Now()))
+}
+
+// released reports whether every VM that is known has given up the term that a
+// claim replaces.
+func (g *Group) released(token uint64) bool {
+	vms := g.options.VMsFunc()
+	if len(vms) < g.options.KnownFunc() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, vm := range vms {
+		if vm != g.options.Self && g.votes[vm].token < token {
+			return false
+		}
+	}
+	return true
+}
+
+// vote is what another VM says of a group.
+type vote struct {
+	term  floor.Term
+	lost  bool
+	token uint64
+	at    clock.Millis
+}
+
+// received is the end of a replica's log as it told at a moment.
+type received struct {
+	mark floor.Mark
+	at   clock.Millis
+}
+
+// noteReceived keeps what a replica told of its log. It needs the lock.
+func (g *Group) noteReceived(server string, t statement.Tenure, now clock.Millis) {
+	g.received[server] = received{mark: t.Received, at: now}
+}
--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -44,6 +44,18 @@
 	Synced int
 	// ShareFunc returns the connections that this VM may have to one server.
 	ShareFunc func() int
+	// Self is the name of this VM, VMsFunc lists those there with this one, and
+	// KnownFunc counts those that should be there.
+	Self      string
+	VMsFunc   func() []string
+	KnownFunc func() int
+	// RefreshFunc reads anew which VMs should be there.
+	RefreshFunc func(ctx context.Context) error
+	// NudgeFunc has the other VMs told soon what this one knows.
+	NudgeFunc func()
+	// StoppingFunc reports whether this VM is to stop.
+	StoppingFunc func() bool
+	Claims       Claims
 }
 
 // Group is a database group as one VM serves it.
@@ -59,15 +71,33 @@
 	changed chan struct{}
 	// leader is what was logged last.
 	leader string
-	// probing holds the servers that are being asked.
+	// probing holds the moments at which servers were asked last.
 	probing map[string]clock.Millis
+	// learned is the moment at which the term or its leader became known.
+	learned clock.Millis
+	// unlisted holds the moments since which servers are off the directory.
+	unlisted map[string]clock.Millis
+	votes    map[string]vote
+	received map[string]received
+	// token is that of the last claim for which the term was given up.
+	token uint64
+	// holder is the VM that made the last change of primary.
+	holder string
+	// lostSince is the moment at which this VM lost the primary, or 0.
+	lostSince clock.Millis
+	// claiming is set during an attempt; none begins before claimAfter, and none
+	// for replicas that receive nothing before stuckUntil.
+	claiming   bool
+	claimAfter clock.Millis
+	stuckUntil clock.Millis
 }
 
 // NewGroup returns a group without servers.
 func NewGroup(o Options) *Group {
 	return &Group{
 		options: o, watch: tenure.New(o.Synced), pools: map[string]*pool{}, marks: map[string]floor.Mark{},
-		changed: make(chan struct{}), probing: map[string]clock.Millis{},
+		changed: make(chan struct{}), probing: map[string]clock.Millis{}, unlisted: map[string]clock.Millis{},
+		votes: map[string]vote{}, received: map[string]received{},
 	}
 }
 
@@ -80,6 +110,7 @@
 	var closing []*pool
 	for _, s := range servers {
 		listed[s.ID] = true
+		delete(g.unlisted, s.ID)
 		p := g.pools[s.ID]
 		if p != nil && (p.server.Address != s.Address || p.server.Born != s.Born) {
 			closing = append(closing, p)
@@ -101,6 +132,7 @@
 		if !listed[id] {
 			delete(g.pools, id)
 			delete(g.marks, id)
+			g.unlisted[id] = g.options.Clock.Now()
 			closing = append(closing, p)
 			g.options.Log.Info("backend server gone", "group", g.options.Name, "server", id)
 		}
@@ -132,8 +164,12 @@
 func (g *Group) put(w tenure.Watch) {
 	now := g.options.Clock.Now()
 	before := g.watch.May(now)
+	oldTerm, oldLeader := g.watch.Leader()
 	g.watch = w
 	term, leader := w.Leader()
+	if term != oldTerm || leader != oldLeader {
+		g.learned = now
+	}
 	if leader != g.leader && leader != "" {
 		g.options.Counters.leaders.Inc()
 		g.options.Log.Info("primary of the group", "group", g.options.Name, "term", term, "server", leader, "before", g.leader)
--- a/internal/serve/database/held.go
+++ b/internal/serve/database/held.go
@@ -49,8 +49,11 @@
 	t, err := h.conn.OrderFunc(o, term, timeout)
 	if err != nil {
 		h.broken = true
+		h.pool.fail()
+		return t, err
 	}
-	return t, err
+	h.pool.succeed()
+	return t, nil
 }
 
 // Align gives the server's session the values of a caller's session and no others.
--- a/internal/serve/database/pool.go
+++ b/internal/serve/database/pool.go
@@ -8,6 +8,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/choice"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/fair"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 )
@@ -53,6 +54,9 @@
 	worked  clock.Millis
 	// avoid is the moment until which the server is passed over.
 	avoid clock.Millis
+	// answered and failed are the moments of the last answer and of the last failure.
+	answered clock.Millis
+	failed   clock.Millis
 	// crowded is the moment until which the server takes no more connections.
 	crowded clock.Millis
 }
@@ -72,6 +76,36 @@
 	p.mu.Unlock()
 }
 
+// succeed notes that the server answered.
+func (p *pool) succeed() {
+	p.mu.Lock()
+	p.answered = p.group.options.Clock.Now()
+	p.mu.Unlock()
+}
+
+// fail notes that the server did not answer.
+func (p *pool) fail() {
+	p.mu.Lock()
+	p.failLocked()
+	p.mu.Unlock()
+}
+
+// failLocked notes that the server did not answer. It needs the lock.
+func (p *pool) failLocked() {
+	p.failed = p.group.options.Clock.Now()
+	p.avoid = p.failed + failedPause
+}
+
+// unreachable reports whether the server has failed lately and not answered for long.
+func (p *pool) unreachable(now clock.Millis) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.failed > p.answered && now-p.failed < unreachableFresh && now-p.answered > failover.LostAfter
+}
+
+// unreachableFresh is the age up to which a failure counts, in milliseconds.
+const unreachableFresh = clock.Millis(1500)
+
 // workMemory is the weight of the newest time in the moving mean.
 const workMemory = 0.1
 
@@ -80,9 +114,10 @@
 	defer p.mu.Unlock()
 	p.running--
 	if err != nil {
-		p.avoid = p.group.options.Clock.Now() + failedPause
+		p.failLocked()
 		return
 	}
+	p.answered = p.group.options.Clock.Now()
 	p.work += workMemory * (float64(took) - p.work)
 	p.worked = p.group.options.Clock.Now()
 }
@@ -193,6 +228,7 @@
 		return nil, p.dialFailed(err)
 	}
 	o.Counters.connections.Inc()
+	p.succeed()
 	p.group.noteMark(p.server.ID, mark, began)
 	*h = Held{
 		pool: p, conn: c, account: account, values: map[string]string{},
@@ -211,7 +247,7 @@
 		p.crowded = now + crowdedPause
 		err = ErrCrowded
 	default:
-		p.avoid = now + failedPause
+		p.failLocked()
 		p.group.options.Log.Debug("connection failed", "server", p.server.ID, "err", err)
 		err = ErrUnreachable
 	}
--- a/internal/serve/database/probe.go
+++ b/internal/serve/database/probe.go
@@ -6,6 +6,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 )
 
 const (
@@ -19,25 +20,38 @@
 	prober = "sycamoredoor"
 )
 
-// Tick asks servers for their tenure when the proof of the primary grows old.
-// It returns at once; parts counts what it started.
+// Tick asks servers for their tenure when the proof of the primary grows old,
+// and has a lost primary replaced. It returns at once.
 func (g *Group) Tick(ctx context.Context, start func(func())) {
 	now := g.options.Clock.Now()
 	for _, p := range g.due(now) {
 		start(func() { g.probe(ctx, p) })
 	}
+	g.consider(ctx, start)
 }
 
-// due returns the servers to ask now.
+const (
+	// rankPause is how much older a proof must be for the next VM in rank to ask.
+	rankPause = clock.Millis(120)
+	// lastRank is the rank from which all VMs ask alike.
+	lastRank = 3
+)
+
+// due returns the servers to ask now: the primary and a replica while the proof
+// is merely old, all when it is over.
 func (g *Group) due(now clock.Millis) []*pool {
+	rank := min(g.rank(), lastRank)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.watch.Stale(now) {
+	_, leader := g.watch.Leader()
+	age := now - g.watch.Proved()
+	if leader != "" && age < tenure.Renew+clock.Millis(rank)*rankPause {
 		return nil
 	}
+	all := leader == "" || age >= tenure.Lease*3/4
 	var out []*pool
 	for id, p := range g.pools {
-		if last, ok := g.probing[id]; ok && now-last < probePause {
+		if last, ok := g.probing[id]; ok && now-last < probePause || !all && id != leader && !g.near(p) {
 			continue
 		}
 		g.probing[id] = now
@@ -46,6 +60,30 @@
 	return out
 }
 
+// near reports whether a server is the first replica to ask: one of the own
+// region that answered last, if there is one.
+func (g *Group) near(p *pool) bool {
+	_, leader := g.watch.Leader()
+	best := ""
+	var bestAt clock.Millis
+	for id, o := range g.pools {
+		if id == leader {
+			continue
+		}
+		at := g.received[id].at
+		if o.server.Region == g.options.Region {
+			at += regionBonus
+		}
+		if best == "" || at > bestAt || at == bestAt && id < best {
+			best, bestAt = id, at
+		}
+	}
+	return best == p.server.ID
+}
+
+// regionBonus is how much older an answer from the own region may be, in milliseconds.
+const regionBonus = clock.Second
+
 // probe asks one server.
 func (g *Group) probe(ctx context.Context, p *pool) {
 	g.options.Counters.probes.Inc()
@@ -61,7 +99,13 @@
 func (g *Group) noteTenure(server string, t statement.Tenure, sent clock.Millis) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.put(g.watch.WithTenure(server, t, sent, g.options.Clock.Now()))
+	now := g.options.Clock.Now()
+	proved := g.watch.Proved()
+	g.noteReceived(server, t, now)
+	g.put(g.watch.WithTenure(server, t, sent))
+	if g.watch.Proved() > proved {
+		g.options.NudgeFunc()
+	}
 }
 
 // Order gives an order of a claimant to a server, or asks for its tenure.
--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -39,7 +39,7 @@
 // arrange gives every group of the configuration its servers.
 func (f *Frontend) arrange() {
 	c := f.catalog.Load()
-	if c == nil {
+	if c == nil || !f.mesh.Registered() {
 		return
 	}
 	f.mu.Lock()
@@ -71,9 +71,21 @@
 		Name: name, Zone: o.Self.Zone, Region: o.Self.Region, Clock: o.Clock, Log: o.Log,
 		Protocol: o.Protocol, Counters: f.counters, Synced: synced,
 		ShareFunc: func() int { return f.share(name) },
+		Self:      o.Self.Name, VMsFunc: f.aliveNames, KnownFunc: f.mesh.Known, RefreshFunc: f.mesh.Refresh,
+		NudgeFunc: f.mesh.Nudge, StoppingFunc: f.stopping.Load, Claims: o.Claims,
 	})
 }
 
+// aliveNames returns the names of the VMs that are there.
+func (f *Frontend) aliveNames() []string {
+	vms := f.mesh.Alive()
+	out := make([]string, len(vms))
+	for i, v := range vms {
+		out[i] = v.Name
+	}
+	return out
+}
+
 // share returns the connections that this VM may have to one server of a group.
 func (f *Frontend) share(group string) int {
 	c := f.catalog.Load()
@@ -81,6 +93,6 @@
 		return 1
 	}
 	g, _ := c.Group(group)
-	even := spareShare * float64(g.Connections) / float64(max(f.options.VMsFunc(), 1))
+	even := spareShare * float64(g.Connections) / float64(max(len(f.mesh.Alive()), 1))
 	return max(int(even*overShare), 1)
 }
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -13,7 +13,10 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/quota"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/peer"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/gossip"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/session"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
 )
@@ -33,8 +36,9 @@
 	Protocol    database.Protocol
 	// AcceptFunc reads the start of a caller's session.
 	AcceptFunc func(c net.Conn) (session.Caller, error)
-	// VMs returns the number of VMs that share the connections.
-	VMsFunc func() int
+	Registry   Registry
+	Claims     database.Claims
+	Tolerance  Tolerance
 }
 
 // Frontend is a running VM.
@@ -44,18 +48,27 @@
 	sessions session.Options
 	counters database.Counters
 	catalog  atomic.Pointer[catalog.Catalog]
+	// stopping is set once the VM is to stop, closing once sessions are to end.
 	stopping atomic.Bool
+	closing  atomic.Bool
 	open     atomic.Int64
 	parts    sync.WaitGroup
 	done     chan struct{}
-
-	mu     sync.Mutex
-	text   []byte
-	lost   map[string]bool
-	groups map[string]*database.Group
+	ctx      context.Context
+	mesh     *gossip.Mesh
+	limits   *limits
+	// transport is nil until the VM has its keys.
+	transport atomic.Pointer[peer.Transport]
+
+	mu sync.Mutex
+	// fetching is the moment until which no configuration is asked of another VM.
+	fetching clock.Millis
+	text     []byte
+	lost     map[string]bool
+	groups   map[string]*database.Group
 	// servers is the directory as it was read last.
 	servers []database.Server
-	conns   map[net.Conn]*atomic.Bool
+	conns   map[net.Conn]bool
 }
 
 // Start listens for callers and serves until the context ends.
@@ -65,14 +78,27 @@
 		return nil, err
 	}
 	f := &Frontend{
-		options: o, listener: l, counters: database.NewCounters(), done: make(chan struct{}),
-		lost: map[string]bool{}, groups: map[string]*database.Group{}, conns: map[net.Conn]*atomic.Bool{},
+		options: o, listener: l, ctx: ctx, counters: database.NewCounters(), done: make(chan struct{}),
+		lost: map[string]bool{}, groups: map[string]*database.Group{}, conns: map[net.Conn]bool{},
 	}
 	f.sessions = session.Options{
 		Clock: o.Clock, Log: o.Log, Protocol: o.Protocol, Counters: session.NewCounters(),
-		CatalogFunc: f.catalog.Load, GroupFunc: f.Group, StoppingFunc: f.stopping.Load,
-		LimitFunc: func(context.Context, catalog.Account) bool { return true },
+		CatalogFunc: f.catalog.Load, GroupFunc: f.Group, StoppingFunc: f.closing.Load,
+		LimitFunc: func(_ context.Context, a catalog.Account) bool { return f.limits.take(a) },
+	}
+	f.mesh = f.newMesh()
+	f.limits = &limits{
+		clock: o.Clock, tolerance: o.Tolerance, vmsFunc: f.mesh.Known, processFunc: f.mesh.Process, nudgeFunc: f.mesh.Nudge,
+		accountFunc: func(name string) (catalog.Account, bool) {
+			c := f.catalog.Load()
+			if c == nil {
+				return catalog.Account{}, false
+			}
+			return c.Account(name)
+		},
+		buckets: map[string]quota.Bucket{}, reported: map[string]uint64{},
 	}
+	f.start(func() { f.join(ctx) })
 	f.start(func() { f.follow(ctx) })
 	f.start(func() { f.list(ctx) })
 	f.start(func() { f.tick(ctx) })
@@ -120,18 +146,22 @@
 
 func (f *Frontend) tick(ctx context.Context) {
 	for f.options.Clock.Sleep(ctx, tickPause) == nil {
-		f.mu.Lock()
-		groups := make([]*database.Group, 0, len(f.groups))
-		for _, g := range f.groups {
-			groups = append(groups, g)
-		}
-		f.mu.Unlock()
-		for _, g := range groups {
+		for _, g := range f.allGroups() {
 			g.Tick(ctx, f.start)
 		}
 	}
 }
 
+func (f *Frontend) allGroups() []*database.Group {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]*database.Group, 0, len(f.groups))
+	for _, g := range f.groups {
+		out = append(out, g)
+	}
+	return out
+}
+
 // accept serves every caller that connects.
 func (f *Frontend) accept(ctx context.Context) {
 	for {
@@ -159,21 +189,15 @@
 		f.options.Log.Debug("no session", "err", err)
 		return
 	}
-	idle := f.register(c)
+	f.register(c)
 	defer f.forget(c)
-	read, answer := caller.ReadFunc, caller.AnswerFunc
-	caller.ReadFunc = read
-	caller.AnswerFunc = answer
-	_ = idle
 	session.Serve(ctx, f.sessions, caller)
 }
 
-func (f *Frontend) register(c net.Conn) *atomic.Bool {
+func (f *Frontend) register(c net.Conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	idle := &atomic.Bool{}
-	f.conns[c] = idle
-	return idle
+	f.conns[c] = true
 }
 
 func (f *Frontend) forget(c net.Conn) {
--- /dev/null
+++ b/internal/serve/frontend/peers.go
@@ -0,0 +1,204 @@
+package frontend
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/peer"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/gossip"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/keys"
+)
+
+const (
+	// keysPause is the pause between two attempts to get the VM's keys, in milliseconds.
+	keysPause = clock.Millis(250)
+	// askTimeout bounds a question to another VM.
+	askTimeout = clock.Second
+	// fetchPause is the time that the store is given to bring a configuration that
+	// another VM has, before that VM is asked for it.
+	fetchPause = clock.Millis(300)
+	// fetchAgain is the pause before a VM is asked again.
+	fetchAgain = clock.Millis(500)
+)
+
+// Registry is the list of VMs in the platform's store, and their keys.
+type Registry struct {
+	ListFunc     func(ctx context.Context) ([]member.VM, error)
+	RegisterFunc func(ctx context.Context, v member.VM) error
+	RemoveFunc   func(ctx context.Context, v member.VM) error
+	// KeysFunc issues the keys of a VM.
+	KeysFunc func(ctx context.Context, vm string) (keys.Material, error)
+}
+
+// newMesh returns the gossip of this VM.
+func (f *Frontend) newMesh() *gossip.Mesh {
+	o := f.options
+	return gossip.New(gossip.Options{
+		Self: o.Self, Clock: o.Clock, Log: o.Log,
+		SendFunc: f.sendDatagram,
+		ListFunc: o.Registry.ListFunc, RegisterFunc: o.Registry.RegisterFunc, RemoveFunc: o.Registry.RemoveFunc,
+		RegisteredFunc: f.arrange,
+		FillFunc:       f.fill, TakeFunc: f.hear,
+	})
+}
+
+// join gets the VM's keys, then speaks with the other VMs until the context ends.
+func (f *Frontend) join(ctx context.Context) {
+	t := f.transportOf(ctx)
+	if t == nil {
+		return
+	}
+	f.transport.Store(t)
+	f.start(func() { f.mesh.Run(ctx) })
+	t.Serve(ctx, peer.Handlers{
+		StreamFunc:   func(_ context.Context, _ string, s peer.Stream) { f.serveAsk(s.Exchange) },
+		DatagramFunc: func(name string, body []byte) { f.mesh.Take(name, body) },
+	})
+}
+
+// transportOf opens the transport as soon as the keys are to be had.
+func (f *Frontend) transportOf(ctx context.Context) *peer.Transport {
+	for ctx.Err() == nil {
+		m, err := f.options.Registry.KeysFunc(ctx, f.options.Self.Name)
+		f.dependency("keys", err)
+		if err == nil {
+			t, err := f.listenPeers(m)
+			if err == nil {
+				return t
+			}
+			f.options.Log.Error("the address for other VMs failed", "err", err)
+		}
+		_ = f.options.Clock.Sleep(ctx, keysPause)
+	}
+	return nil
+}
+
+func (f *Frontend) listenPeers(m keys.Material) (*peer.Transport, error) {
+	r, err := keys.NewRing(m)
+	if err != nil {
+		return nil, err
+	}
+	return peer.Listen(f.options.Self.Address, r, peer.Options{Clock: f.options.Clock, Region: f.options.Self.Region})
+}
+
+var errNoTransport = errors.New("this VM has no keys yet")
+
+func (f *Frontend) sendDatagram(ctx context.Context, address string, body []byte) error {
+	t := f.transport.Load()
+	if t == nil {
+		return errNoTransport
+	}
+	return t.TryDatagram(ctx, address, body)
+}
+
+// fill puts what this VM knows into a message.
+func (f *Frontend) fill() inner.Gossip {
+	g := inner.Gossip{Usages: f.limits.round()}
+	if c := f.catalog.Load(); c != nil {
+		g.Version = c.Version
+	}
+	for _, group := range f.allGroups() {
+		g.Views = append(g.Views, group.View())
+	}
+	return g
+}
+
+// hear takes in a message of another VM.
+func (f *Frontend) hear(g inner.Gossip, bound func(clock.Millis) clock.Millis) {
+	f.limits.hear(g)
+	for _, v := range g.Views {
+		if group := f.Group(v.Group); group != nil {
+			group.Hear(g.From, v, bound)
+		}
+	}
+	c := f.catalog.Load()
+	if c == nil || g.Version > c.Version {
+		f.wantText(g.Address, g.Version)
+	}
+}
+
+// wantText has a later configuration fetched from another VM, unless that is
+// under way.
+func (f *Frontend) wantText(address string, version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.options.Clock.Now()
+	if version == 0 || now < f.fetching {
+		return
+	}
+	f.fetching = now + fetchAgain + fetchPause
+	f.start(func() { f.fetchText(address, version) })
+}
+
+// fetchText asks another VM for the configuration that it has, once the store
+// has had time to bring it.
+func (f *Frontend) fetchText(address string, version uint64) {
+	ctx, cancel := context.WithTimeout(f.ctx, (fetchPause + askTimeout).Duration())
+	defer cancel()
+	_ = f.options.Clock.Sleep(ctx, fetchPause)
+	if c := f.catalog.Load(); c != nil && c.Version >= version {
+		return
+	}
+	a, err := f.ask(ctx, address, inner.Ask{Topic: inner.TopicText})
+	if err != nil {
+		f.options.Log.Info("configuration not got from another VM", "address", address, "version", version, "err", err)
+		return
+	}
+	f.adopt(a.Record, "vm")
+}
+
+// ask puts one question to the VM at an address.
+func (f *Frontend) ask(ctx context.Context, address string, a inner.Ask) (inner.Answer, error) {
+	t := f.transport.Load()
+	if t == nil {
+		return inner.Answer{}, errNoTransport
+	}
+	x, err := t.Open(ctx, address, peer.Label{Control: true})
+	if err != nil {
+		return inner.Answer{}, err
+	}
+	stop := context.AfterFunc(ctx, x.Close)
+	defer stop()
+	defer x.Close()
+	if err := x.Send(inner.Encode(inner.KindAsk, a)); err != nil {
+		return inner.Answer{}, err
+	}
+	r, err := x.Receive()
+	if err != nil {
+		return inner.Answer{}, err
+	}
+	var out inner.Answer
+	if err := inner.Decode(r, &out); err != nil {
+		return out, err
+	}
+	if out.Error != "" {
+		return out, errors.New(out.Error)
+	}
+	return out, nil
+}
+
+// serveAsk answers one question of another VM.
+func (f *Frontend) serveAsk(x inner.Exchange) {
+	r, err := x.Receive()
+	if err != nil || r.Kind != inner.KindAsk {
+		return
+	}
+	var a inner.Ask
+	if inner.Decode(r, &a) != nil {
+		return
+	}
+	out := inner.Answer{Error: "unknown question " + a.Topic}
+	if a.Topic == inner.TopicText {
+		f.mu.Lock()
+		out = inner.Answer{Record: f.text}
+		f.mu.Unlock()
+		if len(out.Record) == 0 {
+			out.Error = "the VM has no configuration yet"
+		}
+	}
+	_ = x.Send(inner.Encode(inner.KindAnswer, out))
+}
--- /dev/null
+++ b/internal/serve/gossip/gossip.go
@@ -0,0 +1,315 @@
+// Package gossip lets the VMs tell each other what they know: who is there,
+// which configuration is in force, what accounts spend, and which primaries are
+// proved to lead. Messages are datagrams that may be lost; nothing depends on any
+// one of them.
+package gossip
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+)
+
+const (
+	// period is the pause between two messages to a VM, in milliseconds.
+	period = clock.Millis(300)
+	// soonest is the least pause when there is something urgent.
+	soonest = clock.Millis(60)
+	// Absent is the silence from which a VM counts as not there.
+	Absent = clock.Millis(2500)
+	// absentPeriod is the pause between two messages to a VM that is not there.
+	absentPeriod = clock.Millis(3000)
+	// listPeriod is the pause between two reads of the list of VMs, and listFirst
+	// the same while no other VM is known.
+	listPeriod = 15 * clock.Second
+	listFirst  = clock.Millis(700)
+	// sentKept is the number of messages whose moments are remembered.
+	sentKept = 32
+)
+
+// Options makes a mesh.
+type Options struct {
+	Self  member.VM
+	Clock clock.Clock
+	Log   *log.Logger
+	// SendFunc sends a datagram.
+	SendFunc func(ctx context.Context, address string, body []byte) error
+	// ListFunc lists the VMs that have registered, RegisterFunc adds this one, and
+	// RemoveFunc takes one off.
+	ListFunc     func(ctx context.Context) ([]member.VM, error)
+	RegisterFunc func(ctx context.Context, v member.VM) error
+	RemoveFunc   func(ctx context.Context, v member.VM) error
+	// RegisteredFunc is called once this VM has registered.
+	RegisteredFunc func()
+	// FillFunc puts what this VM knows into a message, the same for all receivers.
+	FillFunc func() inner.Gossip
+	// TakeFunc takes in a message. Bound gives a moment of this VM's clock that
+	// something of the sender's cannot be older than, from its age at the sender.
+	TakeFunc func(m inner.Gossip, bound func(age clock.Millis) clock.Millis)
+}
+
+// peer is another VM.
+type peer struct {
+	vm       member.VM
+	process  uint64
+	leaving  bool
+	heard    clock.Millis
+	sent     clock.Millis
+	number   uint64
+	moments  [sentKept]clock.Millis
+	received uint64
+	at       clock.Millis
+}
+
+// Mesh is the running part.
+type Mesh struct {
+	options Options
+	process uint64
+	kick    chan struct{}
+	done    chan struct{}
+	bytes   *metrics.Counter
+
+	mu      sync.Mutex
+	peers   map[string]*peer
+	leaving bool
+	// registered is set once this VM stands in the list.
+	registered bool
+}
+
+// New returns a mesh that works once Run is called.
+func New(o Options) *Mesh {
+	var raw [8]byte
+	_, _ = rand.Read(raw[:])
+	return &Mesh{
+		options: o, process: binary.BigEndian.Uint64(raw[:]), kick: make(chan struct{}, 1), done: make(chan struct{}),
+		bytes: metrics.GetOrCreateCounter("sycamoredoor_gossip_bytes_total"), peers: map[string]*peer{},
+	}
+}
+
+// Done is closed once Run has ended.
+func (m *Mesh) Done() <-chan struct{} { return m.done }
+
+// Process tells this start of the VM from others.
+func (m *Mesh) Process() uint64 { return m.process }
+
+// Nudge has the next messages sent soon.
+func (m *Mesh) Nudge() {
+	select {
+	case m.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Leave tells the others that this VM is to stop.
+func (m *Mesh) Leave(ctx context.Context) {
+	m.mu.Lock()
+	m.leaving = true
+	m.mu.Unlock()
+	m.Nudge()
+	if err := m.options.RemoveFunc(ctx, m.options.Self); err != nil {
+		m.options.Log.Warn("this VM could not be taken off the list", "err", err)
+	}
+}
+
+// Alive returns the VMs that were heard lately and stay, with this one, in order
+// of their names.
+func (m *Mesh) Alive() []member.VM {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.options.Clock.Now()
+	out := []member.VM{m.options.Self}
+	for _, p := range m.peers {
+		if now-p.heard < Absent && !p.leaving {
+			out = append(out, p.vm)
+		}
+	}
+	slices.SortFunc(out, func(a, b member.VM) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Known returns the number of VMs that are known, this one included, whether or
+// not they are heard.
+func (m *Mesh) Known() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.peers) + 1
+}
+
+// Run exchanges messages until the context ends.
+func (m *Mesh) Run(ctx context.Context) {
+	defer close(m.done)
+	listing := make(chan struct{})
+	go func() {
+		defer close(listing)
+		m.list(ctx)
+	}()
+	for ctx.Err() == nil {
+		m.round(ctx)
+		m.pause(ctx)
+	}
+	<-listing
+}
+
+// pause waits for the next round, which comes early when it was asked for.
+func (m *Mesh) pause(ctx context.Context) {
+	if m.options.Clock.Sleep(ctx, soonest) != nil {
+		return
+	}
+	fired, stop := m.options.Clock.AfterFunc(period - soonest)
+	defer stop()
+	select {
+	case <-ctx.Done():
+	case <-fired:
+	case <-m.kick:
+	}
+}
+
+// list registers this VM and reads who else has.
+func (m *Mesh) list(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !m.Registered() && m.options.RegisterFunc(ctx, m.options.Self) == nil {
+			m.mu.Lock()
+			m.registered = true
+			m.mu.Unlock()
+			m.options.RegisteredFunc()
+		}
+		err := m.Refresh(ctx)
+		pause := listPeriod
+		if !m.Registered() || err != nil || len(m.Alive()) == 1 {
+			pause = listFirst
+		}
+		_ = m.options.Clock.Sleep(ctx, pause)
+	}
+}
+
+// Registered reports whether this VM stands in the list.
+func (m *Mesh) Registered() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.registered
+}
+
+// Refresh reads the list of VMs.
+func (m *Mesh) Refresh(ctx context.Context) error {
+	vms, err := m.options.ListFunc(ctx)
+	if err == nil {
+		m.take(vms)
+	}
+	return err
+}
+
+// take takes in the list of VMs. One that is off it and not heard is forgotten.
+func (m *Mesh) take(vms []member.VM) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.options.Clock.Now()
+	listed := map[string]bool{}
+	for _, v := range vms {
+		listed[v.Name] = true
+		if v.Name == m.options.Self.Name {
+			continue
+		}
+		p := m.peers[v.Name]
+		if p == nil {
+			m.peers[v.Name] = m.newPeer(v, now)
+			continue
+		}
+		if now-p.heard >= Absent {
+			p.vm = v
+		}
+	}
+	for name, p := range m.peers {
+		if !listed[name] && now-p.heard >= Absent {
+			delete(m.peers, name)
+		}
+	}
+}
+
+// newPeer returns a VM that was not heard yet. Numbers of messages begin at a place
+// that differs between the starts of this VM, so that an echo of a number of an
+// earlier start is not taken for one of this.
+func (m *Mesh) newPeer(v member.VM, now clock.Millis) *peer {
+	return &peer{vm: v, heard: now - Absent, sent: now - absentPeriod, number: m.process % numberPlaces * sentKept}
+}
+
+// numberPlaces is the number of places at which numbers of messages may begin.
+const numberPlaces = 1 << 24
+
+// round sends to every VM that is due.
+func (m *Mesh) round(ctx context.Context) {
+	base := m.options.FillFunc()
+	m.mu.Lock()
+	now := m.options.Clock.Now()
+	base.From, base.Address, base.Process, base.Leaving = m.options.Self.Name, m.options.Self.Address, m.process, m.leaving
+	type letter struct {
+		address string
+		body    []byte
+	}
+	var letters []letter
+	for _, p := range m.peers {
+		if now-p.heard >= Absent && now-p.sent < absentPeriod {
+			continue
+		}
+		g := base
+		p.number++
+		p.moments[p.number%sentKept] = now
+		p.sent = now
+		g.Number, g.Echo, g.Since = p.number, p.received, now-p.at
+		letters = append(letters, letter{address: p.vm.Address, body: inner.Pack(inner.Encode(inner.KindGossip, g))})
+	}
+	m.mu.Unlock()
+	for _, l := range letters {
+		m.bytes.Add(len(l.body))
+		// A VM that cannot be reached is found out by its silence.
+		_ = m.options.SendFunc(ctx, l.address, l.body)
+	}
+}
+
+// Take takes one datagram from the VM called name.
+func (m *Mesh) Take(name string, datagram []byte) {
+	f, err := inner.Unpack(datagram)
+	if err != nil || f.Kind != inner.KindGossip {
+		return
+	}
+	var g inner.Gossip
+	if inner.Decode(f, &g) != nil || g.From != name || name == m.options.Self.Name {
+		return
+	}
+	m.options.TakeFunc(g, m.note(g))
+}
+
+// note takes in that a VM was heard, and returns what its ages mean here: what
+// happened at the sender some time after it received a message of this VM
+// happened so long after that message was sent.
+func (m *Mesh) note(g inner.Gossip) func(clock.Millis) clock.Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.options.Clock.Now()
+	p := m.peers[g.From]
+	if p == nil {
+		p = m.newPeer(member.VM{Name: g.From}, now)
+		m.peers[g.From] = p
+	}
+	if p.process != g.Process {
+		p.process, p.received = g.Process, 0
+	}
+	p.vm.Address, p.leaving, p.heard = g.Address, g.Leaving, now
+	if g.Number > p.received {
+		p.received, p.at = g.Number, now
+	}
+	if g.Echo == 0 || g.Echo > p.number || p.number-g.Echo >= sentKept {
+		return nil
+	}
+	sent := p.moments[g.Echo%sentKept]
+	return func(age clock.Millis) clock.Millis { return min(sent+g.Since-age, now) }
+}
--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -8,6 +8,7 @@
 	"maps"
 
 	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
@@ -84,8 +85,8 @@
 func (s *session) loop(ctx context.Context) {
 	for ctx.Err() == nil {
 		st, err := s.caller.ReadFunc(s.patience())
-		if err == ErrIdle && s.txn != nil { //nolint:errorlint // a sentinel of this package
-			s.expire()
+		if errors.Is(err, ErrIdle) && s.txn != nil {
+			s.pause()
 			continue
 		}
 		if err != nil {
@@ -101,6 +102,19 @@
 	}
 }
 
+// pause looks what is to be done about a transaction whose caller is silent.
+func (s *session) pause() {
+	now := s.options.Clock.Now()
+	idle := s.options.CatalogFunc().TransactionIdle
+	late := s.options.StoppingFunc() && now-s.txn.began > stoppingIdle
+	if s.txn.held != nil && (idle > 0 && now-s.txn.used >= idle || late) {
+		s.expire()
+	}
+}
+
+// stoppingIdle is how old a transaction may grow on a VM that is to stop, in milliseconds.
+const stoppingIdle = clock.Second
+
 // patience is how long the caller may be silent, in milliseconds; 0 sets no bound.
 func (s *session) patience() clock.Millis {
 	if s.txn == nil || s.txn.held == nil {
--- a/internal/serve/session/transaction.go
+++ b/internal/serve/session/transaction.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
@@ -16,6 +17,9 @@
 	// written is set once a write was sent, committing once the commit was.
 	written bool
 	failed  bool
+	// began is the moment of its begin, used that of its last statement.
+	began clock.Millis
+	used  clock.Millis
 }
 
 // fail ends the transaction at the server; the caller still has to end its own.
@@ -58,12 +62,14 @@
 	if code, detail := s.admit(ctx); code != statement.None {
 		return s.refuse(st, code, detail)
 	}
-	s.txn = &transaction{begin: st}
+	now := s.options.Clock.Now()
+	s.txn = &transaction{begin: st, began: now, used: now}
 	return statement.Done(statement.Open)
 }
 
 // inside runs a statement of the open transaction.
 func (s *session) inside(ctx context.Context, st statement.Statement) statement.Answer {
+	defer func() { s.txn.used = s.options.Clock.Now() }()
 	if s.txn.held == nil {
 		return s.first(ctx, st)
 	}
--- a/internal/setup/keys/keys.go
+++ b/internal/setup/keys/keys.go
@@ -3,6 +3,7 @@
 package keys
 
 import (
+	"bytes"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -100,6 +101,47 @@
 	pem         []byte
 }
 
+// The validity of certificates. It spans every time of day that a VM's clock may
+// show, since those clocks may jump; what ends a certificate's use is the end of
+// its authority.
+var (
+	validFrom  = time.Unix(0, 0)
+	validUntil = time.Date(2200, time.January, 1, 0, 0, 0, 0, time.UTC)
+)
+
+// Text returns the authority as PEM, its private key included.
+func (a *Authority) Text() ([]byte, error) {
+	private, err := x509.MarshalECPrivateKey(a.key)
+	if err != nil {
+		return nil, fmt.Errorf("key of the authority: %w", err)
+	}
+	return append(bytes.Clone(a.pem), pem.EncodeToMemory(&pem.Block{Type: keyBlock, Bytes: private})...), nil
+}
+
+// keyBlock is the type of a PEM block with a private key.
+const keyBlock = "EC PRIVATE KEY"
+
+// ReadAuthority reads what Text returned.
+func ReadAuthority(text []byte) (*Authority, error) {
+	first, rest := pem.Decode(text)
+	if first == nil {
+		return nil, errors.New("the authority has no certificate")
+	}
+	second, _ := pem.Decode(rest)
+	if second == nil || second.Type != keyBlock {
+		return nil, errors.New("the authority has no key")
+	}
+	c, err := x509.ParseCertificate(first.Bytes)
+	if err != nil {
+		return nil, errors.Wrap(err, "authority")
+	}
+	key, err := x509.ParseECPrivateKey(second.Bytes)
+	if err != nil {
+		return nil, errors.Wrap(err, "authority")
+	}
+	return &Authority{key: key, certificate: c, pem: pem.EncodeToMemory(first)}, nil
+}
+
 // NewAuthority makes an authority that lives as long as this process.
 func NewAuthority() (*Authority, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
@@ -108,7 +150,7 @@
 	}
 	t := &x509.Certificate{
 		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "sycamoredoor authority"},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().AddDate(1, 0, 0),
+		NotBefore: validFrom, NotAfter: validUntil,
 		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
 	}
 	der, err := x509.CreateCertificate(rand.Reader, t, t, &key.PublicKey, key)
@@ -135,7 +177,7 @@
 	t := &x509.Certificate{
 		SerialNumber: serial, Subject: pkix.Name{CommonName: vm}, DNSNames: []string{ServerName},
 		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		NotBefore:   time.Now().Add(-time.Hour), NotAfter: time.Now().AddDate(1, 0, 0),
+		NotBefore:   validFrom, NotAfter: validUntil,
 		KeyUsage:    x509.KeyUsageDigitalSignature,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
 	}
@@ -150,6 +192,6 @@
 	return Material{
 		Authority:   a.pem,
 		Certificate: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
-		Key:         pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: private}),
+		Key:         pem.EncodeToMemory(&pem.Block{Type: keyBlock, Bytes: private}),
 	}, nil
 }
