Refuse no account within its rate for want of a share

A replica that had just said it was behind was asked again. Change: a round begins with spare operations as long as the bucket is far from empty; buckets exist before the first operation; a replica that was behind in the last 80 ms is passed over.

--- a/internal/core/choice/cheapest.go
+++ b/internal/core/choice/cheapest.go
@@ -17,6 +17,8 @@
 	Avoided bool
 	// Applied is the latest state that it was seen at.
 	Applied floor.Mark
+	// Age is how long ago that was, in milliseconds.
+	Age clock.Millis
 	// Latency is a moving mean of its answers in milliseconds, and Waiting the
 	// requests of this VM that it has not answered.
 	Latency float64
@@ -40,8 +42,12 @@
 	// costZone and costRegion stand for bytes that leave the zone or the region.
 	costZone   = 6.0
 	costRegion = 25.0
-	// costBehind is what an attempt costs that a replica behind the floor refuses.
-	costBehind = 60.0
+	// costBehind is added for a replica that was behind the floor when it was last
+	// seen, costRefuses for one that was seen so lately that it still is.
+	costBehind  = 30.0
+	costRefuses = 1000.0
+	// refusesFor is how long a replica is taken to stay behind, in milliseconds.
+	refusesFor = clock.Millis(80)
 	// costAvoided keeps work away from a server that failed, while another is left.
 	costAvoided = 5000.0
 )
@@ -70,9 +76,13 @@
 	case s.Zone != n.Zone:
 		c += costZone
 	}
-	if s.Primary {
+	switch {
+	case s.Primary:
 		c += costPrimary
-	} else if !s.Applied.Covers(n.Floor) {
+	case s.Applied.Covers(n.Floor):
+	case s.Age < refusesFor:
+		c += costRefuses
+	default:
 		c += costBehind
 	}
 	if s.Avoided {
--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -65,11 +65,17 @@
 	// second over the rate that all of them may run unheard.
 	vms       int
 	tolerance float64
+	// loan is operations that this VM may run although its share is spent, while
+	// the bucket has tokens; the tolerance covers those of all VMs.
+	loan float64
+	// spare is operations that this VM may run in this round beyond its credit,
+	// while the bucket is far from empty.
+	spare float64
 }
 
 // New returns the bucket of an account of which nothing is known.
 func New(rate, burst float64, now clock.Millis) Bucket {
-	return Bucket{rate: rate, burst: burst, tokens: burst * firstTokens, at: now, others: map[string]use{}, fresh: true, vms: 1}
+	return Bucket{rate: rate, burst: burst, tokens: burst * firstTokens, at: now, others: map[string]use{}, fresh: true, vms: 1, loan: 1}
 }
 
 // WithVMs takes in how many VMs there are, and how many operations a second over
@@ -109,9 +115,18 @@
 		grown = b.tolerance * float64(length) / float64(clock.Second)
 	}
 	b.credit = min(b.credit+grown*b.share(now), max(b.tokens, 0))
+	lent := b.tolerance * loanPart / float64(b.vms)
+	b.loan = min(b.loan+lent*float64(length)/float64(clock.Second), max(lent, 1))
 	return b
 }
 
+// sparePart is the part of the bucket that all VMs together may run in a round
+// beyond their shares.
+const sparePart = 0.5
+
+// loanPart is the part of the tolerance that loans may take.
+const loanPart = 0.5
+
 // guess takes off what VMs spend that have not reported for some time.
 func (b Bucket) guess(now clock.Millis) Bucket {
 	for name, u := range b.others {
@@ -158,6 +173,10 @@
 		b.credit = b.share(now) * max(b.tokens, 0)
 	}
 	b.fresh = false
+	b.spare = 0
+	if !b.alone() {
+		b.spare = math.Floor(sparePart * b.tokens / float64(len(b.others)+1))
+	}
 	return b, Report{Spent: b.spent, Demand: b.demand, Tokens: b.tokens}
 }
 
@@ -168,21 +187,23 @@
 	if len(b.others) == 0 && b.vms <= 1 {
 		b.credit = b.tokens
 	}
-	if b.tokens < 1 || b.credit < 1 && !b.spare() {
+	switch {
+	case b.tokens < 1:
+		return b, false
+	case b.credit >= 1:
+		b.credit--
+	case b.spare >= 1 && b.tokens >= float64(len(b.others)+1):
+		b.spare--
+	case b.loan >= 1 && !b.alone():
+		b.loan--
+	default:
 		return b, false
 	}
 	b.tokens--
-	b.credit--
 	b.spent++
 	return b, true
 }
 
-// spare reports whether a VM whose credit is a fraction may take one more: there
-// is a token for every VM, and it has not done so in this round.
-func (b Bucket) spare() bool {
-	return b.credit > 0 && !b.alone() && b.tokens >= float64(len(b.others)+2)
-}
-
 // WithReport takes in what another VM says.
 func (b Bucket) WithReport(vm string, r Report, now clock.Millis) Bucket {
 	b = b.advance(now)
--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -65,8 +65,9 @@
 	mu    sync.Mutex
 	watch tenure.Watch
 	pools map[string]*pool
-	// marks and seen are the latest state of each server and its moment.
+	// marks are the latest state of each server, seen the moments they were seen at.
 	marks map[string]floor.Mark
+	seen  map[string]clock.Millis
 	// changed is closed and replaced when the leader or its proof changed.
 	changed chan struct{}
 	// leader is what was logged last.
@@ -95,7 +96,7 @@
 // NewGroup returns a group without servers.
 func NewGroup(o Options) *Group {
 	return &Group{
-		options: o, watch: tenure.New(o.Synced), pools: map[string]*pool{}, marks: map[string]floor.Mark{},
+		options: o, watch: tenure.New(o.Synced), pools: map[string]*pool{}, marks: map[string]floor.Mark{}, seen: map[string]clock.Millis{},
 		changed: make(chan struct{}), probing: map[string]clock.Millis{}, unlisted: map[string]clock.Millis{},
 		votes: map[string]vote{}, received: map[string]received{},
 	}
@@ -132,6 +133,7 @@
 		if !listed[id] {
 			delete(g.pools, id)
 			delete(g.marks, id)
+			delete(g.seen, id)
 			g.unlisted[id] = g.options.Clock.Now()
 			closing = append(closing, p)
 			g.options.Log.Info("backend server gone", "group", g.options.Name, "server", id)
@@ -151,6 +153,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.marks[server] = g.marks[server].Max(m)
+	g.seen[server] = g.options.Clock.Now()
 	g.put(g.watch.WithMark(server, m, sent))
 }
 
@@ -308,7 +311,7 @@
 		waiting, latency, avoided := p.load(now)
 		candidates = append(candidates, choice.Candidate{
 			Name: id, Zone: p.server.Zone, Region: p.server.Region, Primary: id == leader,
-			Leaving: p.server.Leaving, Avoided: avoided, Applied: g.marks[id],
+			Leaving: p.server.Leaving, Avoided: avoided, Applied: g.marks[id], Age: now - g.seen[id],
 			Latency: latency, Waiting: waiting, Slots: p.server.Slots,
 		})
 	}
--- a/internal/serve/frontend/follow.go
+++ b/internal/serve/frontend/follow.go
@@ -82,6 +82,7 @@
 	f.mu.Unlock()
 	invariant.Check(old == nil || f.catalog.Load().Version > old.Version, invariant.ConfigForward, "version %d replaced a later one", c.Version)
 	f.options.Log.Info("configuration in force", "version", c.Version, "from", from)
+	f.limits.prepare(c.Accounts())
 	f.arrange()
 }
 
--- a/internal/serve/frontend/limits.go
+++ b/internal/serve/frontend/limits.go
@@ -64,6 +64,20 @@
 	return b.WithLimit(a.Rate, a.Burst, now).WithVMs(vms, l.tolerance.rate(a))
 }
 
+// prepare makes the buckets of accounts that have none, so that their shares are
+// known before the first operation.
+func (l *limits) prepare(accounts map[string]catalog.Account) {
+	vms := l.vmsFunc()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	for name, a := range accounts {
+		if _, ok := l.buckets[name]; !ok {
+			l.buckets[name] = l.bucket(a, vms, now)
+		}
+	}
+}
+
 // round begins a round and returns what to tell the others. Accounts that nobody
 // asks for are left out.
 func (l *limits) round() []inner.Usage {
--- a/internal/setup/catalog/catalog.go
+++ b/internal/setup/catalog/catalog.go
@@ -98,6 +98,9 @@
 // Account returns the account called name.
 func (c *Catalog) Account(name string) (Account, bool) { a, ok := c.accounts[name]; return a, ok }
 
+// Accounts returns every account by name. The caller must not change it.
+func (c *Catalog) Accounts() map[string]Account { return c.accounts }
+
 // Owner returns the account that holds a key.
 func (c *Catalog) Owner(key string) (string, bool) { a, ok := c.keys[key]; return a, ok }
 
