Close connections that are idle, so that VMs which start find some

Ruled out: the store and the directory, which answered within 30 ms of the start. Change: a connection is closed after 500 ms idle, all but one of a pool; the share counts the VMs that are known, not those heard so far.

--- a/internal/serve/database/pool.go
+++ b/internal/serve/database/pool.go
@@ -286,6 +286,22 @@
 	item.Value.(*turn).ready <- h
 }
 
+// trim closes connections that were idle for longer than idleTime, but the one
+// used last: what the VMs of a zone hold when they lose power stays open at the
+// server for seconds, and is missing to those that start then.
+func (p *pool) trim(now clock.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 1 && now-p.idle[0].used > idleTime {
+		p.idle[0].conn.CloseFunc()
+		p.idle = p.idle[1:]
+		p.open--
+	}
+}
+
+// idleTime is how long a connection is kept for the next statement, in milliseconds.
+const idleTime = clock.Millis(500)
+
 // close lets nobody take a connection any more; those in use are closed as they
 // come back.
 func (p *pool) close() {
--- a/internal/serve/database/probe.go
+++ b/internal/serve/database/probe.go
@@ -28,6 +28,16 @@
 		start(func() { g.probe(ctx, p) })
 	}
 	g.consider(ctx, start)
+	g.trim(now)
+}
+
+// trim closes connections that are not needed.
+func (g *Group) trim(now clock.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.pools {
+		p.trim(now)
+	}
 }
 
 const (
--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -93,6 +93,6 @@
 		return 1
 	}
 	g, _ := c.Group(group)
-	even := spareShare * float64(g.Connections) / float64(max(len(f.mesh.Alive()), 1))
+	even := spareShare * float64(g.Connections) / float64(f.mesh.Known())
 	return max(int(even*overShare), 1)
 }
