Close idle connections after 250 ms

Cause: after a loss of power connections are still short for a second. Change: 250 ms in place of 500.

--- a/internal/serve/database/pool.go
+++ b/internal/serve/database/pool.go
@@ -300,7 +300,7 @@
 }
 
 // idleTime is how long a connection is kept for the next statement, in milliseconds.
-const idleTime = clock.Millis(500)
+const idleTime = clock.Millis(250)
 
 // close lets nobody take a connection any more; those in use are closed as they
 // come back.
