Give back operations that did not run, and hear new VMs at once

Cause: after a restart of all VMs accounts were refused for 3 s: each attempt that found no primary took a token, and the first message to a VM is lost while the connection opens, with the next only 3 s later. Ruled out: connections, which are there since idle ones are closed. Change: an operation that no server has run goes back to the bucket; a VM that was not heard yet is sent to at the usual pace 12 times.

--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -35,7 +35,8 @@
 type Report struct {
 	// Process tells the starts of the VM apart.
 	Process uint64
-	// Spent counts the operations that ran since the process started.
+	// Spent counts the operations that were taken since the process started, without
+	// those given back.
 	Spent uint64
 	// Demand is the operations a second that callers wanted.
 	Demand float64
@@ -204,14 +205,25 @@
 	return b, true
 }
 
+// WithBack gives back an operation that was taken and has not run.
+func (b Bucket) WithBack(now clock.Millis) Bucket {
+	b = b.advance(now)
+	if b.spent > 0 {
+		b.spent--
+	}
+	b.tokens = min(b.tokens+1, b.burst)
+	b.credit = min(b.credit+1, max(b.tokens, 0))
+	return b
+}
+
 // WithReport takes in what another VM says.
 func (b Bucket) WithReport(vm string, r Report, now clock.Millis) Bucket {
 	b = b.advance(now)
 	u, known := b.others[vm]
 	b.others = maps.Clone(b.others)
 	switch {
-	case known && u.report.Process == r.Process && r.Spent >= u.report.Spent:
-		b.tokens -= float64(r.Spent-u.report.Spent) - u.guessed
+	case known && u.report.Process == r.Process:
+		b.tokens -= float64(int64(r.Spent-u.report.Spent)) - u.guessed
 	case known:
 		b.tokens -= float64(r.Spent) - u.guessed
 	}
@@ -229,7 +241,7 @@
 // Urgent reports whether the others should hear at once of what was spent since
 // a report with the given count: it is much of what is left.
 func (b Bucket) Urgent(reported uint64) bool {
-	return float64(b.spent-reported) > max(b.tokens, 1)*urgentPart
+	return float64(int64(b.spent-reported)) > max(b.tokens, 1)*urgentPart
 }
 
 // urgentPart is the part of the tokens left that is worth a report of its own.
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -85,6 +85,7 @@
 		Clock: o.Clock, Log: o.Log, Protocol: o.Protocol, Counters: session.NewCounters(),
 		CatalogFunc: f.catalog.Load, GroupFunc: f.Group, StoppingFunc: f.closing.Load,
 		LimitFunc: func(_ context.Context, a catalog.Account) bool { return f.limits.take(a) },
+		BackFunc:  func(a catalog.Account) { f.limits.back(a) },
 	}
 	f.mesh = f.newMesh()
 	f.limits = &limits{
--- a/internal/serve/frontend/limits.go
+++ b/internal/serve/frontend/limits.go
@@ -55,6 +55,15 @@
 	return ok
 }
 
+// back gives back an operation that has not run.
+func (l *limits) back(a catalog.Account) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b, ok := l.buckets[a.Name]; ok {
+		l.buckets[a.Name] = b.WithBack(l.clock.Now())
+	}
+}
+
 // bucket returns the bucket of an account with its present limit. It needs the lock.
 func (l *limits) bucket(a catalog.Account, vms int, now clock.Millis) quota.Bucket {
 	b, ok := l.buckets[a.Name]
--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -29,6 +29,9 @@
 	Absent = clock.Millis(2500)
 	// absentPeriod is the pause between two messages to a VM that is not there.
 	absentPeriod = clock.Millis(3000)
+	// firstTries is the number of messages to a VM that is not heard before it is
+	// sent to more seldom; the first are lost while the connection is opened.
+	firstTries = 12
 	// listPeriod is the pause between two reads of the list of VMs, and listFirst
 	// the same while no other VM is known.
 	listPeriod = 15 * clock.Second
@@ -69,6 +72,8 @@
 	moments  [sentKept]clock.Millis
 	received uint64
 	at       clock.Millis
+	// tries counts the messages since it was heard last.
+	tries int
 }
 
 // Mesh is the running part.
@@ -257,9 +262,10 @@
 	}
 	var letters []letter
 	for _, p := range m.peers {
-		if now-p.heard >= Absent && now-p.sent < absentPeriod {
+		if now-p.heard >= Absent && p.tries >= firstTries && now-p.sent < absentPeriod {
 			continue
 		}
+		p.tries++
 		g := base
 		p.number++
 		p.moments[p.number%sentKept] = now
@@ -303,7 +309,7 @@
 	if p.process != g.Process {
 		p.process, p.received = g.Process, 0
 	}
-	p.vm.Address, p.leaving, p.heard = g.Address, g.Leaving, now
+	p.vm.Address, p.leaving, p.heard, p.tries = g.Address, g.Leaving, now, 0
 	if g.Number > p.received {
 		p.received, p.at = g.Number, now
 	}
--- a/internal/serve/session/run.go
+++ b/internal/serve/session/run.go
@@ -118,7 +118,7 @@
 			if r.again(ctx, err.Error()) {
 				continue
 			}
-			return r.session.refuse(r.st, statement.Busy, r.last+"; try again in 1 s")
+			return r.notRun()
 		}
 		a, err := r.send(h, f)
 		h.Release()
@@ -130,7 +130,7 @@
 		case err != nil && r.left() <= 0:
 			return r.session.refuse(r.st, statement.Timeout, "the read took too long")
 		case !r.again(ctx, reason(a, err)):
-			return r.session.refuse(r.st, statement.Busy, r.last+"; try again in 1 s")
+			return r.notRun()
 		}
 	}
 }
@@ -144,7 +144,7 @@
 			if r.again(ctx, err.Error()) {
 				continue
 			}
-			return r.session.refuse(r.st, statement.Busy, r.last+"; try again in 1 s")
+			return r.notRun()
 		}
 		sent := r.session.options.Clock.Now()
 		a, err := r.send(h, floor.Mark{})
@@ -156,7 +156,7 @@
 		switch {
 		case errors.Is(err, errUnsent):
 			if !r.again(ctx, err.Error()) {
-				return r.session.refuse(r.st, statement.Busy, r.last+"; try again in 1 s")
+				return r.notRun()
 			}
 		case err != nil:
 			return r.session.refuse(r.st, statement.Unknown, "the end of the write was not seen")
@@ -165,11 +165,17 @@
 		case !a.Code.NotRun():
 			return r.passOn(h, a)
 		case !r.again(ctx, reason(a, nil)):
-			return r.session.refuse(r.st, statement.Busy, r.last+"; try again in 1 s")
+			return r.notRun()
 		}
 	}
 }
 
+// notRun refuses a single statement that no server has run.
+func (r *run) notRun() statement.Answer {
+	r.session.giveBack()
+	return r.session.refuse(r.st, statement.Busy, r.last+"; try again in 1 s")
+}
+
 // passOn gives the server's own error to the caller.
 func (r *run) passOn(h *database.Held, a statement.Answer) statement.Answer {
 	s := r.session
--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -44,6 +44,8 @@
 	// LimitFunc takes one operation of an account out of its limit; it returns
 	// false when there is none, at once.
 	LimitFunc func(ctx context.Context, a catalog.Account) bool
+	// BackFunc gives back an operation that was taken and has not run.
+	BackFunc func(a catalog.Account)
 	// StoppingFunc reports whether the VM is to stop.
 	StoppingFunc func() bool
 	Counters     Counters
@@ -233,6 +235,13 @@
 	return r.read(ctx)
 }
 
+// giveBack gives back the operation that was taken for what no server has run.
+func (s *session) giveBack() {
+	if s.account.Name != "" {
+		s.options.BackFunc(s.account)
+	}
+}
+
 // refuse answers that a statement was not run, and says so in the log.
 func (s *session) refuse(st statement.Statement, code statement.Code, detail string) statement.Answer {
 	s.options.Counters.refuse(code)
--- a/internal/serve/session/transaction.go
+++ b/internal/serve/session/transaction.go
@@ -112,6 +112,7 @@
 			if r.again(ctx, err.Error()) {
 				continue
 			}
+			s.giveBack()
 			return s.refuse(st, statement.Busy, r.last+"; try again in 1 s")
 		}
 		a, err := r.open(h, f)
@@ -127,6 +128,7 @@
 			return a.WithStatus(statement.Broken)
 		}
 		if !r.again(ctx, reason(a, err)) {
+			s.giveBack()
 			return s.refuse(st, statement.Aborted, r.last+"; try again in 1 s")
 		}
 	}
