Let work wait at the VM, and do not replace a primary that is only busy

Ruled out: connections; deaf replicas (the other groups changed as well). Change: each pool has a window of statements that shrinks when the server is busy and grows with answers; work waits in fair order and is refused at once when its turn would come too late; a primary that answers is lost only after 3 s without a proof.

--- a/internal/core/failover/failover.go
+++ b/internal/core/failover/failover.go
@@ -21,6 +21,8 @@
 const (
 	// LostAfter is the age of the last proof from which a primary is lost, in milliseconds.
 	LostAfter = clock.Millis(900)
+	// UnprovedAfter is the same while the primary answers, if only that it is busy.
+	UnprovedAfter = clock.Millis(3000)
 	// RankPause separates the claims of VMs, so that mostly one claims.
 	RankPause = clock.Millis(250)
 	// AlonePause is how much longer a VM waits that hears no other.
--- a/internal/serve/database/claim.go
+++ b/internal/serve/database/claim.go
@@ -112,8 +112,11 @@
 	switch {
 	case p != nil && p.server.Leaving && g.successorLocked(leader):
 		return true
+	case len(g.pools) < 2:
+		return false
 	case now-max(g.watch.Proved(), g.learned) > failover.LostAfter:
-		return true
+		// A primary that answers is given time: it may only be busy.
+		return p == nil || !p.answers(now) || now-max(g.watch.Proved(), g.learned) > failover.UnprovedAfter
 	case p != nil && p.unreachable(now):
 		return true
 	}
--- a/internal/serve/database/held.go
+++ b/internal/serve/database/held.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 
+	"github.com/go-faster/errors"
+
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
@@ -18,6 +20,8 @@
 	prepared map[statement.Shape]string
 	used     clock.Millis
 	broken   bool
+	// first is set until the first statement after it was given out.
+	first bool
 }
 
 // Server returns the server that the connection leads to.
@@ -28,9 +32,10 @@
 func (h *Held) Run(r Request) (statement.Answer, error) {
 	c := h.pool.group.options.Clock
 	sent := c.Now()
-	h.pool.begin()
+	h.pool.begin(h.first)
+	h.first = false
 	a, err := h.conn.RunFunc(r)
-	h.pool.end(c.Now()-sent, err)
+	h.pool.end(c.Now()-sent, a.Code == statement.Busy, err)
 	if err != nil {
 		h.broken = true
 		return a, err
@@ -44,9 +49,16 @@
 	h.pool.group.noteCommit(h.pool.server.ID, m, sent)
 }
 
-// Order carries out an order of a claimant, or asks for the tenure.
+// Order carries out an order of a claimant, or asks for the tenure. The error is
+// a *RefusalError when the server refused.
 func (h *Held) Order(o Order, term floor.Term, timeout clock.Millis) (statement.Tenure, error) {
 	t, err := h.conn.OrderFunc(o, term, timeout)
+	var refusal *RefusalError
+	if errors.As(err, &refusal) {
+		// A server that is busy says so, and is there.
+		h.pool.succeed()
+		return t, err
+	}
 	if err != nil {
 		h.broken = true
 		h.pool.fail()
--- a/internal/serve/database/pool.go
+++ b/internal/serve/database/pool.go
@@ -37,7 +37,9 @@
 )
 
 // pool is the connections of this VM to one backend server. Each belongs to one
-// account, because the server is told for whom it is opened.
+// account, because the server is told for whom it is opened. It answers loads
+// that exceed the server's slots: work waits here in fair order, not at the
+// server, and what would wait too long is refused at once.
 type pool struct {
 	group  *Group
 	server Server
@@ -47,11 +49,17 @@
 	open int
 	line *fair.Queue
 	gone bool
-	// running is the statements that the server has not answered, and work a moving
-	// mean of their times in milliseconds.
+	// running is the statements that the server has not answered, granted the
+	// connections that were given out and have not run any, and window the most of
+	// both before new work waits.
 	running int
-	work    float64
-	worked  clock.Millis
+	granted int
+	window  float64
+	// cut is the moment at which the window was made smaller last.
+	cut clock.Millis
+	// work is a moving mean of the times of answers in milliseconds, as of worked.
+	work   float64
+	worked clock.Millis
 	// avoid is the moment until which the server is passed over.
 	avoid clock.Millis
 	// answered and failed are the moments of the last answer and of the last failure.
@@ -67,13 +75,37 @@
 }
 
 func newPool(g *Group, s Server) *pool {
-	return &pool{group: g, server: s, line: fair.New(lineLimit)}
+	return &pool{group: g, server: s, line: fair.New(lineLimit), window: firstWindow}
 }
 
-func (p *pool) begin() {
+// The window grows by one for as many answers as it holds and shrinks when the
+// server is busy, so that the VMs share the slots without speaking of it.
+const (
+	firstWindow = 3
+	leastWindow = 1
+	windowCut   = 0.7
+	// cutPause is the least time between two cuts, in milliseconds.
+	cutPause = clock.Millis(100)
+)
+
+// begin counts a statement; first is set for the first one of a connection that
+// was given out.
+func (p *pool) begin(first bool) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.running++
-	p.mu.Unlock()
+	if first {
+		p.granted--
+	}
+}
+
+// shrink makes the window smaller, since the server is busy. It needs the lock.
+func (p *pool) shrink(now clock.Millis) {
+	if now-p.cut < cutPause {
+		return
+	}
+	p.cut = now
+	p.window = max(p.window*windowCut, leastWindow)
 }
 
 // succeed notes that the server answered.
@@ -103,67 +135,99 @@
 	return p.failed > p.answered && now-p.failed < unreachableFresh && now-p.answered > failover.LostAfter
 }
 
+// answers reports whether the server has answered this VM lately.
+func (p *pool) answers(now clock.Millis) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now-p.answered <= failover.LostAfter
+}
+
 // unreachableFresh is the age up to which a failure counts, in milliseconds.
 const unreachableFresh = clock.Millis(1500)
 
 // workMemory is the weight of the newest time in the moving mean.
 const workMemory = 0.1
 
-func (p *pool) end(took clock.Millis, err error) {
+// end takes in the answer to a statement, or that there was none.
+func (p *pool) end(took clock.Millis, busy bool, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer p.dispatch()
 	p.running--
 	if err != nil {
 		p.failLocked()
 		return
 	}
-	p.answered = p.group.options.Clock.Now()
+	now := p.group.options.Clock.Now()
+	p.answered = now
+	if busy {
+		p.shrink(now)
+		return
+	}
+	p.window = min(p.window+1/p.window, float64(p.group.share()))
 	p.work += workMemory * (float64(took) - p.work)
-	p.worked = p.group.options.Clock.Now()
+	p.worked = now
 }
 
 // acquire returns a connection for an account within the wait in milliseconds.
 func (p *pool) acquire(ctx context.Context, account string, weight int, wait clock.Millis) (*Held, error) {
-	h, item, err := p.enter(account, weight)
-	if h != nil && h.conn != nil || err != nil {
-		return h, err
+	item, err := p.enter(account, weight, wait)
+	if err != nil {
+		return nil, err
 	}
-	if item != nil {
-		h, err = p.wait(ctx, item, wait)
-		if err != nil || h.conn != nil {
-			return h, err
-		}
+	h, err := p.wait(ctx, item, wait)
+	if err != nil || h.conn != nil {
+		return h, err
 	}
 	return p.dial(ctx, h, account)
 }
 
-// enter takes an idle connection, or the right to open one (a Held without a
-// connection), or a place in the line.
-func (p *pool) enter(account string, weight int) (*Held, *fair.Item, error) {
+// enter takes a place in the line, unless the turn would come too late.
+func (p *pool) enter(account string, weight int, wait clock.Millis) (*fair.Item, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.gone {
-		return nil, nil, ErrGone
-	}
-	if h := p.takeIdle(account); h != nil {
-		return h, nil, nil
-	}
-	now := p.group.options.Clock.Now()
-	if p.open < p.group.share() && now >= p.crowded {
-		p.open++
-		return &Held{pool: p}, nil, nil
-	}
-	if h := p.evict(); h != nil {
-		return h, nil, nil
+		return nil, ErrGone
 	}
-	if p.open == 0 {
-		return nil, nil, ErrCrowded
+	if p.line.Len() > 0 && p.delay() > float64(wait) {
+		return nil, ErrWait
 	}
 	item := &fair.Item{Account: account, Weight: weight, Cost: 1, Value: &turn{ready: make(chan *Held, 1)}}
 	if !p.line.Push(item) {
-		return nil, nil, ErrWait
+		return nil, ErrWait
+	}
+	p.dispatch()
+	return item, nil
+}
+
+// delay is the time in milliseconds in which the line should move on to a new
+// place at its end. It needs the lock.
+func (p *pool) delay() float64 {
+	return p.work * float64(p.line.Len()) / max(min(p.window, float64(p.open)), 1)
+}
+
+// dispatch gives connections, or the right to open one (a Held without a
+// connection), to those in line, as far as the window goes. It needs the lock.
+func (p *pool) dispatch() {
+	for p.line.Len() > 0 && p.running+p.granted < int(p.window) {
+		mayOpen := p.open < p.group.share() && p.group.options.Clock.Now() >= p.crowded
+		if len(p.idle) == 0 && !mayOpen {
+			return
+		}
+		item := p.line.Pop()
+		h := p.takeIdle(item.Account)
+		switch {
+		case h != nil:
+		case mayOpen:
+			p.open++
+			h = &Held{pool: p}
+		default:
+			h = p.evict()
+		}
+		h.first = true
+		p.granted++
+		item.Value.(*turn).ready <- h
 	}
-	return nil, item, nil
 }
 
 // takeIdle returns the idle connection of an account that was used last.
@@ -201,13 +265,17 @@
 	}
 	p.mu.Lock()
 	p.line.Remove(item)
+	crowded := p.open == 0
 	p.mu.Unlock()
 	select {
 	case h := <-t.ready:
 		return p.given(h)
 	default:
-		return nil, ErrWait
 	}
+	if crowded {
+		return nil, ErrCrowded
+	}
+	return nil, ErrWait
 }
 
 func (p *pool) given(h *Held) (*Held, error) {
@@ -225,23 +293,24 @@
 	began := o.Clock.Now()
 	c, mark, err := o.Protocol.DialFunc(bounded, p.server, account)
 	if err != nil {
-		return nil, p.dialFailed(err)
+		return nil, p.dialFailed(h, err)
 	}
 	o.Counters.connections.Inc()
 	p.succeed()
 	p.group.noteMark(p.server.ID, mark, began)
 	*h = Held{
-		pool: p, conn: c, account: account, values: map[string]string{},
+		pool: p, conn: c, account: account, first: h.first, values: map[string]string{},
 		prepared: map[statement.Shape]string{}, used: o.Clock.Now(),
 	}
 	return h, nil
 }
 
-func (p *pool) dialFailed(err error) error {
+func (p *pool) dialFailed(h *Held, err error) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.ungrant(h)
 	now := p.group.options.Clock.Now()
-	var refusal *DialError
+	var refusal *RefusalError
 	switch {
 	case errors.As(err, &refusal) && refusal.Code == statement.Crowded:
 		p.crowded = now + crowdedPause
@@ -251,39 +320,32 @@
 		p.group.options.Log.Debug("connection failed", "server", p.server.ID, "err", err)
 		err = ErrUnreachable
 	}
-	p.freed()
+	p.open--
+	p.dispatch()
 	return err
 }
 
-// freed gives the right of a closed connection to the next in line. It needs the lock.
-func (p *pool) freed() {
-	if item := p.line.Pop(); item != nil && !p.gone {
-		item.Value.(*turn).ready <- &Held{pool: p}
-		return
+// ungrant takes back a turn that was not used. It needs the lock.
+func (p *pool) ungrant(h *Held) {
+	if h.first {
+		h.first = false
+		p.granted--
 	}
-	p.open--
 }
 
-// release takes a connection back and gives it to the next in line.
+// release takes a connection back.
 func (p *pool) release(h *Held) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer p.dispatch()
+	p.ungrant(h)
 	if h.broken || p.gone || p.open > p.group.share() {
 		h.conn.CloseFunc()
-		p.freed()
-		return
-	}
-	item := p.line.Pop()
-	if item == nil {
-		h.used = p.group.options.Clock.Now()
-		p.idle = append(p.idle, h)
+		p.open--
 		return
 	}
-	if item.Account != h.account {
-		h.conn.CloseFunc()
-		h = &Held{pool: p}
-	}
-	item.Value.(*turn).ready <- h
+	h.used = p.group.options.Clock.Now()
+	p.idle = append(p.idle, h)
 }
 
 // trim closes connections that were idle for longer than idleTime, but the one
@@ -292,6 +354,7 @@
 func (p *pool) trim(now clock.Millis) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer p.dispatch()
 	for len(p.idle) > 1 && now-p.idle[0].used > idleTime {
 		p.idle[0].conn.CloseFunc()
 		p.idle = p.idle[1:]
--- a/internal/serve/database/probe.go
+++ b/internal/serve/database/probe.go
@@ -12,8 +12,6 @@
 const (
 	// probeTimeout bounds a question about the tenure, in milliseconds.
 	probeTimeout = clock.Millis(700)
-	// probeWait bounds the wait for a connection to ask on.
-	probeWait = clock.Millis(200)
 	// probePause is the least pause between two questions to one server.
 	probePause = clock.Millis(150)
 	// prober is the account that connections for questions are opened for.
@@ -135,15 +133,25 @@
 }
 
 // control returns a connection for a question or an order: any idle one, since
-// these run for no account.
+// these run for no account, or a new one. It does not stand in line, and may go
+// one over the share.
 func (p *pool) control(ctx context.Context) (*Held, error) {
 	p.mu.Lock()
-	if n := len(p.idle); n > 0 {
+	now := p.group.options.Clock.Now()
+	switch n := len(p.idle); {
+	case p.gone:
+		p.mu.Unlock()
+		return nil, ErrGone
+	case n > 0:
 		h := p.idle[n-1]
 		p.idle = p.idle[:n-1]
 		p.mu.Unlock()
 		return h, nil
+	case p.open > p.group.share() || now < p.crowded:
+		p.mu.Unlock()
+		return nil, ErrCrowded
 	}
+	p.open++
 	p.mu.Unlock()
-	return p.acquire(ctx, prober, 1, probeWait)
+	return p.dial(ctx, &Held{pool: p}, prober)
 }
--- a/internal/serve/database/server.go
+++ b/internal/serve/database/server.go
@@ -74,7 +74,7 @@
 
 // Protocol opens connections to backend servers.
 type Protocol struct {
-	// DialFunc connects for an account. The error is a *DialError when the server
+	// DialFunc connects for an account. The error is a *RefusalError when the server
 	// itself refused.
 	DialFunc func(ctx context.Context, s Server, account string) (*Conn, floor.Mark, error)
 	// ExecuteFunc returns the text that runs a prepared statement by another name.
@@ -84,11 +84,11 @@
 	RollbackFunc func() string
 }
 
-// DialError is a server's refusal of a connection.
-type DialError struct {
+// RefusalError is a server's refusal of a connection or of an order.
+type RefusalError struct {
 	Code   statement.Code
 	Detail string
 }
 
 // Error implements error.
-func (e *DialError) Error() string { return "the backend server refused the connection: " + e.Detail }
+func (e *RefusalError) Error() string { return "the backend server refused: " + e.Detail }
