--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -5,9 +5,9 @@
 // message; one over it gets its whole rate.
 //
 // The shares of all VMs add up to about one, so that together they spend about
-// what is there, however late the reports are. A VM that is not heard is taken to
-// go on as it last did, and a VM that hears nobody goes on so for Silence and then
-// keeps to the part of the tolerance that is its own.
+// what is there, however late the reports are. A VM that is not heard keeps the
+// share that it had when it was heard last, on both sides of the cut, and after
+// Silence it keeps to the part of the tolerance that is its own.
 package quota
 
 import (
@@ -19,11 +19,11 @@
 
 const (
 	// memory is the time constant of the estimate of a demand, in milliseconds.
-	memory = clock.Millis(1000)
+	memory = clock.Millis(2000)
 	// Overdue is the time without a report from which a VM's spending is guessed.
 	Overdue = clock.Millis(900)
 	// Silence is how long a VM that is not heard is taken to spend on.
-	Silence = 15 * clock.Second
+	Silence = 8 * clock.Second
 	// leastShare is the share of a VM without a demand, relative to an even one.
 	leastShare = 0.25
 	// firstTokens is the part of the burst that a bucket starts with where nothing
@@ -48,7 +48,9 @@
 type use struct {
 	report Report
 	at     clock.Millis
-	// guessed is what was taken off since the last report.
+	// share is the VM's share when it was heard last, and guessed what was taken
+	// off since.
+	share   float64
 	guessed float64
 }
 
@@ -140,7 +142,7 @@
 			delete(b.others, name)
 			continue
 		}
-		spent := min(u.report.Demand, b.rate) * float64(silent) / float64(clock.Second)
+		spent := u.share * b.rate * float64(silent) / float64(clock.Second)
 		b.tokens -= max(spent-u.guessed, 0)
 		u.guessed = max(u.guessed, spent)
 		b.others[name] = u
@@ -148,39 +150,74 @@
 	return b
 }
 
-// share is the part of the bucket that is this VM's by demand.
+// share is the part of the bucket that is this VM's: by demand among those that
+// are heard, of what the others do not keep.
 func (b Bucket) share(now clock.Millis) float64 {
 	if b.alone() {
 		return 1 / float64(b.vms)
 	}
-	sum := b.demand
+	sum, kept := b.demand, 0.0
 	for _, u := range b.others {
-		if now-u.at <= Silence {
-			sum += u.report.Demand
+		if now-u.at > Overdue {
+			kept += u.share
+			continue
 		}
+		sum += u.report.Demand
 	}
 	least := leastShare / float64(len(b.others)+1)
 	if sum <= 0 {
 		return least
 	}
-	return max(b.demand/sum, least)
+	return max(b.demand/sum*max(1-kept, 0), least)
 }
 
+// shareOf is the share that another VM keeps while it is not heard: mostly by its
+// demand, in part even, since a demand that was seen for seconds may be chance.
+func (b Bucket) shareOf(demand float64, vm string) float64 {
+	sum := b.demand + demand
+	for name, u := range b.others {
+		if name != vm {
+			sum += u.report.Demand
+		}
+	}
+	even := 1 / float64(max(len(b.others), 1)+1)
+	if sum <= 0 {
+		return even
+	}
+	return (1-evenPart)*demand/sum + evenPart*even
+}
+
+// evenPart is the part of the shares of VMs that are not heard which is even.
+const evenPart = 0.3
+
 // WithRound begins a round, in which this VM may take its share of the bucket.
 // It is called with each report to the others.
 func (b Bucket) WithRound(now clock.Millis) (Bucket, Report) {
 	b = b.advance(now)
 	if !b.alone() || b.fresh {
-		b.credit = b.share(now) * max(b.tokens, 0)
+		// What has grown to part of an operation is not lost with the round.
+		b.credit = max(b.share(now)*b.tokens, min(b.credit, 1), 0)
 	}
 	b.fresh = false
 	b.spare = 0
 	if !b.alone() {
-		b.spare = math.Floor(sparePart * b.tokens / float64(len(b.others)+1))
+		b.spare = b.spareOperations()
 	}
 	return b, Report{Spent: b.spent, Demand: b.demand, Tokens: b.tokens}
 }
 
+// spareOperations is how many operations this VM may run in a round beyond its
+// share: part of a bucket that is far from empty, or one while there is one for
+// every VM.
+func (b Bucket) spareOperations() float64 {
+	vms := float64(len(b.others) + 1)
+	spare := math.Floor(sparePart * b.tokens / vms)
+	if spare < 1 && b.tokens > vms {
+		return 1
+	}
+	return spare
+}
+
 // WithTake takes one operation and reports whether there was one.
 func (b Bucket) WithTake(now clock.Millis) (Bucket, bool) {
 	b = b.advance(now)
@@ -231,16 +268,19 @@
 		b.tokens = min(b.tokens, r.Tokens)
 	}
 	b.tokens = min(b.tokens, b.burst)
-	b.others[vm] = use{report: r, at: now}
+	b.others[vm] = use{report: r, at: now, share: b.shareOf(r.Demand, vm)}
 	return b
 }
 
 // Tokens returns the estimate of what the account may still spend.
 func (b Bucket) Tokens(now clock.Millis) float64 { return b.advance(now).tokens }
 
-// Urgent reports whether the others should hear at once of what was spent since
-// a report with the given count: it is much of what is left.
+// Urgent reports whether a new round should begin soon: this VM has taken all it
+// may in this one, or much of what is left since a report with the given count.
 func (b Bucket) Urgent(reported uint64) bool {
+	if b.credit < 1 && b.spare < 1 && !b.alone() {
+		return true
+	}
 	return float64(int64(b.spent-reported)) > max(b.tokens, 1)*urgentPart
 }
 
--- /dev/null
+++ b/internal/core/quota/bucket_test.go
@@ -0,0 +1,192 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
+)
+
+// The rule that the sum over all VMs is held to, over any window.
+const (
+	window    = 5 * clock.Second
+	excess    = 0.1
+	slack     = 20.0
+	roundTime = clock.Millis(300)
+	// soonest is the least time between two rounds of a VM.
+	soonest = clock.Millis(60)
+	delay   = clock.Millis(20)
+	length  = 20 * clock.Second
+)
+
+type load struct {
+	Name    string       `yaml:"name"`
+	Rate    float64      `yaml:"rate"`
+	Burst   float64      `yaml:"burst"`
+	VMs     int          `yaml:"vms"`
+	Demand  float64      `yaml:"demand"`
+	Skew    float64      `yaml:"skew"`
+	Factor  float64      `yaml:"factor"`
+	Surge   clock.Millis `yaml:"surge"`
+	Calm    clock.Millis `yaml:"calm"`
+	Cut     clock.Millis `yaml:"cut"`
+	Heal    clock.Millis `yaml:"heal"`
+	Served  float64      `yaml:"served"`
+	Refused *int         `yaml:"refused"`
+}
+
+// letter is a report on its way.
+type letter struct {
+	at     clock.Millis
+	from   int
+	report Report
+}
+
+// play runs a load and returns the moments at which operations were served, how
+// many were refused, and how many one token bucket would have served.
+func (l load) play(seed uint64) (served []clock.Millis, refused, due int) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	tolerance := (excess*(l.Rate*window.Duration().Seconds()+l.Burst) + slack) / window.Duration().Seconds()
+	buckets := make([]Bucket, l.VMs)
+	for i := range buckets {
+		buckets[i] = New(l.Rate, l.Burst, 0).WithVMs(l.VMs, tolerance)
+	}
+	var letters []letter
+	reported, last, urgent := make([]uint64, l.VMs), make([]clock.Millis, l.VMs), make([]bool, l.VMs)
+	tokens := l.Burst * firstTokens
+	for now := clock.Millis(0); now < length; now++ {
+		tokens = min(tokens+l.Rate/1000, l.Burst)
+		letters = l.deliver(buckets, letters, now)
+		for i := range buckets {
+			regular := (now+clock.Millis(i)*roundTime/clock.Millis(l.VMs))%roundTime == 0
+			if regular || urgent[i] && now-last[i] >= soonest {
+				b, r := buckets[i].WithRound(now)
+				r.Process = 1
+				buckets[i], reported[i], last[i], urgent[i] = b, r.Spent, now, false
+				letters = append(letters, letter{at: now + delay, from: i, report: r})
+			}
+		}
+		// Accounts begin to ask once the VMs have had time to hear each other.
+		for now >= clock.Second && random.Float64() < l.demand(now)/1000 {
+			i := l.vm(random)
+			if tokens >= 1 {
+				tokens--
+				due++
+			}
+			b, ok := buckets[i].WithTake(now)
+			buckets[i], urgent[i] = b, b.Urgent(reported[i])
+			if ok {
+				served = append(served, now)
+			} else {
+				refused++
+			}
+			if l.demand(now) < 1000 {
+				break
+			}
+		}
+	}
+	return served, refused, due
+}
+
+func (l load) demand(now clock.Millis) float64 {
+	if l.Factor > 0 && now >= l.Surge && now < l.Calm {
+		return l.Demand * l.Factor
+	}
+	return l.Demand
+}
+
+func (l load) vm(random *rand.Rand) int {
+	if random.Float64() < l.Skew {
+		return 0
+	}
+	return random.IntN(l.VMs)
+}
+
+func (l load) deliver(buckets []Bucket, letters []letter, now clock.Millis) []letter {
+	kept := letters[:0]
+	cut := now >= l.Cut && now < l.Heal
+	for _, m := range letters {
+		if m.at > now {
+			kept = append(kept, m)
+			continue
+		}
+		for i := range buckets {
+			if i == m.from || cut && (i == 0 || m.from == 0) {
+				continue
+			}
+			buckets[i] = buckets[i].WithReport(fmt.Sprintf("vm%d", m.from), m.report, now)
+		}
+	}
+	return kept
+}
+
+// most returns the most operations that any window has.
+func most(served []clock.Millis) int {
+	best, first := 0, 0
+	for i, at := range served {
+		for served[first] <= at-window {
+			first++
+		}
+		best = max(best, i-first+1)
+	}
+	return best
+}
+
+// TestLoads plays loads and checks what the callers get and what the rule allows.
+func TestLoads(t *testing.T) {
+	var loads []load
+	scripted.Read(t, "testdata/loads.yaml", &loads)
+	for _, l := range loads {
+		t.Run(l.Name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				served, refused, due := l.play(seed)
+				allowed := (l.Rate*window.Duration().Seconds()+l.Burst)*(1+excess) + slack
+				if got := most(served); float64(got) > allowed {
+					t.Errorf("seed %d: %d operations in some %d ms, %g allowed", seed, got, window, allowed)
+				}
+				if share := float64(len(served)) / float64(due); share < l.Served {
+					t.Errorf("seed %d: served %.3f of %d due, want %.2f", seed, share, due, l.Served)
+				}
+				if l.Refused != nil && refused > *l.Refused {
+					t.Errorf("seed %d: %d operations refused, want at most %d", seed, refused, *l.Refused)
+				}
+			}
+		})
+	}
+}
+
+// TestBack checks that an operation that did not run is there for the next.
+func TestBack(t *testing.T) {
+	b := New(1, 2, 0)
+	b, first := b.WithTake(0)
+	b, second := b.WithTake(0)
+	b = b.WithBack(0)
+	_, third := b.WithTake(0)
+	if diff := cmp.Diff([]bool{true, false, true}, []bool{first, second, third}); diff != "" {
+		t.Errorf("taken (-want +got):\n%s", diff)
+	}
+}
+
+// TestAlone checks that a VM which hears nobody keeps to its part of the tolerance.
+func TestAlone(t *testing.T) {
+	b := New(100, 100, 0).WithVMs(5, 10)
+	b, _ = b.WithRound(0)
+	count := 0
+	for now := clock.Millis(0); now < 20*clock.Second; now += 5 {
+		var ok bool
+		if now%roundTime == 0 {
+			b, _ = b.WithRound(now)
+		}
+		if b, ok = b.WithTake(now); ok {
+			count++
+		}
+	}
+	// A fifth of half a burst at the start, then a fifth of 10 a second.
+	if want := 10 + 20*2 + 1; count > want {
+		t.Errorf("%d operations ran in 20 s, want at most %d", count, want)
+	}
+}
