Ask a busy server again inside a transaction

Cause: both incidents: a commit or a later statement that the server was too busy to run ended the transaction, though nothing else can run it. Change: it is sent again on the same connection every 15 ms within its time.

--- a/internal/serve/session/transaction.go
+++ b/internal/serve/session/transaction.go
@@ -73,7 +73,11 @@
 	if s.txn.held == nil {
 		return s.first(ctx, st)
 	}
-	a, err := s.sendInside(st)
+	if writes, _ := s.writes(st); writes {
+		s.txn.written = true
+	}
+	r := s.newRun(st)
+	a, err := r.insist(ctx, func() (statement.Answer, error) { return r.send(s.txn.held, floor.Mark{}) })
 	if err != nil {
 		return s.refuse(st, statement.Aborted, "the connection to the backend server was lost; the transaction is rolled back")
 	}
@@ -92,14 +96,23 @@
 	return a.WithStatus(statement.Broken)
 }
 
-func (s *session) sendInside(st statement.Statement) (statement.Answer, error) {
-	r := s.newRun(st)
-	if writes, _ := s.writes(st); writes {
-		s.txn.written = true
+// insist sends a statement of an open transaction again while its server is too
+// busy to run it: no other server can, and all that ran before would be lost.
+func (r *run) insist(ctx context.Context, send func() (statement.Answer, error)) (statement.Answer, error) {
+	for {
+		a, err := send()
+		if err != nil || a.Code != statement.Busy || a.Status != statement.Open || r.left() <= busyPause {
+			return a, err
+		}
+		if r.session.options.Clock.Sleep(ctx, busyPause) != nil {
+			return a, err
+		}
 	}
-	return r.send(s.txn.held, floor.Mark{})
 }
 
+// busyPause is the pause before a busy server is asked again, in milliseconds.
+const busyPause = clock.Millis(15)
+
 // first finds a server for the transaction, begins it there and runs its first
 // statement. Nothing of the transaction can have run before, so a refusal leads
 // to another server.
@@ -167,7 +180,7 @@
 			return a.WithStatus(statement.Idle)
 		}
 	}
-	return s.commitServer(st)
+	return s.commitServer(ctx, st)
 }
 
 // empty begins a transaction at a server that has had no statement.
@@ -190,12 +203,14 @@
 	}
 }
 
-func (s *session) commitServer(st statement.Statement) statement.Answer {
+func (s *session) commitServer(ctx context.Context, st statement.Statement) statement.Answer {
 	t := s.txn
 	s.txn = nil
 	r := s.newRun(st)
 	sent := s.options.Clock.Now()
-	a, err := t.held.Run(database.Request{ID: st.ID, Text: st.Text, Timeout: r.left()})
+	a, err := r.insist(ctx, func() (statement.Answer, error) {
+		return t.held.Run(database.Request{ID: st.ID, Text: st.Text, Timeout: r.left()})
+	})
 	if err != nil {
 		t.drop()
 		if !t.written {
