--- /dev/null
+++ b/internal/base/logs/queue.go
@@ -0,0 +1,96 @@
+package logs
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	// queueLines is the number of lines that wait to be written.
+	queueLines = 512
+	// lineRate is the lines a second that are written for long, and lineBurst those
+	// that may come at once.
+	lineRate  = 100
+	lineBurst = 400
+)
+
+// Queue is a writer that never blocks: lines wait for a goroutine that writes
+// them, and what exceeds the room or the rate is dropped and counted.
+type Queue struct {
+	lines   chan []byte
+	done    chan struct{}
+	dropped *metrics.Counter
+
+	mu     sync.Mutex
+	closed bool
+	tokens float64
+	at     time.Time
+	// missing counts the lines that were dropped since the last that was not.
+	missing int
+}
+
+// NewQueue returns a queue in front of a writer. Close must be called.
+func NewQueue(out io.Writer) *Queue {
+	q := &Queue{
+		lines: make(chan []byte, queueLines), done: make(chan struct{}), tokens: lineBurst, at: time.Now(),
+		dropped: metrics.GetOrCreateCounter("sycamoredoor_log_lines_dropped_total"),
+	}
+	go func() {
+		defer close(q.done)
+		for l := range q.lines {
+			// There is nowhere to report a log that cannot be written.
+			_, _ = out.Write(l)
+		}
+	}()
+	return q
+}
+
+// Write takes a line.
+func (q *Queue) Write(line []byte) (int, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.closed {
+		return len(line), nil
+	}
+	now := time.Now()
+	q.tokens = min(q.tokens+now.Sub(q.at).Seconds()*lineRate, lineBurst)
+	q.at = now
+	if q.tokens < 1 {
+		q.drop()
+		return len(line), nil
+	}
+	if q.missing > 0 {
+		note := fmt.Sprintf("{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"count\":%d}\n", q.missing)
+		line = append([]byte(note), line...)
+	}
+	select {
+	case q.lines <- bytes.Clone(line):
+		q.tokens--
+		q.missing = 0
+	default:
+		q.drop()
+	}
+	return len(line), nil
+}
+
+func (q *Queue) drop() {
+	q.missing++
+	q.dropped.Inc()
+}
+
+// Close writes the lines that wait; later ones are dropped.
+func (q *Queue) Close() {
+	q.mu.Lock()
+	closed := q.closed
+	q.closed = true
+	q.mu.Unlock()
+	if !closed {
+		close(q.lines)
+	}
+	<-q.done
+}
--- a/internal/proto/inner/gossip.go
+++ b/internal/proto/inner/gossip.go
@@ -50,6 +50,8 @@
 	At  clock.Millis
 	// Lost is set while the VM cannot use the leader.
 	Lost bool
+	// Stuck is set while the VM sees that no replica receives what the leader has.
+	Stuck bool
 	// Token is that of the last claim for which the VM has given up the term that
 	// is to be replaced, or 0.
 	Token uint64
--- a/internal/serve/database/claim.go
+++ b/internal/serve/database/claim.go
@@ -120,7 +120,23 @@
 	case p != nil && p.unreachable(now):
 		return true
 	}
-	return g.stuckLocked(now)
+	return g.stuckLocked(now) || g.heardStuckLocked(now)
+}
+
+// heardStuckLocked reports whether another VM sees that the primary can
+// acknowledge nothing, and this one has not seen it do so. One VM asks the
+// servers for all, so that the others have only its word.
+func (g *Group) heardStuckLocked(now clock.Millis) bool {
+	if now-g.committed <= stuckAfter || now < g.stuckUntil || now-g.learned < 2*stuckAfter {
+		return false
+	}
+	term, _ := g.watch.Leader()
+	for _, v := range g.votes {
+		if v.stuck && v.term == term && now-v.at < voteTime {
+			return true
+		}
+	}
+	return false
 }
 
 // successorLocked reports whether a replica stays that may follow a leaving primary.
@@ -138,7 +154,7 @@
 func (g *Group) stuckLocked(now clock.Millis) bool {
 	_, leader := g.watch.Leader()
 	reached, ok := g.watch.Reached(now - stuckAfter)
-	if !ok || now-g.learned < 2*stuckAfter || now < g.stuckUntil {
+	if !ok || now-g.learned < 2*stuckAfter || now < g.stuckUntil || now-g.committed <= stuckAfter {
 		return false
 	}
 	fresh := false
@@ -518,6 +534,7 @@
 type vote struct {
 	term  floor.Term
 	lost  bool
+	stuck bool
 	token uint64
 	at    clock.Millis
 }
--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -78,8 +78,10 @@
 	learned clock.Millis
 	// unlisted holds the moments since which servers are off the directory.
 	unlisted map[string]clock.Millis
-	votes    map[string]vote
-	received map[string]received
+	// committed is the moment of the last commit that this VM saw acknowledged.
+	committed clock.Millis
+	votes     map[string]vote
+	received  map[string]received
 	// token is that of the last claim for which the term was given up.
 	token uint64
 	// holder is the VM that made the last change of primary.
@@ -160,6 +162,7 @@
 func (g *Group) noteCommit(server string, m floor.Mark, sent clock.Millis) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.committed = g.options.Clock.Now()
 	g.put(g.watch.WithCommit(server, m, sent))
 }
 
--- a/internal/serve/database/tell.go
+++ b/internal/serve/database/tell.go
@@ -20,6 +20,7 @@
 	if h.Log > 0 {
 		v.Log, v.At = h.Log, now-h.At
 	}
+	v.Stuck = g.stuckLocked(now)
 	v.Token = g.token
 	return v
 }
@@ -37,7 +38,7 @@
 	if bound != nil && v.Log > 0 {
 		h.Log, h.At = v.Log, bound(v.At)
 	}
-	g.votes[vm] = vote{term: v.Term, lost: v.Lost, token: v.Token, at: now}
+	g.votes[vm] = vote{term: v.Term, lost: v.Lost, stuck: v.Stuck, token: v.Token, at: now}
 	w := g.watch.WithHearsay(h)
 	if term, _ := w.Leader(); v.Token > g.token && v.Term == term {
 		g.token = v.Token
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -116,6 +116,12 @@
 // Done is closed once every part has ended.
 func (f *Frontend) Done() <-chan struct{} { return f.done }
 
+// Address returns IP:port for callers.
+func (f *Frontend) Address() string { return f.listener.Addr().String() }
+
+// Part runs a part of the VM that ends with the context of Start; Done waits for it.
+func (f *Frontend) Part(part func()) { f.start(part) }
+
 func (f *Frontend) start(part func()) {
 	f.parts.Add(1)
 	go func() {
