--- a/internal/core/statement/statement.go
+++ b/internal/core/statement/statement.go
@@ -110,6 +110,16 @@
 	Other
 )
 
+// names are those of the codes in logs and metrics.
+var names = [...]string{
+	None: "none", Busy: "busy", Aborted: "aborted", Behind: "behind", ReadOnly: "readonly", Misrouted: "misrouted",
+	Crowded: "crowded", Unknown: "unknown", Timeout: "timeout", Failed: "failed", Unprepared: "unprepared",
+	Absent: "absent", Denied: "denied", Invalid: "invalid", Other: "other",
+}
+
+// String returns the name of the code in logs and metrics.
+func (c Code) String() string { return names[c] }
+
 // NotRun reports whether a server that answers with the code has not run the
 // statement, so that it may be sent to another.
 func (c Code) NotRun() bool {
--- a/internal/serve/database/claim.go
+++ b/internal/serve/database/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/go-faster/errors"
@@ -10,7 +11,6 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
-	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 )
 
@@ -71,134 +71,6 @@
 	members map[string]failover.Member
 }
 
-// consider begins a change of primary when it is this VM's turn.
-func (g *Group) consider(ctx context.Context, start func(func())) {
-	now := g.options.Clock.Now()
-	g.mu.Lock()
-	lost := g.lostLocked(now)
-	if !lost {
-		g.lostSince = 0
-	} else if g.lostSince == 0 {
-		g.lostSince = now
-		g.options.NudgeFunc()
-	}
-	sight := g.sightLocked(now, lost)
-	since, claiming := g.lostSince, g.claiming
-	pause := now < g.claimAfter
-	g.mu.Unlock()
-	if !lost || claiming || pause || g.options.StoppingFunc() {
-		return
-	}
-	delay, turn := sight.Delay(g.options.Name)
-	if !turn || now < since+delay {
-		return
-	}
-	g.mu.Lock()
-	g.claiming = true
-	g.mu.Unlock()
-	start(func() { g.attempt(ctx) })
-}
-
-// lostLocked reports whether this VM has lost the primary. It needs the lock.
-func (g *Group) lostLocked(now clock.Millis) bool {
-	term, leader := g.watch.Leader()
-	if term == 0 {
-		return false
-	}
-	if leader == "" {
-		return now-g.learned > failover.LostAfter
-	}
-	p := g.pools[leader]
-	switch {
-	case p != nil && p.server.Leaving && g.successorLocked(leader):
-		return true
-	case len(g.pools) < 2:
-		return false
-	case now-max(g.watch.Proved(), g.learned) > failover.LostAfter:
-		// A primary that answers is given time: it may only be busy.
-		return p == nil || !p.answers(now) || now-max(g.watch.Proved(), g.learned) > failover.UnprovedAfter
-	case p != nil && p.unreachable(now):
-		return true
-	}
-	return g.stuckLocked(now) || g.heardStuckLocked(now)
-}
-
-// heardStuckLocked reports whether another VM sees that the primary can
-// acknowledge nothing, and this one has not seen it do so. One VM asks the
-// servers for all, so that the others have only its word.
-func (g *Group) heardStuckLocked(now clock.Millis) bool {
-	if now-g.committed <= stuckAfter || now < g.stuckUntil || now-g.learned < 2*stuckAfter {
-		return false
-	}
-	term, _ := g.watch.Leader()
-	for _, v := range g.votes {
-		if v.stuck && v.term == term && now-v.at < voteTime {
-			return true
-		}
-	}
-	return false
-}
-
-// successorLocked reports whether a replica stays that may follow a leaving primary.
-func (g *Group) successorLocked(leader string) bool {
-	for id, p := range g.pools {
-		if id != leader && !p.server.Leaving && !p.unreachable(g.options.Clock.Now()) {
-			return true
-		}
-	}
-	return false
-}
-
-// stuckLocked reports whether the replicas have long not received what the
-// primary's log has, so that it cannot acknowledge anything.
-func (g *Group) stuckLocked(now clock.Millis) bool {
-	_, leader := g.watch.Leader()
-	reached, ok := g.watch.Reached(now - stuckAfter)
-	if !ok || now-g.learned < 2*stuckAfter || now < g.stuckUntil || now-g.committed <= stuckAfter {
-		return false
-	}
-	fresh := false
-	for id := range g.pools {
-		if id == leader {
-			continue
-		}
-		r, ok := g.received[id]
-		if !ok || now-r.at > receivedFresh {
-			continue
-		}
-		fresh = true
-		if r.mark.Covers(reached) || g.marks[id].Covers(reached) {
-			return false
-		}
-	}
-	return fresh
-}
-
-const (
-	// stuckAfter is how long every replica may lack what the primary has.
-	stuckAfter = clock.Millis(1500)
-	// receivedFresh is the age up to which a replica's answer counts for that.
-	receivedFresh = clock.Millis(700)
-	// stuckPause is the least time between two changes for that reason.
-	stuckPause = 8 * clock.Second
-)
-
-// sightLocked sums up what the VMs see. It needs the lock.
-func (g *Group) sightLocked(now clock.Millis, lost bool) failover.Sight {
-	s := failover.Sight{Self: g.options.Self, VMs: g.options.VMsFunc(), Known: g.options.KnownFunc(), Holder: g.holder}
-	term, _ := g.watch.Leader()
-	for _, vm := range s.VMs {
-		v, ok := g.votes[vm]
-		if vm == s.Self && lost || ok && v.lost && v.term == term && now-v.at < voteTime {
-			s.Lost = append(s.Lost, vm)
-		}
-	}
-	return s
-}
-
-// voteTime is how long another VM's word counts, in milliseconds.
-const voteTime = clock.Millis(1200)
-
 // attempt tries to change the primary once.
 func (g *Group) attempt(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, claimTime.Duration())
@@ -254,7 +126,7 @@
 	g.mu.Lock()
 	g.holder = old.Holder
 	g.mu.Unlock()
-	if !old.Takes(g.options.Self, now, contains(g.options.VMsFunc(), old.Holder)) {
+	if !old.Takes(g.options.Self, now, slices.Contains(g.options.VMsFunc(), old.Holder)) {
 		return ErrTaken
 	}
 	a.claim = failover.Claim{Holder: g.options.Self, Term: a.term, At: now}
@@ -269,15 +141,6 @@
 	return nil
 }
 
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
-
 // seal seals servers until the claim is safe.
 func (a *attempt) seal(ctx context.Context) error {
 	c := a.group.options.Clock
@@ -479,73 +342,3 @@
 	}
 	wait.Wait()
 }
-
-// counted returns the servers that may have acknowledged commits: those listed,
-// and those off the directory for less than what makes them gone.
-func (g *Group) counted(former string) map[string]failover.Member {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.options.Clock.Now()
-	out := map[string]failover.Member{}
-	for id, p := range g.pools {
-		out[id] = failover.Member{ID: id, Leaving: p.server.Leaving, Former: id == former}
-	}
-	for id, at := range g.unlisted {
-		if now-at < failover.GoneAfter && out[id].ID == "" {
-			out[id] = failover.Member{ID: id, Leaving: true, Former: id == former}
-		}
-	}
-	return out
-}
-
-// usable reports whether the primary may be used, at this VM's sight.
-func (g *Group) usable() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return !g.lostLocked(g.options.Clock.Now())
-}
-
-// release gives the present term up for a claim.
-func (g *Group) release(token uint64) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.token = max(g.token, token)
-	g.put(g.watch.WithRelease(g.options.Clock.Now()))
-}
-
-// released reports whether every VM that is known has given up the term that a
-// claim replaces.
-func (g *Group) released(token uint64) bool {
-	vms := g.options.VMsFunc()
-	if len(vms) < g.options.KnownFunc() {
-		return false
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, vm := range vms {
-		if vm != g.options.Self && g.votes[vm].token < token {
-			return false
-		}
-	}
-	return true
-}
-
-// vote is what another VM says of a group.
-type vote struct {
-	term  floor.Term
-	lost  bool
-	stuck bool
-	token uint64
-	at    clock.Millis
-}
-
-// received is the end of a replica's log as it told at a moment.
-type received struct {
-	mark floor.Mark
-	at   clock.Millis
-}
-
-// noteReceived keeps what a replica told of its log. It needs the lock.
-func (g *Group) noteReceived(server string, t statement.Tenure, now clock.Millis) {
-	g.received[server] = received{mark: t.Received, at: now}
-}
--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -214,6 +214,18 @@
 	return term
 }
 
+// Standing returns the newest term known, its primary, and the age in
+// milliseconds of the proof that it leads, or a negative one without a proof.
+func (g *Group) Standing() (floor.Term, string, clock.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	term, leader := g.watch.Leader()
+	if g.watch.Proved() == tenure.Never {
+		return term, leader, -1
+	}
+	return term, leader, g.options.Clock.Now() - g.watch.Proved()
+}
+
 // ErrLeaderless means that no server may be used as the primary now.
 var ErrLeaderless = errors.New("the database group has no confirmed primary now")
 
--- a/internal/serve/session/counters.go
+++ b/internal/serve/session/counters.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 )
 
@@ -13,6 +14,9 @@
 	opened  *metrics.Counter
 	expired *metrics.Counter
 	refused [statement.Other + 1]*metrics.Counter
+	// took are the times from a statement to its answer in seconds, by outcome.
+	served *metrics.Histogram
+	failed *metrics.Histogram
 }
 
 // NewCounters registers the counters.
@@ -21,12 +25,25 @@
 		opened:  metrics.GetOrCreateCounter("sycamoredoor_sessions_opened_total"),
 		expired: metrics.GetOrCreateCounter("sycamoredoor_transactions_expired_total"),
 	}
+	c.served = metrics.GetOrCreateHistogram(`sycamoredoor_statement_seconds{outcome="served"}`)
+	c.failed = metrics.GetOrCreateHistogram(`sycamoredoor_statement_seconds{outcome="refused"}`)
 	for i := range c.refused {
-		c.refused[i] = metrics.GetOrCreateCounter(fmt.Sprintf(`sycamoredoor_statements_refused_total{code="%d"}`, i))
+		c.refused[i] = metrics.GetOrCreateCounter(fmt.Sprintf(`sycamoredoor_statements_refused_total{code=%q}`, statement.Code(i)))
 	}
 	return c
 }
 
+// note takes in how long an answer took, in milliseconds.
+func (c Counters) note(code statement.Code, took clock.Millis) {
+	h := c.served
+	if code != statement.None {
+		h = c.failed
+	}
+	if h != nil {
+		h.Update(took.Duration().Seconds())
+	}
+}
+
 func (c Counters) refuse(code statement.Code) {
 	if c.refused[code] != nil {
 		c.refused[code].Inc()
--- a/internal/serve/session/run.go
+++ b/internal/serve/session/run.go
@@ -180,7 +180,7 @@
 func (r *run) passOn(h *database.Held, a statement.Answer) statement.Answer {
 	s := r.session
 	s.options.Counters.refuse(a.Code)
-	s.options.Log.Info("statement failed at the server", "id", r.st.ID, "server", h.Server().ID, "code", int(a.Code), "detail", a.Detail)
+	s.options.Log.Info("statement failed at the server", "id", r.st.ID, "server", h.Server().ID, "code", a.Code.String(), "detail", a.Detail)
 	return a.WithStatus(statement.Idle)
 }
 
--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -94,7 +94,9 @@
 		if err != nil {
 			return
 		}
+		began := s.options.Clock.Now()
 		a := s.answer(ctx, st)
+		s.options.Counters.note(a.Code, s.options.Clock.Now()-began)
 		if err := s.caller.AnswerFunc(a); err != nil {
 			return
 		}
@@ -242,10 +244,24 @@
 	}
 }
 
+// logRefusal writes why a statement was refused, with what decided it: the version
+// of the configuration, and the term, the primary and the age of its proof.
+func (s *session) logRefusal(st statement.Statement, code statement.Code, detail string) {
+	fields := []any{"id", st.ID, "database", s.route.Database, "account", s.account.Name, "code", code.String(), "reason", detail}
+	if c := s.options.CatalogFunc(); c != nil {
+		fields = append(fields, "version", c.Version)
+	}
+	if g := s.options.GroupFunc(s.route.Group); g != nil {
+		term, leader, age := g.Standing()
+		fields = append(fields, "group", s.route.Group, "term", uint64(term), "primary", leader, "proof_ms", int64(age))
+	}
+	s.options.Log.Info("statement refused", fields...)
+}
+
 // refuse answers that a statement was not run, and says so in the log.
 func (s *session) refuse(st statement.Statement, code statement.Code, detail string) statement.Answer {
 	s.options.Counters.refuse(code)
-	s.options.Log.Info("statement refused", "id", st.ID, "database", s.route.Database, "account", s.account.Name, "code", int(code), "reason", detail)
+	s.logRefusal(st, code, detail)
 	if s.txn != nil {
 		s.txn.fail()
 	}
--- a/internal/serve/session/transaction.go
+++ b/internal/serve/session/transaction.go
@@ -90,7 +90,7 @@
 		return a.WithStatus(statement.Open)
 	}
 	s.options.Counters.refuse(a.Code)
-	s.options.Log.Info("statement failed at the server", "id", st.ID, "server", s.txn.held.Server().ID, "code", int(a.Code), "detail", a.Detail)
+	s.options.Log.Info("statement failed at the server", "id", st.ID, "server", s.txn.held.Server().ID, "code", a.Code.String(), "detail", a.Detail)
 	s.rollbackServer()
 	s.txn.failed = true
 	return a.WithStatus(statement.Broken)
@@ -220,7 +220,7 @@
 	}
 	if a.Code != statement.None {
 		s.options.Counters.refuse(a.Code)
-		s.options.Log.Info("commit failed at the server", "id", st.ID, "server", t.held.Server().ID, "code", int(a.Code), "detail", a.Detail)
+		s.options.Log.Info("commit failed at the server", "id", st.ID, "server", t.held.Server().ID, "code", a.Code.String(), "detail", a.Detail)
 		t.drop()
 		return a.WithStatus(statement.Idle)
 	}
