Relay what zones tell each other above 16 VMs

Change: above 16 VMs a VM speaks to those of its zone; two relays a zone exchange sums of the use of accounts, views and versions, and the first passes the rest of the zones on. Messages are split to fit datagrams.

--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -42,6 +42,9 @@
 	Demand float64
 	// Tokens is the VM's estimate of the bucket.
 	Tokens float64
+	// Sum marks a report for many VMs together, whose count begins anew when
+	// another VM adds them up.
+	Sum bool
 }
 
 // use is what is known of another VM.
@@ -88,6 +91,21 @@
 	return b
 }
 
+// count is the number of VMs.
+func (b Bucket) count() float64 { return float64(max(b.vms, len(b.others)+1)) }
+
+// Without forgets what was heard under names that others has not got any more.
+func (b Bucket) Without(gone func(name string) bool) Bucket {
+	for name := range b.others {
+		if gone(name) {
+			b.others = maps.Clone(b.others)
+			maps.DeleteFunc(b.others, func(name string, _ use) bool { return gone(name) })
+			return b
+		}
+	}
+	return b
+}
+
 // alone reports whether there are other VMs and none is heard.
 func (b Bucket) alone() bool { return len(b.others) == 0 && b.vms > 1 }
 
@@ -164,7 +182,7 @@
 		}
 		sum += u.report.Demand
 	}
-	least := leastShare / float64(len(b.others)+1)
+	least := leastShare / b.count()
 	if sum <= 0 {
 		return least
 	}
@@ -210,7 +228,7 @@
 // share: part of a bucket that is far from empty, or one while there is one for
 // every VM.
 func (b Bucket) spareOperations() float64 {
-	vms := float64(len(b.others) + 1)
+	vms := b.count()
 	spare := math.Floor(sparePart * b.tokens / vms)
 	if spare < 1 && b.tokens > vms {
 		return 1
@@ -230,7 +248,7 @@
 		return b, false
 	case b.credit >= 1:
 		b.credit--
-	case b.spare >= 1 && b.tokens >= float64(len(b.others)+1):
+	case b.spare >= 1 && b.tokens >= b.count():
 		b.spare--
 	case b.loan >= 1 && !b.alone():
 		b.loan--
@@ -261,6 +279,8 @@
 	switch {
 	case known && u.report.Process == r.Process:
 		b.tokens -= float64(int64(r.Spent-u.report.Spent)) - u.guessed
+	case known && r.Sum:
+		b.tokens -= u.report.Demand*float64(now-u.at)/float64(clock.Second) - u.guessed
 	case known:
 		b.tokens -= float64(r.Spent) - u.guessed
 	}
@@ -278,7 +298,7 @@
 // Urgent reports whether a new round should begin soon: this VM has taken all it
 // may in this one, or much of what is left since a report with the given count.
 func (b Bucket) Urgent(reported uint64) bool {
-	if b.credit < 1 && b.spare < 1 && b.tokens >= float64(len(b.others)+1) {
+	if b.credit < 1 && b.spare < 1 && b.tokens >= b.count() {
 		return !b.alone()
 	}
 	return float64(int64(b.spent-reported)) > max(b.tokens, 1)*urgentPart
--- a/internal/proto/inner/gossip.go
+++ b/internal/proto/inner/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 )
 
 // Gossip is what a VM tells another of itself and of what it knows.
@@ -23,10 +24,26 @@
 	Leaving bool
 	// Version is that of the configuration in force at the VM.
 	Version uint64
-	Usages  []Usage
-	Views   []View
+	// Zone is the sender's availability zone, and Scope what the usages are of.
+	Zone   member.Zone
+	Scope  Scope
+	Usages []Usage
+	Views  []View
 }
 
+// Scope says whose use a message tells.
+type Scope uint8
+
+// The scopes.
+const (
+	// ScopeVM is the sender alone.
+	ScopeVM Scope = iota
+	// ScopeZone is all VMs of the sender's zone.
+	ScopeZone
+	// ScopeRest is all VMs of the other zones.
+	ScopeRest
+)
+
 // Usage is the use of one account at a VM.
 type Usage struct {
 	_       struct{} `cbor:",toarray"`
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -97,7 +97,7 @@
 			}
 			return c.Account(name)
 		},
-		buckets: map[string]quota.Bucket{}, reported: map[string]uint64{},
+		buckets: map[string]quota.Bucket{}, reported: map[string]uint64{}, zone: sums{}, rest: sums{},
 	}
 	f.start(func() { f.join(ctx) })
 	f.start(func() { f.follow(ctx) })
--- a/internal/serve/frontend/limits.go
+++ b/internal/serve/frontend/limits.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"strings"
 	"sync"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
@@ -39,6 +40,11 @@
 	mu       sync.Mutex
 	buckets  map[string]quota.Bucket
 	reported map[string]uint64
+	// own is what the last round says of this VM, zone the sums of its zone, and rest
+	// those of the other zones, by zone.
+	own  []inner.Usage
+	zone sums
+	rest sums
 }
 
 // take takes one operation of an account and reports whether there was one.
@@ -87,9 +93,9 @@
 	}
 }
 
-// round begins a round and returns what to tell the others. Accounts that nobody
-// asks for are left out.
-func (l *limits) round() []inner.Usage {
+// round begins a round and notes what to tell the others. Accounts that nobody asks
+// for are left out.
+func (l *limits) round() {
 	vms := l.vmsFunc()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -108,23 +114,117 @@
 		}
 		l.reported[name] = r.Spent
 		out = append(out, inner.Usage{Account: name, Spent: r.Spent, Demand: float32(r.Demand), Tokens: float32(r.Tokens)})
+		r.Process = l.processFunc()
+		l.zone.add(name, selfPart, r)
+	}
+	l.own = out
+}
+
+// selfPart names this VM among the parts of its zone.
+const selfPart = ""
+
+// sum is the sum of the use of an account over many VMs.
+type sum struct {
+	spent uint64
+	// parts are the last reports that were added up, by VM or by zone.
+	parts map[string]quota.Report
+}
+
+// add takes in a report of a part.
+func (s *sum) add(part string, r quota.Report) {
+	last, known := s.parts[part]
+	switch {
+	case known && last.Process == r.Process:
+		s.spent += r.Spent - last.Spent
+	case !r.Sum:
+		s.spent += r.Spent
+	}
+	s.parts[part] = r
+}
+
+// report returns the sum for a process that adds up.
+func (s *sum) report(process uint64) quota.Report {
+	out := quota.Report{Process: process, Spent: s.spent, Sum: true}
+	for _, r := range s.parts {
+		out.Demand += r.Demand
+		out.Tokens = r.Tokens
+	}
+	return out
+}
+
+// sums are those of all accounts.
+type sums map[string]*sum
+
+func (s sums) add(account, part string, r quota.Report) {
+	if s[account] == nil {
+		s[account] = &sum{parts: map[string]quota.Report{}}
+	}
+	s[account].add(part, r)
+}
+
+// usages returns the sums as a message has them.
+func (s sums) usages() []inner.Usage {
+	out := make([]inner.Usage, 0, len(s))
+	for name, v := range s {
+		r := v.report(0)
+		out = append(out, inner.Usage{Account: name, Spent: r.Spent, Demand: float32(r.Demand), Tokens: float32(r.Tokens)})
 	}
 	return out
 }
 
-// hear takes in what another VM says of its use.
-func (l *limits) hear(g inner.Gossip) {
+// restName and zonePrefix name the sums of other zones in a bucket.
+const (
+	restName   = "*"
+	zonePrefix = "*/"
+)
+
+// hear takes in what another VM says of its use, or a relay of that of many. First
+// is set for the first relay of its zone.
+func (l *limits) hear(g inner.Gossip, first bool) {
 	vms := l.vmsFunc()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
+	name := g.From
+	switch {
+	case g.Scope == inner.ScopeVM:
+	case !first:
+		return
+	case g.Scope == inner.ScopeZone:
+		name = zonePrefix + string(g.Zone)
+	default:
+		name = restName
+	}
 	for _, u := range g.Usages {
 		a, ok := l.accountFunc(u.Account)
 		if !ok {
 			continue
 		}
-		l.buckets[u.Account] = l.bucket(a, vms, now).WithReport(g.From, quota.Report{
-			Process: g.Process, Spent: u.Spent, Demand: float64(u.Demand), Tokens: float64(u.Tokens),
-		}, now)
+		r := quota.Report{
+			Process: g.Process, Spent: u.Spent, Demand: float64(u.Demand), Tokens: float64(u.Tokens), Sum: g.Scope != inner.ScopeVM,
+		}
+		switch g.Scope {
+		case inner.ScopeVM:
+			l.zone.add(u.Account, name, r)
+		case inner.ScopeZone:
+			l.rest.add(u.Account, name, r)
+		}
+		b := l.bucket(a, vms, now).Without(func(other string) bool {
+			return g.Scope == inner.ScopeZone && other == restName || g.Scope == inner.ScopeRest && strings.HasPrefix(other, zonePrefix)
+		})
+		l.buckets[u.Account] = b.WithReport(name, r, now)
+	}
+}
+
+// fill returns the usages of a scope, as of the last round.
+func (l *limits) fill(s inner.Scope) []inner.Usage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch s {
+	case inner.ScopeZone:
+		return l.zone.usages()
+	case inner.ScopeRest:
+		return l.rest.usages()
 	}
+	return l.own
 }
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -42,7 +42,7 @@
 		SendFunc: f.sendDatagram,
 		ListFunc: o.Registry.ListFunc, RegisterFunc: o.Registry.RegisterFunc, RemoveFunc: o.Registry.RemoveFunc,
 		RegisteredFunc: f.arrange,
-		FillFunc:       f.fill, TakeFunc: f.hear,
+		RoundFunc:      func() { f.limits.round() }, FillFunc: f.fill, TakeFunc: f.hear,
 	})
 }
 
@@ -95,12 +95,15 @@
 	return t.TryDatagram(ctx, address, body)
 }
 
-// fill puts what this VM knows into a message.
-func (f *Frontend) fill() inner.Gossip {
-	g := inner.Gossip{Usages: f.limits.round()}
+// fill puts what this VM knows into a message of a scope.
+func (f *Frontend) fill(s inner.Scope) inner.Gossip {
+	g := inner.Gossip{Scope: s, Usages: f.limits.fill(s)}
 	if c := f.catalog.Load(); c != nil {
 		g.Version = c.Version
 	}
+	if s == inner.ScopeRest {
+		return g
+	}
 	for _, group := range f.allGroups() {
 		g.Views = append(g.Views, group.View())
 	}
@@ -109,7 +112,7 @@
 
 // hear takes in a message of another VM.
 func (f *Frontend) hear(g inner.Gossip, bound func(clock.Millis) clock.Millis) {
-	f.limits.hear(g)
+	f.limits.hear(g, g.Scope == inner.ScopeVM || f.mesh.IsRelay(g.From, g.Zone))
 	for _, v := range g.Views {
 		if group := f.Group(v.Group); group != nil {
 			group.Hear(g.From, v, bound)
--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -54,8 +54,10 @@
 	RemoveFunc   func(ctx context.Context, v member.VM) error
 	// RegisteredFunc is called once this VM has registered.
 	RegisteredFunc func()
-	// FillFunc puts what this VM knows into a message, the same for all receivers.
-	FillFunc func() inner.Gossip
+	// RoundFunc begins a round. FillFunc then puts what this VM knows into a message,
+	// the same for all receivers of a scope.
+	RoundFunc func()
+	FillFunc  func(s inner.Scope) inner.Gossip
 	// TakeFunc takes in a message. Bound gives a moment of this VM's clock that
 	// something of the sender's cannot be older than, from its age at the sender.
 	TakeFunc func(m inner.Gossip, bound func(age clock.Millis) clock.Millis)
@@ -250,35 +252,86 @@
 // numberPlaces is the number of places at which numbers of messages may begin.
 const numberPlaces = 1 << 24
 
+// letter is a message on its way out.
+type letter struct {
+	address string
+	body    []byte
+}
+
 // round sends to every VM that is due.
 func (m *Mesh) round(ctx context.Context) {
-	base := m.options.FillFunc()
+	m.options.RoundFunc()
+	base := map[inner.Scope][]inner.Gossip{}
+	for _, l := range m.letters(func(s inner.Scope) []inner.Gossip {
+		if base[s] == nil {
+			base[s] = split(m.options.FillFunc(s))
+		}
+		return base[s]
+	}) {
+		m.bytes.Add(len(l.body))
+		// A VM that cannot be reached is found out by its silence.
+		_ = m.options.SendFunc(ctx, l.address, l.body)
+	}
+}
+
+// letters returns the messages of a round; parts gives those of a scope.
+func (m *Mesh) letters(parts func(inner.Scope) []inner.Gossip) []letter {
+	routes := m.routes()
+	filled := map[inner.Scope][]inner.Gossip{}
+	for _, r := range routes {
+		for _, s := range r.scopes {
+			filled[s] = parts(s)
+		}
+	}
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	now := m.options.Clock.Now()
-	base.From, base.Address, base.Process, base.Leaving = m.options.Self.Name, m.options.Self.Address, m.process, m.leaving
-	type letter struct {
-		address string
-		body    []byte
-	}
-	var letters []letter
-	for _, p := range m.peers {
+	var out []letter
+	for _, r := range routes {
+		p := r.peer
 		if now-p.heard >= Absent && p.tries >= firstTries && now-p.sent < absentPeriod {
 			continue
 		}
 		p.tries++
-		g := base
-		p.number++
-		p.moments[p.number%sentKept] = now
 		p.sent = now
-		g.Number, g.Echo, g.Since = p.number, p.received, now-p.at
-		letters = append(letters, letter{address: p.vm.Address, body: inner.Pack(inner.Encode(inner.KindGossip, g))})
+		for _, s := range r.scopes {
+			for _, g := range filled[s] {
+				out = append(out, letter{address: p.vm.Address, body: m.address(p, g, now)})
+			}
+		}
 	}
-	m.mu.Unlock()
-	for _, l := range letters {
-		m.bytes.Add(len(l.body))
-		// A VM that cannot be reached is found out by its silence.
-		_ = m.options.SendFunc(ctx, l.address, l.body)
+	return out
+}
+
+// address completes a message for one receiver. It needs the lock.
+func (m *Mesh) address(p *peer, g inner.Gossip, now clock.Millis) []byte {
+	self := m.options.Self
+	g.From, g.Address, g.Process, g.Leaving, g.Zone = self.Name, self.Address, m.process, m.leaving, self.Zone
+	p.number++
+	p.moments[p.number%sentKept] = now
+	g.Number, g.Echo, g.Since = p.number, p.received, now-p.at
+	return inner.Pack(inner.Encode(inner.KindGossip, g))
+}
+
+// firstUsages and laterUsages are the usages that fit into a datagram, beside the
+// views and without.
+const (
+	firstUsages = 14
+	laterUsages = 36
+)
+
+// split divides a message so that each part fits into a datagram.
+func split(g inner.Gossip) []inner.Gossip {
+	rest := g.Usages
+	first := g
+	first.Usages = rest[:min(len(rest), firstUsages)]
+	out := []inner.Gossip{first}
+	for rest = rest[len(first.Usages):]; len(rest) > 0; {
+		next := inner.Gossip{Version: g.Version, Scope: g.Scope, Usages: rest[:min(len(rest), laterUsages)]}
+		rest = rest[len(next.Usages):]
+		out = append(out, next)
 	}
+	return out
 }
 
 // Take takes one datagram from the VM called name.
@@ -309,7 +362,7 @@
 	if p.process != g.Process {
 		p.process, p.received = g.Process, 0
 	}
-	p.vm.Address, p.leaving, p.heard, p.tries = g.Address, g.Leaving, now, 0
+	p.vm.Address, p.vm.Zone, p.leaving, p.heard, p.tries = g.Address, g.Zone, g.Leaving, now, 0
 	if g.Number > p.received {
 		p.received, p.at = g.Number, now
 	}
