Assert the promises where statements are served, and test the pools

Cause: the program asserted only the promotion on this path; and a test that plays more work than a server has slots for found the window too slow: a server that refuses at once was asked again 101,518 times while it ran 536 statements.

--- a/internal/base/invariant/page_test.go
+++ b/internal/base/invariant/page_test.go
@@ -112,7 +112,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, f := range files {
+	// The adapter of the users' platform stands at the root.
+	outside, err := filepath.Glob(filepath.Join(root, folder, "*_test.go"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range append(files, outside...) {
 		text, err := os.ReadFile(f)
 		if err != nil {
 			t.Fatal(err)
--- /dev/null
+++ b/internal/serve/database/fake_test.go
@@ -0,0 +1,110 @@
+package database
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
+)
+
+// fake is a group of servers that answer in memory: p leads, q and r follow.
+type fake struct {
+	mu sync.Mutex
+	// slots is how many statements a server runs at once; the next one is told that
+	// it is busy.
+	slots   int
+	work    time.Duration
+	running map[string]int
+	refused int
+	served  int
+	// busy has questions about the tenure answered with a refusal.
+	busy bool
+	// accounts counts the connections by account.
+	accounts map[string]int
+	claims   int
+}
+
+func (f *fake) protocol() Protocol {
+	return Protocol{
+		DialFunc: func(_ context.Context, s Server, account string) (*Conn, floor.Mark, error) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.accounts[account]++
+			return &Conn{
+				RunFunc:   func(Request) (statement.Answer, error) { return f.run(s), nil },
+				OrderFunc: func(o Order, _ floor.Term, _ clock.Millis) (statement.Tenure, error) { return f.order(s, o) },
+				CloseFunc: func() {},
+			}, floor.Mark{}, nil
+		},
+		RollbackFunc: func() string { return "ROLLBACK" },
+	}
+}
+
+func (f *fake) run(s Server) statement.Answer {
+	f.mu.Lock()
+	if f.slots > 0 && f.running[s.ID] >= f.slots {
+		f.refused++
+		f.mu.Unlock()
+		return statement.Refuse(statement.Busy, s.ID, statement.Idle)
+	}
+	f.running[s.ID]++
+	f.mu.Unlock()
+	time.Sleep(f.work)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running[s.ID]--
+	f.served++
+	return statement.Done(statement.Idle)
+}
+
+func (f *fake) order(s Server, o Order) (statement.Tenure, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.busy && o == Tell {
+		return statement.Tenure{}, &RefusalError{Code: statement.Busy, Detail: "busy"}
+	}
+	return statement.Tenure{Primary: s.ID == "p", Term: 1, Sealed: 1, Received: floor.Mark{Term: 1, Position: 1}}, nil
+}
+
+// group returns a group of the fake's servers.
+func (f *fake) group(t testing.TB, share int) *Group {
+	t.Helper()
+	f.running, f.accounts = map[string]int{}, map[string]int{}
+	g := NewGroup(Options{
+		Name: "g", Clock: clock.System(), Log: log.New(io.Discard), Protocol: f.protocol(), Counters: NewCounters(), Synced: 1,
+		ShareFunc: func() int { return share }, Self: "vm", VMsFunc: func() []string { return []string{"vm"} },
+		KnownFunc: func() int { return 1 }, RefreshFunc: func(context.Context) error { return nil },
+		NudgeFunc: func() {}, StoppingFunc: func() bool { return false },
+		Claims: Claims{ReadFunc: func(context.Context, string) (failover.Claim, uint64, clock.Millis, error) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.claims++
+			return failover.Claim{}, 0, 0, ErrTaken
+		}},
+	})
+	g.Update([]Server{{ID: "p", Group: "g", Slots: 2}, {ID: "q", Group: "g", Slots: 2}, {ID: "r", Group: "g", Slots: 2}})
+	return g
+}
+
+// tick lets the group work for a time, until it is over or what is awaited holds.
+func (f *fake) tick(g *Group, length time.Duration, holds func() bool) {
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	for end := time.Now().Add(length); time.Now().Before(end) && !holds(); time.Sleep(20 * time.Millisecond) {
+		g.Tick(context.Background(), func(part func()) {
+			parts.Add(1)
+			go func() {
+				defer parts.Done()
+				part()
+			}()
+		})
+	}
+}
--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/choice"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
@@ -40,6 +41,8 @@
 	Log      *log.Logger
 	Protocol Protocol
 	Counters Counters
+	// Leave is how long a leaving primary gets new work, in milliseconds; 0 sets no bound.
+	Leave clock.Millis
 	// Synced is the number of replicas that have a commit before it is acknowledged.
 	Synced int
 	// ShareFunc returns the connections that this VM may have to one server.
@@ -78,6 +81,8 @@
 	learned clock.Millis
 	// unlisted holds the moments since which servers are off the directory.
 	unlisted map[string]clock.Millis
+	// leaving holds the moments since which servers are known to leave.
+	leaving map[string]clock.Millis
 	// committed is the moment of the last commit that this VM saw acknowledged.
 	committed clock.Millis
 	votes     map[string]vote
@@ -99,7 +104,7 @@
 func NewGroup(o Options) *Group {
 	return &Group{
 		options: o, watch: tenure.New(o.Synced), pools: map[string]*pool{}, marks: map[string]floor.Mark{}, seen: map[string]clock.Millis{},
-		changed: make(chan struct{}), probing: map[string]clock.Millis{}, unlisted: map[string]clock.Millis{},
+		changed: make(chan struct{}), probing: map[string]clock.Millis{}, unlisted: map[string]clock.Millis{}, leaving: map[string]clock.Millis{},
 		votes: map[string]vote{}, received: map[string]received{},
 	}
 }
@@ -114,6 +119,12 @@
 	for _, s := range servers {
 		listed[s.ID] = true
 		delete(g.unlisted, s.ID)
+		if _, known := g.leaving[s.ID]; s.Leaving && !known {
+			g.leaving[s.ID] = g.options.Clock.Now()
+		}
+		if !s.Leaving {
+			delete(g.leaving, s.ID)
+		}
 		p := g.pools[s.ID]
 		if p != nil && (p.server.Address != s.Address || p.server.Born != s.Born) {
 			closing = append(closing, p)
@@ -254,15 +265,34 @@
 		h.Release()
 		return nil, ErrLeaderless
 	}
+	invariant.Check(!g.left(p.server.ID), invariant.LeavingServer, "%s has left and would get work", p.server.ID)
 	return h, nil
 }
 
+// leftLocked reports whether a server has been leaving for so long that it gets no
+// new work, even as the primary. It needs the lock.
+func (g *Group) leftLocked(server string, now clock.Millis) bool {
+	since, leaving := g.leaving[server]
+	return leaving && g.options.Leave > 0 && now-since >= g.options.Leave
+}
+
+func (g *Group) left(server string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	// A little more than the bound, since the check comes after the choice.
+	return g.leftLocked(server, g.options.Clock.Now()-leaveSlack)
+}
+
+// leaveSlack is how long work may be on its way to a leaving server, in milliseconds.
+const leaveSlack = 2 * clock.Second
+
 // confirmed reports whether a pool's server may be used as the primary now.
 func (g *Group) confirmed(p *pool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	_, leader := g.watch.Leader()
-	return leader == p.server.ID && g.watch.May(g.options.Clock.Now())
+	now := g.options.Clock.Now()
+	return leader == p.server.ID && g.watch.May(now) && !g.leftLocked(leader, now)
 }
 
 // primary waits until the group has a confirmed primary.
@@ -272,7 +302,7 @@
 		now := g.options.Clock.Now()
 		_, leader := g.watch.Leader()
 		p, changed := g.pools[leader], g.changed
-		may := g.watch.May(now)
+		may := g.watch.May(now) && (p == nil || !g.leftLocked(leader, now))
 		g.mu.Unlock()
 		if may && p != nil {
 			return p, nil
--- a/internal/serve/database/held.go
+++ b/internal/serve/database/held.go
@@ -6,6 +6,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 )
@@ -20,6 +21,8 @@
 	prepared map[statement.Shape]string
 	used     clock.Millis
 	broken   bool
+	// back is set once the connection was given back.
+	back bool
 	// first is set until the first statement after it was given out.
 	first bool
 }
@@ -30,6 +33,7 @@
 // Run runs a statement and takes in what the answer says of the server's log.
 // After an error the connection is of no more use.
 func (h *Held) Run(r Request) (statement.Answer, error) {
+	h.check()
 	c := h.pool.group.options.Clock
 	sent := c.Now()
 	h.pool.begin(h.first)
@@ -44,6 +48,14 @@
 	return a, nil
 }
 
+// check asserts that whoever uses the connection still has it.
+func (h *Held) check() {
+	invariant.Check(!h.back, invariant.OneTransaction, "a connection to %s is used after it was given back", h.pool.server.ID)
+}
+
+// Account returns the account that the connection was opened for.
+func (h *Held) Account() string { return h.account }
+
 // NoteCommit takes in that the server acknowledged a write that was sent at a moment.
 func (h *Held) NoteCommit(m floor.Mark, sent clock.Millis) {
 	h.pool.group.noteCommit(h.pool.server.ID, m, sent)
@@ -52,6 +64,7 @@
 // Order carries out an order of a claimant, or asks for the tenure. The error is
 // a *RefusalError when the server refused.
 func (h *Held) Order(o Order, term floor.Term, timeout clock.Millis) (statement.Tenure, error) {
+	h.check()
 	t, err := h.conn.OrderFunc(o, term, timeout)
 	var refusal *RefusalError
 	if errors.As(err, &refusal) {
--- a/internal/serve/database/pool.go
+++ b/internal/serve/database/pool.go
@@ -78,9 +78,11 @@
 	return &pool{group: g, server: s, line: fair.New(lineLimit), window: firstWindow}
 }
 
-// The window grows by one for as many answers as it holds and shrinks when the
-// server is busy, so that the VMs share the slots without speaking of it.
+// The window grows with answers and shrinks when the server is busy, so that the VMs
+// share the slots without speaking of it.
 const (
+	// windowGrowth is how much it grows in as many answers as it holds.
+	windowGrowth = 0.5
 	firstWindow = 3
 	leastWindow = 1
 	windowCut   = 0.7
@@ -99,8 +101,10 @@
 	}
 }
 
-// shrink makes the window smaller, since the server is busy. It needs the lock.
+// shrink makes the window smaller, since the server is busy: to what it does run,
+// and now and then below that, so that other VMs get a part. It needs the lock.
 func (p *pool) shrink(now clock.Millis) {
+	p.window = max(min(p.window, float64(p.running)), leastWindow)
 	if now-p.cut < cutPause {
 		return
 	}
@@ -164,7 +168,7 @@
 		p.shrink(now)
 		return
 	}
-	p.window = min(p.window+1/p.window, float64(p.group.share()))
+	p.window = min(p.window+windowGrowth/p.window, float64(p.group.share()))
 	p.work += workMemory * (float64(took) - p.work)
 	p.worked = now
 }
@@ -339,13 +343,20 @@
 	defer p.mu.Unlock()
 	defer p.dispatch()
 	p.ungrant(h)
+	if h.back {
+		h.check()
+		return
+	}
 	if h.broken || p.gone || p.open > p.group.share() {
 		h.conn.CloseFunc()
+		h.back = true
 		p.open--
 		return
 	}
-	h.used = p.group.options.Clock.Now()
-	p.idle = append(p.idle, h)
+	kept := *h
+	kept.used = p.group.options.Clock.Now()
+	h.back = true
+	p.idle = append(p.idle, &kept)
 }
 
 // trim closes connections that were idle for longer than idleTime, but the one
@@ -387,3 +398,10 @@
 	defer p.mu.Unlock()
 	return p.running + p.line.Len(), choice.Decayed(p.work, now-p.worked), now < p.avoid || p.gone
 }
+
+// waiting returns the number of those in line.
+func (p *pool) waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.line.Len()
+}
--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -69,7 +69,7 @@
 	o := f.options
 	return database.NewGroup(database.Options{
 		Name: name, Zone: o.Self.Zone, Region: o.Self.Region, Clock: o.Clock, Log: o.Log,
-		Protocol: o.Protocol, Counters: f.counters, Synced: synced,
+		Protocol: o.Protocol, Counters: f.counters, Synced: synced, Leave: o.Leave,
 		ShareFunc: func() int { return f.share(name) },
 		Self:      o.Self.Name, VMsFunc: f.aliveNames, KnownFunc: f.mesh.Known, RefreshFunc: f.mesh.Refresh,
 		NudgeFunc: f.mesh.Nudge, StoppingFunc: f.stopping.Load, Claims: o.Claims,
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -39,6 +39,8 @@
 	Registry   Registry
 	Claims     database.Claims
 	Tolerance  Tolerance
+	// Leave is how long a leaving primary gets new work, in milliseconds.
+	Leave clock.Millis
 }
 
 // Frontend is a running VM.
--- a/internal/serve/session/run.go
+++ b/internal/serve/session/run.go
@@ -6,6 +6,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
@@ -35,6 +36,10 @@
 	// tried names servers that refused or failed.
 	tried    map[string]bool
 	attempts int
+	// readOnly is set for a statement that changes nothing.
+	readOnly bool
+	// sent is set while a statement may be running at a server.
+	sent bool
 	// last is why the last attempt did not succeed.
 	last string
 }
@@ -112,6 +117,7 @@
 
 // read runs a single read, on another server again when one fails.
 func (r *run) read(ctx context.Context) statement.Answer {
+	r.readOnly = true
 	for {
 		h, f, err := r.place(ctx, false)
 		if err != nil {
@@ -172,6 +178,7 @@
 
 // notRun refuses a single statement that no server has run.
 func (r *run) notRun() statement.Answer {
+	invariant.Check(!r.sent, invariant.NotRun, "statement %s is said not to have run, and may have", r.st.ID)
 	r.session.giveBack()
 	return r.session.refuse(r.st, statement.Busy, r.last+"; try again in 1 s")
 }
@@ -204,7 +211,14 @@
 	if left <= 0 {
 		return statement.Answer{}, errUnsent
 	}
-	return h.Run(database.Request{ID: r.st.ID, Text: text, Floor: f, Timeout: left})
+	invariant.Check(h.Account() == r.session.account.Name, invariant.OwnAccount,
+		"statement %s of account %s would run for %s", r.st.ID, r.session.account.Name, h.Account())
+	invariant.Check(!r.sent, invariant.AtMostOnce, "statement %s is sent again though it may be running", r.st.ID)
+	r.sent = true
+	a, err := h.Run(database.Request{ID: r.st.ID, Text: text, Floor: f, Timeout: left})
+	// A read may run twice; of a write only a refusal says that it does not run.
+	r.sent = !r.readOnly && (err != nil || !a.Code.NotRun() && a.Code != statement.None)
+	return a, err
 }
 
 // text returns what the server is to run, once its session has the caller's
