Soak the real programs under faults from outside

Cause: nothing ran the programs as processes against the platform's stand-in. Change: sycamorebench soak: several VMs as processes, proxies before each backend server and before the store of each VM (slow, silent, deaf one way, reset), signals (kill, stop and continue, terminate, hang up), servers that crash, are cut off or lose answers, a store that refuses, is silent, loses answers or its history; faults overlap. Callers check acknowledged and denied writes, reads against what was acknowledged before, their own writes.

--- a/cmd/sycamorebench/main.go
+++ b/cmd/sycamorebench/main.go
@@ -5,6 +5,14 @@
 	"os"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/command/bench"
+	"github.com/sycamoredoor/sycamoredoor/internal/command/shell"
+	"github.com/sycamoredoor/sycamoredoor/platform/soak"
 )
 
-func main() { os.Exit(bench.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	os.Exit(bench.Main(os.Args[1:], os.Stdout, os.Stderr, shell.Command{
+		Name: "soak", Short: "Run the programs under faults",
+		Long:   "Runs the proxy of several VMs as processes against a stand-in of the users' platform, injects faults from outside, and checks what callers and backend servers see.",
+		Runner: &soak.Command{Out: os.Stdout},
+	}))
+}
--- a/internal/command/bench/bench.go
+++ b/internal/command/bench/bench.go
@@ -12,8 +12,8 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/capacity"
 )
 
-// Main runs the program and returns its exit code.
-func Main(arguments []string, out, fault io.Writer) int {
+// Main runs the program, with more commands than its own, and returns its exit code.
+func Main(arguments []string, out, fault io.Writer, more ...shell.Command) int {
 	p := flags.NewNamedParser("sycamorebench", flags.None)
 	p.LongDescription = "Measures sycamoredoor on this machine."
 	if _, err := p.AddCommand("capacity", "Measure how costs grow",
@@ -21,6 +21,11 @@
 		panic(err)
 	}
 	AddRun(p, out, fault)
+	for _, c := range more {
+		if _, err := p.AddCommand(c.Name, c.Short, c.Long, c.Runner); err != nil {
+			panic(err)
+		}
+	}
 	return shell.Run(p, arguments, out, fault)
 }
 
--- a/internal/command/daemon/daemon.go
+++ b/internal/command/daemon/daemon.go
@@ -10,15 +10,8 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/command/shell"
 )
 
-// Command is one more command of the program.
-type Command struct {
-	Name, Short, Long string
-	// Runner implements flags.Commander.
-	Runner any
-}
-
 // Main runs the program, with more commands than its own, and returns its exit code.
-func Main(arguments []string, out, fault io.Writer, more ...Command) int {
+func Main(arguments []string, out, fault io.Writer, more ...shell.Command) int {
 	p := flags.NewNamedParser("sycamoredoor", flags.None)
 	p.LongDescription = "A database proxy with session consistency."
 	add := func(name, short, long string, command any) {
--- a/internal/serve/database/pool.go
+++ b/internal/serve/database/pool.go
@@ -83,9 +83,9 @@
 const (
 	// windowGrowth is how much it grows in as many answers as it holds.
 	windowGrowth = 0.5
-	firstWindow = 3
-	leastWindow = 1
-	windowCut   = 0.7
+	firstWindow  = 3
+	leastWindow  = 1
+	windowCut    = 0.7
 	// cutPause is the least time between two cuts, in milliseconds.
 	cutPause = clock.Millis(100)
 )
