Speak less to other regions

Change: VMs of other regions hear every 900 ms, or soon when a claim or a lost primary is told; each region has a VM of its own ask the servers; the directory is read every 3 s, the list of VMs every 40 s, and the feed waits 25 s. What a VM that is not heard spends is guessed by its demand until it is overdue: a test of a cut VM failed with the longer time without that.

--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -21,7 +21,7 @@
 	// memory is the time constant of the estimate of a demand, in milliseconds.
 	memory = clock.Millis(2000)
 	// Overdue is the time without a report from which a VM's spending is guessed.
-	Overdue = clock.Millis(900)
+	Overdue = clock.Millis(1800)
 	// Silence is how long a VM that is not heard is taken to spend on.
 	Silence = 8 * clock.Second
 	// leastShare is the share of a VM without a demand, relative to an even one.
@@ -160,7 +160,7 @@
 			delete(b.others, name)
 			continue
 		}
-		spent := u.share * b.rate * float64(silent) / float64(clock.Second)
+		spent := u.unheard(b.rate, silent)
 		b.tokens -= max(spent-u.guessed, 0)
 		u.guessed = max(u.guessed, spent)
 		b.others[name] = u
@@ -168,6 +168,14 @@
 	return b
 }
 
+// unheard is what a VM has spent that was silent for so long: what it was asked for
+// until Overdue, and from then on what it may take.
+func (u use) unheard(rate float64, silent clock.Millis) float64 {
+	asked := min(u.report.Demand, rate) * float64(min(silent, Overdue))
+	kept := u.share * rate * float64(max(silent-Overdue, 0))
+	return (asked + kept) / float64(clock.Second)
+}
+
 // share is the part of the bucket that is this VM's: by demand among those that
 // are heard, of what the others do not keep.
 func (b Bucket) share(now clock.Millis) float64 {
--- a/internal/proto/inner/gossip.go
+++ b/internal/proto/inner/gossip.go
@@ -24,8 +24,9 @@
 	Leaving bool
 	// Version is that of the configuration in force at the VM.
 	Version uint64
-	// Zone is the sender's availability zone, and Scope what the usages are of.
+	// Zone is the sender's availability zone, Region its region, and Scope what the usages are of.
 	Zone   member.Zone
+	Region string
 	Scope  Scope
 	Usages []Usage
 	Views  []View
--- a/internal/serve/database/fake_test.go
+++ b/internal/serve/database/fake_test.go
@@ -82,6 +82,7 @@
 		Name: "g", Clock: clock.System(), Log: log.New(io.Discard), Protocol: f.protocol(), Counters: NewCounters(), Synced: 1,
 		ShareFunc: func() int { return share }, Self: "vm", VMsFunc: func() []string { return []string{"vm"} },
 		KnownFunc: func() int { return 1 }, RefreshFunc: func(context.Context) error { return nil },
+		NearFunc: func() []string { return []string{"vm"} }, FreshFunc: func() {},
 		NudgeFunc: func() {}, StoppingFunc: func() bool { return false },
 		Claims: Claims{ReadFunc: func(context.Context, string) (failover.Claim, uint64, clock.Millis, error) {
 			f.mu.Lock()
--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -49,13 +49,17 @@
 	ShareFunc func() int
 	// Self is the name of this VM, VMsFunc lists those there with this one, and
 	// KnownFunc counts those that should be there.
-	Self      string
-	VMsFunc   func() []string
+	Self    string
+	VMsFunc func() []string
+	// NearFunc lists those of the own region.
+	NearFunc  func() []string
 	KnownFunc func() int
 	// RefreshFunc reads anew which VMs should be there.
 	RefreshFunc func(ctx context.Context) error
-	// NudgeFunc has the other VMs told soon what this one knows.
+	// NudgeFunc has the other VMs told soon what this one knows, FreshFunc those of
+	// the own region.
 	NudgeFunc func()
+	FreshFunc func()
 	// StoppingFunc reports whether this VM is to stop.
 	StoppingFunc func() bool
 	Claims       Claims
--- a/internal/serve/database/probe.go
+++ b/internal/serve/database/probe.go
@@ -112,7 +112,7 @@
 	g.noteReceived(server, t, now)
 	g.put(g.watch.WithTenure(server, t, sent))
 	if g.watch.Proved() > proved {
-		g.options.NudgeFunc()
+		g.options.FreshFunc()
 	}
 }
 
--- a/internal/serve/database/tell.go
+++ b/internal/serve/database/tell.go
@@ -48,8 +48,9 @@
 	g.put(w)
 }
 
-// rank returns this VM's place among those there for asking the group's servers.
+// rank returns this VM's place among those of its region for asking the group's
+// servers.
 // It needs no lock.
 func (g *Group) rank() int {
-	return failover.Rank(g.options.Name, g.options.Self, g.options.VMsFunc())
+	return failover.Rank(g.options.Name, g.options.Self, g.options.NearFunc())
 }
--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -4,12 +4,13 @@
 	"context"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 )
 
 const (
 	// listPause is the pause between two reads of the directory, in milliseconds.
-	listPause = 2500 * clock.Millis(1)
+	listPause = 3000 * clock.Millis(1)
 	// listFirst is the same before the first success.
 	listFirst = clock.Millis(200)
 	// spareShare is the part of a server's connections that is left for questions
@@ -71,14 +72,14 @@
 		Name: name, Zone: o.Self.Zone, Region: o.Self.Region, Clock: o.Clock, Log: o.Log,
 		Protocol: o.Protocol, Counters: f.counters, Synced: synced, Leave: o.Leave,
 		ShareFunc: func() int { return f.share(name) },
-		Self:      o.Self.Name, VMsFunc: f.aliveNames, KnownFunc: f.mesh.Known, RefreshFunc: f.mesh.Refresh,
-		NudgeFunc: f.mesh.Nudge, StoppingFunc: f.stopping.Load, Claims: o.Claims,
+		Self:      o.Self.Name, VMsFunc: func() []string { return names(f.mesh.Alive()) },
+		NearFunc: func() []string { return names(f.mesh.Near()) }, KnownFunc: f.mesh.Known, RefreshFunc: f.mesh.List,
+		NudgeFunc: f.mesh.Nudge, FreshFunc: f.mesh.Refresh, StoppingFunc: f.stopping.Load, Claims: o.Claims,
 	})
 }
 
-// aliveNames returns the names of the VMs that are there.
-func (f *Frontend) aliveNames() []string {
-	vms := f.mesh.Alive()
+// names returns the names of VMs.
+func names(vms []member.VM) []string {
 	out := make([]string, len(vms))
 	for i, v := range vms {
 		out[i] = v.Name
--- a/internal/serve/frontend/follow.go
+++ b/internal/serve/frontend/follow.go
@@ -12,7 +12,7 @@
 
 const (
 	// feedWait is how long the store is asked to hold a question for changes, in milliseconds.
-	feedWait = 10 * clock.Second
+	feedWait = 25 * clock.Second
 	// errorPause is the pause after a failed call of the store.
 	errorPause = clock.Millis(300)
 )
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -91,7 +91,7 @@
 	}
 	f.mesh = f.newMesh()
 	f.limits = &limits{
-		clock: o.Clock, tolerance: o.Tolerance, vmsFunc: f.mesh.Known, processFunc: f.mesh.Process, nudgeFunc: f.mesh.Nudge,
+		clock: o.Clock, tolerance: o.Tolerance, vmsFunc: f.mesh.Known, processFunc: f.mesh.Process, nudgeFunc: f.mesh.Refresh,
 		accountFunc: func(name string) (catalog.Account, bool) {
 			c := f.catalog.Load()
 			if c == nil {
--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -23,6 +23,8 @@
 const (
 	// period is the pause between two messages to a VM, in milliseconds.
 	period = clock.Millis(300)
+	// farPeriod is the same to a VM of another region, whose link is slow and dear.
+	farPeriod = clock.Millis(900)
 	// soonest is the least pause when there is something urgent.
 	soonest = clock.Millis(60)
 	// Absent is the silence from which a VM counts as not there.
@@ -34,7 +36,7 @@
 	firstTries = 12
 	// listPeriod is the pause between two reads of the list of VMs, and listFirst
 	// the same while no other VM is known.
-	listPeriod = 15 * clock.Second
+	listPeriod = 40 * clock.Second
 	listFirst  = clock.Millis(700)
 	// sentKept is the number of messages whose moments are remembered.
 	sentKept = 32
@@ -91,6 +93,8 @@
 	leaving bool
 	// registered is set once this VM stands in the list.
 	registered bool
+	// urgent is set while VMs of other regions should be told soon too.
+	urgent bool
 }
 
 // New returns a mesh that works once Run is called.
@@ -109,8 +113,16 @@
 // Process tells this start of the VM from others.
 func (m *Mesh) Process() uint64 { return m.process }
 
-// Nudge has the next messages sent soon.
+// Nudge has the next messages sent soon, to other regions as well.
 func (m *Mesh) Nudge() {
+	m.mu.Lock()
+	m.urgent = true
+	m.mu.Unlock()
+	m.Refresh()
+}
+
+// Refresh has the next messages within the region sent soon.
+func (m *Mesh) Refresh() {
 	select {
 	case m.kick <- struct{}{}:
 	default:
@@ -144,6 +156,11 @@
 	return out
 }
 
+// Near returns the VMs of the own region that were heard lately, with this one.
+func (m *Mesh) Near() []member.VM {
+	return slices.DeleteFunc(m.Alive(), func(v member.VM) bool { return v.Region != m.options.Self.Region })
+}
+
 // Known returns the number of VMs that are known, this one included, whether or
 // not they are heard.
 func (m *Mesh) Known() int {
@@ -190,7 +207,7 @@
 			m.mu.Unlock()
 			m.options.RegisteredFunc()
 		}
-		err := m.Refresh(ctx)
+		err := m.List(ctx)
 		pause := listPeriod
 		if !m.Registered() || err != nil || len(m.Alive()) == 1 {
 			pause = listFirst
@@ -206,8 +223,8 @@
 	return m.registered
 }
 
-// Refresh reads the list of VMs.
-func (m *Mesh) Refresh(ctx context.Context) error {
+// List reads the list of VMs.
+func (m *Mesh) List(ctx context.Context) error {
 	vms, err := m.options.ListFunc(ctx)
 	if err == nil {
 		m.take(vms)
@@ -287,8 +304,13 @@
 	defer m.mu.Unlock()
 	now := m.options.Clock.Now()
 	var out []letter
+	urgent := m.urgent
+	m.urgent = false
 	for _, r := range routes {
 		p := r.peer
+		if p.vm.Region != m.options.Self.Region && p.tries == 0 && !urgent && now-p.sent < farPeriod-soonest {
+			continue
+		}
 		if now-p.heard >= Absent && p.tries >= firstTries && now-p.sent < absentPeriod {
 			continue
 		}
@@ -307,6 +329,7 @@
 func (m *Mesh) address(p *peer, g inner.Gossip, now clock.Millis) []byte {
 	self := m.options.Self
 	g.From, g.Address, g.Process, g.Leaving, g.Zone = self.Name, self.Address, m.process, m.leaving, self.Zone
+	g.Region = self.Region
 	p.number++
 	p.moments[p.number%sentKept] = now
 	g.Number, g.Echo, g.Since = p.number, p.received, now-p.at
@@ -362,7 +385,7 @@
 	if p.process != g.Process {
 		p.process, p.received = g.Process, 0
 	}
-	p.vm.Address, p.vm.Zone, p.leaving, p.heard, p.tries = g.Address, g.Zone, g.Leaving, now, 0
+	p.vm.Address, p.vm.Zone, p.vm.Region, p.leaving, p.heard, p.tries = g.Address, g.Zone, g.Region, g.Leaving, now, 0
 	if g.Number > p.received {
 		p.received, p.at = g.Number, now
 	}
