Have one VM of a zone read the directory, and register without waiting for keys

Change: the first relay of a zone reads; the others take its directory by gossip, and read themselves when theirs is 4.5 s old; the registration runs beside the keys.

--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -143,7 +143,7 @@
 
 // sparePart is the part of the bucket that all VMs together may run in a round
 // beyond their shares.
-const sparePart = 0.5
+const sparePart = 0.25
 
 // loanPart is the part of the tolerance that loans may take.
 const loanPart = 0.5
--- a/internal/proto/inner/gossip.go
+++ b/internal/proto/inner/gossip.go
@@ -24,6 +24,10 @@
 	Leaving bool
 	// Version is that of the configuration in force at the VM.
 	Version uint64
+	// Listed identifies the directory of backend servers that the VM has, or is 0,
+	// and ListedAge is the time since it was read, in milliseconds.
+	Listed    uint64
+	ListedAge clock.Millis
 	// Zone is the sender's availability zone, Region its region, and Scope what the usages are of.
 	Zone   member.Zone
 	Region string
--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -189,6 +189,8 @@
 	TopicShare = "share"
 	// TopicText asks for the text of the configuration in force.
 	TopicText = "text"
+	// TopicServers asks for the directory of backend servers.
+	TopicServers = "servers"
 )
 
 // Answer answers an Ask.
--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -2,15 +2,22 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 )
 
 const (
 	// listPause is the pause between two reads of the directory, in milliseconds.
-	listPause = 3000 * clock.Millis(1)
+	listPause = 2500 * clock.Millis(1)
+	// listOld is the age of the directory from which a VM reads it itself.
+	listOld = 4500 * clock.Millis(1)
 	// listFirst is the same before the first success.
 	listFirst = clock.Millis(200)
 	// spareShare is the part of a server's connections that is left for questions
@@ -20,23 +27,108 @@
 	overShare = 1.5
 )
 
-// list reads the directory again and again until the context ends.
+// list reads the directory again and again until the context ends. One VM of each
+// zone does so for the others, which read it themselves when they hear of none.
 func (f *Frontend) list(ctx context.Context) {
 	pause := listFirst
 	for ctx.Err() == nil {
-		servers, err := f.options.ServersFunc(ctx)
-		f.dependency("directory", err)
-		if err == nil {
-			f.mu.Lock()
-			f.servers = servers
-			f.mu.Unlock()
-			f.arrange()
-			pause = listPause
+		if f.reads() {
+			began := f.options.Clock.Now()
+			servers, err := f.options.ServersFunc(ctx)
+			f.dependency("directory", err)
+			if err == nil {
+				f.takeServers(servers, began)
+				pause = listPause
+			}
 		}
 		_ = f.options.Clock.Sleep(ctx, pause)
 	}
 }
 
+// reads reports whether this VM is to read the directory now.
+func (f *Frontend) reads() bool {
+	self := f.options.Self
+	if f.mesh.IsRelay(self.Name, self.Zone) {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.options.Clock.Now()-f.listed >= listOld
+}
+
+// takeServers puts a directory in force that was read at a moment, unless a later
+// one is.
+func (f *Frontend) takeServers(servers []database.Server, at clock.Millis) {
+	f.mu.Lock()
+	if at <= f.listed {
+		f.mu.Unlock()
+		return
+	}
+	f.servers, f.listed = servers, at
+	mark := markOf(servers)
+	changed := mark != f.mark
+	f.mark = mark
+	f.mu.Unlock()
+	if changed {
+		f.arrange()
+		f.mesh.Nudge()
+	}
+}
+
+// markOf tells directories apart, whatever their order.
+func markOf(servers []database.Server) uint64 {
+	mark := uint64(len(servers)) + 1
+	for _, s := range servers {
+		mark += xxhash.Sum64String(fmt.Sprintf("%+v", s))
+	}
+	return mark
+}
+
+// hearServers takes in that another VM has a directory that was read at a moment,
+// and asks for it when it is a later one and differs.
+func (f *Frontend) hearServers(address string, mark uint64, at clock.Millis) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case mark == 0 || at <= f.listed:
+	case mark == f.mark:
+		f.listed = at
+	case !f.asking:
+		f.asking = true
+		f.start(func() { f.fetchServers(address, at) })
+	}
+}
+
+// fetchServers asks another VM for its directory, which is no older than a moment.
+func (f *Frontend) fetchServers(address string, at clock.Millis) {
+	ctx, cancel := context.WithTimeout(f.ctx, askTimeout.Duration())
+	defer cancel()
+	a, err := f.ask(ctx, address, inner.Ask{Topic: inner.TopicServers})
+	f.mu.Lock()
+	f.asking = false
+	f.mu.Unlock()
+	var servers []database.Server
+	if err == nil {
+		err = json.Unmarshal(a.Record, &servers)
+	}
+	if err != nil {
+		f.options.Log.Info("directory not got from another VM", "address", address, "err", err)
+		return
+	}
+	f.takeServers(servers, at)
+}
+
+// answerServers returns the directory for another VM.
+func (f *Frontend) answerServers() inner.Answer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	text, err := json.Marshal(f.servers)
+	if err != nil || f.mark == 0 {
+		return inner.Answer{Error: "the VM has no directory yet"}
+	}
+	return inner.Answer{Record: text}
+}
+
 // arrange gives every group of the configuration its servers.
 func (f *Frontend) arrange() {
 	c := f.catalog.Load()
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -14,6 +14,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/quota"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/peer"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/gossip"
@@ -68,9 +69,14 @@
 	text     []byte
 	lost     map[string]bool
 	groups   map[string]*database.Group
-	// servers is the directory as it was read last.
+	// servers is the directory as it was read last, at the moment listed; mark tells
+	// different ones apart.
 	servers []database.Server
-	conns   map[net.Conn]bool
+	listed  clock.Millis
+	mark    uint64
+	// asking is set while another VM is asked for its directory.
+	asking bool
+	conns  map[net.Conn]bool
 }
 
 // Start listens for callers and serves until the context ends.
@@ -81,7 +87,7 @@
 	}
 	f := &Frontend{
 		options: o, listener: l, ctx: ctx, counters: database.NewCounters(), done: make(chan struct{}),
-		lost: map[string]bool{}, groups: map[string]*database.Group{}, conns: map[net.Conn]bool{},
+		lost: map[string]bool{}, listed: tenure.Never, groups: map[string]*database.Group{}, conns: map[net.Conn]bool{},
 	}
 	f.sessions = session.Options{
 		Clock: o.Clock, Log: o.Log, Protocol: o.Protocol, Counters: session.NewCounters(),
@@ -101,6 +107,7 @@
 		},
 		buckets: map[string]quota.Bucket{}, reported: map[string]uint64{}, zone: sums{}, rest: sums{},
 	}
+	f.start(func() { f.mesh.Enroll(ctx) })
 	f.start(func() { f.join(ctx) })
 	f.start(func() { f.follow(ctx) })
 	f.start(func() { f.list(ctx) })
@@ -142,7 +149,7 @@
 // Ready reports whether the VM should get new callers: it has a configuration
 // and the servers, and is not to stop.
 func (f *Frontend) Ready() bool {
-	if f.stopping.Load() || f.catalog.Load() == nil {
+	if f.stopping.Load() || f.catalog.Load() == nil || !f.mesh.Registered() {
 		return false
 	}
 	f.mu.Lock()
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -101,6 +101,9 @@
 	if c := f.catalog.Load(); c != nil {
 		g.Version = c.Version
 	}
+	f.mu.Lock()
+	g.Listed, g.ListedAge = f.mark, f.options.Clock.Now()-f.listed
+	f.mu.Unlock()
 	if s == inner.ScopeRest {
 		return g
 	}
@@ -118,6 +121,9 @@
 			group.Hear(g.From, v, bound)
 		}
 	}
+	if bound != nil {
+		f.hearServers(g.Address, g.Listed, bound(g.ListedAge))
+	}
 	c := f.catalog.Load()
 	if c == nil || g.Version > c.Version {
 		f.wantText(g.Address, g.Version)
@@ -195,6 +201,9 @@
 		return
 	}
 	out := inner.Answer{Error: "unknown question " + a.Topic}
+	if a.Topic == inner.TopicServers {
+		out = f.answerServers()
+	}
 	if a.Topic == inner.TopicText {
 		f.mu.Lock()
 		out = inner.Answer{Record: f.text}
--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -172,16 +172,10 @@
 // Run exchanges messages until the context ends.
 func (m *Mesh) Run(ctx context.Context) {
 	defer close(m.done)
-	listing := make(chan struct{})
-	go func() {
-		defer close(listing)
-		m.list(ctx)
-	}()
 	for ctx.Err() == nil {
 		m.round(ctx)
 		m.pause(ctx)
 	}
-	<-listing
 }
 
 // pause waits for the next round, which comes early when it was asked for.
@@ -198,8 +192,9 @@
 	}
 }
 
-// list registers this VM and reads who else has.
-func (m *Mesh) list(ctx context.Context) {
+// Enroll registers this VM, and reads again and again who else has, until the
+// context ends.
+func (m *Mesh) Enroll(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !m.Registered() && m.options.RegisterFunc(ctx, m.options.Self) == nil {
 			m.mu.Lock()
