Do not write a VM's registration again that stands in the list

Cause: after a restart of all VMs with a slow store their registrations, in one part of one table, came one after the other: 2.2 s without any server. Change: a VM reads the list first and writes only when it is not in it; one that has fallen off the list writes itself again.

--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -196,21 +196,33 @@
 // context ends.
 func (m *Mesh) Enroll(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !m.Registered() && m.options.RegisterFunc(ctx, m.options.Self) == nil {
-			m.mu.Lock()
-			m.registered = true
-			m.mu.Unlock()
-			m.options.RegisteredFunc()
+		vms, err := m.read(ctx)
+		if err == nil {
+			m.enter(ctx, slices.Contains(vms, m.options.Self))
 		}
-		err := m.List(ctx)
 		pause := listPeriod
-		if !m.Registered() || err != nil || len(m.Alive()) == 1 {
+		if !m.Registered() || len(m.Alive()) == 1 {
 			pause = listFirst
 		}
 		_ = m.options.Clock.Sleep(ctx, pause)
 	}
 }
 
+// enter registers this VM unless the list has it already, as after a restart: a
+// write may take long when many VMs start at once.
+func (m *Mesh) enter(ctx context.Context, listed bool) {
+	if !listed && m.options.RegisterFunc(ctx, m.options.Self) != nil {
+		return
+	}
+	m.mu.Lock()
+	first := !m.registered
+	m.registered = true
+	m.mu.Unlock()
+	if first {
+		m.options.RegisteredFunc()
+	}
+}
+
 // Registered reports whether this VM stands in the list.
 func (m *Mesh) Registered() bool {
 	m.mu.Lock()
@@ -220,11 +232,16 @@
 
 // List reads the list of VMs.
 func (m *Mesh) List(ctx context.Context) error {
+	_, err := m.read(ctx)
+	return err
+}
+
+func (m *Mesh) read(ctx context.Context) ([]member.VM, error) {
 	vms, err := m.options.ListFunc(ctx)
 	if err == nil {
 		m.take(vms)
 	}
-	return err
+	return vms, err
 }
 
 // take takes in the list of VMs. One that is off it and not heard is forgotten.
