Pause before a server that has less room than there are VMs

Change: a VM that had nothing else running when it was refused twice pauses, 10 ms and doubling, with chance; the first window is a share of 27 statements for all VMs.

--- a/internal/serve/database/pool.go
+++ b/internal/serve/database/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 
 	"github.com/go-faster/errors"
@@ -57,6 +58,10 @@
 	window  float64
 	// cut is the moment at which the window was made smaller last.
 	cut clock.Millis
+	// refusals counts the answers in a row that the server was busy, and paused is the
+	// moment until which no new work is sent for that.
+	refusals int
+	paused   clock.Millis
 	// work is a moving mean of the times of answers in milliseconds, as of worked.
 	work   float64
 	worked clock.Millis
@@ -75,17 +80,23 @@
 }
 
 func newPool(g *Group, s Server) *pool {
-	return &pool{group: g, server: s, line: fair.New(lineLimit), window: firstWindow}
+	return &pool{group: g, server: s, line: fair.New(lineLimit), window: max(min(firstWindow, firstInFlight/float64(g.options.KnownFunc())), leastWindow)}
 }
 
 // The window grows with answers and shrinks when the server is busy, so that the VMs
 // share the slots without speaking of it.
 const (
+	// busyPause is the mean pause after a refusal to a VM that had nothing else
+	// running, in milliseconds; it doubles with each further one, so many times.
+	busyPause     = clock.Millis(10)
+	busyDoublings = 4
 	// windowGrowth is how much it grows in as many answers as it holds.
 	windowGrowth = 0.5
-	firstWindow  = 3
-	leastWindow  = 1
-	windowCut    = 0.7
+	// firstWindow is its first size, unless firstInFlight for all VMs is less.
+	firstWindow   = 3.0
+	firstInFlight = 27.0
+	leastWindow   = 1
+	windowCut     = 0.7
 	// cutPause is the least time between two cuts, in milliseconds.
 	cutPause = clock.Millis(100)
 )
@@ -105,6 +116,11 @@
 // and now and then below that, so that other VMs get a part. It needs the lock.
 func (p *pool) shrink(now clock.Millis) {
 	p.window = max(min(p.window, float64(p.running)), leastWindow)
+	if p.refusals++; p.running == 0 && p.refusals > 1 {
+		// One at a time is still too much for the server: the VMs are more than its room.
+		length := busyPause << min(p.refusals-2, busyDoublings)
+		p.paused = now + length/2 + clock.Millis(rand.Int64N(int64(length)))
+	}
 	if now-p.cut < cutPause {
 		return
 	}
@@ -168,6 +184,7 @@
 		p.shrink(now)
 		return
 	}
+	p.refusals = 0
 	p.window = min(p.window+windowGrowth/p.window, float64(p.group.share()))
 	p.work += workMemory * (float64(took) - p.work)
 	p.worked = now
@@ -213,6 +230,9 @@
 // dispatch gives connections, or the right to open one (a Held without a
 // connection), to those in line, as far as the window goes. It needs the lock.
 func (p *pool) dispatch() {
+	if p.group.options.Clock.Now() < p.paused {
+		return
+	}
 	for p.line.Len() > 0 && p.running+p.granted < int(p.window) {
 		mayOpen := p.open < p.group.share() && p.group.options.Clock.Now() >= p.crowded
 		if len(p.idle) == 0 && !mayOpen {
@@ -259,24 +279,56 @@
 
 func (p *pool) wait(ctx context.Context, item *fair.Item, wait clock.Millis) (*Held, error) {
 	t := item.Value.(*turn)
-	fired, stop := p.group.options.Clock.AfterFunc(wait)
+	end := p.group.options.Clock.Now() + wait
+	for {
+		h, over := p.waitOnce(ctx, t, end)
+		if h != nil || over {
+			return p.settle(item, h)
+		}
+		p.mu.Lock()
+		p.dispatch()
+		p.mu.Unlock()
+	}
+}
+
+// lookPause is the pause after which a waiter looks whether a pause of the pool, or
+// of a crowded server, is over, in milliseconds.
+const lookPause = clock.Millis(20)
+
+// waitOnce waits for a turn for a while; over is set when the turn came, also with
+// nothing, or the wait is over.
+func (p *pool) waitOnce(ctx context.Context, t *turn, end clock.Millis) (h *Held, over bool) {
+	left := end - p.group.options.Clock.Now()
+	fired, stop := p.group.options.Clock.AfterFunc(min(max(left, 0), lookPause))
 	defer stop()
 	select {
-	case h := <-t.ready:
-		return p.given(h)
+	case h = <-t.ready:
+		return h, true
 	case <-fired:
+		return nil, left <= lookPause
 	case <-ctx.Done():
+		return nil, true
+	}
+}
+
+// settle ends a wait, with a turn that may have come in the last moment.
+func (p *pool) settle(item *fair.Item, h *Held) (*Held, error) {
+	if h != nil {
+		return h, nil
 	}
 	p.mu.Lock()
 	p.line.Remove(item)
-	crowded := p.open == 0
+	crowded, gone := p.open == 0, p.gone
 	p.mu.Unlock()
 	select {
-	case h := <-t.ready:
+	case h := <-item.Value.(*turn).ready:
 		return p.given(h)
 	default:
 	}
-	if crowded {
+	switch {
+	case gone:
+		return nil, ErrGone
+	case crowded:
 		return nil, ErrCrowded
 	}
 	return nil, ErrWait
