--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -166,28 +166,7 @@
 	if t == nil {
 		return inner.Answer{}, errNoTransport
 	}
-	x, err := t.Open(ctx, address, peer.Label{Control: true})
-	if err != nil {
-		return inner.Answer{}, err
-	}
-	stop := context.AfterFunc(ctx, x.Close)
-	defer stop()
-	defer x.Close()
-	if err := x.Send(inner.Encode(inner.KindAsk, a)); err != nil {
-		return inner.Answer{}, err
-	}
-	r, err := x.Receive()
-	if err != nil {
-		return inner.Answer{}, err
-	}
-	var out inner.Answer
-	if err := inner.Decode(r, &out); err != nil {
-		return out, err
-	}
-	if out.Error != "" {
-		return out, errors.New(out.Error)
-	}
-	return out, nil
+	return t.Ask(ctx, address, peer.Label{Control: true}, a)
 }
 
 // serveAsk answers one question of another VM.
--- a/internal/serve/vm/streams.go
+++ b/internal/serve/vm/streams.go
@@ -116,7 +116,7 @@
 // ask puts one question to another VM or to this one.
 func (v *VM) ask(ctx context.Context, m member.VM, a inner.Ask) (inner.Answer, error) {
 	if m.Name == v.self.Name {
-		return settle(v.answer(ctx, a))
+		return peer.Settle(v.answer(ctx, a))
 	}
 	return v.askOver(ctx, m.Address, peer.Label{Region: m.Region, Control: true}, a)
 }
@@ -129,32 +129,7 @@
 func (v *VM) askOver(ctx context.Context, address string, label peer.Label, a inner.Ask) (inner.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
 	defer cancel()
-	x, err := v.transport.Open(ctx, address, label)
-	if err != nil {
-		return inner.Answer{}, err
-	}
-	stop := context.AfterFunc(ctx, x.Close)
-	defer stop()
-	defer x.Close()
-	if err := x.Send(inner.Encode(inner.KindAsk, a)); err != nil {
-		return inner.Answer{}, err
-	}
-	f, err := x.Receive()
-	if err != nil {
-		return inner.Answer{}, err
-	}
-	var out inner.Answer
-	if err := inner.Decode(f, &out); err != nil {
-		return out, err
-	}
-	return settle(out)
-}
-
-func settle(a inner.Answer) (inner.Answer, error) {
-	if a.Error != "" {
-		return a, errors.New(a.Error)
-	}
-	return a, nil
+	return v.transport.Ask(ctx, address, label, a)
 }
 
 // askShare asks a member at the address that it last gave.
