--- a/internal/core/tenure/watch.go
+++ b/internal/core/tenure/watch.go
@@ -71,9 +71,6 @@
 	return w.leader != "" && now < w.proved+Lease
 }
 
-// Stale reports whether the leader should be asked again.
-func (w Watch) Stale(now clock.Millis) bool { return w.leader == "" || now >= w.proved+Renew }
-
 // Floor returns a mark that covers every commit acknowledged before the moment
 // since, and false when none is known. It is the lowest of those that do. What
 // the leader said while it was not proved to lead counts for nothing.
--- a/internal/serve/database/server.go
+++ b/internal/serve/database/server.go
@@ -79,8 +79,7 @@
 	DialFunc func(ctx context.Context, s Server, account string) (*Conn, floor.Mark, error)
 	// ExecuteFunc returns the text that runs a prepared statement by another name.
 	ExecuteFunc func(name, arguments string) string
-	// BeginFunc and RollbackFunc return the texts that begin and end a transaction.
-	BeginFunc    func(reads bool) string
+	// RollbackFunc returns the text that ends a transaction without its writes.
 	RollbackFunc func() string
 }
 
