--- a/internal/serve/session/transaction.go
+++ b/internal/serve/session/transaction.go
@@ -14,7 +14,8 @@
 type transaction struct {
 	begin statement.Statement
 	held  *database.Held
-	// written is set once a write was sent, committing once the commit was.
+	// written is set once a write was sent, and failed once the transaction can only
+	// be rolled back.
 	written bool
 	failed  bool
 	// began is the moment of its begin, used that of its last statement.
