Tell a VM that is alive from one that has demand for an account

Buckets now learn when any other VM was last in contact. A peer that sends messages without the account has no demand and gives its share up; only a VM that receives no message at all keeps to its part of the tolerance. The first report of a peer counts what its demand shows, and the first urgent report of new demand goes to all regions, so that a flood that begins everywhere stays bounded.

--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -8,8 +8,9 @@
 // The shares of all VMs add up to about one, so that together they spend about
 // the tokens that the bucket has, however late the reports are. When a VM is cut
 // off, both sides go on with the share that it had at its last report. A VM that
-// has received no report for SilenceTimeout spends only its part of the tolerance set
-// by WithVMs.
+// has received no message of any VM for SilenceTimeout spends only its part of the
+// tolerance set by WithVMs. VMs leave an account without demand out of their messages, so a
+// VM that sends messages and no report of the account has no demand for it.
 package quota
 
 import (
@@ -52,6 +53,11 @@
 	Aggregate bool
 }
 
+// recentlySpent estimates the operations of the last few seconds from the demand.
+func (r Report) recentlySpent() float64 {
+	return r.Demand * float64(demandTimeConstant) / float64(clock.Second)
+}
+
 // peer is what is known of another VM, or of several that report together.
 type peer struct {
 	report   Report
@@ -74,6 +80,12 @@
 	demand         float64
 	peers          map[string]peer
 	firstRound     bool
+	// lastContact is the time of the last message of any other VM, whether or not it
+	// reported the account, demandSince the time at which the demand of this VM ceased to
+	// be idle, and createdAt the time since which reports are recorded.
+	lastContact clock.Millis
+	demandSince clock.Millis
+	createdAt   clock.Millis
 	// vms is the number of VMs, this one included, and tolerance the operations per
 	// second over the rate that all of them together may run while they receive no
 	// reports from each other.
@@ -91,7 +103,10 @@
 // New returns the bucket of an account about which nothing is known. The rate is
 // in operations per second.
 func New(rate, burst float64, now clock.Millis) Bucket {
-	return Bucket{rate: rate, burst: burst, tokens: burst * initialFill, updated: now, peers: map[string]peer{}, firstRound: true, vms: 1, allowance: 1}
+	return Bucket{
+		rate: rate, burst: burst, tokens: burst * initialFill, updated: now, peers: map[string]peer{}, firstRound: true, vms: 1, allowance: 1,
+		lastContact: now - SilenceTimeout, createdAt: now,
+	}
 }
 
 // WithVMs sets the number of VMs, and how many operations per second over the rate
@@ -117,8 +132,37 @@
 	return b
 }
 
-// isolated reports whether there are other VMs but none whose report is recent.
-func (b Bucket) isolated() bool { return len(b.peers) == 0 && b.vms > 1 }
+// WithContacts records that the last message of any other VM came at latest. The function
+// contactFunc returns the time of the last message of one peer. A peer that sends messages,
+// and has left the account out of them since its last report, has no demand.
+func (b Bucket) WithContacts(latest clock.Millis, contactFunc func(name string) clock.Millis, now clock.Millis) Bucket {
+	b = b.advance(now)
+	b.lastContact = max(b.lastContact, latest)
+	var idle []string
+	for name, u := range b.peers {
+		if contactFunc(name)-u.received > OverdueAfter {
+			idle = append(idle, name)
+		}
+	}
+	if len(idle) == 0 {
+		return b
+	}
+	b.peers = maps.Clone(b.peers)
+	for _, name := range idle {
+		u := b.peers[name]
+		b.tokens = min(b.tokens+u.estimated, b.burst)
+		u.received, u.report.Demand, u.estimated = contactFunc(name), 0, 0
+		u.share = b.silentShare(0, name)
+		b.peers[name] = u
+	}
+	return b
+}
+
+// isolated reports whether there are other VMs but none that was in contact within
+// SilenceTimeout.
+func (b Bucket) isolated() bool {
+	return len(b.peers) == 0 && b.vms > 1 && b.updated-b.lastContact >= SilenceTimeout
+}
 
 // WithLimit changes the rate and the burst. A higher burst adds the difference to the
 // tokens at once.
@@ -268,6 +312,9 @@
 // none left. It counts as demand in either case.
 func (b Bucket) WithTake(now clock.Millis) (Bucket, bool) {
 	b = b.advance(now)
+	if b.demand < idleDemand {
+		b.demandSince = now
+	}
 	b.demand += float64(clock.Second) / float64(demandTimeConstant)
 	if len(b.peers) == 0 && b.vms <= 1 {
 		b.credit = b.tokens
@@ -316,12 +363,17 @@
 	case known:
 		b.tokens -= float64(r.Spent) - u.estimated
 	}
+	if !known && now-b.createdAt > OverdueAfter {
+		// A peer that left the account out until now has run what its demand shows.
+		b.tokens -= min(r.recentlySpent(), float64(r.Spent))
+	}
 	if !known && b.spent == 0 {
 		// Until this VM has spent anything, its estimate may be the guess that it started
 		// with, so a new peer's lower estimate replaces it.
 		b.tokens = min(b.tokens, r.Tokens)
 	}
 	b.tokens = min(b.tokens, b.burst)
+	b.lastContact = now
 	b.peers[vm] = peer{report: r, received: now, share: b.silentShare(r.Demand, vm)}
 	return b
 }
@@ -343,6 +395,10 @@
 // urgentShare is the part of the tokens left whose use is worth an extra report.
 const urgentShare = 0.25
 
+// DemandIsNew reports whether the demand of this VM began so recently that VMs of other
+// regions may not have its first report.
+func (b Bucket) DemandIsNew(now clock.Millis) bool { return now-b.demandSince < OverdueAfter }
+
 // Idle reports whether the demand has decayed below idleDemand.
 func (b Bucket) Idle(now clock.Millis) bool { return b.advance(now).demand < idleDemand }
 
--- a/internal/core/quota/bucket_test.go
+++ b/internal/core/quota/bucket_test.go
@@ -37,15 +37,19 @@
 	Calm    clock.Millis `yaml:"calm"`
 	Cut     clock.Millis `yaml:"cut"`
 	Heal    clock.Millis `yaml:"heal"`
+	Start   clock.Millis `yaml:"start"`
+	Delay   clock.Millis `yaml:"delay"`
 	Served  float64      `yaml:"served"`
 	Refused *int         `yaml:"refused"`
 }
 
-// message is a report in flight, due at the time at.
+// message is a message in flight, due at the time at. It has no report if the account is
+// idle.
 type message struct {
 	at     clock.Millis
 	from   int
 	report Report
+	idle   bool
 }
 
 // run runs a load and returns the times at which operations were served, how many
@@ -58,22 +62,27 @@
 		buckets[i] = New(l.Rate, l.Burst, 0).WithVMs(l.VMs, tolerance)
 	}
 	var messages []message
+	contacts := make([]map[string]clock.Millis, l.VMs)
+	for i := range contacts {
+		contacts[i] = map[string]clock.Millis{}
+	}
 	reported, lastRound, urgent := make([]uint64, l.VMs), make([]clock.Millis, l.VMs), make([]bool, l.VMs)
 	tokens := l.Burst * initialFill
 	for now := clock.Millis(0); now < runLength; now++ {
 		tokens = min(tokens+l.Rate/1000, l.Burst)
-		messages = l.deliver(buckets, messages, now)
+		messages = l.deliver(buckets, contacts, messages, now)
 		for i := range buckets {
 			regular := (now+clock.Millis(i)*roundInterval/clock.Millis(l.VMs))%roundInterval == 0
 			if regular || urgent[i] && now-lastRound[i] >= minRoundInterval {
-				b, r := buckets[i].WithRound(now)
+				b, r := buckets[i].WithContacts(latestOf(contacts[i]), func(name string) clock.Millis { return contacts[i][name] }, now).WithRound(now)
 				r.Process = 1
+				m := message{at: now + max(l.Delay, messageDelay), from: i, report: r, idle: b.Idle(now) && reported[i] == r.Spent}
 				buckets[i], reported[i], lastRound[i], urgent[i] = b, r.Spent, now, false
-				messages = append(messages, message{at: now + messageDelay, from: i, report: r})
+				messages = append(messages, m)
 			}
 		}
-		// The demand starts once the VMs have had time to receive reports.
-		for now >= clock.Second && random.Float64() < l.demandAt(now)/1000 {
+		// The demand starts once the VMs have had time to receive messages.
+		for now >= max(l.Start, clock.Second) && random.Float64() < l.demandAt(now)/1000 {
 			i := l.randomVM(random)
 			if tokens >= 1 {
 				tokens--
@@ -110,8 +119,17 @@
 	return random.IntN(l.VMs)
 }
 
+// latestOf returns the time of the last message, or the distant past if there was none.
+func latestOf(contacts map[string]clock.Millis) clock.Millis {
+	latest := -SilenceTimeout
+	for _, at := range contacts {
+		latest = max(latest, at)
+	}
+	return latest
+}
+
 // deliver delivers the messages that are due and returns the rest.
-func (l load) deliver(buckets []Bucket, messages []message, now clock.Millis) []message {
+func (l load) deliver(buckets []Bucket, contacts []map[string]clock.Millis, messages []message, now clock.Millis) []message {
 	pending := messages[:0]
 	cut := now >= l.Cut && now < l.Heal
 	for _, m := range messages {
@@ -123,7 +141,11 @@
 			if i == m.from || cut && (i == 0 || m.from == 0) {
 				continue
 			}
-			buckets[i] = buckets[i].WithReport(fmt.Sprintf("vm%d", m.from), m.report, now)
+			name := fmt.Sprintf("vm%d", m.from)
+			contacts[i][name] = now
+			if !m.idle {
+				buckets[i] = buckets[i].WithReport(name, m.report, now)
+			}
 		}
 	}
 	return pending
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -14,7 +14,6 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/base/trace"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
-	"github.com/sycamoredoor/sycamoredoor/internal/core/quota"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/peer"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
@@ -116,17 +115,7 @@
 	f.holderCache.setMembers(f.mesh.Members())
 	f.forwarder = f.newForwarder()
 	f.holder = &forward.Holder{Clock: o.Clock, GroupFunc: f.Group, StoppingFunc: f.stopping.Load}
-	f.limiter = &limiter{
-		clock: o.Clock, tolerance: o.Tolerance, vmCountFunc: f.mesh.KnownCount, processFunc: f.mesh.Process, gossipFunc: f.mesh.RegionGossipSoon,
-		accountFunc: func(name string) (catalog.Account, bool) {
-			c := f.catalog.Load()
-			if c == nil {
-				return catalog.Account{}, false
-			}
-			return c.Account(name)
-		},
-		buckets: map[string]quota.Bucket{}, reportedSpent: map[string]uint64{}, zoneTotals: accountTotals{}, otherZoneTotals: accountTotals{},
-	}
+	f.limiter = f.newLimiter()
 	f.spawn(func() { f.mesh.RunRegistration(ctx) })
 	f.spawn(func() { f.servePeers(ctx) })
 	f.spawn(func() { f.followConfiguration(ctx) })
@@ -142,6 +131,21 @@
 	return f, nil
 }
 
+// newLimiter returns the limiter of this VM, connected to the frontend's state.
+func (f *Frontend) newLimiter() *limiter {
+	l := newLimiter(f.options.Clock, f.options.Tolerance)
+	l.vmCountFunc, l.processFunc = f.mesh.KnownCount, f.mesh.Process
+	l.regionGossipFunc, l.gossipFunc = f.mesh.RegionGossipSoon, f.mesh.GossipSoon
+	l.accountFunc = func(name string) (catalog.Account, bool) {
+		c := f.catalog.Load()
+		if c == nil {
+			return catalog.Account{}, false
+		}
+		return c.Account(name)
+	}
+	return l
+}
+
 // Done is closed once every goroutine of the VM has ended.
 func (f *Frontend) Done() <-chan struct{} { return f.done }
 
--- a/internal/serve/frontend/limits.go
+++ b/internal/serve/frontend/limits.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"maps"
 	"strings"
 	"sync"
 
@@ -34,11 +35,13 @@
 	tolerance Tolerance
 	// accountFunc returns the account of that name in the configuration in force.
 	accountFunc func(name string) (catalog.Account, bool)
-	// vmCountFunc counts the known VMs, processFunc identifies this process of the VM,
-	// and gossipFunc starts the next round of gossip within the region early.
+	// vmCountFunc counts the known VMs, and processFunc identifies this process of the VM.
 	vmCountFunc func() int
 	processFunc func() uint64
-	gossipFunc  func()
+	// regionGossipFunc starts the next round of gossip within the region early, and
+	// gossipFunc that to all VMs.
+	regionGossipFunc func()
+	gossipFunc       func()
 
 	mu sync.Mutex
 	// buckets and reportedSpent are by account. reportedSpent holds the counts that were
@@ -51,6 +54,19 @@
 	ownUsages       []inner.Usage
 	zoneTotals      accountTotals
 	otherZoneTotals accountTotals
+	// contacts holds the time of the last message with usages of each source, by its name
+	// in the buckets, and lastContact the latest of them.
+	contacts    map[string]clock.Millis
+	lastContact clock.Millis
+}
+
+// newLimiter returns a limiter without accounts. The caller sets the functions.
+func newLimiter(c clock.Clock, t Tolerance) *limiter {
+	return &limiter{
+		clock: c, tolerance: t, buckets: map[string]quota.Bucket{}, reportedSpent: map[string]uint64{},
+		zoneTotals: accountTotals{}, otherZoneTotals: accountTotals{},
+		contacts: map[string]clock.Millis{}, lastContact: c.Now() - quota.SilenceTimeout,
+	}
 }
 
 // take takes one operation out of an account's limit and reports whether there was one.
@@ -61,8 +77,13 @@
 	now := l.clock.Now()
 	b, ok := l.bucket(a, vms, now).WithTake(now)
 	l.buckets[a.Name] = b
-	if b.RoundUrgent(l.reportedSpent[a.Name]) {
+	switch {
+	case !b.RoundUrgent(l.reportedSpent[a.Name]):
+	case b.DemandIsNew(now):
+		// VMs of other regions reduce their shares once they learn of the demand.
 		l.gossipFunc()
+	default:
+		l.regionGossipFunc()
 	}
 	return ok
 }
@@ -107,6 +128,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
+	maps.DeleteFunc(l.contacts, func(_ string, at clock.Millis) bool { return now-at > quota.SilenceTimeout })
 	var out []inner.Usage
 	for name := range l.buckets {
 		a, ok := l.accountFunc(name)
@@ -114,7 +136,7 @@
 			delete(l.buckets, name)
 			continue
 		}
-		b, r := l.bucket(a, vms, now).WithRound(now)
+		b, r := l.bucket(a, vms, now).WithContacts(l.lastContact, l.contact, now).WithRound(now)
 		l.buckets[name] = b
 		if b.Idle(now) && l.reportedSpent[name] == r.Spent {
 			continue
@@ -127,6 +149,16 @@
 	l.ownUsages = out
 }
 
+// contact returns the time of the last message with usages of a source. The caller holds
+// the lock.
+func (l *limiter) contact(source string) clock.Millis {
+	at, ok := l.contacts[source]
+	if !ok {
+		return l.clock.Now() - quota.SilenceTimeout
+	}
+	return at
+}
+
 // selfName names this VM among the sources of its zone's totals.
 const selfName = ""
 
@@ -210,6 +242,7 @@
 	default:
 		name = otherZonesName
 	}
+	l.contacts[name], l.lastContact = now, now
 	for _, u := range g.Usages {
 		a, ok := l.accountFunc(u.Account)
 		if !ok {
--- a/internal/serve/frontend/limits_test.go
+++ b/internal/serve/frontend/limits_test.go
@@ -6,7 +6,6 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
-	"github.com/sycamoredoor/sycamoredoor/internal/core/quota"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
 )
@@ -17,12 +16,10 @@
 func TestAccountAtOneVM(t *testing.T) {
 	c := clock.NewFake(0)
 	a := catalog.Account{Name: "acme", Rate: 200, Burst: 200}
-	l := &limiter{
-		clock: c.Clock(), tolerance: Tolerance{Fraction: 0.1, Slack: 20, Window: 5}, vmCountFunc: func() int { return 3 },
-		processFunc: func() uint64 { return 1 }, gossipFunc: func() {},
-		accountFunc: func(string) (catalog.Account, bool) { return a, true },
-		buckets:     map[string]quota.Bucket{}, reportedSpent: map[string]uint64{}, zoneTotals: accountTotals{}, otherZoneTotals: accountTotals{},
-	}
+	l := newLimiter(c.Clock(), Tolerance{Fraction: 0.1, Slack: 20, Window: 5})
+	l.vmCountFunc, l.processFunc = func() int { return 3 }, func() uint64 { return 1 }
+	l.regionGossipFunc, l.gossipFunc = func() {}, func() {}
+	l.accountFunc = func(string) (catalog.Account, bool) { return a, true }
 	l.createBuckets(map[string]catalog.Account{a.Name: a})
 	refused := 0
 	for now := clock.Millis(0); now < 20*clock.Second; now += 10 {
