End the driver's background read before a connection is used without it

The driver starts a goroutine that reads when a write takes over 15 ms. When that read returned before the write, the goroutine went on to a second read and was still in it when the session was open. It held the read lock of the socket, so that Conn.Alive waited for ever, and would have taken the first bytes of the next answer. TestChangesInTurn did not end for that reason, once at load 20.

The driver now reads through a connection that can be detached: a read in progress is ended by a deadline and awaited, and later ones do not reach the socket. TestSlowStartup plays the slow write; without detach it fails after 10 s, with it it takes 0.1 s.

--- a/internal/proto/backend/conn.go
+++ b/internal/proto/backend/conn.go
@@ -40,6 +40,8 @@
 	ApplicationName string
 	// ConnectTimeout bounds the opening of the connection, in milliseconds.
 	ConnectTimeout clock.Millis
+	// DialFunc opens the TCP connection; nil means the ordinary dialer.
+	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // ConnectError means that no connection could be opened, so no statement was sent.
@@ -104,16 +106,31 @@
 		return nil, &ConnectError{Address: o.Address, Cause: err}
 	}
 	cancel, pid := newCancelFunc(p), p.PID()
-	h, err := p.Hijack()
+	conn, err := takeOver(p)
 	if err != nil {
 		return nil, &ConnectError{Address: o.Address, Cause: err}
 	}
 	return &Conn{
-		conn: h.Conn, reader: bufio.NewReaderSize(h.Conn, readBufferSize),
+		conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize),
 		cancelFunc: cancel, PID: pid, Statements: NewStatementCache(MaxStatements),
 	}, nil
 }
 
+// takeOver returns the connection of an open session, which the driver does not use any
+// more. It closes the connection after an error.
+func takeOver(p *pgconn.PgConn) (net.Conn, error) {
+	h, err := p.Hijack()
+	if err != nil {
+		_ = p.Conn().Close()
+		return nil, err
+	}
+	conn, err := h.Conn.(*startupConn).detach()
+	if err != nil {
+		_ = h.Conn.Close()
+	}
+	return conn, err
+}
+
 // connConfig returns the configuration of a connection. It checks that only
 // allowedParameters are sent, because another parameter could carry a caller's key to the
 // backend server.
@@ -128,6 +145,17 @@
 	}
 	c.Database, c.User, c.Password = o.Database, o.User, o.Password
 	c.ConnectTimeout = o.ConnectTimeout.Duration()
+	dial := o.DialFunc
+	if dial == nil {
+		dial = dialStartup
+	}
+	c.DialFunc = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newStartupConn(conn), nil
+	}
 	c.RuntimeParams = map[string]string{"application_name": o.ApplicationName, "client_encoding": "UTF8"}
 	for name := range c.RuntimeParams {
 		invariant.Check(slices.Contains(allowedParameters, name), invariant.NoKeys, "startup parameter %q would reach a backend server", name)
