Try a full backend server with one connection at a time

TestCrowdedServer, 22 refused connections of 20 allowed: pool.dial compared a count that contains connections being opened, so that one in the place of an evicted connection ended the pauses (TestConnLimitWhileOpening: 3 refusals in a row forgotten).

Places in a pool are now counted as being opened from when they are granted.

--- a/internal/serve/database/dial.go
+++ b/internal/serve/database/dial.go
@@ -18,8 +18,19 @@
 	connLimitPause     = clock.Millis(40)
 	connLimitDoublings = 4
 	firstConnDoublings = 2
+	// connLimitMaxAge is how long after the pause a refusal still limits the attempts. A
+	// server drops the connections of a dead VM after 3 s.
+	connLimitMaxAge = 4 * clock.Second
 )
 
+// reserve returns a place in the pool for a connection to be opened by dial. The caller
+// holds p.mu.
+func (p *pool) reserve() *PooledConn {
+	p.open++
+	p.opening++
+	return &PooledConn{pool: p}
+}
+
 // dial opens the connection for which pc holds a place in the pool. It returns
 // ErrTooManyConnections or ErrUnreachable, and then gives up the place.
 func (p *pool) dial(ctx context.Context, pc *PooledConn, account string) (*PooledConn, error) {
@@ -34,9 +45,10 @@
 	o.Counters.connections.Inc()
 	p.recordSuccess()
 	p.mu.Lock()
+	p.opening--
 	// A connection that only replaces a closed one does not show that the server accepts
-	// more than before.
-	if p.open > p.connLimit {
+	// more than before, nor do those that are still being opened.
+	if p.open-p.opening > p.connLimit {
 		p.connLimitHits = 0
 	}
 	p.mu.Unlock()
@@ -53,6 +65,8 @@
 func (p *pool) dialFailed(pc *PooledConn, err error) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.opening--
+	p.open--
 	p.ungrant(pc)
 	now := p.group.options.Clock.Now()
 	var refusal *RefusalError
@@ -65,7 +79,6 @@
 		p.group.options.Log.Debug("connection failed", "server", p.entry().ID, "err", err)
 		err = ErrUnreachable
 	}
-	p.open--
 	p.dispatch()
 	return err
 }
@@ -75,12 +88,26 @@
 // that has connections to use can pause for longer. The caller holds p.mu.
 func (p *pool) recordConnLimit(now clock.Millis) {
 	doublings := connLimitDoublings
-	if p.open <= 1 {
+	if now-p.connLimitUntil >= connLimitMaxAge {
+		p.connLimitHits = 0
+	}
+	accepted := p.open - p.opening
+	if accepted == 0 {
 		doublings = firstConnDoublings
 	}
 	p.connLimitUntil = now + connLimitPause<<min(p.connLimitHits, doublings)
 	p.connLimitHits++
-	p.connLimit = p.open - 1
+	p.connLimit = accepted
+}
+
+// connLimitHolds reports whether the server is assumed to accept no more connections.
+// After the pause one attempt at a time finds out whether that has changed. The caller
+// holds p.mu.
+func (p *pool) connLimitHolds(now clock.Millis) bool {
+	if now < p.connLimitUntil {
+		return true
+	}
+	return p.connLimitHits > 0 && p.opening > 0 && now-p.connLimitUntil < connLimitMaxAge
 }
 
 // ungrant takes back the grant of a connection that has run no statement. The caller
--- a/internal/serve/database/idle.go
+++ b/internal/serve/database/idle.go
@@ -26,7 +26,8 @@
 	pc := p.idle[0]
 	p.idle = p.idle[1:]
 	pc.conn.CloseFunc()
-	return &PooledConn{pool: p}
+	p.open--
+	return p.reserve()
 }
 
 // release returns a connection to the pool. It closes the connection if it is broken,
--- a/internal/serve/database/pool.go
+++ b/internal/serve/database/pool.go
@@ -48,12 +48,13 @@
 	listedAt clock.Millis
 
 	mu sync.Mutex
-	// idle is in order of usedAt, the oldest first; open counts all connections, also
-	// those being opened.
-	idle   []*PooledConn
-	open   int
-	queue  *fair.Queue
-	closed bool
+	// idle is in order of usedAt, the oldest first; open counts all connections, and
+	// opening those of them that are being opened.
+	idle    []*PooledConn
+	open    int
+	opening int
+	queue   *fair.Queue
+	closed  bool
 	// running counts statements that the server has not answered, granted the
 	// connections that waiters were given and have not used yet. New work waits while
 	// their sum is not below window.
@@ -78,8 +79,9 @@
 	answeredAt clock.Millis
 	failedAt   clock.Millis
 	// connLimitUntil is the time until which no connection is opened, because the
-	// server accepts no more. connLimit is the number of connections that were open at
-	// the last such refusal; connLimitHits counts the refusals until more are open.
+	// server accepts no more. connLimit is the number of connections that the server had
+	// accepted at the last such refusal; connLimitHits counts the refusals until it has
+	// accepted more.
 	connLimitUntil clock.Millis
 	connLimitHits  int
 	connLimit      int
@@ -228,7 +230,7 @@
 		return
 	}
 	for p.queue.Len() > 0 && p.running+p.granted < int(p.window) {
-		canOpen := p.open < p.maxConns() && p.group.options.Clock.Now() >= p.connLimitUntil
+		canOpen := p.open < p.maxConns() && !p.connLimitHolds(p.group.options.Clock.Now())
 		if len(p.idle) == 0 && !canOpen {
 			return
 		}
@@ -237,8 +239,7 @@
 		switch {
 		case pc != nil:
 		case canOpen:
-			p.open++
-			pc = &PooledConn{pool: p}
+			pc = p.reserve()
 		default:
 			pc = p.evict()
 		}
--- a/internal/serve/database/probe.go
+++ b/internal/serve/database/probe.go
@@ -168,7 +168,7 @@
 		p.mu.Unlock()
 		return nil, ErrTooManyConnections
 	}
-	p.open++
+	pc := p.reserve()
 	p.mu.Unlock()
-	return p.dial(ctx, &PooledConn{pool: p}, probeAccount)
+	return p.dial(ctx, pc, probeAccount)
 }
