Keep the order of seals, and commits of a replaced primary, safe after a promotion

Found by reading: - After a promotion the replicas were unsealed before the former primary had stepped down, and a command could be sent up to 1.6 s after the check of the claim. Now the new term must be confirmed, the former primary steps down first (200 ms at most), the claim is looked at once more when the connection is there, and a command ends with the context of its attempt. - A commit that a primary acknowledged was passed on although a later term was known; it may be missing there. Its outcome is now unknown (TestReplacedCommit). - Requests that waited were not woken when one valid primary replaced another in one step, nor when the directory listed the known primary (TestPrimaryReplacedAtOnce waited 20 s). - A VM's own claim did not count as the last one (TestUnconfirmedPromotion). Each of the tests fails on the code before, but for the unsealing: an attempt that gets no confirmation ended in time there too.

--- a/internal/core/failover/failover.go
+++ b/internal/core/failover/failover.go
@@ -140,9 +140,8 @@
 	Self  string
 	// KnownVMs is the number of VMs that this VM knows of, live or not, including itself.
 	KnownVMs int
-	// LastHolder is the VM that held the claim when this VM last read the claim record,
-	// or "" if it had no holder or was never read. A claim written after that read, even
-	// by this VM, counts only from the next read.
+	// LastHolder is the VM that held the claim when this VM last read or wrote the claim
+	// record, or "" if it had no holder or was never read.
 	LastHolder string
 }
 
--- a/internal/serve/database/fake_test.go
+++ b/internal/serve/database/fake_test.go
@@ -36,6 +36,8 @@
 	maxConns     int
 	open         map[string]int
 	refusedConns int
+	// position is the log position in the answers to statements; zero means none.
+	position floor.ReplicationPosition
 	// claimReads counts the reads of the claim record.
 	claimReads int
 	// claimable lets a VM take the claim. sealed lists the server of each seal command,
@@ -90,7 +92,9 @@
 	defer f.mu.Unlock()
 	f.running[s.ID]--
 	f.served++
-	return statement.LocalSuccess(statement.Idle)
+	a := statement.LocalSuccess(statement.Idle)
+	a.Position = f.position
+	return a
 }
 
 // command answers a command. A status always has term 1 with p as the primary, so an
--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -166,6 +166,9 @@
 		}
 		if p == nil {
 			g.pools[s.ID] = newPool(g, s)
+			if _, leader := g.watch.Leader(); s.ID == leader {
+				g.wakeWaitersLocked()
+			}
 			g.options.Log.Info("backend server listed", "group", g.options.Name, "server", s.ID, "zone", s.Zone, "leaving", s.Leaving)
 			continue
 		}
@@ -245,12 +248,17 @@
 		g.options.Log.Info("new primary of the group", "group", g.options.Name, "term", term, "server", leader, "before", g.loggedLeader)
 		g.loggedLeader = leader
 	}
-	if !wasValid && w.LeaseValid(now) {
-		close(g.primaryReady)
-		g.primaryReady = make(chan struct{})
+	if w.LeaseValid(now) && (!wasValid || leader != oldLeader) {
+		g.wakeWaitersLocked()
 	}
 }
 
+// wakeWaitersLocked wakes those waiting for a usable primary. The caller holds g.mu.
+func (g *Group) wakeWaitersLocked() {
+	close(g.primaryReady)
+	g.primaryReady = make(chan struct{})
+}
+
 // Ready reports whether the group has a usable primary.
 func (g *Group) Ready() bool {
 	g.mu.Lock()
--- a/internal/serve/database/pooledconn.go
+++ b/internal/serve/database/pooledconn.go
@@ -57,8 +57,7 @@
 		pc.broken = true
 		return a, err
 	}
-	pc.recordAnswer(r, a, sent)
-	return a, nil
+	return a, pc.recordAnswer(r, a, sent)
 }
 
 // traceAttributes returns the span attributes for the outcome of a statement.
@@ -73,15 +72,25 @@
 	return out
 }
 
+// errReplaced means that a commit was acknowledged by a primary that has been replaced. If
+// it was acknowledged after the promotion, the new primary does not have it.
+var errReplaced = errors.New("a later term began before the commit was acknowledged")
+
 // recordAnswer records the log position in an answer. An answer without a transaction
-// status makes the connection unusable.
-func (pc *PooledConn) recordAnswer(r Request, a statement.Answer, sent clock.Millis) {
+// status makes the connection unusable. recordAnswer returns errReplaced for a commit of an
+// earlier term than the one in force.
+func (pc *PooledConn) recordAnswer(r Request, a statement.Answer, sent clock.Millis) error {
 	pc.broken = pc.broken || a.Status == 0
 	g := pc.pool.group
 	if r.IsCommit && a.Code == statement.Success {
+		if !a.Position.IsZero() && a.Position.Term < g.Term() {
+			pc.broken = true
+			return errReplaced
+		}
 		g.recordCommit(pc.pool.entry().ID, a.Position, sent)
 	}
 	g.recordPosition(pc.pool.entry().ID, a.Position, sent)
+	return nil
 }
 
 // checkNotReleased asserts that the connection is not used after its release.
--- a/internal/serve/database/probe.go
+++ b/internal/serve/database/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
@@ -135,18 +136,34 @@
 // error of the pool if there was no connection, and a *RefusalError if the server
 // refused.
 func (g *Group) RunCommand(ctx context.Context, server string, c Command, term floor.Term) (statement.ReplicationStatus, error) {
+	pc, err := g.commandConn(ctx, server)
+	if err != nil {
+		return statement.ReplicationStatus{}, err
+	}
+	defer pc.Release()
+	return pc.RunCommand(c, term, commandTimeout(ctx))
+}
+
+// commandConn returns a connection for a command or probe at a server, or an error of the
+// pool.
+func (g *Group) commandConn(ctx context.Context, server string) (*PooledConn, error) {
 	g.mu.Lock()
 	p := g.pools[server]
 	g.mu.Unlock()
 	if p == nil {
-		return statement.ReplicationStatus{}, ErrUnknownServer
+		return nil, ErrUnknownServer
 	}
-	pc, err := p.controlConn(ctx)
-	if err != nil {
-		return statement.ReplicationStatus{}, err
+	return p.controlConn(ctx)
+}
+
+// commandTimeout returns the bound on a command in milliseconds: probeTimeout, or what is
+// left until the context ends if that is less.
+func commandTimeout(ctx context.Context) clock.Millis {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return probeTimeout
 	}
-	defer pc.Release()
-	return pc.RunCommand(c, term, probeTimeout)
+	return min(probeTimeout, max(clock.Millis(time.Until(end)/time.Millisecond), 1))
 }
 
 // controlConn returns a connection for a probe or command: any idle one, since these
--- a/internal/serve/database/remote.go
+++ b/internal/serve/database/remote.go
@@ -120,8 +120,7 @@
 		pc.broken = true
 		return a, err
 	}
-	pc.recordAnswer(r, a, sent)
-	return a, nil
+	return a, pc.recordAnswer(r, a, sent)
 }
 
 // startRemote counts a statement that another VM runs for this one.
--- a/internal/serve/database/replacement_test.go
+++ b/internal/serve/database/replacement_test.go
@@ -5,13 +5,16 @@
 	"slices"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 )
 
 // directoryEntries returns directory entries in which server p is leaving.
@@ -158,3 +161,77 @@
 		t.Errorf("promoted servers (-want +got):\n%s", diff)
 	}
 }
+
+// TestUnconfirmedPromotion promotes a server that never reports the new term. The former
+// primary may still lead then, so the replicas must stay sealed. The claimant must know
+// that the record names it.
+func TestUnconfirmedPromotion(t *testing.T) {
+	f := &fakeGroup{claimable: true}
+	g := f.group(t, 4)
+	g.options.DrainTimeout = 100
+	var unsealed atomic.Int64
+	f.unsealFunc = func() { unsealed.Add(1) }
+	f.runTicks(g, testTimeout, g.Ready)
+	g.Update(directoryEntries("p", "q", "r", "new"))
+	f.runTicks(g, testTimeout, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		_, promoted := f.claimCommands()
+		return len(promoted) > 0 && !g.claiming
+	})
+	if diff := cmp.Diff(int64(0), unsealed.Load()); diff != "" {
+		t.Errorf("unsealed replicas (-want +got):\n%s", diff)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if diff := cmp.Diff("vm", g.lastHolder); diff != "" {
+		t.Errorf("last holder of the claim (-want +got):\n%s", diff)
+	}
+}
+
+// TestReplacedCommit lets a primary acknowledge a commit once a later term is known. The
+// commit may be missing in that term, so its outcome must be unknown.
+func TestReplacedCommit(t *testing.T) {
+	f := &fakeGroup{position: floor.ReplicationPosition{Term: 1, Position: 7}}
+	g := f.group(t, 4)
+	f.runTicks(g, testTimeout, g.Ready)
+	conn, err := g.AcquirePrimary(t.Context(), Requester{Account: "acme", Weight: 1}, 1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Release()
+	g.recordStatus("q", statement.ReplicationStatus{Primary: true, Term: 2, Sealed: 2}, g.options.Clock.Now())
+	_, err = conn.Run(Request{ID: "x", Timeout: 1000, IsCommit: true})
+	if !errors.Is(err, errReplaced) {
+		t.Errorf("error %v, want %v", err, errReplaced)
+	}
+}
+
+// TestPrimaryReplacedAtOnce replaces a primary that is past its drain timeout by another,
+// both with a valid lease. Requests that wait for a primary must be woken.
+func TestPrimaryReplacedAtOnce(t *testing.T) {
+	f := &fakeGroup{}
+	g := f.group(t, 4)
+	g.options.DrainTimeout = 1
+	f.runTicks(g, testTimeout, g.Ready)
+	g.Update(directoryEntries("p", "q", "r"))
+	time.Sleep(10 * time.Millisecond)
+	found := make(chan error, 1)
+	go func() {
+		_, err := g.awaitPrimary(context.Background(), g.options.Clock.Now()+20*clock.Second)
+		found <- err
+	}()
+	time.Sleep(20 * time.Millisecond)
+	g.mu.Lock()
+	now := g.options.Clock.Now()
+	g.setWatch(g.watch.WithReport(tenure.Report{Term: 2, Leader: "q", ProvedAt: now}))
+	g.mu.Unlock()
+	select {
+	case err := <-found:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(testTimeout):
+		t.Error("the request was not woken by the new primary")
+	}
+}
--- /dev/null
+++ b/internal/serve/database/seal.go
@@ -0,0 +1,164 @@
+package database
+
+import (
+	"context"
+	"sync"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
+)
+
+const (
+	// sealRetryPause is the pause between two attempts to seal a server.
+	sealRetryPause = clock.Millis(150)
+	// formerSealDelay is how long only replicas are sealed before the former primary
+	// is told to step down too: one that is cut off from its replicas may have the
+	// furthest log, and would be promoted again.
+	formerSealDelay = clock.Millis(500)
+)
+
+// sealAll seals servers until a promotion is safe. It then rereads the directory, since
+// a server that has just started may already have received commits, and seals more
+// servers if the promotion is no longer safe.
+func (a *claimAttempt) sealAll(ctx context.Context) error {
+	g := a.group
+	if err := a.sealUntilSafe(ctx); err != nil {
+		return err
+	}
+	if err := g.options.RefreshDirectoryFunc(ctx); err != nil {
+		g.options.Log.Warn("directory not reread after sealing; using the earlier one", "group", g.options.Name, "err", err)
+	}
+	if a.isSafe(g.failoverServers(a.formerPrimary)) {
+		return nil
+	}
+	return a.sealUntilSafe(ctx)
+}
+
+// sealUntilSafe seals servers until a promotion is safe, or the primary is usable
+// again.
+func (a *claimAttempt) sealUntilSafe(ctx context.Context) error {
+	c := a.group.options.Clock
+	for ctx.Err() == nil {
+		if err := a.checkClaim(); err != nil {
+			return err
+		}
+		servers := a.group.failoverServers(a.formerPrimary)
+		var pending sync.WaitGroup
+		for id, s := range servers {
+			if a.isSealed(id) || s.FormerPrimary && (a.planned || c.Now()-a.startedAt < formerSealDelay) {
+				continue
+			}
+			pending.Add(1)
+			go func() {
+				defer pending.Done()
+				a.sealServer(ctx, id, s)
+			}()
+		}
+		a.awaitSafe(ctx, &pending, servers)
+		if a.isSafe(servers) {
+			a.sealedAt = c.Now()
+			return nil
+		}
+		if a.group.primaryRecovered() && !a.planned {
+			return errPrimaryRecovered
+		}
+		_ = c.Sleep(ctx, sealRetryPause)
+	}
+	return errors.New("not enough servers could be sealed")
+}
+
+// awaitSafe waits until a promotion is safe, all pending commands have ended, or the
+// context ends.
+func (a *claimAttempt) awaitSafe(ctx context.Context, pending *sync.WaitGroup, servers map[string]failover.Server) {
+	answered := make(chan struct{})
+	go func() {
+		pending.Wait()
+		close(answered)
+	}()
+	for !a.isSafe(servers) && ctx.Err() == nil {
+		select {
+		case <-answered:
+			return
+		default:
+			_ = a.group.options.Clock.Sleep(ctx, pollPause)
+		}
+	}
+}
+
+func (a *claimAttempt) isSealed(id string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.sealed[id].Sealed
+}
+
+// currentServers returns the given servers, with Sealed and LogEnd of those already
+// sealed.
+func (a *claimAttempt) currentServers(servers map[string]failover.Server) []failover.Server {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := make([]failover.Server, 0, len(servers))
+	for id, s := range servers {
+		if sealed, ok := a.sealed[id]; ok {
+			sealed.Leaving = s.Leaving
+			s = sealed
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// isSafe reports whether enough of the given servers are sealed for a promotion.
+func (a *claimAttempt) isSafe(servers map[string]failover.Server) bool {
+	return failover.SafeToPromote(a.currentServers(servers), a.group.options.SyncReplicas)
+}
+
+// sealServer seals a replica, or makes the former primary step down.
+func (a *claimAttempt) sealServer(ctx context.Context, id string, s failover.Server) {
+	command := Seal
+	if s.FormerPrimary {
+		command = StepDown
+	}
+	status, err := a.runCommand(ctx, id, command, a.term+1)
+	if err != nil {
+		a.group.options.Log.Debug("sealing a server failed", "group", a.group.options.Name, "server", id, "err", err)
+		return
+	}
+	if status.Primary || !s.FormerPrimary && status.Sealed < a.term+1 || status.Term > a.term {
+		a.group.options.Log.Info("server did not seal for the claim's term", "group", a.group.options.Name, "server", id, "primary", status.Primary, "term", status.Term, "sealed", status.Sealed)
+		a.group.recordStatus(id, status, tenure.DistantPast)
+		return
+	}
+	s.Sealed, s.LogEnd = true, status.Received
+	a.mu.Lock()
+	a.sealed[id] = s
+	a.mu.Unlock()
+}
+
+// unsealReplicas lets the sealed replicas receive again, unless another VM may have
+// sealed them since.
+func (a *claimAttempt) unsealReplicas(ctx context.Context) {
+	if !a.holdsClaim() {
+		return
+	}
+	// The commands are sent even if ctx has ended, but end before another VM can take over
+	// the claim: AttemptTimeout plus probeTimeout does not exceed SilentHolderTimeout.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout.Duration())
+	defer cancel()
+	var pending sync.WaitGroup
+	for _, s := range a.currentServers(a.group.failoverServers(a.formerPrimary)) {
+		if !s.Sealed || s.FormerPrimary || s.ID == a.claim.Target && a.group.Term() > a.term {
+			continue
+		}
+		pending.Add(1)
+		go func() {
+			defer pending.Done()
+			if status, err := a.runCommand(ctx, s.ID, Unseal, 0); err == nil {
+				a.group.recordStatus(s.ID, status, tenure.DistantPast)
+			}
+		}()
+	}
+	pending.Wait()
+}
