Leave VMs without demand out of the totals of a zone

A relay added the last demand of every VM that had ever reported an account to the total of its zone, also of VMs that were gone or had become idle, so that the other zones got too small a share. The totals have a file of their own.

--- a/internal/serve/frontend/limits.go
+++ b/internal/serve/frontend/limits.go
@@ -144,8 +144,9 @@
 		l.reportedSpent[name] = r.Spent
 		out = append(out, inner.Usage{Account: name, Spent: r.Spent, Demand: float32(r.Demand), Tokens: float32(r.Tokens)})
 		r.Process = l.processFunc()
-		l.zoneTotals.add(name, selfName, r)
+		l.zoneTotals.add(name, selfName, r, now)
 	}
+	l.contacts[selfName] = now
 	l.ownUsages = out
 }
 
@@ -159,62 +160,6 @@
 	return at
 }
 
-// selfName names this VM among the sources of its zone's totals.
-const selfName = ""
-
-// total sums the use of one account over many VMs.
-type total struct {
-	// spent is in operations.
-	spent uint64
-	// reports holds the last report of each source, a VM or a zone.
-	reports map[string]quota.Report
-}
-
-// add adds what a source has spent since its last report. The whole count of a new process
-// of a VM is added. The first count of a relay's aggregate report is not, since relays
-// begin to count at different times.
-func (t *total) add(source string, r quota.Report) {
-	last, known := t.reports[source]
-	switch {
-	case known && last.Process == r.Process:
-		t.spent += r.Spent - last.Spent
-	case !r.Aggregate:
-		t.spent += r.Spent
-	}
-	t.reports[source] = r
-}
-
-// report returns the total as the aggregate report of the process that computes it. Its
-// tokens are those of any one source, since every VM estimates the same bucket.
-func (t *total) report(process uint64) quota.Report {
-	out := quota.Report{Process: process, Spent: t.spent, Aggregate: true}
-	for _, r := range t.reports {
-		out.Demand += r.Demand
-		out.Tokens = r.Tokens
-	}
-	return out
-}
-
-// accountTotals holds the total of each account.
-type accountTotals map[string]*total
-
-func (t accountTotals) add(account, source string, r quota.Report) {
-	if t[account] == nil {
-		t[account] = &total{reports: map[string]quota.Report{}}
-	}
-	t[account].add(source, r)
-}
-
-// usages returns the totals as usages of a message.
-func (t accountTotals) usages() []inner.Usage {
-	out := make([]inner.Usage, 0, len(t))
-	for name, v := range t {
-		r := v.report(0)
-		out = append(out, inner.Usage{Account: name, Spent: r.Spent, Demand: float32(r.Demand), Tokens: float32(r.Tokens)})
-	}
-	return out
-}
-
 // Names of the aggregate reports in a bucket.
 const (
 	// otherZonesName names the report of all other zones, which a VM gets from the first
@@ -253,9 +198,9 @@
 		}
 		switch g.Scope {
 		case inner.ScopeVM:
-			l.zoneTotals.add(u.Account, name, r)
+			l.zoneTotals.add(u.Account, name, r, now)
 		case inner.ScopeZone:
-			l.otherZoneTotals.add(u.Account, name, r)
+			l.otherZoneTotals.add(u.Account, name, r, now)
 		}
 		// The report of all other zones and those of each of them count the same use.
 		b := l.bucket(a, vms, now).WithoutVMs(func(other string) bool {
@@ -271,9 +216,9 @@
 	defer l.mu.Unlock()
 	switch s {
 	case inner.ScopeZone:
-		return l.zoneTotals.usages()
+		return l.zoneTotals.usages(l.clock.Now(), l.contact)
 	case inner.ScopeOtherZones:
-		return l.otherZoneTotals.usages()
+		return l.otherZoneTotals.usages(l.clock.Now(), l.contact)
 	}
 	return l.ownUsages
 }
--- /dev/null
+++ b/internal/serve/frontend/totals.go
@@ -0,0 +1,83 @@
+package frontend
+
+import (
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/quota"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+)
+
+// selfName names this VM among the sources of its zone's totals.
+const selfName = ""
+
+// total sums the use of one account over many VMs.
+type total struct {
+	// spent is in operations.
+	spent uint64
+	// reports holds the last report of each source, a VM or a zone.
+	reports map[string]sourceReport
+}
+
+// sourceReport is the last report of a source and the time at which it came.
+type sourceReport struct {
+	quota.Report
+	received clock.Millis
+}
+
+// demandAt returns the demand of the source at time now, if its last message came at
+// contact: none if it has been silent for quota.SilenceTimeout, or sends messages that leave
+// the account out.
+func (r sourceReport) demandAt(now, contact clock.Millis) float64 {
+	if now-max(contact, r.received) >= quota.SilenceTimeout || contact-r.received > quota.OverdueAfter {
+		return 0
+	}
+	return r.Demand
+}
+
+// add adds what a source has spent since its last report. The whole count of a new process
+// of a VM is added. The first count of a relay's aggregate report is not, since relays
+// begin to count at different times.
+func (t *total) add(source string, r quota.Report, now clock.Millis) {
+	last, known := t.reports[source]
+	switch {
+	case known && last.Process == r.Process:
+		t.spent += r.Spent - last.Spent
+	case !r.Aggregate:
+		t.spent += r.Spent
+	}
+	t.reports[source] = sourceReport{Report: r, received: now}
+}
+
+// report returns the total as the aggregate report at time now, without the process. Its
+// tokens are those of the latest report, since every VM estimates the same bucket. The
+// function contactFunc returns the time of the last message of a source.
+func (t *total) report(now clock.Millis, contactFunc func(source string) clock.Millis) quota.Report {
+	out := quota.Report{Spent: t.spent, Aggregate: true}
+	var latest clock.Millis
+	for source, r := range t.reports {
+		out.Demand += r.demandAt(now, contactFunc(source))
+		if r.received >= latest {
+			latest, out.Tokens = r.received, r.Tokens
+		}
+	}
+	return out
+}
+
+// accountTotals holds the total of each account.
+type accountTotals map[string]*total
+
+func (t accountTotals) add(account, source string, r quota.Report, now clock.Millis) {
+	if t[account] == nil {
+		t[account] = &total{reports: map[string]sourceReport{}}
+	}
+	t[account].add(source, r, now)
+}
+
+// usages returns the totals at time now as usages of a message.
+func (t accountTotals) usages(now clock.Millis, contactFunc func(source string) clock.Millis) []inner.Usage {
+	out := make([]inner.Usage, 0, len(t))
+	for name, v := range t {
+		r := v.report(now, contactFunc)
+		out = append(out, inner.Usage{Account: name, Spent: r.Spent, Demand: float32(r.Demand), Tokens: float32(r.Tokens)})
+	}
+	return out
+}
