Do not take a missing object for an installation before its first edit

Load wrapped platform.ErrNotFound when the object store lacked the text of a section, and a VM that read that counted the installation as not yet edited: the bootstrap token could read sections and the history. A missing object is an error of its own now, a *MissingObjectError.

--- a/internal/serve/configuration/bundle.go
+++ b/internal/serve/configuration/bundle.go
@@ -89,7 +89,8 @@
 
 // Read reads the newest bundle from the platform. Objects in known are not read again,
 // and known itself is returned if the record is unchanged; known may be nil. The error is
-// platform.ErrNotFound if there is no record, and one that wraps it if an object is missing.
+// platform.ErrNotFound if there is no record, and a *MissingObjectError if an object is
+// missing.
 func Read(ctx context.Context, store platform.Store, known *Bundle) (*Bundle, error) {
 	v, err := store.GetRecordFunc(ctx, Key)
 	if err != nil {
@@ -102,7 +103,7 @@
 		if known != nil && known.Objects[hash] != nil {
 			return known.Objects[hash], nil
 		}
-		return store.GetObjectFunc(ctx, hash)
+		return readObject(ctx, store, hash)
 	})
 }
 
--- a/internal/serve/configuration/configuration.go
+++ b/internal/serve/configuration/configuration.go
@@ -48,8 +48,15 @@
 	AllowFunc func(old *document.Document) (operator string, err error)
 }
 
+// MissingObjectError means that the object store lacks an object that the record names. It
+// is no platform.ErrNotFound, which means that there is no record.
+type MissingObjectError struct{ Hash string }
+
+// Error implements error.
+func (e *MissingObjectError) Error() string { return "the object store lacks object " + e.Hash }
+
 // Load reads the latest document, its record and the ETag of the record in the table. It
-// returns platform.ErrNotFound if there is no record, and an error that wraps it if an object
+// returns platform.ErrNotFound if there is no record, and a *MissingObjectError if an object
 // is missing. The document is nil if the record is from before the first edit.
 func Load(ctx context.Context, store platform.Store) (*document.Document, Record, string, error) {
 	r, etag, err := loadRecord(ctx, store)
@@ -80,6 +87,9 @@
 // readObject reads an object and checks that its content has the hash.
 func readObject(ctx context.Context, store platform.Store, hash string) ([]byte, error) {
 	body, err := store.GetObjectFunc(ctx, hash)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, &MissingObjectError{Hash: hash}
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/serve/vm/sections.go
+++ b/internal/serve/vm/sections.go
@@ -62,8 +62,8 @@
 
 // baseDocument returns the document that an edit starts from: the last version in the
 // platform's table, so that an edit can follow one that this VM has not read yet, or this
-// VM's own version if the platform's cannot be read. It is nil before the first edit, and
-// also when the object store lacks the text of a section.
+// VM's own version if the platform's cannot be read. It is nil before the first edit only:
+// the bootstrap token is valid until then.
 func (v *VM) baseDocument(r *http.Request) (*document.Document, error) {
 	d, _, _, err := configuration.Load(r.Context(), v.options.Store)
 	if err == nil || errors.Is(err, platform.ErrNotFound) {
--- a/internal/serve/vm/sections_test.go
+++ b/internal/serve/vm/sections_test.go
@@ -112,3 +112,30 @@
 		}
 	}
 }
+
+// TestMissingObject takes the objects away that the record names. The VM must then refuse
+// the bootstrap token, which is valid only before the first edit.
+func TestMissingObject(t *testing.T) {
+	p, err := standin.New(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := platform.NewStore(p.URL(), 10_000)
+	_, err = configuration.Apply(t.Context(), store, configuration.Change{Texts: map[string]string{
+		"operators": "operators: [{name: owner, sections: [operators, routes], verifier: " + verifier.HashToken("owner-token") + "}]\n",
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.GetObjectFunc = func(context.Context, string) ([]byte, error) { return nil, platform.ErrNotFound }
+	v := &VM{options: Options{Store: store, BootstrapToken: "bootstrap-token"}}
+	v.membership = membership.New(membership.Options{
+		Clock: clock.System(), Store: store, Log: log.New(io.Discard), ChangedFunc: func(context.Context) {},
+	})
+	s := httptest.NewServer(v.operatorHandler())
+	defer s.Close()
+	got := step{Do: "get", Token: "bootstrap-token", Name: "routes"}.run(t, s.URL)
+	if !strings.HasPrefix(got, "503 ") {
+		t.Errorf("answer to the bootstrap token %q, want a refusal with status 503", got)
+	}
+}
