Leave an empty list when the only key of an account is removed

Removing the only key of a block list left the field without a value, and a key could then not be added any more: the text would have had the field twice, which the check of the result refuses. The removal writes an empty list now, and a field without a value, as earlier removals left it, takes a new key.

--- a/internal/setup/document/keys.go
+++ b/internal/setup/document/keys.go
@@ -23,6 +23,9 @@
 	accountIndex int
 }
 
+// keysField is the name of the field that holds the keys, as it stands in the text.
+const keysField = "keys:"
+
 // newKeyEditor returns an editor of the keys of one account in source.
 func newKeyEditor(source, account string) (*keyEditor, error) {
 	t, err := strict.Parse(SectionAccounts, []byte(source))
@@ -82,13 +85,18 @@
 // first key must stay first: callers who name no key use it.
 func (e *keyEditor) insert(key string) {
 	// An account without keys gets a list of keys before its other fields. If the field
-	// exists but is no list, as with an alias or null, the text then has it twice, and
-	// finish refuses it.
-	if line, column, ok := e.text.Position(e.path(".keys")); ok && (e.byteAt(line, column) == '[' || e.byteAt(line, column) == '-') {
+	// exists but is neither a list nor empty, as with an alias, the text then has it twice,
+	// and finish refuses it.
+	line, column, ok := e.text.Position(e.path(".keys"))
+	switch {
+	case ok && (e.byteAt(line, column) == '[' || e.byteAt(line, column) == '-'):
 		e.appendToList(line, column, key)
 		return
+	case ok && e.isEmptyField(line):
+		e.setEmptyField(line, "["+key+"]")
+		return
 	}
-	line, column, _ := e.text.Position(e.path(""))
+	line, column, _ = e.text.Position(e.path(""))
 	if e.byteAt(line, column) == '{' {
 		e.insertText(line, column+1, "keys: ["+key+"], ")
 		return
@@ -135,6 +143,33 @@
 		return
 	}
 	e.lines = slices.Delete(e.lines, line-1, e.lastLineOfKey(i))
+	if len(e.section.Accounts[e.accountIndex].Keys) == 1 {
+		e.writeEmptyList(line - 1)
+	}
+}
+
+// writeEmptyList writes an empty list into the field that ends at the given line, or at one
+// above it with only comments between. Without the list the field would be null.
+func (e *keyEditor) writeEmptyList(line int) {
+	for line > 1 && strings.HasPrefix(strings.TrimSpace(e.lines[line-1]), "#") {
+		line--
+	}
+	if e.isEmptyField(line) {
+		e.setEmptyField(line, "[]")
+	}
+}
+
+// isEmptyField reports whether a line has the field of the keys and no value.
+func (e *keyEditor) isEmptyField(line int) bool {
+	_, after, found := strings.Cut(e.lines[line-1], keysField)
+	after = strings.TrimSpace(after)
+	return found && (after == "" || after[0] == '#')
+}
+
+// setEmptyField writes a value into the field of the keys at a line.
+func (e *keyEditor) setEmptyField(line int, value string) {
+	before, after, _ := strings.Cut(e.lines[line-1], keysField)
+	e.lines[line-1] = before + keysField + " " + value + after
 }
 
 // removeFlowItem deletes key i, written as {…} on one line, and the comma after it or,
