--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -41,27 +41,21 @@
 	Remaining clock.Millis
 	// MoreServers is set when a server has not been tried yet in this round.
 	MoreServers bool
-	// WithinBudget is set when the retry budget has allowed the retry, or when
-	// MoreServers is false: a retry in a new round is not charged. It is ignored for
-	// errors that ChargesBudget excludes.
+	// WithinBudget is set when the retry budget has allowed the retry, or when the retry
+	// is not charged to it. It is ignored for errors that are never charged.
 	WithinBudget bool
 }
 
-// State is the retry state of one request between attempts. It is an immutable
-// value.
-type State struct {
-	seed    uint64
-	backoff clock.Millis
+// ChargesBudget reports whether the next attempt is charged to the retry budget: it is
+// made at once, on a server that has not been tried in this round.
+func (a Attempt) ChargesBudget() bool {
+	return a.MoreServers && a.Remaining > InitialBackoff && isCharged(a.Err)
 }
 
-// New returns the state before the first attempt. The seed should differ between
-// requests, so that their pauses differ.
-func New(seed uint64) State { return State{seed: seed, backoff: InitialBackoff} }
-
-// ChargesBudget reports whether an immediate retry after err is charged to the retry
-// budget. Retries that look for the primary or the holder, as during a failover, are
-// not: they must go on when the budget is empty.
-func ChargesBudget(err error) bool {
+// isCharged reports whether an immediate retry after err is charged to the retry budget.
+// Retries that look for the primary or the holder, as during a failover, are not: they must
+// go on when the budget is empty.
+func isCharged(err error) bool {
 	var refusal *outcome.NotRun
 	if !errors.As(err, &refusal) {
 		return false
@@ -73,6 +67,17 @@
 	return refusal.Retryable()
 }
 
+// State is the retry state of one request between attempts. It is an immutable
+// value.
+type State struct {
+	seed    uint64
+	backoff clock.Millis
+}
+
+// New returns the state before the first attempt. The seed should differ between
+// requests, so that their pauses differ.
+func New(seed uint64) State { return State{seed: seed, backoff: InitialBackoff} }
+
 // WithAttempt returns what to do after an attempt, and for Backoff the pause in
 // milliseconds. A retryable request with at most InitialBackoff left expires. A request
 // that the budget does not cover is not refused: it backs off for up to MaxBackoff, so
@@ -86,7 +91,7 @@
 	if e.Remaining <= InitialBackoff {
 		return r, Expire, 0
 	}
-	withinBudget := e.WithinBudget || !ChargesBudget(e.Err)
+	withinBudget := e.WithinBudget || !isCharged(e.Err)
 	if e.MoreServers && withinBudget {
 		return r, TryNext, 0
 	}
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -19,6 +19,7 @@
 		Remaining    clock.Millis `yaml:"left"`
 		MoreServers  bool         `yaml:"others"`
 		WithinBudget bool         `yaml:"paid"`
+		Charged      bool         `yaml:"charged"`
 		Want         Action       `yaml:"want"`
 		MinPause     clock.Millis `yaml:"least"`
 		MaxPause     clock.Millis `yaml:"most"`
@@ -49,7 +50,11 @@
 				for i, s := range p.Steps {
 					var got Action
 					var pause clock.Millis
-					r, got, pause = r.WithAttempt(Attempt{Err: errorOf(s.Reason), Remaining: s.Remaining, MoreServers: s.MoreServers, WithinBudget: s.WithinBudget})
+					a := Attempt{Err: errorOf(s.Reason), Remaining: s.Remaining, MoreServers: s.MoreServers, WithinBudget: s.WithinBudget}
+					if diff := cmp.Diff(s.Charged, a.ChargesBudget()); diff != "" {
+						t.Errorf("step %d, charged to the budget (-want +got):\n%s", i, diff)
+					}
+					r, got, pause = r.WithAttempt(a)
 					if diff := cmp.Diff(s.Want, got); diff != "" {
 						t.Fatalf("seed %d, step %d (-want +got):\n%s", seed, i, diff)
 					}
--- a/internal/serve/entry/dispatch.go
+++ b/internal/serve/entry/dispatch.go
@@ -137,21 +137,18 @@
 		if err == nil {
 			return nil
 		}
-		moreServers := r.chooseServer() != ""
+		a := retry.Attempt{Err: err, Remaining: r.remaining(), MoreServers: r.chooseServer() != ""}
+		a.WithinBudget = !a.ChargesBudget() || e.spendRetry()
 		var action retry.Action
 		var pause clock.Millis
-		// Only a retry on a server that has not been tried in this round is charged
-		// to the retry budget.
-		state, action, pause = state.WithAttempt(retry.Attempt{
-			Err: err, Remaining: r.remaining(), MoreServers: moreServers, WithinBudget: !moreServers || retry.ChargesBudget(err) && e.spendRetry(),
-		})
+		state, action, pause = state.WithAttempt(a)
 		switch action {
 		case retry.Stop:
 			return err
 		case retry.Expire:
 			return r.refuseExpired(err)
 		case retry.Backoff:
-			if !moreServers {
+			if !a.MoreServers {
 				clear(r.tried)
 			}
 			if e.options.Clock.Sleep(ctx, pause) != nil {
--- a/internal/trial/edit/edit.go
+++ b/internal/trial/edit/edit.go
@@ -74,8 +74,8 @@
 
 // MeasureWithdrawal replaces the section of the accounts by a text without the key of
 // the idle callers on conns, waits until each of them has received the error for a
-// withdrawn key and returns how long that took in milliseconds, at least 1. Only the
-// context bounds the wait.
+// withdrawn key and returns how long that took in milliseconds, at least 1, or 0 with an
+// error. Only the context bounds the wait.
 func (o Operator) MeasureWithdrawal(ctx context.Context, v *vm.VM, section, text string, conns []*pgx.Conn) (clock.Millis, error) {
 	results := make(chan error, len(conns))
 	for _, conn := range conns {
@@ -87,7 +87,10 @@
 			firstErr = err
 		}
 	}
-	return max(o.Clock.Now()-sentTime, 1), firstErr
+	if firstErr != nil {
+		return 0, firstErr
+	}
+	return max(o.Clock.Now()-sentTime, 1), nil
 }
 
 // awaitWithdrawal waits until an idle caller receives the error for a withdrawn key.
