Split gossip by size, so that any number of groups fits into datagrams

A message had the views of all groups in its first part, and 14 usages: 713 bytes at 8 groups, 1,157 at 20 and 1,528 at 30 by a trial, over the 1,100 of a datagram. From 20 groups on such messages may be dropped whole, and the VMs then know nothing of each other.

--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -48,7 +48,7 @@
 	o := f.options
 	return gossip.New(gossip.Options{
 		Self: o.Self, Clock: o.Clock, Log: o.Log,
-		SendFunc: f.sendDatagram, RestartedFunc: f.dropConn,
+		SendFunc: f.sendDatagram, MaxDatagram: peer.MaxDatagram, RestartedFunc: f.dropConn,
 		ListFunc: o.Registry.ListFunc, RegisterFunc: o.Registry.RegisterFunc, RemoveFunc: o.Registry.RemoveFunc,
 		RegisteredFunc: f.updateGroups,
 		BeginRoundFunc: f.beginRound, ContentFunc: f.gossipFor, ReceiveFunc: f.receiveGossip,
--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -54,6 +54,8 @@
 	Log   *log.Logger
 	// SendFunc sends a datagram, which may be lost, to the VM at an address.
 	SendFunc func(ctx context.Context, address string, body []byte) error
+	// MaxDatagram is the largest body of a datagram, in bytes.
+	MaxDatagram int
 	// RestartedFunc is called with the address of a VM that has restarted. Connections to
 	// its former process are of no use any more.
 	RestartedFunc func(address string)
@@ -347,7 +349,7 @@
 	messages := map[inner.Scope][]inner.Gossip{}
 	for _, d := range m.datagrams(func(s inner.Scope) []inner.Gossip {
 		if messages[s] == nil {
-			messages[s] = splitUsages(m.options.ContentFunc(s))
+			messages[s] = m.splitMessage(m.options.ContentFunc(s))
 		}
 		return messages[s]
 	}) {
@@ -407,28 +409,6 @@
 	return inner.Pack(inner.Encode(inner.KindGossip, g))
 }
 
-// maxUsagesWithViews and maxUsages are the numbers of usages that fit into a datagram with
-// and without views.
-const (
-	maxUsagesWithViews = 14
-	maxUsages          = 36
-)
-
-// splitUsages splits a message by its usages so that each part fits into a datagram. Only
-// the first part has the views and the directory.
-func splitUsages(g inner.Gossip) []inner.Gossip {
-	rest := g.Usages
-	first := g
-	first.Usages = rest[:min(len(rest), maxUsagesWithViews)]
-	out := []inner.Gossip{first}
-	for rest = rest[len(first.Usages):]; len(rest) > 0; {
-		next := inner.Gossip{Version: g.Version, Scope: g.Scope, Usages: rest[:min(len(rest), maxUsages)]}
-		rest = rest[len(next.Usages):]
-		out = append(out, next)
-	}
-	return out
-}
-
 // Receive handles a datagram from the VM of that name. It ignores messages that are
 // malformed or name another sender.
 func (m *Mesh) Receive(name string, datagram []byte) {
