Sum up the gossip of a zone at its relays, and tell VMs of accounts near their limit

Above 16 VMs each VM sent to every VM of its zone, 50 at 295 VMs: a datagram of some 1.2 KB, encoded for each receiver, 3.3 times a second, and merged into a bucket for each account and sender.

Ages in a message count from before its content was made: a VM that was suspended between the two reported a proof as younger than it was.

--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -98,6 +98,10 @@
 	// spareTokens is the number of operations that this VM may run in this round
 	// beyond its credit, while the bucket has at least one token for every VM.
 	spareTokens float64
+	// guidance is set in a VM that gets hints instead of reports.
+	guidance guidance
+	// recent counts what all VMs have spent of late.
+	recent recentCount
 }
 
 // New returns the bucket of an account about which nothing is known. The rate is
@@ -161,6 +165,9 @@
 // isolated reports whether there are other VMs but none that was in contact within
 // SilenceTimeout.
 func (b Bucket) isolated() bool {
+	if b.guidance.followed {
+		return b.updated-b.guidance.received >= SilenceTimeout
+	}
 	return len(b.peers) == 0 && b.vms > 1 && b.updated-b.lastContact >= SilenceTimeout
 }
 
@@ -192,7 +199,9 @@
 	if b.isolated() {
 		added = b.tolerance * float64(elapsed) / float64(clock.Second)
 	}
-	b.credit = min(b.credit+added*b.ownShare(now), max(b.tokens, 0))
+	if !b.isGuided() {
+		b.credit = min(b.credit+added*b.ownShare(now), max(b.tokens, 0))
+	}
 	allowanceRate := b.tolerance * allowanceShare / float64(b.vms)
 	b.allowance = min(b.allowance+allowanceRate*float64(elapsed)/float64(clock.Second), max(allowanceRate, 1))
 	return b
@@ -242,6 +251,9 @@
 	if b.isolated() {
 		return 1 / float64(b.vms)
 	}
+	if b.guidance.followed {
+		return 1 / b.vmCount()
+	}
 	sum, reserved := b.demand, 0.0
 	for _, u := range b.peers {
 		if now-u.received > OverdueAfter {
@@ -284,13 +296,13 @@
 	b = b.advance(now)
 	// After its first round, an isolated VM gets credit only from the tolerance; see
 	// advance.
-	if !b.isolated() || b.firstRound {
-		// Keep a fraction of an operation, so that a small share adds up over rounds.
+	if !b.isGuided() && (!b.isolated() || b.firstRound) {
+		// A fraction of an operation is kept, so that a small share adds up over rounds.
 		b.credit = max(b.ownShare(now)*b.tokens, min(b.credit, 1), 0)
 	}
 	b.firstRound = false
 	b.spareTokens = 0
-	if !b.isolated() {
+	if !b.isolated() && !b.isGuided() {
 		b.spareTokens = b.spareForRound()
 	}
 	return b, Report{Spent: b.spent, Demand: b.demand, Tokens: b.tokens}
@@ -316,23 +328,29 @@
 		b.demandSince = now
 	}
 	b.demand += float64(clock.Second) / float64(demandTimeConstant)
-	if len(b.peers) == 0 && b.vms <= 1 {
+	if len(b.peers) == 0 && b.vms <= 1 && !b.guidance.followed {
 		b.credit = b.tokens
 	}
+	guidedNear := b.isGuided() && b.guidance.near
+	admitted := !guidedNear
+	if guidedNear {
+		b, admitted = b.admits()
+	}
 	switch {
-	case b.tokens < 1:
+	case !admitted, b.tokens < 1 && !guidedNear:
 		return b, false
 	case b.credit >= 1:
 		b.credit--
 	case b.spareTokens >= 1 && b.tokens >= b.vmCount():
 		b.spareTokens--
-	case b.allowance >= 1 && !b.isolated():
+	case b.allowance >= 1 && !b.isolated() && !guidedNear:
 		b.allowance--
 	default:
 		return b, false
 	}
 	b.tokens--
 	b.spent++
+	b.recent = b.recent.with(1, now)
 	return b, true
 }
 
@@ -356,7 +374,9 @@
 	switch {
 	case known && u.report.Process == r.Process:
 		// Spent may have decreased, by operations that were returned.
-		b.tokens -= float64(int64(r.Spent-u.report.Spent)) - u.estimated
+		spent := float64(int64(r.Spent - u.report.Spent))
+		b.tokens -= spent - u.estimated
+		b.recent = b.recent.with(spent, now)
 	case known && r.Aggregate:
 		// Another VM adds them up now, and its count cannot be compared with the last.
 		b.tokens -= u.report.Demand*float64(now-u.received)/float64(clock.Second) - u.estimated
--- a/internal/proto/inner/gossip.go
+++ b/internal/proto/inner/gossip.go
@@ -48,8 +48,11 @@
 	ScopeVM Scope = iota
 	// ScopeZone is all VMs of the sender's zone.
 	ScopeZone
-	// ScopeOtherZones is all VMs of the other zones.
-	ScopeOtherZones
+	// scopeOtherZones is no longer sent.
+	scopeOtherZones
+	// ScopeAll is all VMs. Usages then lists only the accounts that are near their
+	// limit, without what they have spent.
+	ScopeAll
 )
 
 // Usage is the use of one client account by the VMs of a Scope.
--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -53,6 +53,8 @@
 	KindResult Kind = 13
 	// KindWorking reports that the Run is still in progress; it has no body.
 	KindWorking Kind = 14
+	// KindSummary is a Summary, a datagram.
+	KindSummary Kind = 15
 )
 
 // MaxBody is the largest body of a frame in bytes.
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -135,6 +135,7 @@
 func (f *Frontend) newLimiter() *limiter {
 	l := newLimiter(f.options.Clock, f.options.Tolerance)
 	l.vmCountFunc, l.processFunc = f.mesh.KnownCount, f.mesh.Process
+	l.roleFunc = f.mesh.Role
 	l.regionGossipFunc, l.gossipFunc = f.mesh.RegionGossipSoon, f.mesh.GossipSoon
 	l.accountFunc = func(name string) (catalog.Account, bool) {
 		c := f.catalog.Load()
--- a/internal/serve/frontend/limits.go
+++ b/internal/serve/frontend/limits.go
@@ -2,12 +2,14 @@
 
 import (
 	"maps"
-	"strings"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/quota"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/gossip"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
 )
 
@@ -38,6 +40,8 @@
 	// vmCountFunc counts the known VMs, and processFunc identifies this process of the VM.
 	vmCountFunc func() int
 	processFunc func() uint64
+	// roleFunc returns how this VM learns of the use by others.
+	roleFunc func() gossip.Role
 	// regionGossipFunc starts the next round of gossip within the region early, and
 	// gossipFunc that to all VMs.
 	regionGossipFunc func()
@@ -48,12 +52,16 @@
 	// last sent to the other VMs.
 	buckets       map[string]quota.Bucket
 	reportedSpent map[string]uint64
-	// ownUsages are this VM's usages as of its last round, zoneTotals the totals over the
-	// VMs of its zone, and otherZoneTotals those over the other zones. While no relays are
-	// used, zoneTotals covers all VMs and is not sent.
-	ownUsages       []inner.Usage
-	zoneTotals      accountTotals
-	otherZoneTotals accountTotals
+	// ownUsages are this VM's usages as of its last round, and zoneTotals the totals over
+	// the VMs of its zone. While no relays are used, zoneTotals covers all VMs and is not
+	// sent.
+	ownUsages  []inner.Usage
+	zoneTotals accountTotals
+	// role is that of the last round.
+	role gossip.Role
+	// hinted names the accounts that were near their limit in the last summary for the VMs
+	// of this zone.
+	hinted map[string]bool
 	// contacts holds the time of the last message with usages of each source, by its name
 	// in the buckets, and lastContact the latest of them.
 	contacts    map[string]clock.Millis
@@ -64,7 +72,7 @@
 func newLimiter(c clock.Clock, t Tolerance) *limiter {
 	return &limiter{
 		clock: c, tolerance: t, buckets: map[string]quota.Bucket{}, reportedSpent: map[string]uint64{},
-		zoneTotals: accountTotals{}, otherZoneTotals: accountTotals{},
+		zoneTotals: accountTotals{}, hinted: map[string]bool{},
 		contacts: map[string]clock.Millis{}, lastContact: c.Now() - quota.SilenceTimeout,
 	}
 }
@@ -102,7 +110,7 @@
 func (l *limiter) bucket(a catalog.Account, vms int, now clock.Millis) quota.Bucket {
 	b, ok := l.buckets[a.Name]
 	if !ok {
-		b = quota.New(a.Rate, a.Burst, now)
+		b = quota.New(a.Rate, a.Burst, now).WithSeed(l.processFunc() ^ xxhash.Sum64String(a.Name))
 	}
 	return b.WithLimit(a.Rate, a.Burst, now).WithVMs(vms, l.tolerance.excessRate(a))
 }
@@ -124,9 +132,10 @@
 // beginRound begins a round of every bucket and prepares the usages that this VM sends.
 // It leaves out idle accounts whose last count has been sent.
 func (l *limiter) beginRound() {
-	vms := l.vmCountFunc()
+	vms, role := l.vmCountFunc(), l.roleFunc()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.role = role
 	now := l.clock.Now()
 	maps.DeleteFunc(l.contacts, func(_ string, at clock.Millis) bool { return now-at > quota.SilenceTimeout })
 	var out []inner.Usage
@@ -136,7 +145,14 @@
 			delete(l.buckets, name)
 			continue
 		}
-		b, r := l.bucket(a, vms, now).WithContacts(l.lastContact, l.contact, now).WithRound(now)
+		b := l.bucket(a, vms, now)
+		switch role {
+		case gossip.Equal:
+			b = b.WithoutGuidance().WithContacts(l.lastContact, l.contact, now)
+		case gossip.Relay:
+			b = b.WithContacts(l.lastContact, l.contact, now).WithOwnHint(now)
+		}
+		b, r := b.WithRound(now)
 		l.buckets[name] = b
 		if b.Idle(now) && l.reportedSpent[name] == r.Spent {
 			continue
@@ -160,34 +176,31 @@
 	return at
 }
 
-// Names of the aggregate reports in a bucket.
-const (
-	// otherZonesName names the report of all other zones, which a VM gets from the first
-	// relay of its zone.
-	otherZonesName = "*"
-	// zonePrefix and the name of a zone name the report of that zone, which a relay gets.
-	zonePrefix = "*/"
-)
+// zonePrefix and the name of a zone name the report of that zone in a bucket.
+const zonePrefix = "*/"
 
 // mergeGossip merges the usages of a message into the buckets and the totals. It ignores
-// aggregate usages unless fromFirstRelay is set, which means that the sender is the first
-// relay of its zone: every relay of a zone reports the same use.
+// usages of several VMs unless fromFirstRelay is set, which means that the sender is the
+// first relay of its zone: every relay of a zone reports the same use.
 func (l *limiter) mergeGossip(g inner.Gossip, fromFirstRelay bool) {
 	vms := l.vmCountFunc()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
-	name := g.From
 	switch {
 	case g.Scope == inner.ScopeVM:
+		l.mergeUsages(g, g.From, vms, now)
 	case !fromFirstRelay:
-		return
-	case g.Scope == inner.ScopeZone:
-		name = zonePrefix + string(g.Zone)
-	default:
-		name = otherZonesName
+	case g.Scope == inner.ScopeZone && l.role == gossip.Relay:
+		l.mergeUsages(g, zonePrefix+string(g.Zone), vms, now)
+	case g.Scope == inner.ScopeAll && l.role == gossip.Follower:
+		l.mergeHints(g.Usages, vms, now)
 	}
-	l.contacts[name], l.lastContact = now, now
+}
+
+// mergeUsages merges the usages of one source, a VM or a zone. The caller holds the lock.
+func (l *limiter) mergeUsages(g inner.Gossip, source string, vms int, now clock.Millis) {
+	l.contacts[source], l.lastContact = now, now
 	for _, u := range g.Usages {
 		a, ok := l.accountFunc(u.Account)
 		if !ok {
@@ -196,29 +209,77 @@
 		r := quota.Report{
 			Process: g.Process, Spent: u.Spent, Demand: float64(u.Demand), Tokens: float64(u.Tokens), Aggregate: g.Scope != inner.ScopeVM,
 		}
-		switch g.Scope {
-		case inner.ScopeVM:
-			l.zoneTotals.add(u.Account, name, r, now)
-		case inner.ScopeZone:
-			l.otherZoneTotals.add(u.Account, name, r, now)
+		if g.Scope == inner.ScopeVM {
+			l.zoneTotals.add(u.Account, source, r, now)
+		}
+		if l.role == gossip.Follower {
+			continue
+		}
+		b := l.bucket(a, vms, now).WithReport(source, r, now)
+		l.buckets[u.Account] = b
+		if l.role == gossip.Relay {
+			l.tellOfSurge(a, b, now)
+		}
+	}
+}
+
+// tellOfSurge starts the next round early if an account comes near its limit, or if the VMs
+// of this zone spend much of it: a relay alone sees a part of a flood. The caller holds the
+// lock.
+func (l *limiter) tellOfSurge(a catalog.Account, b quota.Bucket, now clock.Millis) {
+	_, near := b.Hint(now)
+	t := l.zoneTotals[a.Name]
+	if near && !l.hinted[a.Name] || t != nil && t.surges(a.Burst) {
+		l.gossipFunc()
+	}
+	l.hinted[a.Name] = l.hinted[a.Name] || near
+}
+
+// mergeHints merges the usages of a summary for all VMs: those of the accounts that are
+// near their limit. The caller holds the lock.
+func (l *limiter) mergeHints(usages []inner.Usage, vms int, now clock.Millis) {
+	near := make(map[string]quota.Hint, len(usages))
+	for _, u := range usages {
+		near[u.Account] = quota.Hint{Tokens: float64(u.Tokens), Demand: float64(u.Demand)}
+	}
+	for name := range l.buckets {
+		a, ok := l.accountFunc(name)
+		if !ok {
+			continue
+		}
+		b := l.bucket(a, vms, now)
+		if h, ok := near[name]; ok {
+			l.buckets[name] = b.WithHint(h, now)
+			continue
+		}
+		l.buckets[name] = b.WithCalm(now)
+	}
+}
+
+// hints returns the usages of the accounts that are near their limit, for the VMs of this
+// zone. The caller holds the lock.
+func (l *limiter) hints(now clock.Millis) []inner.Usage {
+	clear(l.hinted)
+	var out []inner.Usage
+	for name, b := range l.buckets {
+		if h, near := b.Hint(now); near {
+			l.hinted[name] = true
+			out = append(out, inner.Usage{Account: name, Demand: float32(h.Demand), Tokens: float32(h.Tokens)})
 		}
-		// The report of all other zones and those of each of them count the same use.
-		b := l.bucket(a, vms, now).WithoutVMs(func(other string) bool {
-			return g.Scope == inner.ScopeZone && other == otherZonesName || g.Scope == inner.ScopeOtherZones && strings.HasPrefix(other, zonePrefix)
-		})
-		l.buckets[u.Account] = b.WithReport(name, r, now)
 	}
+	return out
 }
 
 // usages returns the usages to send for a scope, as of the last round.
 func (l *limiter) usages(s inner.Scope) []inner.Usage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := l.clock.Now()
 	switch s {
 	case inner.ScopeZone:
-		return l.zoneTotals.usages(l.clock.Now(), l.contact)
-	case inner.ScopeOtherZones:
-		return l.otherZoneTotals.usages(l.clock.Now(), l.contact)
+		return l.zoneTotals.usages(now, l.contact)
+	case inner.ScopeAll:
+		return l.hints(now)
 	}
 	return l.ownUsages
 }
--- a/internal/serve/frontend/limits_test.go
+++ b/internal/serve/frontend/limits_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/gossip"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
 )
 
@@ -15,6 +16,7 @@
 	a := catalog.Account{Name: "acme", Rate: 200, Burst: 200}
 	l := newLimiter(c.Clock(), Tolerance{Fraction: 0.1, Slack: 20, Window: 5})
 	l.vmCountFunc, l.processFunc = func() int { return 3 }, func() uint64 { return 1 }
+	l.roleFunc = func() gossip.Role { return gossip.Equal }
 	l.regionGossipFunc, l.gossipFunc = func() {}, func() {}
 	l.accountFunc = func(string) (catalog.Account, bool) { return a, true }
 	l.createBuckets(map[string]catalog.Account{a.Name: a})
@@ -31,7 +33,10 @@
 			l.mergeGossip(inner.Gossip{From: "vm1", Process: 2, Usages: []inner.Usage{{Account: "acme", Spent: 9, Demand: 50}}}, false)
 			demand := func() float32 {
 				l.beginRound()
-				return l.usages(inner.ScopeZone)[0].Demand
+				for _, u := range l.usages(inner.ScopeZone) {
+					return u.Demand
+				}
+				return 0
 			}
 			got := []float32{demand()}
 			for range 30 {
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -125,19 +125,20 @@
 	return t.TrySendDatagram(ctx, address, body)
 }
 
-// gossipFor returns the content of a gossip message of a scope. For ScopeOtherZones it
-// leaves out the views of groups, which the same receivers get with ScopeVM.
+// gossipFor returns the content of a gossip message of a scope. The second relay of a zone
+// reports no totals of the zone, since others would ignore them.
 func (f *Frontend) gossipFor(s inner.Scope) inner.Gossip {
-	g := inner.Gossip{Scope: s, Usages: f.limiter.usages(s)}
+	g := inner.Gossip{Scope: s}
 	if c := f.catalog.Load(); c != nil {
 		g.Version = c.Version
 	}
 	f.mu.Lock()
 	g.DirectoryHash, g.DirectoryAge = f.directoryHash, f.options.Clock.Now()-f.directoryReadAt
 	f.mu.Unlock()
-	if s == inner.ScopeOtherZones {
+	if s == inner.ScopeZone && !f.mesh.IsFirstRelay(f.options.Self.Name, f.options.Self.Zone) {
 		return g
 	}
+	g.Usages = f.limiter.usages(s)
 	for _, group := range f.allGroups() {
 		g.Views = append(g.Views, group.View())
 	}
--- a/internal/serve/frontend/totals.go
+++ b/internal/serve/frontend/totals.go
@@ -11,12 +11,23 @@
 
 // total sums the use of one account over many VMs.
 type total struct {
-	// spent is in operations.
-	spent uint64
+	// spent is in operations; sentSpent is the count that was last sent.
+	spent     uint64
+	sentSpent uint64
 	// reports holds the last report of each source, a VM or a zone.
 	reports map[string]sourceReport
 }
 
+// surgeFill is the part of an account's burst that is a surge if the VMs of one zone spend
+// it between two messages to the other zones.
+const surgeFill = 0.35
+
+// surges reports whether the VMs have spent so much of a burst since the last message to the
+// other zones that these should learn of it at once.
+func (t *total) surges(burst float64) bool {
+	return float64(int64(t.spent-t.sentSpent)) > surgeFill*burst
+}
+
 // sourceReport is the last report of a source and the time at which it came.
 type sourceReport struct {
 	quota.Report
@@ -72,11 +83,16 @@
 	t[account].add(source, r, now)
 }
 
-// usages returns the totals at time now as usages of a message.
+// usages returns the totals at time now as usages of a message. It leaves out accounts
+// without demand whose last count has been sent.
 func (t accountTotals) usages(now clock.Millis, contactFunc func(source string) clock.Millis) []inner.Usage {
 	out := make([]inner.Usage, 0, len(t))
 	for name, v := range t {
 		r := v.report(now, contactFunc)
+		if r.Demand == 0 && r.Spent == v.sentSpent {
+			continue
+		}
+		v.sentSpent = r.Spent
 		out = append(out, inner.Usage{Account: name, Spent: r.Spent, Demand: float32(r.Demand), Tokens: float32(r.Tokens)})
 	}
 	return out
--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -38,11 +38,6 @@
 	// often to one that counts as down. The first messages are lost while the connection
 	// is being opened.
 	fullRateTries = 12
-	// listInterval is the pause between two reads of the list of VMs, in milliseconds,
-	// and listStartInterval the same while this VM is not registered or receives
-	// messages from no other.
-	listInterval      = 40 * clock.Second
-	listStartInterval = clock.Millis(700)
 	// sentWindow is the number of the last messages to a VM whose send times are kept.
 	sentWindow = 32
 )
@@ -96,6 +91,16 @@
 	unanswered int
 }
 
+// isDown reports whether the VM is leaving, or has left maxUnanswered rounds with a message
+// to it unanswered and counts as down.
+func (p *peer) isDown(now clock.Millis) bool {
+	return p.leaving || now-p.lastReceived >= SilenceTimeout && p.unanswered >= maxUnanswered
+}
+
+// maxUnanswered is the number of unanswered rounds from which a silent VM is known to be
+// down. Until then it may only be starting.
+const maxUnanswered = 6
+
 // Mesh exchanges messages with the other VMs.
 type Mesh struct {
 	options Options
@@ -108,6 +113,8 @@
 	mu      sync.Mutex
 	peers   map[string]*peer
 	leaving bool
+	// downReports holds, by zone, the last report of the VMs of a zone that are down.
+	downReports map[member.Zone]downReport
 	// registered is set once this VM is in the list of VMs.
 	registered bool
 	// otherRegionsUrgent is set when the next round is to include the VMs of other
@@ -121,7 +128,7 @@
 	_, _ = rand.Read(raw[:])
 	return &Mesh{
 		options: o, process: binary.BigEndian.Uint64(raw[:]), wakeup: make(chan struct{}, 1), done: make(chan struct{}),
-		bytes: metrics.GetOrCreateCounter("sycamoredoor_gossip_bytes_total"), peers: map[string]*peer{},
+		bytes: metrics.GetOrCreateCounter("sycamoredoor_gossip_bytes_total"), peers: map[string]*peer{}, downReports: map[member.Zone]downReport{},
 	}
 }
 
@@ -182,16 +189,16 @@
 }
 
 // Members returns the VMs that are presumably running, ordered by name: those of Alive
-// and, when relays are used, also those of other zones that are not leaving, since only
-// relays send messages to other zones. VMs whose zone is unknown are left out.
+// and, when relays are used, also those that no relay reports as down, since most VMs get
+// messages from relays only. VMs whose zone is unknown are left out.
 func (m *Mesh) Members() []member.VM {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.options.Clock.Now()
 	out := []member.VM{m.options.Self}
 	for _, p := range m.peers {
-		otherZone := m.usesRelaysLocked() && p.vm.Zone != m.options.Self.Zone
-		if !p.leaving && p.vm.Zone != "" && (otherZone || now-p.lastReceived < SilenceTimeout) {
+		alive := now-p.lastReceived < SilenceTimeout && !p.leaving
+		if p.vm.Zone != "" && (alive || m.usesRelaysLocked() && !p.isDown(now) && !m.reportedDownLocked(p.vm, now)) {
 			out = append(out, p.vm)
 		}
 	}
@@ -244,215 +251,3 @@
 	case <-m.wakeup:
 	}
 }
-
-// RunRegistration registers this VM and reads the list of VMs periodically until the
-// context ends.
-func (m *Mesh) RunRegistration(ctx context.Context) {
-	for ctx.Err() == nil {
-		vms, err := m.readList(ctx)
-		if err == nil {
-			m.register(ctx, slices.Contains(vms, m.options.Self))
-		}
-		pause := listInterval
-		if !m.Registered() || len(m.Alive()) == 1 {
-			pause = listStartInterval
-		}
-		_ = m.options.Clock.Sleep(ctx, pause)
-	}
-}
-
-// register registers this VM unless it is listed already, as after a restart. That saves
-// a write, and writes may take long when many VMs start at once.
-func (m *Mesh) register(ctx context.Context, listed bool) {
-	if !listed && m.options.RegisterFunc(ctx, m.options.Self) != nil {
-		return
-	}
-	m.mu.Lock()
-	first := !m.registered
-	m.registered = true
-	m.mu.Unlock()
-	if first {
-		m.options.RegisteredFunc()
-	}
-}
-
-// Registered reports whether this VM is in the list of VMs.
-func (m *Mesh) Registered() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.registered
-}
-
-// RefreshVMs reads the list of VMs and merges it.
-func (m *Mesh) RefreshVMs(ctx context.Context) error {
-	_, err := m.readList(ctx)
-	return err
-}
-
-func (m *Mesh) readList(ctx context.Context) ([]member.VM, error) {
-	vms, err := m.options.ListFunc(ctx)
-	if err == nil {
-		m.mergeList(vms)
-	}
-	return vms, err
-}
-
-// mergeList merges the list of VMs into the peers. It removes a peer that is not listed and
-// counts as down. The list replaces what is known of a VM only while the VM counts as down,
-// since its own messages are more recent.
-func (m *Mesh) mergeList(vms []member.VM) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := m.options.Clock.Now()
-	listed := map[string]bool{}
-	for _, v := range vms {
-		listed[v.Name] = true
-		if v.Name == m.options.Self.Name {
-			continue
-		}
-		p := m.peers[v.Name]
-		if p == nil {
-			m.peers[v.Name] = m.newPeer(v, now)
-			continue
-		}
-		if now-p.lastReceived >= SilenceTimeout {
-			p.vm = v
-		}
-	}
-	for name, p := range m.peers {
-		if !listed[name] && now-p.lastReceived >= SilenceTimeout {
-			delete(m.peers, name)
-		}
-	}
-}
-
-// newPeer returns a peer from which no message has come. The first message number depends
-// on the process of this VM, so that the echo of a number of an earlier process is not
-// taken for one of this process.
-func (m *Mesh) newPeer(v member.VM, now clock.Millis) *peer {
-	return &peer{vm: v, lastReceived: now - SilenceTimeout, lastSent: now - silentInterval, lastNumber: m.process % firstNumberChoices * sentWindow}
-}
-
-// firstNumberChoices is the number of first message numbers to choose from, sentWindow
-// apart.
-const firstNumberChoices = 1 << 24
-
-// datagram is a message to send.
-type datagram struct {
-	address string
-	body    []byte
-}
-
-// round sends each VM the messages that are due.
-func (m *Mesh) round(ctx context.Context) {
-	m.options.BeginRoundFunc()
-	messages := map[inner.Scope][]inner.Gossip{}
-	for _, d := range m.datagrams(func(s inner.Scope) []inner.Gossip {
-		if messages[s] == nil {
-			messages[s] = m.splitMessage(m.options.ContentFunc(s))
-		}
-		return messages[s]
-	}) {
-		m.bytes.Add(len(d.body))
-		// The error is ignored: an unreachable VM is detected by its silence.
-		_ = m.options.SendFunc(ctx, d.address, d.body)
-	}
-}
-
-// datagrams returns the messages to send in a round. The function messagesFunc returns
-// the messages of a scope; it is called without the lock, since it may wait for locks whose
-// holders call the mesh. After fullRateTries unanswered rounds, a VM that counts as down
-// gets messages only every silentInterval. A VM of another region gets them only every
-// otherRegionInterval, unless the last is unanswered or the round includes other regions.
-func (m *Mesh) datagrams(messagesFunc func(inner.Scope) []inner.Gossip) []datagram {
-	recipients := m.recipients()
-	messages := map[inner.Scope][]inner.Gossip{}
-	for _, r := range recipients {
-		for _, s := range r.scopes {
-			messages[s] = messagesFunc(s)
-		}
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := m.options.Clock.Now()
-	var out []datagram
-	urgent := m.otherRegionsUrgent
-	m.otherRegionsUrgent = false
-	for _, r := range recipients {
-		p := r.peer
-		if p.vm.Region != m.options.Self.Region && p.unanswered == 0 && !urgent && now-p.lastSent < otherRegionInterval-minInterval {
-			continue
-		}
-		if now-p.lastReceived >= SilenceTimeout && p.unanswered >= fullRateTries && now-p.lastSent < silentInterval {
-			continue
-		}
-		p.unanswered++
-		p.lastSent = now
-		for _, s := range r.scopes {
-			for _, g := range messages[s] {
-				out = append(out, datagram{address: p.vm.Address, body: m.encodeFor(p, g, now)})
-			}
-		}
-	}
-	return out
-}
-
-// encodeFor fills in the sender and the fields that depend on the receiver, and encodes the
-// message. The caller holds the lock.
-func (m *Mesh) encodeFor(p *peer, g inner.Gossip, now clock.Millis) []byte {
-	self := m.options.Self
-	g.From, g.Address, g.Process, g.Leaving, g.Zone = self.Name, self.Address, m.process, m.leaving, self.Zone
-	g.Region = self.Region
-	p.lastNumber++
-	p.sentTimes[p.lastNumber%sentWindow] = now
-	g.Sequence, g.Echo, g.EchoAge = p.lastNumber, p.highestNumber, now-p.highestNumberAt
-	return inner.Pack(inner.Encode(inner.KindGossip, g))
-}
-
-// Receive handles a datagram from the VM of that name. It ignores messages that are
-// malformed or name another sender.
-func (m *Mesh) Receive(name string, datagram []byte) {
-	f, err := inner.Unpack(datagram)
-	if err != nil || f.Kind != inner.KindGossip {
-		return
-	}
-	var g inner.Gossip
-	if inner.Decode(f, &g) != nil || g.From != name || name == m.options.Self.Name {
-		return
-	}
-	toLocalTime, restarted := m.recordMessage(g)
-	if restarted {
-		m.options.RestartedFunc(g.Address)
-	}
-	m.options.ReceiveFunc(g, toLocalTime)
-}
-
-// recordMessage records a message from a VM. The function toLocalTime turns the age of an
-// event at the sender into a time of this VM's clock: the send time of the message that the
-// sender echoes, plus EchoAge, less the age. The sender cannot have received that message
-// before it was sent, so the result is never later than the event. toLocalTime is nil when
-// that send time is not kept. The result restarted is set when an earlier message came from
-// another process of that VM.
-func (m *Mesh) recordMessage(g inner.Gossip) (toLocalTime func(clock.Millis) clock.Millis, restarted bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := m.options.Clock.Now()
-	p := m.peers[g.From]
-	if p == nil {
-		p = m.newPeer(member.VM{Name: g.From}, now)
-		m.peers[g.From] = p
-	}
-	if p.process != g.Process {
-		restarted = p.process != 0
-		p.process, p.highestNumber = g.Process, 0
-	}
-	p.vm.Address, p.vm.Zone, p.vm.Region, p.leaving, p.lastReceived, p.unanswered = g.Address, g.Zone, g.Region, g.Leaving, now, 0
-	if g.Sequence > p.highestNumber {
-		p.highestNumber, p.highestNumberAt = g.Sequence, now
-	}
-	if g.Echo == 0 || g.Echo > p.lastNumber || p.lastNumber-g.Echo >= sentWindow {
-		return nil, restarted
-	}
-	sent := p.sentTimes[g.Echo%sentWindow]
-	return func(age clock.Millis) clock.Millis { return min(sent+g.EchoAge-age, now) }, restarted
-}
--- /dev/null
+++ b/internal/serve/gossip/list.go
@@ -0,0 +1,109 @@
+package gossip
+
+import (
+	"context"
+	"slices"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+)
+
+const (
+	// listInterval is the pause between two reads of the list of VMs, in milliseconds,
+	// and listStartInterval the same while this VM is not registered or receives
+	// messages from no other.
+	listInterval      = 40 * clock.Second
+	listStartInterval = clock.Millis(700)
+)
+
+// RunRegistration registers this VM and reads the list of VMs periodically until the
+// context ends.
+func (m *Mesh) RunRegistration(ctx context.Context) {
+	for ctx.Err() == nil {
+		vms, err := m.readList(ctx)
+		if err == nil {
+			m.register(ctx, slices.Contains(vms, m.options.Self))
+		}
+		pause := listInterval
+		if !m.Registered() || len(m.Alive()) == 1 {
+			pause = listStartInterval
+		}
+		_ = m.options.Clock.Sleep(ctx, pause)
+	}
+}
+
+// register registers this VM unless it is listed already, as after a restart. That saves
+// a write, and writes may take long when many VMs start at once.
+func (m *Mesh) register(ctx context.Context, listed bool) {
+	if !listed && m.options.RegisterFunc(ctx, m.options.Self) != nil {
+		return
+	}
+	m.mu.Lock()
+	first := !m.registered
+	m.registered = true
+	m.mu.Unlock()
+	if first {
+		m.options.RegisteredFunc()
+	}
+}
+
+// Registered reports whether this VM is in the list of VMs.
+func (m *Mesh) Registered() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.registered
+}
+
+// RefreshVMs reads the list of VMs and merges it.
+func (m *Mesh) RefreshVMs(ctx context.Context) error {
+	_, err := m.readList(ctx)
+	return err
+}
+
+func (m *Mesh) readList(ctx context.Context) ([]member.VM, error) {
+	vms, err := m.options.ListFunc(ctx)
+	if err == nil {
+		m.mergeList(vms)
+	}
+	return vms, err
+}
+
+// mergeList merges the list of VMs into the peers. It removes a peer that is not listed and
+// counts as down. The list replaces what is known of a VM only while the VM counts as down,
+// since its own messages are more recent.
+func (m *Mesh) mergeList(vms []member.VM) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.options.Clock.Now()
+	listed := map[string]bool{}
+	for _, v := range vms {
+		listed[v.Name] = true
+		if v.Name == m.options.Self.Name {
+			continue
+		}
+		p := m.peers[v.Name]
+		if p == nil {
+			m.peers[v.Name] = m.newPeer(v, now)
+			continue
+		}
+		if now-p.lastReceived >= SilenceTimeout {
+			p.vm = v
+		}
+	}
+	for name, p := range m.peers {
+		if !listed[name] && now-p.lastReceived >= SilenceTimeout {
+			delete(m.peers, name)
+		}
+	}
+}
+
+// newPeer returns a peer from which no message has come. The first message number depends
+// on the process of this VM, so that the echo of a number of an earlier process is not
+// taken for one of this process.
+func (m *Mesh) newPeer(v member.VM, now clock.Millis) *peer {
+	return &peer{vm: v, lastReceived: now - SilenceTimeout, lastSent: now - silentInterval, lastNumber: m.process % firstNumberChoices * sentWindow}
+}
+
+// firstNumberChoices is the number of first message numbers to choose from, sentWindow
+// apart.
+const firstNumberChoices = 1 << 24
--- a/internal/serve/gossip/split.go
+++ b/internal/serve/gossip/split.go
@@ -4,21 +4,21 @@
 
 // fixedFieldsSize is an upper bound of the encoded size of a message without its texts,
 // usages and views, in bytes.
-const fixedFieldsSize = 110
+const fixedFieldsSize = 120
 
 // splitMessage splits a message of this VM by its views and usages, so that each part fits
 // into a datagram: there may be any number of groups and accounts. Only the first part has
-// the hash of the directory.
-func (m *Mesh) splitMessage(g inner.Gossip) []inner.Gossip {
+// the hash of the directory, and reserved bytes left free.
+func (m *Mesh) splitMessage(g inner.Gossip, reserved int) []inner.Gossip {
 	self := m.options.Self
 	budget := m.options.MaxDatagram - fixedFieldsSize - len(self.Name) - len(self.Address) - len(self.Zone) - len(self.Region)
 	part := g
 	part.Views, part.Usages = nil, nil
 	var out []inner.Gossip
-	left := budget
+	left := budget - reserved
 	// reserve begins a new part if an item of this size does not fit into the present one.
 	reserve := func(size int) {
-		if size > left && left < budget {
+		if size > left && len(part.Views)+len(part.Usages) > 0 {
 			out = append(out, part)
 			part, left = inner.Gossip{Version: g.Version, Scope: g.Scope}, budget
 		}
--- a/internal/serve/gossip/split_test.go
+++ b/internal/serve/gossip/split_test.go
@@ -41,19 +41,20 @@
 		m := &Mesh{options: Options{Self: self, MaxDatagram: maxDatagram}, process: random.Uint64()}
 		g := randomMessage(random, size[0], size[1])
 		var got inner.Gossip
-		for i, part := range m.splitMessage(g) {
+		for i, split := range m.splitMessage(g, 0) {
+			content := part{gossip: split}
 			p := &peer{lastNumber: 1 << 40, highestNumber: 1 << 40}
-			if n := len(m.encodeFor(p, part, 1<<40)); n > maxDatagram {
+			if n := len(m.encodeFor(p, content, 1<<40)); n > maxDatagram {
 				t.Errorf("%v: part %d has %d bytes, want at most %d", size, i, n, maxDatagram)
 			}
-			if i > 0 && len(part.Views)+len(part.Usages) == 0 {
+			if i > 0 && len(split.Views)+len(split.Usages) == 0 {
 				t.Errorf("%v: part %d is empty", size, i)
 			}
 			if i == 0 {
-				got = part
+				got = split
 				continue
 			}
-			got.Views, got.Usages = append(got.Views, part.Views...), append(got.Usages, part.Usages...)
+			got.Views, got.Usages = append(got.Views, split.Views...), append(got.Usages, split.Usages...)
 		}
 		if diff := cmp.Diff(g, got); diff != "" {
 			t.Errorf("%v: content (-want +got):\n%s", size, diff)
