Let the holders of a group probe it and replace its primary, and few VMs open connections

With relays a VM is in touch with two others only, so that each took itself for one of the first probers of its region, and any VM could claim. Holders of a group's servers now probe and claim; a VM needs no lease of its own for what a holder runs, since the holder looks at its proof, and waits for one; a VM whose holder denies the primary waits for a later proof.

--- a/internal/core/failover/failover.go
+++ b/internal/core/failover/failover.go
@@ -137,7 +137,10 @@
 	// lost the primary.
 	Alive []string
 	Lost  []string
-	Self  string
+	// Candidates names the VMs that may claim, whether or not this VM knows what they have
+	// lost. If it is empty, the VMs in Lost may.
+	Candidates []string
+	Self       string
 	// KnownVMs is the number of VMs that this VM knows of, live or not, including itself.
 	KnownVMs int
 	// LastHolder is the VM that held the claim when this VM last read or wrote the claim
@@ -146,9 +149,12 @@
 }
 
 // ClaimDelay returns how long this VM waits before it claims, counted from the time
-// at which it lost the primary. It returns false unless this VM and a majority of the
-// live VMs have lost the primary.
+// at which it lost the primary. It returns false unless this VM is a candidate, and it and
+// a majority of the live VMs have lost the primary.
 func (v LossVotes) ClaimDelay(group string) (clock.Millis, bool) {
+	if len(v.Candidates) > 0 && !slices.Contains(v.Candidates, v.Self) {
+		return 0, false
+	}
 	if !slices.Contains(v.Lost, v.Self) || 2*len(v.Lost) <= len(v.Alive) {
 		return 0, false
 	}
@@ -165,8 +171,12 @@
 	if v.Self == v.LastHolder {
 		return 0
 	}
+	candidates := v.Candidates
+	if len(candidates) == 0 {
+		candidates = v.Lost
+	}
 	rank, own := 0, rendezvousScore(group, v.Self)
-	for _, vm := range v.Lost {
+	for _, vm := range candidates {
 		if vm != v.Self && (vm == v.LastHolder || rendezvousScore(group, vm) > own) {
 			rank++
 		}
--- a/internal/core/member/holders.go
+++ b/internal/core/member/holders.go
@@ -44,6 +44,27 @@
 	return nil
 }
 
+// Reserves returns the VMs that may open connections to a backend server while none of its
+// holders can be reached: up to twice MaxHolders of the other VMs, those of its region
+// first. All VMs know them, so that together they open few connections.
+func Reserves(vms, holders []VM, q HolderQuery) []VM {
+	var near, far []VM
+	for _, v := range vms {
+		switch {
+		case v.Leaving || slices.Contains(holders, v):
+		case v.Region == q.Region:
+			near = append(near, v)
+		default:
+			far = append(far, v)
+		}
+	}
+	key := "reserves\x00" + q.Server
+	sortByRendezvousScore(near, key)
+	sortByRendezvousScore(far, key)
+	reserves := append(near, far...)
+	return reserves[:min(len(reserves), 2*max(q.MaxHolders, 1))]
+}
+
 // bucketSize is the number of candidate VMs per bucket of servers.
 const bucketSize = 16
 
--- a/internal/core/member/holders_test.go
+++ b/internal/core/member/holders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -111,3 +112,24 @@
 		t.Errorf("VMs that hold connections (-want +got):\n%s", diff)
 	}
 }
+
+// TestReserves checks that no reserve is a holder, that few VMs are reserves, nearer ones
+// first, and that all others are in a small installation.
+func TestReserves(t *testing.T) {
+	for _, perZone := range []int{1, 3, 50} {
+		vms := makeVMs(perZone)
+		q := HolderQuery{Server: "p", Zone: "a", Region: "x", MaxHolders: 6}
+		holders := Holders(vms, q)
+		reserves := Reserves(vms, holders, q)
+		if diff := cmp.Diff(min(len(vms)-len(holders), 12), len(reserves)); diff != "" {
+			t.Errorf("%d VMs a zone: reserves (-want +got):\n%s", perZone, diff)
+		}
+		far := false
+		for _, v := range reserves {
+			if slices.Contains(holders, v) || far && v.Region == "x" {
+				t.Errorf("%d VMs a zone: %+v is a holder, or behind one of another region", perZone, v)
+			}
+			far = far || v.Region != "x"
+		}
+	}
+}
--- a/internal/serve/database/fake_test.go
+++ b/internal/serve/database/fake_test.go
@@ -125,7 +125,7 @@
 		Name: "g", Clock: clock.System(), Log: log.New(io.Discard), Protocol: f.protocol(), Counters: NewCounters(), SyncReplicas: 1,
 		MaxConnsFunc: func(Server) int { return maxConns }, HolderCountFunc: func(Server) int { return 1 }, MaxIdleFunc: func(Server) int { return 2 }, Self: "vm", LiveVMsFunc: func() []string { return []string{"vm"} },
 		ExpectedVMCountFunc: func() int { return 1 }, RefreshVMsFunc: func(context.Context) error { return nil },
-		RegionVMsFunc: func() []string { return []string{"vm"} }, RegionGossipFunc: func() {},
+		ProbersFunc: func() []string { return []string{"vm"} }, CandidatesFunc: func() []string { return nil }, RegionGossipFunc: func() {},
 		GossipFunc: func() {}, StoppingFunc: func() bool { return false },
 		Claims: ClaimStore{ReadFunc: func(context.Context, string) (failover.Claim, uint64, clock.Millis, error) {
 			f.mu.Lock()
--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -65,9 +65,12 @@
 	// one.
 	Self        string
 	LiveVMsFunc func() []string
-	// RegionVMsFunc lists the VMs of this VM's region that may be alive, including
-	// this one.
-	RegionVMsFunc func() []string
+	// ProbersFunc lists the VMs of this VM's region that probe the group's servers. An
+	// empty list means that this VM does, and one without this VM that it does not.
+	ProbersFunc func() []string
+	// CandidatesFunc lists the VMs that may replace the group's primary; an empty list
+	// means all.
+	CandidatesFunc func() []string
 	// ExpectedVMCountFunc returns the number of VMs that should be running.
 	ExpectedVMCountFunc func() int
 	// RefreshVMsFunc rereads which VMs should be running.
@@ -100,6 +103,9 @@
 	primaryReady chan struct{}
 	// loggedLeader is the last primary that was logged.
 	loggedLeader string
+	// leaderDoubtedAt is the time at which a holder last said that the leader is not
+	// confirmed as primary.
+	leaderDoubtedAt clock.Millis
 	// probedAt holds the time of the last probe of each server.
 	probedAt map[string]clock.Millis
 	// createdAt is the time at which this VM began to serve the group.
@@ -138,7 +144,7 @@
 // NewGroup returns a group without servers.
 func NewGroup(o Options) *Group {
 	return &Group{
-		options: o, createdAt: o.Clock.Now(), watch: tenure.New(o.SyncReplicas), pools: map[string]*pool{}, positions: map[string]floor.ReplicationPosition{}, positionSeenAt: map[string]clock.Millis{},
+		options: o, createdAt: o.Clock.Now(), leaderDoubtedAt: tenure.DistantPast, watch: tenure.New(o.SyncReplicas), pools: map[string]*pool{}, positions: map[string]floor.ReplicationPosition{}, positionSeenAt: map[string]clock.Millis{},
 		primaryReady: make(chan struct{}), probedAt: map[string]clock.Millis{}, unlistedSince: map[string]clock.Millis{}, leavingSince: map[string]clock.Millis{},
 		votes: map[string]vote{}, receivedPositions: map[string]receivedPosition{},
 	}
@@ -237,18 +243,19 @@
 func (g *Group) setWatch(w tenure.Watch) {
 	now := g.options.Clock.Now()
 	wasValid := g.watch.LeaseValid(now)
+	oldProvedAt := g.watch.ProvedAt()
 	oldTerm, oldLeader := g.watch.Leader()
 	g.watch = w
 	term, leader := w.Leader()
 	if term != oldTerm || leader != oldLeader {
-		g.leaderChangedAt = now
+		g.leaderChangedAt, g.leaderDoubtedAt = now, tenure.DistantPast
 	}
 	if leader != g.loggedLeader && leader != "" {
 		g.options.Counters.primaryChanges.Inc()
 		g.options.Log.Info("new primary of the group", "group", g.options.Name, "term", term, "server", leader, "before", g.loggedLeader)
 		g.loggedLeader = leader
 	}
-	if w.LeaseValid(now) && (!wasValid || leader != oldLeader) {
+	if leader != "" && (leader != oldLeader || !wasValid && w.LeaseValid(now) || g.leaderDoubtedAt > oldProvedAt && w.ProvedAt() > g.leaderDoubtedAt) {
 		g.wakeWaitersLocked()
 	}
 }
@@ -315,15 +322,23 @@
 
 // AcquirePrimary returns a connection to the primary. It waits at most wait
 // milliseconds, without the time to open the connection. It returns ErrNoPrimary, or an
-// error of the pool.
+// error of the pool. This VM needs no lease if another one holds the connection, which
+// looks at its own.
 func (g *Group) AcquirePrimary(ctx context.Context, r Requester, wait clock.Millis) (*PooledConn, error) {
 	c := g.options.Clock
 	deadline := c.Now() + wait
-	p, err := g.awaitPrimary(ctx, deadline)
+	p, err := g.awaitPrimary(ctx, deadline, false)
 	if err != nil {
 		return nil, err
 	}
-	pc, err := g.acquire(ctx, p, ConnRequest{Group: g.options.Name, Server: p.entry(), Requester: r, Primary: true, Wait: deadline - c.Now()})
+	request := ConnRequest{Group: g.options.Name, Server: p.entry(), Requester: r, Primary: true, Wait: deadline - c.Now()}
+	if pc := g.remoteConn(ctx, p, request); pc != nil {
+		return pc, nil
+	}
+	if p, err = g.awaitPrimary(ctx, deadline, true); err != nil {
+		return nil, err
+	}
+	pc, err := g.acquireOwn(ctx, p, r, deadline-c.Now())
 	if err != nil {
 		return nil, err
 	}
@@ -366,16 +381,16 @@
 }
 
 // awaitPrimary waits until the group has a usable primary, and returns ErrNoPrimary
-// if it has none by the deadline or the context ends.
-func (g *Group) awaitPrimary(ctx context.Context, deadline clock.Millis) (*pool, error) {
+// if it has none by the deadline or the context ends. Without needsLease the primary need
+// only be known, unless a holder has denied it since the last proof.
+func (g *Group) awaitPrimary(ctx context.Context, deadline clock.Millis, needsLease bool) (*pool, error) {
 	for {
 		g.mu.Lock()
 		now := g.options.Clock.Now()
-		_, leader := g.watch.Leader()
-		p, ready := g.pools[leader], g.primaryReady
-		usable := g.watch.LeaseValid(now) && (p == nil || !g.pastDrainLocked(leader, now))
+		p, usable := g.usablePrimaryLocked(now, needsLease)
+		ready := g.primaryReady
 		g.mu.Unlock()
-		if usable && p != nil {
+		if usable {
 			return p, nil
 		}
 		if now >= deadline {
@@ -394,6 +409,37 @@
 	}
 }
 
+// usablePrimaryLocked returns the pool of the known primary and reports whether it may be
+// used; see awaitPrimary. The caller holds g.mu.
+func (g *Group) usablePrimaryLocked(now clock.Millis, needsLease bool) (*pool, bool) {
+	_, leader := g.watch.Leader()
+	p := g.pools[leader]
+	if p == nil || g.pastDrainLocked(leader, now) {
+		return nil, false
+	}
+	doubted := g.leaderDoubtedAt >= g.watch.ProvedAt() && g.leaderDoubtedAt != tenure.DistantPast
+	return p, g.watch.LeaseValid(now) && !doubted || !needsLease && !doubted
+}
+
+// doubtPrimary records that a holder does not take a server for the confirmed primary.
+func (g *Group) doubtPrimary(server string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, leader := g.watch.Leader(); leader == server {
+		g.leaderDoubtedAt = g.options.Clock.Now()
+	}
+}
+
+// awaitConfirmed waits until a server is confirmed as the primary. It returns ErrNoPrimary
+// if another one leads, the deadline passes or the context ends.
+func (g *Group) awaitConfirmed(ctx context.Context, p *pool, deadline clock.Millis) error {
+	confirmed, err := g.awaitPrimary(ctx, deadline, true)
+	if err == nil && confirmed != p {
+		return ErrNoPrimary
+	}
+	return err
+}
+
 // ReadRequest requests a connection for a read that may run on a replica.
 type ReadRequest struct {
 	Requester Requester
--- a/internal/serve/database/lost.go
+++ b/internal/serve/database/lost.go
@@ -149,7 +149,10 @@
 // lossVotesLocked returns which live VMs have lost the primary, by their votes. The
 // caller holds g.mu.
 func (g *Group) lossVotesLocked(now clock.Millis, lost bool) failover.LossVotes {
-	s := failover.LossVotes{Self: g.options.Self, Alive: g.options.LiveVMsFunc(), KnownVMs: g.options.ExpectedVMCountFunc(), LastHolder: g.lastHolder}
+	s := failover.LossVotes{
+		Self: g.options.Self, Alive: g.options.LiveVMsFunc(), Candidates: g.options.CandidatesFunc(),
+		KnownVMs: g.options.ExpectedVMCountFunc(), LastHolder: g.lastHolder,
+	}
 	term, _ := g.watch.Leader()
 	for _, vm := range s.Alive {
 		v, ok := g.votes[vm]
--- a/internal/serve/database/pool.go
+++ b/internal/serve/database/pool.go
@@ -105,7 +105,9 @@
 // entry returns the server's directory entry.
 func (p *pool) entry() Server { return *p.server.Load() }
 
-func (p *pool) maxConns() int { return max(p.group.options.MaxConnsFunc(p.entry()), 1) }
+// maxConns returns how many connections this VM may open; 0 means that statements must run
+// on those of other VMs.
+func (p *pool) maxConns() int { return p.group.options.MaxConnsFunc(p.entry()) }
 
 // recordSuccess records that the server answered.
 func (p *pool) recordSuccess() {
@@ -166,7 +168,7 @@
 		return
 	}
 	p.busyStreak = 0
-	p.window = min(p.window+windowGrowth/p.window, float64(p.maxConns()))
+	p.window = min(p.window+windowGrowth/p.window, float64(max(p.maxConns(), 1)))
 	p.latency += latencyWeight * (float64(responseTime) - p.latency)
 	p.latencyAt = now
 }
@@ -186,6 +188,9 @@
 }
 
 func (p *pool) acquireOnce(ctx context.Context, account string, weight int, wait clock.Millis) (*PooledConn, error) {
+	if p.maxConns() == 0 {
+		return nil, ErrUnreachable
+	}
 	item, err := p.enqueue(account, weight, wait)
 	if err != nil {
 		return nil, err
--- a/internal/serve/database/probe.go
+++ b/internal/serve/database/probe.go
@@ -56,7 +56,10 @@
 // proof needs renewal, all servers if no primary is known or the proof has expired or
 // is about to.
 func (g *Group) poolsToProbe(now clock.Millis) []*pool {
-	ownRank := g.probeRank()
+	ownRank, probes := g.probeRank()
+	if !probes {
+		return nil
+	}
 	rank := min(ownRank, maxRank)
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/serve/database/remote.go
+++ b/internal/serve/database/remote.go
@@ -58,14 +58,25 @@
 // acquire returns a connection for a statement: one held by another VM for the
 // account, or one of this VM's own.
 func (g *Group) acquire(ctx context.Context, p *pool, request ConnRequest) (*PooledConn, error) {
-	if g.options.RemoteConnFunc != nil {
-		if r := g.options.RemoteConnFunc(ctx, request); r != nil {
-			return &PooledConn{pool: p, remote: r, account: request.Requester.Account, settings: map[string]string{}, prepared: map[statement.Shape]string{}}, nil
-		}
+	if pc := g.remoteConn(ctx, p, request); pc != nil {
+		return pc, nil
 	}
 	return g.acquireOwn(ctx, p, request.Requester, request.Wait)
 }
 
+// remoteConn returns a connection that another VM holds, or nil if this VM should use its
+// own.
+func (g *Group) remoteConn(ctx context.Context, p *pool, request ConnRequest) *PooledConn {
+	if g.options.RemoteConnFunc == nil {
+		return nil
+	}
+	r := g.options.RemoteConnFunc(ctx, request)
+	if r == nil {
+		return nil
+	}
+	return &PooledConn{pool: p, remote: r, account: request.Requester.Account, settings: map[string]string{}, prepared: map[statement.Shape]string{}}
+}
+
 // acquireOwn returns one of this VM's own connections, or an error of the pool. A span
 // covers the wait.
 func (g *Group) acquireOwn(ctx context.Context, p *pool, r Requester, wait clock.Millis) (*PooledConn, error) {
@@ -91,10 +102,13 @@
 	if p == nil {
 		return nil, ErrUnknownServer
 	}
-	if primary && !g.isConfirmedPrimary(p) {
-		return nil, ErrNoPrimary
+	deadline := g.options.Clock.Now() + wait
+	if primary {
+		if err := g.awaitConfirmed(ctx, p, deadline); err != nil {
+			return nil, err
+		}
 	}
-	pc, err := g.acquireOwn(ctx, p, r, wait)
+	pc, err := g.acquireOwn(ctx, p, r, deadline-g.options.Clock.Now())
 	if err != nil {
 		return nil, err
 	}
@@ -116,6 +130,9 @@
 	}
 	a, err := pc.remote.RunFunc(r, s)
 	pc.pool.endRemote(c.Now()-sent, err)
+	if errors.Is(err, ErrNoPrimary) {
+		pc.pool.group.doubtPrimary(pc.pool.entry().ID)
+	}
 	if err != nil {
 		pc.broken = true
 		return a, err
--- a/internal/serve/database/replacement_test.go
+++ b/internal/serve/database/replacement_test.go
@@ -218,7 +218,7 @@
 	time.Sleep(10 * time.Millisecond)
 	found := make(chan error, 1)
 	go func() {
-		_, err := g.awaitPrimary(context.Background(), g.options.Clock.Now()+20*clock.Second)
+		_, err := g.awaitPrimary(context.Background(), g.options.Clock.Now()+20*clock.Second, true)
 		found <- err
 	}()
 	time.Sleep(20 * time.Millisecond)
--- a/internal/serve/database/view.go
+++ b/internal/serve/database/view.go
@@ -1,6 +1,8 @@
 package database
 
 import (
+	"slices"
+
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
@@ -51,8 +53,9 @@
 	g.setWatch(w)
 }
 
-// probeRank returns this VM's rank among the VMs of its region for probing the
-// group's servers. It does not use g.mu.
-func (g *Group) probeRank() int {
-	return failover.Rank(g.options.Name, g.options.Self, g.options.RegionVMsFunc())
+// probeRank returns this VM's rank among those that probe the group's servers, and false if
+// it is none of them. It does not use g.mu.
+func (g *Group) probeRank() (int, bool) {
+	vms := g.options.ProbersFunc()
+	return failover.Rank(g.options.Name, g.options.Self, vms), len(vms) == 0 || slices.Contains(vms, g.options.Self)
 }
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -25,8 +26,8 @@
 )
 
 const (
-	// maxHolderCandidates is the number of holders that are considered before a
-	// VM uses a connection of its own.
+	// maxHolderCandidates is the number of holders that are considered before the
+	// reserves.
 	maxHolderCandidates = 2
 	// openTimeout bounds the opening of a stream, in milliseconds.
 	openTimeout = clock.Millis(250)
@@ -65,6 +66,9 @@
 	// HoldersFunc returns the VMs that hold the connections of an account to a
 	// server, best first.
 	HoldersFunc func(s database.Server, account string) []member.VM
+	// ReservesFunc returns the VMs that may use connections of their own while no holder
+	// answers, best first.
+	ReservesFunc func(s database.Server, account string) []member.VM
 	// OpenFunc opens a stream to a VM. DropFunc closes the connection to it, so
 	// that the next stream opens a new one.
 	OpenFunc func(ctx context.Context, v member.VM) (inner.Exchange, error)
@@ -112,11 +116,17 @@
 }
 
 // Remote returns a connection of a VM that holds those of the account, or nil
-// when this VM must use one of its own. The holder is contacted when the first
-// statement runs. Only one goroutine may use the connection.
+// when this VM must use one of its own. While no holder answers, a reserve takes its
+// place. The holder is contacted when the first statement runs. Only one goroutine may use
+// the connection.
 func (f *Forwarder) Remote(ctx context.Context, request database.ConnRequest) *database.RemoteConn {
-	vms := f.options.HoldersFunc(request.Server, request.Requester.Account)
-	for _, v := range vms[:min(len(vms), maxHolderCandidates)] {
+	holders := f.options.HoldersFunc(request.Server, request.Requester.Account)
+	candidates := slices.Clone(holders[:min(len(holders), maxHolderCandidates)])
+	reserves := f.options.ReservesFunc(request.Server, request.Requester.Account)
+	if slices.ContainsFunc(reserves, func(v member.VM) bool { return v.Name == f.options.Self }) {
+		reserves = nil
+	}
+	for _, v := range append(candidates, reserves...) {
 		if v.Name == f.options.Self {
 			return nil
 		}
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -124,7 +124,8 @@
 	openedVM := ""
 	f := New(Options{
 		Self: "self", Clock: c.Clock(), Log: log.New(io.Discard),
-		HoldersFunc: func(database.Server, string) []member.VM { return []member.VM{{Name: "first"}, {Name: "second"}} },
+		HoldersFunc:  func(database.Server, string) []member.VM { return []member.VM{{Name: "first"}, {Name: "second"}} },
+		ReservesFunc: func(database.Server, string) []member.VM { return []member.VM{{Name: "self"}} },
 		OpenFunc: func(_ context.Context, v member.VM) (inner.Exchange, error) {
 			openedVM = v.Name
 			if s.Unreachable {
@@ -171,8 +172,9 @@
 	h := &scriptedHolder{clock: c, results: []result{{Answer: true}, {Answer: true}}}
 	f := New(Options{
 		Self: "self", Clock: c.Clock(), Log: log.New(io.Discard),
-		HoldersFunc: func(database.Server, string) []member.VM { return []member.VM{{Name: "first"}} },
-		OpenFunc:    func(context.Context, member.VM) (inner.Exchange, error) { return h.exchange(), nil },
+		HoldersFunc:  func(database.Server, string) []member.VM { return []member.VM{{Name: "first"}} },
+		ReservesFunc: func(database.Server, string) []member.VM { return []member.VM{{Name: "self"}} },
+		OpenFunc:     func(context.Context, member.VM) (inner.Exchange, error) { return h.exchange(), nil },
 	})
 	r := f.Remote(context.Background(), database.ConnRequest{Group: "g", Server: database.Server{ID: "p"}})
 	if _, err := r.RunFunc(database.Request{ID: "x", Text: "WRITE 1 a", Timeout: 2000, IsCommit: true, ReleaseAfter: true}, database.SessionState{}); err != nil {
@@ -192,7 +194,8 @@
 	c := clock.NewFake(0)
 	f := New(Options{
 		Self: "self", Clock: c.Clock(), Log: log.New(io.Discard),
-		HoldersFunc: func(database.Server, string) []member.VM { return []member.VM{{Name: "first"}, {Name: "second"}} },
+		HoldersFunc:  func(database.Server, string) []member.VM { return []member.VM{{Name: "first"}, {Name: "second"}} },
+		ReservesFunc: func(database.Server, string) []member.VM { return []member.VM{{Name: "self"}} },
 		OpenFunc: func(context.Context, member.VM) (inner.Exchange, error) {
 			return inner.Exchange{}, errors.New("no route")
 		},
--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -79,6 +79,7 @@
 	f.directoryHash = hash
 	f.mu.Unlock()
 	if changed {
+		f.holderCache.clear()
 		f.updateGroups()
 		f.mesh.GossipSoon()
 	}
@@ -178,9 +179,10 @@
 		Name: name, Zone: o.Self.Zone, Region: o.Self.Region, Clock: o.Clock, Log: o.Log,
 		Protocol: o.Protocol, Counters: f.counters, Trace: o.Trace, SyncReplicas: syncReplicas, DrainTimeout: o.DrainPeriod / drainDivisor,
 		MaxConnsFunc: func(s database.Server) int { return f.connLimits(s).maxConns },
-		MaxIdleFunc:  func(s database.Server) int { return f.connLimits(s).maxIdle }, HolderCountFunc: func(s database.Server) int { return len(f.holderCache.holdersOf(s)) }, RemoteConnFunc: f.forwarder.Remote,
+		MaxIdleFunc:  func(s database.Server) int { return f.connLimits(s).maxIdle }, HolderCountFunc: func(s database.Server) int { return len(f.holderCache.vmsOf(s).holders) }, RemoteConnFunc: f.forwarder.Remote,
 		Self: o.Self.Name, LiveVMsFunc: func() []string { return vmNames(f.mesh.Alive()) },
-		RegionVMsFunc: f.regionVMs, ExpectedVMCountFunc: f.mesh.KnownCount, RefreshVMsFunc: f.mesh.RefreshVMs,
+		ProbersFunc:    func() []string { return f.probers(name) },
+		CandidatesFunc: func() []string { return f.candidates(name) }, ExpectedVMCountFunc: f.mesh.KnownCount, RefreshVMsFunc: f.mesh.RefreshVMs,
 		RefreshDirectoryFunc: f.readDirectory,
 		GossipFunc:           f.mesh.GossipSoon, RegionGossipFunc: f.mesh.RegionGossipSoon, StoppingFunc: f.stopping.Load, Claims: o.Claims,
 	})
--- a/internal/serve/frontend/holders.go
+++ b/internal/serve/frontend/holders.go
@@ -24,9 +24,9 @@
 	// restartConnsPerSlot is the number of connections for each slot of a server that
 	// must be free for the VMs that start after the loss of all VMs.
 	restartConnsPerSlot = 5.0
-	// nonHolderShare is the share of a server's connections that the VMs which are not
-	// its holders may use together while no holder serves them.
-	nonHolderShare = 0.2
+	// reserveShare is the share of a server's connections that its reserves may use
+	// together while no holder can be reached.
+	reserveShare = 0.2
 )
 
 func (f *Frontend) newForwarder() *forward.Forwarder {
@@ -34,7 +34,10 @@
 	return forward.New(forward.Options{
 		Self: o.Self.Name, Clock: o.Clock, Log: o.Log, Trace: o.Trace,
 		HoldersFunc: func(s database.Server, account string) []member.VM {
-			return member.RankHolders(f.holderCache.holdersOf(s), s.ID, account)
+			return member.RankHolders(f.holderCache.vmsOf(s).holders, s.ID, account)
+		},
+		ReservesFunc: func(s database.Server, account string) []member.VM {
+			return member.RankHolders(f.holderCache.vmsOf(s).reserves, s.ID, account)
 		},
 		OpenFunc: func(ctx context.Context, v member.VM) (inner.Exchange, error) {
 			t := f.transport.Load()
@@ -47,13 +50,20 @@
 	})
 }
 
-// holderCache caches the holders of each server for one list of VMs. setMembers must be
-// called before holdersOf.
+// serverVMs holds the VMs that may open connections to a server.
+type serverVMs struct {
+	holders  []member.VM
+	reserves []member.VM
+}
+
+// holderCache caches the holders of each server, and of each group, for one list of VMs and
+// one directory. setMembers must be called before the others.
 type holderCache struct {
 	mu      sync.Mutex
 	members []member.VM
-	// holders is by the server's ID.
-	holders map[string][]member.VM
+	// servers is by the server's ID, groups by the name of the group.
+	servers map[string]serverVMs
+	groups  map[string][]member.VM
 }
 
 // setMembers replaces the list of VMs and empties the cache, unless the list is the same.
@@ -61,20 +71,84 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !slices.Equal(c.members, members) {
-		c.members, c.holders = members, map[string][]member.VM{}
+		c.members = members
+		c.clearLocked()
 	}
 }
 
-// holdersOf returns the VMs that hold the connections to a server.
-func (c *holderCache) holdersOf(s database.Server) []member.VM {
+// clear empties the cache. It is called when the directory has changed.
+func (c *holderCache) clear() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list, ok := c.holders[s.ID]
+	c.clearLocked()
+}
+
+func (c *holderCache) clearLocked() {
+	c.servers, c.groups = map[string]serverVMs{}, map[string][]member.VM{}
+}
+
+// vmsOf returns the VMs that may open connections to a server.
+func (c *holderCache) vmsOf(s database.Server) serverVMs {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.vmsOfLocked(s)
+}
+
+func (c *holderCache) vmsOfLocked(s database.Server) serverVMs {
+	v, ok := c.servers[s.ID]
 	if !ok {
-		list = member.Holders(c.members, member.HolderQuery{Server: s.ID, Zone: s.Zone, Region: s.Region, MaxHolders: maxHolders})
-		c.holders[s.ID] = list
+		q := member.HolderQuery{Server: s.ID, Zone: s.Zone, Region: s.Region, MaxHolders: maxHolders}
+		v.holders = member.Holders(c.members, q)
+		v.reserves = member.Reserves(c.members, v.holders, q)
+		c.servers[s.ID] = v
 	}
-	return list
+	return v
+}
+
+// groupHolders returns the VMs that hold connections to any server of a group, each once.
+func (c *holderCache) groupHolders(group string, directory []database.Server) []member.VM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if out, ok := c.groups[group]; ok {
+		return out
+	}
+	var out []member.VM
+	for _, s := range directory {
+		if s.Group != group {
+			continue
+		}
+		for _, v := range c.vmsOfLocked(s).holders {
+			if !slices.Contains(out, v) {
+				out = append(out, v)
+			}
+		}
+	}
+	c.groups[group] = out
+	return out
+}
+
+// candidates returns the VMs that may replace the primary of a group: all while relays are
+// not used, else those that hold connections to its servers.
+func (f *Frontend) candidates(group string) []string {
+	if !f.mesh.UsesRelays() {
+		return nil
+	}
+	return vmNames(f.groupHolders(group))
+}
+
+// probers returns the VMs of this region that probe the servers of a group.
+func (f *Frontend) probers(group string) []string {
+	if !f.mesh.UsesRelays() {
+		return f.regionVMs()
+	}
+	return vmNames(slices.DeleteFunc(slices.Clone(f.groupHolders(group)), func(v member.VM) bool { return v.Region != f.options.Self.Region }))
+}
+
+func (f *Frontend) groupHolders(group string) []member.VM {
+	f.mu.Lock()
+	directory := f.directory
+	f.mu.Unlock()
+	return f.holderCache.groupHolders(group, directory)
 }
 
 // beginRound begins a round of gossip: it brings the limiter's usages and the VMs from
@@ -103,20 +177,22 @@
 	return connLimits{maxConns: maxConns, maxIdle: min(max(maxIdle, 1), maxConns)}
 }
 
-// connLimits returns this VM's bounds on connections to a server: those of a holder, or
-// a small share without kept idle connections if it is not one. Both bounds are 1 while
-// there is no catalog.
+// connLimits returns this VM's bounds on connections to a server: those of a holder, a small
+// share without kept idle connections for a reserve, and none for any other VM. Both bounds
+// are 1 while there is no catalog.
 func (f *Frontend) connLimits(s database.Server) connLimits {
 	c := f.catalog.Load()
 	if c == nil {
 		return connLimits{maxConns: 1, maxIdle: 1}
 	}
 	g, _ := c.Group(s.Group)
-	holders := f.holderCache.holdersOf(s)
-	for _, v := range holders {
-		if v.Name == f.options.Self.Name {
-			return holderConnLimits(g.MaxConnections, s.Slots, len(holders))
-		}
+	vms := f.holderCache.vmsOf(s)
+	isSelf := func(v member.VM) bool { return v.Name == f.options.Self.Name }
+	switch {
+	case slices.ContainsFunc(vms.holders, isSelf):
+		return holderConnLimits(g.MaxConnections, s.Slots, len(vms.holders))
+	case slices.ContainsFunc(vms.reserves, isSelf):
+		return connLimits{maxConns: max(int(reserveShare*float64(g.MaxConnections)/float64(len(vms.reserves))), 1)}
 	}
-	return connLimits{maxConns: max(int(nonHolderShare*float64(g.MaxConnections)/float64(f.mesh.KnownCount())), 1)}
+	return connLimits{}
 }
