--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -17,8 +17,8 @@
 	// directoryInterval is the pause between two reads of the directory, in
 	// milliseconds.
 	directoryInterval = 2500 * clock.Millis(1)
-	// directoryMaxAge is the age, in milliseconds, from which a VM that is not the
-	// first relay of its zone reads the directory itself.
+	// directoryMaxAge is the age, in milliseconds, from which a VM reads the directory
+	// although another one reads it for the region.
 	directoryMaxAge = 4500 * clock.Millis(1)
 	// directoryRetryInterval is the pause between two reads until the first one
 	// succeeds, in milliseconds.
@@ -29,9 +29,9 @@
 	drainDivisor = 2
 )
 
-// pollDirectory reads the directory periodically until the context ends. The first
-// relay of a zone reads it for the other VMs of the zone, which read it themselves
-// only when theirs is directoryMaxAge old.
+// pollDirectory reads the directory periodically until the context ends. One VM of a region
+// reads it for the others, which read it themselves only when theirs is directoryMaxAge
+// old.
 func (f *Frontend) pollDirectory(ctx context.Context) {
 	pause := directoryRetryInterval
 	for ctx.Err() == nil {
@@ -56,8 +56,7 @@
 
 // shouldReadDirectory reports whether this VM has to read the directory itself now.
 func (f *Frontend) shouldReadDirectory() bool {
-	self := f.options.Self
-	if f.mesh.IsFirstRelay(self.Name, self.Zone) {
+	if f.mesh.ReadsForRegion() {
 		return true
 	}
 	f.mu.Lock()
--- a/internal/serve/frontend/follow.go
+++ b/internal/serve/frontend/follow.go
@@ -17,6 +17,9 @@
 	// gossip brings its configuration to the other VMs.
 	storeWait      = 25 * clock.Second
 	relayStoreWait = 3 * clock.Second
+	// followInterval is the pause between two checks whether a relay still keeps this VM
+	// up to date, in milliseconds.
+	followInterval = clock.Millis(400)
 	// errorRetryDelay is the pause after a failed call, in milliseconds.
 	errorRetryDelay = clock.Millis(300)
 )
@@ -39,10 +42,17 @@
 }
 
 // followConfiguration reads the configuration from the store and adopts each change until
-// the context ends. After an error it reads the whole configuration again.
+// the context ends. After an error it reads the whole configuration again. It makes no calls
+// while a relay keeps this VM up to date.
 func (f *Frontend) followConfiguration(ctx context.Context) {
 	version, hasVersion := uint64(0), false
 	for ctx.Err() == nil {
+		if f.catalog.Load() != nil && f.mesh.FollowsRelay() {
+			// The changes that the relay reports are fetched from it.
+			hasVersion = false
+			_ = f.options.Clock.Sleep(ctx, followInterval)
+			continue
+		}
 		var text []byte
 		var err error
 		if hasVersion {
--- a/internal/serve/gossip/list.go
+++ b/internal/serve/gossip/list.go
@@ -9,11 +9,12 @@
 )
 
 const (
-	// listInterval is the pause between two reads of the list of VMs, in milliseconds,
-	// and listStartInterval the same while this VM is not registered or receives
-	// messages from no other.
+	// listInterval is the pause between two reads of the list of VMs, in milliseconds. It
+	// is listAloneInterval while this VM receives messages from no other, and
+	// listStartInterval while it is not registered or knows of no other.
 	listInterval      = 40 * clock.Second
 	listStartInterval = clock.Millis(700)
+	listAloneInterval = clock.Millis(2500)
 )
 
 // RunRegistration registers this VM and reads the list of VMs periodically until the
@@ -24,12 +25,20 @@
 		if err == nil {
 			m.register(ctx, slices.Contains(vms, m.options.Self))
 		}
-		pause := listInterval
-		if !m.Registered() || len(m.Alive()) == 1 {
-			pause = listStartInterval
-		}
-		_ = m.options.Clock.Sleep(ctx, pause)
+		_ = m.options.Clock.Sleep(ctx, m.listPause(len(vms)))
+	}
+}
+
+// listPause returns the pause before the next read of the list, after one that had this many
+// VMs. A VM that knows others gets their messages soon.
+func (m *Mesh) listPause(listed int) clock.Millis {
+	switch {
+	case m.Registered() && len(m.Alive()) > 1:
+		return listInterval
+	case m.Registered() && listed > 1:
+		return listAloneInterval
 	}
+	return listStartInterval
 }
 
 // register registers this VM unless it is listed already, as after a restart. That saves
--- a/internal/serve/gossip/relay.go
+++ b/internal/serve/gossip/relay.go
@@ -43,6 +43,46 @@
 	return len(list) > 0 && list[0] == name
 }
 
+// ReadsForRegion reports whether this VM reads from the store what the VMs of its region need:
+// it is the first relay of the first zone of its region by name.
+func (m *Mesh) ReadsForRegion() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	first := m.options.Self.Zone
+	now := m.options.Clock.Now()
+	for _, p := range m.peers {
+		if p.vm.Region == m.options.Self.Region && p.vm.Zone != "" && p.vm.Zone < first && !p.isDown(now) {
+			first = p.vm.Zone
+		}
+	}
+	if first != m.options.Self.Zone {
+		return false
+	}
+	relays := overlay.Relays(m.nodesLocked(now), first)
+	return len(relays) > 0 && relays[0] == m.options.Self.Name
+}
+
+// FollowsRelay reports whether relays keep this VM up to date: it is a follower, and a
+// message came within the last inTouchTime.
+func (m *Mesh) FollowsRelay() bool {
+	if m.Role() != Follower {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.options.Clock.Now()
+	for _, p := range m.peers {
+		if now-p.lastReceived < inTouchTime {
+			return true
+		}
+	}
+	return false
+}
+
+// inTouchTime is the time without a message of a relay after which a VM reads the store
+// itself, in milliseconds.
+const inTouchTime = clock.Millis(1200)
+
 // Role is how a VM learns what the others know.
 type Role uint8
 
