--- a/internal/core/failover/failover_test.go
+++ b/internal/core/failover/failover_test.go
@@ -53,19 +53,20 @@
 // TestClaimDelays checks whether a VM may claim and how long it waits.
 func TestClaimDelays(t *testing.T) {
 	var scripts []struct {
-		Name     string        `yaml:"name"`
-		VMs      []string      `yaml:"vms"`
-		Lost     []string      `yaml:"lost"`
-		Known    int           `yaml:"known"`
-		Holder   string        `yaml:"holder"`
-		Claims   bool          `yaml:"claims"`
-		MinDelay clock.Millis  `yaml:"least"`
-		MaxDelay *clock.Millis `yaml:"most"`
+		Name       string        `yaml:"name"`
+		VMs        []string      `yaml:"vms"`
+		Lost       []string      `yaml:"lost"`
+		Known      int           `yaml:"known"`
+		Holder     string        `yaml:"holder"`
+		Claims     bool          `yaml:"claims"`
+		Candidates []string      `yaml:"candidates"`
+		MinDelay   clock.Millis  `yaml:"least"`
+		MaxDelay   *clock.Millis `yaml:"most"`
 	}
 	scripted.Read(t, "testdata/turns.yaml", &scripts)
 	for _, script := range scripts {
 		t.Run(script.Name, func(t *testing.T) {
-			votes := LossVotes{Self: "a", Alive: script.VMs, Lost: script.Lost, KnownVMs: script.Known, LastHolder: script.Holder}
+			votes := LossVotes{Self: "a", Alive: script.VMs, Lost: script.Lost, Candidates: script.Candidates, KnownVMs: script.Known, LastHolder: script.Holder}
 			delay, claims := votes.ClaimDelay("g")
 			if diff := cmp.Diff(script.Claims, claims); diff != "" {
 				t.Errorf("claims (-want +got):\n%s", diff)
--- a/internal/core/quota/bucket_test.go
+++ b/internal/core/quota/bucket_test.go
@@ -220,3 +220,30 @@
 		t.Errorf("%d operations ran in 20 s, want at most %d", count, want)
 	}
 }
+
+// TestLimitChanges checks that a higher burst adds its difference at once, that a lower one
+// takes what is above it, and that a change of one of the two values counts.
+func TestLimitChanges(t *testing.T) {
+	b := New(10, 20, 0)
+	got := []float64{b.tokens, b.WithLimit(10, 30, 0).tokens, b.WithLimit(10, 4, 0).tokens, b.WithLimit(5, 20, 0).rate}
+	if diff := cmp.Diff([]float64{10, 20, 4, 5}, got); diff != "" {
+		t.Errorf("tokens, with a higher and a lower burst, and the lower rate (-want +got):\n%s", diff)
+	}
+	full := b
+	full.credit = 8
+	if diff := cmp.Diff(4.0, full.WithLimit(10, 4, 0).credit); diff != "" {
+		t.Errorf("credit with a lower burst (-want +got):\n%s", diff)
+	}
+}
+
+// TestReturnsAreBounded checks that operations that are returned do not fill a bucket above
+// its burst, nor the credit above the tokens.
+func TestReturnsAreBounded(t *testing.T) {
+	b := New(10, 20, 0)
+	b.tokens, b.credit, b.spent = 20, 20, 1
+	b = b.WithReturn(0).WithReturn(0)
+	got := []float64{b.tokens, b.credit, float64(b.spent)}
+	if diff := cmp.Diff([]float64{20, 20, 0}, got); diff != "" {
+		t.Errorf("tokens, credit and spent (-want +got):\n%s", diff)
+	}
+}
--- a/internal/core/tenure/watch_test.go
+++ b/internal/core/tenure/watch_test.go
@@ -107,6 +107,43 @@
 	}
 }
 
+// TestRaiseFloor checks the floor of a read that must see a position of its session: the
+// position itself in the present term, and a known one of that term if it is of an earlier
+// one.
+func TestRaiseFloor(t *testing.T) {
+	w := New(1).WithTerm(3, "p").withSample(100, floor.ReplicationPosition{Term: 3, Position: 9})
+	own := func(term floor.Term, position floor.Position) floor.ReplicationPosition {
+		return floor.ReplicationPosition{Term: term, Position: position}
+	}
+	var got []string
+	for _, c := range [][2]floor.ReplicationPosition{
+		{own(3, 7), {}}, {own(3, 7), own(3, 4)}, {own(3, 7), own(3, 12)}, {own(3, 7), own(2, 50)}, {{}, own(2, 50)},
+	} {
+		f, ok := w.RaiseFloor(c[0], c[1])
+		if !ok {
+			t.Errorf("the floor for %s is not known", c[1])
+		}
+		got = append(got, f.String())
+	}
+	if diff := cmp.Diff([]string{"3/7", "3/7", "3/12", "3/7", "3/9"}, got); diff != "" {
+		t.Errorf("floors (-want +got):\n%s", diff)
+	}
+	if _, ok := New(1).WithTerm(3, "p").RaiseFloor(floor.ReplicationPosition{}, own(2, 50)); ok {
+		t.Error("a floor is known without a position of the term")
+	}
+}
+
+// TestFirstSample checks that the oldest sample counts where no later one does.
+func TestFirstSample(t *testing.T) {
+	w := New(1).WithTerm(3, "p").withSample(100, floor.ReplicationPosition{Term: 3, Position: 9})
+	before, at := false, false
+	_, before = w.PositionAt(99)
+	_, at = w.PositionAt(100)
+	if diff := cmp.Diff([]bool{false, true}, []bool{before, at}); diff != "" {
+		t.Errorf("position known before and at the sample (-want +got):\n%s", diff)
+	}
+}
+
 // group is the oracle: the true state of a database group with a primary and two
 // replicas, in which a commit needs one replica.
 type group struct {
