Forget after five seconds that a VM was down, and see a silent zone from any relay

Found by the new tests of the mesh: two relays that had been cut off from each other counted each other as down for ever, since neither sent to the other any more, and a relay did not itself count the VMs of a silent zone as gone. TestSummariesCarryDownVMs and TestSilentZone fail without the change.

--- a/internal/serve/gossip/down.go
+++ b/internal/serve/gossip/down.go
@@ -50,46 +50,43 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.options.Clock.Now()
-	heard := map[member.Zone]bool{m.options.Self.Zone: true}
 	var out downList
 	for name, p := range m.peers {
-		switch {
-		case now-p.lastReceived < SilenceTimeout:
-			heard[p.vm.Zone] = true
-		case p.vm.Zone == m.options.Self.Zone && p.isDown(now):
+		if p.vm.Zone == m.options.Self.Zone && p.isDown(now) {
 			out.vms = append(out.vms, name)
 		}
 	}
 	if s == inner.ScopeAll {
-		for _, p := range m.peers {
-			zone := p.vm.Zone
-			if !heard[zone] && zone != "" && m.isZoneSilentLocked(zone, now) && !slices.Contains(out.zones, zone) {
-				out.zones = append(out.zones, zone)
-			}
-		}
+		out.zones = m.silentZonesLocked(now)
 		for zone, r := range m.downReports {
-			if zone != m.options.Self.Zone && heard[zone] && now-r.received < downReportMaxAge {
+			if zone != m.options.Self.Zone && !slices.Contains(out.zones, zone) && now-r.received < downReportMaxAge {
 				out.vms = slices.AppendSeq(out.vms, maps.Keys(r.vms))
 			}
 		}
 	}
 	slices.Sort(out.vms)
-	slices.Sort(out.zones)
 	for out.size() > maxDownSize && len(out.vms) > 0 {
 		out.vms = out.vms[:len(out.vms)-1]
 	}
 	return out
 }
 
-// isZoneSilentLocked reports whether a VM of a zone has left messages unanswered, so that
-// the zone is known to be silent. The caller holds the lock.
-func (m *Mesh) isZoneSilentLocked(zone member.Zone, now clock.Millis) bool {
+// silentZonesLocked returns the other zones from which no message came within SilenceTimeout
+// although one was sent there, sorted. The caller holds the lock.
+func (m *Mesh) silentZonesLocked(now clock.Millis) []member.Zone {
+	heard, asked := map[member.Zone]bool{m.options.Self.Zone: true, "": true}, map[member.Zone]bool{}
 	for _, p := range m.peers {
-		if p.vm.Zone == zone && p.isDown(now) {
-			return true
+		heard[p.vm.Zone] = heard[p.vm.Zone] || now-p.lastReceived < SilenceTimeout
+		asked[p.vm.Zone] = asked[p.vm.Zone] || p.isDown(now)
+	}
+	var out []member.Zone
+	for zone := range asked {
+		if asked[zone] && !heard[zone] {
+			out = append(out, zone)
 		}
 	}
-	return false
+	slices.Sort(out)
+	return out
 }
 
 // mergeDown records the VMs that a relay reports as down: those of its own zone or, in a
--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -92,11 +92,16 @@
 }
 
 // isDown reports whether the VM is leaving, or has left maxUnanswered rounds with a message
-// to it unanswered and counts as down.
+// to it unanswered and counts as down. Once no message was sent to it for downMaxAge, it may
+// have come back.
 func (p *peer) isDown(now clock.Millis) bool {
-	return p.leaving || now-p.lastReceived >= SilenceTimeout && p.unanswered >= maxUnanswered
+	silent := now-p.lastReceived >= SilenceTimeout && p.unanswered >= maxUnanswered
+	return p.leaving || silent && now-p.lastSent < downMaxAge
 }
 
+// downMaxAge is how long a VM counts as down after the last message to it, in milliseconds.
+const downMaxAge = 5 * clock.Second
+
 // maxUnanswered is the number of unanswered rounds from which a silent VM is known to be
 // down. Until then it may only be starting.
 const maxUnanswered = 6
@@ -195,10 +200,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.options.Clock.Now()
+	silentZones := m.silentZonesLocked(now)
+	presumed := func(p *peer) bool {
+		return m.usesRelaysLocked() && !p.isDown(now) && !m.reportedDownLocked(p.vm, now) && !slices.Contains(silentZones, p.vm.Zone)
+	}
 	out := []member.VM{m.options.Self}
 	for _, p := range m.peers {
 		alive := now-p.lastReceived < SilenceTimeout && !p.leaving
-		if p.vm.Zone != "" && (alive || m.usesRelaysLocked() && !p.isDown(now) && !m.reportedDownLocked(p.vm, now)) {
+		if p.vm.Zone != "" && (alive || presumed(p)) {
 			out = append(out, p.vm)
 		}
 	}
