Refuse at once what would wait too long, by the place in the fair order

A request was queued if the whole queue, times the time of an answer, by the window, fit its wait; its own place in the fair order did not count, and the window promises more than the server's slots. So requests of an account that asks too much waited for nothing, and one of a calm account could be refused behind them. The wait is now the number of requests ahead of it, times the measured time from one to the next, with a margin of 0.4. An operation that is refused for that is not tried four more times before its caller is told: a read goes to the servers that it has not tried, at once.

--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -55,6 +55,25 @@
 // Len returns the number of waiting items.
 func (q *Queue) Len() int { return q.length }
 
+// Ahead returns how many of the waiting items would be taken before an item of an account
+// that was pushed now. Items pushed later may still overtake it.
+func (q *Queue) Ahead(account string) int {
+	start := q.virtualTime
+	if l := q.accounts[account]; l != nil {
+		start = max(start, l.finish)
+	}
+	ahead := 0
+	for _, l := range q.ready {
+		for _, it := range l.items {
+			if it.start > start {
+				break
+			}
+			ahead++
+		}
+	}
+	return ahead
+}
+
 // Push adds an item, and reports false when its account's queue is full.
 func (q *Queue) Push(it *Item) bool {
 	l := q.accounts[it.Account]
--- a/internal/core/fair/fair_test.go
+++ b/internal/core/fair/fair_test.go
@@ -180,3 +180,47 @@
 		t.Errorf("%d account queues are kept for %d items", n, q.Len())
 	}
 }
+
+// TestAhead checks the number of items before a new one: all of an account that has many
+// waiting, and few for another account.
+func TestAhead(t *testing.T) {
+	q := New(100)
+	for range 20 {
+		q.Push(&Item{Account: "flood", Cost: 1, Weight: 1})
+	}
+	q.Push(&Item{Account: "calm", Cost: 1, Weight: 1})
+	got := []int{q.Ahead("flood"), q.Ahead("calm"), q.Ahead("other"), New(1).Ahead("other")}
+	if diff := cmp.Diff([]int{21, 3, 2, 0}, got); diff != "" {
+		t.Errorf("items ahead of one of flood, calm and other, and in an empty queue (-want +got):\n%s", diff)
+	}
+}
+
+// TestAheadAgainstPops pushes items of random accounts and checks that as many items as
+// Ahead told are taken before the last one.
+func TestAheadAgainstPops(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(1000)
+		account := rapid.SampledFrom([]string{"a", "b", "c", "d"})
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			if rapid.IntRange(0, 3).Draw(t, "step") == 0 {
+				q.Pop()
+				continue
+			}
+			q.Push(&Item{Account: account.Draw(t, "account"), Cost: 1, Weight: rapid.IntRange(1, 8).Draw(t, "weight")})
+		}
+		last := &Item{Account: account.Draw(t, "account"), Cost: 1, Weight: rapid.IntRange(1, 8).Draw(t, "weight")}
+		ahead, ties := q.Ahead(last.Account), 0
+		q.Push(last)
+		taken := 0
+		for it := q.Pop(); it != last; it = q.Pop() {
+			taken++
+		}
+		// Items of equal start are ordered by account, so some may come after the last one.
+		for it := q.Pop(); it != nil && it.start == last.start; it = q.Pop() {
+			ties++
+		}
+		if ahead < taken || ahead > taken+ties {
+			t.Errorf("%d items were taken before the last one, %d more start with it; told %d", taken, ties, ahead)
+		}
+	})
+}
--- a/internal/serve/database/pool.go
+++ b/internal/serve/database/pool.go
@@ -16,6 +16,9 @@
 const (
 	// avoidTime is how long reads avoid a server that did not answer.
 	avoidTime = clock.Millis(300)
+	// waitMargin is how much longer than expected a wait may become, so that few of those
+	// who wait are refused in the end.
+	waitMargin = 1.4
 	// queueLimit is the number of requests of one account that may wait for a server.
 	queueLimit = 64
 )
@@ -73,6 +76,11 @@
 	// latencyAt.
 	latency   float64
 	latencyAt clock.Millis
+	// drainTime is a moving average of the time in milliseconds from one request that
+	// leaves the queue to the next; it is 0 while the queue has been empty. drainedAt is
+	// the time of the last one, or 0.
+	drainTime float64
+	drainedAt clock.Millis
 	// avoidUntil is the time until which reads avoid the server.
 	avoidUntil clock.Millis
 	// answeredAt and failedAt are the times of the last answer and the last failure.
@@ -211,7 +219,7 @@
 	if p.closed {
 		return nil, ErrUnknownServer
 	}
-	if p.queue.Len() > 0 && p.expectedWait() > float64(wait) {
+	if p.queue.Len() > 0 && p.expectedWait(account)*waitMargin > float64(wait) {
 		return nil, ErrPoolTimeout
 	}
 	item := &fair.Item{Account: account, Weight: weight, Cost: 1, Value: &waiter{ready: make(chan *PooledConn, 1)}}
@@ -222,10 +230,28 @@
 	return item, nil
 }
 
-// expectedWait returns the expected time in milliseconds for a new request to pass
-// the queue. The caller holds p.mu.
-func (p *pool) expectedWait() float64 {
-	return p.latency * float64(p.queue.Len()) / max(min(p.window, float64(p.open)), 1)
+// expectedWait returns the expected time in milliseconds for a new request of an account to
+// pass the queue. The caller holds p.mu.
+func (p *pool) expectedWait(account string) float64 {
+	// The first request leaves the queue when a statement that runs ends.
+	ahead := float64(p.queue.Ahead(account) + 1)
+	return ahead * max(p.drainTime, p.latency/max(min(p.window, float64(p.open)), 1))
+}
+
+// recordDrain measures the time between two requests that leave the queue. The caller holds
+// p.mu.
+func (p *pool) recordDrain(now clock.Millis) {
+	if p.drainedAt > 0 {
+		elapsed := float64(now - p.drainedAt)
+		if p.drainTime == 0 {
+			p.drainTime = elapsed
+		}
+		p.drainTime += latencyWeight * (elapsed - p.drainTime)
+	}
+	p.drainedAt = now
+	if p.queue.Len() == 0 {
+		p.drainTime, p.drainedAt = 0, 0
+	}
 }
 
 // dispatch grants connections, or the right to open one (a PooledConn without conn),
@@ -240,6 +266,7 @@
 			return
 		}
 		item := p.queue.Pop()
+		p.recordDrain(p.group.options.Clock.Now())
 		pc := p.takeIdle(item.Account)
 		switch {
 		case pc != nil:
--- a/internal/serve/session/run.go
+++ b/internal/serve/session/run.go
@@ -39,12 +39,16 @@
 	tried map[string]bool
 	// attempts counts the failed attempts.
 	attempts int
-	// readOnly is set for a read outside a transaction.
-	readOnly bool
+	// readOnly is set for a read outside a transaction, and anyServer if other servers than
+	// the primary may run the operation.
+	readOnly  bool
+	anyServer bool
 	// maybeRunning is set while a statement may be running at a server.
 	maybeRunning bool
-	// lastReason is why the last attempt failed.
+	// lastReason is why the last attempt failed; overloaded is set once one failed because
+	// the wait was too long.
 	lastReason string
+	overloaded bool
 }
 
 func (s *session) newOperation(st statement.Statement) *operation {
@@ -85,10 +89,20 @@
 }
 
 // retry records why an attempt failed and reports whether another may follow, after a
-// pause of retryPause.
-func (op *operation) retry(ctx context.Context, reason string) bool {
-	op.lastReason = reason
+// pause of retryPause. After an overload none follows, since the wait that the operation may
+// afford is over or known to be too long; a read goes on at once while there are servers
+// that it has not tried.
+func (op *operation) retry(ctx context.Context, cause error) bool {
+	op.lastReason = cause.Error()
 	op.attempts++
+	if errors.Is(cause, database.ErrPoolTimeout) {
+		op.overloaded = true
+		return op.anyServer && op.attempts < maxAttempts && op.remaining() > 0
+	}
+	if op.overloaded && errors.Is(cause, database.ErrNoServer) {
+		op.lastReason = database.ErrPoolTimeout.Error()
+		return false
+	}
 	if op.attempts >= maxAttempts || op.maxWait() <= retryPause {
 		return false
 	}
@@ -127,11 +141,11 @@
 
 // read runs a single read, and retries it on another server if one fails.
 func (op *operation) read(ctx context.Context) statement.Answer {
-	op.readOnly = true
+	op.readOnly, op.anyServer = true, op.session.route.Guarantee != catalog.StrongConsistency
 	for {
 		conn, f, err := op.acquire(ctx, false)
 		if err != nil {
-			if op.retry(ctx, err.Error()) {
+			if op.retry(ctx, err) {
 				continue
 			}
 			return op.refuseNotRun()
@@ -145,7 +159,7 @@
 			return op.passError(conn, a)
 		case err != nil && op.remaining() <= 0:
 			return op.session.refuse(op.statement, statement.Timeout, "the read took too long")
-		case !op.retry(ctx, failureReason(a, err)):
+		case !op.retry(ctx, failure(a, err)):
 			return op.refuseNotRun()
 		}
 	}
@@ -157,7 +171,7 @@
 	for {
 		conn, _, err := op.acquire(ctx, true)
 		if err != nil {
-			if op.retry(ctx, err.Error()) {
+			if op.retry(ctx, err) {
 				continue
 			}
 			return op.refuseNotRun()
@@ -169,7 +183,7 @@
 		conn.Release()
 		switch {
 		case errors.Is(err, errUnsent):
-			if !op.retry(ctx, err.Error()) {
+			if !op.retry(ctx, err) {
 				return op.refuseNotRun()
 			}
 		case err != nil:
@@ -178,7 +192,7 @@
 			return a.WithStatus(statement.Idle)
 		case !a.Code.NotRun():
 			return op.passError(conn, a)
-		case !op.retry(ctx, failureReason(a, nil)):
+		case !op.retry(ctx, failure(a, nil)):
 			return op.refuseNotRun()
 		}
 	}
@@ -200,17 +214,29 @@
 	return a.WithStatus(statement.Idle)
 }
 
-// failureReason returns why an attempt failed: its error, or else the refusal a.
-func failureReason(a statement.Answer, err error) string {
+// failure returns why an attempt failed: its error, or else the refusal a.
+func failure(a statement.Answer, err error) error {
 	if err != nil {
-		return err.Error()
+		return err
 	}
-	return "the backend server refused: " + a.Detail
+	return errors.New("the backend server refused: " + a.Detail)
 }
 
 // errUnsent means that an attempt failed before the statement itself was sent.
 var errUnsent = errors.New("the session could not be set up at the backend server")
 
+// unsentError is an errUnsent with the error of the layer below.
+type unsentError struct{ cause error }
+
+// Error implements error.
+func (e *unsentError) Error() string { return e.cause.Error() }
+
+// Is reports that it is an errUnsent.
+func (e *unsentError) Is(target error) bool { return target == errUnsent }
+
+// Unwrap returns the cause.
+func (e *unsentError) Unwrap() error { return e.cause }
+
 // send sets up the server's session and runs the statement. An error that wraps
 // errUnsent means that the statement was not sent, any other that its outcome is
 // unknown.
@@ -231,7 +257,7 @@
 	a, err := conn.Run(database.Request{ID: op.statement.ID, Text: text, Floor: f, Timeout: timeout, IsCommit: single && !op.readOnly, ReleaseAfter: single, Parent: op.session.parent})
 	if database.IsUnsent(err) {
 		op.maybeRunning = false
-		return a, errors.Wrap(errUnsent, err.Error())
+		return a, &unsentError{cause: err}
 	}
 	// A read may run twice. Any other statement may still be running unless the server
 	// reported that it succeeded or did not run.
--- a/internal/serve/session/transaction.go
+++ b/internal/serve/session/transaction.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 
+	"github.com/go-faster/errors"
+
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
 )
 
 // transaction is a caller's open transaction. It has a connection from its first
@@ -126,10 +129,11 @@
 func (s *session) runFirst(ctx context.Context, st statement.Statement) statement.Answer {
 	op := s.newOperation(st)
 	readOnly := s.txn.begin.Kind == statement.BeginReadOnly
+	op.anyServer = readOnly && s.route.Guarantee != catalog.StrongConsistency
 	for {
 		conn, f, err := op.acquire(ctx, !readOnly)
 		if err != nil {
-			if op.retry(ctx, err.Error()) {
+			if op.retry(ctx, err) {
 				continue
 			}
 			s.refund()
@@ -147,7 +151,7 @@
 			s.txn.failed = true
 			return a.WithStatus(statement.FailedTransaction)
 		}
-		if !op.retry(ctx, failureReason(a, err)) {
+		if !op.retry(ctx, failure(a, err)) {
 			s.refund()
 			return s.refuse(st, statement.Aborted, op.lastReason+"; try again in 1 s")
 		}
@@ -206,12 +210,15 @@
 			conn.MarkBroken()
 			conn.Release()
 		}
-		if !op.retry(ctx, "no backend server took the transaction") {
+		if !op.retry(ctx, errNotTaken) {
 			return s.refuse(st, statement.Aborted, op.lastReason+"; try again in 1 s")
 		}
 	}
 }
 
+// errNotTaken means that no server began a transaction.
+var errNotTaken = errors.New("no backend server took the transaction")
+
 // commitServer commits at the server. It releases the connection after a success, and
 // closes it otherwise. The outcome is unknown if the answer to a commit with writes is
 // lost.
