--- a/internal/serve/database/leader_test.go
+++ b/internal/serve/database/leader_test.go
@@ -22,7 +22,9 @@
 	g := f.group(t, 4)
 	g.options.RemoteConnFunc = func(context.Context, ConnRequest) *RemoteConn {
 		return &RemoteConn{
-			RunFunc:   func(Request, SessionState) (statement.Answer, error) { return statement.LocalSuccess(statement.Idle), err },
+			RunFunc: func(Request, SessionState) (statement.Answer, error) {
+				return statement.LocalSuccess(statement.Idle), err
+			},
 			CloseFunc: func() {},
 		}
 	}
--- /dev/null
+++ b/internal/serve/database/primary.go
@@ -0,0 +1,134 @@
+package database
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
+)
+
+// ErrNoPrimary means that no server may be used as the primary now.
+var ErrNoPrimary = errors.New("the database group has no confirmed primary now")
+
+// AcquirePrimary returns a connection to the primary. It waits at most wait
+// milliseconds, without the time to open the connection. It returns ErrNoPrimary, or an
+// error of the pool. This VM needs no lease if another one holds the connection, which
+// looks at its own.
+func (g *Group) AcquirePrimary(ctx context.Context, r Requester, wait clock.Millis) (*PooledConn, error) {
+	c := g.options.Clock
+	deadline := c.Now() + wait
+	p, err := g.awaitPrimary(ctx, deadline, false)
+	if err != nil {
+		return nil, err
+	}
+	request := ConnRequest{Group: g.options.Name, Server: p.entry(), Requester: r, Primary: true, Wait: deadline - c.Now()}
+	if pc := g.remoteConn(ctx, p, request); pc != nil {
+		return pc, nil
+	}
+	if p, err = g.awaitPrimary(ctx, deadline, true); err != nil {
+		return nil, err
+	}
+	pc, err := g.acquireOwn(ctx, p, r, deadline-c.Now())
+	if err != nil {
+		return nil, err
+	}
+	if !g.isConfirmedPrimary(p) {
+		pc.Release()
+		return nil, ErrNoPrimary
+	}
+	invariant.Check(!g.drainSlackExceeded(p.entry().ID), invariant.LeavingServer, "server %s would get new work after its drain timeout", p.entry().ID)
+	return pc, nil
+}
+
+// pastDrainLocked reports whether a server has been leaving for so long that it gets
+// no new work, even as the primary. The caller holds g.mu.
+func (g *Group) pastDrainLocked(server string, now clock.Millis) bool {
+	since, leaving := g.leavingSince[server]
+	return leaving && g.options.DrainTimeout > 0 && now-since >= g.options.DrainTimeout
+}
+
+// drainSlackExceeded reports whether a server's drain timeout passed more than
+// drainSlack ago. The slack allows for the time between the choice of the server and
+// this check.
+func (g *Group) drainSlackExceeded(server string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pastDrainLocked(server, g.options.Clock.Now()-drainSlack)
+}
+
+// drainSlack is the time allowed between the choice of a leaving server and the check
+// of its drain timeout, in milliseconds.
+const drainSlack = 2 * clock.Second
+
+// isConfirmedPrimary reports whether a pool's server may be used as the primary now:
+// its lease is valid and its drain timeout has not passed.
+func (g *Group) isConfirmedPrimary(p *pool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, leader := g.watch.Leader()
+	now := g.options.Clock.Now()
+	return leader == p.entry().ID && g.watch.LeaseValid(now) && !g.pastDrainLocked(leader, now)
+}
+
+// awaitPrimary waits until the group has a usable primary, and returns ErrNoPrimary
+// if it has none by the deadline or the context ends. Without needsLease the primary need
+// only be known, unless a holder has denied it since the last proof.
+func (g *Group) awaitPrimary(ctx context.Context, deadline clock.Millis, needsLease bool) (*pool, error) {
+	for {
+		g.mu.Lock()
+		now := g.options.Clock.Now()
+		p, usable := g.usablePrimaryLocked(now, needsLease)
+		ready := g.primaryReady
+		g.mu.Unlock()
+		if usable {
+			return p, nil
+		}
+		if now >= deadline {
+			return nil, ErrNoPrimary
+		}
+		fired, stop := g.options.Clock.AfterFunc(deadline - now)
+		select {
+		case <-ready:
+		case <-fired:
+		case <-ctx.Done():
+		}
+		stop()
+		if ctx.Err() != nil {
+			return nil, ErrNoPrimary
+		}
+	}
+}
+
+// usablePrimaryLocked returns the pool of the known primary and reports whether it may be
+// used; see awaitPrimary. The caller holds g.mu.
+func (g *Group) usablePrimaryLocked(now clock.Millis, needsLease bool) (*pool, bool) {
+	_, leader := g.watch.Leader()
+	p := g.pools[leader]
+	if p == nil || g.pastDrainLocked(leader, now) {
+		return nil, false
+	}
+	doubted := g.leaderDoubtedAt >= g.watch.ProvedAt() && g.leaderDoubtedAt != tenure.DistantPast
+	return p, g.watch.LeaseValid(now) && !doubted || !needsLease && !doubted
+}
+
+// doubtPrimary records that a holder does not take a server for the confirmed primary.
+func (g *Group) doubtPrimary(server string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, leader := g.watch.Leader(); leader == server {
+		g.leaderDoubtedAt = g.options.Clock.Now()
+	}
+}
+
+// awaitConfirmed waits until a server is confirmed as the primary. It returns ErrNoPrimary
+// if another one leads, the deadline passes or the context ends.
+func (g *Group) awaitConfirmed(ctx context.Context, p *pool, deadline clock.Millis) error {
+	confirmed, err := g.awaitPrimary(ctx, deadline, true)
+	if err == nil && confirmed != p {
+		return ErrNoPrimary
+	}
+	return err
+}
