--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -114,6 +114,10 @@
 	wakeup chan struct{}
 	done   chan struct{}
 	bytes  *metrics.Counter
+	// down counts the registered VMs that are not taken for running. loggedRole is the role
+	// that was logged last; only round uses it.
+	down       *metrics.Gauge
+	loggedRole Role
 
 	mu      sync.Mutex
 	peers   map[string]*peer
@@ -133,7 +137,7 @@
 	_, _ = rand.Read(raw[:])
 	return &Mesh{
 		options: o, process: binary.BigEndian.Uint64(raw[:]), wakeup: make(chan struct{}, 1), done: make(chan struct{}),
-		bytes: metrics.GetOrCreateCounter("sycamoredoor_gossip_bytes_total"), peers: map[string]*peer{}, downReports: map[member.Zone]downReport{},
+		bytes: metrics.GetOrCreateCounter("sycamoredoor_gossip_bytes_total"), down: metrics.GetOrCreateGauge("sycamoredoor_vms_down", nil), peers: map[string]*peer{}, downReports: map[member.Zone]downReport{},
 	}
 }
 
--- a/internal/serve/gossip/relay.go
+++ b/internal/serve/gossip/relay.go
@@ -97,6 +97,9 @@
 	Follower
 )
 
+// String returns the role as in logs.
+func (r Role) String() string { return [...]string{"equal", "relay", "follower"}[r] }
+
 // Role returns the role of this VM.
 func (m *Mesh) Role() Role {
 	switch {
--- a/internal/serve/gossip/round.go
+++ b/internal/serve/gossip/round.go
@@ -28,6 +28,7 @@
 // round sends each VM the messages that are due.
 func (m *Mesh) round(ctx context.Context) {
 	m.options.BeginRoundFunc()
+	m.observe()
 	for _, d := range m.datagrams() {
 		m.bytes.Add(len(d.body))
 		// The error is ignored: an unreachable VM is detected by its silence.
@@ -35,6 +36,17 @@
 	}
 }
 
+// observe logs a change of this VM's role, and counts the registered VMs that it does not
+// take for running.
+func (m *Mesh) observe() {
+	members, role := len(m.Members()), m.Role()
+	m.down.Set(float64(m.KnownCount() - members))
+	if role != m.loggedRole {
+		m.options.Log.Info("gossip role changed", "role", role, "before", m.loggedRole, "vms", members)
+		m.loggedRole = role
+	}
+}
+
 // datagrams returns the messages to send in a round. Receivers date what the content reports
 // by the time of the last message from them, so that time counts from before the content was
 // made: this VM may be suspended in between.
