--- a/internal/serve/frontend/follow.go
+++ b/internal/serve/frontend/follow.go
@@ -20,6 +20,9 @@
 	// followInterval is the pause between two checks whether a relay still keeps this VM
 	// up to date, in milliseconds.
 	followInterval = clock.Millis(400)
+	// behindTimeout is the time after which a VM that follows a relay reads a later
+	// configuration from the store, in milliseconds.
+	behindTimeout = clock.Millis(800)
 	// errorRetryDelay is the pause after a failed call, in milliseconds.
 	errorRetryDelay = clock.Millis(300)
 )
@@ -43,11 +46,12 @@
 
 // followConfiguration reads the configuration from the store and adopts each change until
 // the context ends. After an error it reads the whole configuration again. It makes no calls
-// while a relay keeps this VM up to date.
+// while a relay keeps this VM up to date; a relay may be too slow to hand over what it
+// reports.
 func (f *Frontend) followConfiguration(ctx context.Context) {
 	version, hasVersion := uint64(0), false
 	for ctx.Err() == nil {
-		if f.catalog.Load() != nil && f.mesh.FollowsRelay() {
+		if f.catalog.Load() != nil && f.mesh.FollowsRelay() && !f.isBehind() {
 			// The changes that the relay reports are fetched from it.
 			hasVersion = false
 			_ = f.options.Clock.Sleep(ctx, followInterval)
@@ -74,6 +78,14 @@
 	}
 }
 
+// isBehind reports whether another VM has had a later configuration for behindTimeout, so
+// that fetching it from there does not succeed.
+func (f *Frontend) isBehind() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.laterKnownAt > 0 && f.options.Clock.Now()-f.laterKnownAt > behindTimeout
+}
+
 // waitForChange waits for a change after a version of the store. After an error it
 // returns the version that it was given.
 func (f *Frontend) waitForChange(ctx context.Context, after uint64) ([]byte, uint64, error) {
@@ -103,7 +115,7 @@
 		return
 	}
 	f.catalog.Store(c)
-	f.configText = text
+	f.configText, f.laterKnownAt = text, 0
 	f.mu.Unlock()
 	invariant.Check(old == nil || f.catalog.Load().Version > old.Version, invariant.ConfigForward, "version %d replaced a later one", c.Version)
 	f.options.Log.Info("configuration in force", "version", c.Version, "from", from)
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -78,8 +78,10 @@
 	mu sync.Mutex
 	// nextFetchAt is the time before which no configuration is fetched from another VM.
 	nextFetchAt clock.Millis
-	// configText is the text of catalog.
-	configText []byte
+	// configText is the text of catalog, and laterKnownAt the time at which another VM first
+	// reported a later version, or 0.
+	configText   []byte
+	laterKnownAt clock.Millis
 	// lostDependencies and groups are by name. A dependency is lost when the last call to
 	// it failed.
 	lostDependencies map[string]bool
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -170,6 +170,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.options.Clock.Now()
+	if version > 0 && f.laterKnownAt == 0 {
+		f.laterKnownAt = now
+	}
 	if version == 0 || now < f.nextFetchAt {
 		return
 	}
