--- a/internal/core/heartbeat/majority_test.go
+++ b/internal/core/heartbeat/majority_test.go
@@ -32,7 +32,7 @@
 	return out
 }
 
-// state returns the state of VM a once it knows what the other VMs act on.
+// state returns the state of VM a with the summaries of the other VMs.
 func (c majorityCase) state() State {
 	const version = 2
 	s := New(vmsNamed([]string{"a"})[0], 0)
--- a/internal/core/overlay/overlay.go
+++ b/internal/core/overlay/overlay.go
@@ -5,8 +5,8 @@
 // however many there are, and the messages between zones do not grow with the VMs.
 //
 // All VMs choose the relays of a zone by the same hash, among those that are not known to
-// be down, so that their choices agree without an election. While choices differ, both
-// relays of a zone carry what the VMs need.
+// be down, so that their choices agree without an election. A VM sends to both
+// relays of its zone, so that the loss of one interrupts nothing.
 package overlay
 
 import (
@@ -35,7 +35,7 @@
 	Down bool
 }
 
-// Content is what a message is about.
+// Content is the subject of a message.
 type Content uint8
 
 // The contents.
--- a/internal/core/overlay/overlay_test.go
+++ b/internal/core/overlay/overlay_test.go
@@ -22,8 +22,7 @@
 	return out
 }
 
-// reached returns the VMs that learn what one VM knows. A relay passes on what it received,
-// other VMs do not.
+// reached returns the VMs that get a message of one VM, directly or passed on by relays.
 func reached(from string, nodes []Node) map[string]bool {
 	out := map[string]bool{from: true}
 	pending := []string{from}
--- a/internal/core/quota/bucket_test.go
+++ b/internal/core/quota/bucket_test.go
@@ -222,7 +222,7 @@
 }
 
 // TestLimitChanges checks that a higher burst adds its difference at once, that a lower one
-// takes what is above it, and that a change of one of the two values counts.
+// removes the tokens above it, and that a change of the rate or the burst alone takes effect.
 func TestLimitChanges(t *testing.T) {
 	b := New(10, 20, 0)
 	got := []float64{b.tokens, b.WithLimit(10, 30, 0).tokens, b.WithLimit(10, 4, 0).tokens, b.WithLimit(5, 20, 0).rate}
--- a/internal/core/quota/hint.go
+++ b/internal/core/quota/hint.go
@@ -5,7 +5,7 @@
 // In a large installation a VM gets no reports of the others, but a relay of its zone gets
 // them all and gives the VM a Hint on each account that is near its limit. The VM then
 // admits each operation with the same probability as every other VM, so that all of them
-// together run what the bucket has, however the demand is spread. An account that the relay
+// together spend the tokens of the bucket, however the demand is spread. An account that the relay
 // leaves out is calm: the VM admits its operations up to a generous credit.
 //
 // When a flood begins, calm VMs run more than the bucket has until the first hint comes. The
@@ -28,7 +28,7 @@
 	HintMaxAge = clock.Millis(1200)
 )
 
-// Hint is what a relay reports of an account that is near its limit.
+// Hint is a relay's report of an account that is near its limit.
 type Hint struct {
 	// Tokens is the estimate of the tokens in the shared bucket; it may be negative.
 	Tokens float64
@@ -36,7 +36,7 @@
 	Demand float64
 }
 
-// guidance is what the relay said of the account last.
+// guidance is the state of the account as of the last message of the relay.
 type guidance struct {
 	// given is set once there is any, and followed in a VM that gets hints instead of
 	// reports.
