Log how long a failed fetch took, the VM's role and the age of its poll

A VM that served an older configuration logged that fetching it failed, but not whether the text was slow or the question failed at once, nor whether its poll of the store was still alive. The lines now have took, role and poll_ms; sycamoredoor_fetch_failures_total counts failures.

--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -115,6 +115,7 @@
 func (f *Frontend) fetchDirectory(address string, readAt clock.Millis) {
 	ctx, cancel := context.WithTimeout(f.ctx, askTimeout.Duration())
 	defer cancel()
+	asked := f.options.Clock.Now()
 	answer, err := f.ask(ctx, address, inner.Question{Topic: inner.TopicServers})
 	f.mu.Lock()
 	f.fetchingDirectory = false
@@ -124,7 +125,8 @@
 		err = json.Unmarshal(answer.Payload, &servers)
 	}
 	if err != nil {
-		f.options.Log.Info("fetching the directory from another VM failed", "address", address, "err", err)
+		f.fetchFailures.Inc()
+		f.options.Log.Info("fetching the directory from another VM failed", "address", address, "took", f.options.Clock.Now()-asked, "err", err)
 		return
 	}
 	f.applyDirectory(servers, readAt)
--- a/internal/serve/frontend/follow.go
+++ b/internal/serve/frontend/follow.go
@@ -59,6 +59,9 @@
 		}
 		var text []byte
 		var err error
+		f.mu.Lock()
+		f.storeAskedAt = f.options.Clock.Now()
+		f.mu.Unlock()
 		if hasVersion {
 			text, version, err = f.waitForChange(ctx, version)
 		} else {
@@ -78,6 +81,14 @@
 	}
 }
 
+// storeCallAge returns the time since the last call that reads the configuration from the
+// store began, whether or not it has ended.
+func (f *Frontend) storeCallAge() clock.Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.options.Clock.Now() - f.storeAskedAt
+}
+
 // isBehind reports whether another VM has had a later configuration for behindTimeout, so
 // that fetching it from there does not succeed.
 func (f *Frontend) isBehind() bool {
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
@@ -74,6 +75,8 @@
 	holderCache holderCache
 	// transport is nil until the VM has its keys.
 	transport atomic.Pointer[peer.Transport]
+	// fetchFailures counts the failed fetches from other VMs.
+	fetchFailures *metrics.Counter
 
 	mu sync.Mutex
 	// nextFetchAt is the time before which no configuration is fetched from another VM.
@@ -82,6 +85,8 @@
 	// reported a later version, or 0.
 	configText   []byte
 	laterKnownAt clock.Millis
+	// storeAskedAt is the start of the last call that reads the configuration from the store.
+	storeAskedAt clock.Millis
 	// lostDependencies and groups are by name. A dependency is lost when the last call to
 	// it failed.
 	lostDependencies map[string]bool
@@ -114,6 +119,7 @@
 		RefundFunc: func(a catalog.Account) { f.limiter.refund(a) },
 	}
 	f.mesh = f.newMesh()
+	f.fetchFailures = metrics.GetOrCreateCounter("sycamoredoor_fetch_failures_total")
 	f.holderCache.setMembers(f.mesh.Members())
 	f.forwarder = f.newForwarder()
 	f.holder = &forward.Holder{Clock: o.Clock, GroupFunc: f.Group, StoppingFunc: f.stopping.Load}
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -189,9 +189,12 @@
 	if c := f.catalog.Load(); c != nil && c.Version >= version {
 		return
 	}
+	asked := f.options.Clock.Now()
 	answer, err := f.ask(ctx, address, inner.Question{Topic: inner.TopicText})
 	if err != nil {
-		f.options.Log.Info("fetching the configuration from another VM failed", "address", address, "version", version, "err", err)
+		f.fetchFailures.Inc()
+		f.options.Log.Info("fetching the configuration from another VM failed", "address", address, "version", version,
+			"took", f.options.Clock.Now()-asked, "role", f.mesh.Role(), "poll_ms", f.storeCallAge(), "err", err)
 		return
 	}
 	f.adoptConfiguration(answer.Payload, "vm")
