--- /dev/null
+++ b/internal/serve/frontend/poll_test.go
@@ -0,0 +1,126 @@
+package frontend
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/quota"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/gossip"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
+)
+
+const (
+	// configDeadline is how long after its acknowledgement a version must be in force at the
+	// VMs that are in touch with the store, and contactTime how long a VM's connections must
+	// have worked for it to count as in touch.
+	configDeadline = 3 * time.Second
+	contactTime    = 4 * time.Second
+	// answerMargin is how long after the end of a poll the store's client waits for the
+	// answer.
+	answerMargin = clock.Millis(1500)
+)
+
+// silentStore is a store that has version 1 at the first read and version 2 later, and whose
+// polls end without an answer.
+type silentStore struct {
+	clock clock.Clock
+	reads int
+}
+
+func (s *silentStore) source() Source {
+	return Source{
+		ParseFunc: func(text []byte) (*catalog.Catalog, error) {
+			version, err := strconv.ParseUint(string(text), 10, 64)
+			return catalog.New(version), err
+		},
+		ReadFunc: func(context.Context) ([]byte, uint64, error) {
+			s.reads++
+			return []byte(strconv.Itoa(min(s.reads, 2))), uint64(s.reads), nil
+		},
+		WaitFunc: func(ctx context.Context, _ uint64, wait clock.Millis) ([]byte, uint64, error) {
+			if err := s.clock.Sleep(ctx, wait+answerMargin); err != nil {
+				return nil, 0, err
+			}
+			return nil, 0, errors.New("no answer")
+		},
+	}
+}
+
+// followSilentStore starts a VM, not a first relay, that follows a silentStore, and waits
+// until it has version 1.
+func followSilentStore(t *testing.T) *Frontend {
+	t.Helper()
+	c := clock.System()
+	vms := []member.VM{{Name: "vm1", Zone: "a"}, {Name: "vm2", Zone: "a"}, {Name: "vm3", Zone: "a"}}
+	f := &Frontend{lostDependencies: map[string]bool{}}
+	for _, v := range vms {
+		f.options = Options{Self: v, Clock: c, Log: log.New(io.Discard), Source: (&silentStore{clock: c}).source()}
+		f.mesh = gossip.New(gossip.Options{Self: v, Clock: c, ListFunc: func(context.Context) ([]member.VM, error) { return vms, nil }})
+		if err := f.mesh.RefreshVMs(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if !f.mesh.IsFirstRelay(v.Name, v.Zone) {
+			break
+		}
+	}
+	f.limiter = newLimiter(c, Tolerance{})
+	f.limiter.vmCountFunc, f.limiter.buckets = func() int { return 1 }, map[string]quota.Bucket{}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.followConfiguration(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	awaitVersion(t, f, 1, configDeadline)
+	return f
+}
+
+// awaitVersion fails the test if a version is not in force within a time.
+func awaitVersion(t *testing.T, f *Frontend, version uint64, within time.Duration) {
+	t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if c := f.catalog.Load(); c != nil && c.Version >= version {
+			return
+		}
+	}
+	t.Fatalf("version %d is not in force after %s", version, within)
+}
+
+// TestPollOnDeadConnection guards against a poll of the store without an answer that keeps a VM at an older configuration.
+func TestPollOnDeadConnection(t *testing.T) {
+	f := followSilentStore(t)
+	awaitVersion(t, f, 2, contactTime+configDeadline)
+}
+
+// TestReportDuringDeadPoll guards against a VM that waits for the end of a poll although another VM reports a later configuration.
+func TestReportDuringDeadPoll(t *testing.T) {
+	f := followSilentStore(t)
+	f.mu.Lock()
+	f.nextFetchAt = 1 << 40 // no fetch from the other VM succeeds
+	f.mu.Unlock()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(100 * time.Millisecond):
+				f.startConfigurationFetch("vm", 2)
+			}
+		}
+	}()
+	awaitVersion(t, f, 2, configDeadline)
+}
