Bound polls of the store to 2.5 s, and interrupt one that is silent while behind

A VM that had been cut off from the store for 3 s learned of no configuration from it for 25 s more, and served what it had (CONFIG) when no other VM handed it the later one. Cause: the store reset the connection of the VM's long poll while its packets were lost. The VM waited for the end of the poll and a margin, 26.5 s, and looked only between polls whether another VM had a later version. The class is a dependency that counts as working because it is silent. Evidence: 'rows-feed?after=29&waitMs=25000 ... context deadline exceeded' on the three VMs 26.5 s after their last answer; poll_ms up to 26 s in the lines of failed fetches. TestPollOnDeadConnection and TestReportDuringDeadPoll failed before (version 2 not in force after 7 s and after 3 s). Change: each VM that polls the store does so for 2.5 s at a time, so that with the margin a dead connection is known within 4 s. A poll that got no byte for 0.8 s while another VM has had a later version for as long is interrupted, and the configuration read on another connection; one whose answer arrives is left alone (TestAnsweringPollContinues).

--- a/internal/serve/frontend/follow.go
+++ b/internal/serve/frontend/follow.go
@@ -12,16 +12,13 @@
 
 const (
 	// storeWait is how long one long poll of the store for changes may last, in
-	// milliseconds, and relayStoreWait the same at the first relay of a zone. A poll on
-	// a dead connection fails only when this time is over. The relay's is short because
-	// gossip brings its configuration to the other VMs.
-	storeWait      = 25 * clock.Second
-	relayStoreWait = 3 * clock.Second
+	// milliseconds. A poll on a dead connection fails only when this time is over.
+	storeWait = 2500 * clock.Millis(1)
 	// followInterval is the pause between two checks whether a relay still keeps this VM
 	// up to date, in milliseconds.
 	followInterval = clock.Millis(400)
-	// behindTimeout is the time after which a VM that follows a relay reads a later
-	// configuration from the store, in milliseconds.
+	// behindTimeout is the time after which a VM reads a configuration that another VM has
+	// from the store, in milliseconds, unless the store is sending it already.
 	behindTimeout = clock.Millis(800)
 	// errorRetryDelay is the pause after a failed call, in milliseconds.
 	errorRetryDelay = clock.Millis(300)
@@ -40,8 +37,16 @@
 	ReadFunc func(ctx context.Context) ([]byte, uint64, error)
 	// WaitFunc waits for a change after a version of the store, at most wait
 	// milliseconds. It returns the new text, nil if there was none, and the version for
-	// the next call. It returns ErrHistoryDropped when the version is too old.
-	WaitFunc func(ctx context.Context, after uint64, wait clock.Millis) ([]byte, uint64, error)
+	// the next call. It returns ErrHistoryDropped when the version is too old. It calls
+	// answering when the store's answer begins to arrive.
+	WaitFunc func(ctx context.Context, after uint64, wait clock.Millis, answering func()) ([]byte, uint64, error)
+}
+
+// poll is a long poll of the store that is in progress.
+type poll struct {
+	cancel context.CancelFunc
+	// answering is set once the store's answer begins to arrive.
+	answering bool
 }
 
 // followConfiguration reads the configuration from the store and adopts each change until
@@ -70,7 +75,7 @@
 		hasVersion = err == nil
 		f.recordDependency("configuration", err)
 		if err != nil {
-			if !errors.Is(err, ErrHistoryDropped) {
+			if !errors.Is(err, ErrHistoryDropped) && !errors.Is(err, errPollInterrupted) {
 				_ = f.options.Clock.Sleep(ctx, errorRetryDelay)
 			}
 			continue
@@ -94,23 +99,60 @@
 func (f *Frontend) isBehind() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.laterKnownAt > 0 && f.options.Clock.Now()-f.laterKnownAt > behindTimeout
+	return f.isBehindLocked(f.options.Clock.Now())
 }
 
+// isBehindLocked is isBehind at time now. The caller holds f.mu.
+func (f *Frontend) isBehindLocked(now clock.Millis) bool {
+	return f.laterKnownAt > 0 && now-f.laterKnownAt > behindTimeout
+}
+
+// errPollInterrupted means that interruptPollLocked ended the poll.
+var errPollInterrupted = errors.New("the poll of the store was interrupted")
+
 // waitForChange waits for a change after a version of the store. After an error it
-// returns the version that it was given.
+// returns the version that it was given. It returns errPollInterrupted if the poll was
+// interrupted.
 func (f *Frontend) waitForChange(ctx context.Context, after uint64) ([]byte, uint64, error) {
-	wait := storeWait
-	if f.mesh.IsFirstRelay(f.options.Self.Name, f.options.Self.Zone) {
-		wait = relayStoreWait
-	}
-	text, version, err := f.options.Source.WaitFunc(ctx, after, wait)
-	if err != nil {
+	pollContext, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	p := &poll{cancel: func() { cancel(errPollInterrupted) }}
+	f.setPoll(p)
+	defer f.setPoll(nil)
+	text, version, err := f.options.Source.WaitFunc(pollContext, after, storeWait, func() { f.recordAnswering(p) })
+	switch {
+	case err != nil && errors.Is(context.Cause(pollContext), errPollInterrupted):
+		return nil, after, errPollInterrupted
+	case err != nil:
 		return nil, after, err
 	}
 	return text, version, nil
 }
 
+func (f *Frontend) setPoll(p *poll) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.poll = p
+}
+
+func (f *Frontend) recordAnswering(p *poll) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p.answering = true
+}
+
+// interruptPollLocked ends a poll of the store that has been silent for behindTimeout
+// although another VM has had a later configuration for as long: its connection may be
+// dead. The caller holds f.mu.
+func (f *Frontend) interruptPollLocked(now clock.Millis) {
+	p := f.poll
+	if p == nil || p.answering || now-f.storeAskedAt <= behindTimeout || !f.isBehindLocked(now) {
+		return
+	}
+	f.poll = nil
+	p.cancel()
+}
+
 // adoptConfiguration puts a configuration in force, unless this VM has that version or a
 // later one. The parameter from is its origin for the log.
 func (f *Frontend) adoptConfiguration(text []byte, from string) {
@@ -136,9 +178,9 @@
 
 // recordDependency records the result of a call to a dependency and logs when the
 // dependency is lost or regained. It ignores errors that do not show a loss:
-// ErrHistoryDropped and a canceled context.
+// ErrHistoryDropped, an interrupted poll and a canceled context.
 func (f *Frontend) recordDependency(name string, err error) {
-	if errors.Is(err, ErrHistoryDropped) || errors.Is(err, context.Canceled) {
+	if errors.Is(err, ErrHistoryDropped) || errors.Is(err, errPollInterrupted) || errors.Is(err, context.Canceled) {
 		return
 	}
 	f.mu.Lock()
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -87,6 +87,8 @@
 	laterKnownAt clock.Millis
 	// storeAskedAt is the start of the last call that reads the configuration from the store.
 	storeAskedAt clock.Millis
+	// poll is the poll of the store in progress, or nil.
+	poll *poll
 	// lostDependencies and groups are by name. A dependency is lost when the last call to
 	// it failed.
 	lostDependencies map[string]bool
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -163,8 +163,8 @@
 	}
 }
 
-// startConfigurationFetch starts fetching a later configuration from another VM, unless
-// a fetch was started less than fetchDelay + fetchRetryDelay ago, or the version is 0:
+// startConfigurationFetch starts fetching a later configuration from another VM, and
+// interrupts a silent poll of the store. It starts no fetch if one was started less than fetchDelay + fetchRetryDelay ago, or the version is 0:
 // the other VM has no configuration either.
 func (f *Frontend) startConfigurationFetch(address string, version uint64) {
 	f.mu.Lock()
@@ -173,6 +173,7 @@
 	if version > 0 && f.laterKnownAt == 0 {
 		f.laterKnownAt = now
 	}
+	f.interruptPollLocked(now)
 	if version == 0 || now < f.nextFetchAt {
 		return
 	}
--- a/internal/serve/frontend/poll_test.go
+++ b/internal/serve/frontend/poll_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"io"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/go-faster/errors"
+	"github.com/google/go-cmp/cmp"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
@@ -32,7 +34,10 @@
 // polls end without an answer.
 type silentStore struct {
 	clock clock.Clock
-	reads int
+	reads atomic.Int64
+	// slow is how long the answer of a poll, version 2, takes to arrive, in milliseconds; 0
+	// means that polls get no answer.
+	slow clock.Millis
 }
 
 func (s *silentStore) source() Source {
@@ -42,10 +47,14 @@
 			return catalog.New(version), err
 		},
 		ReadFunc: func(context.Context) ([]byte, uint64, error) {
-			s.reads++
-			return []byte(strconv.Itoa(min(s.reads, 2))), uint64(s.reads), nil
+			n := s.reads.Add(1)
+			return []byte(strconv.FormatInt(min(n, 2), 10)), uint64(n), nil
 		},
-		WaitFunc: func(ctx context.Context, _ uint64, wait clock.Millis) ([]byte, uint64, error) {
+		WaitFunc: func(ctx context.Context, _ uint64, wait clock.Millis, answering func()) ([]byte, uint64, error) {
+			if s.slow > 0 {
+				answering()
+				return []byte("2"), 2, s.clock.Sleep(ctx, s.slow)
+			}
 			if err := s.clock.Sleep(ctx, wait+answerMargin); err != nil {
 				return nil, 0, err
 			}
@@ -56,13 +65,14 @@
 
 // followSilentStore starts a VM, not a first relay, that follows a silentStore, and waits
 // until it has version 1.
-func followSilentStore(t *testing.T) *Frontend {
+func followSilentStore(t *testing.T, s *silentStore) *Frontend {
 	t.Helper()
 	c := clock.System()
+	s.clock = c
 	vms := []member.VM{{Name: "vm1", Zone: "a"}, {Name: "vm2", Zone: "a"}, {Name: "vm3", Zone: "a"}}
 	f := &Frontend{lostDependencies: map[string]bool{}}
 	for _, v := range vms {
-		f.options = Options{Self: v, Clock: c, Log: log.New(io.Discard), Source: (&silentStore{clock: c}).source()}
+		f.options = Options{Self: v, Clock: c, Log: log.New(io.Discard), Source: s.source()}
 		f.mesh = gossip.New(gossip.Options{Self: v, Clock: c, ListFunc: func(context.Context) ([]member.VM, error) { return vms, nil }})
 		if err := f.mesh.RefreshVMs(t.Context()); err != nil {
 			t.Fatal(err)
@@ -100,19 +110,37 @@
 
 // TestPollOnDeadConnection guards against a poll of the store without an answer that keeps a VM at an older configuration.
 func TestPollOnDeadConnection(t *testing.T) {
-	f := followSilentStore(t)
+	f := followSilentStore(t, &silentStore{})
 	awaitVersion(t, f, 2, contactTime+configDeadline)
 }
 
 // TestReportDuringDeadPoll guards against a VM that waits for the end of a poll although another VM reports a later configuration.
 func TestReportDuringDeadPoll(t *testing.T) {
-	f := followSilentStore(t)
+	f := followSilentStore(t, &silentStore{})
+	reportLaterVersion(t, f)
+	awaitVersion(t, f, 2, configDeadline)
+}
+
+// TestAnsweringPollContinues guards against a poll that is interrupted while a long configuration arrives.
+func TestAnsweringPollContinues(t *testing.T) {
+	s := &silentStore{slow: 2 * behindTimeout}
+	f := followSilentStore(t, s)
+	reportLaterVersion(t, f)
+	awaitVersion(t, f, 2, configDeadline)
+	if diff := cmp.Diff(int64(1), s.reads.Load()); diff != "" {
+		t.Errorf("reads of the store (-want +got):\n%s", diff)
+	}
+}
+
+// reportLaterVersion reports version 2 from a VM from which no fetch succeeds, until the test
+// ends.
+func reportLaterVersion(t *testing.T, f *Frontend) {
 	f.mu.Lock()
-	f.nextFetchAt = 1 << 40 // no fetch from the other VM succeeds
+	f.nextFetchAt = 1 << 40
 	f.mu.Unlock()
-	stop := make(chan struct{})
-	defer close(stop)
+	stop, done := make(chan struct{}), make(chan struct{})
 	go func() {
+		defer close(done)
 		for {
 			select {
 			case <-stop:
@@ -122,5 +150,8 @@
 			}
 		}
 	}()
-	awaitVersion(t, f, 2, configDeadline)
+	t.Cleanup(func() {
+		close(stop)
+		<-done
+	})
 }
