Bound fetches between VMs by silence, and make one at a time

On a slow link a VM could not fetch a long configuration from another at all: each attempt was abandoned after 1 s, however much had arrived, and begun anew with another VM beside it. Cause: one fixed bound for an answer of any length. The class is a fallback whose bound does not grow with what it carries; directories are fetched the same way. Change: a fetch fails when nothing of the answer arrives for 1 s, and after 15 s at most; a VM makes one fetch of a configuration at a time, as of directories.

--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -366,6 +366,10 @@
 	// from now, up to Release. After a timeout the stream must be closed. It is nil for
 	// streams without receive timeouts.
 	ReceiveTimeoutFunc func(timeout clock.Millis)
+	// SilenceTimeoutFunc bounds the time without a byte in every later Receive, in
+	// milliseconds, however long the whole frame takes. The stream must be closed
+	// afterwards, not released. It is nil for streams without it.
+	SilenceTimeoutFunc func(timeout clock.Millis)
 }
 
 // Send sends one frame.
--- a/internal/proto/peer/ask.go
+++ b/internal/proto/peer/ask.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 )
 
@@ -15,6 +16,24 @@
 	if err != nil {
 		return inner.Answer{}, err
 	}
+	return exchangeAnswer(ctx, x, q)
+}
+
+// Fetch is Ask for an answer that may be long: it fails if the connection takes longer than
+// silence to open, or if nothing of the answer arrives for as long, in milliseconds.
+func (t *Transport) Fetch(ctx context.Context, address string, l Label, q inner.Question, silence clock.Millis) (inner.Answer, error) {
+	openContext, cancel := context.WithTimeout(ctx, silence.Duration())
+	defer cancel()
+	x, err := t.Open(openContext, address, l)
+	if err != nil {
+		return inner.Answer{}, err
+	}
+	x.SilenceTimeoutFunc(silence)
+	return exchangeAnswer(ctx, x, q)
+}
+
+// exchangeAnswer asks a question on a stream and closes it.
+func exchangeAnswer(ctx context.Context, x inner.Exchange, q inner.Question) (inner.Answer, error) {
 	stop := context.AfterFunc(ctx, x.Close)
 	defer stop()
 	defer x.Close()
--- a/internal/proto/peer/outgoing.go
+++ b/internal/proto/peer/outgoing.go
@@ -20,6 +20,17 @@
 	conn   *outgoingConn
 	stream *quic.Stream
 	reader *bufio.Reader
+	// silence is the longest time without a byte in milliseconds, or 0 for no bound. Only
+	// the current user of the stream sets it.
+	silence clock.Millis
+}
+
+// Read reads from the stream, with a deadline if silence is set.
+func (o *outgoingStream) Read(b []byte) (int, error) {
+	if o.silence > 0 {
+		_ = o.stream.SetReadDeadline(time.Now().Add(o.silence.Duration()))
+	}
+	return o.stream.Read(b)
 }
 
 // acquireStream returns an idle stream of the connection or opens a new one.
@@ -31,7 +42,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &outgoingStream{conn: c, stream: s, reader: bufio.NewReaderSize(s, streamBufferSize)}, nil
+	o := &outgoingStream{conn: c, stream: s}
+	o.reader = bufio.NewReaderSize(o, streamBufferSize)
+	return o, nil
 }
 
 // takeIdleStream removes and returns an idle stream that the other VM still serves,
@@ -92,5 +105,6 @@
 		ReceiveTimeoutFunc: func(timeout clock.Millis) {
 			_ = o.stream.SetReadDeadline(time.Now().Add(timeout.Duration()))
 		},
+		SilenceTimeoutFunc: func(timeout clock.Millis) { o.silence = timeout },
 	}
 }
--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -113,10 +113,8 @@
 // fetchDirectory asks another VM for its directory, which was read at readAt or later,
 // and applies it.
 func (f *Frontend) fetchDirectory(address string, readAt clock.Millis) {
-	ctx, cancel := context.WithTimeout(f.ctx, askTimeout.Duration())
-	defer cancel()
 	asked := f.options.Clock.Now()
-	answer, err := f.ask(ctx, address, inner.Question{Topic: inner.TopicServers})
+	answer, err := f.ask(address, inner.Question{Topic: inner.TopicServers})
 	f.mu.Lock()
 	f.fetchingDirectory = false
 	f.mu.Unlock()
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -79,8 +79,10 @@
 	fetchFailures *metrics.Counter
 
 	mu sync.Mutex
-	// nextFetchAt is the time before which no configuration is fetched from another VM.
-	nextFetchAt clock.Millis
+	// fetchingConfiguration is set while a configuration is being fetched from another VM,
+	// and nextFetchAt is the time before which the next fetch does not start.
+	fetchingConfiguration bool
+	nextFetchAt           clock.Millis
 	// configText is the text of catalog, and laterKnownAt the time at which another VM first
 	// reported a later version, or 0.
 	configText   []byte
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -22,8 +22,11 @@
 	// about ten statements. It does not serve to detect failed VMs: unanswered
 	// messages do that.
 	connIdleTimeout = 60 * clock.Second
-	// askTimeout bounds a question to another VM, in milliseconds.
-	askTimeout = clock.Second
+	// fetchSilence is how long another VM may send nothing of an answer, in milliseconds.
+	// The whole answer may take fetchTimeout, since a long configuration takes seconds on a
+	// slow link.
+	fetchSilence = clock.Second
+	fetchTimeout = 15 * clock.Second
 	// fetchDelay is how long this VM waits for the store to deliver a configuration that
 	// another VM already has, before it asks that VM, in milliseconds.
 	fetchDelay = clock.Millis(300)
@@ -164,8 +167,9 @@
 }
 
 // startConfigurationFetch starts fetching a later configuration from another VM, and
-// interrupts a silent poll of the store. It starts no fetch if one was started less than fetchDelay + fetchRetryDelay ago, or the version is 0:
-// the other VM has no configuration either.
+// interrupts a silent poll of the store. It starts no fetch while another is in progress,
+// within fetchDelay + fetchRetryDelay of the last start, or for version 0: the other VM has
+// no configuration either.
 func (f *Frontend) startConfigurationFetch(address string, version uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -174,24 +178,28 @@
 		f.laterKnownAt = now
 	}
 	f.interruptPollLocked(now)
-	if version == 0 || now < f.nextFetchAt {
+	if version == 0 || f.fetchingConfiguration || now < f.nextFetchAt {
 		return
 	}
+	f.fetchingConfiguration = true
 	f.nextFetchAt = now + fetchRetryDelay + fetchDelay
-	f.spawn(func() { f.fetchConfiguration(address, version) })
+	f.spawn(func() {
+		f.fetchConfiguration(address, version)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.fetchingConfiguration = false
+	})
 }
 
 // fetchConfiguration fetches the configuration from another VM, unless the store has
 // delivered that version or a later one within fetchDelay.
 func (f *Frontend) fetchConfiguration(address string, version uint64) {
-	ctx, cancel := context.WithTimeout(f.ctx, (fetchDelay + askTimeout).Duration())
-	defer cancel()
-	_ = f.options.Clock.Sleep(ctx, fetchDelay)
+	_ = f.options.Clock.Sleep(f.ctx, fetchDelay)
 	if c := f.catalog.Load(); c != nil && c.Version >= version {
 		return
 	}
 	asked := f.options.Clock.Now()
-	answer, err := f.ask(ctx, address, inner.Question{Topic: inner.TopicText})
+	answer, err := f.ask(address, inner.Question{Topic: inner.TopicText})
 	if err != nil {
 		f.fetchFailures.Inc()
 		f.options.Log.Info("fetching the configuration from another VM failed", "address", address, "version", version,
@@ -202,12 +210,14 @@
 }
 
 // ask puts one question to the VM at an address.
-func (f *Frontend) ask(ctx context.Context, address string, q inner.Question) (inner.Answer, error) {
+func (f *Frontend) ask(address string, q inner.Question) (inner.Answer, error) {
 	t := f.transport.Load()
 	if t == nil {
 		return inner.Answer{}, errNoTransport
 	}
-	return t.Ask(ctx, address, peer.Label{Control: true}, q)
+	ctx, cancel := context.WithTimeout(f.ctx, fetchTimeout.Duration())
+	defer cancel()
+	return t.Fetch(ctx, address, peer.Label{Control: true}, q, fetchSilence)
 }
 
 // serveStream serves a stream of another VM. VMs reuse streams, so a question may follow
