Compress configurations that VMs hand to each other

On narrow links one text of some 250 KB goes to each VM at each change, so that callers share a link of 10 Mbit/s with the configuration for seconds. Cause: the whole text is sent uncompressed. The class is that of the fetches before: the cost of a fallback grows with what it carries. Change: a VM that asks for the text says that it accepts gzip, and gets it compressed; each text is compressed once. VMs of before get plain text, and their plain text is accepted, so old and new ones may be mixed (TestTextForOlderVM).

--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -179,6 +179,8 @@
 	KnownObjects []string `cbor:"known,omitempty"`
 	// Share is set for TopicShare.
 	Share *ShareRequest `cbor:"share,omitempty"`
+	// AcceptsGzip is set if the asking VM can decompress the payload of the answer.
+	AcceptsGzip bool `cbor:"gzip,omitempty"`
 }
 
 // ShareRequest carries a VM's reports of its parts of client accounts' limits to
@@ -231,6 +233,8 @@
 	// texts whose hashes are in the record, by hash, except Question.KnownObjects.
 	Payload []byte            `cbor:"record,omitempty"`
 	Objects map[string][]byte `cbor:"objects,omitempty"`
+	// Gzip is set if Payload is compressed with gzip.
+	Gzip bool `cbor:"gzip,omitempty"`
 	// LostTerm is the term whose primary the observer has lost, or 0 when it has
 	// lost none.
 	LostTerm floor.Term `cbor:"lost,omitempty"`
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -217,7 +217,12 @@
 	}
 	ctx, cancel := context.WithTimeout(f.ctx, fetchTimeout.Duration())
 	defer cancel()
-	return t.Fetch(ctx, address, peer.Label{Control: true}, q, fetchSilence)
+	q.AcceptsGzip = true
+	answer, err := t.Fetch(ctx, address, peer.Label{Control: true}, q, fetchSilence)
+	if err != nil {
+		return answer, err
+	}
+	return answer.WithoutGzip()
 }
 
 // serveStream serves a stream of another VM. VMs reuse streams, so a question may follow
@@ -243,12 +248,25 @@
 	case inner.TopicServers:
 		return f.answerDirectory()
 	case inner.TopicText:
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		if len(f.configText) == 0 {
-			return inner.Answer{Error: "the VM has no configuration yet"}
-		}
-		return inner.Answer{Payload: f.configText}
+		return f.answerText(q)
 	}
 	return inner.Answer{Error: "unknown question " + q.Topic}
 }
+
+// answerText answers with the text of the configuration in force, compressed if the other VM
+// can decompress it. Each text is compressed once.
+func (f *Frontend) answerText(q inner.Question) inner.Answer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.configText) == 0 {
+		return inner.Answer{Error: "the VM has no configuration yet"}
+	}
+	out := inner.Answer{Payload: f.configText}
+	if !q.AcceptsGzip {
+		return out
+	}
+	if f.compressedText == nil {
+		f.compressedText = out.WithGzip().Payload
+	}
+	return inner.Answer{Payload: f.compressedText, Gzip: true}
+}
--- a/internal/serve/frontend/stream_test.go
+++ b/internal/serve/frontend/stream_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"testing"
@@ -56,6 +57,26 @@
 	}
 }
 
+// TestTextForOlderVM guards against a compressed configuration for a VM that cannot decompress it.
+func TestTextForOlderVM(t *testing.T) {
+	f := &Frontend{configText: bytes.Repeat([]byte("version 7 "), 1000)}
+	plain := f.answer(inner.Question{Topic: inner.TopicText})
+	if diff := cmp.Diff(inner.Answer{Payload: f.configText}, plain); diff != "" {
+		t.Errorf("plain answer (-want +got):\n%s", diff)
+	}
+	compressed := f.answer(inner.Question{Topic: inner.TopicText, AcceptsGzip: true})
+	if len(compressed.Payload) > len(plain.Payload)/10 {
+		t.Errorf("compressed answer of %d bytes for %d", len(compressed.Payload), len(plain.Payload))
+	}
+	got, err := compressed.WithoutGzip()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(plain, got); diff != "" {
+		t.Errorf("compressed answer (-want +got):\n%s", diff)
+	}
+}
+
 // TestHolderConnLimits checks that the idle connections of a server's holders leave
 // restartConnsPerSlot for each slot free for the VMs that start after the loss of all VMs,
 // or all but one for each holder if there are too few. Together the holders may open at
