Show the era of the store, and log when it comes back from a copy

Nothing in logs or metrics told a restored store from one that was away: only the version of a feed, which goes back, in lines about errors. Change: the client keeps the highest Store-Era of its answers; sycamoredoor_store_era shows it, and a VM logs 'the store came back from a copy' when it rises. No decision depends on it yet.

--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -36,6 +36,9 @@
 	StopTimeout clock.Millis
 	// Source provides the operators' configuration.
 	Source Source
+	// EraFunc returns the highest era of the store in an answer so far, or 0. The era rises
+	// when the store comes back from a copy that lacks what was written last.
+	EraFunc func() uint64
 	// ServersFunc reads the directory of backend servers.
 	ServersFunc func(ctx context.Context) ([]database.Server, error)
 	Protocol    database.Protocol
@@ -77,6 +80,8 @@
 	transport atomic.Pointer[peer.Transport]
 	// fetchFailures counts the failed fetches from other VMs.
 	fetchFailures *metrics.Counter
+	// eraGauge shows era.
+	eraGauge *metrics.Gauge
 
 	mu sync.Mutex
 	// fetchingConfiguration is set while a configuration is being fetched from another VM,
@@ -93,6 +98,8 @@
 	storeAskedAt clock.Millis
 	// poll is the poll of the store in progress, or nil.
 	poll *poll
+	// era is the last observed era of the store.
+	era uint64
 	// lostDependencies and groups are by name. A dependency is lost when the last call to
 	// it failed.
 	lostDependencies map[string]bool
@@ -126,6 +133,7 @@
 	}
 	f.mesh = f.newMesh()
 	f.fetchFailures = metrics.GetOrCreateCounter("sycamoredoor_fetch_failures_total")
+	f.eraGauge = metrics.GetOrCreateGauge("sycamoredoor_store_era", nil)
 	f.holderCache.setMembers(f.mesh.Members())
 	f.forwarder = f.newForwarder()
 	f.holder = &forward.Holder{Clock: o.Clock, GroupFunc: f.Group, StoppingFunc: f.stopping.Load}
@@ -202,6 +210,7 @@
 
 func (f *Frontend) tick(ctx context.Context) {
 	for f.options.Clock.Sleep(ctx, tickInterval) == nil {
+		f.observeEra()
 		for _, g := range f.allGroups() {
 			g.Tick(ctx, f.spawn)
 		}
