Register the VMs again when the store comes back from a copy

A VM that registered after the copy was in no list of VMs for up to 40 s. Cause: 'registered' is remembered for good, and the list is read every 40 s. The class is a write that counts as done though the store has lost it. Evidence: TestRegistrationAfterRestore failed before, neither VM listed after 3 s. Change: when the era rises, a VM reads the list at once, every 0.7 s until it is listed. The first relay of a zone registers its running followers, which read the list seldom. For 10 s no VM counts as gone because a list lacks it. A VM that is leaving does not register, and removes itself again if it is listed.

--- a/internal/serve/frontend/era.go
+++ b/internal/serve/frontend/era.go
@@ -1,7 +1,7 @@
 package frontend
 
 // observeEra looks whether the store has come back from a copy, which lacks what was written
-// last.
+// last. It then has what this VM wrote looked at again.
 func (f *Frontend) observeEra() {
 	era := f.options.EraFunc()
 	f.mu.Lock()
@@ -14,5 +14,6 @@
 	f.eraGauge.Set(float64(era))
 	if before > 0 {
 		f.options.Log.Warn("the store came back from a copy", "era", era, "before", before)
+		f.mesh.StoreRestored()
 	}
 }
--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -110,8 +110,9 @@
 type Mesh struct {
 	options Options
 	process uint64
-	// wakeup starts the next round early.
+	// wakeup starts the next round early, relist the next read of the list of VMs.
 	wakeup chan struct{}
+	relist chan struct{}
 	done   chan struct{}
 	bytes  *metrics.Counter
 	// down counts the registered VMs that are not taken for running. loggedRole is the role
@@ -124,8 +125,11 @@
 	leaving bool
 	// downReports holds, by zone, the last report of the VMs of a zone that are down.
 	downReports map[member.Zone]downReport
-	// registered is set once this VM is in the list of VMs.
+	// registered is set once this VM is in the list of VMs. unlisted is set when the store
+	// comes back from a copy, at restoredAt, until this VM has registered again.
 	registered bool
+	unlisted   bool
+	restoredAt clock.Millis
 	// otherRegionsUrgent is set when the next round is to include the VMs of other
 	// regions, whenever the last message to them was sent.
 	otherRegionsUrgent bool
@@ -136,7 +140,7 @@
 	var raw [8]byte
 	_, _ = rand.Read(raw[:])
 	return &Mesh{
-		options: o, process: binary.BigEndian.Uint64(raw[:]), wakeup: make(chan struct{}, 1), done: make(chan struct{}),
+		options: o, process: binary.BigEndian.Uint64(raw[:]), wakeup: make(chan struct{}, 1), relist: make(chan struct{}, 1), restoredAt: -restoreTime, done: make(chan struct{}),
 		bytes: metrics.GetOrCreateCounter("sycamoredoor_gossip_bytes_total"), down: metrics.GetOrCreateGauge("sycamoredoor_vms_down", nil), peers: map[string]*peer{}, downReports: map[member.Zone]downReport{},
 	}
 }
@@ -171,6 +175,11 @@
 	m.leaving = true
 	m.mu.Unlock()
 	m.GossipSoon()
+	m.unregister(ctx)
+}
+
+// unregister removes this VM from the list of VMs.
+func (m *Mesh) unregister(ctx context.Context) {
 	if err := m.options.RemoveFunc(ctx, m.options.Self); err != nil {
 		m.options.Log.Warn("removing this VM from the list of VMs failed", "err", err)
 	}
--- a/internal/serve/gossip/list.go
+++ b/internal/serve/gossip/list.go
@@ -15,6 +15,9 @@
 	listInterval      = 40 * clock.Second
 	listStartInterval = clock.Millis(700)
 	listAloneInterval = clock.Millis(2500)
+	// restoreTime is how long after the store came back from a copy the list may lack VMs
+	// that are running, in milliseconds.
+	restoreTime = 10 * clock.Second
 )
 
 // RunRegistration registers this VM and reads the list of VMs periodically until the
@@ -22,17 +25,97 @@
 func (m *Mesh) RunRegistration(ctx context.Context) {
 	for ctx.Err() == nil {
 		vms, err := m.readList(ctx)
-		if err == nil {
-			m.register(ctx, slices.Contains(vms, m.options.Self))
+		switch listed := slices.Contains(vms, m.options.Self); {
+		case err != nil:
+		case !m.isLeaving():
+			m.register(ctx, listed)
+			m.registerFollowers(ctx, vms)
+		case listed:
+			m.unregister(ctx)
 		}
-		_ = m.options.Clock.Sleep(ctx, m.listPause(len(vms)))
+		m.awaitList(ctx, m.listPause(len(vms)))
 	}
 }
 
+// awaitList waits until the list of VMs is to be read again: for pause milliseconds at most.
+func (m *Mesh) awaitList(ctx context.Context, pause clock.Millis) {
+	fired, stop := m.options.Clock.AfterFunc(pause)
+	defer stop()
+	select {
+	case <-ctx.Done():
+	case <-fired:
+	case <-m.relist:
+	}
+}
+
+// StoreRestored records that the store came back from a copy, which may lack VMs that are
+// running. The list is read again at once, and no VM counts as gone because it is not listed.
+func (m *Mesh) StoreRestored() {
+	m.mu.Lock()
+	m.restoredAt, m.unlisted = m.options.Clock.Now(), true
+	m.mu.Unlock()
+	select {
+	case m.relist <- struct{}{}:
+	default:
+	}
+}
+
+// restoredLocked reports whether the store came back from a copy less than restoreTime ago.
+// The caller holds the lock.
+func (m *Mesh) restoredLocked(now clock.Millis) bool { return now-m.restoredAt < restoreTime }
+
+// registerFollowers registers the VMs of this zone that a restored list lacks. Followers read
+// the list too seldom to do so themselves; only the first relay does it for them.
+func (m *Mesh) registerFollowers(ctx context.Context, listed []member.VM) {
+	if m.Role() != Relay || !m.IsFirstRelay(m.options.Self.Name, m.options.Self.Zone) {
+		return
+	}
+	for _, v := range m.missingFollowers(listed) {
+		if err := m.options.RegisterFunc(ctx, v); err != nil {
+			m.options.Log.Warn("registering another VM after a restore of the store failed", "vm", v.Name, "err", err)
+		}
+	}
+}
+
+// missingFollowers returns the running VMs of this zone that are not listed, if the store came
+// back from a copy lately.
+func (m *Mesh) missingFollowers(listed []member.VM) []member.VM {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.options.Clock.Now()
+	if !m.restoredLocked(now) {
+		return nil
+	}
+	var out []member.VM
+	for _, p := range m.peers {
+		alive := now-p.lastReceived < SilenceTimeout && !p.leaving
+		if alive && p.vm.Zone == m.options.Self.Zone && !slices.Contains(listed, p.vm) {
+			out = append(out, p.vm)
+		}
+	}
+	return out
+}
+
+func (m *Mesh) isLeaving() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leaving
+}
+
+// isUnlisted reports whether this VM has not registered again since the store came back from
+// a copy.
+func (m *Mesh) isUnlisted() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.unlisted
+}
+
 // listPause returns the pause before the next read of the list, after one that had this many
 // VMs. A VM that knows others gets their messages soon.
 func (m *Mesh) listPause(listed int) clock.Millis {
 	switch {
+	case m.isUnlisted():
+		return listStartInterval
 	case m.Registered() && len(m.Alive()) > 1:
 		return listInterval
 	case m.Registered() && listed > 1:
@@ -49,7 +132,7 @@
 	}
 	m.mu.Lock()
 	first := !m.registered
-	m.registered = true
+	m.registered, m.unlisted = true, false
 	m.mu.Unlock()
 	if first {
 		m.options.RegisteredFunc()
@@ -78,7 +161,7 @@
 }
 
 // mergeList merges the list of VMs into the peers. It removes a peer that is not listed and
-// counts as down. The list replaces what is known of a VM only while the VM counts as down,
+// counts as down, unless the store came back from a copy lately. The list replaces what is known of a VM only while the VM counts as down,
 // since its own messages are more recent.
 func (m *Mesh) mergeList(vms []member.VM) {
 	m.mu.Lock()
@@ -100,7 +183,7 @@
 		}
 	}
 	for name, p := range m.peers {
-		if !listed[name] && now-p.lastReceived >= SilenceTimeout {
+		if !listed[name] && now-p.lastReceived >= SilenceTimeout && !m.restoredLocked(now) {
 			delete(m.peers, name)
 		}
 	}
