Store the certificate authority again when the store has lost it

Cause: the authority is written once and never looked at again. The class is a write that counts as done though the store has lost it. Evidence: TestAuthorityAfterRestore failed before, no authority stored after 3 s. Change: when the era rises, a VM stores the authority that it knows unless there is one. If there is another, of a VM that was faster, it issues its keys anew from that.

--- a/internal/serve/frontend/era.go
+++ b/internal/serve/frontend/era.go
@@ -15,5 +15,6 @@
 	if before > 0 {
 		f.options.Log.Warn("the store came back from a copy", "era", era, "before", before)
 		f.mesh.StoreRestored()
+		f.spawn(func() { f.restoreKeys(f.ctx) })
 	}
 }
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -22,6 +22,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/gossip"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/session"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/keys"
 )
 
 // Options configures a VM.
@@ -78,6 +79,11 @@
 	holderCache holderCache
 	// transport is nil until the VM has its keys.
 	transport atomic.Pointer[peer.Transport]
+	// keyring holds the VM's keys, which authority issued. keysLock is held while they are
+	// issued; authority is nil before.
+	keysLock  sync.Mutex
+	authority *keys.Authority
+	keyring   *keys.Keyring
 	// fetchFailures counts the failed fetches from other VMs.
 	fetchFailures *metrics.Counter
 	// eraGauge shows era.
@@ -122,7 +128,7 @@
 		return nil, err
 	}
 	f := &Frontend{
-		options: o, listener: l, ctx: ctx, counters: database.NewCounters(), done: make(chan struct{}),
+		options: o, listener: l, ctx: ctx, keyring: &keys.Keyring{}, counters: database.NewCounters(), done: make(chan struct{}),
 		lostDependencies: map[string]bool{}, directoryReadAt: tenure.DistantPast, groups: map[string]*database.Group{}, conns: map[net.Conn]bool{},
 	}
 	f.sessionOptions = session.Options{
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -42,8 +42,9 @@
 	ListFunc     func(ctx context.Context) ([]member.VM, error)
 	RegisterFunc func(ctx context.Context, v member.VM) error
 	RemoveFunc   func(ctx context.Context, v member.VM) error
-	// KeysFunc issues the keys of the VM of that name.
-	KeysFunc func(ctx context.Context, vm string) (keys.Material, error)
+	// AuthorityFunc returns the stored certificate authority of the VMs. If there is none, it
+	// stores the known one or, if that is nil, a new one.
+	AuthorityFunc func(ctx context.Context, known *keys.Authority) (*keys.Authority, error)
 }
 
 // newMesh returns the gossip mesh of this VM, connected to the frontend's state.
@@ -77,10 +78,8 @@
 // every keysRetryInterval, and returns nil when the context ends first.
 func (f *Frontend) awaitTransport(ctx context.Context) *peer.Transport {
 	for ctx.Err() == nil {
-		m, err := f.options.Registry.KeysFunc(ctx, f.options.Self.Name)
-		f.recordDependency("keys", err)
-		if err == nil {
-			t, err := f.listenPeers(m)
+		if f.issueKeys(ctx) == nil {
+			t, err := peer.Listen(f.options.Self.Address, f.keyring, peer.Options{Clock: f.options.Clock, Region: f.options.Self.Region, IdleTimeout: connIdleTimeout})
 			if err == nil {
 				return t
 			}
@@ -91,12 +90,40 @@
 	return nil
 }
 
-func (f *Frontend) listenPeers(m keys.Material) (*peer.Transport, error) {
-	r, err := keys.NewKeyring(m)
+// issueKeys issues this VM's keys from the stored certificate authority, unless that is the one
+// which issued them already. It stores the authority again if the store has lost it.
+func (f *Frontend) issueKeys(ctx context.Context) error {
+	f.keysLock.Lock()
+	defer f.keysLock.Unlock()
+	a, err := f.options.Registry.AuthorityFunc(ctx, f.authority)
+	f.recordDependency("keys", err)
 	if err != nil {
-		return nil, err
+		return err
+	}
+	if f.authority != nil && f.authority.Equal(a) {
+		return nil
+	}
+	m, err := a.Issue(f.options.Self.Name)
+	if err == nil {
+		err = f.keyring.Load(m)
+	}
+	if err != nil {
+		f.options.Log.Error("issuing the keys of this VM failed", "err", err)
+		return err
+	}
+	if f.authority != nil {
+		f.options.Log.Warn("the certificate authority was replaced")
+	}
+	f.authority = a
+	return nil
+}
+
+// restoreKeys issues this VM's keys again after the store came back from a copy. It repeats a
+// failed attempt every keysRetryInterval.
+func (f *Frontend) restoreKeys(ctx context.Context) {
+	for ctx.Err() == nil && f.issueKeys(ctx) != nil {
+		_ = f.options.Clock.Sleep(ctx, keysRetryInterval)
 	}
-	return peer.Listen(f.options.Self.Address, r, peer.Options{Clock: f.options.Clock, Region: f.options.Self.Region, IdleTimeout: connIdleTimeout})
 }
 
 // dropConn closes the connection to an address; the next use opens a new one.
--- a/internal/setup/keys/keys.go
+++ b/internal/setup/keys/keys.go
@@ -113,6 +113,9 @@
 	validUntil = time.Date(2200, time.January, 1, 0, 0, 0, 0, time.UTC)
 )
 
+// Equal reports whether two authorities have the same certificate.
+func (a *Authority) Equal(b *Authority) bool { return a.certificate.Equal(b.certificate) }
+
 // MarshalPEM returns the authority's certificate and private key as two PEM blocks.
 func (a *Authority) MarshalPEM() ([]byte, error) {
 	keyDER, err := x509.MarshalECPrivateKey(a.key)
