Claim no change of primary for 3.7 s after the store came back from a copy

Cause: a claim serialises changes of primary because its record is in the store. The copy may lack a claim whose holder is still sealing and promoting, and the next VM finds none. Evidence: without the delay TestClaimAfterRestore saw a claim at once, and TestRestoreDuringAttempt a server promoted by an attempt that the restore had overtaken. Change: an attempt ends when its VM learns of a restore after it began. No VM claims for 3.7 s after it learned of one, as long as a claim of a silent VM holds; by then servers and VMs have registered again too. A VM whose first answer has an era above 1 waits as well, since it cannot know when that was. Result: both tests pass. A primary that is lost in these seconds is replaced later by up to 3.7 s; a VM that seldom calls the store may learn of the restore only then, and waits from there.

--- a/internal/core/failover/failover.go
+++ b/internal/core/failover/failover.go
@@ -49,6 +49,10 @@
 	// SilentHolderTimeout is the age at which the claim of a VM that sends no
 	// messages may be taken over, in milliseconds.
 	SilentHolderTimeout = clock.Millis(3700)
+	// RestoreDelay is how long, in milliseconds, no VM claims after the store came back from
+	// a copy. The copy may lack the claim of a VM that is still at work on it, and servers and
+	// VMs that register again meanwhile.
+	RestoreDelay = SilentHolderTimeout
 )
 
 // Server is a backend server of the group, as a claimant knows it.
--- a/internal/serve/database/claim.go
+++ b/internal/serve/database/claim.go
@@ -33,6 +33,9 @@
 // errAttemptExpired means that another VM may hold the claim by now.
 var errAttemptExpired = errors.New("the attempt took too long; another VM may hold the claim")
 
+// errStoreRestored means that the store came back from a copy, which may lack a claim.
+var errStoreRestored = errors.New("the store came back from a copy, which may lack a claim")
+
 // ErrTargetDown means that the server to be promoted is not running.
 var ErrTargetDown = errors.New("the server to be promoted is not running")
 
@@ -107,6 +110,8 @@
 		return errAttemptExpired
 	case a.group.Term() > a.term:
 		return errTermAdvanced
+	case a.group.options.RestoredAtFunc() > a.startedAt:
+		return errStoreRestored
 	}
 	return nil
 }
@@ -160,6 +165,11 @@
 	return nil
 }
 
+// awaitsClaims reports whether another VM may be at work on a claim that the store has lost.
+func (g *Group) awaitsClaims(now clock.Millis) bool {
+	return now-g.options.RestoredAtFunc() < failover.RestoreDelay
+}
+
 // acquireClaim writes this VM's claim to the record, unless another VM holds it.
 func (a *claimAttempt) acquireClaim(ctx context.Context) error {
 	g := a.group
@@ -172,6 +182,9 @@
 	if err != nil {
 		return errors.Wrap(err, "read the claim record")
 	}
+	if g.awaitsClaims(g.options.Clock.Now()) {
+		return errStoreRestored
+	}
 	g.mu.Lock()
 	g.lastHolder = old.Holder
 	g.mu.Unlock()
--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -83,6 +83,9 @@
 	// StoppingFunc reports whether this VM is stopping.
 	StoppingFunc func() bool
 	Claims       ClaimStore
+	// RestoredAtFunc returns the time at which this VM learned that the store, in which the
+	// claims are, had come back from a copy, or tenure.DistantPast.
+	RestoredAtFunc func() clock.Millis
 }
 
 // Group is a database group as served by one VM.
--- a/internal/serve/database/lost.go
+++ b/internal/serve/database/lost.go
@@ -13,6 +13,7 @@
 // lost the primary and this VM's claim delay has passed.
 func (g *Group) claimIfDue(ctx context.Context, start func(func())) {
 	now := g.options.Clock.Now()
+	awaitsClaims := g.awaitsClaims(now)
 	g.mu.Lock()
 	lost := g.primaryLostLocked(now)
 	if !lost {
@@ -25,7 +26,7 @@
 	since, claiming := g.lostSince, g.claiming
 	paused := now < g.claimAfter
 	g.mu.Unlock()
-	if !lost || claiming || paused || g.options.StoppingFunc() {
+	if !lost || claiming || paused || awaitsClaims || g.options.StoppingFunc() {
 		return
 	}
 	delay, mayClaim := votes.ClaimDelay(g.options.Name)
--- /dev/null
+++ b/internal/serve/database/restore_test.go
@@ -0,0 +1,67 @@
+package database
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
+)
+
+// claimableGroup returns a group whose primary p leaves, so that this VM claims at once, and
+// which takes the store for restored at the time restoredAt.
+func claimableGroup(t *testing.T, f *fakeGroup, restoredAt *atomic.Int64) *Group {
+	t.Helper()
+	f.claimable = true
+	g := f.group(t, 4)
+	g.options.DrainTimeout = 100
+	g.options.RestoredAtFunc = func() clock.Millis { return clock.Millis(restoredAt.Load()) }
+	f.runTicks(g, testTimeout, g.Ready)
+	return g
+}
+
+// TestClaimAfterRestore guards against two claimants at once, because the store lost the claim of the first.
+func TestClaimAfterRestore(t *testing.T) {
+	var restoredAt atomic.Int64
+	restoredAt.Store(-1 << 40)
+	f := &fakeGroup{}
+	g := claimableGroup(t, f, &restoredAt)
+	var claimedAt atomic.Int64
+	write := g.options.Claims.WriteFunc
+	g.options.Claims.WriteFunc = func(ctx context.Context, group string, c failover.Claim, version uint64) (uint64, error) {
+		claimedAt.CompareAndSwap(0, int64(g.options.Clock.Now()))
+		return write(ctx, group, c, version)
+	}
+	restoredAt.Store(int64(g.options.Clock.Now()))
+	g.Update(directoryEntries("p", "q", "r", "new"))
+	f.runTicks(g, testTimeout, func() bool { return claimedAt.Load() > 0 })
+	if claimedAt.Load() == 0 {
+		t.Fatal("no claim was written later")
+	}
+	waited := clock.Millis(claimedAt.Load() - restoredAt.Load())
+	if waited < failover.RestoreDelay {
+		t.Errorf("a claim was written %d ms after the restore, want at least %d", waited, failover.RestoreDelay)
+	}
+}
+
+// TestRestoreDuringAttempt guards against a claimant that goes on after the store may have lost its claim.
+func TestRestoreDuringAttempt(t *testing.T) {
+	var restoredAt atomic.Int64
+	restoredAt.Store(-1 << 40)
+	f := &fakeGroup{}
+	g := claimableGroup(t, f, &restoredAt)
+	f.directoryFunc = func() { restoredAt.Store(int64(g.options.Clock.Now()) + 1) }
+	g.Update(directoryEntries("p", "q", "r", "new"))
+	f.runTicks(g, testTimeout, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.claimAfter > 0 && !g.claiming
+	})
+	_, promoted := f.claimCommands()
+	if diff := cmp.Diff([]string(nil), promoted); diff != "" {
+		t.Errorf("promoted servers (-want +got):\n%s", diff)
+	}
+}
--- a/internal/serve/frontend/era.go
+++ b/internal/serve/frontend/era.go
@@ -1,5 +1,10 @@
 package frontend
 
+import "github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+
+// firstEra is the era of a store that never came back from a copy.
+const firstEra = 1
+
 // observeEra looks whether the store has come back from a copy, which lacks what was written
 // last. It then has what this VM wrote looked at again.
 func (f *Frontend) observeEra() {
@@ -7,6 +12,10 @@
 	f.mu.Lock()
 	before := f.era
 	f.era = max(f.era, era)
+	if era > before && era > firstEra {
+		// A process that has just started may see a restore of some time ago.
+		f.restoredAt = f.options.Clock.Now()
+	}
 	f.mu.Unlock()
 	if era <= before {
 		return
@@ -18,3 +27,12 @@
 		f.spawn(func() { f.restoreKeys(f.ctx) })
 	}
 }
+
+// lastRestore returns the time at which this VM learned that the store had come back from a
+// copy, or tenure.DistantPast.
+func (f *Frontend) lastRestore() clock.Millis {
+	f.observeEra()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.restoredAt
+}
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -104,8 +104,10 @@
 	storeAskedAt clock.Millis
 	// poll is the poll of the store in progress, or nil.
 	poll *poll
-	// era is the last observed era of the store.
-	era uint64
+	// era is the last observed era of the store, and restoredAt the time at which this VM
+	// learned that the store had come back from a copy.
+	era        uint64
+	restoredAt clock.Millis
 	// lostDependencies and groups are by name. A dependency is lost when the last call to
 	// it failed.
 	lostDependencies map[string]bool
@@ -129,7 +131,7 @@
 	}
 	f := &Frontend{
 		options: o, listener: l, ctx: ctx, keyring: &keys.Keyring{}, counters: database.NewCounters(), done: make(chan struct{}),
-		lostDependencies: map[string]bool{}, directoryReadAt: tenure.DistantPast, groups: map[string]*database.Group{}, conns: map[net.Conn]bool{},
+		lostDependencies: map[string]bool{}, directoryReadAt: tenure.DistantPast, restoredAt: tenure.DistantPast, groups: map[string]*database.Group{}, conns: map[net.Conn]bool{},
 	}
 	f.sessionOptions = session.Options{
 		Clock: o.Clock, Log: o.Log, Protocol: o.Protocol, Counters: session.NewCounters(), Trace: o.Trace,
