Complete the directory of a restored store by the one before

Cause: a directory that was read later counts as newer, though the copy is older until the servers have registered again. Evidence: with the directory applied as read, TestLeavingServerAfterRestore gets false for a server that was leaving; the cases of TestDirectoryAfterRestore follow the servers' contract. Change: for 3 s after a VM learned of a restore, what it reads keeps the servers that the copy lacks, a later start under the same id, and that a server leaves. Result: both tests pass.

--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -49,11 +49,51 @@
 	servers, err := f.options.ServersFunc(ctx)
 	f.recordDependency("directory", err)
 	if err == nil {
-		f.applyDirectory(servers, startedAt)
+		f.applyDirectory(f.completeDirectory(servers), startedAt)
 	}
 	return err
 }
 
+// restoredDirectoryTime is how long after the store came back from a copy its directory may
+// be older than the one that this VM had, in milliseconds. Servers register again within 2 s.
+const restoredDirectoryTime = 3 * clock.Second
+
+// completeDirectory returns a directory that was just read, completed by the one that this VM
+// had if the store came back from a copy less than restoredDirectoryTime ago.
+func (f *Frontend) completeDirectory(servers []database.Server) []database.Server {
+	if f.options.Clock.Now()-f.lastRestore() >= restoredDirectoryTime {
+		return servers
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return mergeRestored(f.directory, servers)
+}
+
+// mergeRestored completes the directory of a restored store by the known one: the copy may
+// lack servers, and be older than a server's last start or the beginning of its leaving.
+func mergeRestored(known, restored []database.Server) []database.Server {
+	knownByID := map[string]database.Server{}
+	for _, s := range known {
+		knownByID[s.ID] = s
+	}
+	var out []database.Server
+	for _, s := range restored {
+		k, isKnown := knownByID[s.ID]
+		delete(knownByID, s.ID)
+		if isKnown && s.Born < k.Born {
+			s = k
+		}
+		s.Leaving = s.Leaving || isKnown && s.Born == k.Born && k.Leaving
+		out = append(out, s)
+	}
+	for _, s := range known {
+		if _, missing := knownByID[s.ID]; missing {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // shouldReadDirectory reports whether this VM has to read the directory itself now.
 func (f *Frontend) shouldReadDirectory() bool {
 	if f.mesh.ReadsForRegion() {
