End an attempt to replace a primary once a later claim is known

A claimant whose claim the store lost could go on beside the next one, if that claimant's release reached it: it looked at the time and the term only. Cause: the fencing token of a release was compared with that of this VM's own releases, not with that of its own attempt. Since versions rise across eras, a higher one is a later claim. Change: an attempt no longer holds its claim once a release for a higher token is known; it then promotes and unseals nothing.

--- a/internal/serve/database/claim.go
+++ b/internal/serve/database/claim.go
@@ -81,7 +81,7 @@
 
 	mu sync.Mutex
 	// lastStep is the time of the last step; overdue is set once two steps were too
-	// far apart or the attempt took too long.
+	// far apart, the attempt took too long or a later claim is known.
 	lastStep clock.Millis
 	overdue  bool
 	// sealed holds the servers sealed for this claim, by ID.
@@ -93,9 +93,10 @@
 // this VM would unseal or promote may have been sealed by another claimant.
 func (a *claimAttempt) holdsClaim() bool {
 	now := a.group.options.Clock.Now()
+	taken := a.group.knowsLaterClaim(a.token)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if now-a.lastStep > maxStepGap || now-a.startedAt > failover.AttemptTimeout {
+	if taken || now-a.lastStep > maxStepGap || now-a.startedAt > failover.AttemptTimeout {
 		a.overdue = true
 	}
 	a.lastStep = now
@@ -165,6 +166,13 @@
 	return nil
 }
 
+// knowsLaterClaim reports whether a VM has released the term for a claim with a higher token.
+func (g *Group) knowsLaterClaim(token uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.releasedToken > token
+}
+
 // awaitsClaims reports whether another VM may be at work on a claim that the store has lost.
 func (g *Group) awaitsClaims(now clock.Millis) bool {
 	return now-g.options.RestoredAtFunc() < failover.RestoreDelay
--- a/internal/serve/database/restore_test.go
+++ b/internal/serve/database/restore_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 )
 
 // claimableGroup returns a group whose primary p leaves, so that this VM claims at once, and
@@ -54,6 +55,30 @@
 	f := &fakeGroup{}
 	g := claimableGroup(t, f, &restoredAt)
 	f.directoryFunc = func() { restoredAt.Store(int64(g.options.Clock.Now()) + 1) }
+	expectNoPromotion(t, f, g)
+}
+
+// TestLaterClaimDuringAttempt guards against a claimant that goes on after a VM has released the term for a later claim.
+func TestLaterClaimDuringAttempt(t *testing.T) {
+	var restoredAt atomic.Int64
+	restoredAt.Store(-1 << 40)
+	f := &fakeGroup{}
+	g := claimableGroup(t, f, &restoredAt)
+	var unsealed atomic.Bool
+	f.unsealFunc = func() { unsealed.Store(true) }
+	f.directoryFunc = func() {
+		g.MergeView("other", inner.GroupView{Group: "g", Term: 1, Leader: "p", ProofAge: -1, ReleasedToken: 1 << 50}, nil)
+	}
+	expectNoPromotion(t, f, g)
+	if unsealed.Load() {
+		t.Error("a server was unsealed that the later claimant may have sealed")
+	}
+}
+
+// expectNoPromotion lets the primary leave and fails the test if the claim that follows
+// promotes a server.
+func expectNoPromotion(t *testing.T, f *fakeGroup, g *Group) {
+	t.Helper()
 	g.Update(directoryEntries("p", "q", "r", "new"))
 	f.runTicks(g, testTimeout, func() bool {
 		g.mu.Lock()
