--- a/internal/serve/database/replacement_test.go
+++ b/internal/serve/database/replacement_test.go
@@ -150,16 +150,7 @@
 	f.directoryFunc = func() {
 		g.recordStatus("new", statement.ReplicationStatus{Primary: true, Term: 2, Sealed: 2}, g.options.Clock.Now())
 	}
-	g.Update(directoryEntries("p", "q", "r", "new"))
-	f.runTicks(g, testTimeout, func() bool {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		return g.claimAfter > 0 && !g.claiming
-	})
-	_, promoted := f.claimCommands()
-	if diff := cmp.Diff([]string(nil), promoted); diff != "" {
-		t.Errorf("promoted servers (-want +got):\n%s", diff)
-	}
+	expectNoPromotion(t, f, g)
 }
 
 // TestUnconfirmedPromotion promotes a server that never reports the new term. The former
--- a/internal/serve/database/restore_test.go
+++ b/internal/serve/database/restore_test.go
@@ -9,27 +9,28 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 )
 
-// claimableGroup returns a group whose primary p leaves, so that this VM claims at once, and
-// which takes the store for restored at the time restoredAt.
-func claimableGroup(t *testing.T, f *fakeGroup, restoredAt *atomic.Int64) *Group {
+// claimableGroup returns a group of the fake in which this VM may claim, and the time at which
+// the store came back from a copy for it, at first long ago.
+func claimableGroup(t *testing.T, f *fakeGroup) (*Group, *atomic.Int64) {
 	t.Helper()
+	restoredAt := &atomic.Int64{}
+	restoredAt.Store(int64(tenure.DistantPast))
 	f.claimable = true
 	g := f.group(t, 4)
 	g.options.DrainTimeout = 100
 	g.options.RestoredAtFunc = func() clock.Millis { return clock.Millis(restoredAt.Load()) }
 	f.runTicks(g, testTimeout, g.Ready)
-	return g
+	return g, restoredAt
 }
 
 // TestClaimAfterRestore guards against two claimants at once, because the store lost the claim of the first.
 func TestClaimAfterRestore(t *testing.T) {
-	var restoredAt atomic.Int64
-	restoredAt.Store(-1 << 40)
 	f := &fakeGroup{}
-	g := claimableGroup(t, f, &restoredAt)
+	g, restoredAt := claimableGroup(t, f)
 	var claimedAt atomic.Int64
 	write := g.options.Claims.WriteFunc
 	g.options.Claims.WriteFunc = func(ctx context.Context, group string, c failover.Claim, version uint64) (uint64, error) {
@@ -50,20 +51,16 @@
 
 // TestRestoreDuringAttempt guards against a claimant that goes on after the store may have lost its claim.
 func TestRestoreDuringAttempt(t *testing.T) {
-	var restoredAt atomic.Int64
-	restoredAt.Store(-1 << 40)
 	f := &fakeGroup{}
-	g := claimableGroup(t, f, &restoredAt)
+	g, restoredAt := claimableGroup(t, f)
 	f.directoryFunc = func() { restoredAt.Store(int64(g.options.Clock.Now()) + 1) }
 	expectNoPromotion(t, f, g)
 }
 
 // TestLaterClaimDuringAttempt guards against a claimant that goes on after a VM has released the term for a later claim.
 func TestLaterClaimDuringAttempt(t *testing.T) {
-	var restoredAt atomic.Int64
-	restoredAt.Store(-1 << 40)
 	f := &fakeGroup{}
-	g := claimableGroup(t, f, &restoredAt)
+	g, _ := claimableGroup(t, f)
 	var unsealed atomic.Bool
 	f.unsealFunc = func() { unsealed.Store(true) }
 	f.directoryFunc = func() {
--- a/internal/serve/frontend/follow.go
+++ b/internal/serve/frontend/follow.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// storeWait is how long one long poll of the store for changes may last, in
-	// milliseconds. A poll on a dead connection fails only when this time is over.
-	storeWait = 2500 * clock.Millis(1)
 	// followInterval is the pause between two checks whether a relay still keeps this VM
 	// up to date, in milliseconds.
 	followInterval = clock.Millis(400)
@@ -42,13 +39,6 @@
 	WaitFunc func(ctx context.Context, after uint64, wait clock.Millis, answering func()) ([]byte, uint64, error)
 }
 
-// poll is a long poll of the store that is in progress.
-type poll struct {
-	cancel context.CancelFunc
-	// answering is set once the store's answer begins to arrive.
-	answering bool
-}
-
 // followConfiguration reads the configuration from the store and adopts each change until
 // the context ends. After an error it reads the whole configuration again. It makes no calls
 // while a relay keeps this VM up to date; a relay may be too slow to hand over what it
@@ -107,52 +97,6 @@
 	return f.laterKnownAt > 0 && now-f.laterKnownAt > behindTimeout
 }
 
-// errPollInterrupted means that interruptPollLocked ended the poll.
-var errPollInterrupted = errors.New("the poll of the store was interrupted")
-
-// waitForChange waits for a change after a version of the store. After an error it
-// returns the version that it was given. It returns errPollInterrupted if the poll was
-// interrupted.
-func (f *Frontend) waitForChange(ctx context.Context, after uint64) ([]byte, uint64, error) {
-	pollContext, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	p := &poll{cancel: func() { cancel(errPollInterrupted) }}
-	f.setPoll(p)
-	defer f.setPoll(nil)
-	text, version, err := f.options.Source.WaitFunc(pollContext, after, storeWait, func() { f.recordAnswering(p) })
-	switch {
-	case err != nil && errors.Is(context.Cause(pollContext), errPollInterrupted):
-		return nil, after, errPollInterrupted
-	case err != nil:
-		return nil, after, err
-	}
-	return text, version, nil
-}
-
-func (f *Frontend) setPoll(p *poll) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.poll = p
-}
-
-func (f *Frontend) recordAnswering(p *poll) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	p.answering = true
-}
-
-// interruptPollLocked ends a poll of the store that has been silent for behindTimeout
-// although another VM has had a later configuration for as long: its connection may be
-// dead. The caller holds f.mu.
-func (f *Frontend) interruptPollLocked(now clock.Millis) {
-	p := f.poll
-	if p == nil || p.answering || now-f.storeAskedAt <= behindTimeout || !f.isBehindLocked(now) {
-		return
-	}
-	f.poll = nil
-	p.cancel()
-}
-
 // adoptConfiguration puts a configuration in force, unless this VM has that version or a
 // later one. The parameter from is its origin for the log.
 func (f *Frontend) adoptConfiguration(text []byte, from string) {
