Look at what was written again also when a restore is the first era that a VM sees

A VM that registered just before the store came back from a copy, and looked at the era only after, took the second era for its first and stayed unlisted. Read, not seen; the time between is up to 0.1 s. Change: an era above 1 counts as a restore at the start of a process too; it costs one read of the list and one of the authority.

--- a/internal/serve/frontend/era.go
+++ b/internal/serve/frontend/era.go
@@ -6,26 +6,27 @@
 const firstEra = 1
 
 // observeEra looks whether the store has come back from a copy, which lacks what was written
-// last. It then has what this VM wrote looked at again.
+// last. It then has what this VM wrote looked at again. A process that has just started may see
+// a restore of some time ago, or one since it registered.
 func (f *Frontend) observeEra() {
 	era := f.options.EraFunc()
 	f.mu.Lock()
 	before := f.era
 	f.era = max(f.era, era)
-	if era > before && era > firstEra {
-		// A process that has just started may see a restore of some time ago.
+	restored := era > before && era > firstEra
+	if restored {
 		f.restoredAt = f.options.Clock.Now()
 	}
 	f.mu.Unlock()
-	if era <= before {
-		return
+	if era > before {
+		f.eraGauge.Set(float64(era))
 	}
-	f.eraGauge.Set(float64(era))
-	if before > 0 {
-		f.options.Log.Warn("the store came back from a copy", "era", era, "before", before)
-		f.mesh.StoreRestored()
-		f.spawn(func() { f.restoreKeys(f.ctx) })
+	if !restored {
+		return
 	}
+	f.options.Log.Warn("the store came back from a copy", "era", era, "before", before)
+	f.mesh.StoreRestored()
+	f.spawn(func() { f.restoreKeys(f.ctx) })
 }
 
 // lastRestore returns the time at which this VM learned that the store had come back from a
