Shorten comments on restores of the store

Some had to be read twice, or said in words of their own what the code does. Found in a last reading of the diff.

--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -54,12 +54,12 @@
 	return err
 }
 
-// restoredDirectoryTime is how long after the store came back from a copy its directory may
-// be older than the one that this VM had, in milliseconds. Servers register again within 2 s.
+// restoredDirectoryTime is how long after a restore of the store its directory may be older
+// than the known one, in milliseconds. Servers register again within 2 s.
 const restoredDirectoryTime = 3 * clock.Second
 
-// completeDirectory returns a directory that was just read, completed by the one that this VM
-// had if the store came back from a copy less than restoredDirectoryTime ago.
+// completeDirectory merges the known directory into one just read, if the store was restored
+// less than restoredDirectoryTime ago.
 func (f *Frontend) completeDirectory(servers []database.Server) []database.Server {
 	if f.options.Clock.Now()-f.lastRestore() >= restoredDirectoryTime {
 		return servers
--- a/internal/serve/frontend/era.go
+++ b/internal/serve/frontend/era.go
@@ -5,9 +5,9 @@
 // firstEra is the era of a store that never came back from a copy.
 const firstEra = 1
 
-// observeEra looks whether the store has come back from a copy, which lacks what was written
-// last. It then has what this VM wrote looked at again. A process that has just started may see
-// a restore of some time ago, or one since it registered.
+// observeEra checks whether the store was restored from a copy, which lacks the last writes. If
+// so, this VM's registration and the certificate authority are checked and written again where
+// they are missing. A process that has just started may detect an earlier restore.
 func (f *Frontend) observeEra() {
 	era := f.options.EraFunc()
 	f.mu.Lock()
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -38,7 +38,7 @@
 	// Source provides the operators' configuration.
 	Source Source
 	// EraFunc returns the highest era of the store in an answer so far, or 0. The era rises
-	// when the store comes back from a copy that lacks what was written last.
+	// when the store is restored from a copy, which lacks the last writes.
 	EraFunc func() uint64
 	// ServersFunc reads the directory of backend servers.
 	ServersFunc func(ctx context.Context) ([]database.Server, error)
--- a/internal/serve/frontend/restore_test.go
+++ b/internal/serve/frontend/restore_test.go
@@ -16,8 +16,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
-// restoredDirectory is a case of restored.yaml: a directory, what the restored store has of it,
-// and what the VM should use.
+// restoredDirectory is a case of restored.yaml, which describes the fields.
 type restoredDirectory struct {
 	Name     string            `yaml:"name"`
 	Known    []database.Server `yaml:"known"`
--- a/internal/serve/gossip/list.go
+++ b/internal/serve/gossip/list.go
@@ -64,8 +64,8 @@
 // The caller holds the lock.
 func (m *Mesh) restoredLocked(now clock.Millis) bool { return now-m.restoredAt < restoreTime }
 
-// registerFollowers registers the VMs of this zone that a restored list lacks. Followers read
-// the list too seldom to do so themselves; only the first relay does it for them.
+// registerFollowers registers the VMs of this zone that a restored list lacks, if this VM is the
+// zone's first relay. Followers read the list only every listInterval.
 func (m *Mesh) registerFollowers(ctx context.Context, listed []member.VM) {
 	if m.Role() != Relay || !m.IsFirstRelay(m.options.Self.Name, m.options.Self.Zone) {
 		return
@@ -161,8 +161,8 @@
 }
 
 // mergeList merges the list of VMs into the peers. It removes a peer that is not listed and
-// counts as down, unless the store came back from a copy lately. The list replaces what is
-// known of a VM only while the VM counts as down, since its own messages are more recent.
+// counts as down, unless the store was restored within restoreTime. The list replaces the
+// details of a VM only while the VM counts as down, since its own messages are more recent.
 func (m *Mesh) mergeList(vms []member.VM) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
