--- a/review/stand/routeback.go
+++ b/review/stand/routeback.go
@@ -40,7 +40,7 @@
 	time.Sleep(time.Second)
 	var out []string
 	for round := range 8 {
-		b, err := d.oneReturn(v, first, round, trouble, toFirst, toSecond)
+		b, err := d.oneReturn(v, round, trouble, toFirst, toSecond)
 		if err != nil {
 			return nil, err
 		}
@@ -64,7 +64,7 @@
 }
 
 // oneReturn writes, has the route changed and changed back, and reads what it wrote.
-func (d *deployment) oneReturn(v *vm, first *group, round int, trouble bool, toFirst, toSecond route) ([]string, error) {
+func (d *deployment) oneReturn(v *vm, round int, trouble bool, toFirst, toSecond route) ([]string, error) {
 	s, err := openSession(d.rec, v.callers, database, "client")
 	if err != nil {
 		return nil, err
