--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -115,6 +115,7 @@
 
 func (d *deployment) awaitServing(v *vm, database string, limit time.Duration) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		v.restartIfExited()
 		if !v.ready() {
 			continue
 		}
--- a/review/stand/group.go
+++ b/review/stand/group.go
@@ -99,8 +99,8 @@
 		if r == p || r.primary || r.down || r.gone || r.held > p.term || r.term > p.term || p.unreached[r] || r.unreached[p] {
 			continue
 		}
-		if r.term < p.term && len(r.log) > p.base {
-			r.log = r.log[:p.base]
+		if r.term < p.term {
+			r.log = r.log[:commonLength(r.log, p.log)]
 		}
 		r.term = p.term
 		if len(r.log) < len(p.log) {
@@ -235,3 +235,12 @@
 	defer g.mu.Unlock()
 	return g.ran[id]
 }
+
+// commonLength returns how many entries two logs share from their begin.
+func commonLength(a, b []entry) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[n].term == b[n].term && a[n].id == b[n].id {
+		n++
+	}
+	return n
+}
--- a/review/stand/vm.go
+++ b/review/stand/vm.go
@@ -32,12 +32,29 @@
 	return l.Addr().String()
 }
 
+// freePort returns a port that is free now for UDP.
+func freePort() string {
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, port, _ := net.SplitHostPort(c.LocalAddr().String())
+	return port
+}
+
 // newVM writes the settings, with the fields of deploy/settings.yaml and the bounds of the
 // site thornbury-subs.
 func newVM(folder, name, zone, store, promote string) *vm {
-	v := &vm{name: name, zone: zone, folder: folder, store: store, promote: promote, callers: freeAddress(), probe: freeAddress()}
-	_, v.port, _ = net.SplitHostPort(freeAddress())
-	v.settings = filepath.Join(folder, name+".yaml")
+	v := &vm{name: name, zone: zone, folder: folder, store: store, promote: promote}
+	v.writeSettings()
+	return v
+}
+
+// writeSettings chooses free addresses and writes the settings file.
+func (v *vm) writeSettings() {
+	v.callers, v.probe, v.port = freeAddress(), freeAddress(), freePort()
+	v.settings = filepath.Join(v.folder, v.name+".yaml")
 	text := fmt.Sprintf(`vm: %q
 zone: %q
 region: "r"
@@ -56,11 +73,21 @@
 promotions: %q
 metrics: %q
 drain: 7000
-`, name, zone, v.callers, v.probe, v.port, v.port, store, promote, freeAddress())
+`, v.name, v.zone, v.callers, v.probe, v.port, v.port, v.store, v.promote, freeAddress())
 	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
 		panic(err)
 	}
-	return v
+}
+
+// restartIfExited starts the process on other addresses if it has ended: another program may
+// have taken an address after freeAddress had released it.
+func (v *vm) restartIfExited() {
+	select {
+	case <-v.exited:
+		v.writeSettings()
+		_ = v.start()
+	default:
+	}
 }
 
 // start starts "target/sycamoredoor frontend".
