Lose no commits through a server that starts during a change of primary

Callers got success for writes that were gone some hundred milliseconds later.

Cause: "all listed servers are sealed" was taken for "nothing can be acknowledged". A server that has just started is in nobody's list.

Change: - The former primary steps down before the promotion wherever it can be reached; the claim's record names it, since it then says that it is a replica. - A VM tells, with its release, the furthest position that it acknowledged, and acknowledges nothing of the term until the claim has ended; such a commit has an unknown outcome. The claimant says when it gives up. - Only a log that covers these positions is promoted. If there is none, the former primary leads again, or the attempt ends after 1 s. - A commit is no proof any more; a replica is one after 3.7 s in the directory. - A release counts only if its process was known when the attempt began.

Why it works: what a caller may rely on goes through a VM, and every VM that answers says how far it went, whatever servers there are.

TestHolderAwaitsProof uses a status in place of a commit as its proof.

--- a/internal/core/failover/failover.go
+++ b/internal/core/failover/failover.go
@@ -7,6 +7,12 @@
 // unsealed replicas are left for a commit. From then on nothing can be acknowledged in
 // the old term, and the furthest log among the sealed servers has every acknowledged
 // commit.
+//
+// This holds for the servers that the claimant knows. One that has just started may be in
+// nobody's list, and lets the primary acknowledge all the same. Therefore the former
+// primary steps down before the promotion wherever it can be reached, and each VM that
+// releases the term tells the furthest position that it acknowledged in it; a server is
+// promoted only if its log covers all of them.
 package failover
 
 import (
@@ -93,13 +99,36 @@
 	return sealed && unsealed < max(syncReplicas, 1)
 }
 
-// PromotionTarget returns the ID of the sealed server to promote, or "" if none is
-// sealed: the one with the furthest log; among equals, one that is not leaving, then
-// one that is not the former primary, then the one with the lowest ID.
-func PromotionTarget(servers []Server) string {
+// Acknowledged is what the VMs say they acknowledged to callers in the term to be replaced.
+type Acknowledged struct {
+	// Position is the furthest position that a VM is known to have acknowledged.
+	Position floor.ReplicationPosition
+	// Complete is set if every VM has told its position, and acknowledges nothing more.
+	Complete bool
+}
+
+// PromotionTarget returns the ID of the sealed server to promote, or "" if there is none:
+// the one with the furthest log; among equals, one that is not leaving, then one that is
+// not the former primary, then the one with the lowest ID. Its log covers what was
+// acknowledged. The log of a former primary may go further by commits that nobody received,
+// and it may still be cut off from its replicas; so it is promoted only if no replica will
+// do.
+func PromotionTarget(servers []Server, syncReplicas int, acknowledged Acknowledged) string {
+	replicas := slices.DeleteFunc(slices.Clone(servers), func(s Server) bool { return s.FormerPrimary })
+	if acknowledged.Complete || SafeToPromote(replicas, syncReplicas) {
+		if target := furthestSealed(replicas, acknowledged.Position); target != "" {
+			return target
+		}
+	}
+	return furthestSealed(servers, acknowledged.Position)
+}
+
+// furthestSealed returns the ID of the sealed server with the furthest log, or "" if none
+// is sealed or covers acknowledged.
+func furthestSealed(servers []Server, acknowledged floor.ReplicationPosition) string {
 	best := -1
 	for i, s := range servers {
-		if !s.Sealed {
+		if !s.Sealed || !s.LogEnd.Covers(acknowledged) {
 			continue
 		}
 		if best < 0 || compareCandidates(s, servers[best]) > 0 {
@@ -210,6 +239,9 @@
 	// A later attempt for the same term copies it, but promotes the server with the
 	// furthest log among those that it has sealed itself.
 	Target string `json:"target,omitempty"`
+	// Former is the primary of Term, or empty if the holder did not know it. A later attempt
+	// for the same term needs it: a primary that has stepped down reports itself as replica.
+	Former string `json:"former,omitempty"`
 	// ClaimedAt is the time of the claim by the store's clock, in milliseconds.
 	ClaimedAt clock.Millis `json:"at"`
 }
--- a/internal/core/failover/failover_test.go
+++ b/internal/core/failover/failover_test.go
@@ -24,8 +24,10 @@
 			Leaving       bool           `yaml:"leaving"`
 			Position      floor.Position `yaml:"position"`
 		} `yaml:"servers"`
-		Safe   bool   `yaml:"safe"`
-		Target string `yaml:"target"`
+		Acknowledged floor.Position `yaml:"acknowledged"`
+		Complete     bool           `yaml:"complete"`
+		Safe         bool           `yaml:"safe"`
+		Target       *string        `yaml:"target"`
 	}
 	scripted.Read(t, "testdata/claims.yaml", &scripts)
 	for _, script := range scripts {
@@ -40,10 +42,14 @@
 			if diff := cmp.Diff(script.Safe, SafeToPromote(servers, script.SyncReplicas)); diff != "" {
 				t.Errorf("safe (-want +got):\n%s", diff)
 			}
-			if script.Target == "" {
+			if script.Target == nil {
 				return
 			}
-			if diff := cmp.Diff(script.Target, PromotionTarget(servers)); diff != "" {
+			acknowledged := Acknowledged{Complete: script.Complete}
+			if script.Acknowledged > 0 {
+				acknowledged.Position = floor.ReplicationPosition{Term: 1, Position: script.Acknowledged}
+			}
+			if diff := cmp.Diff(*script.Target, PromotionTarget(servers, script.SyncReplicas, acknowledged)); diff != "" {
 				t.Errorf("target (-want +got):\n%s", diff)
 			}
 		})
@@ -113,7 +119,7 @@
 				continue
 			}
 			for _, s := range servers {
-				if s.ID == PromotionTarget(servers) && !s.LogEnd.Covers(acknowledged) {
+				if s.ID == PromotionTarget(servers, syncReplicas, Acknowledged{}) && !s.LogEnd.Covers(acknowledged) {
 					t.Fatalf("%s at %s would be promoted, but %s was acknowledged; the servers are %v", s.ID, s.LogEnd, acknowledged, servers)
 				}
 			}
@@ -121,6 +127,50 @@
 	})
 }
 
+// TestNewServerLosesNothing guards against the loss of commits that the primary acknowledged
+// through a server that no claimant knows. The primary may be cut off from its replicas, and
+// may step down; each commit is acknowledged to a caller by the VM, which tells its furthest
+// position when it releases the term and acknowledges nothing afterwards.
+func TestNewServerLosesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		servers := []Server{{ID: "p", FormerPrimary: true}, {ID: "q"}, {ID: "r"}}
+		newServer := floor.ReplicationPosition{}
+		var acknowledged Acknowledged
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"commit", "commit", "commit to the new server", "commit to the new server", "seal", "release"}).Draw(t, "step") {
+			case "commit":
+				if !servers[0].Sealed {
+					position := commit(t, servers, 1, floor.ReplicationPosition{})
+					if !acknowledged.Complete {
+						acknowledged.Position = acknowledged.Position.Max(position)
+					}
+				}
+			case "commit to the new server":
+				if !servers[0].Sealed {
+					newServer = floor.ReplicationPosition{Term: 1, Position: servers[0].LogEnd.Position + 1}
+					servers[0].LogEnd = newServer
+					if !acknowledged.Complete {
+						acknowledged.Position = newServer
+					}
+				}
+			case "seal":
+				servers[rapid.IntRange(0, 2).Draw(t, "server")].Sealed = true
+			case "release":
+				acknowledged.Complete = true
+			}
+			target := PromotionTarget(servers, 1, acknowledged)
+			if !acknowledged.Complete || !SafeToPromote(servers, 1) {
+				continue
+			}
+			for _, s := range servers {
+				if s.ID == target && !s.LogEnd.Covers(acknowledged.Position) {
+					t.Fatalf("%s at %s would be promoted, but %s was acknowledged; the servers are %v", s.ID, s.LogEnd, acknowledged.Position, servers)
+				}
+			}
+		}
+	})
+}
+
 // commit writes one entry, which reaches a random subset of the unsealed replicas,
 // and returns the last position that was acknowledged.
 func commit(t *rapid.T, servers []Server, syncReplicas int, acknowledged floor.ReplicationPosition) floor.ReplicationPosition {
--- a/internal/core/tenure/watch.go
+++ b/internal/core/tenure/watch.go
@@ -9,6 +9,12 @@
 // primary only while it has a proof younger than Lease that the group was not sealed. So
 // no VM reads from or writes to the primary of a term once a later term has acknowledged
 // anything, whichever VMs, servers and stores it can reach.
+//
+// A claimant seals the servers that the directory lists. A server that starts during a
+// claim may be missing there: it is not sealed, receives the primary's log and lets it
+// acknowledge commits. So an acknowledged commit is no proof, a replica proves nothing
+// until it has been listed for WitnessDelay, and a VM that has released a term takes no
+// proof of it until the claim has ended.
 package tenure
 
 import (
@@ -23,6 +29,13 @@
 	// MaxClockDrift is the allowance for clocks that drift apart during a lease, in
 	// milliseconds.
 	MaxClockDrift = clock.Millis(50)
+	// WitnessDelay is how long a replica must be listed before it counts for a proof, in
+	// milliseconds. It is longer than an attempt of a claimant, which rereads the directory
+	// after it has sealed servers: a replica that counts is in the claimant's list.
+	WitnessDelay = clock.Millis(3700)
+	// ClaimTimeout is how long after a release the claim may still be in progress, in
+	// milliseconds.
+	ClaimTimeout = clock.Millis(3700)
 	// RenewAfter is the age of a proof at which a VM asks for another, in
 	// milliseconds.
 	RenewAfter = clock.Millis(400)
@@ -57,15 +70,18 @@
 	unsealedAt map[string]clock.Millis
 	// samples are in order of time, the newest last.
 	samples []logSample
-	// releasedAt is when this VM last released the term to a claimant, which relies on
-	// it; proofs up to then do not count.
-	releasedAt clock.Millis
+	// releasedUntil is the time until which a claimant may rely on this VM's last release
+	// of the term, or DistantPast. Proofs up to then do not count.
+	releasedUntil clock.Millis
+	// witnessFrom holds, by replica, the time from which it counts for a proof; a replica
+	// without an entry always counts.
+	witnessFrom map[string]clock.Millis
 }
 
 // New returns a watch that knows nothing yet of a group whose commits need
 // syncReplicas replicas besides the primary; less than 1 counts as 1.
 func New(syncReplicas int) Watch {
-	return Watch{syncReplicas: max(syncReplicas, 1), provedAt: DistantPast, leaderProbeSent: DistantPast, releasedAt: DistantPast, unsealedAt: map[string]clock.Millis{}}
+	return Watch{syncReplicas: max(syncReplicas, 1), provedAt: DistantPast, leaderProbeSent: DistantPast, releasedUntil: DistantPast, unsealedAt: map[string]clock.Millis{}, witnessFrom: map[string]clock.Millis{}}
 }
 
 // Leader returns the newest term known and its primary, or "" while the primary is
@@ -138,10 +154,31 @@
 		w.samples, w.unsealedAt = nil, map[string]clock.Millis{}
 	}
 	w.term, w.leader = term, leader
-	w.provedAt, w.leaderProbeSent, w.releasedAt = DistantPast, DistantPast, DistantPast
+	w.provedAt, w.leaderProbeSent, w.releasedUntil = DistantPast, DistantPast, DistantPast
+	return w
+}
+
+// WithListed records that the directory lists a server since the time now, or lists it as
+// started anew.
+func (w Watch) WithListed(server string, now clock.Millis) Watch {
+	w.witnessFrom = cloneTimes(w.witnessFrom)
+	w.witnessFrom[server] = now + WitnessDelay
 	return w
 }
 
+// WithUnlisted records that the directory no longer lists a server.
+func (w Watch) WithUnlisted(server string) Watch {
+	w.witnessFrom = cloneTimes(w.witnessFrom)
+	delete(w.witnessFrom, server)
+	return w
+}
+
+// isWitness reports whether a replica counts for a proof from the time at.
+func (w Watch) isWitness(server string, at clock.Millis) bool {
+	from, isNew := w.witnessFrom[server]
+	return !isNew || at >= from
+}
+
 // WithStatus applies a server's answer to a tenure probe that was sent at the time
 // sent.
 func (w Watch) WithStatus(server string, status statement.ReplicationStatus, sent clock.Millis) Watch {
@@ -177,6 +214,9 @@
 
 // withUnsealed records that a replica was not sealed for a later term at the time at.
 func (w Watch) withUnsealed(server string, at clock.Millis) Watch {
+	if !w.isWitness(server, at) {
+		return w
+	}
 	w.unsealedAt = cloneTimes(w.unsealedAt)
 	w.unsealedAt[server] = max(w.lastUnsealed(server), at)
 	return w
@@ -228,26 +268,36 @@
 	if server == w.leader {
 		return w.withSample(sent, m)
 	}
-	return w.withReplicaProgress(m)
+	return w.withReplicaProgress(server, m)
 }
 
 // withProof records that the group was not sealed for a later term at the time at, unless
-// the VM has released the term since then.
+// a claimant may rely on this VM's release of the term then.
 func (w Watch) withProof(at clock.Millis) Watch {
-	if at > w.releasedAt {
+	if at > w.releasedUntil {
 		w.provedAt = max(w.provedAt, at)
 	}
 	return w
 }
 
-// WithRelease gives up the current term at the request of a claimant that has sealed
-// the group. Afterwards only proofs later than now count, and there can be none until
-// the servers are unsealed.
+// WithRelease gives up the current term at the request of a claimant that has sealed the
+// group. No proof counts until WithReleaseEnd, or until the claim must have ended.
 func (w Watch) WithRelease(now clock.Millis) Watch {
-	w.releasedAt, w.provedAt = now, DistantPast
+	w.releasedUntil, w.provedAt = now+ClaimTimeout, DistantPast
 	return w
 }
 
+// WithReleaseEnd records that the claim for which this VM released the term has ended at
+// the time now at the latest, and has ordered no promotion. Later proofs count again.
+func (w Watch) WithReleaseEnd(now clock.Millis) Watch {
+	w.releasedUntil = min(w.releasedUntil, now)
+	return w
+}
+
+// Released reports whether a claimant may rely on this VM's release of the term at the time
+// now. The VM must then acknowledge no commit of the term.
+func (w Watch) Released(now clock.Millis) bool { return now <= w.releasedUntil }
+
 // Report is what one VM reports to another about a group. Its times are lower bounds:
 // each fact held at its time or later. They are of the clock of the VM that has the
 // Report, so the receiver must convert them before WithReport.
@@ -288,11 +338,12 @@
 	return r
 }
 
-// WithCommit records that server acknowledged a write sent at the time sent. If it is
-// the leader, this is a proof: a sealed group cannot acknowledge.
+// WithCommit records that server acknowledged a write sent at the time sent. This is no
+// proof: the replica that received the write may be missing from the directory, and so
+// from the servers that a claimant seals.
 func (w Watch) WithCommit(server string, m floor.ReplicationPosition, sent clock.Millis) Watch {
 	if server == w.leader && m.Term == w.term {
-		return w.withProof(sent).withSample(sent, m)
+		return w.withSample(sent, m)
 	}
 	return w.WithPosition(server, m, sent)
 }
@@ -301,12 +352,15 @@
 // not have at the time of a sample: a sealed server receives nothing, so the replica
 // was not sealed at that time. With more than one synchronous replica, one of them
 // proves too little.
-func (w Watch) withReplicaProgress(m floor.ReplicationPosition) Watch {
+func (w Watch) withReplicaProgress(server string, m floor.ReplicationPosition) Watch {
 	if w.syncReplicas > 1 {
 		return w
 	}
 	for i := len(w.samples) - 1; i >= 0; i-- {
 		if s := w.samples[i]; s.position.Position < m.Position {
+			if !w.isWitness(server, s.at) {
+				return w
+			}
 			return w.withProof(s.at)
 		}
 	}
--- a/internal/core/tenure/watch_test.go
+++ b/internal/core/tenure/watch_test.go
@@ -1,6 +1,7 @@
 package tenure
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -37,6 +38,9 @@
 	Position   *observation  `yaml:"mark"`
 	Report     *observation  `yaml:"hearsay"`
 	Release    bool          `yaml:"release"`
+	Ended      bool          `yaml:"ended"`
+	Listed     string        `yaml:"listed"`
+	Unlisted   string        `yaml:"unlisted"`
 	LeaseValid *bool         `yaml:"may"`
 	Leader     *string       `yaml:"leader"`
 	Floor      *struct {
@@ -72,6 +76,12 @@
 		return w.WithReport(Report{Term: s.Report.Term, Leader: s.Report.Server, ProvedAt: s.Report.ProvedAt})
 	case s.Release:
 		return w.WithRelease(s.At)
+	case s.Ended:
+		return w.WithReleaseEnd(s.At)
+	case s.Listed != "":
+		return w.WithListed(s.Listed, s.At)
+	case s.Unlisted != "":
+		return w.WithUnlisted(s.Unlisted)
 	}
 	return w
 }
@@ -159,8 +169,14 @@
 	acked []logSample
 	// allSealedAt is the time at which both replicas were first sealed, or DistantPast.
 	allSealedAt clock.Millis
+	// newRuns is set once server n receives the primary's log, and newListed once the
+	// directory lists it. The claimant does not know it.
+	newRuns, newListed bool
 }
 
+// newServer is a replica that starts while the others are sealed.
+const newServer = "n"
+
 var servers = []string{"p", "q", "r"}
 
 func (g *group) replicas() []string {
@@ -185,12 +201,27 @@
 			done = true
 		}
 	}
+	if g.newRuns && reached[newServer] {
+		g.logs[newServer] = m
+		done = true
+	}
 	if done {
 		g.acked = append(g.acked, logSample{at: g.now, position: m})
 	}
 	return m, done
 }
 
+// attemptTimeout bounds a claimant's attempt, in milliseconds, as failover.AttemptTimeout does.
+const attemptTimeout = clock.Millis(3000)
+
+// listed returns the servers that the directory lists.
+func (g *group) listed() []string {
+	if g.newListed {
+		return append(slices.Clone(servers), newServer)
+	}
+	return servers
+}
+
 func (g *group) status(server string, primary string, term floor.Term) statement.ReplicationStatus {
 	answer := statement.ReplicationStatus{Primary: server == primary, Term: term, Sealed: term, Received: g.logs[server]}
 	if g.sealed[server] {
@@ -202,7 +233,8 @@
 // TestNoTwoPrimaries lets two VMs observe a group by commits, probes, reads and each
 // other's reports while a third changes its primary. Neither may use the former
 // primary once the new one has acknowledged something, and no floor may lack a commit
-// acknowledged before its time.
+// acknowledged before its time. A server that starts after the replicas were sealed lets
+// the former primary go on acknowledging.
 func TestNoTwoPrimaries(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := &group{term: 1, primary: "p", logs: map[string]floor.ReplicationPosition{}, sealed: map[string]bool{}, allSealedAt: DistantPast}
@@ -218,7 +250,7 @@
 			"commit": func(t *rapid.T) {
 				i := rapid.IntRange(0, 1).Draw(t, "vm")
 				reached := map[string]bool{}
-				for _, r := range g.replicas() {
+				for _, r := range append(g.replicas(), newServer) {
 					reached[r] = rapid.Bool().Draw(t, r)
 				}
 				sent := g.now
@@ -231,7 +263,7 @@
 			},
 			"ask": func(t *rapid.T) {
 				i := rapid.IntRange(0, 1).Draw(t, "vm")
-				s := rapid.SampledFrom(servers).Draw(t, "server")
+				s := rapid.SampledFrom(g.listed()).Draw(t, "server")
 				sent := g.now
 				g.now += clock.Millis(rapid.IntRange(0, 50).Draw(t, "took"))
 				answer := g.status(s, g.primary, g.term)
@@ -244,7 +276,7 @@
 			},
 			"read": func(t *rapid.T) {
 				i := rapid.IntRange(0, 1).Draw(t, "vm")
-				s := rapid.SampledFrom(servers).Draw(t, "server")
+				s := rapid.SampledFrom(g.listed()).Draw(t, "server")
 				watches[i] = watches[i].WithPosition(s, g.logs[s], g.now)
 			},
 			"gossip": func(t *rapid.T) {
@@ -268,8 +300,23 @@
 					g.allSealedAt = g.now
 				}
 			},
+			"start": func(*rapid.T) {
+				if g.allSealedAt == DistantPast || former != "" || g.newRuns {
+					return
+				}
+				g.newRuns, g.logs[newServer] = true, g.logs[g.primary]
+			},
+			"list": func(*rapid.T) {
+				if !g.newRuns || g.newListed {
+					return
+				}
+				g.newListed = true
+				for i := range watches {
+					watches[i] = watches[i].WithListed(newServer, g.now)
+				}
+			},
 			"promote": func(*rapid.T) {
-				if g.allSealedAt == DistantPast || former != "" || g.now < g.allSealedAt+Lease+MaxClockDrift {
+				if g.allSealedAt == DistantPast || former != "" || g.now < g.allSealedAt+Lease+MaxClockDrift || g.now > g.allSealedAt+attemptTimeout {
 					return
 				}
 				best := g.replicas()[0]
@@ -282,6 +329,7 @@
 				g.primary, g.term = best, g.term+1
 				g.logs[best] = floor.ReplicationPosition{Term: g.term, Position: g.logs[best].Position}
 				clear(g.sealed)
+				g.newRuns = false
 			},
 			"": func(t *rapid.T) { g.check(t, watches) },
 		}
--- a/internal/proto/inner/gossip.go
+++ b/internal/proto/inner/gossip.go
@@ -90,5 +90,10 @@
 	ReplicationStalled bool
 	// ReleasedToken is the fencing token of the last claim for which the VM released
 	// the term, that is, stopped using the primary to be replaced; 0 when there is none.
+	// ReleaseEnded is set once that claim has ended without ordering a promotion.
 	ReleasedToken uint64
+	ReleaseEnded  bool
+	// Acknowledged is the furthest position in the log of Term that the VM acknowledged to a
+	// caller before the release, or 0. It is set only while the release is in force.
+	Acknowledged floor.Position
 }
--- a/internal/serve/database/claim.go
+++ b/internal/serve/database/claim.go
@@ -78,6 +78,14 @@
 	// servers were sealed.
 	startedAt clock.Millis
 	sealedAt  clock.Millis
+	// formerStopped is set once the former primary has stepped down, released once every VM
+	// has released the term, ordered before the first order to promote.
+	formerStopped bool
+	released      bool
+	ordered       bool
+	// logMissingSince is the time since which no sealed server has every acknowledged
+	// commit, or 0.
+	logMissingSince clock.Millis
 
 	mu sync.Mutex
 	// lastStep is the time of the last step; overdue is set once two steps were too
@@ -146,24 +154,37 @@
 	if err := a.acquireClaim(ctx); err != nil {
 		return err
 	}
+	if err := a.replace(ctx); err != nil {
+		// After an order to promote the replicas stay sealed, since a promotion that was not
+		// confirmed may have taken effect.
+		if !a.ordered || errors.Is(err, errTermAdvanced) {
+			a.giveUp(ctx)
+		}
+		return err
+	}
+	a.finish(ctx)
+	return nil
+}
+
+// replace stops the use of the old term and promotes a server.
+func (a *claimAttempt) replace(ctx context.Context) error {
 	if err := a.sealAll(ctx); err != nil {
-		a.unsealReplicas(ctx)
 		return err
 	}
+	a.stopFormer(ctx)
 	if err := a.awaitRelease(ctx); err != nil {
-		a.unsealReplicas(ctx)
 		return err
 	}
-	if err := a.promote(ctx); err != nil {
-		// After any error but errTermAdvanced the replicas stay sealed, since a promotion
-		// that was not confirmed may have taken effect.
-		if errors.Is(err, errTermAdvanced) {
-			a.unsealReplicas(ctx)
-		}
-		return err
+	return a.promote(ctx)
+}
+
+// giveUp lets the group go on in the old term.
+func (a *claimAttempt) giveUp(ctx context.Context) {
+	a.unsealReplicas(ctx)
+	if a.holdsClaim() {
+		a.group.endRelease(a.token)
+		a.group.options.GossipFunc()
 	}
-	a.finish(ctx)
-	return nil
 }
 
 // knowsLaterClaim reports whether a VM has released the term for a claim with a higher token.
@@ -183,8 +204,6 @@
 	g := a.group
 	g.mu.Lock()
 	a.term, a.formerPrimary = g.watch.Leader()
-	p := g.pools[a.formerPrimary]
-	a.planned = p != nil && p.entry().Leaving
 	g.mu.Unlock()
 	old, version, now, err := g.options.Claims.ReadFunc(ctx, g.options.Name)
 	if err != nil {
@@ -199,7 +218,11 @@
 	if !old.CanTakeOver(g.options.Self, now, slices.Contains(g.options.LiveVMsFunc(), old.Holder)) {
 		return ErrClaimTaken
 	}
-	a.claim = failover.Claim{Holder: g.options.Self, Term: a.term, ClaimedAt: now}
+	if a.formerPrimary == "" && old.Term == a.term {
+		a.formerPrimary = old.Former
+	}
+	a.planned = g.isLeaving(a.formerPrimary)
+	a.claim = failover.Claim{Holder: g.options.Self, Term: a.term, Former: a.formerPrimary, ClaimedAt: now}
 	if old.Term == a.term {
 		a.claim.Target = old.Target
 	}
--- a/internal/serve/database/fake_test.go
+++ b/internal/serve/database/fake_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
@@ -50,6 +51,13 @@
 	directoryFunc func()
 	// unsealFunc is called when a server is unsealed.
 	unsealFunc func()
+	// steppedDown is set once p has stepped down. unreachable names the servers that answer
+	// no command, and logEnds holds the ends of the servers' logs, 1 for one without an entry.
+	steppedDown bool
+	unreachable map[string]bool
+	logEnds     map[string]floor.Position
+	// promoteFunc is called, with the lock, at each promotion request.
+	promoteFunc func()
 }
 
 func (f *fakeGroup) protocol() Protocol {
@@ -98,15 +106,22 @@
 	return a
 }
 
-// command answers a command. A status always has term 1 with p as the primary, so an
-// attempt that has promoted a server waits for the new term until its timeout.
+// command answers a command. A status always has term 1, with p as the primary until it
+// steps down, so an attempt that has promoted a server waits for the new term until its
+// timeout.
 func (f *fakeGroup) command(s Server, c Command) (statement.ReplicationStatus, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.busy && c == QueryStatus {
 		return statement.ReplicationStatus{}, &RefusalError{Code: statement.Busy, Detail: "busy"}
 	}
-	status := statement.ReplicationStatus{Primary: s.ID == "p", Term: 1, Sealed: 1, Received: floor.ReplicationPosition{Term: 1, Position: 1}}
+	if f.unreachable[s.ID] && c != QueryStatus {
+		return statement.ReplicationStatus{}, errors.New("no answer")
+	}
+	if c == StepDown && s.ID == "p" {
+		f.steppedDown = true
+	}
+	status := statement.ReplicationStatus{Primary: s.ID == "p" && !f.steppedDown, Term: 1, Sealed: 1, Received: floor.ReplicationPosition{Term: 1, Position: max(f.logEnds[s.ID], 1)}}
 	if c == Unseal && f.unsealFunc != nil {
 		f.unsealFunc()
 	}
@@ -143,6 +158,9 @@
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.promoted = append(f.promoted, server)
+			if f.promoteFunc != nil {
+				f.promoteFunc()
+			}
 			return nil
 		}},
 		RefreshDirectoryFunc: func(context.Context) error {
--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -131,6 +131,8 @@
 	// releasedToken is the fencing token of the last claim for which this VM released
 	// the term.
 	releasedToken uint64
+	// acknowledged is the furthest position of a commit that this VM acknowledged.
+	acknowledged floor.ReplicationPosition
 	// lastHolder is the VM that held the claim when this VM last read its record.
 	lastHolder string
 	// lostSince is the time at which this VM lost the primary, or 0.
@@ -157,6 +159,8 @@
 func (g *Group) Update(servers []Server) {
 	listed := map[string]bool{}
 	g.mu.Lock()
+	// Which servers of the first directory are new is not known.
+	first := len(g.pools) == 0
 	var closing []*pool
 	for _, s := range servers {
 		listed[s.ID] = true
@@ -174,6 +178,9 @@
 		}
 		if p == nil {
 			g.pools[s.ID] = newPool(g, s)
+			if !first {
+				g.watch = g.watch.WithListed(s.ID, g.options.Clock.Now())
+			}
 			if _, leader := g.watch.Leader(); s.ID == leader {
 				g.wakeWaitersLocked()
 			}
@@ -191,6 +198,7 @@
 			delete(g.positions, id)
 			delete(g.positionSeenAt, id)
 			g.unlistedSince[id] = g.options.Clock.Now()
+			g.watch = g.watch.WithUnlisted(id)
 			closing = append(closing, p)
 			g.options.Log.Info("backend server unlisted", "group", g.options.Name, "server", id)
 		}
@@ -232,12 +240,23 @@
 }
 
 // recordCommit records a commit that a server acknowledged. sent is the time at which
-// the statement was sent.
-func (g *Group) recordCommit(server string, position floor.ReplicationPosition, sent clock.Millis) {
+// the statement was sent. It returns an error if the caller must not be told that it is
+// committed: errReplaced if a later term is known, errReleased if this VM has released the
+// term to a claimant, which may promote a server without the commit.
+func (g *Group) recordCommit(server string, position floor.ReplicationPosition, sent clock.Millis) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.committedAt = g.options.Clock.Now()
+	now := g.options.Clock.Now()
+	switch term, _ := g.watch.Leader(); {
+	case !position.IsZero() && position.Term < term:
+		return errReplaced
+	case (position.IsZero() || position.Term == term) && g.watch.Released(now):
+		return errReleased
+	}
+	g.committedAt = now
+	g.acknowledged = g.acknowledged.Max(position)
 	g.setWatch(g.watch.WithCommit(server, position, sent))
+	return nil
 }
 
 // setWatch replaces the watch, logs and counts a new primary, and wakes those waiting
--- a/internal/serve/database/leader_test.go
+++ b/internal/serve/database/leader_test.go
@@ -104,7 +104,9 @@
 	}
 	go func() {
 		time.Sleep(20 * time.Millisecond)
-		g.recordCommit("p", floor.ReplicationPosition{Term: 1, Position: 1}, g.options.Clock.Now())
+		now := g.options.Clock.Now()
+		g.recordStatus("p", statement.ReplicationStatus{Primary: true, Term: 1, Sealed: 1, Received: floor.ReplicationPosition{Term: 1, Position: 1}}, now)
+		g.recordStatus("q", statement.ReplicationStatus{Term: 1, Sealed: 1}, now)
 	}()
 	conn, err := g.AcquireForwarded(t.Context(), "p", true, Requester{Account: "acme", Weight: 1}, 10*clock.Second)
 	if err != nil {
--- a/internal/serve/database/lost.go
+++ b/internal/serve/database/lost.go
@@ -177,6 +177,12 @@
 	stalled bool
 	// releasedToken is the token of the last claim for which the VM released the term.
 	releasedToken uint64
+	// acknowledged is the furthest position that the VM acknowledged to a caller before that
+	// release.
+	acknowledged floor.ReplicationPosition
+	// process identifies the VM's process, and knownSince is the time of its first report.
+	process    uint64
+	knownSince clock.Millis
 	// at is the time at which the report was received.
 	at clock.Millis
 }
--- a/internal/serve/database/pooledconn.go
+++ b/internal/serve/database/pooledconn.go
@@ -76,18 +76,20 @@
 // it was acknowledged after the promotion, the new primary does not have it.
 var errReplaced = errors.New("a later term began before the commit was acknowledged")
 
+// errReleased means that a commit was acknowledged by a primary after this VM had released
+// its term to a claimant.
+var errReleased = errors.New("the term was released to a claimant before the commit was acknowledged")
+
 // recordAnswer records the log position in an answer. An answer without a transaction
-// status makes the connection unusable. recordAnswer returns errReplaced for a commit of an
-// earlier term than the one in force.
+// status makes the connection unusable. The errors are those of recordCommit.
 func (pc *PooledConn) recordAnswer(r Request, a statement.Answer, sent clock.Millis) error {
 	pc.broken = pc.broken || a.Status == 0
 	g := pc.pool.group
 	if r.IsCommit && a.Code == statement.Success {
-		if !a.Position.IsZero() && a.Position.Term < g.Term() {
+		if err := g.recordCommit(pc.pool.entry().ID, a.Position, sent); err != nil {
 			pc.broken = true
-			return errReplaced
+			return err
 		}
-		g.recordCommit(pc.pool.entry().ID, a.Position, sent)
 	}
 	g.recordPosition(pc.pool.entry().ID, a.Position, sent)
 	return nil
--- a/internal/serve/database/promote.go
+++ b/internal/serve/database/promote.go
@@ -15,13 +15,18 @@
 const (
 	// promoteRetryPause is the pause between two promotion requests.
 	promoteRetryPause = clock.Millis(200)
+	// logWait is how long an attempt looks for a server that has every acknowledged commit,
+	// in milliseconds. It leaves time to let the group go on in the old term.
+	logWait = clock.Second
 	// stepDownTimeout bounds the command by which a former primary steps down once
 	// another server was promoted.
 	stepDownTimeout = clock.Millis(200)
 )
 
 // awaitRelease waits until no VM uses the old term: every VM has released it, or
-// every lease on it has expired.
+// every lease on it has expired. In the second case a VM that was not heard may have got
+// acknowledgements from a server that has started since the servers were sealed, so the
+// directory is reread.
 func (a *claimAttempt) awaitRelease(ctx context.Context) error {
 	g := a.group
 	g.releaseTerm(a.token)
@@ -30,7 +35,14 @@
 	leaseExpiry := a.sealedAt + tenure.Lease + tenure.MaxClockDrift
 	// Only a list read after the seal contains every VM that may use the term.
 	complete := g.options.RefreshVMsFunc(ctx) == nil
-	for g.options.Clock.Now() < leaseExpiry && !(complete && g.termReleased(a.token)) {
+	for {
+		a.released = complete && g.termReleased(a.token, a.startedAt)
+		if a.released {
+			return nil
+		}
+		if g.options.Clock.Now() >= leaseExpiry {
+			break
+		}
 		if err := a.checkClaim(); err != nil {
 			return err
 		}
@@ -38,7 +50,7 @@
 			return ctx.Err()
 		}
 	}
-	return nil
+	return a.sealListed(ctx)
 }
 
 // promote promotes the sealed server with the furthest log. It repeats a request that
@@ -51,8 +63,15 @@
 		if !failover.SafeToPromote(candidates, g.options.SyncReplicas) {
 			return errors.New("the directory lists a new server that is not sealed")
 		}
-		target := failover.PromotionTarget(candidates)
-		a.checkTarget(candidates, target)
+		acknowledged := failover.Acknowledged{Position: g.acknowledgedInTerm(a.term, a.token), Complete: a.released}
+		target := failover.PromotionTarget(candidates, g.options.SyncReplicas, acknowledged)
+		if target == "" {
+			if err := a.awaitLog(ctx, acknowledged.Position); err != nil {
+				return err
+			}
+			continue
+		}
+		a.checkTarget(candidates, target, acknowledged.Position)
 		if target != a.claim.Target {
 			a.claim.Target = target
 			version, err := g.options.Claims.WriteFunc(ctx, g.options.Name, a.claim, a.version)
@@ -64,6 +83,7 @@
 		if err := a.checkClaim(); err != nil {
 			return err
 		}
+		a.ordered = true
 		err := g.options.Claims.PromoteFunc(ctx, g.options.Name, target, g.options.Self, a.token)
 		switch {
 		case err == nil:
@@ -80,17 +100,45 @@
 	return ctx.Err()
 }
 
-// checkTarget asserts that the log of no sealed server goes further than that of the
-// server to be promoted.
-func (a *claimAttempt) checkTarget(servers []failover.Server, target string) {
+// errLogMissing means that no known server has every acknowledged commit.
+var errLogMissing = errors.New("no sealed server has every acknowledged commit")
+
+// awaitLog seals servers that the directory lists by now, since no sealed server has all
+// that was acknowledged. After logWait it returns errLogMissing: the group then goes on in
+// the old term, where the server with the missing commits can be listed meanwhile.
+func (a *claimAttempt) awaitLog(ctx context.Context, acknowledged floor.ReplicationPosition) error {
+	g := a.group
+	now := g.options.Clock.Now()
+	if a.logMissingSince == 0 {
+		a.logMissingSince = now
+		g.options.Log.Warn("no sealed server has every acknowledged commit", "group", g.options.Name, "term", a.term, "acknowledged", acknowledged)
+	}
+	if now-a.logMissingSince > logWait {
+		return errLogMissing
+	}
+	if err := a.checkClaim(); err != nil {
+		return err
+	}
+	if err := g.options.Clock.Sleep(ctx, promoteRetryPause); err != nil {
+		return err
+	}
+	return a.sealListed(ctx)
+}
+
+// checkTarget asserts that the server to be promoted has every acknowledged commit, and
+// that the log of no sealed replica goes further. The log of the former primary may, by
+// commits that were not acknowledged.
+func (a *claimAttempt) checkTarget(servers []failover.Server, target string, acknowledged floor.ReplicationPosition) {
 	var targetLogEnd floor.ReplicationPosition
 	for _, s := range servers {
 		if s.ID == target {
 			targetLogEnd = s.LogEnd
 		}
 	}
+	invariant.Check(targetLogEnd.Covers(acknowledged), invariant.CurrentPrimary,
+		"backend server %s at %s would be promoted, but %s was acknowledged", target, targetLogEnd, acknowledged)
 	for _, s := range servers {
-		invariant.Check(!s.Sealed || targetLogEnd.Covers(s.LogEnd), invariant.CurrentPrimary,
+		invariant.Check(!s.Sealed || s.FormerPrimary || targetLogEnd.Covers(s.LogEnd), invariant.CurrentPrimary,
 			"backend server %s at %s would be promoted over %s at %s", target, targetLogEnd, s.ID, s.LogEnd)
 	}
 }
--- a/internal/serve/database/release.go
+++ b/internal/serve/database/release.go
@@ -1,7 +1,9 @@
 package database
 
 import (
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 )
 
 // failoverServers returns the servers whose logs may contain acknowledged commits:
@@ -39,10 +41,38 @@
 	g.setWatch(g.watch.WithRelease(g.options.Clock.Now()))
 }
 
+// isLeaving reports whether the directory lists a server as leaving.
+func (g *Group) isLeaving(server string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.pools[server]
+	return p != nil && p.entry().Leaving
+}
+
+// answersRecently reports whether a server has answered this VM within failover.LostAfter.
+func (g *Group) answersRecently(server string) bool {
+	g.mu.Lock()
+	p := g.pools[server]
+	g.mu.Unlock()
+	return p != nil && p.answeredRecently(g.options.Clock.Now())
+}
+
+// endRelease tells this VM and the others that the claim with the given token has ended
+// without ordering a promotion.
+func (g *Group) endRelease(token uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.releasedToken == token {
+		g.setWatch(g.watch.WithReleaseEnd(g.options.Clock.Now()))
+	}
+}
+
 // termReleased reports whether all other live VMs have released the term that the
 // claim with the given token replaces. It returns false while fewer VMs are live than
-// should be running, since one that this VM does not see may still use the term.
-func (g *Group) termReleased(token uint64) bool {
+// should be running, since one that this VM does not see may still use the term. The
+// release of a process counts only if it was known at the time since: one that has started
+// later does not know what its VM acknowledged before.
+func (g *Group) termReleased(token uint64, since clock.Millis) bool {
 	vms := g.options.LiveVMsFunc()
 	if len(vms) < g.options.ExpectedVMCountFunc() {
 		return false
@@ -50,9 +80,26 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, vm := range vms {
-		if vm != g.options.Self && g.votes[vm].releasedToken < token {
+		if v := g.votes[vm]; vm != g.options.Self && (v.releasedToken < token || v.knownSince > since) {
 			return false
 		}
 	}
 	return true
 }
+
+// acknowledgedInTerm returns the furthest position of a term that this VM and those that
+// have released it for the claim with the given token have acknowledged.
+func (g *Group) acknowledgedInTerm(term floor.Term, token uint64) floor.ReplicationPosition {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out floor.ReplicationPosition
+	if g.acknowledged.Term == term {
+		out = g.acknowledged
+	}
+	for _, v := range g.votes {
+		if v.term == term && v.releasedToken >= token {
+			out = out.Max(v.acknowledged)
+		}
+	}
+	return out
+}
--- a/internal/serve/database/replacement_test.go
+++ b/internal/serve/database/replacement_test.go
@@ -138,6 +138,10 @@
 			t.Errorf("the claim may be taken while its holder works on it; holder alive: %v", alive)
 		}
 	}
+	longest := failover.AttemptTimeout + probeTimeout
+	if longest > tenure.ClaimTimeout || longest > tenure.WitnessDelay {
+		t.Errorf("an attempt takes up to %d ms, longer than VMs rely on", longest)
+	}
 }
 
 // TestTermAdvances raises the term while a claimant seals, as another completed claim
--- a/internal/serve/database/restore_test.go
+++ b/internal/serve/database/restore_test.go
@@ -64,7 +64,7 @@
 	var unsealed atomic.Bool
 	f.unsealFunc = func() { unsealed.Store(true) }
 	f.directoryFunc = func() {
-		g.MergeView("other", inner.GroupView{Group: "g", Term: 1, Leader: "p", ProofAge: -1, ReleasedToken: 1 << 50}, nil)
+		g.MergeView(Sender{VM: "other"}, inner.GroupView{Group: "g", Term: 1, Leader: "p", ProofAge: -1, ReleasedToken: 1 << 50}, nil)
 	}
 	expectNoPromotion(t, f, g)
 	if unsealed.Load() {
--- a/internal/serve/database/seal.go
+++ b/internal/serve/database/seal.go
@@ -37,6 +37,44 @@
 	return a.sealUntilSafe(ctx)
 }
 
+// sealListed rereads the directory and seals the servers that it lists and that are not
+// sealed yet.
+func (a *claimAttempt) sealListed(ctx context.Context) error {
+	if err := a.group.options.RefreshDirectoryFunc(ctx); err != nil {
+		return errors.Wrap(err, "reread the directory")
+	}
+	if a.formerStopped {
+		a.startSeals(ctx, a.group.failoverServers(a.formerPrimary)).Wait()
+	}
+	return a.sealUntilSafe(ctx)
+}
+
+// stopFormer makes the former primary step down, wherever it can be reached. From then on
+// it acknowledges nothing, also not through a server that is in nobody's list. For a former
+// primary that has not answered recently the attempt does not wait.
+func (a *claimAttempt) stopFormer(ctx context.Context) {
+	g := a.group
+	if a.formerPrimary == "" || a.isSealed(a.formerPrimary) {
+		a.formerStopped = a.isSealed(a.formerPrimary)
+		return
+	}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		ctx, cancel := context.WithTimeout(ctx, stepDownTimeout.Duration())
+		defer cancel()
+		// A busy server refuses commands.
+		for ctx.Err() == nil && !a.isSealed(a.formerPrimary) {
+			a.sealServer(ctx, a.formerPrimary, failover.Server{ID: a.formerPrimary, Leaving: a.planned, FormerPrimary: true})
+			_ = g.options.Clock.Sleep(ctx, pollPause)
+		}
+	}()
+	if g.answersRecently(a.formerPrimary) {
+		<-stopped
+	}
+	a.formerStopped = a.isSealed(a.formerPrimary)
+}
+
 // sealUntilSafe seals servers until a promotion is safe, or the primary is usable
 // again.
 func (a *claimAttempt) sealUntilSafe(ctx context.Context) error {
@@ -46,18 +84,7 @@
 			return err
 		}
 		servers := a.group.failoverServers(a.formerPrimary)
-		var pending sync.WaitGroup
-		for id, s := range servers {
-			if a.isSealed(id) || s.FormerPrimary && (a.planned || c.Now()-a.startedAt < formerSealDelay) {
-				continue
-			}
-			pending.Add(1)
-			go func() {
-				defer pending.Done()
-				a.sealServer(ctx, id, s)
-			}()
-		}
-		a.awaitSafe(ctx, &pending, servers)
+		a.awaitSafe(ctx, a.startSeals(ctx, servers), servers)
 		if a.isSafe(servers) {
 			a.sealedAt = c.Now()
 			return nil
@@ -70,6 +97,23 @@
 	return errors.New("not enough servers could be sealed")
 }
 
+// startSeals sends a command to each of the servers that is not sealed, and returns what
+// waits for their answers.
+func (a *claimAttempt) startSeals(ctx context.Context, servers map[string]failover.Server) *sync.WaitGroup {
+	pending := &sync.WaitGroup{}
+	for id, s := range servers {
+		if a.isSealed(id) || s.FormerPrimary && (a.planned || a.group.options.Clock.Now()-a.startedAt < formerSealDelay) {
+			continue
+		}
+		pending.Add(1)
+		go func() {
+			defer pending.Done()
+			a.sealServer(ctx, id, s)
+		}()
+	}
+	return pending
+}
+
 // awaitSafe waits until a promotion is safe, all pending commands have ended, or the
 // context ends.
 func (a *claimAttempt) awaitSafe(ctx context.Context, pending *sync.WaitGroup, servers map[string]failover.Server) {
--- a/internal/serve/database/view.go
+++ b/internal/serve/database/view.go
@@ -5,6 +5,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 )
@@ -24,15 +25,25 @@
 		v.Position, v.PositionAge = report.Position, now-report.PositionAt
 	}
 	v.ReplicationStalled = g.replicationStalledLocked(now)
-	v.ReleasedToken = g.releasedToken
+	v.ReleasedToken, v.ReleaseEnded = g.releasedToken, !g.watch.Released(now)
+	if !v.ReleaseEnded && g.acknowledged.Term == v.Term {
+		v.Acknowledged = g.acknowledged.Position
+	}
 	return v
 }
 
+// Sender identifies the VM that sent a view: its name, and a number that differs at each
+// start of its process.
+type Sender struct {
+	VM      string
+	Process uint64
+}
+
 // MergeView records the view of another VM. If that VM has released the current term for
 // a claim and this VM has not, this VM releases it too. toLocalTime converts an age at
 // that VM, in milliseconds, to a time of this VM's clock that is not later than the true
 // one; it is nil if no such bound is known.
-func (g *Group) MergeView(vm string, v inner.GroupView, toLocalTime func(clock.Millis) clock.Millis) {
+func (g *Group) MergeView(from Sender, v inner.GroupView, toLocalTime func(clock.Millis) clock.Millis) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.options.Clock.Now()
@@ -43,16 +54,37 @@
 	if toLocalTime != nil && v.Position > 0 {
 		report.Position, report.PositionAt = v.Position, toLocalTime(v.PositionAge)
 	}
-	g.votes[vm] = vote{term: v.Term, lost: v.PrimaryLost, stalled: v.ReplicationStalled, releasedToken: v.ReleasedToken, at: now}
+	g.votes[from.VM] = g.nextVote(from, v, now)
 	w := g.watch.WithReport(report)
-	if term, _ := w.Leader(); v.ReleasedToken > g.releasedToken && v.Term == term {
+	switch term, _ := w.Leader(); {
+	case v.ReleasedToken > g.releasedToken && v.Term == term:
 		g.releasedToken = v.ReleasedToken
+		if v.ReleaseEnded {
+			w = w.WithReleaseEnd(now)
+			break
+		}
 		w = w.WithRelease(now)
 		g.options.GossipFunc()
+	case v.ReleasedToken == g.releasedToken && v.Term == term && v.ReleaseEnded && w.Released(now):
+		w = w.WithReleaseEnd(now)
+		g.options.GossipFunc()
 	}
 	g.setWatch(w)
 }
 
+// nextVote returns the report of another VM that replaces the last one. The caller holds
+// g.mu.
+func (g *Group) nextVote(from Sender, v inner.GroupView, now clock.Millis) vote {
+	next := vote{
+		term: v.Term, lost: v.PrimaryLost, stalled: v.ReplicationStalled, releasedToken: v.ReleasedToken, at: now,
+		acknowledged: floor.ReplicationPosition{Term: v.Term, Position: v.Acknowledged}, process: from.Process, knownSince: now,
+	}
+	if last, ok := g.votes[from.VM]; ok && last.process == from.Process {
+		next.knownSince = last.knownSince
+	}
+	return next
+}
+
 // probeRank returns this VM's rank among those that probe the group's servers, and false if
 // it is none of them. It does not use g.mu.
 func (g *Group) probeRank() (int, bool) {
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -11,6 +11,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/peer"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/gossip"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/keys"
 )
@@ -183,7 +184,7 @@
 	f.limiter.mergeGossip(g, g.Scope == inner.ScopeVM || f.mesh.IsFirstRelay(g.From, g.Zone))
 	for _, v := range g.Views {
 		if group := f.Group(v.Group); group != nil {
-			group.MergeView(g.From, v, toLocalTime)
+			group.MergeView(database.Sender{VM: g.From, Process: g.Process}, v, toLocalTime)
 		}
 	}
 	if toLocalTime != nil {
