Ask sealed servers anew before each order to promote

Callers lost some hundred writes that had been answered with success, after a planned change of primary.

Cause: claimAttempt.sealed was kept by server ID and never looked at again for up to 3 s.

Change: a seal belongs to the server's born. A sealed server whose last answer is older than 300 ms (sealMaxAge) is asked before each order; if it does not confirm seal and position within 300 ms it counts as unsealed, and is sealed and read anew, and the lease of a VM that was not heard is waited out again. What is new in the directory meanwhile is sealed in place of ending the attempt. After an order the attempt promotes no other server, since the first may lead already.

Why it works: an order now rests on answers that are at most 300 ms and a lease old, from the process that runs, or on a primary that has stepped down.

--- a/internal/core/failover/failover.go
+++ b/internal/core/failover/failover.go
@@ -64,6 +64,8 @@
 // Server is a backend server of the group, as a claimant knows it.
 type Server struct {
 	ID string
+	// Born distinguishes starts of the server, or is 0 if it is not known.
+	Born int64
 	// Leaving is set if the server is draining or no longer in the directory.
 	Leaving bool
 	// Sealed is set once the server is sealed for the claim's term. LogEnd no longer
--- a/internal/serve/database/claim.go
+++ b/internal/serve/database/claim.go
@@ -78,11 +78,10 @@
 	// servers were sealed.
 	startedAt clock.Millis
 	sealedAt  clock.Millis
-	// formerStopped is set once the former primary has stepped down, released once every VM
-	// has released the term, ordered before the first order to promote.
-	formerStopped bool
-	released      bool
-	ordered       bool
+	// released is set once every VM has released the term, ordered before the first order to
+	// promote.
+	released bool
+	ordered  bool
 	// logMissingSince is the time since which no sealed server has every acknowledged
 	// commit, or 0.
 	logMissingSince clock.Millis
@@ -93,7 +92,13 @@
 	lastStep clock.Millis
 	overdue  bool
 	// sealed holds the servers sealed for this claim, by ID.
-	sealed map[string]failover.Server
+	sealed map[string]seal
+}
+
+// seal is a server that is sealed, and the time of its last answer that says so.
+type seal struct {
+	server failover.Server
+	at     clock.Millis
 }
 
 // holdsClaim reports whether the claim certainly still belongs to this VM, and
@@ -130,7 +135,7 @@
 	ctx, cancel := context.WithTimeout(ctx, failover.AttemptTimeout.Duration())
 	defer cancel()
 	now := g.options.Clock.Now()
-	a := &claimAttempt{group: g, startedAt: now, lastStep: now, sealed: map[string]failover.Server{}}
+	a := &claimAttempt{group: g, startedAt: now, lastStep: now, sealed: map[string]seal{}}
 	err := a.run(ctx)
 	now = g.options.Clock.Now()
 	g.mu.Lock()
--- a/internal/serve/database/fake_test.go
+++ b/internal/serve/database/fake_test.go
@@ -56,8 +56,14 @@
 	steppedDown bool
 	unreachable map[string]bool
 	logEnds     map[string]floor.Position
-	// promoteFunc is called, with the lock, at each promotion request.
+	// leading names the server that leads term 2, if there is one.
+	leading string
+	// sealedNow names the servers whose seal is in force. restart ends it.
+	sealedNow map[string]bool
+	// promoteFunc is called, with the lock, at each promotion request, which is answered with
+	// promoteErr.
 	promoteFunc func()
+	promoteErr  error
 }
 
 func (f *fakeGroup) protocol() Protocol {
@@ -121,22 +127,54 @@
 	if c == StepDown && s.ID == "p" {
 		f.steppedDown = true
 	}
-	status := statement.ReplicationStatus{Primary: s.ID == "p" && !f.steppedDown, Term: 1, Sealed: 1, Received: floor.ReplicationPosition{Term: 1, Position: max(f.logEnds[s.ID], 1)}}
-	if c == Unseal && f.unsealFunc != nil {
-		f.unsealFunc()
+	status := statement.ReplicationStatus{Primary: s.ID == "p" && !f.steppedDown, Term: 1, Sealed: 1, Received: floor.ReplicationPosition{Term: 1, Position: f.logEnd(s.ID)}}
+	if c == Unseal {
+		delete(f.sealedNow, s.ID)
+		if f.unsealFunc != nil {
+			f.unsealFunc()
+		}
 	}
 	if c == Seal {
 		f.sealed = append(f.sealed, s.ID)
+		f.sealedNow[s.ID] = true
+	}
+	if f.sealedNow[s.ID] {
 		status.Sealed = 2
 	}
+	if f.leading == s.ID {
+		status = statement.ReplicationStatus{Primary: true, Term: 2, Sealed: 2, Received: floor.ReplicationPosition{Term: 2, Position: f.logEnd(s.ID)}}
+	}
 	return status, nil
 }
 
+func (f *fakeGroup) logEnd(server string) floor.Position {
+	if end, ok := f.logEnds[server]; ok {
+		return end
+	}
+	return 1
+}
+
+// restart starts a server again, with the given end of its log. Its seal is gone.
+func (f *fakeGroup) restart(server string, end floor.Position) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.restartLocked(server, end)
+}
+
+func (f *fakeGroup) restartLocked(server string, end floor.Position) {
+	delete(f.sealedNow, server)
+	f.logEnds[server] = end
+}
+
 // group returns a group of the fake's servers, to each of which this VM may open maxConns
 // connections.
 func (f *fakeGroup) group(t testing.TB, maxConns int) *Group {
 	t.Helper()
 	f.running, f.accounts, f.open = map[string]int{}, map[string]int{}, map[string]int{}
+	f.sealedNow = map[string]bool{}
+	if f.logEnds == nil {
+		f.logEnds = map[string]floor.Position{}
+	}
 	g := NewGroup(Options{
 		Name: "g", Clock: clock.System(), Log: log.New(io.Discard), Protocol: f.protocol(), Counters: NewCounters(), SyncReplicas: 1,
 		MaxConnsFunc: func(Server) int { return maxConns }, HolderCountFunc: func(Server) int { return 1 }, MaxIdleFunc: func(Server) int { return 2 }, Self: "vm", LiveVMsFunc: func() []string { return []string{"vm"} },
@@ -161,7 +199,7 @@
 			if f.promoteFunc != nil {
 				f.promoteFunc()
 			}
-			return nil
+			return f.promoteErr
 		}},
 		RefreshDirectoryFunc: func(context.Context) error {
 			if f.directoryFunc != nil {
--- a/internal/serve/database/promote.go
+++ b/internal/serve/database/promote.go
@@ -58,11 +58,10 @@
 func (a *claimAttempt) promote(ctx context.Context) error {
 	g := a.group
 	for ctx.Err() == nil {
-		servers := g.failoverServers(a.formerPrimary)
-		candidates := a.currentServers(servers)
-		if !failover.SafeToPromote(candidates, g.options.SyncReplicas) {
-			return errors.New("the directory lists a new server that is not sealed")
+		if err := a.confirmSafe(ctx); err != nil {
+			return err
 		}
+		candidates := a.currentServers(g.failoverServers(a.formerPrimary))
 		acknowledged := failover.Acknowledged{Position: g.acknowledgedInTerm(a.term, a.token), Complete: a.released}
 		target := failover.PromotionTarget(candidates, g.options.SyncReplicas, acknowledged)
 		if target == "" {
@@ -72,6 +71,9 @@
 			continue
 		}
 		a.checkTarget(candidates, target, acknowledged.Position)
+		if a.ordered && target != a.claim.Target {
+			return errTargetChanged
+		}
 		if target != a.claim.Target {
 			a.claim.Target = target
 			version, err := g.options.Claims.WriteFunc(ctx, g.options.Name, a.claim, a.version)
@@ -100,6 +102,34 @@
 	return ctx.Err()
 }
 
+// confirmSafe makes sure that a promotion is safe still: an attempt may last for seconds. What
+// is not sealed any more, or new in the directory, is sealed. If a VM that was not heard may
+// have used the old term by it, its lease is waited out anew.
+func (a *claimAttempt) confirmSafe(ctx context.Context) error {
+	for ctx.Err() == nil {
+		confirmed := a.confirmSeals(ctx)
+		safe := a.isSafe(a.group.failoverServers(a.formerPrimary))
+		if safe && (confirmed || a.formerStopped()) {
+			return nil
+		}
+		if err := a.sealListed(ctx); err != nil {
+			return err
+		}
+		if a.released || a.formerStopped() {
+			continue
+		}
+		if err := a.awaitRelease(ctx); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+// errTargetChanged means that a server was ordered to be promoted and another is to be
+// promoted now. The first may lead already, so that the next attempt seals and reads all
+// logs anew.
+var errTargetChanged = errors.New("the server that was ordered to be promoted is not sealed any more")
+
 // errLogMissing means that no known server has every acknowledged commit.
 var errLogMissing = errors.New("no sealed server has every acknowledged commit")
 
--- a/internal/serve/database/seal.go
+++ b/internal/serve/database/seal.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/go-faster/errors"
 
@@ -14,6 +15,10 @@
 const (
 	// sealRetryPause is the pause between two attempts to seal a server.
 	sealRetryPause = clock.Millis(150)
+	// sealMaxAge is how long the answer of a sealed server counts before an order to
+	// promote, confirmTimeout how long the claimant waits for the next one.
+	sealMaxAge     = clock.Millis(300)
+	confirmTimeout = clock.Millis(300)
 	// formerSealDelay is how long only replicas are sealed before the former primary
 	// is told to step down too: one that is cut off from its replicas may have the
 	// furthest log, and would be promoted again.
@@ -43,19 +48,73 @@
 	if err := a.group.options.RefreshDirectoryFunc(ctx); err != nil {
 		return errors.Wrap(err, "reread the directory")
 	}
-	if a.formerStopped {
+	if a.formerStopped() {
 		a.startSeals(ctx, a.group.failoverServers(a.formerPrimary)).Wait()
 	}
 	return a.sealUntilSafe(ctx)
 }
 
+// confirmSeals asks each sealed server anew whose last answer is older than sealMaxAge, and
+// forgets the seal if the server does not confirm it: a restart ends a seal, and a server
+// that starts anew may have lost its log. It reports whether all have confirmed it.
+func (a *claimAttempt) confirmSeals(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout.Duration())
+	defer cancel()
+	var pending sync.WaitGroup
+	var lost atomic.Bool
+	for _, s := range a.oldSeals() {
+		pending.Go(func() {
+			if !a.confirmSeal(ctx, s) {
+				lost.Store(true)
+			}
+		})
+	}
+	pending.Wait()
+	return !lost.Load()
+}
+
+// oldSeals returns the sealed servers whose last answer is older than sealMaxAge.
+func (a *claimAttempt) oldSeals() []failover.Server {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []failover.Server
+	for _, s := range a.sealed {
+		if a.group.options.Clock.Now()-s.at > sealMaxAge {
+			out = append(out, s.server)
+		}
+	}
+	return out
+}
+
+// confirmSeal asks one sealed server, and forgets its seal unless it confirms it.
+func (a *claimAttempt) confirmSeal(ctx context.Context, s failover.Server) bool {
+	sent := a.group.options.Clock.Now()
+	status, err := a.runCommand(ctx, s.ID, QueryStatus, 0)
+	holds := s.FormerPrimary || status.Sealed > a.term
+	confirmed := err == nil && !status.Primary && holds && status.Received.Covers(s.LogEnd)
+	if err == nil {
+		// The server may lead a later term.
+		a.group.recordStatus(s.ID, status, tenure.DistantPast)
+	}
+	if !confirmed {
+		a.group.options.Log.Warn("a sealed server does not confirm its seal", "group", a.group.options.Name, "server", s.ID, "term", status.Term, "sealed", status.Sealed, "received", status.Received, "err", err)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.sealed, s.ID)
+	if confirmed {
+		a.sealed[s.ID] = seal{server: s, at: sent}
+	}
+	return confirmed
+}
+
 // stopFormer makes the former primary step down, wherever it can be reached. From then on
 // it acknowledges nothing, also not through a server that is in nobody's list. For a former
 // primary that has not answered recently the attempt does not wait.
 func (a *claimAttempt) stopFormer(ctx context.Context) {
 	g := a.group
-	if a.formerPrimary == "" || a.isSealed(a.formerPrimary) {
-		a.formerStopped = a.isSealed(a.formerPrimary)
+	former, listed := g.failoverServers(a.formerPrimary)[a.formerPrimary]
+	if !listed || a.formerStopped() {
 		return
 	}
 	stopped := make(chan struct{})
@@ -65,14 +124,13 @@
 		defer cancel()
 		// A busy server refuses commands.
 		for ctx.Err() == nil && !a.isSealed(a.formerPrimary) {
-			a.sealServer(ctx, a.formerPrimary, failover.Server{ID: a.formerPrimary, Leaving: a.planned, FormerPrimary: true})
+			a.sealServer(ctx, a.formerPrimary, former)
 			_ = g.options.Clock.Sleep(ctx, pollPause)
 		}
 	}()
 	if g.answersRecently(a.formerPrimary) {
 		<-stopped
 	}
-	a.formerStopped = a.isSealed(a.formerPrimary)
 }
 
 // sealUntilSafe seals servers until a promotion is safe, or the primary is usable
@@ -135,19 +193,25 @@
 func (a *claimAttempt) isSealed(id string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.sealed[id].Sealed
+	_, ok := a.sealed[id]
+	return ok
+}
+
+// formerStopped reports whether the former primary has stepped down.
+func (a *claimAttempt) formerStopped() bool {
+	return a.formerPrimary != "" && a.isSealed(a.formerPrimary)
 }
 
 // currentServers returns the given servers, with Sealed and LogEnd of those already
-// sealed.
+// sealed. A server that has started anew since is not sealed.
 func (a *claimAttempt) currentServers(servers map[string]failover.Server) []failover.Server {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	out := make([]failover.Server, 0, len(servers))
 	for id, s := range servers {
-		if sealed, ok := a.sealed[id]; ok {
-			sealed.Leaving = s.Leaving
-			s = sealed
+		if sealed, ok := a.sealed[id]; ok && (s.Born == 0 || s.Born == sealed.server.Born) {
+			sealed.server.Leaving = s.Leaving
+			s = sealed.server
 		}
 		out = append(out, s)
 	}
@@ -165,6 +229,7 @@
 	if s.FormerPrimary {
 		command = StepDown
 	}
+	sent := a.group.options.Clock.Now()
 	status, err := a.runCommand(ctx, id, command, a.term+1)
 	if err != nil {
 		a.group.options.Log.Debug("sealing a server failed", "group", a.group.options.Name, "server", id, "err", err)
@@ -177,7 +242,7 @@
 	}
 	s.Sealed, s.LogEnd = true, status.Received
 	a.mu.Lock()
-	a.sealed[id] = s
+	a.sealed[id] = seal{server: s, at: sent}
 	a.mu.Unlock()
 }
 
