Refuse at once what a planned stop would cut

Callers' connections ended in the middle of a statement some milliseconds after it was sent; the outcome of a COMMIT was unknown.

Cause: Frontend.Stop took sessions and statements until StopTimeout less 500 ms and then ended the context, which closes all connections. The balancer goes on sending callers to VMs that are not ready when too few others are.

Change: core/shutdown.Stop is the stop as an immutable value. In its first half (less 200 ms for the signal) every statement is taken; later one is taken only if its timeout ends before the connections are closed. A session that arrives too late and a single statement get BUSY, a statement of an open transaction and its COMMIT get ABORTED and the transaction is rolled back. Holders refuse statements of other VMs' open transactions in the same way, and a COMMIT that was not sent is ABORTED in place of INDOUBT.

Why it works: whatever is taken after the first half has an answer by its timeout, before the end.

Open, by reading: the PostgreSQL path terminates a transaction that is busy at the end of its drain.

--- a/internal/serve/forward/holder.go
+++ b/internal/serve/forward/holder.go
@@ -19,6 +19,9 @@
 	GroupFunc func(name string) *database.Group
 	// StoppingFunc reports whether this VM is stopping.
 	StoppingFunc func() bool
+	// TakesFunc reports whether a statement that may run for timeout milliseconds ends before
+	// a planned stop of this VM closes its connections.
+	TakesFunc func(timeout clock.Millis) bool
 	// inUse is the number of connections that other VMs use.
 	inUse atomic.Int64
 }
@@ -89,6 +92,10 @@
 			return inner.Result{UnsentReason: reasonOf(err)}
 		}
 	}
+	if !u.holder.TakesFunc(m.Timeout) {
+		u.abort()
+		return inner.Result{UnsentReason: inner.ReasonStopping}
+	}
 	if !u.prepareSession(m) {
 		u.abort()
 		return inner.Result{UnsentReason: inner.ReasonSessionSetup}
--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -223,7 +223,7 @@
 		ProbersFunc:    func() []string { return f.probers(name) },
 		CandidatesFunc: func() []string { return f.candidates(name) }, ExpectedVMCountFunc: f.mesh.KnownCount, RefreshVMsFunc: f.mesh.RefreshVMs,
 		RefreshDirectoryFunc: f.readDirectory,
-		GossipFunc:           f.mesh.GossipSoon, RegionGossipFunc: f.mesh.RegionGossipSoon, StoppingFunc: f.stopping.Load, Claims: o.Claims, RestoredAtFunc: f.lastRestore,
+		GossipFunc:           f.mesh.GossipSoon, RegionGossipFunc: f.mesh.RegionGossipSoon, StoppingFunc: f.isStopping, Claims: o.Claims, RestoredAtFunc: f.lastRestore,
 	})
 }
 
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -15,6 +15,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/base/trace"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/shutdown"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/peer"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
@@ -61,9 +62,9 @@
 	sessionOptions session.Options
 	counters       database.Counters
 	catalog        atomic.Pointer[catalog.Catalog]
-	// stopping is set when a planned stop begins, closingSessions once idle sessions
-	// are to end.
-	stopping        atomic.Bool
+	// stop is the planned stop, or nil before it begins; closingSessions is set once idle
+	// sessions are to end.
+	stop            atomic.Pointer[shutdown.Stop]
 	closingSessions atomic.Bool
 	// openConns counts the callers' connections, those without a session too.
 	openConns atomic.Int64
@@ -134,7 +135,7 @@
 	}
 	f.sessionOptions = session.Options{
 		Clock: o.Clock, Log: o.Log, Protocol: o.Protocol, Counters: session.NewCounters(), Trace: o.Trace,
-		CatalogFunc: f.catalog.Load, GroupFunc: f.Group, StoppingFunc: f.closingSessions.Load,
+		CatalogFunc: f.catalog.Load, GroupFunc: f.Group, StoppingFunc: f.closingSessions.Load, TakesFunc: f.takes,
 		AdmitFunc:  func(_ context.Context, a catalog.Account) bool { return f.limiter.take(a) },
 		RefundFunc: func(a catalog.Account) { f.limiter.refund(a) },
 	}
@@ -143,7 +144,7 @@
 	f.eraGauge = metrics.GetOrCreateGauge("sycamoredoor_store_era", nil)
 	f.holderCache.setMembers(f.mesh.Members())
 	f.forwarder = f.newForwarder()
-	f.holder = &forward.Holder{Clock: o.Clock, GroupFunc: f.Group, StoppingFunc: f.stopping.Load}
+	f.holder = &forward.Holder{Clock: o.Clock, GroupFunc: f.Group, StoppingFunc: f.isStopping, TakesFunc: f.takes}
 	f.limiter = f.newLimiter()
 	f.spawn(func() { f.mesh.RunRegistration(ctx) })
 	f.spawn(func() { f.servePeers(ctx) })
@@ -204,7 +205,7 @@
 // Ready reports whether the VM should get new callers: it has a configuration and
 // a directory of servers, is registered and is not stopping.
 func (f *Frontend) Ready() bool {
-	if f.stopping.Load() || f.catalog.Load() == nil || !f.mesh.Registered() {
+	if f.isStopping() || f.catalog.Load() == nil || !f.mesh.Registered() {
 		return false
 	}
 	f.mu.Lock()
--- a/internal/serve/frontend/stop.go
+++ b/internal/serve/frontend/stop.go
@@ -6,45 +6,48 @@
 	"time"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/shutdown"
 )
 
 const (
-	// balancerDelay is how long the load balancer may still send new callers to a VM
-	// that is not ready, in milliseconds: it probes once a second and takes a VM out
-	// after two failed probes.
-	balancerDelay = 2200 * clock.Millis(1)
 	// stopPollInterval is the pause between two checks of the sessions that are left, in
 	// milliseconds.
 	stopPollInterval = clock.Millis(50)
-	// exitMargin is the part of StopTimeout that is left for the end of the process, in
-	// milliseconds.
-	exitMargin = clock.Millis(500)
 	// deregisterTimeout bounds the call that removes the VM from the registry, in
 	// milliseconds.
 	deregisterTimeout = clock.Second
 )
 
-// Stop takes the VM out of service. The VM is not ready from then on. After balancerDelay,
-// or a third of StopTimeout if that is less, idle sessions end at once and the others after
-// their statement or transaction. Stop returns when no caller is connected and no other VM
-// uses a connection of this one, or when StopTimeout is nearly over.
+// Stop takes the VM out of service, in the phases of shutdown.Stop. The VM is not ready from
+// then on. From IdleEnd on, idle sessions end at once and the others after their statement or
+// transaction; what could not end before End is refused. Stop returns when no caller is
+// connected and no other VM uses a connection of this one, or at End.
 func (f *Frontend) Stop() {
-	f.stopping.Store(true)
 	c := f.options.Clock
-	startedAt := c.Now()
-	end := startedAt + f.options.StopTimeout - exitMargin
+	stop := shutdown.New(c.Now(), f.options.StopTimeout)
+	f.stop.Store(&stop)
 	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout.Duration())
 	f.mesh.Leave(ctx)
 	cancel()
-	_ = c.Sleep(context.Background(), min(balancerDelay, f.options.StopTimeout/3)-(c.Now()-startedAt))
+	_ = c.Sleep(context.Background(), stop.IdleEnd()-c.Now())
 	f.closingSessions.Store(true)
-	for c.Now() < end && f.openConns.Load()+f.holder.InUse() > 0 {
+	for c.Now() < stop.End() && f.openConns.Load()+f.holder.InUse() > 0 {
 		f.wakeSessions()
 		_ = c.Sleep(context.Background(), stopPollInterval)
 	}
 	f.options.Log.Info("callers' connections left at the end of the planned stop", "count", f.openConns.Load())
 }
 
+// isStopping reports whether a planned stop has begun.
+func (f *Frontend) isStopping() bool { return f.stop.Load() != nil }
+
+// takes reports whether a statement that may run for timeout milliseconds ends before a
+// planned stop closes the connections.
+func (f *Frontend) takes(timeout clock.Millis) bool {
+	stop := f.stop.Load()
+	return stop == nil || stop.Takes(f.options.Clock.Now(), timeout)
+}
+
 // wakeSessions interrupts the sessions that wait for their callers, so that they check
 // whether they are to end.
 func (f *Frontend) wakeSessions() {
--- a/internal/serve/frontend/stream_test.go
+++ b/internal/serve/frontend/stream_test.go
@@ -21,6 +21,7 @@
 	f := &Frontend{ctx: context.Background(), configText: []byte("version 7")}
 	f.holder = &forward.Holder{
 		Clock: clock.System(), GroupFunc: func(string) *database.Group { return nil }, StoppingFunc: func() bool { return false },
+		TakesFunc: func(clock.Millis) bool { return true },
 	}
 	sent := []inner.Frame{
 		inner.Encode(inner.KindRun, inner.Run{Group: "g", Server: "p", Timeout: 100}),
--- a/internal/serve/session/run.go
+++ b/internal/serve/session/run.go
@@ -53,11 +53,7 @@
 
 func (s *session) newOperation(st statement.Statement) *operation {
 	now := s.options.Clock.Now()
-	timeout := s.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	return &operation{session: s, statement: st, startedAt: now, deadline: now + timeout, tried: map[string]bool{}}
+	return &operation{session: s, statement: st, startedAt: now, deadline: now + s.timeout(), tried: map[string]bool{}}
 }
 
 func (op *operation) remaining() clock.Millis { return op.deadline - op.session.options.Clock.Now() }
--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -51,8 +51,11 @@
 	RefundFunc func(a catalog.Account)
 	// StoppingFunc reports whether sessions are to end because the VM is stopping.
 	StoppingFunc func() bool
-	Counters     Counters
-	Trace        *trace.Tracer
+	// TakesFunc reports whether a statement that may run for timeout milliseconds ends before
+	// a planned stop of the VM closes the connections.
+	TakesFunc func(timeout clock.Millis) bool
+	Counters  Counters
+	Trace     *trace.Tracer
 }
 
 // session is one caller's session. Only its own goroutine uses it.
@@ -84,6 +87,11 @@
 		c.RefuseFunc(code, detail)
 		return
 	}
+	if !s.takes() {
+		o.Counters.countRefusal(statement.Busy)
+		c.RefuseFunc(statement.Busy, stoppingDetail)
+		return
+	}
 	if c.AcceptFunc() != nil {
 		return
 	}
@@ -237,12 +245,30 @@
 	if code, detail := s.resolve(); code != statement.Success {
 		return code, detail
 	}
+	if !s.takes() {
+		return statement.Busy, stoppingDetail
+	}
 	if s.account.Name != "" && !s.options.AdmitFunc(ctx, s.account) {
 		return statement.Busy, "the account is over its rate; try again in 1 s"
 	}
 	return statement.Success, ""
 }
 
+// stoppingDetail is the detail of what a stopping VM refuses.
+const stoppingDetail = "the VM is stopping; connect again"
+
+// takes reports whether a statement of the session's route ends before a planned stop closes
+// the connections.
+func (s *session) takes() bool { return s.options.TakesFunc(s.timeout()) }
+
+// timeout returns the longest time of a statement, in milliseconds.
+func (s *session) timeout() clock.Millis {
+	if s.route.Timeout > 0 {
+		return s.route.Timeout
+	}
+	return defaultTimeout
+}
+
 // writes reports whether a read, write or execution writes. The second result is false
 // if the prepared statement is unknown.
 func (s *session) writes(st statement.Statement) (bool, bool) {
@@ -259,6 +285,9 @@
 	if !known {
 		return s.refuse(st, statement.NotPrepared, "no prepared statement has this name")
 	}
+	if s.txn != nil && !s.takes() {
+		return s.refuse(st, statement.Aborted, stoppingDetail+"; the transaction is rolled back")
+	}
 	if s.txn != nil {
 		return s.runInTransaction(ctx, st)
 	}
--- a/internal/serve/session/transaction.go
+++ b/internal/serve/session/transaction.go
@@ -186,6 +186,10 @@
 	case t.failed:
 		s.txn = nil
 		return statement.Refuse(statement.Aborted, "the transaction had failed and is rolled back", statement.Idle)
+	case !s.takes():
+		t.fail()
+		s.txn = nil
+		return s.refuse(st, statement.Aborted, stoppingDetail+"; the transaction is rolled back")
 	case t.conn == nil:
 		if a := s.beginEmpty(ctx, st); a.Code != statement.Success {
 			s.txn = nil
@@ -234,6 +238,9 @@
 		if !t.written {
 			return s.refuse(st, statement.Aborted, "the connection was lost; the transaction had written nothing")
 		}
+		if database.IsUnsent(err) {
+			return s.refuse(st, statement.Aborted, "the commit was not sent; the transaction is rolled back")
+		}
 		return s.refuse(st, statement.UnknownOutcome, "the end of the commit was not seen")
 	}
 	if a.Code != statement.Success {
