Keep the position of a session's last commit for each group

A session of a read_own route did not see its own write after the route had been sent to another service and back; with the longer log at the other service its reads were refused with BUSY.

Cause: session.lastCommit was one position, overwritten at each commit and asked of whatever group the route had at the next read.

Change: core/floor.Commits holds a position for each group and gives it out for a group only; the group is that of the connection that ran the commit.

Why it works: a position can no longer be stored or read without naming the group to whose log it belongs.

--- a/internal/serve/database/pooledconn.go
+++ b/internal/serve/database/pooledconn.go
@@ -37,6 +37,9 @@
 // Server returns the server of the connection.
 func (pc *PooledConn) Server() Server { return pc.pool.entry() }
 
+// Group returns the name of the database group that the server belongs to.
+func (pc *PooledConn) Group() string { return pc.pool.group.options.Name }
+
 // Run runs a statement and records the log position in the answer. An *UnsentError
 // means that the statement did not reach the server, any other error that its outcome
 // is unknown. After an error the connection can only be released.
--- a/internal/serve/session/run.go
+++ b/internal/serve/session/run.go
@@ -120,7 +120,7 @@
 	}
 	ownCommit := floor.ReplicationPosition{}
 	if route.Guarantee == catalog.ReadYourWrites {
-		ownCommit = op.session.lastCommit
+		ownCommit = op.session.commits.In(route.Group)
 	}
 	f, ok := g.Floor(op.startedAt, route.MaxStaleness, ownCommit)
 	if !ok {
@@ -174,7 +174,7 @@
 		}
 		a, err := op.send(conn, floor.ReplicationPosition{})
 		if err == nil && a.Code == statement.Success {
-			op.session.lastCommit = a.Position
+			op.session.commits = op.session.commits.With(conn.Group(), a.Position)
 		}
 		conn.Release()
 		switch {
--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -70,8 +70,8 @@
 	prepared map[string]statement.Shape
 	// parent is the W3C traceparent of the current statement's span, or "".
 	parent string
-	// lastCommit is the position of the session's last commit.
-	lastCommit floor.ReplicationPosition
+	// commits holds the position of the session's last commit in each group.
+	commits floor.Commits
 	// txn is nil outside a transaction.
 	txn *transaction
 }
--- a/internal/serve/session/transaction.go
+++ b/internal/serve/session/transaction.go
@@ -250,7 +250,7 @@
 		return a.WithStatus(statement.Idle)
 	}
 	if t.written {
-		s.lastCommit = a.Position
+		s.commits = s.commits.With(t.conn.Group(), a.Position)
 	}
 	t.conn.Release()
 	return a.WithStatus(statement.Idle)
