Forget the positions of a server that starts anew

A server may start again under its ID without its log. Its last known positions stayed in force: reads were sent to it that it refused as LAGGING, and a VM that judges whether replication has stalled counted an empty replica as up to date, so that a primary without a receiving replica was replaced later.

Failed before: $ go test ./internal/serve/database -run TestRebornServerHasNoPosition --- FAIL: TestRebornServerHasNoPosition (0.02s) applied and received position (-want +got): - 0/0, + 1/9, - 0/0, + 1/9

Change: both are forgotten when the server's born or address changes, and when it is unlisted.

--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -175,6 +175,7 @@
 		if p != nil && (p.entry().Address != s.Address || p.entry().Born != s.Born) {
 			closing = append(closing, p)
 			p = nil
+			g.forgetPositionsLocked(s.ID)
 		}
 		if p == nil {
 			g.pools[s.ID] = newPool(g, s)
@@ -195,8 +196,7 @@
 	for id, p := range g.pools {
 		if !listed[id] {
 			delete(g.pools, id)
-			delete(g.positions, id)
-			delete(g.positionSeenAt, id)
+			g.forgetPositionsLocked(id)
 			g.unlistedSince[id] = g.options.Clock.Now()
 			g.watch = g.watch.WithUnlisted(id)
 			closing = append(closing, p)
@@ -210,6 +210,14 @@
 	}
 }
 
+// forgetPositionsLocked forgets how far a server's log reached, which may start anew. The
+// caller holds g.mu.
+func (g *Group) forgetPositionsLocked(server string) {
+	delete(g.positions, server)
+	delete(g.positionSeenAt, server)
+	delete(g.receivedPositions, server)
+}
+
 // updateFullSize sets fullSize, unless a server is leaving or was just listed: a new
 // server may be the replacement for one about to leave. The caller holds g.mu.
 func (g *Group) updateFullSize() {
--- a/internal/serve/database/restart_test.go
+++ b/internal/serve/database/restart_test.go
@@ -82,3 +82,18 @@
 		t.Errorf("safe before and after the restart (-want +got):\n%s", diff)
 	}
 }
+
+// TestRebornServerHasNoPosition guards against a position of the log that a server had before it started anew.
+func TestRebornServerHasNoPosition(t *testing.T) {
+	f := &fakeGroup{logEnds: map[string]floor.Position{"r": 9}}
+	g := f.group(t, 4)
+	f.runTicks(g, testTimeout, g.Ready)
+	g.recordPosition("r", floor.ReplicationPosition{Term: 1, Position: 9}, g.options.Clock.Now())
+	g.probe(t.Context(), g.pools["r"])
+	g.Update([]Server{{ID: "p", Group: "g", Slots: 2}, {ID: "q", Group: "g", Slots: 2}, {ID: "r", Group: "g", Slots: 2, Born: 7}})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if diff := cmp.Diff([]floor.ReplicationPosition{{}, {}}, []floor.ReplicationPosition{g.positions["r"], g.receivedPositions["r"].position}); diff != "" {
+		t.Errorf("applied and received position (-want +got):\n%s", diff)
+	}
+}
