--- a/internal/serve/database/newserver_test.go
+++ b/internal/serve/database/newserver_test.go
@@ -118,6 +118,16 @@
 	}
 }
 
+// TestNothingAcknowledgedInTerm guards against a release without a commit that is taken for a position of the term, which a replica's log may not have reached.
+func TestNothingAcknowledgedInTerm(t *testing.T) {
+	f := &fakeGroup{}
+	g := f.group(t, 4)
+	g.MergeView(Sender{VM: "vm2", Process: 1}, inner.GroupView{Group: "g", Term: 2, ProofAge: -1, ReleasedToken: 5}, nil)
+	if diff := cmp.Diff(floor.ReplicationPosition{}, g.acknowledgedInTerm(2, 5)); diff != "" {
+		t.Errorf("acknowledged (-want +got):\n%s", diff)
+	}
+}
+
 // TestReleaseOfRestartedVM guards against a release by a process that does not know what its VM acknowledged before it started anew.
 func TestReleaseOfRestartedVM(t *testing.T) {
 	f := &fakeGroup{}
--- a/internal/serve/database/restart_test.go
+++ b/internal/serve/database/restart_test.go
@@ -69,7 +69,8 @@
 func TestRebornServerIsNotSealed(t *testing.T) {
 	f := &fakeGroup{}
 	g := f.group(t, 4)
-	a := &claimAttempt{group: g, formerPrimary: "p", sealed: map[string]seal{}}
+	now := g.options.Clock.Now()
+	a := &claimAttempt{group: g, formerPrimary: "p", startedAt: now, lastStep: now, sealed: map[string]seal{}}
 	for id, s := range g.failoverServers("p") {
 		if id != "p" {
 			s.Sealed = true
@@ -81,6 +82,11 @@
 	if diff := cmp.Diff([]bool{true, false}, []bool{before, a.isSafe(g.failoverServers("p"))}); diff != "" {
 		t.Errorf("safe before and after the restart (-want +got):\n%s", diff)
 	}
+	a.startSeals(t.Context(), g.failoverServers("p")).Wait()
+	sealed, _ := f.claimCommands()
+	if diff := cmp.Diff([]string{"r"}, sealed); diff != "" {
+		t.Errorf("servers sealed again (-want +got):\n%s", diff)
+	}
 }
 
 // TestRebornServerHasNoPosition guards against a position of the log that a server had before it started anew.
--- a/internal/serve/database/seal.go
+++ b/internal/serve/database/seal.go
@@ -43,12 +43,14 @@
 }
 
 // sealListed rereads the directory and seals the servers that it lists and that are not
-// sealed yet.
+// sealed yet. Without the directory it fails, unless the former primary has stepped down.
 func (a *claimAttempt) sealListed(ctx context.Context) error {
-	if err := a.group.options.RefreshDirectoryFunc(ctx); err != nil {
+	err := a.group.options.RefreshDirectoryFunc(ctx)
+	stopped := a.formerStopped()
+	if err != nil && !stopped {
 		return errors.Wrap(err, "reread the directory")
 	}
-	if a.formerStopped() {
+	if stopped {
 		a.startSeals(ctx, a.group.failoverServers(a.formerPrimary)).Wait()
 	}
 	return a.sealUntilSafe(ctx)
@@ -123,7 +125,7 @@
 		ctx, cancel := context.WithTimeout(ctx, stepDownTimeout.Duration())
 		defer cancel()
 		// A busy server refuses commands.
-		for ctx.Err() == nil && !a.isSealed(a.formerPrimary) {
+		for ctx.Err() == nil && !a.isSealed(former) {
 			a.sealServer(ctx, a.formerPrimary, former)
 			_ = g.options.Clock.Sleep(ctx, pollPause)
 		}
@@ -160,7 +162,7 @@
 func (a *claimAttempt) startSeals(ctx context.Context, servers map[string]failover.Server) *sync.WaitGroup {
 	pending := &sync.WaitGroup{}
 	for id, s := range servers {
-		if a.isSealed(id) || s.FormerPrimary && (a.planned || a.group.options.Clock.Now()-a.startedAt < formerSealDelay) {
+		if a.isSealed(s) || s.FormerPrimary && (a.planned || a.group.options.Clock.Now()-a.startedAt < formerSealDelay) {
 			continue
 		}
 		pending.Add(1)
@@ -190,16 +192,23 @@
 	}
 }
 
-func (a *claimAttempt) isSealed(id string) bool {
+// isSealed reports whether a server is sealed. The seal ends when the server starts anew.
+func (a *claimAttempt) isSealed(s failover.Server) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	_, ok := a.sealed[id]
-	return ok
+	return a.sealed[s.ID].holds(s)
+}
+
+// holds reports whether the seal is one of the present start of a server, as far as the
+// directory knows it.
+func (l seal) holds(s failover.Server) bool {
+	return l.server.Sealed && (s.Born == 0 || s.Born == l.server.Born)
 }
 
 // formerStopped reports whether the former primary has stepped down.
 func (a *claimAttempt) formerStopped() bool {
-	return a.formerPrimary != "" && a.isSealed(a.formerPrimary)
+	former, listed := a.group.failoverServers(a.formerPrimary)[a.formerPrimary]
+	return listed && a.isSealed(former)
 }
 
 // currentServers returns the given servers, with Sealed and LogEnd of those already
@@ -209,9 +218,9 @@
 	defer a.mu.Unlock()
 	out := make([]failover.Server, 0, len(servers))
 	for id, s := range servers {
-		if sealed, ok := a.sealed[id]; ok && (s.Born == 0 || s.Born == sealed.server.Born) {
-			sealed.server.Leaving = s.Leaving
-			s = sealed.server
+		if l := a.sealed[id]; l.holds(s) {
+			l.server.Leaving = s.Leaving
+			s = l.server
 		}
 		out = append(out, s)
 	}
--- a/internal/serve/database/view.go
+++ b/internal/serve/database/view.go
@@ -77,7 +77,10 @@
 func (g *Group) nextVote(from Sender, v inner.GroupView, now clock.Millis) vote {
 	next := vote{
 		term: v.Term, lost: v.PrimaryLost, stalled: v.ReplicationStalled, releasedToken: v.ReleasedToken, at: now,
-		acknowledged: floor.ReplicationPosition{Term: v.Term, Position: v.Acknowledged}, process: from.Process, knownSince: now,
+		process: from.Process, knownSince: now,
+	}
+	if v.Acknowledged > 0 {
+		next.acknowledged = floor.ReplicationPosition{Term: v.Term, Position: v.Acknowledged}
 	}
 	if last, ok := g.votes[from.VM]; ok && last.process == from.Process {
 		next.knownSince = last.knownSince
