Split the change of primary into files of one job each

Moves functions of serve/database: confirm.go (asking sealed servers anew), former.go (the former primary's step-down), reader.go (the choice of a server for a read, from group.go). One change beside that: the seals of servers that are new in the directory are waited for at most 300 ms where the former primary has stepped down, since the promotion is safe without them.

The tests of serve/database pass under the race detector.

--- a/internal/serve/database/promote.go
+++ b/internal/serve/database/promote.go
@@ -18,9 +18,6 @@
 	// logWait is how long an attempt looks for a server that has every acknowledged commit,
 	// in milliseconds. It leaves time to let the group go on in the old term.
 	logWait = clock.Second
-	// stepDownTimeout bounds the command by which a former primary steps down once
-	// another server was promoted.
-	stepDownTimeout = clock.Millis(200)
 )
 
 // awaitRelease waits until no VM uses the old term: every VM has released it, or
@@ -102,29 +99,6 @@
 	return ctx.Err()
 }
 
-// confirmSafe makes sure that a promotion is safe still: an attempt may last for seconds. What
-// is not sealed any more, or new in the directory, is sealed. If a VM that was not heard may
-// have used the old term by it, its lease is waited out anew.
-func (a *claimAttempt) confirmSafe(ctx context.Context) error {
-	for ctx.Err() == nil {
-		confirmed := a.confirmSeals(ctx)
-		safe := a.isSafe(a.group.failoverServers(a.formerPrimary))
-		if safe && (confirmed || a.formerStopped()) {
-			return nil
-		}
-		if err := a.sealListed(ctx); err != nil {
-			return err
-		}
-		if a.released || a.formerStopped() {
-			continue
-		}
-		if err := a.awaitRelease(ctx); err != nil {
-			return err
-		}
-	}
-	return ctx.Err()
-}
-
 // errTargetChanged means that a server was ordered to be promoted and another is to be
 // promoted now. The first may lead already, so that the next attempt seals and reads all
 // logs anew.
@@ -191,17 +165,6 @@
 	a.unsealReplicas(ctx)
 }
 
-// stepDownFormer makes the former primary step down. It waits for at most stepDownTimeout,
-// since the new primary acknowledges nothing while its replicas are sealed.
-func (a *claimAttempt) stepDownFormer(ctx context.Context) {
-	g := a.group
-	ctx, cancel := context.WithTimeout(ctx, stepDownTimeout.Duration())
-	defer cancel()
-	if _, err := a.runCommand(ctx, a.formerPrimary, StepDown, g.Term()); err != nil {
-		g.options.Log.Debug("stepping down the former primary failed", "group", g.options.Name, "server", a.formerPrimary, "err", err)
-	}
-}
-
 // awaitTerm waits until the promoted server reports the new term, and reports whether it
 // did before the attempt ended.
 func (a *claimAttempt) awaitTerm(ctx context.Context) bool {
--- a/internal/serve/database/seal.go
+++ b/internal/serve/database/seal.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 
 	"github.com/go-faster/errors"
 
@@ -15,10 +14,6 @@
 const (
 	// sealRetryPause is the pause between two attempts to seal a server.
 	sealRetryPause = clock.Millis(150)
-	// sealMaxAge is how long the answer of a sealed server counts before an order to
-	// promote, confirmTimeout how long the claimant waits for the next one.
-	sealMaxAge     = clock.Millis(300)
-	confirmTimeout = clock.Millis(300)
 	// formerSealDelay is how long only replicas are sealed before the former primary
 	// is told to step down too: one that is cut off from its replicas may have the
 	// furthest log, and would be promoted again.
@@ -51,88 +46,12 @@
 		return errors.Wrap(err, "reread the directory")
 	}
 	if stopped {
-		a.startSeals(ctx, a.group.failoverServers(a.formerPrimary)).Wait()
-	}
-	return a.sealUntilSafe(ctx)
-}
-
-// confirmSeals asks each sealed server anew whose last answer is older than sealMaxAge, and
-// forgets the seal if the server does not confirm it: a restart ends a seal, and a server
-// that starts anew may have lost its log. It reports whether all have confirmed it.
-func (a *claimAttempt) confirmSeals(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout.Duration())
-	defer cancel()
-	var pending sync.WaitGroup
-	var lost atomic.Bool
-	for _, s := range a.oldSeals() {
-		pending.Go(func() {
-			if !a.confirmSeal(ctx, s) {
-				lost.Store(true)
-			}
-		})
-	}
-	pending.Wait()
-	return !lost.Load()
-}
-
-// oldSeals returns the sealed servers whose last answer is older than sealMaxAge.
-func (a *claimAttempt) oldSeals() []failover.Server {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	var out []failover.Server
-	for _, s := range a.sealed {
-		if a.group.options.Clock.Now()-s.at > sealMaxAge {
-			out = append(out, s.server)
-		}
-	}
-	return out
-}
-
-// confirmSeal asks one sealed server, and forgets its seal unless it confirms it.
-func (a *claimAttempt) confirmSeal(ctx context.Context, s failover.Server) bool {
-	sent := a.group.options.Clock.Now()
-	status, err := a.runCommand(ctx, s.ID, QueryStatus, 0)
-	holds := s.FormerPrimary || status.Sealed > a.term
-	confirmed := err == nil && !status.Primary && holds && status.Received.Covers(s.LogEnd)
-	if err == nil {
-		// The server may lead a later term.
-		a.group.recordStatus(s.ID, status, tenure.DistantPast)
-	}
-	if !confirmed {
-		a.group.options.Log.Warn("a sealed server does not confirm its seal", "group", a.group.options.Name, "server", s.ID, "term", status.Term, "sealed", status.Sealed, "received", status.Received, "err", err)
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	delete(a.sealed, s.ID)
-	if confirmed {
-		a.sealed[s.ID] = seal{server: s, at: sent}
-	}
-	return confirmed
-}
-
-// stopFormer makes the former primary step down, wherever it can be reached. From then on
-// it acknowledges nothing, also not through a server that is in nobody's list. For a former
-// primary that has not answered recently the attempt does not wait.
-func (a *claimAttempt) stopFormer(ctx context.Context) {
-	g := a.group
-	former, listed := g.failoverServers(a.formerPrimary)[a.formerPrimary]
-	if !listed || a.formerStopped() {
-		return
-	}
-	stopped := make(chan struct{})
-	go func() {
-		defer close(stopped)
-		ctx, cancel := context.WithTimeout(ctx, stepDownTimeout.Duration())
+		// A promotion is safe without these, but one of them may have the furthest log.
+		once, cancel := context.WithTimeout(ctx, confirmTimeout.Duration())
 		defer cancel()
-		// A busy server refuses commands.
-		for ctx.Err() == nil && !a.isSealed(former) {
-			a.sealServer(ctx, a.formerPrimary, former)
-			_ = g.options.Clock.Sleep(ctx, pollPause)
-		}
-	}()
-	if g.answersRecently(a.formerPrimary) {
-		<-stopped
+		a.startSeals(once, a.group.failoverServers(a.formerPrimary)).Wait()
 	}
+	return a.sealUntilSafe(ctx)
 }
 
 // sealUntilSafe seals servers until a promotion is safe, or the primary is usable
@@ -205,12 +124,6 @@
 	return l.server.Sealed && (s.Born == 0 || s.Born == l.server.Born)
 }
 
-// formerStopped reports whether the former primary has stepped down.
-func (a *claimAttempt) formerStopped() bool {
-	former, listed := a.group.failoverServers(a.formerPrimary)[a.formerPrimary]
-	return listed && a.isSealed(former)
-}
-
 // currentServers returns the given servers, with Sealed and LogEnd of those already
 // sealed. A server that has started anew since is not sealed.
 func (a *claimAttempt) currentServers(servers map[string]failover.Server) []failover.Server {
