Do not take a primary for lost while its replicas are too new to prove it

VMs start with the servers, and replicas that registered after a VM's first look counted as new; without a proof a primary that answers is lost after 3 s.

Change: servers listed within the first 3.7 s of a VM count at once, and while a replica is too new, a primary that answers is lost 3.7 s later.

Failed before: $ go test ./internal/serve/database -run 'ServersListedAtStart|NewReplicasOnly' --- FAIL: TestServersListedAtStart (60.63s) the primary could be used after 60628 ms --- FAIL: TestNewReplicasOnly (60.64s) 17 claims began while the primary answered

--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -157,8 +157,9 @@
 func (g *Group) Update(servers []Server) {
 	listed := map[string]bool{}
 	g.mu.Lock()
-	// Which servers of the first directory are new is not known.
-	first := len(g.pools) == 0
+	// A VM that starts does not know which servers are new, and servers that start with it
+	// are listed within seconds.
+	starting := g.options.Clock.Now()-g.createdAt < tenure.WitnessDelay
 	var closing []*pool
 	for _, s := range servers {
 		listed[s.ID] = true
@@ -177,7 +178,7 @@
 		}
 		if p == nil {
 			g.pools[s.ID] = newPool(g, s)
-			if !first {
+			if !starting {
 				g.watch = g.watch.WithListed(s.ID, g.options.Clock.Now())
 			}
 			if _, leader := g.watch.Leader(); s.ID == leader {
--- a/internal/serve/database/lost.go
+++ b/internal/serve/database/lost.go
@@ -7,6 +7,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 )
 
 // claimIfDue starts a change of primary if this VM and a majority of the live VMs have
@@ -58,13 +59,26 @@
 		return false
 	case now-max(g.watch.ProvedAt(), g.leaderChangedAt) > failover.LostAfter:
 		// A primary that answers gets more time, as it may only be busy.
-		return p == nil || !p.answeredRecently(now) || now-max(g.watch.ProvedAt(), g.leaderChangedAt) > failover.AnsweringLostAfter
+		return p == nil || !p.answeredRecently(now) || now-max(g.watch.ProvedAt(), g.leaderChangedAt) > g.answeringLostAfterLocked(now)
 	case p != nil && p.unreachable(now):
 		return true
 	}
 	return g.replicationStalledLocked(now) || g.peerReportsStallLocked(now)
 }
 
+// answeringLostAfterLocked returns the age of the last proof at which a primary that answers
+// counts as lost. While a replica is too new to count for a proof, there may be none because
+// of that alone. The caller holds g.mu.
+func (g *Group) answeringLostAfterLocked(now clock.Millis) clock.Millis {
+	_, leader := g.watch.Leader()
+	for id, p := range g.pools {
+		if id != leader && now-p.listedAt < tenure.WitnessDelay+tenure.Lease {
+			return failover.AnsweringLostAfter + tenure.WitnessDelay
+		}
+	}
+	return failover.AnsweringLostAfter
+}
+
 // peerReportsStallLocked reports whether another VM reports stalled replication while
 // this VM has seen no recent commit. Usually only one VM of a region probes the servers,
 // so the others depend on its report. The caller holds g.mu.
--- a/internal/serve/database/newserver_test.go
+++ b/internal/serve/database/newserver_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 )
 
@@ -145,3 +146,32 @@
 		t.Errorf("released by a known process, again, and by a restarted one (-want +got):\n%s", diff)
 	}
 }
+
+// TestServersListedAtStart guards against a change of primary because the replicas were listed only just after a VM had started, and counted for no proof.
+func TestServersListedAtStart(t *testing.T) {
+	f := &fakeGroup{claimable: true}
+	g := f.group(t, 4)
+	g.Update([]Server{{ID: "p", Group: "g", Slots: 2}})
+	g.Update([]Server{{ID: "p", Group: "g", Slots: 2}, {ID: "q", Group: "g", Slots: 2}, {ID: "r", Group: "g", Slots: 2}})
+	began := g.options.Clock.Now()
+	f.runTicks(g, testTimeout, g.Ready)
+	if took := g.options.Clock.Now() - began; took > tenure.WitnessDelay/2 {
+		t.Errorf("the primary could be used after %d ms", took)
+	}
+}
+
+// TestNewReplicasOnly guards against a change of primary because all replicas have started anew and count for no proof yet.
+func TestNewReplicasOnly(t *testing.T) {
+	f := &fakeGroup{claimable: true}
+	g := f.group(t, 4)
+	g.createdAt -= tenure.WitnessDelay
+	f.runTicks(g, testTimeout, g.Ready)
+	g.Update([]Server{{ID: "p", Group: "g", Slots: 2}, {ID: "q", Group: "g", Slots: 2, Born: 7}, {ID: "r", Group: "g", Slots: 2, Born: 7}})
+	listed := g.options.Clock.Now()
+	f.runTicks(g, testTimeout, func() bool { return g.options.Clock.Now() > listed+tenure.Lease && g.Ready() })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.claimReads > 0 {
+		t.Errorf("%d claims began while the primary answered", f.claimReads)
+	}
+}
