--- a/internal/core/failover/failover.go
+++ b/internal/core/failover/failover.go
@@ -8,11 +8,11 @@
 // the old term, and the furthest log among the sealed servers has every acknowledged
 // commit.
 //
-// This holds for the servers that the claimant knows. One that has just started may be in
-// nobody's list, and lets the primary acknowledge all the same. Therefore the former
-// primary steps down before the promotion wherever it can be reached, and each VM that
-// releases the term tells the furthest position that it acknowledged in it; a server is
-// promoted only if its log covers all of them.
+// This holds for the servers that the claimant knows. A server that has just started may be
+// missing from its list and still receive commits, which the primary then acknowledges.
+// Therefore the former primary steps down before the promotion if it can be reached, and
+// each VM that releases the term reports the highest position that it acknowledged. A server
+// is promoted only if its log covers all reported positions.
 package failover
 
 import (
@@ -101,20 +101,21 @@
 	return sealed && unsealed < max(syncReplicas, 1)
 }
 
-// Acknowledged is what the VMs say they acknowledged to callers in the term to be replaced.
+// Acknowledged summarizes the VMs' reports of the commits that they acknowledged to callers
+// in the term to be replaced.
 type Acknowledged struct {
-	// Position is the furthest position that a VM is known to have acknowledged.
+	// Position is the highest position that a VM has reported.
 	Position floor.ReplicationPosition
-	// Complete is set if every VM has told its position, and acknowledges nothing more.
+	// Complete is set if every VM has reported, and acknowledges nothing more.
 	Complete bool
 }
 
 // PromotionTarget returns the ID of the sealed server to promote, or "" if there is none:
 // the one with the furthest log; among equals, one that is not leaving, then one that is
-// not the former primary, then the one with the lowest ID. Its log covers what was
-// acknowledged. The log of a former primary may go further by commits that nobody received,
-// and it may still be cut off from its replicas; so it is promoted only if no replica will
-// do.
+// not the former primary, then the one with the lowest ID. Its log covers the
+// acknowledged position. The log of a former primary may contain commits that no replica
+// received, and it may still be partitioned from the replicas; so it is promoted only if no
+// replica qualifies.
 func PromotionTarget(servers []Server, syncReplicas int, acknowledged Acknowledged) string {
 	replicas := slices.DeleteFunc(slices.Clone(servers), func(s Server) bool { return s.FormerPrimary })
 	if acknowledged.Complete || SafeToPromote(replicas, syncReplicas) {
--- a/internal/core/failover/failover_test.go
+++ b/internal/core/failover/failover_test.go
@@ -127,10 +127,7 @@
 	})
 }
 
-// TestNewServerLosesNothing guards against the loss of commits that the primary acknowledged
-// through a server that no claimant knows. The primary may be cut off from its replicas, and
-// may step down; each commit is acknowledged to a caller by the VM, which tells its furthest
-// position when it releases the term and acknowledges nothing afterwards.
+// TestNewServerLosesNothing guards against the loss of commits that only a server unknown to the claimant has received.
 func TestNewServerLosesNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		servers := []Server{{ID: "p", FormerPrimary: true}, {ID: "q"}, {ID: "r"}}
--- a/internal/core/floor/commits.go
+++ b/internal/core/floor/commits.go
@@ -3,7 +3,7 @@
 import "maps"
 
 // Commits holds the position of a session's last commit in each database group. Every group
-// has a log of its own, so a position says nothing about another group. The zero value has
+// has its own log, so positions of different groups cannot be compared. The zero value has
 // no commit. It is immutable.
 type Commits struct {
 	byGroup map[string]ReplicationPosition
--- a/internal/core/shutdown/shutdown.go
+++ b/internal/core/shutdown/shutdown.go
@@ -1,5 +1,5 @@
-// Package shutdown divides a planned stop of a VM into phases, so that no statement is cut:
-// what is taken can end before the process does, and anything else is refused at once.
+// Package shutdown divides a planned stop of a VM into phases, so that no running statement
+// is interrupted: a statement that may not finish before the process exits is refused at once.
 package shutdown
 
 import "github.com/sycamoredoor/sycamoredoor/internal/base/clock"
--- a/internal/serve/database/newserver_test.go
+++ b/internal/serve/database/newserver_test.go
@@ -12,7 +12,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 )
 
-// TestFormerStepsDownFirst guards against commits that the former primary acknowledges, through a server in nobody's list, while another server is promoted.
+// TestFormerStepsDownFirst guards against commits that the former primary acknowledges while another server is promoted.
 func TestFormerStepsDownFirst(t *testing.T) {
 	f := &fakeGroup{}
 	g, _ := claimableGroup(t, f)
@@ -68,7 +68,7 @@
 	g.options.GossipFunc = func() { go report() }
 }
 
-// TestPromotesWhatWasAcknowledged guards against the promotion of a server without a commit that a VM acknowledged through a server listed later. The former primary cannot be reached.
+// TestPromotesWhatWasAcknowledged guards against the promotion of a server without a commit that a VM acknowledged through a server listed later.
 func TestPromotesWhatWasAcknowledged(t *testing.T) {
 	f := &fakeGroup{unreachable: map[string]bool{"p": true}, logEnds: map[string]floor.Position{"p": 4, "new": 3}}
 	g, _ := claimableGroup(t, f)
--- a/internal/serve/database/restart_test.go
+++ b/internal/serve/database/restart_test.go
@@ -13,8 +13,8 @@
 )
 
 // TestRestartedReplicaIsSealedAgain guards against the loss of commits that a sealed replica received after a restart had ended its seal.
-// The former primary is out of reach, and another VM is not heard any more, so that only the seals protect what it acknowledges.
 func TestRestartedReplicaIsSealedAgain(t *testing.T) {
+	// Only the seals protect what vm2 acknowledges, which is not heard any more.
 	f := &fakeGroup{unreachable: map[string]bool{"p": true}}
 	g, _ := claimableGroup(t, f)
 	g.options.LiveVMsFunc = func() []string { return []string{"vm", "vm2"} }
