--- a/internal/proto/peer/conn.go
+++ b/internal/proto/peer/conn.go
@@ -109,6 +109,7 @@
 	ctx, cancel := context.WithTimeout(t.ctx, dialTimeout.Duration())
 	defer cancel()
 	c.quicConn, c.err = t.dialVM(ctx, address)
+	t.counters.dialed(c.err)
 	if c.err != nil {
 		c.quicConn, c.retryAt = nil, t.options.Clock.Now()+redialPause
 	}
--- a/internal/proto/peer/peer.go
+++ b/internal/proto/peer/peer.go
@@ -74,6 +74,7 @@
 // Transport opens and accepts streams on one UDP address.
 type Transport struct {
 	options  Options
+	counters counters
 	udp      *quic.Transport
 	listener *quic.Listener
 	done     chan struct{}
@@ -111,7 +112,7 @@
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = defaultIdleTimeout
 	}
-	t := &Transport{options: o, clientTLSFunc: keyring.ClientConfig, udp: &quic.Transport{Conn: c}, outgoing: map[string]*outgoingConn{}, incoming: map[*quic.Conn]string{}, pacers: map[string]*pacer{}, done: make(chan struct{})}
+	t := &Transport{options: o, counters: newCounters(), clientTLSFunc: keyring.ClientConfig, udp: &quic.Transport{Conn: c}, outgoing: map[string]*outgoingConn{}, incoming: map[*quic.Conn]string{}, pacers: map[string]*pacer{}, done: make(chan struct{})}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.listener, err = t.udp.Listen(keyring.ServerConfig(), t.quicConfig())
 	if err != nil {
@@ -179,6 +180,7 @@
 	}
 	name := certificate.Subject.CommonName
 	t.addIncoming(c, name)
+	t.counters.accepted.Inc()
 	defer t.removeIncoming(c)
 	var running sync.WaitGroup
 	defer running.Wait()
--- a/internal/serve/database/dial.go
+++ b/internal/serve/database/dial.go
@@ -33,16 +33,23 @@
 
 // dial opens the connection for which pc holds a place in the pool. It returns
 // ErrTooManyConnections or ErrUnreachable, and then gives up the place.
-func (p *pool) dial(ctx context.Context, pc *PooledConn, account string) (*PooledConn, error) {
+func (p *pool) dial(ctx context.Context, pc *PooledConn, account string, purpose dialPurpose) (*PooledConn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout.Duration())
 	defer cancel()
 	o := p.group.options
 	startedAt := o.Clock.Now()
 	c, position, err := o.Protocol.DialFunc(dialCtx, p.entry(), account)
 	if err != nil {
-		return nil, p.dialFailed(pc, err)
+		err = p.dialFailed(pc, err)
+		result := dialFailed
+		if errors.Is(err, ErrTooManyConnections) {
+			result = dialOverCap
+		}
+		o.Counters.dials[purpose][result].Inc()
+		return nil, err
 	}
 	o.Counters.connections.Inc()
+	o.Counters.dials[purpose][dialOpened].Inc()
 	p.recordSuccess()
 	p.mu.Lock()
 	p.opening--
--- a/internal/serve/database/dial_test.go
+++ b/internal/serve/database/dial_test.go
@@ -25,7 +25,7 @@
 	}
 	p.connLimit, p.connLimitHits = 2, 3
 	p.mu.Unlock()
-	pc, err := p.dial(t.Context(), place, "a")
+	pc, err := p.dial(t.Context(), place, "a", dialForStatement)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/serve/database/lost.go
+++ b/internal/serve/database/lost.go
@@ -36,6 +36,7 @@
 	}
 	g.mu.Lock()
 	g.claiming = true
+	g.options.Counters.claims.Inc()
 	g.mu.Unlock()
 	start(func() { g.attemptClaim(ctx) })
 }
--- a/internal/serve/database/pool.go
+++ b/internal/serve/database/pool.go
@@ -207,7 +207,7 @@
 	if err != nil || pc.conn != nil {
 		return pc, err
 	}
-	return p.dial(ctx, pc, account)
+	return p.dial(ctx, pc, account, dialForStatement)
 }
 
 // enqueue adds a request to the queue. It returns ErrPoolTimeout if the expected wait
--- a/internal/serve/database/probe.go
+++ b/internal/serve/database/probe.go
@@ -71,13 +71,21 @@
 	if leader != "" && age < tenure.RenewAfter+clock.Millis(rank)*rankPause {
 		return nil
 	}
-	all := leader == "" || age >= tenure.Lease*3/4
+	reason := probeRenewal
+	switch {
+	case leader == "":
+		reason = probeNoPrimary
+	case age >= tenure.Lease*3/4:
+		reason = probeExpiring
+	}
+	all := reason != probeRenewal
 	var out []*pool
 	for id, p := range g.pools {
 		if last, ok := g.probedAt[id]; ok && now-last < probePause || !all && id != leader && !g.isPreferredReplica(p) {
 			continue
 		}
 		g.probedAt[id] = now
+		g.options.Counters.probeReasons[reason].Inc()
 		out = append(out, p)
 	}
 	return out
@@ -190,5 +198,5 @@
 	}
 	pc := p.reserve()
 	p.mu.Unlock()
-	return p.dial(ctx, pc, probeAccount)
+	return p.dial(ctx, pc, probeAccount, dialForControl)
 }
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -81,6 +81,8 @@
 	options   Options
 	forwarded *metrics.Counter
 	silences  *metrics.Counter
+	// unserved counts the statements that no holder or reserve could be asked to run.
+	unserved *metrics.Counter
 
 	mu sync.Mutex
 	// holders is the state of each holder by name.
@@ -112,6 +114,7 @@
 		options: o, holders: map[string]holderState{}, skippedUntil: map[holderServer]clock.Millis{},
 		forwarded: metrics.GetOrCreateCounter("sycamoredoor_forwarded_total"),
 		silences:  metrics.GetOrCreateCounter("sycamoredoor_holders_silent_total"),
+		unserved:  metrics.GetOrCreateCounter("sycamoredoor_holders_unusable_total"),
 	}
 }
 
@@ -135,6 +138,7 @@
 			return &database.RemoteConn{RunFunc: s.run, CloseFunc: s.close}
 		}
 	}
+	f.unserved.Inc()
 	return nil
 }
 
@@ -204,6 +208,12 @@
 	inner.ReasonSessionSetup: errSetup,
 }
 
+// reasonNames names the reasons in metrics.
+var reasonNames = map[inner.UnsentReason]string{
+	inner.ReasonPoolTimeout: "nofreeconnection", inner.ReasonTooManyConnections: "overcap", inner.ReasonUnreachable: "unreachable",
+	inner.ReasonUnknownServer: "unknownserver", inner.ReasonNoPrimary: "noprimary", inner.ReasonStopping: "stopping", inner.ReasonSessionSetup: "setup",
+}
+
 var (
 	errStopping     = errors.New("the VM that holds the connection is to stop")
 	errSetup        = errors.New("the session could not be set up at the backend server")
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
@@ -179,6 +181,7 @@
 		s.forwarder.skip(s.vm.Name, s.request.Server.ID, unreachablePause)
 	}
 	if r.UnsentReason != inner.ReasonNone {
+		metrics.GetOrCreateCounter(fmt.Sprintf("sycamoredoor_holder_refusals_total{reason=%q}", reasonNames[r.UnsentReason])).Inc()
 		err, ok := reasonErrors[r.UnsentReason]
 		if !ok {
 			err = database.ErrUnreachable
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -88,8 +88,13 @@
 	// fetchFailures counts the failed fetches from other VMs.
 	fetchFailures *metrics.Counter
 	// eraGauge shows era.
-	eraGauge   *metrics.Gauge
-	compressed compressedText
+	eraGauge *metrics.Gauge
+	// heldGauge and reservedGauge show the servers of which this VM is a holder or a reserve.
+	heldGauge     *metrics.Gauge
+	reservedGauge *metrics.Gauge
+	// heldCountedAt is the time of the last count; only beginRound uses it.
+	heldCountedAt clock.Millis
+	compressed    compressedText
 
 	mu sync.Mutex
 	// fetchingConfiguration is set while a configuration is being fetched from another VM,
@@ -142,6 +147,8 @@
 	f.mesh = f.newMesh()
 	f.fetchFailures = metrics.GetOrCreateCounter("sycamoredoor_fetch_failures_total")
 	f.eraGauge = metrics.GetOrCreateGauge("sycamoredoor_store_era", nil)
+	f.heldGauge = metrics.GetOrCreateGauge("sycamoredoor_servers_held", nil)
+	f.reservedGauge = metrics.GetOrCreateGauge("sycamoredoor_servers_reserved", nil)
 	f.holderCache.setMembers(f.mesh.Members())
 	f.forwarder = f.newForwarder()
 	f.holder = &forward.Holder{Clock: o.Clock, GroupFunc: f.Group, StoppingFunc: f.isStopping, TakesFunc: f.takes}
--- a/internal/serve/frontend/holders.go
+++ b/internal/serve/frontend/holders.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/peer"
@@ -156,6 +157,35 @@
 func (f *Frontend) beginRound() {
 	f.limiter.beginRound()
 	f.holderCache.setMembers(f.mesh.Members())
+	if now := f.options.Clock.Now(); now-f.heldCountedAt >= heldCountInterval {
+		f.heldCountedAt = now
+		f.countHeld()
+	}
+}
+
+// heldCountInterval is the least pause between two counts of the servers held, in
+// milliseconds.
+const heldCountInterval = clock.Second
+
+// countHeld counts the servers whose connections this VM holds by its list of VMs, and those
+// of which it is a reserve. Over all VMs a server is held maxHolders times if the lists agree.
+func (f *Frontend) countHeld() {
+	f.mu.Lock()
+	directory := f.directory
+	f.mu.Unlock()
+	isSelf := func(v member.VM) bool { return v.Name == f.options.Self.Name }
+	held, reserved := 0, 0
+	for _, s := range directory {
+		vms := f.holderCache.vmsOf(s)
+		if slices.ContainsFunc(vms.holders, isSelf) {
+			held++
+		}
+		if slices.ContainsFunc(vms.reserves, isSelf) {
+			reserved++
+		}
+	}
+	f.heldGauge.Set(float64(held))
+	f.reservedGauge.Set(float64(reserved))
 }
 
 // connLimits bounds one VM's connections to a server.
--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -115,6 +115,12 @@
 	relist chan struct{}
 	done   chan struct{}
 	bytes  *metrics.Counter
+	// sent and received count datagrams, lists the reads of the list of VMs.
+	sent     *metrics.Counter
+	received *metrics.Counter
+	lists    *metrics.Counter
+	// known counts the known VMs.
+	known *metrics.Gauge
 	// down counts the registered VMs that are not taken for running. loggedRole is the role
 	// that was logged last; only round uses it.
 	down       *metrics.Gauge
@@ -141,6 +147,8 @@
 	_, _ = rand.Read(raw[:])
 	return &Mesh{
 		options: o, process: binary.BigEndian.Uint64(raw[:]), wakeup: make(chan struct{}, 1), relist: make(chan struct{}, 1), restoredAt: -restoreTime, done: make(chan struct{}),
+		sent: metrics.GetOrCreateCounter("sycamoredoor_gossip_sent_total"), received: metrics.GetOrCreateCounter("sycamoredoor_gossip_received_total"),
+		lists: metrics.GetOrCreateCounter("sycamoredoor_vm_lists_total"), known: metrics.GetOrCreateGauge("sycamoredoor_vms_known", nil),
 		bytes: metrics.GetOrCreateCounter("sycamoredoor_gossip_bytes_total"), down: metrics.GetOrCreateGauge("sycamoredoor_vms_down", nil), peers: map[string]*peer{}, downReports: map[member.Zone]downReport{},
 	}
 }
--- a/internal/serve/gossip/list.go
+++ b/internal/serve/gossip/list.go
@@ -153,6 +153,7 @@
 }
 
 func (m *Mesh) readList(ctx context.Context) ([]member.VM, error) {
+	m.lists.Inc()
 	vms, err := m.options.ListFunc(ctx)
 	if err == nil {
 		m.mergeList(vms)
--- a/internal/serve/gossip/receive.go
+++ b/internal/serve/gossip/receive.go
@@ -13,6 +13,7 @@
 	if err != nil || g.From != name || name == m.options.Self.Name {
 		return
 	}
+	m.received.Inc()
 	toLocalTime, restarted := m.recordMessage(g)
 	if restarted {
 		m.options.RestartedFunc(g.Address)
--- a/internal/serve/gossip/round.go
+++ b/internal/serve/gossip/round.go
@@ -31,6 +31,7 @@
 	m.observe()
 	for _, d := range m.datagrams() {
 		m.bytes.Add(len(d.body))
+		m.sent.Inc()
 		// The error is ignored: an unreachable VM is detected by its silence.
 		_ = m.options.SendFunc(ctx, d.address, d.body)
 	}
@@ -41,6 +42,7 @@
 func (m *Mesh) observe() {
 	members, role := len(m.Members()), m.Role()
 	m.down.Set(float64(m.KnownCount() - members))
+	m.known.Set(float64(m.KnownCount()))
 	if role != m.loggedRole {
 		m.options.Log.Info("gossip role changed", "role", role, "before", m.loggedRole, "vms", members)
 		m.loggedRole = role
