--- a/internal/serve/gossip/list.go
+++ b/internal/serve/gossip/list.go
@@ -24,17 +24,23 @@
 // context ends.
 func (m *Mesh) RunRegistration(ctx context.Context) {
 	for ctx.Err() == nil {
-		vms, err := m.readList(ctx)
-		switch listed := slices.Contains(vms, m.options.Self); {
-		case err != nil:
-		case !m.isLeaving():
-			m.register(ctx, listed)
-			m.registerFollowers(ctx, vms)
-		case listed:
-			m.unregister(ctx)
-		}
-		m.awaitList(ctx, m.listPause(len(vms)))
+		m.awaitList(ctx, m.updateList(ctx))
+	}
+}
+
+// updateList reads the list of VMs, and registers this VM unless it is leaving. It returns the
+// pause before the next call, in milliseconds.
+func (m *Mesh) updateList(ctx context.Context) clock.Millis {
+	vms, err := m.readList(ctx)
+	switch listed := slices.Contains(vms, m.options.Self); {
+	case err != nil:
+	case !m.isLeaving():
+		m.register(ctx, listed)
+		m.registerFollowers(ctx, vms)
+	case listed:
+		m.unregister(ctx)
 	}
+	return m.listPause(len(vms))
 }
 
 // awaitList waits until the list of VMs is to be read again: for pause milliseconds at most.
