Hash each VM once when holders are chosen

Cause: each change of the list of VMs makes each VM choose the holders and reserves of all servers anew, and the sort computed two hashes for each comparison and copied the VMs. Change: each hash once, VMs are copied only when chosen. The choices are the same.

--- a/internal/core/member/holders.go
+++ b/internal/core/member/holders.go
@@ -24,45 +24,44 @@
 // the connections, so that traffic crosses zones or regions no more often than without
 // a holder.
 func Holders(vms []VM, q HolderQuery) []VM {
-	tiers := [...]func(VM) bool{
-		func(v VM) bool { return v.Zone == q.Zone },
-		func(v VM) bool { return v.Region == q.Region },
-		func(VM) bool { return true },
+	tiers := [...]func(*VM) bool{
+		func(v *VM) bool { return !v.Leaving && v.Zone == q.Zone },
+		func(v *VM) bool { return !v.Leaving && v.Region == q.Region },
+		func(v *VM) bool { return !v.Leaving },
 	}
 	for _, matches := range tiers {
-		var holders []VM
-		for _, v := range vms {
-			if !v.Leaving && matches(v) {
-				holders = append(holders, v)
-			}
-		}
-		if len(holders) > 0 {
-			sortByRendezvousScore(holders, bucketKey(q.Server, len(holders)))
-			return holders[:min(len(holders), max(q.MaxHolders, 1))]
+		if n := countVMs(vms, matches); n > 0 {
+			return rankByScore(vms, matches, bucketKey(q.Server, n), max(q.MaxHolders, 1))
 		}
 	}
 	return nil
 }
 
+// countVMs returns how many VMs match.
+func countVMs(vms []VM, matches func(*VM) bool) int {
+	n := 0
+	for i := range vms {
+		if matches(&vms[i]) {
+			n++
+		}
+	}
+	return n
+}
+
 // Reserves returns the VMs that may open connections to a backend server while none of its
 // holders can be reached: up to twice MaxHolders of the other VMs, those of its region
 // first. All VMs know them, so that together they open few connections.
 func Reserves(vms, holders []VM, q HolderQuery) []VM {
-	var near, far []VM
-	for _, v := range vms {
-		switch {
-		case v.Leaving || slices.Contains(holders, v):
-		case v.Region == q.Region:
-			near = append(near, v)
-		default:
-			far = append(far, v)
-		}
+	isReserve := func(v *VM) bool {
+		return !v.Leaving && !slices.ContainsFunc(holders, func(h VM) bool { return h.Name == v.Name })
+	}
+	key, count := "reserves\x00"+q.Server, 2*max(q.MaxHolders, 1)
+	near := rankByScore(vms, func(v *VM) bool { return v.Region == q.Region && isReserve(v) }, key, count)
+	if len(near) == count {
+		return near
 	}
-	key := "reserves\x00" + q.Server
-	sortByRendezvousScore(near, key)
-	sortByRendezvousScore(far, key)
-	reserves := append(near, far...)
-	return reserves[:min(len(reserves), 2*max(q.MaxHolders, 1))]
+	far := rankByScore(vms, func(v *VM) bool { return v.Region != q.Region && isReserve(v) }, key, count-len(near))
+	return append(near, far...)
 }
 
 // bucketSize is the number of candidate VMs per bucket of servers.
@@ -78,17 +77,31 @@
 // RankHolders returns holders in the order in which requests of one client account
 // should try them, so that an account's connections are held by few of them.
 func RankHolders(holders []VM, server, account string) []VM {
-	out := slices.Clone(holders)
-	sortByRendezvousScore(out, server+"\x00"+account)
-	return out
+	return rankByScore(holders, func(*VM) bool { return true }, server+"\x00"+account, len(holders))
 }
 
-// sortByRendezvousScore sorts VMs by their rendezvous hash for key, highest first.
-func sortByRendezvousScore(vms []VM, key string) {
-	slices.SortFunc(vms, func(a, b VM) int {
-		if c := cmp.Compare(rendezvousScore(b.Name, key), rendezvousScore(a.Name, key)); c != 0 {
+// rankByScore returns the matching VMs with the highest rendezvous hashes for key, highest
+// first, at most count of them. Each hash is computed once, since there may be hundreds of VMs.
+func rankByScore(vms []VM, matches func(*VM) bool, key string, count int) []VM {
+	type scored struct {
+		score uint64
+		vm    *VM
+	}
+	ranked := make([]scored, 0, len(vms))
+	for i := range vms {
+		if v := &vms[i]; matches(v) {
+			ranked = append(ranked, scored{score: rendezvousScore(v.Name, key), vm: v})
+		}
+	}
+	slices.SortFunc(ranked, func(a, b scored) int {
+		if c := cmp.Compare(b.score, a.score); c != 0 {
 			return c
 		}
-		return cmp.Compare(a.Name, b.Name)
+		return cmp.Compare(a.vm.Name, b.vm.Name)
 	})
+	out := make([]VM, min(len(ranked), count))
+	for i := range out {
+		out[i] = *ranked[i].vm
+	}
+	return out
 }
