Choose the relays of a zone in one pass

As before: a VM chooses relays for each message and round, and sorted the VMs of the zone with two hashes a comparison. Now it keeps the best two.

--- a/internal/core/overlay/overlay.go
+++ b/internal/core/overlay/overlay.go
@@ -10,7 +10,6 @@
 package overlay
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,8 +20,8 @@
 const (
 	// MaxFullMesh is the number of VMs up to which each sends to every other.
 	MaxFullMesh = 16
-	// RelaysPerZone is the number of relays of a zone. The second takes over when the
-	// first fails.
+	// RelaysPerZone is the number of relays of a zone, as Relays chooses them. The second
+	// takes over when the first fails.
 	RelaysPerZone = 2
 )
 
@@ -60,27 +59,46 @@
 
 // Relays returns the names of the relays of a zone, the first relay first.
 func Relays(nodes []Node, zone member.Zone) []string {
-	var candidates []Node
-	for _, n := range nodes {
-		if n.Zone == zone && !n.Down {
-			candidates = append(candidates, n)
+	var first, second candidate
+	for i := range nodes {
+		n := &nodes[i]
+		if n.Zone != zone || n.Down {
+			continue
 		}
-	}
-	slices.SortFunc(candidates, func(a, b Node) int {
-		if c := cmp.Compare(relayScore(b.Name), relayScore(a.Name)); c != 0 {
-			return c
+		switch c := (candidate{name: n.Name, score: relayScore(n.Name)}); {
+		case c.precedes(first):
+			first, second = c, first
+		case c.precedes(second):
+			second = c
 		}
-		return cmp.Compare(a.Name, b.Name)
-	})
-	var out []string
-	for _, n := range candidates[:min(len(candidates), RelaysPerZone)] {
-		out = append(out, n.Name)
 	}
-	return out
+	switch {
+	case first.name == "":
+		return nil
+	case second.name == "":
+		return []string{first.name}
+	}
+	return []string{first.name, second.name}
+}
+
+// candidate is a VM that may be a relay; without a name it stands for none.
+type candidate struct {
+	name  string
+	score uint64
+}
+
+// precedes reports whether a candidate is chosen before another one: that with the higher score.
+func (c candidate) precedes(other candidate) bool {
+	return other.name == "" || c.score > other.score || c.score == other.score && c.name < other.name
 }
 
 // relayScore ranks the VMs of a zone; the highest score is first.
-func relayScore(name string) uint64 { return xxhash.Sum64String("relay\x00" + name) }
+func relayScore(name string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString("relay\x00")
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
 
 // Targets returns the VMs to which self sends, which must be one of the nodes. A relay also
 // sends to the VMs of its zone that are known to be down, since they may have come back.
