Let relays make every VM's list of VMs the same

Change: a relay that hears a VM which it has not listed reads the list, relays report the version and hash of theirs, and VMs with an older one fetch it from them. Followers that get these reports do not read the list again. Processes of before ignore the new datagram.

--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -55,6 +55,8 @@
 	KindWorking Kind = 14
 	// KindSummary is a Summary, a datagram.
 	KindSummary Kind = 15
+	// KindRoster is a Roster, a datagram.
+	KindRoster Kind = 16
 )
 
 // MaxBody is the largest body of a frame in bytes.
@@ -220,6 +222,8 @@
 	TopicText = "text"
 	// TopicServers asks for the directory of backend servers.
 	TopicServers = "servers"
+	// TopicVMs asks for the list of registered VMs.
+	TopicVMs = "vms"
 )
 
 // Answer answers a Question.
@@ -229,7 +233,8 @@
 	Floor floor.ReplicationPosition `cbor:"floor"`
 	// Payload answers TopicConfiguration with the configuration's record in the
 	// platform's table, TopicText with the text of the configuration, and
-	// TopicServers with the directory of backend servers as JSON. Objects holds the
+	// TopicServers with the directory of backend servers and TopicVMs with a List, both as
+	// JSON. Objects holds the
 	// texts whose hashes are in the record, by hash, except Question.KnownObjects.
 	Payload []byte            `cbor:"record,omitempty"`
 	Objects map[string][]byte `cbor:"objects,omitempty"`
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -94,7 +94,9 @@
 	reservedGauge *metrics.Gauge
 	// heldCountedAt is the time of the last count; only beginRound uses it.
 	heldCountedAt clock.Millis
-	compressed    compressedText
+	// compressed is the configuration, compressedList the list of VMs for other VMs.
+	compressed     compressedText
+	compressedList compressedText
 
 	mu sync.Mutex
 	// fetchingConfiguration is set while a configuration is being fetched from another VM,
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"sync"
 
 	"github.com/go-faster/errors"
@@ -42,7 +43,7 @@
 type Registry struct {
 	// ListFunc lists the registered VMs, RegisterFunc adds one and RemoveFunc removes
 	// one.
-	ListFunc     func(ctx context.Context) ([]member.VM, error)
+	ListFunc     func(ctx context.Context) (inner.List, error)
 	RegisterFunc func(ctx context.Context, v member.VM) error
 	RemoveFunc   func(ctx context.Context, v member.VM) error
 	// AuthorityFunc returns the stored certificate authority of the VMs. If there is none, it
@@ -56,7 +57,7 @@
 	return gossip.New(gossip.Options{
 		Self: o.Self, Clock: o.Clock, Log: o.Log,
 		SendFunc: f.sendDatagram, MaxDatagram: peer.MaxDatagram, RestartedFunc: f.dropConn,
-		ListFunc: o.Registry.ListFunc, RegisterFunc: o.Registry.RegisterFunc, RemoveFunc: o.Registry.RemoveFunc,
+		ListFunc: o.Registry.ListFunc, FetchListFunc: f.fetchList, RegisterFunc: o.Registry.RegisterFunc, RemoveFunc: o.Registry.RemoveFunc,
 		RegisteredFunc: f.updateGroups,
 		BeginRoundFunc: f.beginRound, ContentFunc: f.gossipFor, ReceiveFunc: f.receiveGossip,
 	})
@@ -279,10 +280,40 @@
 		return f.answerDirectory()
 	case inner.TopicText:
 		return f.answerText(q)
+	case inner.TopicVMs:
+		return f.answerList(q)
 	}
 	return inner.Answer{Error: "unknown question " + q.Topic}
 }
 
+// answerList answers with the list of VMs.
+func (f *Frontend) answerList(q inner.Question) inner.Answer {
+	l := f.mesh.List()
+	if l.Version == 0 {
+		return inner.Answer{Error: "the VM has no list of VMs yet"}
+	}
+	text, err := json.Marshal(l)
+	if err != nil {
+		return inner.Answer{Error: err.Error()}
+	}
+	if !q.AcceptsGzip {
+		return inner.Answer{Payload: text}
+	}
+	return f.compressedList.answer(text)
+}
+
+// fetchList asks the VM at an address for its list of VMs.
+func (f *Frontend) fetchList(_ context.Context, address string) (inner.List, error) {
+	answer, err := f.ask(address, inner.Question{Topic: inner.TopicVMs})
+	if err != nil {
+		f.fetchFailures.Inc()
+		return inner.List{}, err
+	}
+	var l inner.List
+	err = json.Unmarshal(answer.Payload, &l)
+	return l, err
+}
+
 // answerText answers with the text of the configuration in force, compressed if the other VM
 // can decompress it.
 func (f *Frontend) answerText(q inner.Question) inner.Answer {
--- a/internal/serve/frontend/poll_test.go
+++ b/internal/serve/frontend/poll_test.go
@@ -15,6 +15,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/quota"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/gossip"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
 )
@@ -73,7 +74,7 @@
 	f := &Frontend{lostDependencies: map[string]bool{}}
 	for _, v := range vms {
 		f.options = Options{Self: v, Clock: c, Log: log.New(io.Discard), Source: s.source()}
-		f.mesh = gossip.New(gossip.Options{Self: v, Clock: c, ListFunc: func(context.Context) ([]member.VM, error) { return vms, nil }})
+		f.mesh = gossip.New(gossip.Options{Self: v, Clock: c, ListFunc: func(context.Context) (inner.List, error) { return inner.List{VMs: vms}, nil }})
 		if err := f.mesh.RefreshVMs(t.Context()); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -55,10 +55,11 @@
 	// its former process are of no use any more.
 	RestartedFunc func(address string)
 	// ListFunc lists the registered VMs, RegisterFunc adds this one and RemoveFunc
-	// removes it.
-	ListFunc     func(ctx context.Context) ([]member.VM, error)
-	RegisterFunc func(ctx context.Context, v member.VM) error
-	RemoveFunc   func(ctx context.Context, v member.VM) error
+	// removes it. FetchListFunc asks the VM at an address for the list.
+	ListFunc      func(ctx context.Context) (inner.List, error)
+	FetchListFunc func(ctx context.Context, address string) (inner.List, error)
+	RegisterFunc  func(ctx context.Context, v member.VM) error
+	RemoveFunc    func(ctx context.Context, v member.VM) error
 	// RegisteredFunc is called once, after this VM has been registered.
 	RegisteredFunc func()
 	// BeginRoundFunc begins a round. ContentFunc then returns the content of a message of
@@ -121,16 +122,18 @@
 	lists    *metrics.Counter
 	// known counts the known VMs.
 	known *metrics.Gauge
-	// down counts the registered VMs that are not taken for running. loggedRole is the role
-	// that was logged last; only round uses it.
-	down       *metrics.Gauge
-	loggedRole Role
+	// down counts the registered VMs that are not taken for running.
+	down *metrics.Gauge
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// role is that of the last round.
+	role    Role
 	peers   map[string]*peer
 	leaving bool
 	// downReports holds, by zone, the last report of the VMs of a zone that are down.
 	downReports map[member.Zone]downReport
+	// roster is the latest list of VMs.
+	roster roster
 	// registered is set once this VM is in the list of VMs. unlisted is set when the store
 	// comes back from a copy, at restoredAt, until this VM has registered again.
 	registered bool
@@ -149,7 +152,8 @@
 		options: o, process: binary.BigEndian.Uint64(raw[:]), wakeup: make(chan struct{}, 1), relist: make(chan struct{}, 1), restoredAt: -restoreTime, done: make(chan struct{}),
 		sent: metrics.GetOrCreateCounter("sycamoredoor_gossip_sent_total"), received: metrics.GetOrCreateCounter("sycamoredoor_gossip_received_total"),
 		lists: metrics.GetOrCreateCounter("sycamoredoor_vm_lists_total"), known: metrics.GetOrCreateGauge("sycamoredoor_vms_known", nil),
-		bytes: metrics.GetOrCreateCounter("sycamoredoor_gossip_bytes_total"), down: metrics.GetOrCreateGauge("sycamoredoor_vms_down", nil), peers: map[string]*peer{}, downReports: map[member.Zone]downReport{},
+		roster: newRoster(),
+		bytes:  metrics.GetOrCreateCounter("sycamoredoor_gossip_bytes_total"), down: metrics.GetOrCreateGauge("sycamoredoor_vms_down", nil), peers: map[string]*peer{}, downReports: map[member.Zone]downReport{},
 	}
 }
 
--- a/internal/serve/gossip/list.go
+++ b/internal/serve/gossip/list.go
@@ -6,6 +6,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 )
 
 const (
@@ -15,6 +16,8 @@
 	listInterval      = 40 * clock.Second
 	listStartInterval = clock.Millis(700)
 	listAloneInterval = clock.Millis(2500)
+	// listMinPause is the least pause between two updates of the list, in milliseconds.
+	listMinPause = clock.Millis(300)
 	// restoreTime is how long after the store came back from a copy the list may lack VMs
 	// that are running, in milliseconds.
 	restoreTime = 10 * clock.Second
@@ -28,24 +31,31 @@
 	}
 }
 
-// updateList reads the list of VMs, and registers this VM unless it is leaving. It returns the
+// updateList brings the list of VMs up to date: from the VM that reported a later one, else
+// from the store. There it also registers this VM, or removes it if it is leaving. It returns the
 // pause before the next call, in milliseconds.
 func (m *Mesh) updateList(ctx context.Context) clock.Millis {
-	vms, err := m.readList(ctx)
-	switch listed := slices.Contains(vms, m.options.Self); {
+	if m.fetchList(ctx) || m.listConfirmed() {
+		return listInterval
+	}
+	l, err := m.readList(ctx)
+	switch listed := slices.Contains(l.VMs, m.options.Self); {
 	case err != nil:
 	case !m.isLeaving():
 		m.register(ctx, listed)
-		m.registerFollowers(ctx, vms)
+		m.registerFollowers(ctx, l.VMs)
 	case listed:
 		m.unregister(ctx)
 	}
-	return m.listPause(len(vms))
+	return m.listPause(len(l.VMs))
 }
 
 // awaitList waits until the list of VMs is to be read again: for pause milliseconds at most.
 func (m *Mesh) awaitList(ctx context.Context, pause clock.Millis) {
-	fired, stop := m.options.Clock.AfterFunc(pause)
+	if m.options.Clock.Sleep(ctx, listMinPause) != nil {
+		return
+	}
+	fired, stop := m.options.Clock.AfterFunc(pause - listMinPause)
 	defer stop()
 	select {
 	case <-ctx.Done():
@@ -60,6 +70,11 @@
 	m.mu.Lock()
 	m.restoredAt, m.unlisted = m.options.Clock.Now(), true
 	m.mu.Unlock()
+	m.relistSoon()
+}
+
+// relistSoon starts the next update of the list early.
+func (m *Mesh) relistSoon() {
 	select {
 	case m.relist <- struct{}{}:
 	default:
@@ -139,6 +154,9 @@
 	m.mu.Lock()
 	first := !m.registered
 	m.registered, m.unlisted = true, false
+	if first {
+		m.roster = m.roster.withRegistration(m.options.Clock.Now(), listed)
+	}
 	m.mu.Unlock()
 	if first {
 		m.options.RegisteredFunc()
@@ -158,13 +176,16 @@
 	return err
 }
 
-func (m *Mesh) readList(ctx context.Context) ([]member.VM, error) {
+func (m *Mesh) readList(ctx context.Context) (inner.List, error) {
 	m.lists.Inc()
-	vms, err := m.options.ListFunc(ctx)
+	l, err := m.options.ListFunc(ctx)
 	if err == nil {
-		m.mergeList(vms)
+		m.adoptList(l)
+		m.mu.Lock()
+		m.roster = m.roster.withRead(m.options.Clock.Now())
+		m.mu.Unlock()
 	}
-	return vms, err
+	return l, err
 }
 
 // mergeList merges the list of VMs into the peers. It removes a peer that is not listed and
--- a/internal/serve/gossip/receive.go
+++ b/internal/serve/gossip/receive.go
@@ -9,11 +9,17 @@
 // Receive handles a datagram from the VM of that name. It ignores messages that are
 // malformed or name another sender.
 func (m *Mesh) Receive(name string, datagram []byte) {
+	m.received.Inc()
+	if r, ok := decodeRoster(datagram); ok {
+		if r.From == name {
+			m.mergeRoster(r)
+		}
+		return
+	}
 	g, down, err := decode(datagram)
 	if err != nil || g.From != name || name == m.options.Self.Name {
 		return
 	}
-	m.received.Inc()
 	toLocalTime, restarted := m.recordMessage(g)
 	if restarted {
 		m.options.RestartedFunc(g.Address)
@@ -24,6 +30,13 @@
 	m.options.ReceiveFunc(g, toLocalTime)
 }
 
+// decodeRoster decodes a Roster; it returns false for another message.
+func decodeRoster(datagram []byte) (inner.Roster, bool) {
+	var r inner.Roster
+	f, err := inner.Unpack(datagram)
+	return r, err == nil && f.Kind == inner.KindRoster && inner.Decode(f, &r) == nil
+}
+
 // decode decodes a Gossip or a Summary. The latter is returned as a Gossip, and in its first
 // part with the VMs that are down.
 func decode(datagram []byte) (inner.Gossip, *downList, error) {
@@ -70,6 +83,9 @@
 		p = m.newPeer(member.VM{Name: g.From}, now)
 		m.peers[g.From] = p
 	}
+	if m.role == Relay && !g.Leaving && m.roster.isStranger(g.From, now) {
+		m.relistSoon()
+	}
 	if p.process != g.Process {
 		restarted = p.process != 0
 		p.process, p.highestNumber = g.Process, 0
--- a/internal/serve/gossip/restore_test.go
+++ b/internal/serve/gossip/restore_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 )
 
 // relayOf returns the first relay of zone0 and the VMs of that zone that are no relays.
@@ -85,7 +86,9 @@
 	self := member.VM{Name: "vm0", Zone: "a"}
 	removed := make(chan struct{}, 8)
 	m := New(Options{
-		Self: self, Clock: clock.System(), ListFunc: func(context.Context) ([]member.VM, error) { return []member.VM{self, {Name: "vm1"}}, nil },
+		Self: self, Clock: clock.System(), ListFunc: func(context.Context) (inner.List, error) {
+			return inner.List{VMs: []member.VM{self, {Name: "vm1"}}}, nil
+		},
 		RegisterFunc:   func(context.Context, member.VM) error { t.Error("registered while leaving"); return nil },
 		RemoveFunc:     func(context.Context, member.VM) error { removed <- struct{}{}; return nil },
 		RegisteredFunc: func() {},
--- a/internal/serve/gossip/round.go
+++ b/internal/serve/gossip/round.go
@@ -43,9 +43,12 @@
 	members, role := len(m.Members()), m.Role()
 	m.down.Set(float64(m.KnownCount() - members))
 	m.known.Set(float64(m.KnownCount()))
-	if role != m.loggedRole {
-		m.options.Log.Info("gossip role changed", "role", role, "before", m.loggedRole, "vms", members)
-		m.loggedRole = role
+	m.mu.Lock()
+	before := m.role
+	m.role = role
+	m.mu.Unlock()
+	if role != before {
+		m.options.Log.Info("gossip role changed", "role", role, "before", before, "vms", members)
 	}
 }
 
@@ -63,12 +66,16 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	roster := m.rosterDatagramLocked(started)
 	var out []datagram
 	for _, t := range targets {
 		p := m.peers[t.Name]
 		if p == nil {
 			continue
 		}
+		if roster != nil {
+			out = append(out, datagram{address: p.vm.Address, body: roster})
+		}
 		p.unanswered++
 		p.lastSent = started
 		for _, content := range parts[t.Content] {
