Probe and claim nothing before the list of VMs is settled

Each VM acted at once on what it had read so far, as a holder, prober and claimant of most of the 60 servers.

--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -106,6 +106,9 @@
 	// ProbersFunc lists the VMs of this VM's region that probe the group's servers. An
 	// empty list means that this VM does, and one without this VM that it does not.
 	ProbersFunc func() []string
+	// SettledFunc reports whether this VM knows which VMs there are. Until then it probes no
+	// servers and claims nothing. The function may be nil.
+	SettledFunc func() bool
 	// CandidatesFunc lists the VMs that may replace the group's primary; an empty list
 	// means all.
 	CandidatesFunc func() []string
@@ -149,8 +152,10 @@
 	leaderDoubtedAt clock.Millis
 	// probedAt holds the time of the last probe of each server.
 	probedAt map[string]clock.Millis
-	// createdAt is the time at which this VM began to serve the group.
+	// createdAt is the time at which this VM began to serve the group, settledAt that of the
+	// first Tick after it knew which VMs there are, or 0.
 	createdAt clock.Millis
+	settledAt clock.Millis
 	// leaderChangedAt is the time at which the known term or its primary last changed.
 	leaderChangedAt clock.Millis
 	// unlistedSince holds, for each server removed from the directory, the time of
--- a/internal/serve/database/probe.go
+++ b/internal/serve/database/probe.go
@@ -25,6 +25,10 @@
 // and does not wait for them.
 func (g *Group) Tick(ctx context.Context, start func(func())) {
 	now := g.options.Clock.Now()
+	if !g.isSettled(now) {
+		g.trim(now)
+		return
+	}
 	for _, p := range g.poolsToProbe(now) {
 		start(func() { g.probe(ctx, p) })
 	}
@@ -32,6 +36,23 @@
 	g.trim(now)
 }
 
+// isSettled reports whether this VM knows which VMs there are, and records since when.
+func (g *Group) isSettled(now clock.Millis) bool {
+	g.mu.Lock()
+	settled := g.settledAt > 0
+	g.mu.Unlock()
+	if settled {
+		return true
+	}
+	if g.options.SettledFunc != nil && !g.options.SettledFunc() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.settledAt = now
+	return true
+}
+
 // trim closes idle connections that are not needed.
 func (g *Group) trim(now clock.Millis) {
 	g.mu.Lock()
@@ -65,7 +86,7 @@
 	defer g.mu.Unlock()
 	_, leader := g.watch.Leader()
 	age := now - g.watch.ProvedAt()
-	if leader == "" && now-g.createdAt < clock.Millis(min(ownRank, maxStartRank))*rankPause {
+	if leader == "" && now-g.settledAt < clock.Millis(min(ownRank, maxStartRank))*rankPause {
 		return nil
 	}
 	if leader != "" && age < tenure.RenewAfter+clock.Millis(rank)*rankPause {
