Let two VMs of a zone renew a proof while relays are used

Change: the holders of a group in one zone take turns; two renew, the others probe at 880 ms of the lease's 1,000. Test: TestFewRenewWithRelays.

--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -103,12 +103,15 @@
 	// one.
 	Self        string
 	LiveVMsFunc func() []string
-	// ProbersFunc lists the VMs of this VM's region that probe the group's servers. An
+	// ProbersFunc lists the VMs near this one that probe the group's servers. An
 	// empty list means that this VM does, and one without this VM that it does not.
 	ProbersFunc func() []string
 	// SettledFunc reports whether this VM knows which VMs there are. Until then it probes no
 	// servers and claims nothing. The function may be nil.
 	SettledFunc func() bool
+	// UsesRelaysFunc reports whether the VMs learn of each other's proofs through relays. The
+	// function may be nil.
+	UsesRelaysFunc func() bool
 	// CandidatesFunc lists the VMs that may replace the group's primary; an empty list
 	// means all.
 	CandidatesFunc func() []string
--- a/internal/serve/database/probe.go
+++ b/internal/serve/database/probe.go
@@ -68,6 +68,12 @@
 	rankPause = clock.Millis(120)
 	// maxRank caps the rank: VMs of this and higher ranks probe at the same age.
 	maxRank = 3
+	// relayedProbers is the number of VMs that renew a proof in turn while relays are used,
+	// and relayedReserveAge the age of a proof, in milliseconds, at which the others probe.
+	// A proof takes up to 400 ms from a prober through a relay to another VM of the zone, so
+	// that with pauses of rankPause each of them would probe before it learns of the others.
+	relayedProbers    = 2
+	relayedReserveAge = clock.Millis(880)
 	// maxStartRank replaces maxRank while no primary is known: VMs that start
 	// together would otherwise use up a server's connections with their probes.
 	maxStartRank = 8
@@ -81,7 +87,7 @@
 	if !probes {
 		return nil
 	}
-	rank := min(ownRank, maxRank)
+	renewAge := g.renewAge(ownRank)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	_, leader := g.watch.Leader()
@@ -89,7 +95,7 @@
 	if leader == "" && now-g.settledAt < clock.Millis(min(ownRank, maxStartRank))*rankPause {
 		return nil
 	}
-	if leader != "" && age < tenure.RenewAfter+clock.Millis(rank)*rankPause {
+	if leader != "" && age < renewAge {
 		return nil
 	}
 	reason := probeRenewal
@@ -112,6 +118,14 @@
 	return out
 }
 
+// renewAge returns the age of the last proof, in milliseconds, at which a VM of this rank probes.
+func (g *Group) renewAge(rank int) clock.Millis {
+	if rank >= relayedProbers && g.options.UsesRelaysFunc != nil && g.options.UsesRelaysFunc() {
+		return relayedReserveAge
+	}
+	return tenure.RenewAfter + clock.Millis(min(rank, maxRank))*rankPause
+}
+
 // isPreferredReplica reports whether a server is the replica to probe first: the one
 // that answered last, with a bonus for the VM's region. The caller holds g.mu.
 func (g *Group) isPreferredReplica(p *pool) bool {
--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -221,6 +221,7 @@
 		MaxIdleFunc:  func(s database.Server) int { return f.connLimits(s).maxIdle }, HolderCountFunc: func(s database.Server) int { return len(f.holderCache.vmsOf(s).holders) }, RemoteConnFunc: f.forwarder.Remote,
 		Self: o.Self.Name, LiveVMsFunc: func() []string { return vmNames(f.mesh.Alive()) },
 		SettledFunc:    f.mesh.Settled,
+		UsesRelaysFunc: f.mesh.UsesRelays,
 		ProbersFunc:    func() []string { return f.probers(name) },
 		CandidatesFunc: func() []string { return f.candidates(name) }, ExpectedVMCountFunc: f.mesh.KnownCount, RefreshVMsFunc: f.mesh.RefreshVMs,
 		RefreshDirectoryFunc: f.readDirectory,
--- a/internal/serve/frontend/holders.go
+++ b/internal/serve/frontend/holders.go
@@ -137,12 +137,20 @@
 	return vmNames(f.groupHolders(group))
 }
 
-// probers returns the VMs of this region that probe the servers of a group.
+// probers returns the VMs that probe the servers of a group along with this one: those of its
+// region or, while relays are used, the group's holders in its zone. Proofs pass within a zone
+// in half a second, and holders of other zones need their own. In a zone without holders no VM
+// probes.
 func (f *Frontend) probers(group string) []string {
 	if !f.mesh.UsesRelays() {
 		return f.regionVMs()
 	}
-	return vmNames(slices.DeleteFunc(slices.Clone(f.groupHolders(group)), func(v member.VM) bool { return v.Region != f.options.Self.Region }))
+	holders := f.groupHolders(group)
+	near := slices.DeleteFunc(slices.Clone(holders), func(v member.VM) bool { return v.Zone != f.options.Self.Zone })
+	if len(near) == 0 {
+		return vmNames(holders)
+	}
+	return vmNames(near)
 }
 
 func (f *Frontend) groupHolders(group string) []member.VM {
