Take no zone for down that a follower gets no messages from

Cause: a VM that starts alone sends to the few that it knows; one that does not answer counts as down, and no message comes from its zone. Once the VM follows a relay it gets none from any other zone, and took all of them for down for 5 s. Change: only VMs that exchange messages with other zones conclude that a zone is silent; the others learn it from their relay's reports. Test: TestFollowerFindsNoSilentZones.

--- a/internal/serve/gossip/down.go
+++ b/internal/serve/gossip/down.go
@@ -72,8 +72,12 @@
 }
 
 // silentZonesLocked returns the other zones from which no message came within SilenceTimeout
-// although one was sent there, sorted. The caller holds the lock.
+// although one was sent there, sorted. A follower gets none from other zones, whatever it sent
+// there before it followed. The caller holds the lock.
 func (m *Mesh) silentZonesLocked(now clock.Millis) []member.Zone {
+	if m.role == Follower {
+		return nil
+	}
 	heard, asked := map[member.Zone]bool{m.options.Self.Zone: true, "": true}, map[member.Zone]bool{}
 	for _, p := range m.peers {
 		heard[p.vm.Zone] = heard[p.vm.Zone] || now-p.lastReceived < SilenceTimeout
--- a/internal/serve/gossip/roster_test.go
+++ b/internal/serve/gossip/roster_test.go
@@ -97,6 +97,31 @@
 	}
 }
 
+// TestFollowerFindsNoSilentZones guards against followers that take a zone for down which did not answer before they followed a relay.
+func TestFollowerFindsNoSilentZones(t *testing.T) {
+	n := newStartingNetwork(30)
+	var all []member.VM
+	for i := range 30 {
+		all = append(all, n.meshes[n.vmName(i)].options.Self)
+	}
+	m := n.meshes[n.vmName(0)]
+	// vm1 is in another zone and has not started.
+	n.cut[n.vmName(1)] = true
+	m.mergeList(all[:2])
+	for range fullRateTries {
+		n.clock.Advance(interval)
+		m.round(context.Background())
+	}
+	m.mergeList(all)
+	m.round(context.Background())
+	if diff := cmp.Diff(Follower, m.Role()); diff != "" {
+		t.Fatalf("role (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(29, len(m.Members())); diff != "" {
+		t.Errorf("VMs taken for running, of 30 with one down (-want +got):\n%s", diff)
+	}
+}
+
 // TestUnsettledWhileVMsRegister guards against VMs that act as holders of most servers at a start.
 func TestUnsettledWhileVMsRegister(t *testing.T) {
 	n := newStartingNetwork(60)
