Claim no primary that was not asked

Cause: a VM without a proof for 900 ms counts the primary as lost, although the proofs come from other VMs, through relays, and may only be late. Claimants had often not asked the primary. Evidence: claims at -8 s by VMs that had just become holders, after 42 to 125 ms "the primary is usable again"; two went through. Change: for want of a proof alone a VM claims only 200 ms after it has asked the primary itself in vain. A leaving, unreachable or stalled primary is replaced as before.

--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -155,6 +155,8 @@
 	leaderDoubtedAt clock.Millis
 	// probedAt holds the time of the last probe of each server.
 	probedAt map[string]clock.Millis
+	// leaderAskedAt is the time of the first probe of the leader since its last proof.
+	leaderAskedAt clock.Millis
 	// createdAt is the time at which this VM began to serve the group, settledAt that of the
 	// first Tick after it knew which VMs there are, or 0.
 	createdAt clock.Millis
@@ -195,7 +197,7 @@
 // NewGroup returns a group without servers.
 func NewGroup(o Options) *Group {
 	return &Group{
-		options: o, createdAt: o.Clock.Now(), leaderDoubtedAt: tenure.DistantPast, watch: tenure.New(o.SyncReplicas), pools: map[string]*pool{}, positions: map[string]floor.ReplicationPosition{}, positionSeenAt: map[string]clock.Millis{},
+		options: o, createdAt: o.Clock.Now(), leaderDoubtedAt: tenure.DistantPast, leaderAskedAt: tenure.DistantPast, watch: tenure.New(o.SyncReplicas), pools: map[string]*pool{}, positions: map[string]floor.ReplicationPosition{}, positionSeenAt: map[string]clock.Millis{},
 		primaryReady: make(chan struct{}), probedAt: map[string]clock.Millis{}, unlistedSince: map[string]clock.Millis{}, leavingSince: map[string]clock.Millis{},
 		votes: map[string]vote{}, receivedPositions: map[string]receivedPosition{},
 	}
--- a/internal/serve/database/lost.go
+++ b/internal/serve/database/lost.go
@@ -25,7 +25,7 @@
 	}
 	votes := g.lossVotesLocked(now, lost)
 	since, claiming := g.lostSince, g.claiming
-	paused := now < g.claimAfter
+	paused := now < g.claimAfter || g.onlyUnaskedLocked(now)
 	g.mu.Unlock()
 	if !lost || claiming || paused || awaitsClaims || g.options.StoppingFunc() {
 		return
@@ -58,15 +58,37 @@
 		return true
 	case len(g.pools) < 2:
 		return false
-	case now-max(g.watch.ProvedAt(), g.leaderChangedAt) > failover.LostAfter:
+	case now-g.leaderKnownAtLocked() > failover.LostAfter:
 		// A primary that answers gets more time, as it may only be busy.
-		return p == nil || !p.answeredRecently(now) || now-max(g.watch.ProvedAt(), g.leaderChangedAt) > g.answeringLostAfterLocked(now)
+		return p == nil || !p.answeredRecently(now) || now-g.leaderKnownAtLocked() > g.answeringLostAfterLocked(now)
 	case p != nil && p.unreachable(now):
 		return true
 	}
 	return g.replicationStalledLocked(now) || g.peerReportsStallLocked(now)
 }
 
+// leaderKnownAtLocked returns the time of the last proof of the leader, or at which it became
+// known if that is later. The caller holds g.mu.
+func (g *Group) leaderKnownAtLocked() clock.Millis {
+	return max(g.watch.ProvedAt(), g.leaderChangedAt)
+}
+
+// onlyUnaskedLocked reports whether this VM counts a listed primary as lost only for want of a
+// proof, and has not asked the primary itself since the last one: proofs of other VMs may be
+// late. The caller holds g.mu.
+func (g *Group) onlyUnaskedLocked(now clock.Millis) bool {
+	_, leader := g.watch.Leader()
+	p := g.pools[leader]
+	if p == nil || p.entry().Leaving || p.unreachable(now) || g.replicationStalledLocked(now) || g.peerReportsStallLocked(now) {
+		return false
+	}
+	return g.leaderAskedAt <= g.leaderKnownAtLocked() || now-g.leaderAskedAt < askedTime
+}
+
+// askedTime is how long a claimant waits for the answer of a primary without a proof, in
+// milliseconds.
+const askedTime = clock.Millis(200)
+
 // answeringLostAfterLocked returns the age of the last proof at which a primary that answers
 // counts as lost. While a replica is too new to count for a proof, there may be none because
 // of that alone. The caller holds g.mu.
--- a/internal/serve/database/probe.go
+++ b/internal/serve/database/probe.go
@@ -112,6 +112,9 @@
 			continue
 		}
 		g.probedAt[id] = now
+		if id == leader && g.leaderAskedAt <= g.leaderKnownAtLocked() {
+			g.leaderAskedAt = now
+		}
 		g.options.Counters.probeReasons[reason].Inc()
 		out = append(out, p)
 	}
