Count votes and rank probers only when they matter

Now it looks at its own state first. No decision changes; the tests of claims, probes and stalls pass.

--- a/internal/serve/database/lost.go
+++ b/internal/serve/database/lost.go
@@ -16,20 +16,23 @@
 	now := g.options.Clock.Now()
 	awaitsClaims := g.awaitsClaims(now)
 	g.mu.Lock()
-	lost := g.primaryLostLocked(now)
-	if !lost {
+	if !g.primaryLostLocked(now) {
 		g.lostSince = 0
-	} else if g.lostSince == 0 {
+		g.mu.Unlock()
+		return
+	}
+	if g.lostSince == 0 {
 		g.lostSince = now
 		g.options.GossipFunc()
 	}
-	votes := g.lossVotesLocked(now, lost)
 	since, claiming := g.lostSince, g.claiming
 	paused := now < g.claimAfter || g.onlyUnaskedLocked(now)
-	g.mu.Unlock()
-	if !lost || claiming || paused || awaitsClaims || g.options.StoppingFunc() {
+	if claiming || paused || awaitsClaims || g.options.StoppingFunc() {
+		g.mu.Unlock()
 		return
 	}
+	votes := g.lossVotesLocked(now)
+	g.mu.Unlock()
 	delay, mayClaim := votes.ClaimDelay(g.options.Name)
 	if !mayClaim || now < since+delay {
 		return
@@ -184,9 +187,9 @@
 	stallPause = 8 * clock.Second
 )
 
-// lossVotesLocked returns which live VMs have lost the primary, by their votes. The
-// caller holds g.mu.
-func (g *Group) lossVotesLocked(now clock.Millis, lost bool) failover.LossVotes {
+// lossVotesLocked returns which live VMs have lost the primary, by their votes, when this
+// one has. The caller holds g.mu.
+func (g *Group) lossVotesLocked(now clock.Millis) failover.LossVotes {
 	s := failover.LossVotes{
 		Self: g.options.Self, Alive: g.options.LiveVMsFunc(), Candidates: g.options.CandidatesFunc(),
 		KnownVMs: g.options.ExpectedVMCountFunc(), LastHolder: g.lastHolder,
@@ -194,7 +197,7 @@
 	term, _ := g.watch.Leader()
 	for _, vm := range s.Alive {
 		v, ok := g.votes[vm]
-		if vm == s.Self && lost || ok && v.lost && v.term == term && now-v.at < voteMaxAge {
+		if vm == s.Self || ok && v.lost && v.term == term && now-v.at < voteMaxAge {
 			s.Lost = append(s.Lost, vm)
 		}
 	}
--- a/internal/serve/database/probe.go
+++ b/internal/serve/database/probe.go
@@ -83,6 +83,13 @@
 // proof needs renewal, all servers if no primary is known or the proof has expired or
 // is about to.
 func (g *Group) poolsToProbe(now clock.Millis) []*pool {
+	g.mu.Lock()
+	_, leader := g.watch.Leader()
+	isFresh := leader != "" && now-g.watch.ProvedAt() < tenure.RenewAfter
+	g.mu.Unlock()
+	if isFresh {
+		return nil
+	}
 	ownRank, probes := g.probeRank()
 	if !probes {
 		return nil
@@ -90,7 +97,7 @@
 	renewAge := g.renewAge(ownRank)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_, leader := g.watch.Leader()
+	_, leader = g.watch.Leader()
 	age := now - g.watch.ProvedAt()
 	if leader == "" && now-g.settledAt < clock.Millis(min(ownRank, maxStartRank))*rankPause {
 		return nil
