Prefer larger VMs as holders and relays

Cause: holders and relays were chosen by hash alone. All VMs of a deployment open a connection to a holder when traffic begins, some 300 handshakes; a small VM needs seconds for them, refuses statements meanwhile, and is dialed again. Change: a VM registers its size (memory). Relays and holders are the largest first, by powers of two; holders are as few as are together as large as six of the median, at least three; accounts are spread over them by size. Where sizes are equal or not known nothing changes. Tests: TestLargeVMsHold, TestSizeOfVMKnownFromMessages. Not measured yet.

--- a/internal/core/member/holders.go
+++ b/internal/core/member/holders.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strconv"
 )
@@ -23,6 +24,9 @@
 // serves one client account and is expensive to open: a few VMs near the server keep
 // the connections, so that traffic crosses zones or regions no more often than without
 // a holder.
+//
+// Larger VMs come first, and fewer of them are enough: each VM keeps a connection to each
+// holder, and small ones would spend their processor time on opening these.
 func Holders(vms []VM, q HolderQuery) []VM {
 	tiers := [...]func(*VM) bool{
 		func(v *VM) bool { return !v.Leaving && v.Zone == q.Zone },
@@ -31,12 +35,32 @@
 	}
 	for _, matches := range tiers {
 		if n := countVMs(vms, matches); n > 0 {
-			return rankByScore(vms, matches, bucketKey(q.Server, n), max(q.MaxHolders, 1))
+			ranked := rankByScore(vms, matches, bucketKey(q.Server, n), n)
+			slices.SortStableFunc(ranked, func(a, b VM) int { return cmp.Compare(b.SizeClass(), a.SizeClass()) })
+			return ranked[:holderCount(ranked, max(q.MaxHolders, 1))]
 		}
 	}
 	return nil
 }
 
+// minHolders is the least number of holders of a server, if there are as many VMs.
+const minHolders = 3
+
+// holderCount returns how many of the VMs, the largest first, are as large together as maxHolders
+// VMs of the median size: at least minHolders and at most maxHolders, and that many if sizes are
+// not known.
+func holderCount(vms []VM, maxHolders int) int {
+	count := min(len(vms), maxHolders)
+	need, sum := maxHolders*vms[len(vms)/2].Size, 0
+	for i := range count {
+		if need > 0 && i >= minHolders && sum >= need {
+			return i
+		}
+		sum += vms[i].Size
+	}
+	return count
+}
+
 // countVMs returns how many VMs match.
 func countVMs(vms []VM, matches func(*VM) bool) int {
 	n := 0
@@ -76,9 +100,23 @@
 }
 
 // RankHolders returns holders in the order in which requests of one client account
-// should try them, so that an account's connections are held by few of them.
+// should try them, so that an account's connections are held by few of them. A holder is first
+// for a part of the accounts that grows with its size.
 func RankHolders(holders []VM, server, account string) []VM {
-	return rankByScore(holders, func(*VM) bool { return true }, server+"\x00"+account, len(holders))
+	out := rankByScore(holders, func(*VM) bool { return true }, server+"\x00"+account, len(holders))
+	if len(out) == 0 || !slices.ContainsFunc(out, func(v VM) bool { return v.Size != out[0].Size }) {
+		return out
+	}
+	key := server + "\x00" + account
+	slices.SortStableFunc(out, func(a, b VM) int { return cmp.Compare(a.weightedScore(key), b.weightedScore(key)) })
+	return out
+}
+
+// weightedScore is the weighted rendezvous hash of a VM; the lowest is first.
+func (v *VM) weightedScore(key string) float64 {
+	const hashRange = 1 << 64
+	share := (float64(rendezvousScore(v.Name, key)) + 0.5) / hashRange
+	return -math.Log(share) / float64(max(v.Size, 1))
 }
 
 // rankByScore returns the matching VMs with the highest rendezvous hashes for key, highest
--- a/internal/core/member/holders_test.go
+++ b/internal/core/member/holders_test.go
@@ -135,3 +135,35 @@
 		}
 	}
 }
+
+// TestLargeVMsHold guards against small VMs that hold connections beside large ones, and against accounts that are spread evenly over VMs of different sizes.
+func TestLargeVMsHold(t *testing.T) {
+	for _, c := range []struct{ large, holders int }{{0, 6}, {1, 5}, {2, 3}, {3, 3}, {8, 3}} {
+		vms := makeVMs(30)
+		for i := range vms {
+			vms[i].Size = 184
+			if i < c.large {
+				vms[i].Size = 536
+			}
+		}
+		holders := Holders(vms, HolderQuery{Server: "p", Zone: "a", Region: "x", MaxHolders: 6})
+		if diff := cmp.Diff(c.holders, len(holders)); diff != "" {
+			t.Errorf("%d large VMs: holders (-want +got):\n%s", c.large, diff)
+		}
+		isLarge := func(v VM) bool { return v.Size == 536 }
+		if large := len(slices.DeleteFunc(slices.Clone(holders), func(v VM) bool { return !isLarge(v) })); large != min(c.large, c.holders) {
+			t.Errorf("%d large VMs: %d of them hold connections", c.large, large)
+		}
+		first := 0
+		for i := range 2000 {
+			if isLarge(RankHolders(holders, "p", fmt.Sprint(i))[0]) {
+				first++
+			}
+		}
+		large := min(c.large, c.holders)
+		want := 2000 * large * 536 / (large*536 + (c.holders-large)*184)
+		if first < want-100 || first > want+100 {
+			t.Errorf("%d large VMs: first for %d of 2000 accounts, want about %d", c.large, first, want)
+		}
+	}
+}
--- a/internal/core/member/list.go
+++ b/internal/core/member/list.go
@@ -1,6 +1,10 @@
 package member
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // HashList returns a hash of a list of VMs, whatever their order. That of an empty list is 1,
 // so that 0 can stand for no list.
@@ -19,5 +23,6 @@
 		_, _ = d.WriteString(text)
 		_, _ = d.Write([]byte{0})
 	}
+	_, _ = d.Write(binary.BigEndian.AppendUint64(nil, uint64(v.Size)))
 	return d.Sum64()
 }
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -2,7 +2,11 @@
 // VMs by rendezvous hashing, and computes the relay tree.
 package member
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"math/bits"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Zone is the name of an availability zone.
 type Zone string
@@ -16,6 +20,8 @@
 	Address string `json:"address" yaml:"address"`
 	// Operator is the URL for operators.
 	Operator string `json:"operator,omitempty" yaml:"operator"`
+	// Size is the memory of the VM in MiB, or 0 if it is not known. Larger VMs get more work.
+	Size int `json:"size,omitempty" yaml:"size,omitempty"`
 	// Leaving is set while the VM drains before it leaves the list of VMs.
 	Leaving bool `json:"leaving,omitempty" yaml:"leaving"`
 }
@@ -46,6 +52,10 @@
 	return rank
 }
 
+// SizeClass returns the logarithm of the VM's size, rounded down, so that VMs of about the same
+// size are equal.
+func (v *VM) SizeClass() int { return bits.Len(uint(max(v.Size, 0))) }
+
 func rendezvousScore(vm, key string) uint64 {
 	d := xxhash.New()
 	_, _ = d.WriteString(vm)
--- a/internal/core/overlay/overlay.go
+++ b/internal/core/overlay/overlay.go
@@ -29,6 +29,8 @@
 type Node struct {
 	Name string
 	Zone member.Zone
+	// SizeClass is greater for larger VMs, which are chosen as relays first.
+	SizeClass int
 	// Down is set if the VM is leaving or known not to answer. It is not chosen as a
 	// relay then.
 	Down bool
@@ -65,7 +67,7 @@
 		if n.Zone != zone || n.Down {
 			continue
 		}
-		switch c := (candidate{name: n.Name, score: relayScore(n.Name)}); {
+		switch c := (candidate{name: n.Name, sizeClass: n.SizeClass, score: relayScore(n.Name)}); {
 		case c.precedes(first):
 			first, second = c, first
 		case c.precedes(second):
@@ -83,13 +85,23 @@
 
 // candidate is a VM that may be a relay; without a name it stands for none.
 type candidate struct {
-	name  string
-	score uint64
+	name      string
+	sizeClass int
+	score     uint64
 }
 
-// precedes reports whether a candidate is chosen before another one: that with the higher score.
+// precedes reports whether a candidate is chosen before another one: the larger one or, of one
+// class, that with the higher score.
 func (c candidate) precedes(other candidate) bool {
-	return other.name == "" || c.score > other.score || c.score == other.score && c.name < other.name
+	switch {
+	case other.name == "":
+		return true
+	case c.sizeClass != other.sizeClass:
+		return c.sizeClass > other.sizeClass
+	case c.score != other.score:
+		return c.score > other.score
+	}
+	return c.name < other.name
 }
 
 // relayScore ranks the VMs of a zone; the highest score is first.
--- a/internal/serve/gossip/list.go
+++ b/internal/serve/gossip/list.go
@@ -206,6 +206,8 @@
 			m.peers[v.Name] = m.newPeer(v, now)
 			continue
 		}
+		// Messages of a VM do not tell its size.
+		p.vm.Size = v.Size
 		if now-p.lastReceived >= SilenceTimeout {
 			p.vm = v
 		}
--- a/internal/serve/gossip/relay.go
+++ b/internal/serve/gossip/relay.go
@@ -11,9 +11,9 @@
 // nodesLocked returns this VM and the known ones. The caller holds the lock.
 func (m *Mesh) nodesLocked(now clock.Millis) []overlay.Node {
 	out := make([]overlay.Node, 0, len(m.peers)+1)
-	out = append(out, overlay.Node{Name: m.options.Self.Name, Zone: m.options.Self.Zone})
+	out = append(out, overlay.Node{Name: m.options.Self.Name, Zone: m.options.Self.Zone, SizeClass: m.options.Self.SizeClass()})
 	for name, p := range m.peers {
-		out = append(out, overlay.Node{Name: name, Zone: p.vm.Zone, Down: p.isDown(now)})
+		out = append(out, overlay.Node{Name: name, Zone: p.vm.Zone, SizeClass: p.vm.SizeClass(), Down: p.isDown(now)})
 	}
 	return out
 }
--- a/internal/serve/gossip/roster_test.go
+++ b/internal/serve/gossip/roster_test.go
@@ -138,3 +138,22 @@
 		}
 	}
 }
+
+// TestSizeOfVMKnownFromMessages guards against VMs that choose different relays, since messages do not tell a VM's size.
+func TestSizeOfVMKnownFromMessages(t *testing.T) {
+	n := newNetwork(3)
+	n.run(SilenceTimeout)
+	var list []member.VM
+	for i := range 3 {
+		v := n.meshes[fmt.Sprintf("vm%d", i)].options.Self
+		v.Size = 536
+		list = append(list, v)
+	}
+	m := n.meshes["vm0"]
+	m.adoptList(inner.List{Version: 1, VMs: list})
+	for _, v := range m.Alive()[1:] {
+		if diff := cmp.Diff(536, v.Size); diff != "" {
+			t.Errorf("size of %s (-want +got):\n%s", v.Name, diff)
+		}
+	}
+}
