--- a/internal/serve/gossip/roster.go
+++ b/internal/serve/gossip/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
@@ -136,7 +137,7 @@
 }
 
 // fetchList takes the list of the VM that reported a later one. It reports false if there is
-// none, it does not answer, or this VM is not registered.
+// none, it does not answer, or this VM is not registered or missing in the list.
 func (m *Mesh) fetchList(ctx context.Context) bool {
 	m.mu.Lock()
 	source := m.roster.source
@@ -152,7 +153,7 @@
 		return false
 	}
 	m.adoptList(l)
-	return true
+	return slices.ContainsFunc(l.VMs, func(v member.VM) bool { return v.Name == m.options.Self.Name })
 }
 
 // listConfirmed reports whether a relay tells this VM of changes of the list, so that it need
@@ -160,7 +161,7 @@
 func (m *Mesh) listConfirmed() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	inTouch := m.role == Follower && m.options.Clock.Now()-m.roster.confirmedAt < rosterMaxAge
+	inTouch := m.role == Follower && m.roster.names[m.options.Self.Name] && m.options.Clock.Now()-m.roster.confirmedAt < rosterMaxAge
 	return inTouch && m.registered && !m.unlisted && !m.leaving
 }
 
--- a/internal/serve/gossip/roster_test.go
+++ b/internal/serve/gossip/roster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -157,3 +158,20 @@
 		}
 	}
 }
+
+// TestVMRegistersAgain guards against a follower that stays unlisted because it reads the list from relays only.
+func TestVMRegistersAgain(t *testing.T) {
+	n := newStartingNetwork(30)
+	n.start(0, 30, 50)
+	n.runStarted(8 * clock.Second)
+	lost := 0
+	for n.meshes[n.vmName(lost)].Role() != Follower {
+		lost++
+	}
+	vms := slices.DeleteFunc(slices.Clone(n.list.VMs), func(v member.VM) bool { return v.Name == n.vmName(lost) })
+	n.list = inner.List{Version: n.list.Version + 1, VMs: vms}
+	n.runStarted(2 * listInterval)
+	if diff := cmp.Diff(30, len(n.list.VMs)); diff != "" {
+		t.Errorf("registered VMs after a row was lost (-want +got):\n%s", diff)
+	}
+}
