--- /dev/null
+++ b/internal/serve/database/counters.go
@@ -0,0 +1,63 @@
+package database
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Counters are the counters shared by all groups of a VM.
+type Counters struct {
+	connections    *metrics.Counter
+	probes         *metrics.Counter
+	primaryChanges *metrics.Counter
+	// dials is by what the connection is opened for and by its result, probeReasons by why a
+	// server is asked.
+	dials        map[dialPurpose]map[dialResult]*metrics.Counter
+	probeReasons map[probeReason]*metrics.Counter
+	claims       *metrics.Counter
+}
+
+// dialPurpose is what a connection to a server is opened for.
+type dialPurpose string
+
+// dialResult is the result of opening a connection to a server.
+type dialResult string
+
+// probeReason is why the status of a server is queried.
+type probeReason string
+
+const (
+	dialForStatement dialPurpose = "statement"
+	dialForControl   dialPurpose = "control"
+
+	dialOpened  dialResult = "opened"
+	dialOverCap dialResult = "overcap"
+	dialFailed  dialResult = "failed"
+
+	// No primary is known, its proof is about to expire, or its proof is to be renewed.
+	probeNoPrimary probeReason = "noprimary"
+	probeExpiring  probeReason = "expiring"
+	probeRenewal   probeReason = "renewal"
+)
+
+// NewCounters registers the counters.
+func NewCounters() Counters {
+	dials := map[dialPurpose]map[dialResult]*metrics.Counter{}
+	for _, p := range []dialPurpose{dialForStatement, dialForControl} {
+		dials[p] = map[dialResult]*metrics.Counter{}
+		for _, r := range []dialResult{dialOpened, dialOverCap, dialFailed} {
+			dials[p][r] = metrics.GetOrCreateCounter(fmt.Sprintf("sycamoredoor_server_dials_total{for=%q,result=%q}", p, r))
+		}
+	}
+	reasons := map[probeReason]*metrics.Counter{}
+	for _, r := range []probeReason{probeNoPrimary, probeExpiring, probeRenewal} {
+		reasons[r] = metrics.GetOrCreateCounter(fmt.Sprintf("sycamoredoor_server_probe_reasons_total{reason=%q}", r))
+	}
+	return Counters{
+		dials: dials, probeReasons: reasons, claims: metrics.GetOrCreateCounter("sycamoredoor_claims_total"),
+		connections:    metrics.GetOrCreateCounter("sycamoredoor_server_connections_total"),
+		probes:         metrics.GetOrCreateCounter("sycamoredoor_server_probes_total"),
+		primaryChanges: metrics.GetOrCreateCounter("sycamoredoor_primary_changes_total"),
+	}
+}
