--- a/internal/proto/peer/counters.go
+++ b/internal/proto/peer/counters.go
@@ -12,9 +12,9 @@
 // newCounters registers the counters.
 func newCounters() counters {
 	return counters{
-		opened:   metrics.GetOrCreateCounter(`sycamoredoor_vm_handshakes_total{side="dialed",result="opened"}`),
-		failed:   metrics.GetOrCreateCounter(`sycamoredoor_vm_handshakes_total{side="dialed",result="failed"}`),
-		accepted: metrics.GetOrCreateCounter(`sycamoredoor_vm_handshakes_total{side="accepted",result="opened"}`),
+		opened:   metrics.GetOrCreateCounter(`handshakes{side="dialed",result="opened"}`),
+		failed:   metrics.GetOrCreateCounter(`handshakes{side="dialed",result="failed"}`),
+		accepted: metrics.GetOrCreateCounter(`handshakes{side="accepted",result="opened"}`),
 	}
 }
 
