--- a/internal/serve/database/counters.go
+++ b/internal/serve/database/counters.go
@@ -11,14 +11,13 @@
 	connections    *metrics.Counter
 	probes         *metrics.Counter
 	primaryChanges *metrics.Counter
-	// dials is by what the connection is opened for and by its result, probeReasons by why a
-	// server is asked.
+	// dials counts connections by purpose and result, probeReasons probes by reason.
 	dials        map[dialPurpose]map[dialResult]*metrics.Counter
 	probeReasons map[probeReason]*metrics.Counter
 	claims       *metrics.Counter
 }
 
-// dialPurpose is what a connection to a server is opened for.
+// dialPurpose is the purpose of a connection to a server.
 type dialPurpose string
 
 // dialResult is the result of opening a connection to a server.
--- a/internal/serve/gossip/list.go
+++ b/internal/serve/gossip/list.go
@@ -206,7 +206,7 @@
 			m.peers[v.Name] = m.newPeer(v, now)
 			continue
 		}
-		// Messages of a VM do not tell its size.
+		// Messages do not contain the size of their sender.
 		p.vm.Size = v.Size
 		if now-p.lastReceived >= SilenceTimeout {
 			p.vm = v
--- a/internal/serve/gossip/roster.go
+++ b/internal/serve/gossip/roster.go
@@ -27,8 +27,8 @@
 	settleTimeout = 6 * clock.Second
 )
 
-// roster is the latest list of VMs, from the store or another VM, and what is known of later
-// ones. It is immutable. The VMs that this one exchanges messages with may differ: they may
+// roster is the latest list of VMs, from the store or another VM, with the state of its
+// updates. It is immutable. The VMs that this one exchanges messages with may differ: they may
 // have registered since.
 type roster struct {
 	list inner.List
@@ -156,8 +156,8 @@
 	return slices.ContainsFunc(l.VMs, func(v member.VM) bool { return v.Name == m.options.Self.Name })
 }
 
-// listConfirmed reports whether a relay tells this VM of changes of the list, so that it need
-// not be read from the store.
+// listConfirmed reports whether a relay reports changes of the list to this VM, which then does
+// not read the list from the store.
 func (m *Mesh) listConfirmed() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/serve/gossip/roster_test.go
+++ b/internal/serve/gossip/roster_test.go
@@ -140,7 +140,7 @@
 	}
 }
 
-// TestSizeOfVMKnownFromMessages guards against VMs that choose different relays, since messages do not tell a VM's size.
+// TestSizeOfVMKnownFromMessages guards against VMs that choose different relays, since messages do not contain sizes.
 func TestSizeOfVMKnownFromMessages(t *testing.T) {
 	n := newNetwork(3)
 	n.run(SilenceTimeout)
