Log what an order to promote relies on, and what became of it

From the logs of the incident nobody could tell the hypotheses apart: no line said when a promotion was ordered, what the target's log was, what each VM had acknowledged, or which claim came before.

Change: log lines for a release, its end, a seal, the unsealing, an order with the seals and releases that it relies on, its answer and its effect; a claim names the target that it inherits and the claim before it. Counters of releases, orders by result, and commits whose outcome was reported as unknown. No decision changes.

The tests of serve/database passed.

--- a/internal/serve/database/claim.go
+++ b/internal/serve/database/claim.go
@@ -238,7 +238,7 @@
 	g.mu.Lock()
 	g.lastHolder = g.options.Self
 	g.mu.Unlock()
-	g.options.Log.Info("claiming the next term", "group", g.options.Name, "term", a.term, "primary", a.formerPrimary, "planned", a.planned, "token", a.token)
+	g.options.Log.Info("claiming the next term", "group", g.options.Name, "term", a.term, "primary", a.formerPrimary, "planned", a.planned, "token", a.token, "inherited_target", a.claim.Target, "last_holder", old.Holder, "last_claim_age", now-old.ClaimedAt)
 	return nil
 }
 
--- a/internal/serve/database/counters.go
+++ b/internal/serve/database/counters.go
@@ -15,6 +15,12 @@
 	dials        map[dialPurpose]map[dialResult]*metrics.Counter
 	probeReasons map[probeReason]*metrics.Counter
 	claims       *metrics.Counter
+	// releases counts the releases of a term, unknownCommits the commits that a server
+	// acknowledged and that were not told to a caller as committed, promotionOrders the orders
+	// to promote by result.
+	releases        *metrics.Counter
+	unknownCommits  *metrics.Counter
+	promotionOrders map[orderResult]*metrics.Counter
 }
 
 // dialPurpose is the purpose of a connection to a server.
@@ -23,6 +29,9 @@
 // dialResult is the result of opening a connection to a server.
 type dialResult string
 
+// orderResult is how the platform answered an order to promote.
+type orderResult string
+
 // probeReason is why the status of a server is queried.
 type probeReason string
 
@@ -34,6 +43,10 @@
 	dialOverCap dialResult = "overcap"
 	dialFailed  dialResult = "failed"
 
+	orderConfirmed  orderResult = "confirmed"
+	orderTargetDown orderResult = "targetdown"
+	orderUnknown    orderResult = "unknown"
+
 	// No primary is known, its proof is about to expire, or its proof is to be renewed.
 	probeNoPrimary probeReason = "noprimary"
 	probeExpiring  probeReason = "expiring"
@@ -53,8 +66,14 @@
 	for _, r := range []probeReason{probeNoPrimary, probeExpiring, probeRenewal} {
 		reasons[r] = metrics.GetOrCreateCounter(fmt.Sprintf("sycamoredoor_server_probe_reasons_total{reason=%q}", r))
 	}
+	orders := map[orderResult]*metrics.Counter{}
+	for _, r := range []orderResult{orderConfirmed, orderTargetDown, orderUnknown} {
+		orders[r] = metrics.GetOrCreateCounter(fmt.Sprintf("sycamoredoor_promotion_orders_total{result=%q}", r))
+	}
 	return Counters{
 		dials: dials, probeReasons: reasons, claims: metrics.GetOrCreateCounter("sycamoredoor_claims_total"),
+		releases:       metrics.GetOrCreateCounter("sycamoredoor_term_releases_total"),
+		unknownCommits: metrics.GetOrCreateCounter("sycamoredoor_unknown_commits_total"), promotionOrders: orders,
 		connections:    metrics.GetOrCreateCounter("sycamoredoor_server_connections_total"),
 		probes:         metrics.GetOrCreateCounter("sycamoredoor_server_probes_total"),
 		primaryChanges: metrics.GetOrCreateCounter("sycamoredoor_primary_changes_total"),
--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -249,8 +249,10 @@
 	now := g.options.Clock.Now()
 	switch term, _ := g.watch.Leader(); {
 	case !position.IsZero() && position.Term < term:
+		g.options.Counters.unknownCommits.Inc()
 		return errReplaced
 	case (position.IsZero() || position.Term == term) && g.watch.Released(now):
+		g.options.Counters.unknownCommits.Inc()
 		return errReleased
 	}
 	g.committedAt = now
--- a/internal/serve/database/promote.go
+++ b/internal/serve/database/promote.go
@@ -83,7 +83,7 @@
 			return err
 		}
 		a.ordered = true
-		err := g.options.Claims.PromoteFunc(ctx, g.options.Name, target, g.options.Self, a.token)
+		err := a.orderPromotion(ctx, target, acknowledged)
 		switch {
 		case err == nil:
 			return nil
@@ -174,6 +174,7 @@
 		if status, err := g.RunCommand(ctx, a.claim.Target, QueryStatus, 0); err == nil {
 			g.recordStatus(a.claim.Target, status, sent)
 			if status.Primary && status.Term > a.term {
+				g.options.Log.Info("promotion took effect", "group", g.options.Name, "server", a.claim.Target, "token", a.token, "term", status.Term, "log_end", status.Received)
 				return true
 			}
 		}
--- a/internal/serve/database/release.go
+++ b/internal/serve/database/release.go
@@ -39,6 +39,7 @@
 	defer g.mu.Unlock()
 	g.releasedToken = max(g.releasedToken, token)
 	g.setWatch(g.watch.WithRelease(g.options.Clock.Now()))
+	g.observeReleaseLocked()
 }
 
 // isLeaving reports whether the directory lists a server as leaving.
@@ -64,6 +65,7 @@
 	defer g.mu.Unlock()
 	if g.releasedToken == token {
 		g.setWatch(g.watch.WithReleaseEnd(g.options.Clock.Now()))
+		g.options.Log.Info("release of the term ended", "group", g.options.Name, "token", token)
 	}
 }
 
--- a/internal/serve/database/seal.go
+++ b/internal/serve/database/seal.go
@@ -162,6 +162,8 @@
 		a.group.recordStatus(id, status, tenure.DistantPast)
 		return
 	}
+	g := a.group
+	g.options.Log.Info("server sealed", "group", g.options.Name, "server", id, "token", a.token, "former", s.FormerPrimary, "term", status.Term, "log_end", status.Received, "took", g.options.Clock.Now()-sent)
 	s.Sealed, s.LogEnd = true, status.Received
 	a.mu.Lock()
 	a.sealed[id] = seal{server: s, at: sent}
@@ -179,6 +181,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout.Duration())
 	defer cancel()
 	var pending sync.WaitGroup
+	a.group.options.Log.Info("unsealing the replicas", "group", a.group.options.Name, "token", a.token)
 	for _, s := range a.currentServers(a.group.failoverServers(a.formerPrimary)) {
 		if !s.Sealed || s.FormerPrimary || s.ID == a.claim.Target && a.group.Term() > a.term {
 			continue
--- a/internal/serve/database/view.go
+++ b/internal/serve/database/view.go
@@ -64,9 +64,11 @@
 			break
 		}
 		w = w.WithRelease(now)
+		g.observeReleaseLocked()
 		g.options.GossipFunc()
 	case v.ReleasedToken == g.releasedToken && v.Term == term && v.ReleaseEnded && w.Released(now):
 		w = w.WithReleaseEnd(now)
+		g.options.Log.Info("release of the term ended", "group", g.options.Name, "token", v.ReleasedToken)
 		g.options.GossipFunc()
 	}
 	g.setWatch(w)
