Count what was acknowledged in earlier terms before a promotion

Cause: a VM reported the furthest position that it had acknowledged only if that was in the term to be replaced (View), and a claimant counted its own and the others' only then (acknowledgedInTerm). After two changes in a row there is a term in which nothing was acknowledged, since its primary found no replica that received anything. All nine VMs then report nothing, the reports count as complete, the second primary has stepped down, so the promotion is safe, and a sealed replica is preferred to it that covers "nothing" and lacks what the term before acknowledged.

Change: a VM always reports the furthest position that it acknowledged in any term, with its term; a claimant counts all reports, also those of VMs that have not released the term and of earlier processes of a VM. Commits that the primary of a later term lacks are lost for good: a VM that sees it logs "the primary lacks acknowledged commits", counts a violation of currentprimary, and forgets the position, so that later promotions need not wait for it.

--- a/internal/proto/inner/gossip.go
+++ b/internal/proto/inner/gossip.go
@@ -93,7 +93,8 @@
 	// ReleaseEnded is set once that claim has ended without ordering a promotion.
 	ReleasedToken uint64
 	ReleaseEnded  bool
-	// Acknowledged is the furthest position in the log of Term that the VM acknowledged to a
-	// caller before the release, or 0. It is set only while the release is in force.
-	Acknowledged floor.Position
+	// AcknowledgedTerm and Acknowledged are the furthest position, of any term, that the VM
+	// acknowledged to a caller; both are 0 when there is none.
+	AcknowledgedTerm floor.Term
+	Acknowledged     floor.Position
 }
--- a/internal/serve/database/fake_test.go
+++ b/internal/serve/database/fake_test.go
@@ -56,10 +56,12 @@
 	steppedDown bool
 	unreachable map[string]bool
 	logEnds     map[string]floor.Position
-	// leading names the server that leads term 2, if there is one.
-	leading string
-	// sealedNow names the servers whose seal is in force. restart ends it.
-	sealedNow map[string]bool
+	// leading names the server that leads term 2, if there is one; leaderStopped is set once it
+	// has stepped down.
+	leading       string
+	leaderStopped bool
+	// sealedNow holds the term of each seal in force, by server. restart ends it.
+	sealedNow map[string]floor.Term
 	// promoteFunc is called, with the lock, at each promotion request, which is answered with
 	// promoteErr.
 	promoteFunc func()
@@ -79,8 +81,8 @@
 			f.accounts[account]++
 			return &Conn{
 				RunFunc: func(Request) (statement.Answer, error) { return f.run(s), nil },
-				CommandFunc: func(c Command, _ floor.Term, _ clock.Millis) (statement.ReplicationStatus, error) {
-					return f.command(s, c)
+				CommandFunc: func(c Command, term floor.Term, _ clock.Millis) (statement.ReplicationStatus, error) {
+					return f.command(s, c, term)
 				},
 				CloseFunc: func() {
 					f.mu.Lock()
@@ -115,7 +117,7 @@
 // command answers a command. A status always has term 1, with p as the primary until it
 // steps down, so an attempt that has promoted a server waits for the new term until its
 // timeout.
-func (f *fakeGroup) command(s Server, c Command) (statement.ReplicationStatus, error) {
+func (f *fakeGroup) command(s Server, c Command, term floor.Term) (statement.ReplicationStatus, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.busy && c == QueryStatus {
@@ -127,6 +129,10 @@
 	if c == StepDown && s.ID == "p" {
 		f.steppedDown = true
 	}
+	leads := f.leading == s.ID
+	if c == StepDown && leads {
+		f.leaderStopped = true
+	}
 	status := statement.ReplicationStatus{Primary: s.ID == "p" && !f.steppedDown, Term: 1, Sealed: 1, Received: floor.ReplicationPosition{Term: 1, Position: f.logEnd(s.ID)}}
 	if c == Unseal {
 		delete(f.sealedNow, s.ID)
@@ -136,13 +142,13 @@
 	}
 	if c == Seal {
 		f.sealed = append(f.sealed, s.ID)
-		f.sealedNow[s.ID] = true
+		f.sealedNow[s.ID] = term
 	}
-	if f.sealedNow[s.ID] {
-		status.Sealed = 2
+	if sealed, ok := f.sealedNow[s.ID]; ok {
+		status.Sealed = sealed
 	}
-	if f.leading == s.ID {
-		status = statement.ReplicationStatus{Primary: true, Term: 2, Sealed: 2, Received: floor.ReplicationPosition{Term: 2, Position: f.logEnd(s.ID)}}
+	if leads {
+		status = statement.ReplicationStatus{Primary: !f.leaderStopped, Term: 2, Sealed: 2, Received: floor.ReplicationPosition{Term: 2, Position: f.logEnd(s.ID)}}
 	}
 	return status, nil
 }
@@ -171,7 +177,7 @@
 func (f *fakeGroup) group(t testing.TB, maxConns int) *Group {
 	t.Helper()
 	f.running, f.accounts, f.open = map[string]int{}, map[string]int{}, map[string]int{}
-	f.sealedNow = map[string]bool{}
+	f.sealedNow = map[string]floor.Term{}
 	if f.logEnds == nil {
 		f.logEnds = map[string]floor.Position{}
 	}
--- a/internal/serve/database/lost.go
+++ b/internal/serve/database/lost.go
@@ -217,8 +217,8 @@
 	stalled bool
 	// releasedToken is the token of the last claim for which the VM released the term.
 	releasedToken uint64
-	// acknowledged is the furthest position that the VM acknowledged to a caller before that
-	// release.
+	// acknowledged is the furthest position that the VM acknowledged to a caller, in this process
+	// or an earlier one.
 	acknowledged floor.ReplicationPosition
 	// process identifies the VM's process, and knownSince is the time of its first report.
 	process    uint64
--- a/internal/serve/database/newserver_test.go
+++ b/internal/serve/database/newserver_test.go
@@ -61,7 +61,7 @@
 		g.mu.Lock()
 		token := g.releasedToken
 		g.mu.Unlock()
-		view := inner.GroupView{Group: "g", Term: 1, Leader: "p", ProofAge: -1, PrimaryLost: true, ReleasedToken: token, Acknowledged: acknowledged}
+		view := inner.GroupView{Group: "g", Term: 1, Leader: "p", ProofAge: -1, PrimaryLost: true, ReleasedToken: token, AcknowledgedTerm: 1, Acknowledged: acknowledged}
 		g.MergeView(Sender{VM: "vm2", Process: 1}, view, nil)
 	}
 	report()
@@ -124,7 +124,7 @@
 	f := &fakeGroup{}
 	g := f.group(t, 4)
 	g.MergeView(Sender{VM: "vm2", Process: 1}, inner.GroupView{Group: "g", Term: 2, ProofAge: -1, ReleasedToken: 5}, nil)
-	if diff := cmp.Diff(floor.ReplicationPosition{}, g.acknowledgedInTerm(2, 5)); diff != "" {
+	if diff := cmp.Diff(floor.ReplicationPosition{}, g.acknowledgedPosition()); diff != "" {
 		t.Errorf("acknowledged (-want +got):\n%s", diff)
 	}
 }
--- a/internal/serve/database/promote.go
+++ b/internal/serve/database/promote.go
@@ -59,7 +59,7 @@
 			return err
 		}
 		candidates := a.currentServers(g.failoverServers(a.formerPrimary))
-		acknowledged := failover.Acknowledged{Position: g.acknowledgedInTerm(a.term, a.token), Complete: a.released}
+		acknowledged := failover.Acknowledged{Position: g.acknowledgedPosition(), Complete: a.released}
 		target := failover.PromotionTarget(candidates, g.options.SyncReplicas, acknowledged)
 		if target == "" {
 			if err := a.awaitLog(ctx, acknowledged.Position); err != nil {
--- a/internal/serve/database/release.go
+++ b/internal/serve/database/release.go
@@ -2,8 +2,10 @@
 
 import (
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 )
 
 // failoverServers returns the servers whose logs may contain acknowledged commits:
@@ -89,19 +91,43 @@
 	return true
 }
 
-// acknowledgedInTerm returns the furthest position of a term that this VM and those that
-// have released it for the claim with the given token have acknowledged.
-func (g *Group) acknowledgedInTerm(term floor.Term, token uint64) floor.ReplicationPosition {
+// acknowledgedPosition returns the furthest position that this VM and the others have reported
+// as acknowledged. It may be of an earlier term than the present one, in which nothing may have
+// been acknowledged yet.
+func (g *Group) acknowledgedPosition() floor.ReplicationPosition {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var out floor.ReplicationPosition
-	if g.acknowledged.Term == term {
-		out = g.acknowledged
-	}
+	out := g.acknowledged
 	for _, v := range g.votes {
-		if v.term == term && v.releasedToken >= token {
-			out = out.Max(v.acknowledged)
-		}
+		out = out.Max(v.acknowledged)
 	}
 	return out
 }
+
+// checkLogLocked asserts that the log of a server that leads a later term has every commit of
+// which this VM knows that it was acknowledged. Commits that it lacks are lost for good, so no
+// later promotion can wait for them: they are forgotten. The caller holds g.mu.
+func (g *Group) checkLogLocked(server string, status statement.ReplicationStatus) {
+	if !status.Primary {
+		return
+	}
+	isLost := func(p floor.ReplicationPosition) bool { return p.Term < status.Term && !status.Received.Covers(p) }
+	if isLost(g.acknowledged) {
+		g.reportLostLocked(server, status, g.acknowledged)
+		g.acknowledged = floor.ReplicationPosition{}
+	}
+	for vm, v := range g.votes {
+		if isLost(v.acknowledged) {
+			g.reportLostLocked(server, status, v.acknowledged)
+			v.acknowledged = floor.ReplicationPosition{}
+			g.votes[vm] = v
+		}
+	}
+}
+
+// reportLostLocked logs and counts acknowledged commits that the present primary lacks. The
+// caller holds g.mu.
+func (g *Group) reportLostLocked(server string, status statement.ReplicationStatus, acknowledged floor.ReplicationPosition) {
+	g.options.Log.Error("the primary lacks acknowledged commits", "group", g.options.Name, "server", server, "term", status.Term, "log_end", status.Received, "acknowledged", acknowledged)
+	invariant.Check(false, invariant.CurrentPrimary, "backend server %s leads term %d at %s, but %s was acknowledged", server, status.Term, status.Received, acknowledged)
+}
--- a/internal/serve/database/view.go
+++ b/internal/serve/database/view.go
@@ -26,9 +26,7 @@
 	}
 	v.ReplicationStalled = g.replicationStalledLocked(now)
 	v.ReleasedToken, v.ReleaseEnded = g.releasedToken, !g.watch.Released(now)
-	if !v.ReleaseEnded && g.acknowledged.Term == v.Term {
-		v.Acknowledged = g.acknowledged.Position
-	}
+	v.AcknowledgedTerm, v.Acknowledged = g.acknowledged.Term, g.acknowledged.Position
 	return v
 }
 
@@ -82,10 +80,15 @@
 		process: from.Process, knownSince: now,
 	}
 	if v.Acknowledged > 0 {
-		next.acknowledged = floor.ReplicationPosition{Term: v.Term, Position: v.Acknowledged}
+		next.acknowledged = floor.ReplicationPosition{Term: v.AcknowledgedTerm, Position: v.Acknowledged}
 	}
-	if last, ok := g.votes[from.VM]; ok && last.process == from.Process {
+	last, ok := g.votes[from.VM]
+	switch {
+	case ok && last.process == from.Process:
 		next.knownSince = last.knownSince
+	case ok:
+		// A new process does not know what the earlier one acknowledged.
+		next.acknowledged = next.acknowledged.Max(last.acknowledged)
 	}
 	return next
 }
