--- a/internal/serve/database/acknowledged_test.go
+++ b/internal/serve/database/acknowledged_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
@@ -58,3 +59,20 @@
 		t.Errorf("acknowledged (-want +got):\n%s", diff)
 	}
 }
+
+// TestReleaseSurvivesNewsOfPrimary guards against a release that ends, and a report that is dropped, when a VM learns again which server leads the released term.
+func TestReleaseSurvivesNewsOfPrimary(t *testing.T) {
+	f := &fakeGroup{}
+	g := f.group(t, 4)
+	f.runTicks(g, testTimeout, g.Ready)
+	acknowledged := floor.ReplicationPosition{Term: 1, Position: 7}
+	if err := g.recordCommit("p", acknowledged, g.options.Clock.Now()); err != nil {
+		t.Fatal(err)
+	}
+	g.releaseTerm(5)
+	g.recordStatus("p", statement.ReplicationStatus{Term: 1, Sealed: 1, Received: acknowledged}, g.options.Clock.Now())
+	g.MergeView(Sender{VM: "vm2", Process: 1}, inner.GroupView{Group: "g", Term: 1, Leader: "p", ProofAge: -1}, func(age clock.Millis) clock.Millis { return -age })
+	if diff := cmp.Diff(false, g.View().ReleaseEnded); diff != "" {
+		t.Errorf("release ended (-want +got):\n%s", diff)
+	}
+}
