Keep a VM's release of a term when its leader is learnt again

Cause: a claimant makes the former primary step down, and then every VM releases the term. A VM that asks the former primary after that hears that it is a replica, and forgets the leader. The next report of a VM that has not asked names the same leader in the same term, and Watch.WithTerm took that for a change: it discarded the release. The VM said from then on that its release had ended, reported no position as acknowledged, and the VMs that heard so ended theirs. The claimant counts the release by its token alone, so that it took the reports for complete with nothing acknowledged, and preferred any sealed replica to the former primary, which had the whole log. Proofs from before the release counted again as well.

Change: only a later term ends a release, besides its end and its timeout.

Before, TestReleaseOutlastsStepDown: 0 reported as acknowledged, want 3, and q promoted, want p; TestScripts, "a release outlasts the return of a leader that had stepped down": the lease is valid at 220, 230 and 240. Both pass now, with the rest of core/tenure and serve/database.

--- a/internal/core/tenure/watch.go
+++ b/internal/core/tenure/watch.go
@@ -144,17 +144,17 @@
 }
 
 // WithTerm records that a term is in force, and its primary unless leader is "". A
-// change discards the proofs, and a later term the samples too. An earlier term changes
-// nothing.
+// change discards the proofs, and a later term the samples and the release too. An earlier
+// term changes nothing.
 func (w Watch) WithTerm(term floor.Term, leader string) Watch {
 	if term < w.term || term == w.term && (leader == "" || leader == w.leader) {
 		return w
 	}
 	if term > w.term {
-		w.samples, w.unsealedAt = nil, map[string]clock.Millis{}
+		w.samples, w.unsealedAt, w.releasedUntil = nil, map[string]clock.Millis{}, DistantPast
 	}
 	w.term, w.leader = term, leader
-	w.provedAt, w.leaderProbeSent, w.releasedUntil = DistantPast, DistantPast, DistantPast
+	w.provedAt, w.leaderProbeSent = DistantPast, DistantPast
 	return w
 }
 
