Rely on a release of a VM only while it is in force

A claimant counted a VM as having released the term by the token alone, also when the VM said that its release had ended: it may acknowledge commits of the term again then, and it reports no position that it had acknowledged.

Change: such a VM counts as one that has not released, and its lease is waited out.

Before, TestEndedReleaseDoesNotCount: released in force and ended true and true, want true and false. It passes now, with the rest of serve/database.

--- a/internal/serve/database/lost.go
+++ b/internal/serve/database/lost.go
@@ -215,8 +215,10 @@
 	// stalled.
 	lost    bool
 	stalled bool
-	// releasedToken is the token of the last claim for which the VM released the term.
+	// releasedToken is the token of the last claim for which the VM released the term,
+	// releaseEnded is set once that release is not in force any more.
 	releasedToken uint64
+	releaseEnded  bool
 	// acknowledged is the furthest position that the VM acknowledged to a caller before that
 	// release.
 	acknowledged floor.ReplicationPosition
--- a/internal/serve/database/release.go
+++ b/internal/serve/database/release.go
@@ -69,9 +69,9 @@
 
 // termReleased reports whether all other live VMs have released the term that the
 // claim with the given token replaces. It returns false while fewer VMs are live than
-// should be running, since one that this VM does not see may still use the term. The
-// release of a process counts only if it was known at the time since: one that has started
-// later does not know what its VM acknowledged before.
+// should be running, since one that this VM does not see may still use the term. A release
+// counts only while it is in force, and if its process was known at the time since: one that
+// has started later does not know what its VM acknowledged before.
 func (g *Group) termReleased(token uint64, since clock.Millis) bool {
 	vms := g.options.LiveVMsFunc()
 	if len(vms) < g.options.ExpectedVMCountFunc() {
@@ -80,7 +80,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, vm := range vms {
-		if v := g.votes[vm]; vm != g.options.Self && (v.releasedToken < token || v.knownSince > since) {
+		if v := g.votes[vm]; vm != g.options.Self && (v.releasedToken < token || v.releaseEnded || v.knownSince > since) {
 			return false
 		}
 	}
--- a/internal/serve/database/stepdown_test.go
+++ b/internal/serve/database/stepdown_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 )
 
 // secondVM returns the group as served by another VM, vm2, which knows the same primary, and a
@@ -70,3 +71,17 @@
 		t.Errorf("promoted servers (-want +got):\n%s", diff)
 	}
 }
+
+// TestEndedReleaseDoesNotCount guards against a claimant that relies on the release of a VM that has ended it and acknowledges commits again.
+func TestEndedReleaseDoesNotCount(t *testing.T) {
+	f := &fakeGroup{}
+	g := f.group(t, 4)
+	f.secondVM(g)
+	released := func(ended bool) bool {
+		g.MergeView(Sender{VM: "vm2", Process: 2}, inner.GroupView{Group: "g", Term: 1, Leader: "p", ProofAge: -1, ReleasedToken: 5, ReleaseEnded: ended}, nil)
+		return g.termReleased(5, g.options.Clock.Now())
+	}
+	if diff := cmp.Diff([]bool{true, false}, []bool{released(false), released(true)}); diff != "" {
+		t.Errorf("released in force and ended (-want +got):\n%s", diff)
+	}
+}
--- a/internal/serve/database/view.go
+++ b/internal/serve/database/view.go
@@ -76,7 +76,7 @@
 // g.mu.
 func (g *Group) nextVote(from Sender, v inner.GroupView, now clock.Millis) vote {
 	next := vote{
-		term: v.Term, lost: v.PrimaryLost, stalled: v.ReplicationStalled, releasedToken: v.ReleasedToken, at: now,
+		term: v.Term, lost: v.PrimaryLost, stalled: v.ReplicationStalled, releasedToken: v.ReleasedToken, releaseEnded: v.ReleaseEnded, at: now,
 		process: from.Process, knownSince: now,
 	}
 	if v.Acknowledged > 0 {
