Cover what processes acknowledged that have ended

What a VM acknowledged is in the memory of its process. A VM that restarted shortly before a claim released the term and reported nothing, and a claimant that had itself just started knew nothing of its earlier process. The reports counted as complete all the same, and a sealed replica was then preferred to the former primary that had stepped down with the whole log, although another replica was not sealed.

All that such a process acknowledged is older than its end, so a position that the primary's log reached later covers it. tenure.Watch keeps the first such position since the last end of a process that could not report. While replicas are not sealed, failover.PromotionTarget prefers a replica only if it covers this position too. If none is known the furthest sealed log wins, the former primary's included. With all replicas sealed nothing changes.

Before the change TestCommitsOfRestartedVM (2 cases), TestCommitsBeforeClaimantStarted and TestCommitsBeforeAllVMsStarted failed, 1 of 1 run each: q at 2 was promoted, while p had stepped down at 5. TestUnacknowledgedEntries passed before and after: a replica is still promoted over entries of the primary that nobody acknowledged. With the old rule in PromotionTarget, TestEndedProcessesLoseNothing fails after 2 tests of rapid. After the change the tests of serve/database, core/failover and core/tenure pass, 1 run.

--- a/internal/core/failover/failover.go
+++ b/internal/core/failover/failover.go
@@ -13,6 +13,9 @@
 // Therefore the former primary steps down before the promotion if it can be reached, and
 // each VM that releases the term reports the highest position that it acknowledged. A server
 // is promoted only if its log covers all reported positions.
+//
+// What a VM acknowledged is known to its process alone. What a process acknowledged that has
+// ended is covered by any position that the primary's log had reached later.
 package failover
 
 import (
@@ -108,6 +111,16 @@
 	Position floor.ReplicationPosition
 	// Complete is set if every VM has reported, and acknowledges nothing more.
 	Complete bool
+	// Departed covers what was acknowledged by processes that ended before they could report.
+	// DepartedUnknown is set if no such position is known.
+	Departed        floor.ReplicationPosition
+	DepartedUnknown bool
+}
+
+// required returns the position that a replica must cover to be preferred to a former primary
+// whose log may go further while other replicas are not sealed, and false if no replica may.
+func (a Acknowledged) required() (floor.ReplicationPosition, bool) {
+	return a.Position.Max(a.Departed), a.Complete && !a.DepartedUnknown
 }
 
 // PromotionTarget returns the ID of the sealed server to promote, or "" if there is none:
@@ -115,11 +128,16 @@
 // not the former primary, then the one with the lowest ID. Its log covers the
 // acknowledged position. The log of a former primary may contain commits that no replica
 // received, and it may still be partitioned from the replicas; so it is promoted only if no
-// replica qualifies.
+// replica qualifies. While replicas that are not sealed may have what the others lack, a
+// replica qualifies only by what all VMs acknowledged, processes that have ended included.
 func PromotionTarget(servers []Server, syncReplicas int, acknowledged Acknowledged) string {
 	replicas := slices.DeleteFunc(slices.Clone(servers), func(s Server) bool { return s.FormerPrimary })
-	if acknowledged.Complete || SafeToPromote(replicas, syncReplicas) {
-		if target := furthestSealed(replicas, acknowledged.Position); target != "" {
+	required, qualifies := acknowledged.required()
+	if SafeToPromote(replicas, syncReplicas) {
+		required, qualifies = acknowledged.Position, true
+	}
+	if qualifies {
+		if target := furthestSealed(replicas, required); target != "" {
 			return target
 		}
 	}
--- a/internal/core/failover/failover_test.go
+++ b/internal/core/failover/failover_test.go
@@ -26,6 +26,8 @@
 		} `yaml:"servers"`
 		Acknowledged floor.Position `yaml:"acknowledged"`
 		Complete     bool           `yaml:"complete"`
+		Departed     floor.Position `yaml:"departed"`
+		Unknown      bool           `yaml:"unknown"`
 		Safe         bool           `yaml:"safe"`
 		Target       *string        `yaml:"target"`
 	}
@@ -45,10 +47,13 @@
 			if script.Target == nil {
 				return
 			}
-			acknowledged := Acknowledged{Complete: script.Complete}
+			acknowledged := Acknowledged{Complete: script.Complete, DepartedUnknown: script.Unknown}
 			if script.Acknowledged > 0 {
 				acknowledged.Position = floor.ReplicationPosition{Term: 1, Position: script.Acknowledged}
 			}
+			if script.Departed > 0 {
+				acknowledged.Departed = floor.ReplicationPosition{Term: 1, Position: script.Departed}
+			}
 			if diff := cmp.Diff(*script.Target, PromotionTarget(servers, script.SyncReplicas, acknowledged)); diff != "" {
 				t.Errorf("target (-want +got):\n%s", diff)
 			}
@@ -168,6 +173,47 @@
 	})
 }
 
+// TestEndedProcessesLoseNothing guards against the loss of commits acknowledged by processes that end before they could report them.
+func TestEndedProcessesLoseNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		servers := []Server{{ID: "p", FormerPrimary: true}, {ID: "q"}, {ID: "r"}}
+		var reported, ended, committed floor.ReplicationPosition
+		var departed Acknowledged
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"commit", "commit", "commit", "end", "sample", "seal"}).Draw(t, "step") {
+			case "commit":
+				if !servers[0].Sealed {
+					position := commit(t, servers, 1, floor.ReplicationPosition{})
+					committed, reported = committed.Max(position), reported.Max(position)
+				}
+			case "end":
+				// The process of the only VM restarts, which then reports nothing.
+				ended, reported = committed, floor.ReplicationPosition{}
+				departed = Acknowledged{DepartedUnknown: true}
+			case "sample":
+				if departed.DepartedUnknown && !servers[0].Sealed {
+					departed = Acknowledged{Departed: servers[0].LogEnd}
+				}
+			case "seal":
+				servers[rapid.IntRange(0, 2).Draw(t, "server")].Sealed = true
+			}
+			if !departed.DepartedUnknown && !departed.Departed.Covers(ended) {
+				t.Fatalf("%s does not cover %s", departed.Departed, ended)
+			}
+			if !SafeToPromote(servers, 1) {
+				continue
+			}
+			departed.Position, departed.Complete = reported, true
+			target := PromotionTarget(servers, 1, departed)
+			for _, s := range servers {
+				if s.ID == target && !s.LogEnd.Covers(committed) {
+					t.Fatalf("%s at %s would be promoted, but %s was acknowledged; the servers are %v", s.ID, s.LogEnd, committed, servers)
+				}
+			}
+		}
+	})
+}
+
 // commit writes one entry, which reaches a random subset of the unsealed replicas,
 // and returns the last position that was acknowledged.
 func commit(t *rapid.T, servers []Server, syncReplicas int, acknowledged floor.ReplicationPosition) floor.ReplicationPosition {
--- a/internal/core/tenure/watch_test.go
+++ b/internal/core/tenure/watch_test.go
@@ -41,6 +41,7 @@
 	Ended      bool          `yaml:"ended"`
 	Listed     string        `yaml:"listed"`
 	Unlisted   string        `yaml:"unlisted"`
+	Departed   bool          `yaml:"departed"`
 	LeaseValid *bool         `yaml:"may"`
 	Leader     *string       `yaml:"leader"`
 	Floor      *struct {
@@ -48,6 +49,10 @@
 		Position floor.Position `yaml:"position"`
 		Known    bool           `yaml:"known"`
 	} `yaml:"floor"`
+	DepartedEnd *struct {
+		Position floor.Position `yaml:"position"`
+		Known    bool           `yaml:"known"`
+	} `yaml:"end"`
 }
 
 // script is a test case of watch.yaml.
@@ -82,6 +87,8 @@
 		return w.WithListed(s.Listed, s.At)
 	case s.Unlisted != "":
 		return w.WithUnlisted(s.Unlisted)
+	case s.Departed:
+		return w.WithDeparture(s.At)
 	}
 	return w
 }
@@ -107,6 +114,12 @@
 						t.Errorf("at %d, floor (-want +got):\n%s", s.At, diff)
 					}
 				}
+				if s.DepartedEnd != nil {
+					end, known := w.DepartedEnd()
+					if diff := cmp.Diff([]any{s.DepartedEnd.Position, s.DepartedEnd.Known}, []any{end.Position, known}); diff != "" {
+						t.Errorf("at %d, position that covers what ended processes acknowledged (-want +got):\n%s", s.At, diff)
+					}
+				}
 				if s.Leader != nil {
 					if diff := cmp.Diff(*s.Leader, leader); diff != "" {
 						t.Errorf("at %d, leader (-want +got):\n%s", s.At, diff)
@@ -315,6 +328,10 @@
 					watches[i] = watches[i].WithListed(newServer, g.now)
 				}
 			},
+			"depart": func(t *rapid.T) {
+				i := rapid.IntRange(0, 1).Draw(t, "vm")
+				watches[i] = watches[i].WithDeparture(g.now)
+			},
 			"promote": func(*rapid.T) {
 				if g.allSealedAt == DistantPast || former != "" || g.now < g.allSealedAt+Lease+MaxClockDrift || g.now > g.allSealedAt+attemptTimeout {
 					return
@@ -344,6 +361,12 @@
 		if w.LeaseValid(g.now) && term < g.term && g.acknowledged(g.term) {
 			t.Fatalf("VM %d may use %s of term %d at %d, though term %d has acknowledged a commit", i, leader, term, g.now, g.term)
 		}
+		end, ok := w.DepartedEnd()
+		for _, c := range g.acked {
+			if ok && c.position.Term <= term && c.at <= w.departedAt && !end.Covers(c.position) {
+				t.Fatalf("VM %d: position %s for processes that ended by %d lacks %s acknowledged at %d", i, end, w.departedAt, c.position, c.at)
+			}
+		}
 		for _, age := range []clock.Millis{0, 100, 500, 1500} {
 			f, ok := w.Floor(g.now - age)
 			if !ok {
--- /dev/null
+++ b/internal/serve/database/forgotten_test.go
@@ -0,0 +1,113 @@
+package database
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+)
+
+// laggingGroup returns a group with r out of reach of commands, so that only the log of the
+// former primary shows what q lacks.
+func laggingGroup(t *testing.T, f *fakeGroup, p, q floor.Position) *Group {
+	t.Helper()
+	f.unreachable = map[string]bool{"r": true}
+	f.logEnds = map[string]floor.Position{"p": p, "q": q, "r": p}
+	g, _ := claimableGroup(t, f)
+	return g
+}
+
+// advance lets the logs of p and r reach a position that q does not get.
+func (f *fakeGroup) advance(end floor.Position) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.logEnds["p"], f.logEnds["r"] = end, end
+}
+
+// releaseFromProcess lets a process of vm2 release the term for each claim, and say that it
+// has acknowledged nothing.
+func releaseFromProcess(g *Group, process uint64) {
+	g.options.LiveVMsFunc = func() []string { return []string{"vm", "vm2"} }
+	g.options.ExpectedVMCountFunc = func() int { return 2 }
+	report := func() {
+		g.mu.Lock()
+		token := g.releasedToken
+		g.mu.Unlock()
+		view := inner.GroupView{Group: "g", Term: 1, Leader: "p", ProofAge: -1, PrimaryLost: true, ReleasedToken: token}
+		g.MergeView(Sender{VM: "vm2", Process: process}, view, nil)
+	}
+	report()
+	g.options.GossipFunc = func() { go report() }
+}
+
+// expectPromoted lets this VM lose the primary, which can still be told to step down, and
+// checks which server it promotes.
+func expectPromoted(t *testing.T, f *fakeGroup, g *Group, want string) {
+	t.Helper()
+	f.promoteFunc = func() { f.leading = f.promoted[0] }
+	for g.primaryRecovered() {
+		_ = g.options.Clock.Sleep(t.Context(), pollPause)
+	}
+	g.attemptClaim(t.Context())
+	_, promoted := f.claimCommands()
+	if diff := cmp.Diff([]string{want}, promoted); diff != "" {
+		t.Errorf("promoted servers (-want +got):\n%s", diff)
+	}
+}
+
+// awaitSample runs the group until the position of the primary is known at a later time than now.
+func (f *fakeGroup) awaitSample(g *Group) {
+	since := g.options.Clock.Now()
+	f.runTicks(g, testTimeout, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.watch.Report().PositionAt > since
+	})
+}
+
+// TestCommitsOfRestartedVM guards against the loss of commits whose VM has restarted before the claim and reports none.
+func TestCommitsOfRestartedVM(t *testing.T) {
+	for name, sampled := range map[string]bool{"position of the primary known since": true, "not known": false} {
+		t.Run(name, func(t *testing.T) {
+			f := &fakeGroup{}
+			g := laggingGroup(t, f, 2, 2)
+			releaseFromProcess(g, 1)
+			f.awaitSample(g)
+			f.advance(5)
+			releaseFromProcess(g, 2)
+			if sampled {
+				f.awaitSample(g)
+			}
+			expectPromoted(t, f, g, "p")
+		})
+	}
+}
+
+// TestCommitsBeforeClaimantStarted guards against the loss of commits that an earlier process of the claimant acknowledged.
+func TestCommitsBeforeClaimantStarted(t *testing.T) {
+	f := &fakeGroup{}
+	g := laggingGroup(t, f, 5, 2)
+	expectPromoted(t, f, g, "p")
+}
+
+// TestCommitsBeforeAllVMsStarted guards against the loss of commits after which every VM has restarted.
+func TestCommitsBeforeAllVMsStarted(t *testing.T) {
+	f := &fakeGroup{}
+	g := laggingGroup(t, f, 5, 2)
+	releaseFromProcess(g, 1)
+	f.awaitSample(g)
+	expectPromoted(t, f, g, "p")
+}
+
+// TestUnacknowledgedEntries guards against the promotion of a primary that was cut off from its replicas, for entries that nobody acknowledged.
+func TestUnacknowledgedEntries(t *testing.T) {
+	f := &fakeGroup{}
+	g := laggingGroup(t, f, 2, 2)
+	releaseFromProcess(g, 1)
+	f.awaitSample(g)
+	f.advance(9)
+	f.awaitSample(g)
+	expectPromoted(t, f, g, "q")
+}
--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -138,8 +138,11 @@
 
 // NewGroup returns a group without servers.
 func NewGroup(o Options) *Group {
+	now := o.Clock.Now()
 	return &Group{
-		options: o, createdAt: o.Clock.Now(), leaderDoubtedAt: tenure.DistantPast, leaderAskedAt: tenure.DistantPast, watch: tenure.New(o.SyncReplicas), pools: map[string]*pool{}, positions: map[string]floor.ReplicationPosition{}, positionSeenAt: map[string]clock.Millis{},
+		// Earlier processes of this VM and others have ended.
+		watch:   tenure.New(o.SyncReplicas).WithDeparture(now),
+		options: o, createdAt: now, leaderDoubtedAt: tenure.DistantPast, leaderAskedAt: tenure.DistantPast, pools: map[string]*pool{}, positions: map[string]floor.ReplicationPosition{}, positionSeenAt: map[string]clock.Millis{},
 		primaryReady: make(chan struct{}), probedAt: map[string]clock.Millis{}, unlistedSince: map[string]clock.Millis{}, leavingSince: map[string]clock.Millis{},
 		votes: map[string]vote{}, receivedPositions: map[string]receivedPosition{},
 	}
--- a/internal/serve/database/promote.go
+++ b/internal/serve/database/promote.go
@@ -59,7 +59,7 @@
 			return err
 		}
 		candidates := a.currentServers(g.failoverServers(a.formerPrimary))
-		acknowledged := failover.Acknowledged{Position: g.acknowledgedInTerm(a.term, a.token), Complete: a.released}
+		acknowledged := a.acknowledged()
 		target := failover.PromotionTarget(candidates, g.options.SyncReplicas, acknowledged)
 		if target == "" {
 			if err := a.awaitLog(ctx, acknowledged.Position); err != nil {
@@ -99,6 +99,16 @@
 	return ctx.Err()
 }
 
+// acknowledged returns what the VMs report that they acknowledged in the term to be replaced.
+func (a *claimAttempt) acknowledged() failover.Acknowledged {
+	g := a.group
+	departed, known := g.departedEnd()
+	return failover.Acknowledged{
+		Position: g.acknowledgedInTerm(a.term, a.token), Complete: a.released,
+		Departed: departed, DepartedUnknown: !known,
+	}
+}
+
 // errTargetChanged means that a server was ordered to be promoted and another is to be
 // promoted now. The first may lead already, so that the next attempt seals and reads all
 // logs anew.
--- a/internal/serve/database/release.go
+++ b/internal/serve/database/release.go
@@ -87,6 +87,14 @@
 	return true
 }
 
+// departedEnd returns a position that covers what was acknowledged by processes of VMs that
+// have ended, and false if none is known.
+func (g *Group) departedEnd() (floor.ReplicationPosition, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.watch.DepartedEnd()
+}
+
 // acknowledgedInTerm returns the furthest position of a term that this VM and those that
 // have released it for the claim with the given token have acknowledged.
 func (g *Group) acknowledgedInTerm(term floor.Term, token uint64) floor.ReplicationPosition {
--- a/internal/serve/database/view.go
+++ b/internal/serve/database/view.go
@@ -54,8 +54,13 @@
 	if toLocalTime != nil && v.Position > 0 {
 		report.Position, report.PositionAt = v.Position, toLocalTime(v.PositionAge)
 	}
+	w := g.watch
+	if g.votes[from.VM].process != from.Process {
+		// The VM may have restarted.
+		w = w.WithDeparture(now)
+	}
 	g.votes[from.VM] = g.nextVote(from, v, now)
-	w := g.watch.WithReport(report)
+	w = w.WithReport(report)
 	switch term, _ := w.Leader(); {
 	case v.ReleasedToken > g.releasedToken && v.Term == term:
 		g.releasedToken = v.ReleasedToken
