Keep a reported position when its VM restarts

A position that a VM had reported for a claim was kept in the VM's last report only.

The group now keeps the furthest position that any VM has reported. TestReportOutlivesItsProcess failed before (0/0 instead of 1/7) and passes.

--- a/internal/serve/database/forgotten_test.go
+++ b/internal/serve/database/forgotten_test.go
@@ -111,3 +111,16 @@
 	f.awaitSample(g)
 	expectPromoted(t, f, g, "q")
 }
+
+// TestReportOutlivesItsProcess guards against the loss of a position that a VM reported for a claim, because the VM restarts before the claim ends.
+func TestReportOutlivesItsProcess(t *testing.T) {
+	f := &fakeGroup{}
+	g := f.group(t, 4)
+	view := inner.GroupView{Group: "g", Term: 1, Leader: "p", ProofAge: -1, ReleasedToken: 5, Acknowledged: 7}
+	g.MergeView(Sender{VM: "vm2", Process: 1}, view, nil)
+	view.ReleasedToken, view.Acknowledged = 0, 0
+	g.MergeView(Sender{VM: "vm2", Process: 2}, view, nil)
+	if diff := cmp.Diff(floor.ReplicationPosition{Term: 1, Position: 7}, g.acknowledgedInTerm(1, 5)); diff != "" {
+		t.Errorf("acknowledged (-want +got):\n%s", diff)
+	}
+}
--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -124,6 +124,9 @@
 	releasedToken uint64
 	// acknowledged is the furthest position of a commit that this VM acknowledged.
 	acknowledged floor.ReplicationPosition
+	// reported is the furthest position that another VM has reported as acknowledged. The VM
+	// may have restarted since.
+	reported floor.ReplicationPosition
 	// lastHolder is the VM that held the claim when this VM last read its record.
 	lastHolder string
 	// lostSince is the time at which this VM lost the primary, or 0.
--- a/internal/serve/database/release.go
+++ b/internal/serve/database/release.go
@@ -96,7 +96,8 @@
 }
 
 // acknowledgedInTerm returns the furthest position of a term that this VM and those that
-// have released it for the claim with the given token have acknowledged.
+// have released it for the claim with the given token, or for an earlier one, have
+// acknowledged.
 func (g *Group) acknowledgedInTerm(term floor.Term, token uint64) floor.ReplicationPosition {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -104,6 +105,9 @@
 	if g.acknowledged.Term == term {
 		out = g.acknowledged
 	}
+	if g.reported.Term == term {
+		out = out.Max(g.reported)
+	}
 	for _, v := range g.votes {
 		if v.term == term && v.releasedToken >= token {
 			out = out.Max(v.acknowledged)
--- a/internal/serve/database/view.go
+++ b/internal/serve/database/view.go
@@ -60,6 +60,7 @@
 		w = w.WithDeparture(now)
 	}
 	g.votes[from.VM] = g.nextVote(from, v, now)
+	g.reported = g.reported.Max(g.votes[from.VM].acknowledged)
 	w = w.WithReport(report)
 	switch term, _ := w.Leader(); {
 	case v.ReleasedToken > g.releasedToken && v.Term == term:
