Settle a VM that registers in its first millisecond

A VM whose registration ended in the first millisecond of its clock, which counts from the start of the process, took itself for not registered: its list of VMs was never settled, and it probed no server.

TestSettledAfterRegistrationAtStart failed before and passes.

--- a/internal/serve/gossip/roster.go
+++ b/internal/serve/gossip/roster.go
@@ -47,8 +47,9 @@
 	// read of the list, and strangerPause the present pause.
 	strangerAfter clock.Millis
 	strangerPause clock.Millis
-	// registeredAt is the time of the registration of this VM, or 0. settled is set once the
+	// registered is set once this VM has registered, at registeredAt. settled is set once the
 	// list is taken for complete.
+	registered   bool
 	registeredAt clock.Millis
 	settled      bool
 }
@@ -85,14 +86,14 @@
 // withRegistration records the registration of this VM. If it was listed before, it has
 // restarted, and the list is that of an installation that runs.
 func (r roster) withRegistration(now clock.Millis, listed bool) roster {
-	r.registeredAt, r.settled = now, listed
+	r.registered, r.registeredAt, r.settled = true, now, listed
 	return r
 }
 
 // withSettled sets settled if the list is to be taken for complete at time now.
 func (r roster) withSettled(now clock.Millis) roster {
 	sinceRegistration := now - r.registeredAt
-	if r.registeredAt > 0 && (sinceRegistration >= settleTimeout || min(sinceRegistration, now-r.changedAt) >= settleTime) {
+	if r.registered && (sinceRegistration >= settleTimeout || min(sinceRegistration, now-r.changedAt) >= settleTime) {
 		r.settled = true
 	}
 	return r
--- a/internal/serve/gossip/roster_test.go
+++ b/internal/serve/gossip/roster_test.go
@@ -175,3 +175,13 @@
 		t.Errorf("registered VMs after a row was lost (-want +got):\n%s", diff)
 	}
 }
+
+// TestSettledAfterRegistrationAtStart guards against a VM that never probes servers, because it had registered in the first millisecond of its clock.
+func TestSettledAfterRegistrationAtStart(t *testing.T) {
+	r := newRoster()
+	before := r.withSettled(settleTimeout).settled
+	after := r.withRegistration(0, false).withSettled(settleTimeout).settled
+	if diff := cmp.Diff([]bool{false, true}, []bool{before, after}); diff != "" {
+		t.Errorf("settled without a registration and after one (-want +got):\n%s", diff)
+	}
+}
