--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -45,6 +45,12 @@
 	// one.
 	Self        string
 	LiveVMsFunc func() []string
+	// LeavingVMsFunc lists the VMs that are leaving and send messages: they may use a primary
+	// still. The function may be nil.
+	LeavingVMsFunc func() []string
+	// VMRemovedAtFunc returns the time at which this VM last learned that another had left for
+	// good, or an early time. The function may be nil.
+	VMRemovedAtFunc func() clock.Millis
 	// ProbersFunc lists the VMs near this one that probe the group's servers. An
 	// empty list means that this VM does, and one without this VM that it does not.
 	ProbersFunc func() []string
@@ -124,6 +130,9 @@
 	releasedToken uint64
 	// acknowledged is the furthest position of a commit that this VM acknowledged.
 	acknowledged floor.ReplicationPosition
+	// reported is the furthest position that another VM has reported as acknowledged. The VM
+	// may have restarted since.
+	reported floor.ReplicationPosition
 	// lastHolder is the VM that held the claim when this VM last read its record.
 	lastHolder string
 	// lostSince is the time at which this VM lost the primary, or 0.
@@ -138,8 +147,11 @@
 
 // NewGroup returns a group without servers.
 func NewGroup(o Options) *Group {
+	now := o.Clock.Now()
 	return &Group{
-		options: o, createdAt: o.Clock.Now(), leaderDoubtedAt: tenure.DistantPast, leaderAskedAt: tenure.DistantPast, watch: tenure.New(o.SyncReplicas), pools: map[string]*pool{}, positions: map[string]floor.ReplicationPosition{}, positionSeenAt: map[string]clock.Millis{},
+		// Earlier processes of this VM and others have ended.
+		watch:   tenure.New(o.SyncReplicas).WithDeparture(now),
+		options: o, createdAt: now, leaderDoubtedAt: tenure.DistantPast, leaderAskedAt: tenure.DistantPast, pools: map[string]*pool{}, positions: map[string]floor.ReplicationPosition{}, positionSeenAt: map[string]clock.Millis{},
 		primaryReady: make(chan struct{}), probedAt: map[string]clock.Millis{}, unlistedSince: map[string]clock.Millis{}, leavingSince: map[string]clock.Millis{},
 		votes: map[string]vote{}, receivedPositions: map[string]receivedPosition{},
 	}
--- a/internal/serve/database/lost.go
+++ b/internal/serve/database/lost.go
@@ -219,8 +219,7 @@
 	// releaseEnded is set once that release is not in force any more.
 	releasedToken uint64
 	releaseEnded  bool
-	// acknowledged is the furthest position that the VM acknowledged to a caller, in this process
-	// or an earlier one.
+	// acknowledged is the furthest position that the process acknowledged to a caller.
 	acknowledged floor.ReplicationPosition
 	// process identifies the VM's process, and knownSince is the time of its first report.
 	process    uint64
--- a/internal/serve/database/release.go
+++ b/internal/serve/database/release.go
@@ -1,11 +1,14 @@
 package database
 
 import (
+	"slices"
+
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 )
 
 // failoverServers returns the servers whose logs may contain acknowledged commits:
@@ -71,13 +74,16 @@
 	}
 }
 
-// termReleased reports whether all other live VMs have released the term that the
-// claim with the given token replaces. It returns false while fewer VMs are live than
-// should be running, since one that this VM does not see may still use the term. A release
-// counts only while it is in force, and if its process was known at the time since: one that
-// has started later does not know what its VM acknowledged before.
+// termReleased reports whether all other VMs that send messages, those that are leaving too,
+// have released the term that the claim with the given token replaces. It returns false while
+// these are fewer than are registered, since one that this VM does not see may still use the
+// term. A release counts only while it is in force, and if its process was known at the time
+// since: one that has started later does not know what its VM acknowledged before.
 func (g *Group) termReleased(token uint64, since clock.Millis) bool {
 	vms := g.options.LiveVMsFunc()
+	if g.options.LeavingVMsFunc != nil {
+		vms = slices.Concat(vms, g.options.LeavingVMsFunc())
+	}
 	if len(vms) < g.options.ExpectedVMCountFunc() {
 		return false
 	}
@@ -91,17 +97,26 @@
 	return true
 }
 
+// departedEnd returns a position that covers what was acknowledged by processes of VMs that
+// have ended, and false if none is known.
+func (g *Group) departedEnd() (floor.ReplicationPosition, bool) {
+	removedAt := tenure.DistantPast
+	if g.options.VMRemovedAtFunc != nil {
+		removedAt = g.options.VMRemovedAtFunc()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.setWatch(g.watch.WithDeparture(removedAt))
+	return g.watch.DepartedEnd()
+}
+
 // acknowledgedPosition returns the furthest position that this VM and the others have reported
 // as acknowledged. It may be of an earlier term than the present one, in which nothing may have
 // been acknowledged yet.
 func (g *Group) acknowledgedPosition() floor.ReplicationPosition {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := g.acknowledged
-	for _, v := range g.votes {
-		out = out.Max(v.acknowledged)
-	}
-	return out
+	return g.acknowledged.Max(g.reported)
 }
 
 // checkLogLocked asserts that the log of a server that leads a later term has every commit of
@@ -112,15 +127,10 @@
 		return
 	}
 	isLost := func(p floor.ReplicationPosition) bool { return p.Term < status.Term && !status.Received.Covers(p) }
-	if isLost(g.acknowledged) {
-		g.reportLostLocked(server, status, g.acknowledged)
-		g.acknowledged = floor.ReplicationPosition{}
-	}
-	for vm, v := range g.votes {
-		if isLost(v.acknowledged) {
-			g.reportLostLocked(server, status, v.acknowledged)
-			v.acknowledged = floor.ReplicationPosition{}
-			g.votes[vm] = v
+	for _, p := range []*floor.ReplicationPosition{&g.acknowledged, &g.reported} {
+		if isLost(*p) {
+			g.reportLostLocked(server, status, *p)
+			*p = floor.ReplicationPosition{}
 		}
 	}
 }
--- a/internal/serve/database/view.go
+++ b/internal/serve/database/view.go
@@ -52,8 +52,14 @@
 	if toLocalTime != nil && v.Position > 0 {
 		report.Position, report.PositionAt = v.Position, toLocalTime(v.PositionAge)
 	}
+	w := g.watch
+	if g.votes[from.VM].process != from.Process {
+		// The VM may have restarted.
+		w = w.WithDeparture(now)
+	}
 	g.votes[from.VM] = g.nextVote(from, v, now)
-	w := g.watch.WithReport(report)
+	g.reported = g.reported.Max(g.votes[from.VM].acknowledged)
+	w = w.WithReport(report)
 	switch term, _ := w.Leader(); {
 	case v.ReleasedToken > g.releasedToken && v.Term == term:
 		g.releasedToken = v.ReleasedToken
@@ -82,13 +88,8 @@
 	if v.Acknowledged > 0 {
 		next.acknowledged = floor.ReplicationPosition{Term: v.AcknowledgedTerm, Position: v.Acknowledged}
 	}
-	last, ok := g.votes[from.VM]
-	switch {
-	case ok && last.process == from.Process:
+	if last, ok := g.votes[from.VM]; ok && last.process == from.Process {
 		next.knownSince = last.knownSince
-	case ok:
-		// A new process does not know what the earlier one acknowledged.
-		next.acknowledged = next.acknowledged.Max(last.acknowledged)
 	}
 	return next
 }
