Keep an order to promote until it can have no effect

Cause: an order without an answer may be performed seconds later, and the platform need not check its token. The record named the server, but a later attempt only copied the name. It let the old term go on when the primary answered again, or ordered the server with the furthest log by then. The first order then promoted a server that lacked what was acknowledged meanwhile. An order of a change that was over could end the next one in the same way.

Evidence: platform.TestLateOrder delays one order by 5 s and cuts its server off meanwhile. With the code of before: "svc-1 is promoted without the acknowledged commit w1", "token came after", and 25 more violations at the servers. TestOldTermAfterInheritedOrder: 1 replica unsealed, want 0. TestTwoServersOrdered: r ordered while q was, out of reach or with a shorter log. Whether the incident came about like this can't be seen in its record.

Change: the record keeps an order with its time and the end of the server's log for 10 s. Until then a later attempt never lets the old term go on, orders the same server again, waits while that can't be sealed, and orders another only if that one has left the group or lacks something; and nobody changes the primary of another term. The decisions are methods of failover.Claim. An order is dropped from the record when it has certainly had its effect or none. Before an order is repeated its server is asked, since a repeated order may come late as well. A 429 of the promotion service is known to have done nothing.

The check before each order (no sealed replica has more) does not hold for a server that was ordered before. There the check is now that it has all that it had at the first order, when the former check held.

Result: the tests pass; in TestLateOrder callers are refused until the order takes effect 5 s later, since its server can't be reached.

--- a/internal/core/failover/failover.go
+++ b/internal/core/failover/failover.go
@@ -238,10 +238,12 @@
 	Holder string `json:"holder"`
 	// Term is the term to be replaced.
 	Term floor.Term `json:"term"`
-	// Target is the server to promote. It is written before the promotion is ordered.
-	// A later attempt for the same term copies it, but promotes the server with the
-	// furthest log among those that it has sealed itself.
-	Target string `json:"target,omitempty"`
+	// Target is the server that was ordered to be promoted, and may not lead yet. It is
+	// written before the order is sent. OrderedAt is ClaimedAt of the attempt that ordered it
+	// last, and OrderedEnd was the end of its log then.
+	Target     string                    `json:"target,omitempty"`
+	OrderedAt  clock.Millis              `json:"ordered,omitempty"`
+	OrderedEnd floor.ReplicationPosition `json:"end,omitzero"`
 	// Former is the primary of Term, or empty if the holder did not know it. A later attempt
 	// for the same term needs it: a primary that has stepped down reports itself as replica.
 	Former string `json:"former,omitempty"`
--- a/internal/serve/database/claim.go
+++ b/internal/serve/database/claim.go
@@ -39,6 +39,9 @@
 // ErrTargetDown means that the server to be promoted is not running.
 var ErrTargetDown = errors.New("the server to be promoted is not running")
 
+// ErrOrderRefused means that a server is certainly not promoted by the request.
+var ErrOrderRefused = errors.New("the promotion service has refused the request")
+
 // errTermAdvanced means that another claim was completed during the attempt.
 var errTermAdvanced = errors.New("the group already has a later term")
 
@@ -56,8 +59,8 @@
 	// returns the new version.
 	WriteFunc func(ctx context.Context, group string, c failover.Claim, version uint64) (uint64, error)
 	// PromoteFunc makes a server the primary of the group. It returns ErrTargetDown if
-	// the server is not running; after any other error the server may have been
-	// promoted. The fencing token is never reused and rises with each claim.
+	// the server is not running, and ErrOrderRefused if nothing was done; after any other
+	// error the server may be promoted at once or seconds later. The fencing token is never reused and rises with each claim.
 	PromoteFunc func(ctx context.Context, group, server, holder string, token uint64) error
 }
 
@@ -82,6 +85,10 @@
 	// promote.
 	released bool
 	ordered  bool
+	// acquired is the claim record as first written, with the order of an earlier attempt if
+	// that may still take effect. unanswered counts this attempt's orders without an answer.
+	acquired   failover.Claim
+	unanswered int
 	// logMissingSince is the time since which no sealed server has every acknowledged
 	// commit, or 0.
 	logMissingSince clock.Millis
@@ -140,7 +147,7 @@
 	now = g.options.Clock.Now()
 	g.mu.Lock()
 	g.claiming, g.claimAfter = false, now+claimRetryPause
-	if errors.Is(err, ErrClaimTaken) {
+	if errors.Is(err, ErrClaimTaken) || errors.Is(err, errOrderPending) {
 		g.claimAfter = now + claimTakenPause
 	}
 	if err == nil {
@@ -160,14 +167,18 @@
 		return err
 	}
 	if err := a.replace(ctx); err != nil {
-		// After an order to promote the replicas stay sealed, since a promotion that was not
-		// confirmed may have taken effect.
-		if !a.ordered || errors.Is(err, errTermAdvanced) {
+		// After an order to promote the replicas stay sealed and the term stays released, since
+		// a promotion that was not confirmed may take effect still.
+		if !a.ordered && a.acquired.Target == "" || errors.Is(err, errTermAdvanced) {
 			a.giveUp(ctx)
 		}
+		if errors.Is(err, errTermAdvanced) {
+			a.settleOrder(ctx, a.unanswered-1)
+		}
 		return err
 	}
 	a.finish(ctx)
+	a.settleOrder(ctx, a.unanswered)
 	return nil
 }
 
@@ -227,10 +238,11 @@
 		a.formerPrimary = old.Former
 	}
 	a.planned = g.isLeaving(a.formerPrimary)
-	a.claim = failover.Claim{Holder: g.options.Self, Term: a.term, Former: a.formerPrimary, ClaimedAt: now}
-	if old.Term == a.term {
-		a.claim.Target = old.Target
+	next, ok := old.WithHolder(g.options.Self, a.term, a.formerPrimary, now)
+	if !ok {
+		return errOrderPending
 	}
+	a.claim, a.acquired = next, next
 	if a.version, err = g.options.Claims.WriteFunc(ctx, g.options.Name, a.claim, version); err != nil {
 		return errors.Wrap(err, "write the claim record")
 	}
--- a/internal/serve/database/promote.go
+++ b/internal/serve/database/promote.go
@@ -50,8 +50,8 @@
 	return a.sealListed(ctx)
 }
 
-// promote promotes the sealed server with the furthest log. It repeats a request that
-// was not confirmed, except after ErrTargetDown.
+// promote promotes the sealed server with the furthest log, or the one that was ordered
+// before. It repeats a request that was not confirmed, except after ErrTargetDown.
 func (a *claimAttempt) promote(ctx context.Context) error {
 	g := a.group
 	for ctx.Err() == nil {
@@ -60,24 +60,25 @@
 		}
 		candidates := a.currentServers(g.failoverServers(a.formerPrimary))
 		acknowledged := failover.Acknowledged{Position: g.acknowledgedInTerm(a.term, a.token), Complete: a.released}
-		target := failover.PromotionTarget(candidates, g.options.SyncReplicas, acknowledged)
+		target, awaitsOrdered := a.claim.PromotionTarget(candidates, g.options.SyncReplicas, acknowledged)
+		if awaitsOrdered {
+			if err := a.awaitOrdered(ctx); err != nil {
+				return err
+			}
+			continue
+		}
 		if target == "" {
 			if err := a.awaitLog(ctx, acknowledged.Position); err != nil {
 				return err
 			}
 			continue
 		}
-		a.checkTarget(candidates, target, acknowledged.Position)
+		logEnd := a.checkTarget(candidates, target, acknowledged.Position)
 		if a.ordered && target != a.claim.Target {
 			return errTargetChanged
 		}
-		if target != a.claim.Target {
-			a.claim.Target = target
-			version, err := g.options.Claims.WriteFunc(ctx, g.options.Name, a.claim, a.version)
-			if err != nil {
-				return errors.Wrap(err, "write the claim record")
-			}
-			a.version = version
+		if err := a.recordOrder(ctx, target, logEnd); err != nil {
+			return err
 		}
 		if err := a.checkClaim(); err != nil {
 			return err
@@ -91,8 +92,13 @@
 			a.mu.Lock()
 			delete(a.sealed, target)
 			a.mu.Unlock()
+			a.withdrawOrder(ctx)
 			return err
 		}
+		if !errors.Is(err, ErrOrderRefused) {
+			a.unanswered++
+			a.ageSeal(target)
+		}
 		g.options.Log.Warn("promotion not confirmed; retrying", "group", g.options.Name, "server", target, "err", err)
 		_ = g.options.Clock.Sleep(ctx, promoteRetryPause)
 	}
@@ -130,9 +136,10 @@
 }
 
 // checkTarget asserts that the server to be promoted has every acknowledged commit, and
-// that the log of no sealed replica goes further. The log of the former primary may, by
-// commits that were not acknowledged.
-func (a *claimAttempt) checkTarget(servers []failover.Server, target string, acknowledged floor.ReplicationPosition) {
+// that the log of no sealed replica goes further, and returns the end of its log. The log of
+// the former primary may go further, by commits that were not acknowledged. If the server was
+// ordered before, that held at the first order, of which it must not have lost anything.
+func (a *claimAttempt) checkTarget(servers []failover.Server, target string, acknowledged floor.ReplicationPosition) floor.ReplicationPosition {
 	var targetLogEnd floor.ReplicationPosition
 	for _, s := range servers {
 		if s.ID == target {
@@ -141,10 +148,16 @@
 	}
 	invariant.Check(targetLogEnd.Covers(acknowledged), invariant.CurrentPrimary,
 		"backend server %s at %s would be promoted, but %s was acknowledged", target, targetLogEnd, acknowledged)
+	if target == a.claim.Target {
+		invariant.Check(targetLogEnd.Covers(a.claim.OrderedEnd), invariant.CurrentPrimary,
+			"backend server %s at %s would be promoted, but was at %s when it was ordered", target, targetLogEnd, a.claim.OrderedEnd)
+		return targetLogEnd
+	}
 	for _, s := range servers {
 		invariant.Check(!s.Sealed || s.FormerPrimary || targetLogEnd.Covers(s.LogEnd), invariant.CurrentPrimary,
 			"backend server %s at %s would be promoted over %s at %s", target, targetLogEnd, s.ID, s.LogEnd)
 	}
+	return targetLogEnd
 }
 
 // finish waits until the promoted server reports the new term, makes the former primary
--- a/internal/serve/database/seal.go
+++ b/internal/serve/database/seal.go
@@ -68,7 +68,7 @@
 			a.sealedAt = c.Now()
 			return nil
 		}
-		if a.group.primaryRecovered() && !a.planned {
+		if a.group.primaryRecovered() && !a.planned && a.acquired.Target == "" {
 			return errPrimaryRecovered
 		}
 		_ = c.Sleep(ctx, sealRetryPause)
