Stay out of a released term while an order may be out

Cause: a VM that has released a term took proofs of it again after 3.7 s, which no attempt reaches, but an order of the attempt does. If the claimant was gone by then and a replica had lost its seal, the VM used the old term, and the order took effect later.

Evidence: TestOldTermAfterRelease: 4 s and 9 s after the release the primary was usable again; now it is not, and it is after a minute.

Change: a release lasts 10 s, as long as an order may take effect (failover.OrderTimeout), unless its end is heard or a later term is known. So that VMs don't wait that long for a claimant that is gone without an order, the next claim that finds no order in the record tells them that the releases before it have ended: an earlier claimant would have to write the record before it orders, and can't any more. TestReleaseForClaimBefore fails without this ("ended" false).

--- a/internal/core/tenure/watch.go
+++ b/internal/core/tenure/watch.go
@@ -33,9 +33,9 @@
 	// milliseconds. It is longer than an attempt of a claimant, which rereads the directory
 	// after it has sealed servers: a replica that counts is in the claimant's list.
 	WitnessDelay = clock.Millis(3700)
-	// ClaimTimeout is how long after a release the claim may still be in progress, in
-	// milliseconds.
-	ClaimTimeout = clock.Millis(3700)
+	// ClaimTimeout is how long after a release the claim may still be in progress, or an
+	// order of its holder to promote a server may take effect, in milliseconds.
+	ClaimTimeout = 10 * clock.Second
 	// RenewAfter is the age of a proof at which a VM asks for another, in
 	// milliseconds.
 	RenewAfter = clock.Millis(400)
--- a/internal/serve/database/claim.go
+++ b/internal/serve/database/claim.go
@@ -247,6 +247,7 @@
 		return errors.Wrap(err, "write the claim record")
 	}
 	a.token = a.version
+	a.endEarlierReleases()
 	g.mu.Lock()
 	g.lastHolder = g.options.Self
 	g.mu.Unlock()
--- a/internal/serve/database/order.go
+++ b/internal/serve/database/order.go
@@ -14,6 +14,17 @@
 // still take effect.
 var errOrderPending = errors.New("an order of an earlier change of primary may still take effect")
 
+// endEarlierReleases ends the releases for earlier claims, unless one of them has ordered a
+// promotion that may take effect. None of them can order one any more, since it would have to
+// write the record first.
+func (a *claimAttempt) endEarlierReleases() {
+	if a.acquired.Target != "" {
+		return
+	}
+	a.group.endRelease(a.token - 1)
+	a.group.options.GossipFunc()
+}
+
 // awaitOrdered tries to seal the server that was ordered to be promoted, which may lead at any
 // time. Another is promoted only once the order is older than failover.OrderTimeout.
 func (a *claimAttempt) awaitOrdered(ctx context.Context) error {
--- a/internal/serve/database/order_test.go
+++ b/internal/serve/database/order_test.go
@@ -11,6 +11,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 )
 
 // claimRecord is the claim record of a group, and the time of the store's clock.
@@ -92,6 +93,26 @@
 	}
 }
 
+// TestOldTermAfterRelease guards against a VM that takes the old term up again while a claimant that is gone may have ordered a promotion.
+func TestOldTermAfterRelease(t *testing.T) {
+	f := &fakeGroup{}
+	g := f.group(t, 4)
+	skip := skipTime(g)
+	f.runTicks(g, testTimeout, g.Ready)
+	g.MergeView(Sender{VM: "vm2", Process: 1}, inner.GroupView{Group: "g", Term: 1, Leader: "p", ProofAge: -1, PrimaryLost: true, ReleasedToken: 5}, nil)
+	readyAfter := func(elapsed clock.Millis) bool {
+		skip(elapsed)
+		for _, p := range g.pools {
+			g.probe(t.Context(), p)
+		}
+		return g.Ready()
+	}
+	// An order comes up to 3 s after the release, and takes effect seconds later.
+	if diff := cmp.Diff([]bool{false, false, true}, []bool{readyAfter(4 * clock.Second), readyAfter(9 * clock.Second), readyAfter(60 * clock.Second)}); diff != "" {
+		t.Errorf("the old term is used after 4 s, 9 s and a minute (-want +got):\n%s", diff)
+	}
+}
+
 // TestOrderOfEarlierTerm guards against a change of primary while an order of the change before it may still take effect.
 func TestOrderOfEarlierTerm(t *testing.T) {
 	f := &fakeGroup{}
@@ -141,3 +162,20 @@
 
 // errNoAnswer is the error of an order that may have been performed.
 var errNoAnswer = errors.New("no answer")
+
+// TestReleaseForClaimBefore guards against VMs that wait for the end of a claim whose holder is gone, though the next one has found that it ordered nothing.
+func TestReleaseForClaimBefore(t *testing.T) {
+	f := &fakeGroup{unreachable: map[string]bool{"p": true, "r": true}}
+	for target, want := range map[string]bool{"": true, "q": false} {
+		g, r := inheritedOrder(t, f, failover.SilentHolderTimeout)
+		r.claim.Target = target
+		// The primary is lost once its last proof is old, so that this attempt does not give up.
+		skipTime(g)(60 * clock.Second)
+		g.releaseTerm(5)
+		g.attemptClaim(t.Context())
+		_ = g.options.Clock.Sleep(t.Context(), 2)
+		if diff := cmp.Diff(want, g.View().ReleaseEnded); diff != "" {
+			t.Errorf("release ended after an order of %q (-want +got):\n%s", target, diff)
+		}
+	}
+}
--- a/internal/serve/database/release.go
+++ b/internal/serve/database/release.go
@@ -57,12 +57,13 @@
 	return p != nil && p.answeredRecently(g.options.Clock.Now())
 }
 
-// endRelease tells this VM and the others that the claim with the given token has ended
-// without ordering a promotion.
+// endRelease tells this VM and the others that the claims up to the given token have ended,
+// and that no order of them to promote a server may take effect.
 func (g *Group) endRelease(token uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.releasedToken == token {
+	if g.releasedToken <= token {
+		g.releasedToken = token
 		g.setWatch(g.watch.WithReleaseEnd(g.options.Clock.Now()))
 	}
 }
--- a/internal/serve/database/replacement_test.go
+++ b/internal/serve/database/replacement_test.go
@@ -142,6 +142,9 @@
 	if longest > tenure.ClaimTimeout || longest > tenure.WitnessDelay {
 		t.Errorf("an attempt takes up to %d ms, longer than VMs rely on", longest)
 	}
+	if failover.OrderTimeout <= longest || failover.OrderTimeout > tenure.ClaimTimeout {
+		t.Errorf("an order may take effect up to %d ms after its attempt began, which VMs do not wait for", failover.OrderTimeout)
+	}
 }
 
 // TestTermAdvances raises the term while a claimant seals, as another completed claim
