Say which order an attempt waits for

An attempt that inherited an order waited for its server without a word in the log, and ended with "context deadline exceeded". It also reread the directory every 200 ms while it waited, though the directory's feed brings what changes. It now warns once, with the server and the age of the order, its error says what it waited for, and it only tries to seal the server.

Run: go test -race of internal/serve/database; platform.TestLateOrder and TestPrimaryLost.

--- a/internal/serve/database/order.go
+++ b/internal/serve/database/order.go
@@ -18,25 +18,28 @@
 // promotion that may take effect. None of them can order one any more, since it would have to
 // write the record first.
 func (a *claimAttempt) endEarlierReleases() {
+	g := a.group
 	if a.acquired.Target != "" {
+		g.options.Log.Warn("an order to promote may still take effect", "group", g.options.Name, "term", a.term, "server", a.acquired.Target, "age", a.acquired.ClaimedAt-a.acquired.OrderedAt)
 		return
 	}
-	a.group.endRelease(a.token - 1)
-	a.group.options.GossipFunc()
+	g.endRelease(a.token - 1)
+	g.options.GossipFunc()
 }
 
 // awaitOrdered tries to seal the server that was ordered to be promoted, which may lead at any
 // time. Another is promoted only once the order is older than failover.OrderTimeout.
 func (a *claimAttempt) awaitOrdered(ctx context.Context) error {
-	g := a.group
-	g.options.Log.Debug("the server that was ordered to be promoted is not sealed", "group", g.options.Name, "term", a.term, "server", a.claim.Target)
 	if err := a.checkClaim(); err != nil {
 		return err
 	}
-	if err := g.options.Clock.Sleep(ctx, promoteRetryPause); err != nil {
-		return err
+	if err := a.group.options.Clock.Sleep(ctx, promoteRetryPause); err != nil {
+		return errors.Wrap(err, "seal the server that was ordered to be promoted")
 	}
-	return a.sealListed(ctx)
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout.Duration())
+	defer cancel()
+	a.startSeals(ctx, a.group.failoverServers(a.formerPrimary)).Wait()
+	return nil
 }
 
 // recordOrder writes to the claim record that this attempt orders the promotion of a server
