Don't await an order that was certainly not performed

An order that each time was refused (429), or never sent for want of a connection to the platform, stayed in the record and was awaited for 10 s like one without an answer. An attempt that fails now takes its order out of the record if every request of it was refused or not sent.

Evidence: platform.TestOrderCertainlyRefused, and the case "each order refused" of TestRecordOfOrder.

--- a/internal/serve/database/claim.go
+++ b/internal/serve/database/claim.go
@@ -174,6 +174,8 @@
 		}
 		if errors.Is(err, errTermAdvanced) {
 			a.settleOrder(ctx, a.unanswered-1)
+		} else {
+			a.withdrawOrder(ctx)
 		}
 		return err
 	}
--- a/internal/serve/database/order.go
+++ b/internal/serve/database/order.go
@@ -67,12 +67,14 @@
 	}
 }
 
-// withdrawOrder records that the last order certainly has no effect, since the server was not
-// running. One without an answer before it may have.
+// withdrawOrder records that the orders of an attempt that has failed certainly have no
+// effect, since each was refused or not sent. An inherited one may have.
 func (a *claimAttempt) withdrawOrder(ctx context.Context) {
-	if a.unanswered > 0 {
+	if a.claim == a.acquired || a.unanswered > 0 {
 		return
 	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout.Duration())
+	defer cancel()
 	if err := a.writeClaim(ctx, a.acquired); err != nil {
 		a.group.options.Log.Warn("the withdrawal of an order to promote was not recorded", "group", a.group.options.Name, "err", err)
 	}
--- a/internal/serve/database/order_test.go
+++ b/internal/serve/database/order_test.go
@@ -137,6 +137,7 @@
 		"answered and not performed yet":   {answers: []error{nil}, target: "q"},
 		"performed, another may follow":    {answers: []error{errNoAnswer, nil}, leads: true, target: "q"},
 		"performed, another refused":       {answers: []error{ErrOrderRefused, nil}, leads: true},
+		"each order refused":               {answers: []error{ErrOrderRefused}},
 		"the server is not running":        {answers: []error{ErrTargetDown}},
 		"not running, another may follow":  {answers: []error{errNoAnswer, ErrTargetDown}, target: "q"},
 		"not running, another was refused": {answers: []error{ErrOrderRefused, ErrTargetDown}},
--- a/internal/serve/database/promote.go
+++ b/internal/serve/database/promote.go
@@ -92,7 +92,6 @@
 			a.mu.Lock()
 			delete(a.sealed, target)
 			a.mu.Unlock()
-			a.withdrawOrder(ctx)
 			return err
 		}
 		if !errors.Is(err, ErrOrderRefused) {
