Keep a release when the leader of the released term becomes known

What callers could see: an acknowledged commit missing after a change of primary. A VM that has released a term reports the furthest position that it acknowledged and must acknowledge nothing of that term until the claim has ended. If it did not know the primary's name when it released (it had heard the term from a replica, or the primary had stepped down), the next answer or report that named the primary went through WithTerm, which forgot the release together with the proofs. The VM then took proofs again and could acknowledge commits that the claimant did not count.

Only a later term ends a release now.

--- a/internal/core/tenure/watch.go
+++ b/internal/core/tenure/watch.go
@@ -151,10 +151,10 @@
 		return w
 	}
 	if term > w.term {
-		w.samples, w.unsealedAt = nil, map[string]clock.Millis{}
+		w.samples, w.unsealedAt, w.releasedUntil = nil, map[string]clock.Millis{}, DistantPast
 	}
 	w.term, w.leader = term, leader
-	w.provedAt, w.leaderProbeSent, w.releasedUntil = DistantPast, DistantPast, DistantPast
+	w.provedAt, w.leaderProbeSent = DistantPast, DistantPast
 	return w
 }
 
