Keep a stopping VM registered until its service ends

A VM left the list of VMs at the start of a planned stop and served for up to the whole stop after that. A VM that had left for good took with it what it had acknowledged.

Claimants await the releases of leaving VMs whose messages come, so that a change of primary beside a stop need not wait out the lease. The removal of a VM from the list counts as the end of a process that could not report.

TestLeavingVMAfterRestore calls Unregister after Leave now and expects the same.

--- a/internal/serve/database/forgotten_test.go
+++ b/internal/serve/database/forgotten_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 )
@@ -124,3 +125,38 @@
 		t.Errorf("acknowledged (-want +got):\n%s", diff)
 	}
 }
+
+// TestCommitsOfVMThatLeft guards against the loss of commits whose VM has left the list of VMs before the claim.
+func TestCommitsOfVMThatLeft(t *testing.T) {
+	for name, sampled := range map[string]bool{"position of the primary known since": true, "not known": false} {
+		t.Run(name, func(t *testing.T) {
+			f := &fakeGroup{}
+			g := laggingGroup(t, f, 2, 2)
+			f.awaitSample(g)
+			f.advance(5)
+			removedAt := g.options.Clock.Now()
+			g.options.VMRemovedAtFunc = func() clock.Millis { return removedAt }
+			if sampled {
+				f.awaitSample(g)
+			}
+			expectPromoted(t, f, g, "p")
+		})
+	}
+}
+
+// TestLeavingVMIsAwaited guards against a promotion while a VM that is leaving still uses the term.
+func TestLeavingVMIsAwaited(t *testing.T) {
+	f := &fakeGroup{}
+	g := f.group(t, 4)
+	g.options.LeavingVMsFunc = func() []string { return []string{"vm2"} }
+	view := inner.GroupView{Group: "g", Term: 1, Leader: "p", ProofAge: -1}
+	g.MergeView(Sender{VM: "vm2", Process: 1}, view, nil)
+	before := g.termReleased(5, g.options.Clock.Now())
+	g.options.ExpectedVMCountFunc = func() int { return 2 }
+	view.ReleasedToken = 5
+	g.MergeView(Sender{VM: "vm2", Process: 1}, view, nil)
+	after := g.termReleased(5, g.options.Clock.Now())
+	if diff := cmp.Diff([]bool{false, true}, []bool{before, after}); diff != "" {
+		t.Errorf("released before and after its release (-want +got):\n%s", diff)
+	}
+}
--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -45,6 +45,12 @@
 	// one.
 	Self        string
 	LiveVMsFunc func() []string
+	// LeavingVMsFunc lists the VMs that are leaving and send messages: they may use a primary
+	// still. The function may be nil.
+	LeavingVMsFunc func() []string
+	// VMRemovedAtFunc returns the time at which this VM last learned that another had left for
+	// good, or an early time. The function may be nil.
+	VMRemovedAtFunc func() clock.Millis
 	// ProbersFunc lists the VMs near this one that probe the group's servers. An
 	// empty list means that this VM does, and one without this VM that it does not.
 	ProbersFunc func() []string
--- a/internal/serve/database/release.go
+++ b/internal/serve/database/release.go
@@ -1,9 +1,12 @@
 package database
 
 import (
+	"slices"
+
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 )
 
 // failoverServers returns the servers whose logs may contain acknowledged commits:
@@ -67,13 +70,16 @@
 	}
 }
 
-// termReleased reports whether all other live VMs have released the term that the
-// claim with the given token replaces. It returns false while fewer VMs are live than
-// should be running, since one that this VM does not see may still use the term. The
-// release of a process counts only if it was known at the time since: one that has started
-// later does not know what its VM acknowledged before.
+// termReleased reports whether all other VMs that send messages, those that are leaving too,
+// have released the term that the claim with the given token replaces. It returns false while
+// these are fewer than are registered, since one that this VM does not see may still use the
+// term. The release of a process counts only if it was known at the time since: one that has
+// started later does not know what its VM acknowledged before.
 func (g *Group) termReleased(token uint64, since clock.Millis) bool {
 	vms := g.options.LiveVMsFunc()
+	if g.options.LeavingVMsFunc != nil {
+		vms = slices.Concat(vms, g.options.LeavingVMsFunc())
+	}
 	if len(vms) < g.options.ExpectedVMCountFunc() {
 		return false
 	}
@@ -90,8 +96,13 @@
 // departedEnd returns a position that covers what was acknowledged by processes of VMs that
 // have ended, and false if none is known.
 func (g *Group) departedEnd() (floor.ReplicationPosition, bool) {
+	removedAt := tenure.DistantPast
+	if g.options.VMRemovedAtFunc != nil {
+		removedAt = g.options.VMRemovedAtFunc()
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.setWatch(g.watch.WithDeparture(removedAt))
 	return g.watch.DepartedEnd()
 }
 
--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -220,6 +220,7 @@
 		MaxConnsFunc: func(s database.Server) int { return f.connLimits(s).maxConns },
 		MaxIdleFunc:  func(s database.Server) int { return f.connLimits(s).maxIdle }, HolderCountFunc: func(s database.Server) int { return len(f.holderCache.vmsOf(s).holders) }, RemoteConnFunc: f.forwarder.Remote,
 		Self: o.Self.Name, LiveVMsFunc: func() []string { return vmNames(f.mesh.Alive()) },
+		LeavingVMsFunc: func() []string { return vmNames(f.mesh.Leaving()) }, VMRemovedAtFunc: f.mesh.RemovedAt,
 		SettledFunc:    f.mesh.Settled,
 		UsesRelaysFunc: f.mesh.UsesRelays,
 		ProbersFunc:    func() []string { return f.probers(name) },
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -63,9 +63,10 @@
 	counters       database.Counters
 	catalog        atomic.Pointer[catalog.Catalog]
 	// stop is the planned stop, or nil before it begins; closingSessions is set once idle
-	// sessions are to end.
+	// sessions are to end, and ended once no statement is taken any more.
 	stop            atomic.Pointer[shutdown.Stop]
 	closingSessions atomic.Bool
+	ended           atomic.Bool
 	// openConns counts the callers' connections, those without a session too.
 	openConns atomic.Int64
 	tasks     sync.WaitGroup
--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -130,6 +130,11 @@
 	role    Role
 	peers   map[string]*peer
 	leaving bool
+	// removable is set once this VM, which is leaving, uses no primary any more.
+	removable bool
+	// removedAt is the time at which this VM last removed another that was no longer listed,
+	// or 0.
+	removedAt clock.Millis
 	// downReports holds, by zone, the last report of the VMs of a zone that are down.
 	downReports map[member.Zone]downReport
 	// roster is the latest list of VMs.
@@ -180,21 +185,30 @@
 	}
 }
 
-// Leave announces to the other VMs that this one is stopping, and removes it from the list
-// of VMs.
-func (m *Mesh) Leave(ctx context.Context) {
+// Leave announces to the other VMs that this one is stopping. It stays in the list of VMs
+// until Unregister: a claimant that does not hear it must know that it still uses primaries.
+func (m *Mesh) Leave() {
 	m.mu.Lock()
 	m.leaving = true
 	m.mu.Unlock()
 	m.GossipSoon()
-	m.unregister(ctx)
+}
+
+// Unregister removes this VM, which uses no primary any more, from the list of VMs.
+func (m *Mesh) Unregister(ctx context.Context) error {
+	m.mu.Lock()
+	m.leaving, m.removable = true, true
+	m.mu.Unlock()
+	return m.unregister(ctx)
 }
 
 // unregister removes this VM from the list of VMs.
-func (m *Mesh) unregister(ctx context.Context) {
-	if err := m.options.RemoveFunc(ctx, m.options.Self); err != nil {
+func (m *Mesh) unregister(ctx context.Context) error {
+	err := m.options.RemoveFunc(ctx, m.options.Self)
+	if err != nil {
 		m.options.Log.Warn("removing this VM from the list of VMs failed", "err", err)
 	}
+	return err
 }
 
 // Alive returns the VMs from which a message came within SilenceTimeout and which are not
@@ -213,6 +227,29 @@
 	return out
 }
 
+// Leaving returns the VMs from which a message came within SilenceTimeout and which are
+// leaving. They may still use primaries.
+func (m *Mesh) Leaving() []member.VM {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.options.Clock.Now()
+	var out []member.VM
+	for _, p := range m.peers {
+		if now-p.lastReceived < SilenceTimeout && p.leaving {
+			out = append(out, p.vm)
+		}
+	}
+	return out
+}
+
+// RemovedAt returns the time at which this VM last found that another was no longer
+// registered, or 0.
+func (m *Mesh) RemovedAt() clock.Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.removedAt
+}
+
 // RegionAlive returns those of Alive that are in this VM's region.
 func (m *Mesh) RegionAlive() []member.VM {
 	return slices.DeleteFunc(m.Alive(), func(v member.VM) bool { return v.Region != m.options.Self.Region })
--- a/internal/serve/gossip/list.go
+++ b/internal/serve/gossip/list.go
@@ -32,7 +32,7 @@
 }
 
 // updateList brings the list of VMs up to date: from the VM that reported a later one, else
-// from the store. There it also registers this VM, or removes it if it is leaving. It returns the
+// from the store. There it also registers this VM, or removes it if it has left. It returns the
 // pause before the next call, in milliseconds.
 func (m *Mesh) updateList(ctx context.Context) clock.Millis {
 	if m.fetchList(ctx) || m.listConfirmed() {
@@ -44,8 +44,8 @@
 	case !m.isLeaving():
 		m.register(ctx, listed)
 		m.registerFollowers(ctx, l.VMs)
-	case listed:
-		m.unregister(ctx)
+	case listed && m.isRemovable():
+		_ = m.unregister(ctx)
 	}
 	return m.listPause(len(l.VMs))
 }
@@ -123,6 +123,13 @@
 	return m.leaving
 }
 
+// isRemovable reports whether this VM is leaving and uses no primary any more.
+func (m *Mesh) isRemovable() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.removable
+}
+
 // isUnlisted reports whether this VM has not registered again since the store came back from
 // a copy.
 func (m *Mesh) isUnlisted() bool {
@@ -215,6 +222,7 @@
 	for name, p := range m.peers {
 		if !listed[name] && now-p.lastReceived >= SilenceTimeout && !m.restoredLocked(now) {
 			delete(m.peers, name)
+			m.removedAt = now
 		}
 	}
 }
--- a/internal/serve/gossip/restore_test.go
+++ b/internal/serve/gossip/restore_test.go
@@ -95,7 +95,10 @@
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
-	m.Leave(ctx)
+	m.Leave()
+	if err := m.Unregister(ctx); err != nil {
+		t.Fatal(err)
+	}
 	<-removed
 	go func() {
 		defer close(done)
