--- a/internal/serve/gossip/leave_test.go
+++ b/internal/serve/gossip/leave_test.go
@@ -49,3 +49,28 @@
 		t.Errorf("known VMs (-want +got):\n%s", diff)
 	}
 }
+
+// TestVMThatLeft guards against a claimant that awaits a VM which has left, or does not learn that what it acknowledged is forgotten.
+func TestVMThatLeft(t *testing.T) {
+	n := newNetwork(3)
+	n.run(clock.Second)
+	m, _ := leavingMesh(n)
+	claimant := n.meshes["vm1"]
+	claimant.options.ListFunc = m.options.ListFunc
+	n.run(2 * SilenceTimeout)
+	if diff := cmp.Diff([]member.VM{m.options.Self}, claimant.Leaving()); diff != "" {
+		t.Errorf("leaving VMs while it serves (-want +got):\n%s", diff)
+	}
+	if err := m.Unregister(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	n.cut["vm0"] = true
+	n.run(2 * SilenceTimeout)
+	if err := claimant.RefreshVMs(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	now := n.clock.Clock().Now()
+	if diff := cmp.Diff([]any{2, []member.VM(nil), now}, []any{claimant.KnownCount(), claimant.Leaving(), claimant.RemovedAt()}); diff != "" {
+		t.Errorf("known VMs, leaving ones and time of the last removal (-want +got):\n%s", diff)
+	}
+}
