Don't take a former primary that started anew for one that stepped down

A server may start again under its id and hold nothing of before. A claimant that tells such a former primary to step down hears that it is a replica, and took that for a log with everything that it had acknowledged: a promotion counted as safe with one replica sealed, or none.

Change: a VM remembers that a server started anew in the present term until it reports itself as primary, and its stepping down counts for nothing until then. It counts as no replica either, as before, so that a promotion that is safe by the replicas does not wait for it. A VM that started later does not know of it.

Before, TestRebornPrimaryHasNotSteppedDown: stepped down and safe true and true, want false and false. It passes now. TestRestartedPrimaryStepsDown holds the other side.

--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -108,6 +108,11 @@
 	// unlistedSince holds, for each server removed from the directory, the time of
 	// its removal.
 	unlistedSince map[string]clock.Millis
+	// born holds the last known start of each server by ID, and restartedIn, for each server
+	// that has started anew under its ID since and has not reported itself as primary, the
+	// term known at that time.
+	born        map[string]int64
+	restartedIn map[string]floor.Term
 	// leavingSince holds the time at which each leaving server was first seen to
 	// leave.
 	leavingSince map[string]clock.Millis
@@ -141,6 +146,7 @@
 	return &Group{
 		options: o, createdAt: o.Clock.Now(), leaderDoubtedAt: tenure.DistantPast, leaderAskedAt: tenure.DistantPast, watch: tenure.New(o.SyncReplicas), pools: map[string]*pool{}, positions: map[string]floor.ReplicationPosition{}, positionSeenAt: map[string]clock.Millis{},
 		primaryReady: make(chan struct{}), probedAt: map[string]clock.Millis{}, unlistedSince: map[string]clock.Millis{}, leavingSince: map[string]clock.Millis{},
+		born: map[string]int64{}, restartedIn: map[string]floor.Term{},
 		votes: map[string]vote{}, receivedPositions: map[string]receivedPosition{},
 	}
 }
@@ -157,6 +163,7 @@
 	for _, s := range servers {
 		listed[s.ID] = true
 		delete(g.unlistedSince, s.ID)
+		g.recordBornLocked(s)
 		if _, known := g.leavingSince[s.ID]; s.Leaving && !known {
 			g.leavingSince[s.ID] = g.options.Clock.Now()
 		}
@@ -202,6 +209,24 @@
 	}
 }
 
+// recordBornLocked records the start of a listed server. The caller holds g.mu.
+func (g *Group) recordBornLocked(s Server) {
+	if old, known := g.born[s.ID]; known && old != s.Born {
+		g.restartedIn[s.ID], _ = g.watch.Leader()
+	}
+	g.born[s.ID] = s.Born
+}
+
+// hasRestarted reports whether a server has started anew in the present term, and has not
+// reported itself as primary since.
+func (g *Group) hasRestarted(server string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	term, _ := g.watch.Leader()
+	restartedIn, ok := g.restartedIn[server]
+	return ok && restartedIn == term
+}
+
 // forgetPositionsLocked forgets how far a server's log reached, which may start anew. The
 // caller holds g.mu.
 func (g *Group) forgetPositionsLocked(server string) {
--- a/internal/serve/database/probe.go
+++ b/internal/serve/database/probe.go
@@ -182,6 +182,9 @@
 	now := g.options.Clock.Now()
 	oldProvedAt := g.watch.ProvedAt()
 	g.recordReceived(server, status, now)
+	if status.Primary {
+		delete(g.restartedIn, server)
+	}
 	g.setWatch(g.watch.WithStatus(server, status, sent))
 	if g.watch.ProvedAt() > oldProvedAt {
 		g.options.RegionGossipFunc()
--- a/internal/serve/database/seal.go
+++ b/internal/serve/database/seal.go
@@ -145,7 +145,8 @@
 	return failover.SafeToPromote(a.currentServers(servers), a.group.options.SyncReplicas)
 }
 
-// sealServer seals a replica, or makes the former primary step down.
+// sealServer seals a replica, or makes the former primary step down. One that has started anew
+// in its term may have stepped down without its log, and is not recorded.
 func (a *claimAttempt) sealServer(ctx context.Context, id string, s failover.Server) {
 	command := Seal
 	if s.FormerPrimary {
@@ -162,6 +163,10 @@
 		a.group.recordStatus(id, status, tenure.DistantPast)
 		return
 	}
+	if s.FormerPrimary && a.group.hasRestarted(id) {
+		a.group.options.Log.Info("former primary has started anew and may lack its log", "group", a.group.options.Name, "server", id, "received", status.Received)
+		return
+	}
 	s.Sealed, s.LogEnd = true, status.Received
 	a.mu.Lock()
 	a.sealed[id] = seal{server: s, at: sent}
--- a/internal/serve/database/stepdown_test.go
+++ b/internal/serve/database/stepdown_test.go
@@ -85,3 +85,32 @@
 		t.Errorf("released in force and ended (-want +got):\n%s", diff)
 	}
 }
+
+// TestRebornPrimaryHasNotSteppedDown guards against a former primary that started anew without its log and is taken for one that has stepped down with everything it acknowledged.
+func TestRebornPrimaryHasNotSteppedDown(t *testing.T) {
+	f := &fakeGroup{logEnds: map[string]floor.Position{"r": 3}, unreachable: map[string]bool{"r": true}}
+	g, _ := claimableGroup(t, f)
+	f.mu.Lock()
+	f.steppedDown, f.logEnds["p"] = true, 0
+	f.mu.Unlock()
+	g.Update([]Server{{ID: "p", Group: "g", Slots: 2, Born: 7}, {ID: "q", Group: "g", Slots: 2}, {ID: "r", Group: "g", Slots: 2}})
+	a := sealedAttempt(t, g)
+	a.stopFormer(t.Context())
+	a.startSeals(t.Context(), g.failoverServers("p")).Wait()
+	if diff := cmp.Diff([]bool{false, false}, []bool{a.formerStopped(), a.isSafe(g.failoverServers("p"))}); diff != "" {
+		t.Errorf("stepped down and safe to promote (-want +got):\n%s", diff)
+	}
+}
+
+// TestRestartedPrimaryStepsDown guards against a primary that started anew with its log, and leads again, but counts for nothing once it has stepped down.
+func TestRestartedPrimaryStepsDown(t *testing.T) {
+	f := &fakeGroup{logEnds: map[string]floor.Position{"p": 4}}
+	g, _ := claimableGroup(t, f)
+	g.Update([]Server{{ID: "p", Group: "g", Slots: 2, Born: 7}, {ID: "q", Group: "g", Slots: 2}, {ID: "r", Group: "g", Slots: 2}})
+	g.probe(t.Context(), g.pools["p"])
+	a := sealedAttempt(t, g)
+	a.stopFormer(t.Context())
+	if !a.formerStopped() {
+		t.Error("the former primary counts as one that has not stepped down")
+	}
+}
