--- a/internal/serve/database/probe.go
+++ b/internal/serve/database/probe.go
@@ -183,6 +183,9 @@
 	oldProvedAt := g.watch.ProvedAt()
 	g.recordReceived(server, status, now)
 	g.checkLogLocked(server, status)
+	if status.Primary {
+		delete(g.restartedIn, server)
+	}
 	g.setWatch(g.watch.WithStatus(server, status, sent))
 	if g.watch.ProvedAt() > oldProvedAt {
 		g.options.RegionGossipFunc()
--- a/internal/serve/database/seal.go
+++ b/internal/serve/database/seal.go
@@ -145,7 +145,8 @@
 	return failover.SafeToPromote(a.currentServers(servers), a.group.options.SyncReplicas)
 }
 
-// sealServer seals a replica, or makes the former primary step down.
+// sealServer seals a replica, or makes the former primary step down. One that has started anew
+// in its term may have stepped down without its log, and is not recorded.
 func (a *claimAttempt) sealServer(ctx context.Context, id string, s failover.Server) {
 	command := Seal
 	if s.FormerPrimary {
@@ -163,6 +164,10 @@
 		return
 	}
 	g := a.group
+	if s.FormerPrimary && a.group.hasRestarted(id) {
+		g.options.Log.Info("former primary has started anew and may lack its log", "group", g.options.Name, "server", id, "received", status.Received)
+		return
+	}
 	g.options.Log.Info("server sealed", "group", g.options.Name, "server", id, "token", a.token, "former", s.FormerPrimary, "term", status.Term, "log_end", status.Received, "took", g.options.Clock.Now()-sent)
 	s.Sealed, s.LogEnd = true, status.Received
 	a.mu.Lock()
