Claim no term that is earlier than that of the last claim

Cause: a claimant did not compare its term with that of the record, which it reads anyway.

Change: if the record names a later term, the attempt ends before it writes.

Failed before: TestEarlierTermIsNotClaimed: error <nil>, servers sealed [q r].

--- a/internal/serve/database/claim.go
+++ b/internal/serve/database/claim.go
@@ -45,6 +45,9 @@
 // errTermAdvanced means that another claim was completed during the attempt.
 var errTermAdvanced = errors.New("the group already has a later term")
 
+// errTermBehind means that a claim for a later term than this VM knows has been written.
+var errTermBehind = errors.New("a later term than the known one has been claimed")
+
 // errPrimaryRecovered means that the primary became usable again before another was
 // chosen.
 var errPrimaryRecovered = errors.New("the primary is usable again")
@@ -236,6 +239,9 @@
 	if !old.CanTakeOver(g.options.Self, now, slices.Contains(g.options.LiveVMsFunc(), old.Holder)) {
 		return ErrClaimTaken
 	}
+	if old.Term > a.term {
+		return errTermBehind
+	}
 	if a.formerPrimary == "" && old.Term == a.term {
 		a.formerPrimary = old.Former
 	}
