Unseal all replicas that answer when an attempt is given up

A claimant that dies leaves replicas sealed. The next attempt, when it gave up, let only those receive again that it had sealed itself, so another one received nothing until a promotion or a restart: its log stands still, callers depend on the replicas that are left, and it is the target that lacks commits if anything else goes wrong.

Change: an attempt that ends asks all replicas that have answered lately.

Failed before: TestGiveUpUnsealsAll: replicas sealed - 0 + 1.

--- a/internal/serve/database/claim_test.go
+++ b/internal/serve/database/claim_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/go-faster/errors"
+	"github.com/google/go-cmp/cmp"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
@@ -26,3 +27,20 @@
 		t.Errorf("servers sealed: %v", sealed)
 	}
 }
+
+// TestGiveUpUnsealsAll guards against a replica that receives nothing any more, because a claimant that is gone had sealed it.
+func TestGiveUpUnsealsAll(t *testing.T) {
+	f := &fakeGroup{}
+	g, _ := claimableGroup(t, f)
+	f.mu.Lock()
+	f.sealedNow["r"] = 2
+	f.mu.Unlock()
+	now := g.options.Clock.Now()
+	a := &claimAttempt{group: g, term: 1, formerPrimary: "p", startedAt: now, lastStep: now, sealed: map[string]seal{}}
+	a.giveUp(t.Context())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if diff := cmp.Diff(0, len(f.sealedNow)); diff != "" {
+		t.Errorf("replicas sealed (-want +got):\n%s", diff)
+	}
+}
--- a/internal/serve/database/seal.go
+++ b/internal/serve/database/seal.go
@@ -176,7 +176,7 @@
 }
 
 // unsealReplicas lets the sealed replicas receive again, unless another VM may have
-// sealed them since.
+// sealed them since. A claimant that is gone may have sealed others, so it asks all that answer.
 func (a *claimAttempt) unsealReplicas(ctx context.Context) {
 	if !a.holdsClaim() {
 		return
@@ -188,7 +188,7 @@
 	var pending sync.WaitGroup
 	a.group.options.Log.Info("unsealing the replicas", "group", a.group.options.Name, "token", a.token)
 	for _, s := range a.currentServers(a.group.failoverServers(a.formerPrimary)) {
-		if !s.Sealed || s.FormerPrimary || s.ID == a.claim.Target && a.group.Term() > a.term {
+		if !s.Sealed && !a.group.answersRecently(s.ID) || s.FormerPrimary || s.ID == a.claim.Target && a.group.Term() > a.term {
 			continue
 		}
 		pending.Add(1)
