Report a position of the primary's log with the term of its last entry

A VM reported the position of the primary's log by its number alone, and the receiver gave it the present term.

Change: a report has the term of the position.

--- a/internal/core/tenure/watch.go
+++ b/internal/core/tenure/watch.go
@@ -337,9 +337,9 @@
 	Leader string
 	// ProvedAt is DistantPast without a proof.
 	ProvedAt clock.Millis
-	// Position is one that the leader's log had reached at PositionAt, or 0 if
-	// unknown.
-	Position   floor.Position
+	// Position is one that the leader's log had reached at PositionAt, or zero if
+	// unknown. It is of an earlier term until the first commit of Term.
+	Position   floor.ReplicationPosition
 	PositionAt clock.Millis
 }
 
@@ -354,8 +354,8 @@
 	if r.Leader == "" || r.Leader != w.leader {
 		return w
 	}
-	if r.Position > 0 {
-		w = w.withSample(r.PositionAt, floor.ReplicationPosition{Term: r.Term, Position: r.Position})
+	if !r.Position.IsZero() {
+		w = w.withSample(r.PositionAt, r.Position)
 	}
 	return w.withProof(r.ProvedAt)
 }
@@ -364,7 +364,7 @@
 func (w Watch) Report() Report {
 	r := Report{Term: w.term, Leader: w.leader, ProvedAt: w.provedAt}
 	if n := len(w.samples); n > 0 {
-		r.Position, r.PositionAt = w.samples[n-1].position.Position, w.samples[n-1].at
+		r.Position, r.PositionAt = w.samples[n-1].position, w.samples[n-1].at
 	}
 	return r
 }
--- a/internal/core/tenure/watch_test.go
+++ b/internal/core/tenure/watch_test.go
@@ -130,6 +130,16 @@
 	}
 }
 
+// TestReportKeepsTermOfPosition guards against a floor that no replica reaches before the first commit of a term, because a report gives the last entry of the term before the later term.
+func TestReportKeepsTermOfPosition(t *testing.T) {
+	last := floor.ReplicationPosition{Term: 1, Position: 7}
+	w := New(1).WithStatus("p", statement.ReplicationStatus{Primary: true, Term: 2, Sealed: 2, Received: last}, 100)
+	got, known := New(1).WithReport(w.Report()).LatestPosition()
+	if diff := cmp.Diff([]any{last, true}, []any{got, known}); diff != "" {
+		t.Errorf("position and whether it is known (-want +got):\n%s", diff)
+	}
+}
+
 // TestRaiseFloor checks the floor of a read that must see a position of its session: the
 // position itself in the present term, and a known one of that term if it is of an earlier
 // one.
--- a/internal/proto/inner/gossip.go
+++ b/internal/proto/inner/gossip.go
@@ -79,10 +79,11 @@
 	// ProofAge is the age of the last proof that the leader is the primary, in
 	// milliseconds; it is negative when there is none.
 	ProofAge clock.Millis
-	// Position is a log position that the leader had reached PositionAge
-	// milliseconds ago; 0 when none is known.
-	Position    floor.Position
-	PositionAge clock.Millis
+	// PositionTerm and Position are a log position that the leader had reached PositionAge
+	// milliseconds ago; both are 0 when none is known.
+	PositionTerm floor.Term
+	Position     floor.Position
+	PositionAge  clock.Millis
 	// PrimaryLost is set while the VM considers the leader lost.
 	PrimaryLost bool
 	// ReplicationStalled is set while the VM sees that no replica receives the
--- a/internal/serve/database/view.go
+++ b/internal/serve/database/view.go
@@ -21,8 +21,8 @@
 	if report.ProvedAt != tenure.DistantPast {
 		v.ProofAge = now - report.ProvedAt
 	}
-	if report.Position > 0 {
-		v.Position, v.PositionAge = report.Position, now-report.PositionAt
+	if !report.Position.IsZero() {
+		v.PositionTerm, v.Position, v.PositionAge = report.Position.Term, report.Position.Position, now-report.PositionAt
 	}
 	v.ReplicationStalled = g.replicationStalledLocked(now)
 	v.ReleasedToken, v.ReleaseEnded = g.releasedToken, !g.watch.Released(now)
@@ -49,8 +49,9 @@
 	if toLocalTime != nil && v.ProofAge >= 0 {
 		report.ProvedAt = toLocalTime(v.ProofAge)
 	}
-	if toLocalTime != nil && v.Position > 0 {
-		report.Position, report.PositionAt = v.Position, toLocalTime(v.PositionAge)
+	if toLocalTime != nil && v.PositionTerm > 0 {
+		report.Position = floor.ReplicationPosition{Term: v.PositionTerm, Position: v.Position}
+		report.PositionAt = toLocalTime(v.PositionAge)
 	}
 	w := g.watch
 	if g.votes[from.VM].process != from.Process {
--- a/internal/serve/gossip/split.go
+++ b/internal/serve/gossip/split.go
@@ -39,7 +39,7 @@
 func viewSize(v inner.GroupView) int {
 	const arrayAndFlags = 4
 	return arrayAndFlags + textSize(v.Group) + uintSize(uint64(v.Term)) + textSize(v.Leader) + intSize(int64(v.ProofAge)) +
-		uintSize(uint64(v.Position)) + intSize(int64(v.PositionAge)) + uintSize(v.ReleasedToken) +
+		uintSize(uint64(v.PositionTerm)) + uintSize(uint64(v.Position)) + intSize(int64(v.PositionAge)) + uintSize(v.ReleasedToken) +
 		uintSize(uint64(v.AcknowledgedTerm)) + uintSize(uint64(v.Acknowledged))
 }
 
