Report no position of an earlier term as one of the present term

No log has that before the first commit: their reads with such a floor are refused as lagging, and a VM that learnt the position so can see replication as stalled, and ask for another change of primary, when nothing is committed for long (read in the code, not seen in a run). The stand-in reports the term that a server knows, which hides this.

Change: a report has a position only if it is of the term; else receivers know no floor yet, and read at the primary.

--- a/internal/core/tenure/watch.go
+++ b/internal/core/tenure/watch.go
@@ -306,8 +306,8 @@
 	Leader string
 	// ProvedAt is DistantPast without a proof.
 	ProvedAt clock.Millis
-	// Position is one that the leader's log had reached at PositionAt, or 0 if
-	// unknown.
+	// Position is one of Term that the leader's log had reached at PositionAt, or 0 if
+	// none is known.
 	Position   floor.Position
 	PositionAt clock.Millis
 }
@@ -332,7 +332,8 @@
 // Report returns what to report to other VMs, in times of this VM's clock.
 func (w Watch) Report() Report {
 	r := Report{Term: w.term, Leader: w.leader, ProvedAt: w.provedAt}
-	if n := len(w.samples); n > 0 {
+	// Until the leader commits, its log ends in an earlier term.
+	if n := len(w.samples); n > 0 && w.samples[n-1].position.Term == w.term {
 		r.Position, r.PositionAt = w.samples[n-1].position.Position, w.samples[n-1].at
 	}
 	return r
--- a/internal/core/tenure/watch_test.go
+++ b/internal/core/tenure/watch_test.go
@@ -143,6 +143,16 @@
 	}
 }
 
+// TestReportBeforeFirstCommit guards against a position of an earlier term that another VM takes for one of the present term, which no log has reached, so that replication seems to be stalled.
+func TestReportBeforeFirstCommit(t *testing.T) {
+	logEnd := floor.ReplicationPosition{Term: 2, Position: 9}
+	status := statement.ReplicationStatus{Primary: true, Term: 3, Sealed: 3, Received: logEnd}
+	reporter := New(1).WithStatus("p", status, 100)
+	if position, ok := New(1).WithReport(reporter.Report()).LatestPosition(); ok && !logEnd.Covers(position) {
+		t.Errorf("the other VM takes the log to have reached %s, which ends at %s", position, logEnd)
+	}
+}
+
 // TestFirstSample checks that the oldest sample counts where no later one does.
 func TestFirstSample(t *testing.T) {
 	w := New(1).WithTerm(3, "p").withSample(100, floor.ReplicationPosition{Term: 3, Position: 9})
