Await a server that was ordered to be promoted and is off the directory

A server off the directory for 5 s counted as gone, so another one was ordered at once although the first order may take effect for 10 s: an entry also goes after three silent heartbeats while its server runs, and the platform can promote it. What the second server acknowledged by then would be lost.

Change: while an order may take effect, its server is awaited also when it is off the directory.

--- a/internal/core/failover/order.go
+++ b/internal/core/failover/order.go
@@ -54,14 +54,16 @@
 // PromotionTarget returns the ID of the server to promote: that of the function
 // PromotionTarget, unless another was ordered before. Then the ordered one is promoted even if
 // another log goes further by now: it had every acknowledged commit, and no VM has used the
-// term since. While it is not sealed its order may take effect at any time, so the result is
-// "" and true. Only if it has left the group or lost a part of its log may another be promoted.
+// term since. While it is not sealed, or off the directory, its order may take effect at any
+// time, so the result is "" and true. Only if it has lost a part of its log may another be
+// promoted.
 func (c Claim) PromotionTarget(servers []Server, syncReplicas int, acknowledged Acknowledged) (target string, awaitsOrdered bool) {
-	i := slices.IndexFunc(servers, func(s Server) bool { return c.Target != "" && s.ID == c.Target })
-	switch {
-	case i < 0:
+	if c.Target == "" {
 		return PromotionTarget(servers, syncReplicas, acknowledged), false
-	case !servers[i].Sealed:
+	}
+	i := slices.IndexFunc(servers, func(s Server) bool { return s.ID == c.Target })
+	switch {
+	case i < 0 || !servers[i].Sealed:
 		return "", true
 	case servers[i].LogEnd.Covers(c.OrderedEnd) && servers[i].LogEnd.Covers(acknowledged.Position):
 		return c.Target, false
