Replace a new primary that reaches no replica

Callers could write nothing for 50 s and more: a server that reaches no replica was promoted again and again.

Cause: with each term the watch forgot the position that covers what ended processes and removed servers knew, and took the first position of the new leader instead. If that reaches no replica, none has that position, so all sealed replicas were passed over for the leader itself.

Change: the position stays over a new term if the earlier one is proved to have been in force after the departure, and the first sample of the new leader's log replaces it only if that asks for less: both cover what was acknowledged before the departure.

--- a/internal/core/tenure/watch.go
+++ b/internal/core/tenure/watch.go
@@ -156,7 +156,7 @@
 	}
 	if term > w.term {
 		w.samples, w.unsealedAt = nil, map[string]clock.Millis{}
-		w.processes.end, w.servers.end, w.releasedUntil = floor.ReplicationPosition{}, floor.ReplicationPosition{}, DistantPast
+		w.processes, w.servers, w.releasedUntil = w.processes.withTerm(), w.servers.withTerm(), DistantPast
 	}
 	w.term, w.leader = term, leader
 	w.provedAt, w.leaderProbeSent = DistantPast, DistantPast
@@ -307,6 +307,7 @@
 func (w Watch) withProof(at clock.Millis) Watch {
 	if at > w.releasedUntil {
 		w.provedAt = max(w.provedAt, at)
+		w.processes, w.servers = w.processes.withProof(at), w.servers.withProof(at)
 	}
 	return w
 }
