Pass on reported positions, and forget lost ones for good

A claimant that heard one VM and not another missed what the first knew of the second. And a position that is lost for good was forgotten by the VM that probes until the next message of one that does not: an error at each status, and the next change of primary looked for a log that no server has.

Change: a VM reports the furthest position of which it knows, its own or another VM's; one that a primary lacked is not taken up again.

--- a/internal/proto/inner/gossip.go
+++ b/internal/proto/inner/gossip.go
@@ -91,11 +91,12 @@
 	ReplicationStalled bool
 	// ReleasedToken is the fencing token of the last claim for which the VM released
 	// the term, that is, stopped using the primary to be replaced; 0 when there is none.
-	// ReleaseEnded is set once that claim has ended without ordering a promotion.
+	// ReleaseEnded is set once that release is not in force any more: the claim has ended without
+	// an order to promote that may take effect, a later term is known, or time has passed.
 	ReleasedToken uint64
 	ReleaseEnded  bool
-	// AcknowledgedTerm and Acknowledged are the furthest position, of any term, that the VM
-	// acknowledged to a caller; both are 0 when there is none.
+	// AcknowledgedTerm and Acknowledged are the furthest position, of any term, of which the VM
+	// knows that it or another one acknowledged it to a caller; both are 0 when there is none.
 	AcknowledgedTerm floor.Term
 	Acknowledged     floor.Position
 }
--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -138,6 +138,10 @@
 	// reported is the furthest position that another VM has reported as acknowledged. The VM
 	// may have restarted since.
 	reported floor.ReplicationPosition
+	// lostTerm is the last term whose leader lacked acknowledged commits, lostAfter the end of
+	// its log then. What lies beyond of earlier terms is lost.
+	lostTerm  floor.Term
+	lostAfter floor.ReplicationPosition
 	// lastHolder is the VM that held the claim when this VM last read its record.
 	lastHolder string
 	// lostSince is the time at which this VM lost the primary, or 0.
--- a/internal/serve/database/release.go
+++ b/internal/serve/database/release.go
@@ -129,15 +129,21 @@
 	if !status.Primary {
 		return
 	}
-	isLost := func(p floor.ReplicationPosition) bool { return p.Term < status.Term && !status.Received.Covers(p) }
 	for _, p := range []*floor.ReplicationPosition{&g.acknowledged, &g.reported} {
-		if isLost(*p) {
+		if p.Term < status.Term && !status.Received.Covers(*p) {
 			g.reportLostLocked(server, status, *p)
+			g.lostTerm, g.lostAfter = status.Term, status.Received
 			*p = floor.ReplicationPosition{}
 		}
 	}
 }
 
+// isLostLocked reports whether an acknowledged position is known to be lost. The caller holds
+// g.mu.
+func (g *Group) isLostLocked(p floor.ReplicationPosition) bool {
+	return p.Term < g.lostTerm && !g.lostAfter.Covers(p)
+}
+
 // reportLostLocked logs and counts acknowledged commits that the present primary lacks. The
 // caller holds g.mu.
 func (g *Group) reportLostLocked(server string, status statement.ReplicationStatus, acknowledged floor.ReplicationPosition) {
--- a/internal/serve/database/view.go
+++ b/internal/serve/database/view.go
@@ -26,7 +26,8 @@
 	}
 	v.ReplicationStalled = g.replicationStalledLocked(now)
 	v.ReleasedToken, v.ReleaseEnded = g.releasedToken, !g.watch.Released(now)
-	v.AcknowledgedTerm, v.Acknowledged = g.acknowledged.Term, g.acknowledged.Position
+	acknowledged := g.acknowledged.Max(g.reported)
+	v.AcknowledgedTerm, v.Acknowledged = acknowledged.Term, acknowledged.Position
 	return v
 }
 
@@ -59,7 +60,9 @@
 		w = w.WithDeparture(now)
 	}
 	g.votes[from.VM] = g.nextVote(from, v, now)
-	g.reported = g.reported.Max(g.votes[from.VM].acknowledged)
+	if reported := g.votes[from.VM].acknowledged; !g.isLostLocked(reported) {
+		g.reported = g.reported.Max(reported)
+	}
 	w = w.WithReport(report)
 	switch term, _ := w.Leader(); {
 	case v.ReleasedToken > g.releasedToken && v.Term == term:
