Acknowledge no commit after the lease, or without a position

An answer without a log position was acknowledged and reported as nothing; no server is known to give one.

Cause: recordCommit looked at the term and the release, not at the lease.

Change: the VM that holds the connection tells of an unknown outcome if its lease on the primary has ended when the answer comes, or if there is no position.

--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -284,18 +284,24 @@
 // recordCommit records a commit that a server acknowledged. sent is the time at which
 // the statement was sent. It returns an error if the caller must not be told that it is
 // committed: errReplaced if a later term is known, errReleased if this VM has released the
-// term to a claimant, which may promote a server without the commit.
+// term to a claimant, which may promote a server without the commit, errNoPosition if this VM
+// could not report to a claimant that it was acknowledged.
 func (g *Group) recordCommit(server string, position floor.ReplicationPosition, sent clock.Millis) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.options.Clock.Now()
+	var err error
 	switch term, _ := g.watch.Leader(); {
-	case !position.IsZero() && position.Term < term:
-		g.options.Counters.unknownCommits.Inc()
-		return errReplaced
-	case (position.IsZero() || position.Term == term) && g.watch.Released(now):
+	case position.IsZero():
+		err = errNoPosition
+	case position.Term < term:
+		err = errReplaced
+	case position.Term == term && g.watch.Released(now):
+		err = errReleased
+	}
+	if err != nil {
 		g.options.Counters.unknownCommits.Inc()
-		return errReleased
+		return err
 	}
 	g.committedAt = now
 	g.acknowledged = g.acknowledged.Max(position)
--- a/internal/serve/database/pooledconn.go
+++ b/internal/serve/database/pooledconn.go
@@ -83,13 +83,26 @@
 // its term to a claimant.
 var errReleased = errors.New("the term was released to a claimant before the commit was acknowledged")
 
+// errNoPosition means that a server did not say where in its log a commit is.
+var errNoPosition = errors.New("the commit was acknowledged without a log position")
+
+// errLeaseEnded means that a commit was acknowledged by a primary whose lease had ended by
+// then, so that another server may have been ordered to be promoted without it.
+var errLeaseEnded = errors.New("the lease on the primary ended before the commit was acknowledged")
+
 // recordAnswer records the log position in an answer. An answer without a transaction
-// status makes the connection unusable. The errors are those of recordCommit.
+// status makes the connection unusable. The errors are errLeaseEnded and those of recordCommit;
+// a VM that holds the connection for another one has checked the lease.
 func (pc *PooledConn) recordAnswer(r Request, a statement.Answer, sent clock.Millis) error {
 	pc.broken = pc.broken || a.Status == 0
 	g := pc.pool.group
 	if r.IsCommit && a.Code == statement.Success {
-		if err := g.recordCommit(pc.pool.entry().ID, a.Position, sent); err != nil {
+		err := g.recordCommit(pc.pool.entry().ID, a.Position, sent)
+		if err == nil && pc.remote == nil && !g.Ready() {
+			g.options.Counters.unknownCommits.Inc()
+			err = errLeaseEnded
+		}
+		if err != nil {
 			pc.broken = true
 			return err
 		}
