--- a/internal/core/failover/order_test.go
+++ b/internal/core/failover/order_test.go
@@ -10,8 +10,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
-// TestTargetAfterOrder checks, from scripts, which server is promoted after one was ordered
-// that may not lead yet.
+// TestTargetAfterOrder checks, from scripts, which server is promoted while an order may take effect.
 func TestTargetAfterOrder(t *testing.T) {
 	var scripts []struct {
 		Name    string         `yaml:"name"`
--- a/internal/serve/database/claim.go
+++ b/internal/serve/database/claim.go
@@ -63,7 +63,8 @@
 	WriteFunc func(ctx context.Context, group string, c failover.Claim, version uint64) (uint64, error)
 	// PromoteFunc makes a server the primary of the group. It returns ErrTargetDown if
 	// the server is not running, and ErrOrderRefused if nothing was done; after any other
-	// error the server may be promoted at once or seconds later. The fencing token is never reused and rises with each claim.
+	// error the server may be promoted at once or seconds later. The fencing token is never
+	// reused and rises with each claim.
 	PromoteFunc func(ctx context.Context, group, server, holder string, token uint64) error
 }
 
--- a/internal/trial/explore/explore_test.go
+++ b/internal/trial/explore/explore_test.go
@@ -34,8 +34,7 @@
 	return outcome{Broken: r.Violation != "", Complete: r.Complete}
 }
 
-// TestMutants guards against a search that overlooks a hole: with the named rules off it must
-// find a lost commit.
+// TestMutants guards against a search that finds no lost commit although the named rules are off.
 func TestMutants(t *testing.T) {
 	var mutants []struct {
 		Name        string   `yaml:"name"`
@@ -59,8 +58,7 @@
 	}
 }
 
-// TestRulesHold guards against rules that together still lose a commit, in each reading of the
-// page and within small bounds.
+// TestRulesHold guards against rules that together lose a commit, in each reading of the page and within small bounds.
 func TestRulesHold(t *testing.T) {
 	small := bounds{VMs: 1, Commits: 1, Faults: 1, Attempts: 2, Promotions: 2}
 	pair := bounds{VMs: 2, Commits: 1, Faults: 1, Attempts: 1, Promotions: 1}
