Ask for a removed replica's position only if a server is known to have left

The start of a process counts as a time at which servers may have left, so a primary out of reach whose log ended with entries that no replica had kept its group without a primary, although no server had left.

--- a/internal/core/failover/failover.go
+++ b/internal/core/failover/failover.go
@@ -119,6 +119,8 @@
 	// RemovedUnknown is set if no such position is known.
 	Removed        floor.ReplicationPosition
 	RemovedUnknown bool
+	// ServerLeft is set if a server is known to have left, and not only unknown to have stayed.
+	ServerLeft bool
 }
 
 // sufficient returns positions of which a replica has every acknowledged commit if it covers one
@@ -152,7 +154,7 @@
 		}
 	}
 	required := acknowledged.Position
-	if slices.ContainsFunc(servers, func(s Server) bool { return s.FormerPrimary && !s.Sealed }) {
+	if acknowledged.ServerLeft && slices.ContainsFunc(servers, func(s Server) bool { return s.FormerPrimary && !s.Sealed }) {
 		required = required.Max(acknowledged.Removed)
 	}
 	return furthestSealed(servers, required)
--- a/internal/core/failover/failover_test.go
+++ b/internal/core/failover/failover_test.go
@@ -30,6 +30,7 @@
 		Unknown      bool           `yaml:"unknown"`
 		Removed      floor.Position `yaml:"removed"`
 		NoRemoved    bool           `yaml:"removedunknown"`
+		ServerLeft   bool           `yaml:"left"`
 		Safe         bool           `yaml:"safe"`
 		Target       *string        `yaml:"target"`
 	}
@@ -49,7 +50,7 @@
 			if script.Target == nil {
 				return
 			}
-			acknowledged := Acknowledged{Complete: script.Complete, DepartedUnknown: script.Unknown, RemovedUnknown: script.NoRemoved}
+			acknowledged := Acknowledged{Complete: script.Complete, DepartedUnknown: script.Unknown, RemovedUnknown: script.NoRemoved, ServerLeft: script.ServerLeft}
 			if script.Acknowledged > 0 {
 				acknowledged.Position = floor.ReplicationPosition{Term: 1, Position: script.Acknowledged}
 			}
--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -138,6 +138,8 @@
 	// reported is the furthest position that another VM has reported as acknowledged. The VM
 	// may have restarted since.
 	reported floor.ReplicationPosition
+	// serverLeft is set once a server has left the group or started anew.
+	serverLeft bool
 	// lostTerm is the last term whose leader lacked acknowledged commits, lostAfter the end of
 	// its log then. What lies beyond of earlier terms is lost.
 	lostTerm  floor.Term
@@ -191,7 +193,7 @@
 			closing = append(closing, p)
 			p = nil
 			g.forgetPositionsLocked(s.ID)
-			g.watch = g.watch.WithServerDeparture(g.options.Clock.Now())
+			g.serverLeft, g.watch = true, g.watch.WithServerDeparture(g.options.Clock.Now())
 		}
 		if p == nil {
 			g.pools[s.ID] = newPool(g, s)
@@ -214,7 +216,7 @@
 			delete(g.pools, id)
 			g.forgetPositionsLocked(id)
 			g.unlistedSince[id] = g.options.Clock.Now()
-			g.watch = g.watch.WithUnlisted(id).WithServerDeparture(g.options.Clock.Now())
+			g.serverLeft, g.watch = true, g.watch.WithUnlisted(id).WithServerDeparture(g.options.Clock.Now())
 			closing = append(closing, p)
 			g.options.Log.Info("backend server unlisted", "group", g.options.Name, "server", id)
 		}
--- a/internal/serve/database/promote.go
+++ b/internal/serve/database/promote.go
@@ -107,10 +107,18 @@
 // acknowledged returns what is known of the commits that were acknowledged.
 func (a *claimAttempt) acknowledged() failover.Acknowledged {
 	g := a.group
+	removedAt := tenure.DistantPast
+	if g.options.VMRemovedAtFunc != nil {
+		removedAt = g.options.VMRemovedAtFunc()
+	}
 	out := failover.Acknowledged{Position: g.acknowledgedPosition(), Complete: a.released}
-	departed, removed := g.departedEnds()
-	out.Departed, out.DepartedUnknown = departed, departed.IsZero()
-	out.Removed, out.RemovedUnknown = removed, removed.IsZero()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.setWatch(g.watch.WithDeparture(removedAt))
+	departed, departedKnown := g.watch.DepartedEnd()
+	removed, removedKnown := g.watch.ServersDepartedEnd()
+	out.Departed, out.DepartedUnknown = departed, !departedKnown
+	out.Removed, out.RemovedUnknown, out.ServerLeft = removed, !removedKnown, g.serverLeft
 	return out
 }
 
--- a/internal/serve/database/release.go
+++ b/internal/serve/database/release.go
@@ -8,7 +8,6 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
-	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 )
 
 // failoverServers returns the servers whose logs may contain acknowledged commits:
@@ -98,21 +97,6 @@
 	return true
 }
 
-// departedEnds returns positions that cover what was acknowledged by processes of VMs that have
-// ended, and with the help of servers that have left. They are zero if none is known.
-func (g *Group) departedEnds() (processes, servers floor.ReplicationPosition) {
-	removedAt := tenure.DistantPast
-	if g.options.VMRemovedAtFunc != nil {
-		removedAt = g.options.VMRemovedAtFunc()
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.setWatch(g.watch.WithDeparture(removedAt))
-	processes, _ = g.watch.DepartedEnd()
-	servers, _ = g.watch.ServersDepartedEnd()
-	return processes, servers
-}
-
 // acknowledgedPosition returns the furthest position that this VM and the others have reported
 // as acknowledged. It may be of an earlier term than the present one, in which nothing may have
 // been acknowledged yet.
