Reword three comments on departures and sufficient positions

They had to be read twice. Only comment lines change (git diff shows no other); gofumpt, revive, vet and the tests of core/failover and core/tenure passed.

--- a/internal/core/failover/failover.go
+++ b/internal/core/failover/failover.go
@@ -123,11 +123,9 @@
 	ServerLeft bool
 }
 
-// sufficient returns positions of which a replica has every acknowledged commit if it covers one
-// of them, even if the log of a former primary that stepped down goes further. By the reports of
-// the VMs that is what they acknowledged, processes that have ended included. By the replicas, if
-// all are sealed, it is what is known to be acknowledged, and what only a replica may have had
-// that has left the group.
+// sufficient returns positions. A replica that covers one of them has every acknowledged commit,
+// even if the log of a former primary that stepped down goes further. If all replicas are sealed,
+// that is Position and Removed; if all VMs have reported, Position and Departed.
 func (a Acknowledged) sufficient(replicasSealed bool) []floor.ReplicationPosition {
 	var out []floor.ReplicationPosition
 	if replicasSealed && !a.RemovedUnknown {
--- a/internal/core/tenure/departure.go
+++ b/internal/core/tenure/departure.go
@@ -5,8 +5,9 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 )
 
-// departure is a time by which something has gone that knew of commits: what was acknowledged
-// with its help is covered by any position that the leader's log reached later. It is immutable.
+// departure is the last time at which a process of a VM ended or a server left the group. What was
+// acknowledged with its help is covered by any position that the leader's log reached later. It is
+// immutable.
 type departure struct {
 	at clock.Millis
 	// end is the first known position that the leader's log reached after at, or zero. It may
--- a/internal/core/tenure/watch.go
+++ b/internal/core/tenure/watch.go
@@ -70,8 +70,8 @@
 	unsealedAt map[string]clock.Millis
 	// samples are in order of time, the newest last.
 	samples []logSample
-	// processes is the last end of a process of a VM that cannot report any more what it
-	// acknowledged, servers the last time at which a server left the group with its log.
+	// processes is the last end of a process of a VM, whose acknowledgements are not reported any
+	// more, servers the last time at which a server left the group with its log.
 	processes departure
 	servers   departure
 	// releasedUntil is the time until which a claimant may rely on this VM's last release
