Log and report how old a configuration is, counted from the store's answer

Callers got 404 from a VM that lacked a route, and the log did not tell which version the VM had, from whom, or how old that was: a refused session was logged at debug, without a version.

VMs now pass on, with the version of their configuration, the time since the store had no later one, and each keeps the youngest such report about its own version. Refusals log it with who confirmed it, a gauge shows it, and a counter shows the calls for the configuration. Nothing is decided by it yet. VMs of before and after do not understand each other's gossip.

A store without a later version confirms a copy even if its own is earlier, as after a restore from a copy: what counts is that nothing later was accepted.

--- a/internal/proto/inner/gossip.go
+++ b/internal/proto/inner/gossip.go
@@ -23,8 +23,10 @@
 	EchoAge clock.Millis
 	// Leaving is set once the sender is stopping.
 	Leaving bool
-	// Version is the version of the configuration in force at the sender.
-	Version uint64
+	// Version is the version of the configuration in force at the sender, and VersionAge the
+	// time since the store had no later one, in milliseconds (freshness.Copy).
+	Version    uint64
+	VersionAge clock.Millis
 	// DirectoryHash identifies the sender's directory of backend servers and is 0
 	// when it has none; DirectoryAge is the time since the directory was read, in
 	// milliseconds.
--- a/internal/proto/inner/summary.go
+++ b/internal/proto/inner/summary.go
@@ -28,6 +28,7 @@
 	_             struct{} `cbor:",toarray"`
 	Scope         Scope
 	Version       uint64
+	VersionAge    clock.Millis
 	DirectoryHash uint64
 	DirectoryAge  clock.Millis
 	Usages        []Usage
--- a/internal/serve/frontend/follow.go
+++ b/internal/serve/frontend/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/freshness"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
 )
 
@@ -45,6 +46,8 @@
 // reports.
 func (f *Frontend) followConfiguration(ctx context.Context) {
 	version, hasVersion := uint64(0), false
+	// inStore is the version of the last configuration that the store returned.
+	inStore := uint64(0)
 	for ctx.Err() == nil {
 		if f.catalog.Load() != nil && f.mesh.FollowsRelay() && !f.isBehind() {
 			// The changes that the relay reports are fetched from it.
@@ -54,10 +57,12 @@
 		}
 		var text []byte
 		var err error
+		asked, polls := f.options.Clock.Now(), hasVersion
 		f.mu.Lock()
-		f.storeAskedAt = f.options.Clock.Now()
+		f.storeAskedAt = asked
 		f.mu.Unlock()
-		if hasVersion {
+		f.configCalls.Inc()
+		if polls {
 			text, version, err = f.waitForChange(ctx, version)
 		} else {
 			text, version, err = f.options.Source.ReadFunc(ctx)
@@ -71,8 +76,43 @@
 			continue
 		}
 		if text != nil {
-			f.adoptConfiguration(text, "store")
+			inStore = f.adoptConfiguration(text, freshness.Store)
 		}
+		if inStore > 0 {
+			f.confirmConfiguration(inStore, f.answeredAt(asked, polls && text == nil), freshness.Store)
+		}
+	}
+}
+
+// answeredAt returns a time, not after the present one, that is not later than the answer of the
+// store to a call that began at the time asked. A poll without a change is answered once it has
+// lasted storeWait.
+func (f *Frontend) answeredAt(asked clock.Millis, unchanged bool) clock.Millis {
+	if unchanged && f.options.Clock.Now()-asked >= storeWait {
+		return asked + storeWait
+	}
+	return asked
+}
+
+// configurationCopy returns what this VM knows of the age of its configuration.
+func (f *Frontend) configurationCopy() freshness.Copy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.configCopy
+}
+
+// confirmConfiguration records that the store had no version later than this one at the time at,
+// as the store or the VM called by reported.
+func (f *Frontend) confirmConfiguration(version uint64, at clock.Millis, by string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.configCopy = f.configCopy.WithConfirmation(version, at, by)
+}
+
+// observeAge shows the age of the configuration, once it is known.
+func (f *Frontend) observeAge() {
+	if c := f.configurationCopy(); c.IsConfirmed() {
+		f.ageGauge.Set(c.Age(f.options.Clock.Now()).Duration().Seconds())
 	}
 }
 
@@ -98,26 +138,38 @@
 }
 
 // adoptConfiguration puts a configuration in force, unless this VM has that version or a
-// later one. The parameter from is its origin for the log.
-func (f *Frontend) adoptConfiguration(text []byte, from string) {
+// later one. The parameter from is its source, see freshness.Copy. It returns the version, or 0
+// if the text cannot be parsed.
+func (f *Frontend) adoptConfiguration(text []byte, from string) uint64 {
 	c, err := f.options.Source.ParseFunc(text)
 	if err != nil {
 		f.options.Log.Error("parsing the configuration failed; the earlier one stays in force", "from", from, "err", err)
-		return
+		return 0
 	}
 	f.mu.Lock()
 	old := f.catalog.Load()
 	if old != nil && old.Version >= c.Version {
 		f.mu.Unlock()
-		return
+		return c.Version
 	}
 	f.catalog.Store(c)
 	f.configText, f.laterKnownAt = text, 0
+	f.configCopy = f.configCopy.WithVersion(c.Version, from, f.options.Clock.Now())
 	f.mu.Unlock()
 	invariant.Check(old == nil || f.catalog.Load().Version > old.Version, invariant.ConfigForward, "version %d replaced a later one", c.Version)
-	f.options.Log.Info("configuration in force", "version", c.Version, "from", from)
+	f.logConfiguration(c.Version, from)
 	f.limiter.createBuckets(c.Accounts())
 	f.updateGroups()
+	return c.Version
+}
+
+// logConfiguration logs that a version from a source, see freshness.Copy, is in force.
+func (f *Frontend) logConfiguration(version uint64, source string) {
+	if source == freshness.Store {
+		f.options.Log.Info("configuration in force", "version", version, "from", "store")
+		return
+	}
+	f.options.Log.Info("configuration in force", "version", version, "from", "vm", "address", source)
 }
 
 // recordDependency records the result of a call to a dependency and logs when the
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -14,6 +14,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/base/trace"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/freshness"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/shutdown"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
@@ -90,6 +91,10 @@
 	fetchFailures *metrics.Counter
 	// eraGauge shows era.
 	eraGauge *metrics.Gauge
+	// ageGauge shows the age of the configuration, and configCalls counts the calls of the store
+	// for it.
+	ageGauge    *metrics.Gauge
+	configCalls *metrics.Counter
 	// heldGauge and reservedGauge show the servers of which this VM is a holder or a reserve.
 	heldGauge     *metrics.Gauge
 	reservedGauge *metrics.Gauge
@@ -104,9 +109,10 @@
 	// and nextFetchAt is the time before which the next fetch does not start.
 	fetchingConfiguration bool
 	nextFetchAt           clock.Millis
-	// configText is the text of catalog, and laterKnownAt the time at which another VM first
-	// reported a later version, or 0.
+	// configText is the text of catalog, configCopy tells how old it is, and laterKnownAt is
+	// the time at which another VM first reported a later version, or 0.
 	configText   []byte
+	configCopy   freshness.Copy
 	laterKnownAt clock.Millis
 	// storeAskedAt is the start of the last call that reads the configuration from the store.
 	storeAskedAt clock.Millis
@@ -139,17 +145,19 @@
 	}
 	f := &Frontend{
 		options: o, listener: l, ctx: ctx, keyring: &keys.Keyring{}, counters: database.NewCounters(), done: make(chan struct{}),
-		lostDependencies: map[string]bool{}, directoryReadAt: tenure.DistantPast, restoredAt: tenure.DistantPast, groups: map[string]*database.Group{}, conns: map[net.Conn]bool{},
+		configCopy: freshness.New(), lostDependencies: map[string]bool{}, directoryReadAt: tenure.DistantPast, restoredAt: tenure.DistantPast, groups: map[string]*database.Group{}, conns: map[net.Conn]bool{},
 	}
 	f.sessionOptions = session.Options{
 		Clock: o.Clock, Log: o.Log, Protocol: o.Protocol, Counters: session.NewCounters(), Trace: o.Trace,
-		CatalogFunc: f.catalog.Load, GroupFunc: f.Group, StoppingFunc: f.closingSessions.Load, TakesFunc: f.takes,
+		CatalogFunc: f.catalog.Load, CopyFunc: f.configurationCopy, GroupFunc: f.Group, StoppingFunc: f.closingSessions.Load, TakesFunc: f.takes,
 		AdmitFunc:  func(_ context.Context, a catalog.Account) bool { return f.limiter.take(a) },
 		RefundFunc: func(a catalog.Account) { f.limiter.refund(a) },
 	}
 	f.mesh = f.newMesh()
 	f.fetchFailures = metrics.GetOrCreateCounter("sycamoredoor_fetch_failures_total")
 	f.eraGauge = metrics.GetOrCreateGauge("sycamoredoor_store_era", nil)
+	f.ageGauge = metrics.GetOrCreateGauge("sycamoredoor_configuration_age_seconds", nil)
+	f.configCalls = metrics.GetOrCreateCounter("sycamoredoor_configuration_calls_total")
 	f.heldGauge = metrics.GetOrCreateGauge("sycamoredoor_servers_held", nil)
 	f.reservedGauge = metrics.GetOrCreateGauge("sycamoredoor_servers_reserved", nil)
 	f.holderCache.setMembers(f.mesh.Members())
@@ -229,6 +237,7 @@
 func (f *Frontend) tick(ctx context.Context) {
 	for f.options.Clock.Sleep(ctx, tickInterval) == nil {
 		f.observeEra()
+		f.observeAge()
 		for _, g := range f.allGroups() {
 			g.Tick(ctx, f.spawn)
 		}
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -167,6 +167,7 @@
 		g.Version = c.Version
 	}
 	f.mu.Lock()
+	g.VersionAge = f.configCopy.Age(f.options.Clock.Now())
 	g.DirectoryHash, g.DirectoryAge = f.directoryHash, f.options.Clock.Now()-f.directoryReadAt
 	f.mu.Unlock()
 	if s == inner.ScopeZone && !f.mesh.IsFirstRelay(f.options.Self.Name, f.options.Self.Zone) {
@@ -190,6 +191,7 @@
 	}
 	if toLocalTime != nil {
 		f.compareDirectory(g.Address, g.DirectoryHash, toLocalTime(g.DirectoryAge))
+		f.confirmConfiguration(g.Version, toLocalTime(g.VersionAge), g.From)
 	}
 	c := f.catalog.Load()
 	if c == nil || g.Version > c.Version {
@@ -234,10 +236,10 @@
 	if err != nil {
 		f.fetchFailures.Inc()
 		f.options.Log.Info("fetching the configuration from another VM failed", "address", address, "version", version,
-			"took", f.options.Clock.Now()-asked, "role", f.mesh.Role(), "poll_ms", f.storeCallAge(), "err", err)
+			"took", f.options.Clock.Now()-asked, "role", f.mesh.Role(), "poll_ms", f.storeCallAge(), "confirmed_ms", f.configurationCopy().Age(f.options.Clock.Now()), "err", err)
 		return
 	}
-	f.adoptConfiguration(answer.Payload, "vm")
+	f.adoptConfiguration(answer.Payload, address)
 }
 
 // ask puts one question to the VM at an address.
--- a/internal/serve/gossip/receive.go
+++ b/internal/serve/gossip/receive.go
@@ -57,7 +57,7 @@
 		c, err := inner.DecodeContent(s)
 		g := inner.Gossip{
 			From: s.From, Address: s.Address, Process: s.Process, Sequence: s.Sequence, Echo: s.Echo, EchoAge: s.EchoAge, Leaving: s.Leaving,
-			Zone: s.Zone, Region: s.Region, Version: c.Version, DirectoryHash: c.DirectoryHash, DirectoryAge: c.DirectoryAge,
+			Zone: s.Zone, Region: s.Region, Version: c.Version, VersionAge: c.VersionAge, DirectoryHash: c.DirectoryHash, DirectoryAge: c.DirectoryAge,
 			Scope: c.Scope, Usages: c.Usages, Views: c.Views,
 		}
 		if !c.First {
--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -13,6 +13,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/base/trace"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/freshness"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
@@ -42,6 +43,8 @@
 	Protocol database.Protocol
 	// CatalogFunc returns the configuration in force, or nil before the first.
 	CatalogFunc func() *catalog.Catalog
+	// CopyFunc tells where the configuration in force came from and how old it is.
+	CopyFunc func() freshness.Copy
 	// GroupFunc returns a database group, or nil.
 	GroupFunc func(name string) *database.Group
 	// AdmitFunc takes one token from an account's limit, without waiting; it returns
@@ -83,7 +86,7 @@
 	o.Counters.opened.Inc()
 	if code, detail := s.resolve(); code != statement.Success {
 		o.Counters.countRefusal(code)
-		o.Log.Debug("session refused", "database", c.Database, "reason", detail)
+		o.Log.Info("session refused", append([]any{"database", c.Database, "code", code.String(), "reason", detail}, s.configurationFields()...)...)
 		c.RefuseFunc(code, detail)
 		return
 	}
@@ -313,9 +316,7 @@
 // the configuration, the term, the primary and the age of its proof.
 func (s *session) logRefusal(st statement.Statement, code statement.Code, detail string) {
 	fields := []any{"id", st.ID, "database", s.route.Database, "account", s.account.Name, "code", code.String(), "reason", detail}
-	if c := s.options.CatalogFunc(); c != nil {
-		fields = append(fields, "version", c.Version)
-	}
+	fields = append(fields, s.configurationFields()...)
 	if g := s.options.GroupFunc(s.route.Group); g != nil {
 		term, leader, age := g.PrimaryStatus()
 		fields = append(fields, "group", s.route.Group, "term", uint64(term), "primary", leader, "proof_ms", int64(age))
@@ -323,6 +324,21 @@
 	s.options.Log.Info("statement refused", fields...)
 }
 
+// configurationFields returns the log fields that tell by which configuration this VM decides:
+// the version, its source and the time since it came into force, who last confirmed it, and the
+// time since the store had no later one. Times are in milliseconds.
+func (s *session) configurationFields() []any {
+	c, now := s.options.CopyFunc(), s.options.Clock.Now()
+	if c.Version == 0 {
+		return nil
+	}
+	fields := []any{"version", c.Version, "version_from", c.Source, "version_ms", int64(now - c.AdoptedAt)}
+	if c.IsConfirmed() {
+		fields = append(fields, "confirmed_by", c.ConfirmedBy, "confirmed_ms", int64(c.Age(now)))
+	}
+	return fields
+}
+
 // refuse counts and logs the refusal of a statement, fails an open transaction, and
 // returns the refusal as the answer.
 func (s *session) refuse(st statement.Statement, code statement.Code, detail string) statement.Answer {
