--- a/internal/serve/frontend/blind_test.go
+++ b/internal/serve/frontend/blind_test.go
@@ -159,4 +159,3 @@
 		t.Errorf("%d calls of the store, want none", calls)
 	}
 }
-
--- a/internal/serve/frontend/follow.go
+++ b/internal/serve/frontend/follow.go
@@ -18,8 +18,10 @@
 	// behindTimeout is the time after which a VM reads a configuration that another VM has
 	// from the store, in milliseconds, unless the store is sending it already.
 	behindTimeout = clock.Millis(800)
-	// errorRetryDelay is the pause after a failed call, in milliseconds.
+	// errorRetryDelay is the pause after a failed call, in milliseconds, and firstRetryDelay
+	// that after the first one in a row, whose connection may have been dead.
 	errorRetryDelay = clock.Millis(300)
+	firstRetryDelay = clock.Millis(50)
 )
 
 // ErrHistoryDropped means that the store no longer has the changes after the given
@@ -48,6 +50,7 @@
 	version, hasVersion := uint64(0), false
 	// inStore is the version of the last configuration that the store returned.
 	inStore := uint64(0)
+	pause := firstRetryDelay
 	for ctx.Err() == nil {
 		if f.catalog.Load() != nil && f.mesh.FollowsRelay() && !f.isBehind() {
 			// The changes that the relay reports are fetched from it.
@@ -71,10 +74,12 @@
 		f.recordDependency("configuration", err)
 		if err != nil {
 			if !errors.Is(err, ErrHistoryDropped) && !errors.Is(err, errPollInterrupted) {
-				_ = f.options.Clock.Sleep(ctx, errorRetryDelay)
+				_ = f.options.Clock.Sleep(ctx, pause)
+				pause = errorRetryDelay
 			}
 			continue
 		}
+		pause = firstRetryDelay
 		if text != nil {
 			inStore = f.adoptConfiguration(text, freshness.Store)
 		}
