Move the time that stands for never to package clock

The constant stood in core/tenure, where eight other packages took it from, and a second time in core/freshness. No change of what the program does; the tests of core, serve/database and trial/explore pass.

--- a/internal/base/clock/clock.go
+++ b/internal/base/clock/clock.go
@@ -11,6 +11,9 @@
 // one of another process.
 type Millis int64
 
+// DistantPast is earlier than every time of a clock.
+const DistantPast Millis = -1 << 40
+
 // Second is the number of milliseconds in one second.
 const Second Millis = 1000
 
--- a/internal/core/freshness/freshness.go
+++ b/internal/core/freshness/freshness.go
@@ -7,9 +7,6 @@
 // Store is the source of what this VM read from the store itself.
 const Store = "store"
 
-// distantPast is the time of a confirmation that never came, in milliseconds.
-const distantPast = clock.Millis(-1 << 40)
-
 // Copy describes a copy of a record. It is immutable.
 type Copy struct {
 	// Version is the version of the record, 0 while there is no copy.
@@ -26,7 +23,7 @@
 }
 
 // New returns the state before there is a copy.
-func New() Copy { return Copy{ConfirmedAt: distantPast} }
+func New() Copy { return Copy{ConfirmedAt: clock.DistantPast} }
 
 // WithVersion records that a later version from a source replaces the copy at time now.
 func (c Copy) WithVersion(version uint64, source string, now clock.Millis) Copy {
@@ -45,7 +42,7 @@
 }
 
 // IsConfirmed reports whether the store ever confirmed a copy.
-func (c Copy) IsConfirmed() bool { return c.ConfirmedAt != distantPast }
+func (c Copy) IsConfirmed() bool { return c.ConfirmedAt != clock.DistantPast }
 
 // Age returns the time since the store last had nothing later, in milliseconds. It is longer
 // than any bound if the copy was never confirmed.
--- a/internal/core/tenure/report.go
+++ b/internal/core/tenure/report.go
@@ -11,7 +11,7 @@
 type Report struct {
 	Term   floor.Term
 	Leader string
-	// ProvedAt is DistantPast without a proof.
+	// ProvedAt is clock.DistantPast without a proof.
 	ProvedAt clock.Millis
 	// Position is one that the leader's log had reached at PositionAt, or zero if
 	// unknown. It is of an earlier term until the first commit of Term.
--- a/internal/core/tenure/watch.go
+++ b/internal/core/tenure/watch.go
@@ -43,8 +43,6 @@
 	minSampleInterval = clock.Millis(40)
 	// maxSamples is the largest number of samples kept.
 	maxSamples = 80
-	// DistantPast is earlier than every time of a clock.
-	DistantPast = clock.Millis(-1 << 40)
 )
 
 // logSample records that the log had reached position at some time not before at.
@@ -75,7 +73,7 @@
 	processes departure
 	servers   departure
 	// releasedUntil is the time until which a claimant may rely on this VM's last release
-	// of the term, or DistantPast. Proofs up to then do not count.
+	// of the term, or clock.DistantPast. Proofs up to then do not count.
 	releasedUntil clock.Millis
 	// witnessFrom holds, by replica, the time from which it counts for a proof; a replica
 	// without an entry always counts.
@@ -85,7 +83,7 @@
 // New returns a watch that knows nothing yet of a group whose commits need
 // syncReplicas replicas besides the primary; less than 1 counts as 1.
 func New(syncReplicas int) Watch {
-	return Watch{syncReplicas: max(syncReplicas, 1), provedAt: DistantPast, leaderProbeSent: DistantPast, releasedUntil: DistantPast, processes: departure{at: DistantPast}, servers: departure{at: DistantPast}, unsealedAt: map[string]clock.Millis{}, witnessFrom: map[string]clock.Millis{}}
+	return Watch{syncReplicas: max(syncReplicas, 1), provedAt: clock.DistantPast, leaderProbeSent: clock.DistantPast, releasedUntil: clock.DistantPast, processes: departure{at: clock.DistantPast}, servers: departure{at: clock.DistantPast}, unsealedAt: map[string]clock.Millis{}, witnessFrom: map[string]clock.Millis{}}
 }
 
 // Leader returns the newest term known and its primary, or "" while the primary is
@@ -93,7 +91,7 @@
 func (w Watch) Leader() (floor.Term, string) { return w.term, w.leader }
 
 // ProvedAt returns the latest time at which the leader certainly was the primary, or
-// DistantPast without a proof.
+// clock.DistantPast without a proof.
 func (w Watch) ProvedAt() clock.Millis { return w.provedAt }
 
 // LeaseValid reports whether the leader may be used at time now.
@@ -156,10 +154,10 @@
 	}
 	if term > w.term {
 		w.samples, w.unsealedAt = nil, map[string]clock.Millis{}
-		w.processes, w.servers, w.releasedUntil = w.processes.withTerm(), w.servers.withTerm(), DistantPast
+		w.processes, w.servers, w.releasedUntil = w.processes.withTerm(), w.servers.withTerm(), clock.DistantPast
 	}
 	w.term, w.leader = term, leader
-	w.provedAt, w.leaderProbeSent = DistantPast, DistantPast
+	w.provedAt, w.leaderProbeSent = clock.DistantPast, clock.DistantPast
 	return w
 }
 
@@ -255,17 +253,17 @@
 
 // withoutLeader clears the leader after it reported that it no longer leads.
 func (w Watch) withoutLeader() Watch {
-	w.leader, w.provedAt, w.leaderProbeSent = "", DistantPast, DistantPast
+	w.leader, w.provedAt, w.leaderProbeSent = "", clock.DistantPast, clock.DistantPast
 	return w
 }
 
 // lastUnsealed returns the send time of the last probe that the replica answered
-// unsealed, or DistantPast.
+// unsealed, or clock.DistantPast.
 func (w Watch) lastUnsealed(server string) clock.Millis {
 	if at, ok := w.unsealedAt[server]; ok {
 		return at
 	}
-	return DistantPast
+	return clock.DistantPast
 }
 
 // withQuorumProof derives a proof from the probes: the leader has answered as primary,
@@ -315,7 +313,7 @@
 // WithRelease gives up the current term at the request of a claimant that has sealed the
 // group. No proof counts until WithReleaseEnd, or until the claim must have ended.
 func (w Watch) WithRelease(now clock.Millis) Watch {
-	w.releasedUntil, w.provedAt = now+ClaimTimeout, DistantPast
+	w.releasedUntil, w.provedAt = now+ClaimTimeout, clock.DistantPast
 	return w
 }
 
--- a/internal/core/tenure/watch_test.go
+++ b/internal/core/tenure/watch_test.go
@@ -200,7 +200,7 @@
 	sealed map[string]bool
 	// acked holds the acknowledged commits and their times.
 	acked []logSample
-	// allSealedAt is the time at which both replicas were first sealed, or DistantPast.
+	// allSealedAt is the time at which both replicas were first sealed, or clock.DistantPast.
 	allSealedAt clock.Millis
 	// newRuns is set once server n receives the primary's log, and newListed once the
 	// directory lists it. The claimant does not know it.
@@ -270,7 +270,7 @@
 // the former primary go on acknowledging.
 func TestNoTwoPrimaries(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		g := &group{term: 1, primary: "p", logs: map[string]floor.ReplicationPosition{}, sealed: map[string]bool{}, allSealedAt: DistantPast}
+		g := &group{term: 1, primary: "p", logs: map[string]floor.ReplicationPosition{}, sealed: map[string]bool{}, allSealedAt: clock.DistantPast}
 		for _, s := range servers {
 			g.logs[s] = floor.ReplicationPosition{Term: 1, Position: 1}
 		}
@@ -317,7 +317,7 @@
 				// Converted to the receiver's clock, the times become up to 300 ms earlier.
 				r := watches[i].Report()
 				age := clock.Millis(rapid.IntRange(0, 300).Draw(t, "slack"))
-				if r.ProvedAt != DistantPast {
+				if r.ProvedAt != clock.DistantPast {
 					r.ProvedAt -= age
 				}
 				r.PositionAt -= age
@@ -329,12 +329,12 @@
 					return
 				}
 				g.sealed[r] = true
-				if len(g.sealed) == 2 && g.allSealedAt == DistantPast {
+				if len(g.sealed) == 2 && g.allSealedAt == clock.DistantPast {
 					g.allSealedAt = g.now
 				}
 			},
 			"start": func(*rapid.T) {
-				if g.allSealedAt == DistantPast || former != "" || g.newRuns {
+				if g.allSealedAt == clock.DistantPast || former != "" || g.newRuns {
 					return
 				}
 				g.newRuns, g.logs[newServer] = true, g.logs[g.primary]
@@ -353,7 +353,7 @@
 				watches[i] = watches[i].WithDeparture(g.now)
 			},
 			"promote": func(*rapid.T) {
-				if g.allSealedAt == DistantPast || former != "" || g.now < g.allSealedAt+Lease+MaxClockDrift || g.now > g.allSealedAt+attemptTimeout {
+				if g.allSealedAt == clock.DistantPast || former != "" || g.now < g.allSealedAt+Lease+MaxClockDrift || g.now > g.allSealedAt+attemptTimeout {
 					return
 				}
 				best := g.replicas()[0]
--- a/internal/serve/database/acknowledged_test.go
+++ b/internal/serve/database/acknowledged_test.go
@@ -8,7 +8,6 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
-	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 )
 
@@ -24,7 +23,7 @@
 	f.runTicks(g, testTimeout, g.Ready)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.committedAt, g.leaderChangedAt = tenure.DistantPast, g.leaderChangedAt-2*stallTimeout
+	g.committedAt, g.leaderChangedAt = clock.DistantPast, g.leaderChangedAt-2*stallTimeout
 	return f, g
 }
 
--- a/internal/serve/database/confirm.go
+++ b/internal/serve/database/confirm.go
@@ -7,7 +7,6 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
-	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 )
 
 const (
@@ -80,7 +79,7 @@
 	confirmed := err == nil && !status.Primary && holds && status.Received.Covers(s.LogEnd)
 	if err == nil {
 		// The server may lead a later term.
-		a.group.recordStatus(s.ID, status, tenure.DistantPast)
+		a.group.recordStatus(s.ID, status, clock.DistantPast)
 	}
 	if !confirmed {
 		a.group.options.Log.Warn("a sealed server does not confirm its seal", "group", a.group.options.Name, "server", s.ID, "term", status.Term, "sealed", status.Sealed, "received", status.Received, "err", err)
--- a/internal/serve/database/fake_test.go
+++ b/internal/serve/database/fake_test.go
@@ -14,7 +14,6 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
-	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 )
 
 // fakeGroup is an in-memory database group with primary p and replicas q and r.
@@ -186,7 +185,7 @@
 		MaxConnsFunc: func(Server) int { return maxConns }, HolderCountFunc: func(Server) int { return 1 }, MaxIdleFunc: func(Server) int { return 2 }, Self: "vm", LiveVMsFunc: func() []string { return []string{"vm"} },
 		ExpectedVMCountFunc: func() int { return 1 }, RefreshVMsFunc: func(context.Context) error { return nil },
 		ProbersFunc: func() []string { return []string{"vm"} }, CandidatesFunc: func() []string { return nil }, RegionGossipFunc: func() {},
-		RestoredAtFunc: func() clock.Millis { return tenure.DistantPast },
+		RestoredAtFunc: func() clock.Millis { return clock.DistantPast },
 		GossipFunc:     func() {}, StoppingFunc: func() bool { return false },
 		Claims: ClaimStore{ReadFunc: func(context.Context, string) (failover.Claim, uint64, clock.Millis, error) {
 			f.mu.Lock()
--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -77,7 +77,7 @@
 	StoppingFunc func() bool
 	Claims       ClaimStore
 	// RestoredAtFunc returns the time at which this VM learned that the store, in which the
-	// claims are, had come back from a copy, or tenure.DistantPast.
+	// claims are, had come back from a copy, or clock.DistantPast.
 	RestoredAtFunc func() clock.Millis
 }
 
@@ -162,7 +162,7 @@
 	return &Group{
 		// Earlier processes of this VM and others have ended, and servers may have left.
 		watch:   tenure.New(o.SyncReplicas).WithDeparture(now).WithServerDeparture(now),
-		options: o, createdAt: now, leaderDoubtedAt: tenure.DistantPast, leaderAskedAt: tenure.DistantPast, pools: map[string]*pool{}, positions: map[string]floor.ReplicationPosition{}, positionSeenAt: map[string]clock.Millis{},
+		options: o, createdAt: now, leaderDoubtedAt: clock.DistantPast, leaderAskedAt: clock.DistantPast, pools: map[string]*pool{}, positions: map[string]floor.ReplicationPosition{}, positionSeenAt: map[string]clock.Millis{},
 		primaryReady: make(chan struct{}), probedAt: map[string]clock.Millis{}, unlistedSince: map[string]clock.Millis{}, leavingSince: map[string]clock.Millis{},
 		born: map[string]int64{}, restartedIn: map[string]floor.Term{},
 		votes: map[string]vote{}, receivedPositions: map[string]receivedPosition{},
@@ -321,7 +321,7 @@
 	g.watch = w
 	term, leader := w.Leader()
 	if term != oldTerm || leader != oldLeader {
-		g.leaderChangedAt, g.leaderDoubtedAt = now, tenure.DistantPast
+		g.leaderChangedAt, g.leaderDoubtedAt = now, clock.DistantPast
 	}
 	if leader != g.loggedLeader && leader != "" {
 		g.options.Counters.primaryChanges.Inc()
@@ -373,7 +373,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	term, leader := g.watch.Leader()
-	if g.watch.ProvedAt() == tenure.DistantPast {
+	if g.watch.ProvedAt() == clock.DistantPast {
 		return term, leader, -1
 	}
 	return term, leader, g.options.Clock.Now() - g.watch.ProvedAt()
--- a/internal/serve/database/order.go
+++ b/internal/serve/database/order.go
@@ -5,9 +5,9 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
-	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 )
 
 // errOrderPending means that an order to promote a server in an earlier change of primary may
@@ -62,7 +62,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if l, ok := a.sealed[server]; ok {
-		l.at = tenure.DistantPast
+		l.at = clock.DistantPast
 		a.sealed[server] = l
 	}
 }
--- a/internal/serve/database/primary.go
+++ b/internal/serve/database/primary.go
@@ -7,7 +7,6 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
-	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 )
 
 // ErrNoPrimary means that no server may be used as the primary now.
@@ -110,7 +109,7 @@
 	if p == nil || g.pastDrainLocked(leader, now) {
 		return nil, false
 	}
-	doubted := g.leaderDoubtedAt >= g.watch.ProvedAt() && g.leaderDoubtedAt != tenure.DistantPast
+	doubted := g.leaderDoubtedAt >= g.watch.ProvedAt() && g.leaderDoubtedAt != clock.DistantPast
 	return p, g.watch.LeaseValid(now) && !doubted || !needsLease && !doubted
 }
 
--- a/internal/serve/database/probe.go
+++ b/internal/serve/database/probe.go
@@ -175,7 +175,7 @@
 
 // recordStatus records a server's answer to a status query or command, and gossips a
 // newer proof to the region. sent is the time at which the query or command was sent,
-// or tenure.DistantPast if the answer must not count as a proof.
+// or clock.DistantPast if the answer must not count as a proof.
 func (g *Group) recordStatus(server string, status statement.ReplicationStatus, sent clock.Millis) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/serve/database/promote.go
+++ b/internal/serve/database/promote.go
@@ -107,7 +107,7 @@
 // acknowledged returns what is known of the commits that were acknowledged.
 func (a *claimAttempt) acknowledged() failover.Acknowledged {
 	g := a.group
-	removedAt := tenure.DistantPast
+	removedAt := clock.DistantPast
 	if g.options.VMRemovedAtFunc != nil {
 		removedAt = g.options.VMRemovedAtFunc()
 	}
--- a/internal/serve/database/restore_test.go
+++ b/internal/serve/database/restore_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
-	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 )
 
@@ -18,7 +17,7 @@
 func claimableGroup(t *testing.T, f *fakeGroup) (*Group, *atomic.Int64) {
 	t.Helper()
 	restoredAt := &atomic.Int64{}
-	restoredAt.Store(int64(tenure.DistantPast))
+	restoredAt.Store(int64(clock.DistantPast))
 	f.claimable = true
 	g := f.group(t, 4)
 	g.options.DrainTimeout = 100
--- a/internal/serve/database/seal.go
+++ b/internal/serve/database/seal.go
@@ -8,7 +8,6 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
-	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 )
 
 const (
@@ -160,7 +159,7 @@
 	}
 	if status.Primary || !s.FormerPrimary && status.Sealed < a.term+1 || status.Term > a.term {
 		a.group.options.Log.Info("server did not seal for the claim's term", "group", a.group.options.Name, "server", id, "primary", status.Primary, "term", status.Term, "sealed", status.Sealed)
-		a.group.recordStatus(id, status, tenure.DistantPast)
+		a.group.recordStatus(id, status, clock.DistantPast)
 		return
 	}
 	g := a.group
@@ -195,7 +194,7 @@
 		go func() {
 			defer pending.Done()
 			if status, err := a.runCommand(ctx, s.ID, Unseal, 0); err == nil {
-				a.group.recordStatus(s.ID, status, tenure.DistantPast)
+				a.group.recordStatus(s.ID, status, clock.DistantPast)
 			}
 		}()
 	}
--- a/internal/serve/database/view.go
+++ b/internal/serve/database/view.go
@@ -18,7 +18,7 @@
 	now := g.options.Clock.Now()
 	report := g.watch.Report()
 	v := inner.GroupView{Group: g.options.Name, Term: report.Term, Leader: report.Leader, ProofAge: -1, PrimaryLost: g.primaryLostLocked(now)}
-	if report.ProvedAt != tenure.DistantPast {
+	if report.ProvedAt != clock.DistantPast {
 		v.ProofAge = now - report.ProvedAt
 	}
 	if !report.Position.IsZero() {
@@ -46,7 +46,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.options.Clock.Now()
-	report := tenure.Report{Term: v.Term, Leader: v.Leader, ProvedAt: tenure.DistantPast}
+	report := tenure.Report{Term: v.Term, Leader: v.Leader, ProvedAt: clock.DistantPast}
 	if toLocalTime != nil && v.ProofAge >= 0 {
 		report.ProvedAt = toLocalTime(v.ProofAge)
 	}
--- a/internal/serve/frontend/era.go
+++ b/internal/serve/frontend/era.go
@@ -30,7 +30,7 @@
 }
 
 // lastRestore returns the time at which this VM learned that the store had come back from a
-// copy, or tenure.DistantPast.
+// copy, or clock.DistantPast.
 func (f *Frontend) lastRestore() clock.Millis {
 	f.observeEra()
 	f.mu.Lock()
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -17,7 +17,6 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/freshness"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/shutdown"
-	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/peer"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/forward"
@@ -145,7 +144,7 @@
 	}
 	f := &Frontend{
 		options: o, listener: l, ctx: ctx, keyring: &keys.Keyring{}, counters: database.NewCounters(), done: make(chan struct{}),
-		configCopy: freshness.New(), lostDependencies: map[string]bool{}, directoryReadAt: tenure.DistantPast, restoredAt: tenure.DistantPast, groups: map[string]*database.Group{}, conns: map[net.Conn]bool{},
+		configCopy: freshness.New(), lostDependencies: map[string]bool{}, directoryReadAt: clock.DistantPast, restoredAt: clock.DistantPast, groups: map[string]*database.Group{}, conns: map[net.Conn]bool{},
 	}
 	f.sessionOptions = session.Options{
 		Clock: o.Clock, Log: o.Log, Protocol: o.Protocol, Counters: session.NewCounters(), Trace: o.Trace,
--- a/internal/serve/frontend/restore_test.go
+++ b/internal/serve/frontend/restore_test.go
@@ -10,7 +10,6 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
-	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/gossip"
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
@@ -41,7 +40,7 @@
 	era, ctx := uint64(1), canceledContext()
 	store := []database.Server{{ID: "p", Leaving: true, Born: 5}}
 	f := &Frontend{
-		ctx: ctx, lostDependencies: map[string]bool{}, restoredAt: tenure.DistantPast, directoryReadAt: tenure.DistantPast, eraGauge: metrics.NewSet().NewGauge("era", nil),
+		ctx: ctx, lostDependencies: map[string]bool{}, restoredAt: clock.DistantPast, directoryReadAt: clock.DistantPast, eraGauge: metrics.NewSet().NewGauge("era", nil),
 		options: Options{Clock: c.Clock(), Log: log.New(io.Discard), EraFunc: func() uint64 { return era }, ServersFunc: func(context.Context) ([]database.Server, error) {
 			return store, nil
 		}},
--- a/internal/trial/explore/vm.go
+++ b/internal/trial/explore/vm.go
@@ -63,7 +63,7 @@
 	if o.both {
 		w = w.WithStatus(serverIDs[o.first.server], o.first.status(), now).WithStatus(serverIDs[o.second.server], o.second.status(), now)
 	} else {
-		w = w.WithStatus(serverIDs[o.first.server], o.first.status(), tenure.DistantPast)
+		w = w.WithStatus(serverIDs[o.first.server], o.first.status(), clock.DistantPast)
 	}
 	return knownBy(w)
 }
