Read the store when nobody has confirmed the configuration there in time

Cause: a source that is alive counted as one that is up to date. A follower made no call while any message came, and a message told a version but not how old the sender's knowledge was. The log of frontend-chilliwack-8 at 9.45 s: version 2, confirmed by its relay 7,614 ms before, and no call.

Change: a follower whose copy was last confirmed at the store longer ago than the deadline allows reads the store itself. VMs have turns, so that a few do if those few reach it, and all do in time otherwise; they go on for 10 s, pass the result on at once, and pause longer after failures. A VM on which others rely ends its polls so that its own copy does not get older than one poll. The deadline is a setting. A new invariant, configcurrent, is checked wherever a VM relies on others.

--- a/internal/base/invariant/invariant.go
+++ b/internal/base/invariant/invariant.go
@@ -41,6 +41,9 @@
 	PlannedStop Name = "plannedstop"
 	// ConfigForward holds when the version of the configuration in force never decreases.
 	ConfigForward Name = "configforward"
+	// ConfigCurrent holds when no VM relies on others for a configuration that the store has not
+	// confirmed within the deadline.
+	ConfigCurrent Name = "configcurrent"
 )
 
 var (
--- a/internal/serve/frontend/blind_test.go
+++ b/internal/serve/frontend/blind_test.go
@@ -79,7 +79,7 @@
 	}
 }
 
-// newFollowedZone starts a follower in a zone of 40 VMs and waits until it has version 1.
+// newFollowedZone returns a follower in a zone of 40 VMs that has not started.
 func newFollowedZone(t *testing.T) *followedZone {
 	t.Helper()
 	z := &followedZone{clock: clock.System()}
@@ -90,7 +90,8 @@
 		v := member.VM{Name: fmt.Sprintf("vm%d", i), Address: fmt.Sprintf("address%d", i), Zone: "a", Region: "r"}
 		vms, byAddress[v.Address] = append(vms, v), v
 	}
-	f := &Frontend{lostDependencies: map[string]bool{}, configCopy: freshness.New(), configCalls: &metrics.Counter{}}
+	f := &Frontend{lostDependencies: map[string]bool{}, configCopy: freshness.New(), configCalls: &metrics.Counter{}, bounds: freshness.NewBounds(0)}
+	f.follower = freshness.NewFollower(f.bounds, 0.9)
 	f.limiter = newLimiter(z.clock, Tolerance{})
 	f.limiter.vmCountFunc, f.limiter.buckets = func() int { return len(vms) }, map[string]quota.Bucket{}
 	for _, v := range vms {
@@ -104,6 +105,13 @@
 		}
 	}
 	z.follower = f
+	return z
+}
+
+// start starts the follower and waits until it has version 1 and makes no calls.
+func (z *followedZone) start(t *testing.T) {
+	t.Helper()
+	f := z.follower
 	ctx, cancel := context.WithCancel(context.Background())
 	f.ctx = ctx
 	done := make(chan struct{})
@@ -120,8 +128,7 @@
 	})
 	awaitVersion(t, f, 1, configDeadline)
 	// The first poll ends.
-	time.Sleep((storeWait + clock.Second).Duration())
-	return z
+	time.Sleep((freshness.MaxPollWait + clock.Second).Duration())
 }
 
 // newMesh returns the mesh of the follower, whose relays answer at once.
@@ -145,6 +152,7 @@
 // TestFollowerOfBlindRelays guards against a follower that stays at an old configuration because its relays, which do not reach the store, go on reporting the version that they have.
 func TestFollowerOfBlindRelays(t *testing.T) {
 	z := newFollowedZone(t)
+	z.start(t)
 	z.blindAt.Store(int64(z.clock.Now()))
 	z.inStore.Store(2)
 	awaitVersion(t, z.follower, 2, configDeadline)
@@ -153,6 +161,7 @@
 // TestFollowerOfCurrentRelays guards against followers that call the store although their relays are up to date.
 func TestFollowerOfCurrentRelays(t *testing.T) {
 	z := newFollowedZone(t)
+	z.start(t)
 	before := z.calls.Load()
 	time.Sleep(2 * configDeadline)
 	if calls := z.calls.Load() - before; calls != 0 {
--- a/internal/serve/frontend/follow.go
+++ b/internal/serve/frontend/follow.go
@@ -8,13 +8,14 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/freshness"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/gossip"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
 )
 
 const (
 	// followInterval is the pause between two checks whether a relay still keeps this VM
 	// up to date, in milliseconds.
-	followInterval = clock.Millis(400)
+	followInterval = clock.Millis(200)
 	// behindTimeout is the time after which a VM reads a configuration that another VM has
 	// from the store, in milliseconds, unless the store is sending it already.
 	behindTimeout = clock.Millis(800)
@@ -44,59 +45,122 @@
 
 // followConfiguration reads the configuration from the store and adopts each change until
 // the context ends. After an error it reads the whole configuration again. It makes no calls
-// while a relay keeps this VM up to date; a relay may be too slow to hand over what it
-// reports.
+// while relays keep this VM up to date.
 func (f *Frontend) followConfiguration(ctx context.Context) {
-	version, hasVersion := uint64(0), false
-	// inStore is the version of the last configuration that the store returned.
-	inStore := uint64(0)
-	pause := firstRetryDelay
+	r := storeReader{frontend: f, pause: firstRetryDelay}
 	for ctx.Err() == nil {
-		if f.catalog.Load() != nil && f.mesh.FollowsRelay() && !f.isBehind() {
-			// The changes that the relay reports are fetched from it.
-			hasVersion = false
+		if f.leavesStoreToRelays() {
+			// The changes that a relay reports are fetched from it.
+			r.hasVersion = false
 			_ = f.options.Clock.Sleep(ctx, followInterval)
 			continue
 		}
-		var text []byte
-		var err error
-		asked, polls := f.options.Clock.Now(), hasVersion
+		r.read(ctx)
+	}
+}
+
+// leavesStoreToRelays reports whether this VM makes no call of the store now: relays keep it up to
+// date, or its last call failed a short time ago. Relays do not keep it up to date if nobody has
+// confirmed its copy at the store lately, or if one reports a version that it does not hand over.
+func (f *Frontend) leavesStoreToRelays() bool {
+	if f.catalog.Load() == nil || f.mesh.Role() != gossip.Follower {
+		return false
+	}
+	now, vms, inTouch := f.options.Clock.Now(), f.mesh.KnownCount(), f.mesh.FollowsRelay()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	age := f.configCopy.Age(now)
+	f.follower = f.follower.WithAge(age, vms, now)
+	if !f.follower.MayCall(now) {
+		return true
+	}
+	relies := inTouch && !f.follower.Reads(now) && !f.isBehindLocked(now)
+	invariant.Check(!relies || age < f.bounds.Deadline, invariant.ConfigCurrent, "relying on other VMs with a copy that is %d ms old", age)
+	return relies
+}
+
+// storeReader reads the configuration from the store, call by call.
+type storeReader struct {
+	frontend *Frontend
+	// version is the version of the store to poll from, if hasVersion is set.
+	version    uint64
+	hasVersion bool
+	// inStore is the version of the last configuration that the store returned, 0 before the
+	// first, and confirmedAt a time at which it was the last one there.
+	inStore     uint64
+	confirmedAt clock.Millis
+	// pause is the pause after the next failed call, in milliseconds.
+	pause clock.Millis
+}
+
+// read makes one call, a poll if the version of the store is known, and adopts the result. After
+// an error it pauses.
+func (r *storeReader) read(ctx context.Context) {
+	f := r.frontend
+	asked := f.options.Clock.Now()
+	f.mu.Lock()
+	f.storeAskedAt = asked
+	f.mu.Unlock()
+	f.configCalls.Inc()
+	text, unchangedFor, err := r.call(ctx, asked)
+	r.hasVersion = err == nil
+	f.recordDependency("configuration", err)
+	switch {
+	case errors.Is(err, ErrHistoryDropped) || errors.Is(err, errPollInterrupted):
+		return
+	case err != nil:
+		r.pauseAfterFailure(ctx)
+		return
+	}
+	r.pause = firstRetryDelay
+	f.recordSuccess()
+	if text != nil {
+		r.inStore = f.adoptConfiguration(text, freshness.Store)
+	}
+	if r.inStore > 0 {
+		r.confirmedAt = asked + unchangedFor
+		f.confirmConfiguration(r.inStore, r.confirmedAt, freshness.Store)
+	}
+}
+
+// call makes one call that begins at the time asked. It returns the text of a configuration, nil
+// for none, and for how long from then on, in milliseconds, the store had no later one. A poll
+// without a change is answered once it has lasted its wait.
+func (r *storeReader) call(ctx context.Context, asked clock.Millis) (text []byte, unchangedFor clock.Millis, err error) {
+	f := r.frontend
+	if !r.hasVersion {
+		text, r.version, err = f.options.Source.ReadFunc(ctx)
+		return text, 0, err
+	}
+	wait := freshness.MaxPollWait
+	if f.mesh.UsesRelays() {
+		wait = f.bounds.NextPoll(r.confirmedAt, asked)
+	}
+	text, r.version, err = f.waitForChange(ctx, r.version, wait)
+	if text == nil && f.options.Clock.Now()-asked >= wait {
+		unchangedFor = wait
+	}
+	return text, unchangedFor, err
+}
+
+// pauseAfterFailure lets time pass after a failed call. A follower pauses longer from call to
+// call, since there are many.
+func (r *storeReader) pauseAfterFailure(ctx context.Context) {
+	f := r.frontend
+	if f.catalog.Load() != nil && f.mesh.Role() == gossip.Follower {
 		f.mu.Lock()
-		f.storeAskedAt = asked
+		f.follower = f.follower.WithFailure(f.options.Clock.Now())
 		f.mu.Unlock()
-		f.configCalls.Inc()
-		if polls {
-			text, version, err = f.waitForChange(ctx, version)
-		} else {
-			text, version, err = f.options.Source.ReadFunc(ctx)
-		}
-		hasVersion = err == nil
-		f.recordDependency("configuration", err)
-		if err != nil {
-			if !errors.Is(err, ErrHistoryDropped) && !errors.Is(err, errPollInterrupted) {
-				_ = f.options.Clock.Sleep(ctx, pause)
-				pause = errorRetryDelay
-			}
-			continue
-		}
-		pause = firstRetryDelay
-		if text != nil {
-			inStore = f.adoptConfiguration(text, freshness.Store)
-		}
-		if inStore > 0 {
-			f.confirmConfiguration(inStore, f.answeredAt(asked, polls && text == nil), freshness.Store)
-		}
+		return
 	}
+	_ = f.options.Clock.Sleep(ctx, r.pause)
+	r.pause = errorRetryDelay
 }
 
-// answeredAt returns a time, not after the present one, that is not later than the answer of the
-// store to a call that began at the time asked. A poll without a change is answered once it has
-// lasted storeWait.
-func (f *Frontend) answeredAt(asked clock.Millis, unchanged bool) clock.Millis {
-	if unchanged && f.options.Clock.Now()-asked >= storeWait {
-		return asked + storeWait
-	}
-	return asked
+func (f *Frontend) recordSuccess() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.follower = f.follower.WithSuccess()
 }
 
 // configurationCopy returns what this VM knows of the age of its configuration.
@@ -106,12 +170,28 @@
 	return f.configCopy
 }
 
-// confirmConfiguration records that the store had no version later than this one at the time at,
-// as the store or the VM called by reported.
+// confirmConfiguration records that the store had no configuration later than a version at the
+// time at, as the store or the VM called by reported. If this VM's copy was too old until now, it
+// passes that on soon, since the copies of the VMs that rely on it are as old.
 func (f *Frontend) confirmConfiguration(version uint64, at clock.Millis, by string) {
+	now := f.options.Clock.Now()
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	wasOld := f.configCopy.Age(now) >= f.bounds.MaxAge
 	f.configCopy = f.configCopy.WithConfirmation(version, at, by)
+	renewed := wasOld && f.configCopy.Age(now) < f.bounds.MaxAge
+	f.mu.Unlock()
+	if !renewed || !f.mesh.UsesRelays() {
+		return
+	}
+	if by == freshness.Store || f.mesh.Role() == gossip.Relay {
+		f.mesh.GossipSoon()
+	}
+}
+
+// drawOf returns a number from 0 to below 1 for a random one.
+func drawOf(random uint64) float64 {
+	const bits = 53
+	return float64(random>>(64-bits)) / (1 << bits)
 }
 
 // observeAge shows the age of the configuration, once it is known.
--- a/internal/serve/frontend/follow_test.go
+++ b/internal/serve/frontend/follow_test.go
@@ -26,10 +26,10 @@
 	f.limiter.vmCountFunc, f.limiter.buckets = func() int { return 1 }, map[string]quota.Bucket{}
 	f.nextFetchAt = 1 << 40
 	got := []bool{f.isBehind()}
-	f.startConfigurationFetch("relay", 2)
+	f.startConfigurationFetch(versionReport{address: "relay", version: 2})
 	got = append(got, f.isBehind())
 	c.Advance(behindTimeout + 1)
-	f.startConfigurationFetch("relay", 2)
+	f.startConfigurationFetch(versionReport{address: "relay", version: 2})
 	got = append(got, f.isBehind())
 	f.adoptConfiguration([]byte("x"), "store")
 	got = append(got, f.isBehind())
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -53,11 +53,15 @@
 	// DrainPeriod is how long requests may still reach a leaving backend server, in
 	// milliseconds.
 	DrainPeriod clock.Millis
+	// ConfigurationDeadline is the time within which a configuration that the store has accepted
+	// must be in force at each VM that reaches the store, in milliseconds; 0 means a default.
+	ConfigurationDeadline clock.Millis
 }
 
 // Frontend is a running VM.
 type Frontend struct {
 	options        Options
+	bounds         freshness.Bounds
 	listener       net.Listener
 	sessionOptions session.Options
 	counters       database.Counters
@@ -108,10 +112,12 @@
 	// and nextFetchAt is the time before which the next fetch does not start.
 	fetchingConfiguration bool
 	nextFetchAt           clock.Millis
-	// configText is the text of catalog, configCopy tells how old it is, and laterKnownAt is
-	// the time at which another VM first reported a later version, or 0.
+	// configText is the text of catalog, configCopy tells how old it is, and follower whether
+	// this VM reads the store while it is a follower. laterKnownAt is the time at which another VM
+	// first reported a later version, or 0.
 	configText   []byte
 	configCopy   freshness.Copy
+	follower     freshness.Follower
 	laterKnownAt clock.Millis
 	// storeAskedAt is the start of the last call that reads the configuration from the store.
 	storeAskedAt clock.Millis
@@ -143,7 +149,7 @@
 		return nil, err
 	}
 	f := &Frontend{
-		options: o, listener: l, ctx: ctx, keyring: &keys.Keyring{}, counters: database.NewCounters(), done: make(chan struct{}),
+		options: o, bounds: freshness.NewBounds(o.ConfigurationDeadline), listener: l, ctx: ctx, keyring: &keys.Keyring{}, counters: database.NewCounters(), done: make(chan struct{}),
 		configCopy: freshness.New(), lostDependencies: map[string]bool{}, directoryReadAt: clock.DistantPast, restoredAt: clock.DistantPast, groups: map[string]*database.Group{}, conns: map[net.Conn]bool{},
 	}
 	f.sessionOptions = session.Options{
@@ -153,6 +159,7 @@
 		RefundFunc: func(a catalog.Account) { f.limiter.refund(a) },
 	}
 	f.mesh = f.newMesh()
+	f.follower = freshness.NewFollower(f.bounds, drawOf(f.mesh.Process()))
 	f.fetchFailures = metrics.GetOrCreateCounter("sycamoredoor_fetch_failures_total")
 	f.eraGauge = metrics.GetOrCreateGauge("sycamoredoor_store_era", nil)
 	f.ageGauge = metrics.GetOrCreateGauge("sycamoredoor_configuration_age_seconds", nil)
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -189,57 +189,70 @@
 			group.MergeView(database.Sender{VM: g.From, Process: g.Process}, v, toLocalTime)
 		}
 	}
+	report := versionReport{vm: g.From, address: g.Address, version: g.Version, confirmedAt: clock.DistantPast}
 	if toLocalTime != nil {
 		f.compareDirectory(g.Address, g.DirectoryHash, toLocalTime(g.DirectoryAge))
-		f.confirmConfiguration(g.Version, toLocalTime(g.VersionAge), g.From)
+		report.confirmedAt = toLocalTime(g.VersionAge)
 	}
 	c := f.catalog.Load()
 	if c == nil || g.Version > c.Version {
-		f.startConfigurationFetch(g.Address, g.Version)
+		f.startConfigurationFetch(report)
+		return
 	}
+	f.confirmConfiguration(report.version, report.confirmedAt, report.vm)
+}
+
+// versionReport is what another VM reports of its configuration. confirmedAt is a time at which
+// the store had no later version, or clock.DistantPast.
+type versionReport struct {
+	vm          string
+	address     string
+	version     uint64
+	confirmedAt clock.Millis
 }
 
-// startConfigurationFetch starts fetching a later configuration from another VM, and
+// startConfigurationFetch starts fetching a later configuration from the VM that reports it, and
 // interrupts a silent poll of the store. It starts no fetch while another is in progress,
 // within fetchDelay + fetchRetryDelay of the last start, or for version 0: the other VM has
 // no configuration either.
-func (f *Frontend) startConfigurationFetch(address string, version uint64) {
+func (f *Frontend) startConfigurationFetch(r versionReport) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.options.Clock.Now()
-	if version > 0 && f.laterKnownAt == 0 {
+	if r.version > 0 && f.laterKnownAt == 0 {
 		f.laterKnownAt = now
 	}
 	f.interruptPollLocked(now)
-	if version == 0 || f.fetchingConfiguration || now < f.nextFetchAt {
+	if r.version == 0 || f.fetchingConfiguration || now < f.nextFetchAt {
 		return
 	}
 	f.fetchingConfiguration = true
 	f.nextFetchAt = now + fetchRetryDelay + fetchDelay
 	f.spawn(func() {
-		f.fetchConfiguration(address, version)
+		f.fetchConfiguration(r)
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.fetchingConfiguration = false
 	})
 }
 
-// fetchConfiguration fetches the configuration from another VM, unless the store has
+// fetchConfiguration fetches the configuration from the VM that reports it, unless the store has
 // delivered that version or a later one within fetchDelay.
-func (f *Frontend) fetchConfiguration(address string, version uint64) {
+func (f *Frontend) fetchConfiguration(r versionReport) {
 	_ = f.options.Clock.Sleep(f.ctx, fetchDelay)
-	if c := f.catalog.Load(); c != nil && c.Version >= version {
+	if c := f.catalog.Load(); c != nil && c.Version >= r.version {
 		return
 	}
 	asked := f.options.Clock.Now()
-	answer, err := f.ask(address, inner.Question{Topic: inner.TopicText})
+	answer, err := f.ask(r.address, inner.Question{Topic: inner.TopicText})
 	if err != nil {
 		f.fetchFailures.Inc()
-		f.options.Log.Info("fetching the configuration from another VM failed", "address", address, "version", version,
+		f.options.Log.Info("fetching the configuration from another VM failed", "address", r.address, "version", r.version,
 			"took", f.options.Clock.Now()-asked, "role", f.mesh.Role(), "poll_ms", f.storeCallAge(), "confirmed_ms", f.configurationCopy().Age(f.options.Clock.Now()), "err", err)
 		return
 	}
-	f.adoptConfiguration(answer.Payload, address)
+	f.adoptConfiguration(answer.Payload, r.address)
+	f.confirmConfiguration(r.version, r.confirmedAt, r.vm)
 }
 
 // ask puts one question to the VM at an address.
--- a/internal/serve/frontend/poll.go
+++ b/internal/serve/frontend/poll.go
@@ -8,10 +8,6 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 )
 
-// storeWait is how long one long poll of the store for changes may last, in
-// milliseconds. A poll on a dead connection fails only when this time is over.
-const storeWait = 2500 * clock.Millis(1)
-
 // poll is a long poll of the store that is in progress.
 type poll struct {
 	cancel context.CancelFunc
@@ -22,16 +18,17 @@
 // errPollInterrupted means that interruptPollLocked ended the poll.
 var errPollInterrupted = errors.New("the poll of the store was interrupted")
 
-// waitForChange waits for a change after a version of the store. After an error it
+// waitForChange waits for a change after a version of the store, at most wait milliseconds. A
+// poll on a dead connection fails only when this time is over. After an error it
 // returns the version that it was given. It returns errPollInterrupted if the poll was
 // interrupted.
-func (f *Frontend) waitForChange(ctx context.Context, after uint64) ([]byte, uint64, error) {
+func (f *Frontend) waitForChange(ctx context.Context, after uint64, wait clock.Millis) ([]byte, uint64, error) {
 	pollContext, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	p := &poll{cancel: func() { cancel(errPollInterrupted) }}
 	f.setPoll(p)
 	defer f.setPoll(nil)
-	text, version, err := f.options.Source.WaitFunc(pollContext, after, storeWait, func() { f.recordAnswering(p) })
+	text, version, err := f.options.Source.WaitFunc(pollContext, after, wait, func() { f.recordAnswering(p) })
 	switch {
 	case err != nil && errors.Is(context.Cause(pollContext), errPollInterrupted):
 		return nil, after, errPollInterrupted
--- a/internal/serve/frontend/poll_test.go
+++ b/internal/serve/frontend/poll_test.go
@@ -149,7 +149,7 @@
 			case <-stop:
 				return
 			case <-time.After(100 * time.Millisecond):
-				f.startConfigurationFetch("vm", 2)
+				f.startConfigurationFetch(versionReport{address: "vm", version: 2})
 			}
 		}
 	}()
