Read the directory in time when the VM that reads it for the region does not

The directory has an age, counted from the read at the store, but a VM looked at it only every 2.5 s, and a call that failed was repeated after 2.5 s. With the region's reader without a path to the store and one failed call, a directory was 9,404 ms old when it was read (TestDirectoryWithoutReader); a leaving server gets no work after 7 s.

Change: a VM looks at the age every 500 ms and reads by turns from 4.5 s on, as for the configuration; the region's reader repeats a failed call after 300 ms, others after 0.3 s, doubled up to 2.4 s.

--- a/internal/core/freshness/bounds.go
+++ b/internal/core/freshness/bounds.go
@@ -12,16 +12,20 @@
 	// gossipMargin is how much older a copy becomes on its way from a VM that polls the store
 	// to those that rely on it, in milliseconds.
 	gossipMargin = clock.Millis(800)
+	// takeoverTime is how long a follower goes on polling the store after its copy was too old,
+	// in milliseconds.
+	takeoverTime = 10 * clock.Second
 	// defaultDeadline applies while no deadline is set, in milliseconds.
 	defaultDeadline = 3 * clock.Second
 )
 
 // Bounds are the times that keep copies within a deadline, in milliseconds. A follower reads the
-// store itself once its copy is older than MaxAge. PollWait is the wait of a poll of the store by a
-// VM on which followers rely.
+// store itself once its copy is older than MaxAge, and goes on for Takeover. PollWait is the wait of
+// a poll of the store by a VM on which followers rely.
 type Bounds struct {
 	Deadline clock.Millis
 	MaxAge   clock.Millis
+	Takeover clock.Millis
 	PollWait clock.Millis
 }
 
@@ -32,7 +36,7 @@
 		deadline = defaultDeadline
 	}
 	maxAge := max(deadline-readMargin, gossipMargin+minPollWait)
-	return Bounds{Deadline: deadline, MaxAge: maxAge, PollWait: min(MaxPollWait, maxAge-gossipMargin)}
+	return Bounds{Deadline: deadline, MaxAge: maxAge, Takeover: takeoverTime, PollWait: min(MaxPollWait, maxAge-gossipMargin)}
 }
 
 // NextPoll returns the wait of the next poll of the store in milliseconds, after a call that
--- a/internal/core/freshness/follower.go
+++ b/internal/core/freshness/follower.go
@@ -9,9 +9,6 @@
 const (
 	// turnSpread is the time over which the turns of the VMs spread, in milliseconds.
 	turnSpread = clock.Second
-	// takeoverTime is how long a follower goes on reading the store after its copy was too
-	// old, in milliseconds.
-	takeoverTime = 10 * clock.Second
 	// minRetryPause and maxRetryPause bound the pause of a follower after a failed call of the
 	// store, in milliseconds.
 	minRetryPause = clock.Millis(300)
@@ -46,7 +43,7 @@
 	case age < w.bounds.MaxAge:
 		w.retryPause = minRetryPause
 	case age >= w.bounds.MaxAge+w.turn(vms):
-		w.readsUntil = now + takeoverTime
+		w.readsUntil = now + w.bounds.Takeover
 	}
 	return w
 }
@@ -58,7 +55,7 @@
 }
 
 // Reads reports whether the VM reads the store at time now.
-func (w Follower) Reads(now clock.Millis) bool { return now < w.readsUntil }
+func (w Follower) Reads(now clock.Millis) bool { return now <= w.readsUntil }
 
 // MayCall reports whether enough time has passed at time now since the last failed call.
 func (w Follower) MayCall(now clock.Millis) bool { return now >= w.retryAt }
--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/freshness"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
@@ -23,6 +24,9 @@
 	// directoryRetryInterval is the pause between two reads until the first one
 	// succeeds, in milliseconds.
 	directoryRetryInterval = clock.Millis(200)
+	// directoryCheckInterval is the pause between two checks of the age of the directory by a
+	// VM that another one reads it for, in milliseconds.
+	directoryCheckInterval = clock.Millis(500)
 	// drainDivisor divides the drain period into the time in which a leaving primary
 	// still gets new work and the rest, in which VMs learn from the directory that it
 	// leaves and requests in flight finish.
@@ -33,15 +37,52 @@
 // reads it for the others, which read it themselves only when theirs is directoryMaxAge
 // old.
 func (f *Frontend) pollDirectory(ctx context.Context) {
-	pause := directoryRetryInterval
+	reader := directoryReader{frontend: f, follower: freshness.NewFollower(freshness.Bounds{MaxAge: directoryMaxAge}, drawOf(f.mesh.Process()))}
 	for ctx.Err() == nil {
-		if f.shouldReadDirectory() && f.readDirectory(ctx) == nil {
-			pause = directoryInterval
-		}
-		_ = f.options.Clock.Sleep(ctx, pause)
+		_ = f.options.Clock.Sleep(ctx, reader.next(ctx))
 	}
 }
 
+// directoryReader reads the directory when it is due. follower decides that on a VM that does not
+// read it for its region.
+type directoryReader struct {
+	frontend *Frontend
+	follower freshness.Follower
+	hasRead  bool
+}
+
+// next reads the directory if that is due, and returns the pause before the next call.
+func (r *directoryReader) next(ctx context.Context) clock.Millis {
+	f := r.frontend
+	readsForRegion := f.mesh.ReadsForRegion()
+	if !readsForRegion && !r.isDue() {
+		return directoryCheckInterval
+	}
+	err := f.readDirectory(ctx)
+	switch {
+	case err == nil:
+		r.hasRead, r.follower = true, r.follower.WithSuccess()
+		return directoryInterval
+	case !r.hasRead:
+		return directoryRetryInterval
+	case readsForRegion:
+		return errorRetryDelay
+	}
+	r.follower = r.follower.WithFailure(f.options.Clock.Now())
+	return directoryRetryInterval
+}
+
+// isDue reports whether the directory is too old, and this VM's turn to read it has come.
+func (r *directoryReader) isDue() bool {
+	f := r.frontend
+	vms, now := f.mesh.KnownCount(), f.options.Clock.Now()
+	f.mu.Lock()
+	age := now - f.directoryReadAt
+	f.mu.Unlock()
+	r.follower = r.follower.WithAge(age, vms, now)
+	return r.follower.MayCall(now) && r.follower.Reads(now)
+}
+
 // readDirectory reads the directory and applies it. The directory counts as read at the
 // start of the call, since later changes may be missing from it.
 func (f *Frontend) readDirectory(ctx context.Context) error {
@@ -94,16 +135,6 @@
 	return out
 }
 
-// shouldReadDirectory reports whether this VM has to read the directory itself now.
-func (f *Frontend) shouldReadDirectory() bool {
-	if f.mesh.ReadsForRegion() {
-		return true
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.options.Clock.Now()-f.directoryReadAt >= directoryMaxAge
-}
-
 // applyDirectory replaces the directory, unless the present one was read at readAt or
 // later.
 func (f *Frontend) applyDirectory(servers []database.Server, readAt clock.Millis) {
