Let open transactions have the first half of a planned stop

Cause: its age was bounded from the time on at which idle sessions end, a third of the stop or 2.2 s. Change: from the half of the stop on.

--- a/internal/core/shutdown/shutdown.go
+++ b/internal/core/shutdown/shutdown.go
@@ -36,6 +36,9 @@
 // statement being taken.
 func (s Stop) FirstHalf() clock.Millis { return s.startedAt + s.timeout/2 - signalDelay }
 
+// TransactionEnd returns the time until which a transaction that was open at the start may take.
+func (s Stop) TransactionEnd() clock.Millis { return s.startedAt + s.timeout/2 }
+
 // End returns the time at which connections are closed.
 func (s Stop) End() clock.Millis { return s.startedAt + s.timeout - exitMargin }
 
--- a/internal/serve/frontend/stop.go
+++ b/internal/serve/frontend/stop.go
@@ -71,6 +71,13 @@
 // isStopping reports whether a planned stop has begun.
 func (f *Frontend) isStopping() bool { return f.stop.Load() != nil }
 
+// expiresTransactions reports whether the part of a planned stop is over that is left to open
+// transactions.
+func (f *Frontend) expiresTransactions() bool {
+	stop := f.stop.Load()
+	return stop != nil && f.options.Clock.Now() >= stop.TransactionEnd()
+}
+
 // takes reports whether a statement that may run for timeout milliseconds ends before a
 // planned stop closes the connections.
 func (f *Frontend) takes(timeout clock.Millis) bool {
--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -54,6 +54,8 @@
 	RefundFunc func(a catalog.Account)
 	// StoppingFunc reports whether sessions are to end because the VM is stopping.
 	StoppingFunc func() bool
+	// ExpiresFunc reports whether open transactions are to end soon because the VM is stopping.
+	ExpiresFunc func() bool
 	// TakesFunc reports whether a statement that may run for timeout milliseconds ends before
 	// a planned stop of the VM closes the connections.
 	TakesFunc func(timeout clock.Millis) bool
@@ -143,17 +145,17 @@
 }
 
 // checkIdle rolls back the transaction if its caller has been silent for too long, or
-// if the VM is stopping and the transaction is older than stoppingMaxAge.
+// if the stop of the VM has gone so far and the transaction is older than stoppingMaxAge.
 func (s *session) checkIdle() {
 	now := s.options.Clock.Now()
 	idleTimeout := s.options.CatalogFunc().IdleInTransactionTimeout
-	pastMaxAge := s.options.StoppingFunc() && now-s.txn.startedAt > stoppingMaxAge
+	pastMaxAge := s.options.ExpiresFunc() && now-s.txn.startedAt > stoppingMaxAge
 	if s.txn.conn != nil && (idleTimeout > 0 && now-s.txn.usedAt >= idleTimeout || pastMaxAge) {
 		s.expire()
 	}
 }
 
-// stoppingMaxAge is the age that a transaction may reach on a stopping VM, in
+// stoppingMaxAge is the age that a transaction may reach late in a stop of the VM, in
 // milliseconds.
 const stoppingMaxAge = clock.Second
 
