--- a/internal/core/freshness/freshness.go
+++ b/internal/core/freshness/freshness.go
@@ -1,5 +1,6 @@
-// Package freshness tracks the age of a VM's copy of a record in the store. The age counts
-// from when the store had nothing later than the copy, whichever VMs have passed that on.
+// Package freshness tracks the age of a VM's copy of a record in the store, and decides when a VM
+// that gets it from others reads the store itself. The age counts from when the store had nothing
+// later than the copy, whichever VMs have passed that on.
 package freshness
 
 import "github.com/sycamoredoor/sycamoredoor/internal/base/clock"
--- a/internal/serve/gossip/relay.go
+++ b/internal/serve/gossip/relay.go
@@ -62,8 +62,8 @@
 	return len(relays) > 0 && relays[0] == m.options.Self.Name
 }
 
-// FollowsRelay reports whether relays keep this VM up to date: it is a follower, and a
-// message came within the last inTouchTime.
+// FollowsRelay reports whether this VM is a follower and in touch with a relay: a message came
+// within the last inTouchTime. How old the relay's own knowledge is, the message says.
 func (m *Mesh) FollowsRelay() bool {
 	if m.Role() != Follower {
 		return false
