--- a/internal/core/freshness/follower.go
+++ b/internal/core/freshness/follower.go
@@ -15,8 +15,8 @@
 	maxRetryPause = clock.Millis(2400)
 )
 
-// Follower decides when a VM that other VMs keep up to date reads the store itself, because its
-// copy is too old: nobody on whom it relies reaches the store. It is immutable.
+// Follower decides when a VM that other VMs keep up to date reads the store itself: when its copy
+// is too old, since then none of those VMs reaches the store. It is immutable.
 type Follower struct {
 	bounds Bounds
 	// draw is a number from 0 to below 1 that differs from VM to VM.
@@ -35,9 +35,9 @@
 }
 
 // WithAge records the age of the copy at time now in an installation of so many VMs. Each VM has
-// a turn; the number of those whose turn has come doubles in equal steps over turnSpread. So if
-// the first few reach the store, the others hear from them in time to make no call, and if most do
-// not, each VM finds out for itself.
+// a turn; the number of VMs whose turn has come doubles in equal steps over turnSpread. If one of
+// the first reaches the store, its report spares the later ones their call; if most VMs do not
+// reach it, every VM has tried by the end of turnSpread.
 func (w Follower) WithAge(age clock.Millis, vms int, now clock.Millis) Follower {
 	switch {
 	case age < w.bounds.MaxAge:
--- a/internal/core/freshness/follower_test.go
+++ b/internal/core/freshness/follower_test.go
@@ -8,8 +8,8 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
-// blindCase is a case of blind.yaml, which describes the fields.
-type blindCase struct {
+// storelessCase is a case of nostore.yaml, which describes the fields.
+type storelessCase struct {
 	Name     string       `yaml:"name"`
 	VMs      int          `yaml:"vms"`
 	Reach    float64      `yaml:"reach"`
@@ -20,8 +20,8 @@
 	Calls    float64      `yaml:"calls"`
 }
 
-// blindVM is a follower of a simulated installation whose relays do not reach the store.
-type blindVM struct {
+// storelessVM is a follower of a simulated installation whose relays do not reach the store.
+type storelessVM struct {
 	follower    Follower
 	reaches     bool
 	confirmedAt clock.Millis
@@ -29,11 +29,11 @@
 	pollEnd clock.Millis
 }
 
-// blindInstallation is an installation whose relays reach the store until time 0.
-type blindInstallation struct {
+// storelessInstallation is an installation whose relays reach the store until time 0.
+type storelessInstallation struct {
 	bounds Bounds
 	hop    clock.Millis
-	vms    []blindVM
+	vms    []storelessVM
 	// confirmedAt is the latest confirmation by any VM. The others have it hop later, at
 	// reportedAt.
 	confirmedAt clock.Millis
@@ -43,10 +43,10 @@
 	oldest clock.Millis
 }
 
-const blindStep = clock.Millis(50)
+const simulatedStep = clock.Millis(50)
 
 // step lets a VM act at time now.
-func (in *blindInstallation) step(v *blindVM, now clock.Millis) {
+func (in *storelessInstallation) step(v *storelessVM, now clock.Millis) {
 	if now >= in.reportedAt {
 		v.confirmedAt = max(v.confirmedAt, in.confirmedAt)
 	}
@@ -75,20 +75,19 @@
 	}
 }
 
-// TestBlindRelays plays installations whose relays lose the store: each VM that reaches it must
-// keep its copy within the deadline, and the calls must stay few.
-func TestBlindRelays(t *testing.T) {
-	var cases []blindCase
-	scripted.Read(t, "testdata/blind.yaml", &cases)
+// TestRelaysWithoutStore guards against copies older than the deadline, and against a storm of calls, when the relays of all zones lose the store.
+func TestRelaysWithoutStore(t *testing.T) {
+	var cases []storelessCase
+	scripted.Read(t, "testdata/nostore.yaml", &cases)
 	for _, tc := range cases {
 		t.Run(tc.Name, func(t *testing.T) {
 			for seed := range uint64(5) {
 				random := rand.New(rand.NewPCG(seed, 1))
-				in := &blindInstallation{bounds: NewBounds(tc.Deadline), hop: tc.Hop}
+				in := &storelessInstallation{bounds: NewBounds(tc.Deadline), hop: tc.Hop}
 				for range tc.VMs {
-					in.vms = append(in.vms, blindVM{follower: NewFollower(in.bounds, random.Float64()), reaches: random.Float64() < tc.Reach})
+					in.vms = append(in.vms, storelessVM{follower: NewFollower(in.bounds, random.Float64()), reaches: random.Float64() < tc.Reach})
 				}
-				for now := blindStep; now <= tc.Length; now += blindStep {
+				for now := simulatedStep; now <= tc.Length; now += simulatedStep {
 					for i := range in.vms {
 						in.step(&in.vms[i], now)
 					}
--- a/internal/core/freshness/freshness.go
+++ b/internal/core/freshness/freshness.go
@@ -32,8 +32,8 @@
 	return c
 }
 
-// WithConfirmation records that the store had nothing later than a version at the time at. It
-// tells nothing of a copy of an earlier version.
+// WithConfirmation records that the store had nothing later than a version at the time at. It has
+// no effect on a copy of an earlier version.
 func (c Copy) WithConfirmation(version uint64, at clock.Millis, by string) Copy {
 	if version > c.Version || at <= c.ConfirmedAt {
 		return c
--- a/internal/core/freshness/freshness_test.go
+++ b/internal/core/freshness/freshness_test.go
@@ -9,12 +9,12 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
-// copyCase is a case of copies.yaml: reports about a record, and what is known after them.
+// copyCase is a case of copies.yaml: reports about a record, and the expected Copy after them.
 type copyCase struct {
 	Name    string   `yaml:"name"`
 	Reports []report `yaml:"reports"`
-	// Version, Age and By are the version, its age at Now and who confirmed it; By is empty if
-	// nobody did.
+	// Version, Age and By are the version, its age at Now and ConfirmedBy; By is empty for a copy
+	// that was never confirmed.
 	Now     clock.Millis `yaml:"now"`
 	Version uint64       `yaml:"version"`
 	Age     clock.Millis `yaml:"age"`
@@ -30,7 +30,7 @@
 	By      string       `yaml:"by"`
 }
 
-// result is what a Copy tells at some time.
+// result is the version of a Copy, its age at some time, and its ConfirmedBy.
 type result struct {
 	Version uint64
 	Age     clock.Millis
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -112,9 +112,9 @@
 	// and nextFetchAt is the time before which the next fetch does not start.
 	fetchingConfiguration bool
 	nextFetchAt           clock.Millis
-	// configText is the text of catalog, configCopy tells how old it is, and follower whether
-	// this VM reads the store while it is a follower. laterKnownAt is the time at which another VM
-	// first reported a later version, or 0.
+	// configText is the text of catalog, and configCopy its source and age. follower decides
+	// whether this VM reads the store while it is a follower. laterKnownAt is the time at which
+	// another VM first reported a later version, or 0.
 	configText   []byte
 	configCopy   freshness.Copy
 	follower     freshness.Follower
--- a/internal/serve/frontend/blind_test.go
+++ b/internal/serve/frontend/nostore_test.go
@@ -27,13 +27,13 @@
 	// inStore is the version in the store, and calls counts the calls of the follower.
 	inStore atomic.Uint64
 	calls   atomic.Int64
-	// blindAt is the time from which the relays do not reach the store, or 0.
-	blindAt atomic.Int64
+	// lostStoreAt is the time from which the relays do not reach the store, or 0.
+	lostStoreAt atomic.Int64
 }
 
 // confirmedAge returns how long ago the relays learned from the store that version 1 is the last.
 func (z *followedZone) confirmedAge() clock.Millis {
-	if at := z.blindAt.Load(); at > 0 {
+	if at := z.lostStoreAt.Load(); at > 0 {
 		return z.clock.Now() - clock.Millis(at)
 	}
 	return 0
@@ -149,11 +149,11 @@
 	return m
 }
 
-// TestFollowerOfBlindRelays guards against a follower that stays at an old configuration because its relays, which do not reach the store, go on reporting the version that they have.
-func TestFollowerOfBlindRelays(t *testing.T) {
+// TestFollowerOfRelaysWithoutStore guards against a follower that stays at an old configuration because its relays, which do not reach the store, go on reporting the version that they have.
+func TestFollowerOfRelaysWithoutStore(t *testing.T) {
 	z := newFollowedZone(t)
 	z.start(t)
-	z.blindAt.Store(int64(z.clock.Now()))
+	z.lostStoreAt.Store(int64(z.clock.Now()))
 	z.inStore.Store(2)
 	awaitVersion(t, z.follower, 2, configDeadline)
 }
