--- a/internal/serve/frontend/follow.go
+++ b/internal/serve/frontend/follow.go
@@ -62,6 +62,7 @@
 // leavesStoreToRelays reports whether this VM makes no call of the store now: relays keep it up to
 // date, or its last call failed a short time ago. Relays do not keep it up to date if its copy has
 // not been confirmed at the store lately, or if one reports a version that cannot be fetched from it.
+// The check looks at each known VM, to determine the role of this one.
 func (f *Frontend) leavesStoreToRelays() bool {
 	if f.catalog.Load() == nil || f.mesh.Role() != gossip.Follower {
 		return false
--- a/internal/serve/gossip/relay.go
+++ b/internal/serve/gossip/relay.go
@@ -63,7 +63,8 @@
 }
 
 // FollowsRelay reports whether this VM is a follower and in touch with a relay: a message came
-// within the last inTouchTime. How old the relay's own knowledge is, the message says.
+// within the last inTouchTime. The relay itself may have lost the store; its messages contain the
+// age of its configuration.
 func (m *Mesh) FollowsRelay() bool {
 	if m.Role() != Follower {
 		return false
--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -43,7 +43,7 @@
 	Protocol database.Protocol
 	// CatalogFunc returns the configuration in force, or nil before the first.
 	CatalogFunc func() *catalog.Catalog
-	// CopyFunc tells where the configuration in force came from and how old it is.
+	// CopyFunc returns the source and the age of the configuration in force, for the log.
 	CopyFunc func() freshness.Copy
 	// GroupFunc returns a database group, or nil.
 	GroupFunc func(name string) *database.Group
@@ -326,9 +326,9 @@
 	s.options.Log.Info("statement refused", fields...)
 }
 
-// configurationFields returns the log fields that tell by which configuration this VM decides:
-// the version, its source and the time since it came into force, who last confirmed it, and the
-// time since the store had no later one. Times are in milliseconds.
+// configurationFields returns the log fields of the configuration in force: its version, its source,
+// the time since its adoption, the VM that last confirmed it, and the time since the store had no
+// later version. Times are in milliseconds.
 func (s *session) configurationFields() []any {
 	c, now := s.options.CopyFunc(), s.options.Clock.Now()
 	if c.Version == 0 {
