Log what was sent to a server under a request's id

What callers saw could not be followed: no log line, metric or span had a statement, a shape, a name at the server or a connection. Change: at level debug the VM of the caller logs what it was asked to run (client's name, digest and kind of the shape, digests of text and arguments, holder), and the VM that holds the connection what it sent (connection number, digest) and under which name it prepared which shape. Refused and failed statements have the fields at level info; the failure of a transaction's first statement was not logged at all. No text of a statement is logged. No decision changes.

--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/charmbracelet/log"
 
@@ -84,6 +85,8 @@
 // Group is a database group as served by one VM.
 type Group struct {
 	options Options
+	// connectionCount is the number of connections opened so far.
+	connectionCount atomic.Uint64
 
 	mu sync.Mutex
 	// watch holds the term, the primary, and the proofs that it may be used.
--- a/internal/serve/database/pooledconn.go
+++ b/internal/serve/database/pooledconn.go
@@ -20,6 +20,9 @@
 	// remote is set instead of conn if another VM holds the connection.
 	remote  *RemoteConn
 	account string
+	// number identifies the connection in the logs of this VM's group; it is 0 for one that
+	// another VM holds.
+	number uint64
 	// settings holds the settings of the server's session by name, prepared the names
 	// of its prepared statements.
 	settings map[string]string
@@ -37,6 +40,14 @@
 // Server returns the server of the connection.
 func (pc *PooledConn) Server() Server { return pc.pool.entry() }
 
+// Holder returns the name of the VM that holds the connection, or "" if this one does.
+func (pc *PooledConn) Holder() string {
+	if pc.remote == nil {
+		return ""
+	}
+	return pc.remote.VM
+}
+
 // Group returns the name of the database group that the server belongs to.
 func (pc *PooledConn) Group() string { return pc.pool.group.options.Name }
 
@@ -55,6 +66,7 @@
 	span := pc.pool.group.options.Trace.StartChild(r.Parent, trace.BackendSpan)
 	a, err := pc.conn.RunFunc(r)
 	span.End(pc.traceAttributes(a, err))
+	pc.logSent(r, a, err)
 	pc.pool.endStatement(c.Now()-sent, a.Code == statement.Busy, err)
 	if err != nil {
 		pc.broken = true
@@ -195,6 +207,7 @@
 			pc.broken = true
 			return "", err
 		}
+		pc.logPrepared(name, s)
 	}
 	pc.prepared[s] = name
 	return name, nil
--- a/internal/serve/database/remote.go
+++ b/internal/serve/database/remote.go
@@ -33,6 +33,8 @@
 // RemoteConn is a connection held by another VM. Its first statement acquires it
 // there. The protocol between VMs implements its functions.
 type RemoteConn struct {
+	// VM is the name of the VM that holds it.
+	VM string
 	// RunFunc runs a statement. An *UnsentError means that the statement was not sent
 	// to the server, any other error that its outcome is unknown.
 	RunFunc func(r Request, s SessionState) (statement.Answer, error)
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -135,7 +135,7 @@
 		}
 		if f.usable(v.Name, request.Server.ID) {
 			s := &stream{forwarder: f, ctx: ctx, vm: v, request: request}
-			return &database.RemoteConn{RunFunc: s.run, CloseFunc: s.close}
+			return &database.RemoteConn{VM: v.Name, RunFunc: s.run, CloseFunc: s.close}
 		}
 	}
 	f.unserved.Inc()
--- a/internal/serve/session/run.go
+++ b/internal/serve/session/run.go
@@ -206,7 +206,7 @@
 func (op *operation) passError(conn *database.PooledConn, a statement.Answer) statement.Answer {
 	s := op.session
 	s.options.Counters.countRefusal(a.Code)
-	s.options.Log.Info("statement failed at the server", "id", op.statement.ID, "server", conn.Server().ID, "code", a.Code.String(), "detail", a.Detail)
+	s.logFailure("statement failed at the server", conn, op.statement, a)
 	return a.WithStatus(statement.Idle)
 }
 
@@ -248,6 +248,7 @@
 	invariant.Check(conn.Account() == op.session.account.Name, invariant.OwnAccount,
 		"statement %s of account %s would run for %s", op.statement.ID, op.session.account.Name, conn.Account())
 	invariant.Check(!op.maybeRunning, invariant.AtMostOnce, "statement %s is sent again though it may be running", op.statement.ID)
+	op.session.logSending(conn, op.statement)
 	op.maybeRunning = true
 	single := op.session.txn == nil
 	a, err := conn.Run(database.Request{ID: op.statement.ID, Text: text, Floor: f, Timeout: timeout, IsCommit: single && !op.readOnly, ReleaseAfter: single, Parent: op.session.parent})
--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -314,33 +314,6 @@
 	}
 }
 
-// logRefusal logs why a statement was refused and the state behind it: the version of
-// the configuration, the term, the primary and the age of its proof.
-func (s *session) logRefusal(st statement.Statement, code statement.Code, detail string) {
-	fields := []any{"id", st.ID, "database", s.route.Database, "account", s.account.Name, "code", code.String(), "reason", detail}
-	fields = append(fields, s.configurationFields()...)
-	if g := s.options.GroupFunc(s.route.Group); g != nil {
-		term, leader, age := g.PrimaryStatus()
-		fields = append(fields, "group", s.route.Group, "term", uint64(term), "primary", leader, "proof_ms", int64(age))
-	}
-	s.options.Log.Info("statement refused", fields...)
-}
-
-// configurationFields returns the log fields of the configuration in force: its version, its source,
-// the time since its adoption, the VM that last confirmed it, and the time since the store had no
-// later version. Times are in milliseconds.
-func (s *session) configurationFields() []any {
-	c, now := s.options.CopyFunc(), s.options.Clock.Now()
-	if c.Version == 0 {
-		return nil
-	}
-	fields := []any{"version", c.Version, "version_from", c.Source, "version_ms", int64(now - c.AdoptedAt)}
-	if c.IsConfirmed() {
-		fields = append(fields, "confirmed_by", c.ConfirmedBy, "confirmed_ms", int64(c.Age(now)))
-	}
-	return fields
-}
-
 // refuse counts and logs the refusal of a statement, fails an open transaction, and
 // returns the refusal as the answer.
 func (s *session) refuse(st statement.Statement, code statement.Code, detail string) statement.Answer {
--- a/internal/serve/session/transaction.go
+++ b/internal/serve/session/transaction.go
@@ -98,7 +98,7 @@
 		return a.WithStatus(statement.InTransaction)
 	}
 	s.options.Counters.countRefusal(a.Code)
-	s.options.Log.Info("statement failed at the server", "id", st.ID, "server", s.txn.conn.Server().ID, "code", a.Code.String(), "detail", a.Detail)
+	s.logFailure("statement failed at the server", s.txn.conn, st, a)
 	s.rollbackServer()
 	s.txn.failed = true
 	return a.WithStatus(statement.FailedTransaction)
@@ -148,6 +148,7 @@
 		conn.Release()
 		if err == nil && !a.Code.NotRun() {
 			s.options.Counters.countRefusal(a.Code)
+			s.logFailure("statement failed at the server", conn, st, a)
 			s.txn.failed = true
 			return a.WithStatus(statement.FailedTransaction)
 		}
@@ -174,6 +175,7 @@
 	if writes, _ := s.writes(op.statement); writes {
 		s.txn.written = true
 	}
+	s.logSending(conn, op.statement)
 	return conn.Run(database.Request{ID: op.statement.ID, Text: text, Timeout: op.remaining(), Parent: s.parent})
 }
 
@@ -245,7 +247,7 @@
 	}
 	if a.Code != statement.Success {
 		s.options.Counters.countRefusal(a.Code)
-		s.options.Log.Info("commit failed at the server", "id", st.ID, "server", t.conn.Server().ID, "code", a.Code.String(), "detail", a.Detail)
+		s.logFailure("commit failed at the server", t.conn, st, a)
 		t.closeConn()
 		return a.WithStatus(statement.Idle)
 	}
