Name prepared statements by number, at the VM that holds the connection

Cause: the name at the server was the text of the shape behind r or w, and stood where a blank ends a field; the VM of the caller composed the text with a name that it derived itself, since the holder derived the same one. Class: a client's text put, unchecked, where a blank, a marker or a length has a meaning.

Change: a name is p and a number that its connection uses once. A request carries the shape and the arguments apart, and only the VM that holds the connection prepares, names and composes, so that name and text come from one place. A connection keeps 256 shapes by their digests and drops the least recently used; one that the server does not know is prepared again. A forwarded statement carries its own shape only, no longer all those of its transaction.

Why it works: no byte of a client's text is in a name, no name stands for two shapes, and the text of an EXECUTE is made where the name is known.

--- a/internal/core/statement/statement.go
+++ b/internal/core/statement/statement.go
@@ -59,6 +59,15 @@
 	Text    string
 }
 
+// Execution is a run of a prepared statement. The zero value is none.
+type Execution struct {
+	Shape     Shape
+	Arguments string
+}
+
+// IsZero reports whether there is no execution. A shape always has a text.
+func (e Execution) IsZero() bool { return e.Shape.Text == "" }
+
 // Status is the state of a session after an answer.
 type Status byte
 
--- a/internal/proto/inner/run.go
+++ b/internal/proto/inner/run.go
@@ -24,10 +24,11 @@
 	// in milliseconds.
 	Wait    clock.Millis
 	Timeout clock.Millis
-	// Settings holds the settings by name, and Shapes the prepared statements, that
-	// the session at the server must have before the statement runs.
+	// Settings holds the settings by name that the session at the server must have before
+	// the statement runs.
 	Settings map[string]string
-	Shapes   []Shape
+	// Execution is set in place of Text to run a prepared statement.
+	Execution *Execution
 	// AcquireOnly asks for the connection alone; the statement follows in the next Run.
 	AcquireOnly bool
 	// ID is the request ID that is passed on to the server with Text.
@@ -46,12 +47,29 @@
 	Parent string
 }
 
-// Shape is a prepared statement that a Run refers to.
-type Shape struct {
+// Execution is a run of a prepared statement. The holder names it at the server.
+type Execution struct {
 	_ struct{} `cbor:",toarray"`
-	// IsWrite is set when the statement is a write.
-	IsWrite bool
-	Text    string
+	// IsWrite is set when the statement is a write. Shape is what was prepared.
+	IsWrite   bool
+	Shape     string
+	Arguments string
+}
+
+// ExecutionOf returns the message for an execution, or nil for none.
+func ExecutionOf(e statement.Execution) *Execution {
+	if e.IsZero() {
+		return nil
+	}
+	return &Execution{IsWrite: e.Shape.IsWrite, Shape: e.Shape.Text, Arguments: e.Arguments}
+}
+
+// Statement returns the execution, which is zero for nil.
+func (e *Execution) Statement() statement.Execution {
+	if e == nil {
+		return statement.Execution{}
+	}
+	return statement.Execution{Shape: statement.Shape{IsWrite: e.IsWrite, Text: e.Shape}, Arguments: e.Arguments}
 }
 
 // UnsentReason is the reason why a statement was not sent to the backend server.
@@ -74,8 +92,8 @@
 	ReasonNoPrimary
 	// ReasonStopping means that the holder is stopping.
 	ReasonStopping
-	// ReasonSessionSetup means that the session's settings or prepared statements
-	// could not be set up at the server.
+	// ReasonSessionSetup means that the session's settings could not be set, or the
+	// statement not be prepared, at the server.
 	ReasonSessionSetup
 )
 
--- a/internal/serve/database/leader_test.go
+++ b/internal/serve/database/leader_test.go
@@ -22,7 +22,7 @@
 	g := f.group(t, 4)
 	g.options.RemoteConnFunc = func(context.Context, ConnRequest) *RemoteConn {
 		return &RemoteConn{
-			RunFunc: func(Request, SessionState) (statement.Answer, error) {
+			RunFunc: func(Request, map[string]string) (statement.Answer, error) {
 				return statement.LocalSuccess(statement.Idle), err
 			},
 			CloseFunc: func() {},
--- a/internal/serve/database/pooledconn.go
+++ b/internal/serve/database/pooledconn.go
@@ -23,10 +23,10 @@
 	// number identifies the connection in the logs of this VM's group; it is 0 for one that
 	// another VM holds.
 	number uint64
-	// settings holds the settings of the server's session by name, prepared the names
-	// of its prepared statements.
+	// settings holds the settings of the server's session by name.
 	settings map[string]string
-	prepared map[statement.Shape]string
+	// prepared is nil if another VM holds the connection.
+	prepared *preparedStatements
 	// usedAt is the time at which the connection was opened or last released.
 	usedAt clock.Millis
 	// broken is set once the connection must be closed on release.
@@ -60,21 +60,69 @@
 		return pc.runRemote(r)
 	}
 	c := pc.pool.group.options.Clock
+	deadline := c.Now() + r.Timeout
+	name, err := pc.prepare(r)
+	if err != nil {
+		return statement.Answer{}, err
+	}
+	if name != "" {
+		r.Text = pc.pool.group.options.Protocol.ExecuteFunc(name, r.Execution.Arguments)
+	}
 	sent := c.Now()
+	r.Timeout = deadline - sent
 	pc.pool.startStatement(pc.granted)
 	pc.granted = false
 	span := pc.pool.group.options.Trace.StartChild(r.Parent, trace.BackendSpan)
 	a, err := pc.conn.RunFunc(r)
 	span.End(pc.traceAttributes(a, err))
-	pc.logSent(r, a, err)
+	pc.logSent(r, name, a, err)
 	pc.pool.endStatement(c.Now()-sent, a.Code == statement.Busy, err)
 	if err != nil {
 		pc.broken = true
 		return a, err
 	}
+	if name != "" && a.Code == statement.NotPrepared {
+		pc.prepared.remove(r.Execution.Shape)
+	}
 	return a, pc.recordAnswer(r, a, sent)
 }
 
+// errNoTimeLeft means that preparing a statement took all its time.
+var errNoTimeLeft = errors.New("preparing the statement took its whole time")
+
+// prepare returns the name of the prepared statement that a request executes, or "" if it executes
+// none, and prepares it at the server if necessary. Any error is an *UnsentError, after which the
+// connection is broken.
+func (pc *PooledConn) prepare(r Request) (string, error) {
+	if r.Execution.IsZero() {
+		return "", nil
+	}
+	shape := r.Execution.Shape
+	if name, ok := pc.prepared.name(shape); ok {
+		return name, nil
+	}
+	c := pc.pool.group.options.Clock
+	deadline := c.Now() + r.Timeout
+	if name, ok := pc.prepared.surplus(); ok {
+		if err := pc.conn.DeallocateFunc(name, r.Timeout); err != nil {
+			pc.broken = true
+			return "", &UnsentError{Cause: err}
+		}
+	}
+	name := pc.prepared.newName()
+	err := pc.conn.PrepareFunc(name, shape, deadline-c.Now())
+	if err == nil && c.Now() >= deadline {
+		err = errNoTimeLeft
+	}
+	if err != nil {
+		pc.broken = true
+		return "", &UnsentError{Cause: err}
+	}
+	pc.logPrepared(name, shape)
+	pc.prepared.add(shape, name)
+	return name, nil
+}
+
 // traceAttributes returns the span attributes for the outcome of a statement.
 func (pc *PooledConn) traceAttributes(a statement.Answer, err error) trace.Attributes {
 	out := trace.Attributes{Account: pc.account, Database: pc.pool.group.options.Name, Server: pc.pool.entry().ID, Outcome: "ran"}
@@ -174,7 +222,7 @@
 			return err
 		}
 		clear(pc.settings)
-		clear(pc.prepared)
+		pc.prepared.clear()
 		break
 	}
 	for name, value := range settings {
@@ -190,32 +238,6 @@
 	return nil
 }
 
-// Prepare returns the name of the prepared statement for a shape, and prepares it at
-// the server if necessary, within timeout milliseconds. After an error the connection
-// is broken. For a connection held by another VM it sends nothing, since each statement
-// carries the shapes.
-func (pc *PooledConn) Prepare(s statement.Shape, timeout clock.Millis) (string, error) {
-	if name, ok := pc.prepared[s]; ok {
-		return name, nil
-	}
-	name := "r" + s.Text
-	if s.IsWrite {
-		name = "w" + s.Text
-	}
-	if pc.remote == nil {
-		if err := pc.conn.PrepareFunc(name, s, timeout); err != nil {
-			pc.broken = true
-			return "", err
-		}
-		pc.logPrepared(name, s)
-	}
-	pc.prepared[s] = name
-	return name, nil
-}
-
-// ForgetPrepared removes a prepared statement that the server does not know.
-func (pc *PooledConn) ForgetPrepared(s statement.Shape) { delete(pc.prepared, s) }
-
 // MarkBroken marks the connection as unusable, so that Release closes it.
 func (pc *PooledConn) MarkBroken() { pc.broken = true }
 
--- a/internal/serve/database/remote.go
+++ b/internal/serve/database/remote.go
@@ -11,13 +11,6 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 )
 
-// SessionState is what a server's session must contain before a statement runs:
-// settings and prepared statements.
-type SessionState struct {
-	Settings map[string]string
-	Shapes   []statement.Shape
-}
-
 // ConnRequest specifies a connection to a server.
 type ConnRequest struct {
 	Group     string
@@ -35,9 +28,10 @@
 type RemoteConn struct {
 	// VM is the name of the VM that holds it.
 	VM string
-	// RunFunc runs a statement. An *UnsentError means that the statement was not sent
-	// to the server, any other error that its outcome is unknown.
-	RunFunc func(r Request, s SessionState) (statement.Answer, error)
+	// RunFunc runs a statement in a server's session with the given settings. An *UnsentError
+	// means that the statement was not sent to the server, any other error that its outcome is
+	// unknown.
+	RunFunc func(r Request, settings map[string]string) (statement.Answer, error)
 	// CloseFunc releases the connection and rolls back an open transaction.
 	CloseFunc func()
 }
@@ -76,7 +70,7 @@
 	if r == nil {
 		return nil
 	}
-	return &PooledConn{pool: p, remote: r, account: request.Requester.Account, settings: map[string]string{}, prepared: map[statement.Shape]string{}}
+	return &PooledConn{pool: p, remote: r, account: request.Requester.Account, settings: map[string]string{}}
 }
 
 // acquireOwn returns one of this VM's own connections, or an error of the pool. A span
@@ -126,11 +120,7 @@
 	c := pc.pool.group.options.Clock
 	sent := c.Now()
 	pc.pool.startRemote()
-	s := SessionState{Settings: maps.Clone(pc.settings)}
-	for shape := range pc.prepared {
-		s.Shapes = append(s.Shapes, shape)
-	}
-	a, err := pc.remote.RunFunc(r, s)
+	a, err := pc.remote.RunFunc(r, maps.Clone(pc.settings))
 	pc.pool.endRemote(c.Now()-sent, err)
 	if errors.Is(err, ErrNoPrimary) {
 		pc.pool.group.doubtPrimary(pc.pool.entry().ID)
--- a/internal/serve/database/sent.go
+++ b/internal/serve/database/sent.go
@@ -13,8 +13,8 @@
 func LoggedName(name string) string { return name[:min(len(name), maxLoggedName)] }
 
 // logSent logs a statement that was sent to the server and how that ended: at level debug, or at
-// level info if it failed or its answer was lost.
-func (pc *PooledConn) logSent(r Request, a statement.Answer, err error) {
+// level info if it failed or its answer was lost. The name is that of the prepared statement, or "".
+func (pc *PooledConn) logSent(r Request, name string, a statement.Answer, err error) {
 	level, msg := log.DebugLevel, "statement sent"
 	if err != nil || isFailure(a.Code) {
 		level, msg = log.InfoLevel, "statement failed on a connection"
@@ -27,6 +27,10 @@
 		"id", LoggedName(r.ID), "group", pc.Group(), "server", pc.pool.entry().ID, "connection", pc.number, "account", pc.account,
 		"text", statement.Digest(r.Text), "bytes", len(r.Text), "code", a.Code.String(),
 	}
+	if name != "" {
+		e := r.Execution
+		fields = append(fields, "name", name, "shape", statement.Digest(e.Shape.Text), "kind", e.Shape.Kind(), "arguments", statement.Digest(e.Arguments))
+	}
 	if err != nil {
 		fields = append(fields, "err", err)
 	}
@@ -50,5 +54,5 @@
 		return
 	}
 	logger.Debug("statement prepared", "group", pc.Group(), "server", pc.pool.entry().ID, "connection", pc.number,
-		"account", pc.account, "name", LoggedName(name), "shape", statement.Digest(s.Text), "kind", s.Kind())
+		"account", pc.account, "name", name, "shape", statement.Digest(s.Text), "kind", s.Kind())
 }
--- a/internal/serve/database/server.go
+++ b/internal/serve/database/server.go
@@ -37,8 +37,11 @@
 // Request is one statement to run on a connection.
 type Request struct {
 	// ID is the ID of the caller's request, or "-" for the proxy's own statements.
-	ID   string
-	Text string
+	ID string
+	// Text is the statement as the server gets it. It is empty if Execution is set: the VM that
+	// holds the connection then prepares the shape, if necessary, and composes the text.
+	Text      string
+	Execution statement.Execution
 	// Floor is the position that the server must have reached; a zero position
 	// requires nothing.
 	Floor floor.ReplicationPosition
@@ -74,8 +77,9 @@
 type Conn struct {
 	// RunFunc runs a statement. An error means that its outcome is unknown.
 	RunFunc func(r Request) (statement.Answer, error)
-	// PrepareFunc prepares a statement under a name.
-	PrepareFunc func(name string, s statement.Shape, timeout clock.Millis) error
+	// PrepareFunc prepares a statement under a name of one word, DeallocateFunc drops it.
+	PrepareFunc    func(name string, s statement.Shape, timeout clock.Millis) error
+	DeallocateFunc func(name string, timeout clock.Millis) error
 	// SetFunc sets a session setting.
 	SetFunc func(name, value string, timeout clock.Millis) error
 	// ResetFunc drops the session's settings and prepared statements.
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -137,7 +137,7 @@
 	})
 	request := database.ConnRequest{Group: "g", Server: database.Server{ID: "p"}, Requester: database.Requester{Account: "acme", Weight: 1}, Wait: 500}
 	r := f.Remote(context.Background(), request)
-	a, err := r.RunFunc(database.Request{ID: "x", Text: "READ 1", Timeout: 2000, IsCommit: s.Write, ReleaseAfter: true}, database.SessionState{})
+	a, err := r.RunFunc(database.Request{ID: "x", Text: "READ 1", Timeout: 2000, IsCommit: s.Write, ReleaseAfter: true}, nil)
 	r.CloseFunc()
 	if s.Code != "" {
 		if err != nil {
@@ -153,7 +153,7 @@
 	openedVM = ""
 	next := f.Remote(context.Background(), request)
 	if next != nil {
-		_, _ = next.RunFunc(database.Request{Timeout: 10}, database.SessionState{})
+		_, _ = next.RunFunc(database.Request{Timeout: 10}, nil)
 	}
 	diff(t, "next", s.Next, openedVM)
 }
@@ -177,7 +177,7 @@
 		OpenFunc:     func(context.Context, member.VM) (inner.Exchange, error) { return h.exchange(), nil },
 	})
 	r := f.Remote(context.Background(), database.ConnRequest{Group: "g", Server: database.Server{ID: "p"}})
-	if _, err := r.RunFunc(database.Request{ID: "x", Text: "WRITE 1 a", Timeout: 2000, IsCommit: true, ReleaseAfter: true}, database.SessionState{}); err != nil {
+	if _, err := r.RunFunc(database.Request{ID: "x", Text: "WRITE 1 a", Timeout: 2000, IsCommit: true, ReleaseAfter: true}, nil); err != nil {
 		t.Fatal(err)
 	}
 	var texts []string
@@ -203,7 +203,7 @@
 	})
 	request := database.ConnRequest{Server: database.Server{ID: "p"}}
 	for range maxHolderCandidates {
-		_, err := f.Remote(context.Background(), request).RunFunc(database.Request{Timeout: 100}, database.SessionState{})
+		_, err := f.Remote(context.Background(), request).RunFunc(database.Request{Timeout: 100}, nil)
 		diff(t, "unsent", true, database.IsUnsent(err))
 	}
 	diff(t, "own connections", true, f.Remote(context.Background(), request) == nil)
--- a/internal/serve/forward/holder.go
+++ b/internal/serve/forward/holder.go
@@ -96,7 +96,7 @@
 		u.abort()
 		return inner.Result{UnsentReason: inner.ReasonStopping}
 	}
-	if !u.prepareSession(m) {
+	if u.conn.SyncSettings(m.Settings, m.Timeout) != nil {
 		u.abort()
 		return inner.Result{UnsentReason: inner.ReasonSessionSetup}
 	}
@@ -109,11 +109,14 @@
 		return inner.Result{UnsentReason: inner.ReasonPoolTimeout}
 	}
 	a, err := u.conn.Run(database.Request{
-		ID: m.ID, Text: m.Text, Floor: floor.ReplicationPosition{Term: m.Term, Position: m.Position}, Timeout: left, IsCommit: m.IsCommit, ReleaseAfter: m.ReleaseAfter,
+		ID: m.ID, Text: m.Text, Execution: m.Execution.Statement(), Floor: floor.ReplicationPosition{Term: m.Term, Position: m.Position}, Timeout: left, IsCommit: m.IsCommit, ReleaseAfter: m.ReleaseAfter,
 		Parent: m.Parent,
 	})
 	if err != nil {
 		u.abort()
+		if database.IsUnsent(err) {
+			return inner.Result{UnsentReason: inner.ReasonSessionSetup}
+		}
 		return inner.Result{OutcomeUnknown: true}
 	}
 	if m.ReleaseAfter && a.Status == statement.Idle {
@@ -140,20 +143,6 @@
 	return nil
 }
 
-// prepareSession applies the settings and prepares the statements that the
-// sender's session needs. It returns false if one of them failed.
-func (u *holderStream) prepareSession(m inner.Run) bool {
-	if u.conn.SyncSettings(m.Settings, m.Timeout) != nil {
-		return false
-	}
-	for _, s := range m.Shapes {
-		if _, err := u.conn.Prepare(statement.Shape{IsWrite: s.IsWrite, Text: s.Text}, m.Timeout); err != nil {
-			return false
-		}
-	}
-	return true
-}
-
 // abort closes the connection, so that the server rolls back its open
 // transaction.
 func (u *holderStream) abort() {
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -32,12 +32,12 @@
 
 // run runs one statement at the holder, within a span. See runUntraced for the
 // errors.
-func (s *stream) run(r database.Request, state database.SessionState) (statement.Answer, error) {
+func (s *stream) run(r database.Request, settings map[string]string) (statement.Answer, error) {
 	span := s.forwarder.options.Trace.StartChild(r.Parent, trace.HopSpan)
 	if parent := span.Traceparent(); parent != "" {
 		r.Parent = parent
 	}
-	a, err := s.runUntraced(r, state)
+	a, err := s.runUntraced(r, settings)
 	out := trace.Attributes{Account: s.request.Requester.Account, Database: s.request.Group, Server: s.request.Server.ID, Outcome: "ran"}
 	switch {
 	case database.IsUnsent(err):
@@ -52,14 +52,14 @@
 // runUntraced runs one statement at the holder. The error is a
 // *database.UnsentError when the statement is known not to have been sent to
 // the server. Any other error leaves its outcome unknown.
-func (s *stream) runUntraced(r database.Request, state database.SessionState) (statement.Answer, error) {
+func (s *stream) runUntraced(r database.Request, settings map[string]string) (statement.Answer, error) {
 	deadline := s.forwarder.options.Clock.Now() + r.Timeout
 	if err := s.open(); err != nil {
 		return statement.Answer{}, err
 	}
 	m := inner.Run{
 		ID: r.ID, Text: r.Text, Term: r.Floor.Term, Position: r.Floor.Position, IsCommit: r.IsCommit, ReleaseAfter: r.ReleaseAfter,
-		Settings: state.Settings, Shapes: innerShapes(state.Shapes), Timeout: r.Timeout, Parent: r.Parent,
+		Settings: settings, Execution: inner.ExecutionOf(r.Execution), Timeout: r.Timeout, Parent: r.Parent,
 	}
 	if !s.acquired {
 		m = s.withTarget(m)
@@ -95,7 +95,7 @@
 // acquireConnection has the holder acquire the connection without running a
 // statement. The error is always a *database.UnsentError.
 func (s *stream) acquireConnection(m inner.Run, deadline clock.Millis) error {
-	m.AcquireOnly, m.ID, m.Text, m.ReleaseAfter, m.IsCommit = true, "", "", false, false
+	m.AcquireOnly, m.ID, m.Text, m.Execution, m.ReleaseAfter, m.IsCommit = true, "", "", nil, false, false
 	if _, err := s.exchangeRun(m, deadline, false); err != nil {
 		s.close()
 		if database.IsUnsent(err) {
@@ -201,12 +201,3 @@
 		s.exchange.Close()
 	}
 }
-
-// innerShapes converts prepared statements to those of the protocol.
-func innerShapes(list []statement.Shape) []inner.Shape {
-	out := make([]inner.Shape, len(list))
-	for i, v := range list {
-		out[i] = inner.Shape{IsWrite: v.IsWrite, Text: v.Text}
-	}
-	return out
-}
--- a/internal/serve/session/run.go
+++ b/internal/serve/session/run.go
@@ -233,12 +233,11 @@
 // Unwrap returns the cause.
 func (e *unsentError) Unwrap() error { return e.cause }
 
-// send sets up the server's session and runs the statement. An error that wraps
+// send gives the server's session the caller's settings and runs the statement. An error that wraps
 // errUnsent means that the statement was not sent, any other that its outcome is
 // unknown.
 func (op *operation) send(conn *database.PooledConn, f floor.ReplicationPosition) (statement.Answer, error) {
-	text, err := op.session.serverText(conn, op.statement, op.remaining())
-	if err != nil {
+	if conn.SyncSettings(op.session.settings, op.remaining()) != nil {
 		return statement.Answer{}, errUnsent
 	}
 	timeout := op.remaining()
@@ -251,7 +250,9 @@
 	op.session.logSending(conn, op.statement)
 	op.maybeRunning = true
 	single := op.session.txn == nil
-	a, err := conn.Run(database.Request{ID: op.statement.ID, Text: text, Floor: f, Timeout: timeout, IsCommit: single && !op.readOnly, ReleaseAfter: single, Parent: op.session.parent})
+	r := op.session.request(op.statement, timeout)
+	r.Floor, r.IsCommit, r.ReleaseAfter = f, single && !op.readOnly, single
+	a, err := conn.Run(r)
 	if database.IsUnsent(err) {
 		op.maybeRunning = false
 		return a, &unsentError{cause: err}
@@ -262,18 +263,13 @@
 	return a, err
 }
 
-// serverText sets up the server's session with the caller's settings and the prepared
-// statement, and returns the text to run.
-func (s *session) serverText(conn *database.PooledConn, st statement.Statement, timeout clock.Millis) (string, error) {
-	if err := conn.SyncSettings(s.settings, timeout); err != nil {
-		return "", err
-	}
-	if st.Kind != statement.Execute {
-		return st.Text, nil
-	}
-	name, err := conn.Prepare(s.prepared[st.Name], timeout)
-	if err != nil {
-		return "", err
+// request returns the request that runs a statement within timeout milliseconds.
+func (s *session) request(st statement.Statement, timeout clock.Millis) database.Request {
+	r := database.Request{ID: st.ID, Timeout: timeout, Parent: s.parent}
+	if st.Kind == statement.Execute {
+		r.Execution = statement.Execution{Shape: s.prepared[st.Name], Arguments: st.Arguments}
+	} else {
+		r.Text = st.Text
 	}
-	return s.options.Protocol.ExecuteFunc(name, st.Arguments), nil
+	return r
 }
--- a/internal/serve/session/transaction.go
+++ b/internal/serve/session/transaction.go
@@ -164,11 +164,12 @@
 // back.
 func (op *operation) beginAndRun(conn *database.PooledConn, f floor.ReplicationPosition) (statement.Answer, error) {
 	s := op.session
-	text, err := s.serverText(conn, op.statement, op.remaining())
-	if err != nil {
+	if err := conn.SyncSettings(s.settings, op.remaining()); err != nil {
 		return statement.Answer{}, err
 	}
-	a, err := conn.Run(database.Request{ID: s.txn.begin.ID, Text: s.txn.begin.Text, Floor: f, Timeout: op.remaining(), Parent: s.parent})
+	begin := s.request(s.txn.begin, op.remaining())
+	begin.Floor = f
+	a, err := conn.Run(begin)
 	if err != nil || a.Code != statement.Success {
 		return a, err
 	}
@@ -176,7 +177,7 @@
 		s.txn.written = true
 	}
 	s.logSending(conn, op.statement)
-	return conn.Run(database.Request{ID: op.statement.ID, Text: text, Timeout: op.remaining(), Parent: s.parent})
+	return conn.Run(s.request(op.statement, op.remaining()))
 }
 
 // commit ends the transaction with all its writes or none.
