Refuse sessions whose account or group has a name that no server can be told

What callers saw: an account called "-" or "" was announced to servers as anonymous callers are, and its statements were signed for them; with the empty name it also had no limit. With a blank in the name of an account or of a database group, STARTUP had one field more than it should: each connection was refused, counted as a failure of the server, and callers got BUSY "the backend server cannot be reached" for as long as they tried.

Cause: the store takes any name, and STARTUP put it where a blank ends a field and where "-" stands for an anonymous caller.

Failing before:

--- FAIL: TestUnsendableNames newest with key-two - ERROR MALFORMED the name "two words" of the account cannot be sent ... + READY I - READ x1 did not succeed: ["ERROR BUSY the backend server cannot be reached; try again in 1 s" "READY I -"] (the same, with the cases of "-" and "" alone) newest with key-dash: + READY I -, then COMPLETE svc-0/z1/- newest with key-empty: + READY I -, then COMPLETE svc-0/z1/- --- FAIL: TestDialUnsendableName - line protocol: an account is called "-", as callers without one are + read: connection reset by peer

--- a/internal/serve/frontend/follow.go
+++ b/internal/serve/frontend/follow.go
@@ -244,6 +244,9 @@
 	f.mu.Unlock()
 	invariant.Check(old == nil || f.catalog.Load().Version > old.Version, invariant.ConfigForward, "version %d replaced a later one", c.Version)
 	f.logConfiguration(c.Version, from)
+	for _, problem := range c.Problems() {
+		f.options.Log.Warn("sessions are refused", "version", c.Version, "reason", problem)
+	}
 	f.limiter.createBuckets(c.Accounts())
 	f.updateGroups()
 	return c.Version
--- a/internal/setup/catalog/catalog.go
+++ b/internal/setup/catalog/catalog.go
@@ -8,6 +8,8 @@
 package catalog
 
 import (
+	"slices"
+
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 )
 
@@ -44,6 +46,8 @@
 	Group string
 	// AllowAnonymous lets callers without a known key use the route.
 	AllowAnonymous bool
+	// Problem is why no session of the route can be served, or "".
+	Problem string
 }
 
 // Account is a client account and its limits.
@@ -55,6 +59,8 @@
 	Burst float64
 	// Priority is 0 for the most urgent.
 	Priority int
+	// Problem is why no session of the account can be served, or "".
+	Problem string
 }
 
 // Group is a database group and its limits.
@@ -116,6 +122,34 @@
 // KeyOwner returns the name of the client account that a key belongs to.
 func (c *Catalog) KeyOwner(key string) (string, bool) { a, ok := c.keys[key]; return a, ok }
 
+// Problem returns why no session with a database name and a key can be served though both are
+// known, or "".
+func (c *Catalog) Problem(database, key string) string {
+	r, known := c.routes[database]
+	if !known || r.Problem != "" {
+		return r.Problem
+	}
+	name, known := c.keys[key]
+	if !known {
+		return ""
+	}
+	return c.accounts[name].Problem
+}
+
+// Problems returns the problems of the routes and the accounts, each once and in order.
+func (c *Catalog) Problems() []string {
+	var out []string
+	for _, r := range c.routes {
+		out = append(out, r.Problem)
+	}
+	for _, a := range c.accounts {
+		out = append(out, a.Problem)
+	}
+	slices.Sort(out)
+	out = slices.Compact(out)
+	return slices.DeleteFunc(out, func(p string) bool { return p == "" })
+}
+
 // Group returns the database group called name.
 func (c *Catalog) Group(name string) (Group, bool) { g, ok := c.groups[name]; return g, ok }
 
