Assert that an execution reads as it was meant before it is sent

Change: invariant unchanged; the VM that holds a connection parses the text of an execution again and refuses it, as not sent, if name or arguments differ.

--- a/internal/base/invariant/invariant.go
+++ b/internal/base/invariant/invariant.go
@@ -37,6 +37,8 @@
 	AtMostOnce Name = "atmostonce"
 	// LeavingServer holds when a leaving backend server gets no new work after the grace period.
 	LeavingServer Name = "leavingserver"
+	// Unchanged holds when a backend server gets the statement that a caller sent, in the caller's words.
+	Unchanged Name = "unchanged"
 	// PlannedStop holds when a planned stop interrupts no request.
 	PlannedStop Name = "plannedstop"
 	// ConfigForward holds when the version of the configuration in force never decreases.
--- a/internal/serve/database/broken_test.go
+++ b/internal/serve/database/broken_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/broken"
 )
 
@@ -22,3 +23,19 @@
 		_, _ = conn.Run(Request{ID: "x", Timeout: 100})
 	})
 }
+
+// TestBrokenExecution executes a statement under a name of several words.
+func TestBrokenExecution(t *testing.T) {
+	l := &sentLines{}
+	g := (&fakeGroup{}).group(t, 4)
+	g.options.Protocol = l.protocol()
+	broken.ExpectViolation(t, invariant.Unchanged, func() {
+		conn, err := g.pools["p"].acquire(context.Background(), "acme", 1, 1000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		e := statement.Execution{Shape: statement.Shape{Text: "q7 READ n"}, Arguments: "x9"}
+		conn.prepared.add(e.Shape, "rq7 READ n")
+		_, _ = conn.Run(Request{ID: "x", Execution: e, Timeout: 100})
+	})
+}
--- a/internal/serve/database/pooledconn.go
+++ b/internal/serve/database/pooledconn.go
@@ -66,7 +66,9 @@
 		return statement.Answer{}, err
 	}
 	if name != "" {
-		r.Text = pc.pool.group.options.Protocol.ExecuteFunc(name, r.Execution.Arguments)
+		if r.Text, err = pc.compose(r, name); err != nil {
+			return statement.Answer{}, err
+		}
 	}
 	sent := c.Now()
 	r.Timeout = deadline - sent
@@ -87,6 +89,26 @@
 	return a, pc.recordAnswer(r, a, sent)
 }
 
+// errAmbiguous means that a server would read another execution from a text than the one it was
+// made for.
+var errAmbiguous = errors.New("the execution of the prepared statement cannot be written unambiguously")
+
+// compose returns the text that executes the statement prepared under a name with the arguments of
+// a request. It parses the text again before it is sent: the error, an *UnsentError with
+// errAmbiguous, is a fault of the proxy.
+func (pc *PooledConn) compose(r Request, name string) (string, error) {
+	protocol := pc.pool.group.options.Protocol
+	text := protocol.ExecuteFunc(name, r.Execution.Arguments)
+	st := protocol.ParseFunc(text)
+	same := st.Kind == statement.Execute && st.Name == name && st.Arguments == r.Execution.Arguments
+	invariant.Check(same, invariant.Unchanged, "the execution of %q for request %s would run %q", LoggedName(name), LoggedName(r.ID), LoggedName(st.Name))
+	if !same {
+		pc.broken = true
+		return "", &UnsentError{Cause: errAmbiguous}
+	}
+	return text, nil
+}
+
 // errNoTimeLeft means that preparing a statement took all its time.
 var errNoTimeLeft = errors.New("preparing the statement took its whole time")
 
--- a/internal/serve/database/prepared_test.go
+++ b/internal/serve/database/prepared_test.go
@@ -47,6 +47,10 @@
 			}, floor.ReplicationPosition{}, nil
 		},
 		ExecuteFunc: func(name, arguments string) string { return "EXECUTE " + name + " " + arguments },
+		ParseFunc: func(text string) statement.Statement {
+			name, arguments, _ := strings.Cut(strings.TrimPrefix(text, "EXECUTE "), " ")
+			return statement.Statement{Kind: statement.Execute, Name: name, Arguments: arguments}
+		},
 	}
 }
 
--- a/internal/serve/database/server.go
+++ b/internal/serve/database/server.go
@@ -97,6 +97,8 @@
 	DialFunc func(ctx context.Context, s Server, account string) (*Conn, floor.ReplicationPosition, error)
 	// ExecuteFunc returns the statement text that executes a prepared statement.
 	ExecuteFunc func(name, arguments string) string
+	// ParseFunc returns what a server reads from a statement text.
+	ParseFunc func(text string) statement.Statement
 	// RollbackFunc returns the statement text that rolls back a transaction.
 	RollbackFunc func() string
 }
