Answer an execution with the refusal of its shape

Callers of a shape that a server refuses, or that is too long for a message with the name of the proxy, were told BUSY and "try again in 1 s" after six attempts, for ever. Cause: any failed PREPARE counted as a statement that was not sent. Change: a refusal that does not promise that another attempt may help is the answer to the execution. The new case of TestPreparedNames failed before ("the backend server refused: no shape" as an unsent error) and passes.

--- a/internal/serve/database/pooledconn.go
+++ b/internal/serve/database/pooledconn.go
@@ -62,6 +62,13 @@
 	c := pc.pool.group.options.Clock
 	deadline := c.Now() + r.Timeout
 	name, err := pc.prepare(r)
+	var refusal *RefusalError
+	if errors.As(err, &refusal) && !refusal.Code.NotRun() {
+		// No server would run the statement, so the refusal is the answer to its execution.
+		a := statement.Answer{Code: refusal.Code, Detail: refusal.Detail, RawCode: refusal.RawCode}
+		pc.logSent(r, name, a, nil)
+		return a, nil
+	}
 	if err != nil {
 		return statement.Answer{}, err
 	}
--- a/internal/serve/database/prepared_test.go
+++ b/internal/serve/database/prepared_test.go
@@ -38,7 +38,11 @@
 					return a, l.add(r.Text)
 				},
 				PrepareFunc: func(name string, s statement.Shape, _ clock.Millis) error {
-					return l.add("PREPARE", name, s.Kind(), s.Text)
+					_ = l.add("PREPARE", name, s.Kind(), s.Text)
+					if strings.HasSuffix(s.Text, "BAD") {
+						return &RefusalError{Code: statement.Invalid, Detail: "no shape"}
+					}
+					return nil
 				},
 				DeallocateFunc: func(name string, _ clock.Millis) error { return l.add("DEALLOC", name) },
 				SetFunc:        func(name, value string, _ clock.Millis) error { return l.add("SET", name, value) },
@@ -67,6 +71,8 @@
 	// Others runs so many other shapes in place of one statement.
 	Others int      `yaml:"others"`
 	Sent   []string `yaml:"sent"`
+	// Code is the name of the code of the answer, empty for that of success.
+	Code string `yaml:"code"`
 }
 
 // TestPreparedNames plays scripts of statements on one connection.
@@ -97,9 +103,13 @@
 	t.Helper()
 	run := func(r Request) {
 		r.ID, r.Timeout = "x", 1000
-		if _, err := conn.Run(r); err != nil {
+		a, err := conn.Run(r)
+		if err != nil {
 			t.Fatal(err)
 		}
+		if step.Code != "" && a.Code.String() != step.Code {
+			t.Errorf("step %d: code %s, want %s", i, a.Code, step.Code)
+		}
 	}
 	execution := func(shape string) Request {
 		return Request{Execution: statement.Execution{Shape: statement.Shape{IsWrite: step.Write, Text: shape}, Arguments: step.Arguments}}
--- a/internal/serve/database/server.go
+++ b/internal/serve/database/server.go
@@ -77,7 +77,8 @@
 type Conn struct {
 	// RunFunc runs a statement. An error means that its outcome is unknown.
 	RunFunc func(r Request) (statement.Answer, error)
-	// PrepareFunc prepares a statement under a name of one word, DeallocateFunc drops it.
+	// PrepareFunc prepares a statement under a name of one word, DeallocateFunc drops it. The
+	// errors are *RefusalErrors if the server refused, or if the statement cannot be sent.
 	PrepareFunc    func(name string, s statement.Shape, timeout clock.Millis) error
 	DeallocateFunc func(name string, timeout clock.Millis) error
 	// SetFunc sets a session setting.
@@ -107,6 +108,8 @@
 type RefusalError struct {
 	Code   statement.Code
 	Detail string
+	// RawCode is the code as the server sent it when Code is statement.Other.
+	RawCode string
 }
 
 // Error implements error.
