Bound the prepared statements and the settings of a session

One caller could take the memory of a VM with prepared statements or settings, on the platform's path alone (the PostgreSQL path has bounds), and each forwarded statement carries the settings. Change: 4096 statements and 4 MiB, 1024 settings and 1 MiB a session; beyond that PREPARE and SET are refused as malformed with the bound. The sum over all sessions has no bound yet.

--- /dev/null
+++ b/internal/serve/session/prepared.go
@@ -0,0 +1,58 @@
+package session
+
+import (
+	"fmt"
+	"maps"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
+)
+
+const (
+	// maxPrepared is the largest number of prepared statements of one session, maxPreparedSize that
+	// of the bytes of their names and texts.
+	maxPrepared     = 4096
+	maxPreparedSize = 4 << 20
+	// maxSettings is the largest number of settings of one session, maxSettingsSize that of the
+	// bytes of their names and values. Each statement that is forwarded carries them.
+	maxSettings     = 1024
+	maxSettingsSize = 1 << 20
+)
+
+// prepare defines a prepared statement of the session, unless that exceeds a bound.
+func (s *session) prepare(st statement.Statement) statement.Answer {
+	old, exists := s.prepared[st.Name]
+	size := s.preparedSize + len(st.Shape.Text) - len(old.Text)
+	if !exists {
+		size += len(st.Name)
+	}
+	if !exists && len(s.prepared) >= maxPrepared || size > maxPreparedSize {
+		return s.refuse(st, statement.Invalid, fmt.Sprintf("the session's prepared statements exceed %d, or %d bytes; deallocate some", maxPrepared, maxPreparedSize))
+	}
+	s.prepared[st.Name], s.preparedSize = st.Shape, size
+	return statement.LocalSuccess(s.status())
+}
+
+// deallocate drops a prepared statement of the session. A name that does not exist is no error.
+func (s *session) deallocate(st statement.Statement) statement.Answer {
+	if old, exists := s.prepared[st.Name]; exists {
+		s.preparedSize -= len(st.Name) + len(old.Text)
+		delete(s.prepared, st.Name)
+	}
+	return statement.LocalSuccess(s.status())
+}
+
+// set sets a setting of the session, unless that exceeds a bound. It replaces the map, since a
+// connection held by another VM may share the present one.
+func (s *session) set(st statement.Statement) statement.Answer {
+	settings := maps.Clone(s.settings)
+	settings[st.Name] = st.Value
+	size := 0
+	for name, value := range settings {
+		size += len(name) + len(value)
+	}
+	if len(settings) > maxSettings || size > maxSettingsSize {
+		return s.refuse(st, statement.Invalid, fmt.Sprintf("the session's settings exceed %d, or %d bytes", maxSettings, maxSettingsSize))
+	}
+	s.settings = settings
+	return statement.LocalSuccess(s.status())
+}
--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"maps"
 
 	"github.com/charmbracelet/log"
 	"github.com/go-faster/errors"
@@ -73,6 +72,8 @@
 	// name.
 	settings map[string]string
 	prepared map[string]statement.Shape
+	// preparedSize is the size of the names and texts of the prepared statements, in bytes.
+	preparedSize int
 	// parent is the W3C traceparent of the current statement's span, or "".
 	parent string
 	// commits holds the position of the session's last commit in each group.
@@ -218,31 +219,15 @@
 	case statement.Set:
 		return s.set(st)
 	case statement.Prepare:
-		s.prepared = addPrepared(s.prepared, st.Name, st.Shape)
-		return statement.LocalSuccess(s.status())
+		return s.prepare(st)
 	case statement.Deallocate:
-		delete(s.prepared, st.Name)
-		return statement.LocalSuccess(s.status())
+		return s.deallocate(st)
 	case statement.Read, statement.Write, statement.Execute:
 		return s.runData(ctx, st)
 	}
 	return statement.Refuse(statement.Invalid, "the text is no statement", s.status())
 }
 
-// set sets a setting of the session. It replaces the map, since a connection held by
-// another VM may share the present one.
-func (s *session) set(st statement.Statement) statement.Answer {
-	settings := maps.Clone(s.settings)
-	settings[st.Name] = st.Value
-	s.settings = settings
-	return statement.LocalSuccess(s.status())
-}
-
-func addPrepared(m map[string]statement.Shape, name string, v statement.Shape) map[string]statement.Shape {
-	m[name] = v
-	return m
-}
-
 // admit checks, for a single statement or a new transaction, that the configuration
 // still has the route and permits the key, and takes a token from the account's limit.
 // It returns Success, or the code and detail of the refusal.
