Give the server's session the caller's settings before a commit

Evidence: TestCommitRunsWithItsSettings, with the ledger's check of settings extended to COMMIT, failed in all twelve cases. The test passes, with those of planned stops, idle transactions and forwarding.

--- a/internal/serve/session/transaction.go
+++ b/internal/serve/session/transaction.go
@@ -164,12 +164,7 @@
 // back.
 func (op *operation) beginAndRun(conn *database.PooledConn, f floor.ReplicationPosition) (statement.Answer, error) {
 	s := op.session
-	if err := conn.SyncSettings(s.settings, op.remaining()); err != nil {
-		return statement.Answer{}, err
-	}
-	begin := s.request(s.txn.begin, op.remaining())
-	begin.Floor = f
-	a, err := conn.Run(begin)
+	a, err := op.begin(conn, f)
 	if err != nil || a.Code != statement.Success {
 		return a, err
 	}
@@ -180,6 +175,17 @@
 	return conn.Run(s.request(op.statement, op.remaining()))
 }
 
+// begin gives the server's session the caller's settings and begins the transaction there.
+func (op *operation) begin(conn *database.PooledConn, f floor.ReplicationPosition) (statement.Answer, error) {
+	s := op.session
+	if err := conn.SyncSettings(s.settings, op.remaining()); err != nil {
+		return statement.Answer{}, err
+	}
+	r := s.request(s.txn.begin, op.remaining())
+	r.Floor = f
+	return conn.Run(r)
+}
+
 // commit ends the transaction with all its writes or none.
 func (s *session) commit(ctx context.Context, st statement.Statement) statement.Answer {
 	t := s.txn
@@ -209,7 +215,7 @@
 	for {
 		conn, f, err := op.acquire(ctx, s.txn.begin.Kind != statement.BeginReadOnly)
 		if err == nil {
-			a, err := conn.Run(database.Request{ID: s.txn.begin.ID, Text: s.txn.begin.Text, Floor: f, Timeout: op.remaining(), Parent: s.parent})
+			a, err := op.begin(conn, f)
 			if err == nil && a.Code == statement.Success {
 				s.txn.conn = conn
 				return a
@@ -233,8 +239,15 @@
 	t := s.txn
 	s.txn = nil
 	op := s.newOperation(st)
+	if t.conn.SyncSettings(s.settings, op.remaining()) != nil {
+		t.closeConn()
+		return s.refuse(st, statement.Aborted, "the commit was not sent; the transaction is rolled back")
+	}
+	s.logSending(t.conn, st)
 	a, err := op.retryWhileBusy(ctx, func() (statement.Answer, error) {
-		return t.conn.Run(database.Request{ID: st.ID, Text: st.Text, Timeout: op.remaining(), IsCommit: t.written, ReleaseAfter: true, Parent: s.parent})
+		r := s.request(st, op.remaining())
+		r.IsCommit, r.ReleaseAfter = t.written, true
+		return t.conn.Run(r)
 	})
 	if err != nil {
 		t.closeConn()
