--- a/internal/serve/database/pooledconn.go
+++ b/internal/serve/database/pooledconn.go
@@ -20,10 +20,13 @@
 	// remote is set instead of conn if another VM holds the connection.
 	remote  *RemoteConn
 	account string
-	// settings holds the settings of the server's session by name, prepared the names
-	// of its prepared statements.
+	// number identifies the connection in the logs of this VM's group; it is 0 for one that
+	// another VM holds.
+	number uint64
+	// settings holds the settings of the server's session by name.
 	settings map[string]string
-	prepared map[statement.Shape]string
+	// prepared is nil if another VM holds the connection.
+	prepared *preparedStatements
 	// usedAt is the time at which the connection was opened or last released.
 	usedAt clock.Millis
 	// broken is set once the connection must be closed on release.
@@ -37,6 +40,14 @@
 // Server returns the server of the connection.
 func (pc *PooledConn) Server() Server { return pc.pool.entry() }
 
+// Holder returns the name of the VM that holds the connection, or "" if this one does.
+func (pc *PooledConn) Holder() string {
+	if pc.remote == nil {
+		return ""
+	}
+	return pc.remote.VM
+}
+
 // Group returns the name of the database group that the server belongs to.
 func (pc *PooledConn) Group() string { return pc.pool.group.options.Name }
 
@@ -49,20 +60,98 @@
 		return pc.runRemote(r)
 	}
 	c := pc.pool.group.options.Clock
+	deadline := c.Now() + r.Timeout
+	name, err := pc.prepare(r)
+	var refusal *RefusalError
+	if errors.As(err, &refusal) && !refusal.Code.NotRun() {
+		// No server would run the statement, so the refusal is the answer to its execution.
+		a := statement.Answer{Code: refusal.Code, Detail: refusal.Detail, RawCode: refusal.RawCode}
+		pc.logSent(r, name, a, nil)
+		return a, nil
+	}
+	if err != nil {
+		return statement.Answer{}, err
+	}
+	if name != "" {
+		if r.Text, err = pc.compose(r, name); err != nil {
+			return statement.Answer{}, err
+		}
+	}
 	sent := c.Now()
+	r.Timeout = deadline - sent
 	pc.pool.startStatement(pc.granted)
 	pc.granted = false
 	span := pc.pool.group.options.Trace.StartChild(r.Parent, trace.BackendSpan)
 	a, err := pc.conn.RunFunc(r)
 	span.End(pc.traceAttributes(a, err))
+	pc.logSent(r, name, a, err)
 	pc.pool.endStatement(c.Now()-sent, a.Code == statement.Busy, err)
 	if err != nil {
 		pc.broken = true
 		return a, err
 	}
+	if name != "" && a.Code == statement.NotPrepared {
+		pc.prepared.remove(r.Execution.Shape)
+	}
 	return a, pc.recordAnswer(r, a, sent)
 }
 
+// errAmbiguous means that a server would read another execution from a text than the one it was
+// made for.
+var errAmbiguous = errors.New("the execution of the prepared statement cannot be written unambiguously")
+
+// compose returns the text that executes the statement prepared under a name with the arguments of
+// a request. It parses the text again before it is sent: the error, an *UnsentError with
+// errAmbiguous, is a fault of the proxy.
+func (pc *PooledConn) compose(r Request, name string) (string, error) {
+	protocol := pc.pool.group.options.Protocol
+	text := protocol.ExecuteFunc(name, r.Execution.Arguments)
+	st := protocol.ParseFunc(text)
+	same := st.Kind == statement.Execute && st.Name == name && st.Arguments == r.Execution.Arguments
+	invariant.Check(same, invariant.Unchanged, "the execution of %q for request %s would run %q", LoggedName(name), LoggedName(r.ID), LoggedName(st.Name))
+	if !same {
+		pc.broken = true
+		return "", &UnsentError{Cause: errAmbiguous}
+	}
+	return text, nil
+}
+
+// errNoTimeLeft means that preparing a statement took all its time.
+var errNoTimeLeft = errors.New("preparing the statement took its whole time")
+
+// prepare returns the name of the prepared statement that a request executes, or "" if it executes
+// none, and prepares it at the server if necessary. Any error is an *UnsentError, after which the
+// connection is broken.
+func (pc *PooledConn) prepare(r Request) (string, error) {
+	if r.Execution.IsZero() {
+		return "", nil
+	}
+	shape := r.Execution.Shape
+	if name, ok := pc.prepared.name(shape); ok {
+		return name, nil
+	}
+	c := pc.pool.group.options.Clock
+	deadline := c.Now() + r.Timeout
+	if name, ok := pc.prepared.surplus(); ok {
+		if err := pc.conn.DeallocateFunc(name, r.Timeout); err != nil {
+			pc.broken = true
+			return "", &UnsentError{Cause: err}
+		}
+	}
+	name := pc.prepared.newName()
+	err := pc.conn.PrepareFunc(name, shape, deadline-c.Now())
+	if err == nil && c.Now() >= deadline {
+		err = errNoTimeLeft
+	}
+	if err != nil {
+		pc.broken = true
+		return "", &UnsentError{Cause: err}
+	}
+	pc.logPrepared(name, shape)
+	pc.prepared.add(shape, name)
+	return name, nil
+}
+
 // traceAttributes returns the span attributes for the outcome of a statement.
 func (pc *PooledConn) traceAttributes(a statement.Answer, err error) trace.Attributes {
 	out := trace.Attributes{Account: pc.account, Database: pc.pool.group.options.Name, Server: pc.pool.entry().ID, Outcome: "ran"}
@@ -162,7 +251,7 @@
 			return err
 		}
 		clear(pc.settings)
-		clear(pc.prepared)
+		pc.prepared.clear()
 		break
 	}
 	for name, value := range settings {
@@ -178,31 +267,6 @@
 	return nil
 }
 
-// Prepare returns the name of the prepared statement for a shape, and prepares it at
-// the server if necessary, within timeout milliseconds. After an error the connection
-// is broken. For a connection held by another VM it sends nothing, since each statement
-// carries the shapes.
-func (pc *PooledConn) Prepare(s statement.Shape, timeout clock.Millis) (string, error) {
-	if name, ok := pc.prepared[s]; ok {
-		return name, nil
-	}
-	name := "r" + s.Text
-	if s.IsWrite {
-		name = "w" + s.Text
-	}
-	if pc.remote == nil {
-		if err := pc.conn.PrepareFunc(name, s, timeout); err != nil {
-			pc.broken = true
-			return "", err
-		}
-	}
-	pc.prepared[s] = name
-	return name, nil
-}
-
-// ForgetPrepared removes a prepared statement that the server does not know.
-func (pc *PooledConn) ForgetPrepared(s statement.Shape) { delete(pc.prepared, s) }
-
 // MarkBroken marks the connection as unusable, so that Release closes it.
 func (pc *PooledConn) MarkBroken() { pc.broken = true }
 
--- a/internal/serve/database/server.go
+++ b/internal/serve/database/server.go
@@ -37,8 +37,11 @@
 // Request is one statement to run on a connection.
 type Request struct {
 	// ID is the ID of the caller's request, or "-" for the proxy's own statements.
-	ID   string
-	Text string
+	ID string
+	// Text is the statement as the server gets it. It is empty if Execution is set: the VM that
+	// holds the connection then prepares the shape, if necessary, and composes the text.
+	Text      string
+	Execution statement.Execution
 	// Floor is the position that the server must have reached; a zero position
 	// requires nothing.
 	Floor floor.ReplicationPosition
@@ -74,8 +77,10 @@
 type Conn struct {
 	// RunFunc runs a statement. An error means that its outcome is unknown.
 	RunFunc func(r Request) (statement.Answer, error)
-	// PrepareFunc prepares a statement under a name.
-	PrepareFunc func(name string, s statement.Shape, timeout clock.Millis) error
+	// PrepareFunc prepares a statement under a name of one word, DeallocateFunc drops it. The
+	// errors are *RefusalErrors if the server refused, or if the statement cannot be sent.
+	PrepareFunc    func(name string, s statement.Shape, timeout clock.Millis) error
+	DeallocateFunc func(name string, timeout clock.Millis) error
 	// SetFunc sets a session setting.
 	SetFunc func(name, value string, timeout clock.Millis) error
 	// ResetFunc drops the session's settings and prepared statements.
@@ -93,6 +98,8 @@
 	DialFunc func(ctx context.Context, s Server, account string) (*Conn, floor.ReplicationPosition, error)
 	// ExecuteFunc returns the statement text that executes a prepared statement.
 	ExecuteFunc func(name, arguments string) string
+	// ParseFunc returns what a server reads from a statement text.
+	ParseFunc func(text string) statement.Statement
 	// RollbackFunc returns the statement text that rolls back a transaction.
 	RollbackFunc func() string
 }
@@ -101,6 +108,8 @@
 type RefusalError struct {
 	Code   statement.Code
 	Detail string
+	// RawCode is the code as the server sent it when Code is statement.Other.
+	RawCode string
 }
 
 // Error implements error.
--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"maps"
 
 	"github.com/charmbracelet/log"
 	"github.com/go-faster/errors"
@@ -73,6 +72,8 @@
 	// name.
 	settings map[string]string
 	prepared map[string]statement.Shape
+	// preparedSize is the size of the names and texts of the prepared statements, in bytes.
+	preparedSize int
 	// parent is the W3C traceparent of the current statement's span, or "".
 	parent string
 	// commits holds the position of the session's last commit in each group.
@@ -218,31 +219,15 @@
 	case statement.Set:
 		return s.set(st)
 	case statement.Prepare:
-		s.prepared = addPrepared(s.prepared, st.Name, st.Shape)
-		return statement.LocalSuccess(s.status())
+		return s.prepare(st)
 	case statement.Deallocate:
-		delete(s.prepared, st.Name)
-		return statement.LocalSuccess(s.status())
+		return s.deallocate(st)
 	case statement.Read, statement.Write, statement.Execute:
 		return s.runData(ctx, st)
 	}
 	return statement.Refuse(statement.Invalid, "the text is no statement", s.status())
 }
 
-// set sets a setting of the session. It replaces the map, since a connection held by
-// another VM may share the present one.
-func (s *session) set(st statement.Statement) statement.Answer {
-	settings := maps.Clone(s.settings)
-	settings[st.Name] = st.Value
-	s.settings = settings
-	return statement.LocalSuccess(s.status())
-}
-
-func addPrepared(m map[string]statement.Shape, name string, v statement.Shape) map[string]statement.Shape {
-	m[name] = v
-	return m
-}
-
 // admit checks, for a single statement or a new transaction, that the configuration
 // still has the route and permits the key, and takes a token from the account's limit.
 // It returns Success, or the code and detail of the refusal.
@@ -314,33 +299,6 @@
 	}
 }
 
-// logRefusal logs why a statement was refused and the state behind it: the version of
-// the configuration, the term, the primary and the age of its proof.
-func (s *session) logRefusal(st statement.Statement, code statement.Code, detail string) {
-	fields := []any{"id", st.ID, "database", s.route.Database, "account", s.account.Name, "code", code.String(), "reason", detail}
-	fields = append(fields, s.configurationFields()...)
-	if g := s.options.GroupFunc(s.route.Group); g != nil {
-		term, leader, age := g.PrimaryStatus()
-		fields = append(fields, "group", s.route.Group, "term", uint64(term), "primary", leader, "proof_ms", int64(age))
-	}
-	s.options.Log.Info("statement refused", fields...)
-}
-
-// configurationFields returns the log fields of the configuration in force: its version, its source,
-// the time since its adoption, the VM that last confirmed it, and the time since the store had no
-// later version. Times are in milliseconds.
-func (s *session) configurationFields() []any {
-	c, now := s.options.CopyFunc(), s.options.Clock.Now()
-	if c.Version == 0 {
-		return nil
-	}
-	fields := []any{"version", c.Version, "version_from", c.Source, "version_ms", int64(now - c.AdoptedAt)}
-	if c.IsConfirmed() {
-		fields = append(fields, "confirmed_by", c.ConfirmedBy, "confirmed_ms", int64(c.Age(now)))
-	}
-	return fields
-}
-
 // refuse counts and logs the refusal of a statement, fails an open transaction, and
 // returns the refusal as the answer.
 func (s *session) refuse(st statement.Statement, code statement.Code, detail string) statement.Answer {
--- a/internal/serve/session/transaction.go
+++ b/internal/serve/session/transaction.go
@@ -98,7 +98,7 @@
 		return a.WithStatus(statement.InTransaction)
 	}
 	s.options.Counters.countRefusal(a.Code)
-	s.options.Log.Info("statement failed at the server", "id", st.ID, "server", s.txn.conn.Server().ID, "code", a.Code.String(), "detail", a.Detail)
+	s.logFailure("statement failed at the server", s.txn.conn, st, a)
 	s.rollbackServer()
 	s.txn.failed = true
 	return a.WithStatus(statement.FailedTransaction)
@@ -148,6 +148,7 @@
 		conn.Release()
 		if err == nil && !a.Code.NotRun() {
 			s.options.Counters.countRefusal(a.Code)
+			s.logFailure("statement failed at the server", conn, st, a)
 			s.txn.failed = true
 			return a.WithStatus(statement.FailedTransaction)
 		}
@@ -163,18 +164,26 @@
 // back.
 func (op *operation) beginAndRun(conn *database.PooledConn, f floor.ReplicationPosition) (statement.Answer, error) {
 	s := op.session
-	text, err := s.serverText(conn, op.statement, op.remaining())
-	if err != nil {
-		return statement.Answer{}, err
-	}
-	a, err := conn.Run(database.Request{ID: s.txn.begin.ID, Text: s.txn.begin.Text, Floor: f, Timeout: op.remaining(), Parent: s.parent})
+	a, err := op.begin(conn, f)
 	if err != nil || a.Code != statement.Success {
 		return a, err
 	}
 	if writes, _ := s.writes(op.statement); writes {
 		s.txn.written = true
 	}
-	return conn.Run(database.Request{ID: op.statement.ID, Text: text, Timeout: op.remaining(), Parent: s.parent})
+	s.logSending(conn, op.statement)
+	return conn.Run(s.request(op.statement, op.remaining()))
+}
+
+// begin gives the server's session the caller's settings and begins the transaction there.
+func (op *operation) begin(conn *database.PooledConn, f floor.ReplicationPosition) (statement.Answer, error) {
+	s := op.session
+	if err := conn.SyncSettings(s.settings, op.remaining()); err != nil {
+		return statement.Answer{}, err
+	}
+	r := s.request(s.txn.begin, op.remaining())
+	r.Floor = f
+	return conn.Run(r)
 }
 
 // commit ends the transaction with all its writes or none.
@@ -206,7 +215,7 @@
 	for {
 		conn, f, err := op.acquire(ctx, s.txn.begin.Kind != statement.BeginReadOnly)
 		if err == nil {
-			a, err := conn.Run(database.Request{ID: s.txn.begin.ID, Text: s.txn.begin.Text, Floor: f, Timeout: op.remaining(), Parent: s.parent})
+			a, err := op.begin(conn, f)
 			if err == nil && a.Code == statement.Success {
 				s.txn.conn = conn
 				return a
@@ -230,8 +239,15 @@
 	t := s.txn
 	s.txn = nil
 	op := s.newOperation(st)
+	if t.conn.SyncSettings(s.settings, op.remaining()) != nil {
+		t.closeConn()
+		return s.refuse(st, statement.Aborted, "the commit was not sent; the transaction is rolled back")
+	}
+	s.logSending(t.conn, st)
 	a, err := op.retryWhileBusy(ctx, func() (statement.Answer, error) {
-		return t.conn.Run(database.Request{ID: st.ID, Text: st.Text, Timeout: op.remaining(), IsCommit: t.written, ReleaseAfter: true, Parent: s.parent})
+		r := s.request(st, op.remaining())
+		r.IsCommit, r.ReleaseAfter = t.written, true
+		return t.conn.Run(r)
 	})
 	if err != nil {
 		t.closeConn()
@@ -245,7 +261,7 @@
 	}
 	if a.Code != statement.Success {
 		s.options.Counters.countRefusal(a.Code)
-		s.options.Log.Info("commit failed at the server", "id", st.ID, "server", t.conn.Server().ID, "code", a.Code.String(), "detail", a.Detail)
+		s.logFailure("commit failed at the server", t.conn, st, a)
 		t.closeConn()
 		return a.WithStatus(statement.Idle)
 	}
