Count the statements prepared and dropped at servers

A connection that drops shapes for others costs two exchanges for each execution, which nothing showed.

--- a/internal/serve/database/counters.go
+++ b/internal/serve/database/counters.go
@@ -21,6 +21,9 @@
 	releases        *metrics.Counter
 	unknownCommits  *metrics.Counter
 	promotionOrders map[orderResult]*metrics.Counter
+	// prepares counts the statements prepared at servers, evictions those dropped for others.
+	prepares  *metrics.Counter
+	evictions *metrics.Counter
 }
 
 // dialPurpose is the purpose of a connection to a server.
@@ -71,7 +74,9 @@
 		orders[r] = metrics.GetOrCreateCounter(fmt.Sprintf("sycamoredoor_promotion_orders_total{result=%q}", r))
 	}
 	return Counters{
-		dials: dials, probeReasons: reasons, claims: metrics.GetOrCreateCounter("sycamoredoor_claims_total"),
+		prepares:  metrics.GetOrCreateCounter("sycamoredoor_server_prepares_total"),
+		evictions: metrics.GetOrCreateCounter("sycamoredoor_server_evictions_total"),
+		dials:     dials, probeReasons: reasons, claims: metrics.GetOrCreateCounter("sycamoredoor_claims_total"),
 		releases:       metrics.GetOrCreateCounter("sycamoredoor_term_releases_total"),
 		unknownCommits: metrics.GetOrCreateCounter("sycamoredoor_unknown_commits_total"), promotionOrders: orders,
 		connections:    metrics.GetOrCreateCounter("sycamoredoor_server_connections_total"),
--- a/internal/serve/database/pooledconn.go
+++ b/internal/serve/database/pooledconn.go
@@ -137,6 +137,7 @@
 			pc.broken = true
 			return "", &UnsentError{Cause: err}
 		}
+		pc.pool.group.options.Counters.evictions.Inc()
 	}
 	name := pc.prepared.newName()
 	err := pc.conn.PrepareFunc(name, shape, deadline-c.Now())
@@ -148,6 +149,7 @@
 		return "", &UnsentError{Cause: err}
 	}
 	pc.logPrepared(name, shape)
+	pc.pool.group.options.Counters.prepares.Inc()
 	pc.prepared.add(shape, name)
 	return name, nil
 }
