Give the address of a server to the driver as it is

What could be seen: an address with a zone, which may hold any text, such as "[fe80::1%a target_session_attrs=read-only]:5432", passes the check of addresses and was put into a text of settings separated by blanks. What follows the blank was read as settings of the driver, and the connection went to another host or to none.

Failing before:

--- FAIL: TestAddressOfServer - fe80::1%a target_session_attrs=read-only sslmode=require + fe80::1%a (and a check of the session's kind was set)

Change: host and port are set in the driver's configuration, which is parsed from a fixed text. User, password, database and parameters were set in it before already; the driver refuses a zero byte in them.

Measured: the tests of the package pass under the race detector.

--- a/internal/proto/backend/conn.go
+++ b/internal/proto/backend/conn.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -135,14 +136,20 @@
 // allowedParameters are sent, because another parameter could carry a caller's key to the
 // backend server.
 func connConfig(o Options) (*pgconn.Config, error) {
-	host, port, err := net.SplitHostPort(o.Address)
+	host, portText, err := net.SplitHostPort(o.Address)
 	if err != nil {
 		return nil, err
 	}
-	c, err := pgconn.ParseConfig(fmt.Sprintf("host=%s port=%s sslmode=disable", host, port))
+	port, err := strconv.ParseUint(portText, 10, 16)
 	if err != nil {
 		return nil, err
 	}
+	// The driver would read a blank in an address as the beginning of another setting.
+	c, err := pgconn.ParseConfig("host=localhost sslmode=disable")
+	if err != nil {
+		return nil, err
+	}
+	c.Host, c.Port = host, uint16(port)
 	c.Database, c.User, c.Password = o.Database, o.User, o.Password
 	c.ConnectTimeout = o.ConnectTimeout.Duration()
 	dial := o.DialFunc
