Escape labels of metrics as the text format of Prometheus defines it

What could be seen: on the PostgreSQL path the names of VMs, databases, servers and accounts are labels, written with Go's quoting. A name with a control character or a character that Go does not print, such as a no-break space, gave an escape that the text format does not know (\x00, \r, \u00a0), and a scraper that keeps to the format drops the whole answer.

Failing before:

--- FAIL: TestAccountLabels the value "line\\r\\nend" has an escape 'r' the value "no\\u00a0break" has an escape 'u' the value "zero\\x00" has an escape 'x'

Change: label.Quote escapes the backslash, the quote and the line feed, and nothing else. Plain names are written as before. The labels of the platform path come from fixed lists of codes, reasons and results.

Measured: the tests of limit, primary, entry, holder and membership pass under the race detector.

--- a/internal/serve/entry/counters.go
+++ b/internal/serve/entry/counters.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/sycamoredoor/sycamoredoor/internal/base/label"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 )
@@ -24,7 +25,7 @@
 }
 
 func newCounters(vm string) *counters {
-	name := func(metric string) string { return fmt.Sprintf("%s{vm=%q}", metric, vm) }
+	name := func(metric string) string { return metric + "{vm=" + label.Quote(vm) + "}" }
 	return &counters{
 		vm:              vm,
 		callers:         metrics.GetOrCreateGauge(name("callers"), nil),
@@ -42,7 +43,7 @@
 }
 
 func newLatencyHistogram(vm string, kind document.RouteKind) *metrics.Histogram {
-	return metrics.GetOrCreateHistogram(fmt.Sprintf("latency{vm=%q,kind=%q}", vm, string(kind)))
+	return metrics.GetOrCreateHistogram(fmt.Sprintf("latency{vm=%s,kind=%q}", label.Quote(vm), string(kind)))
 }
 
 // observeLatency records the latency of a request that began at start.
@@ -53,7 +54,7 @@
 }
 
 func (c *counters) countRefused(r outcome.Reason) {
-	metrics.GetOrCreateCounter(fmt.Sprintf("refused{vm=%q,reason=%q}", c.vm, string(r))).Inc()
+	metrics.GetOrCreateCounter(fmt.Sprintf("refused{vm=%s,reason=%q}", label.Quote(c.vm), string(r))).Inc()
 }
 
 // Totals counts what an entry proxy has served so far.
--- a/internal/serve/holder/counters.go
+++ b/internal/serve/holder/counters.go
@@ -1,11 +1,10 @@
 package holder
 
 import (
-	"fmt"
-
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/label"
 )
 
 // counters are the metrics of one server's holder.
@@ -22,7 +21,7 @@
 }
 
 func newCounters(server string) *counters {
-	name := func(metric string) string { return fmt.Sprintf("%s{server=%q}", metric, server) }
+	name := func(metric string) string { return metric + "{server=" + label.Quote(server) + "}" }
 	return &counters{
 		queue:       metrics.GetOrCreateGauge(name("queue"), nil),
 		open:        metrics.GetOrCreateGauge(name("open"), nil),
--- a/internal/serve/limit/counters.go
+++ b/internal/serve/limit/counters.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/label"
 )
 
 // maxLabelledAccounts is the number of accounts that get counters with a label
@@ -26,8 +28,8 @@
 func newCounters(vm string) *counters {
 	return &counters{
 		vm:       vm,
-		waits:    metrics.GetOrCreateCounter(fmt.Sprintf("held{vm=%q}", vm)),
-		renewals: metrics.GetOrCreateCounter(fmt.Sprintf("fetch{vm=%q}", vm)),
+		waits:    metrics.GetOrCreateCounter(fmt.Sprintf("held{vm=%s}", label.Quote(vm))),
+		renewals: metrics.GetOrCreateCounter(fmt.Sprintf("fetch{vm=%s}", label.Quote(vm))),
 	}
 }
 
@@ -44,12 +46,12 @@
 
 // create returns new counters for an account, or the shared ones.
 func (c *counters) create(account string) accountCounters {
-	label := ""
+	accountLabel := ""
 	if c.accountCount.Add(1) <= maxLabelledAccounts {
-		label = fmt.Sprintf(",account=%q", account)
+		accountLabel = ",account=" + label.Quote(account)
 	}
 	return accountCounters{
-		granted: metrics.GetOrCreateCounter(fmt.Sprintf("granted{vm=%q%s}", c.vm, label)),
-		refused: metrics.GetOrCreateCounter(fmt.Sprintf("limited{vm=%q%s}", c.vm, label)),
+		granted: metrics.GetOrCreateCounter(fmt.Sprintf("granted{vm=%s%s}", label.Quote(c.vm), accountLabel)),
+		refused: metrics.GetOrCreateCounter(fmt.Sprintf("limited{vm=%s%s}", label.Quote(c.vm), accountLabel)),
 	}
 }
--- a/internal/serve/membership/counters.go
+++ b/internal/serve/membership/counters.go
@@ -1,10 +1,9 @@
 package membership
 
 import (
-	"fmt"
-
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/sycamoredoor/sycamoredoor/internal/base/label"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/heartbeat"
 )
 
@@ -23,7 +22,7 @@
 }
 
 func newCounters(vm string) counters {
-	name := func(metric string) string { return fmt.Sprintf("%s{vm=%q}", metric, vm) }
+	name := func(metric string) string { return metric + "{vm=" + label.Quote(vm) + "}" }
 	return counters{
 		messages:   metrics.GetOrCreateCounter(name("beats")),
 		bytes:      metrics.GetOrCreateCounter(name("beatbytes")),
--- a/internal/serve/primary/primary.go
+++ b/internal/serve/primary/primary.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"sync/atomic"
 
@@ -14,6 +13,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/label"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/primary"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/platform"
@@ -157,16 +157,21 @@
 	}
 }
 
+// metric returns a metric's name with the label of the database.
+func (v *Observer) metric(name string) string {
+	return name + "{database=" + label.Quote(v.options.Database.Name) + "}"
+}
+
 func (v *Observer) counter(name string) *metrics.Counter {
-	return metrics.GetOrCreateCounter(fmt.Sprintf(`%s{database=%q}`, name, v.options.Database.Name))
+	return metrics.GetOrCreateCounter(v.metric(name))
 }
 
 func (v *Observer) gauge(name string) *metrics.Gauge {
-	return metrics.GetOrCreateGauge(fmt.Sprintf(`%s{database=%q}`, name, v.options.Database.Name), nil)
+	return metrics.GetOrCreateGauge(v.metric(name), nil)
 }
 
 func (v *Observer) histogram(name string) *metrics.Histogram {
-	return metrics.GetOrCreateHistogram(fmt.Sprintf(`%s{database=%q}`, name, v.options.Database.Name))
+	return metrics.GetOrCreateHistogram(v.metric(name))
 }
 
 // perform runs an action, or queues it for its server.
