Keep no whole messages in a session's prepared statements and settings

Change: the session keeps copies. TestSessionKeepsNoMessages failed before ("100 short statements and settings keep 100 MiB") and passes.

--- a/internal/serve/session/prepared.go
+++ b/internal/serve/session/prepared.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"strings"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 )
@@ -28,7 +29,9 @@
 	if !exists && len(s.prepared) >= maxPrepared || size > maxPreparedSize {
 		return s.refuse(st, statement.Invalid, fmt.Sprintf("the session's prepared statements exceed %d, or %d bytes; deallocate some", maxPrepared, maxPreparedSize))
 	}
-	s.prepared[st.Name], s.preparedSize = st.Shape, size
+	// A part of the message would keep all of it in memory.
+	shape := statement.Shape{IsWrite: st.Shape.IsWrite, Text: strings.Clone(st.Shape.Text)}
+	s.prepared[strings.Clone(st.Name)], s.preparedSize = shape, size
 	return statement.LocalSuccess(s.status())
 }
 
@@ -45,7 +48,7 @@
 // connection held by another VM may share the present one.
 func (s *session) set(st statement.Statement) statement.Answer {
 	settings := maps.Clone(s.settings)
-	settings[st.Name] = st.Value
+	settings[strings.Clone(st.Name)] = strings.Clone(st.Value)
 	size := 0
 	for name, value := range settings {
 		size += len(name) + len(value)
