--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -17,7 +17,6 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/freshness"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/shutdown"
-	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/peer"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/forward"
@@ -288,12 +287,6 @@
 		f.options.Log.Debug("starting a caller's session failed", "err", err)
 		return
 	}
-	if config := f.catalog.Load(); config != nil {
-		if problem := config.Problem(caller.Database, caller.Key); problem != "" {
-			caller.RefuseFunc(statement.Invalid, problem)
-			return
-		}
-	}
 	f.addConn(c)
 	defer f.removeConn(c)
 	session.Serve(ctx, f.sessionOptions, caller)
--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -173,8 +173,8 @@
 }
 
 // resolve finds the route and the account in the current configuration. It returns the
-// code and detail of the refusal if there is no configuration or route, or if the key is
-// unknown and the route does not allow that. Otherwise the account of an unknown key is
+// code and detail of the refusal if there is no configuration or route, if the key is
+// unknown and the route does not allow that, or if the route or the account cannot be served. Otherwise the account of an unknown key is
 // empty.
 func (s *session) resolve() (statement.Code, string) {
 	c := s.options.CatalogFunc()
@@ -185,6 +185,9 @@
 	if !ok {
 		return statement.UnknownDatabase, "no route has the name of the database"
 	}
+	if problem := c.Problem(s.caller.Database, s.caller.Key); problem != "" {
+		return statement.Invalid, problem
+	}
 	name, known := c.KeyOwner(s.caller.Key)
 	if !known && !route.AllowAnonymous {
 		return statement.Denied, "the key is not known"
