Let an empty key identify no account

Callers without a key were served for an account with an empty one among its keys: an absent text and an empty one look alike. TestEmptyKey failed before ("READY I -") and passes: "UNAUTH the key is not known".

--- a/internal/setup/catalog/catalog.go
+++ b/internal/setup/catalog/catalog.go
@@ -98,12 +98,14 @@
 // AddRoute adds a route. It must be called only while the catalog is built.
 func (c *Catalog) AddRoute(r Route) { c.routes[r.Database] = r }
 
-// AddAccount adds a client account and its keys. It must be called only while the
-// catalog is built.
+// AddAccount adds a client account and its keys. An empty key identifies nobody, since callers
+// without a key have it too. It must be called only while the catalog is built.
 func (c *Catalog) AddAccount(a Account, keys []string) {
 	c.accounts[a.Name] = a
 	for _, k := range keys {
-		c.keys[k] = a.Name
+		if k != "" {
+			c.keys[k] = a.Name
+		}
 	}
 }
 
