Tell what was not sent from what a server answered

Change: an UnsendableError says that nothing was sent, and touches neither the connection nor what is known of the server; only an invalid shape is an answer, any other failure before the execution is an UnsentError and logged.

--- a/internal/serve/database/pool.go
+++ b/internal/serve/database/pool.go
@@ -181,6 +181,15 @@
 	p.latencyAt = now
 }
 
+// cancelStatement ends a statement of which nothing was sent, so that it tells nothing of the
+// server.
+func (p *pool) cancelStatement() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running--
+	p.dispatch()
+}
+
 // acquire returns a connection for an account, after at most wait milliseconds, or an
 // error of the pool. Opening a connection may take dialTimeout in addition. While the
 // server accepts no more connections, the request waits for one that is open.
--- a/internal/serve/database/pooledconn.go
+++ b/internal/serve/database/pooledconn.go
@@ -29,6 +29,8 @@
 	prepared *preparedStatements
 	// usedAt is the time at which the connection was opened or last released.
 	usedAt clock.Millis
+	// status is the state of the server's session.
+	status statement.Status
 	// broken is set once the connection must be closed on release.
 	broken bool
 	// released is set once the connection was released.
@@ -61,16 +63,10 @@
 	}
 	c := pc.pool.group.options.Clock
 	deadline := c.Now() + r.Timeout
-	name, err := pc.prepare(r)
-	var refusal *RefusalError
-	if errors.As(err, &refusal) && !refusal.Code.NotRun() {
-		// No server would run the statement, so the refusal is the answer to its execution.
-		a := statement.Answer{Code: refusal.Code, Detail: refusal.Detail, RawCode: refusal.RawCode}
-		pc.logSent(r, name, a, nil)
-		return a, nil
-	}
-	if err != nil {
-		return statement.Answer{}, err
+	name, refusal, err := pc.prepare(r)
+	if err != nil || refusal.Code != statement.Success {
+		pc.logSent(r, name, refusal, err)
+		return refusal, err
 	}
 	if name != "" {
 		if r.Text, err = pc.compose(r, name); err != nil {
@@ -83,6 +79,14 @@
 	pc.granted = false
 	span := pc.pool.group.options.Trace.StartChild(r.Parent, trace.BackendSpan)
 	a, err := pc.conn.RunFunc(r)
+	var unsendable *UnsendableError
+	if errors.As(err, &unsendable) {
+		a, err = pc.refuseUnsendable(unsendable), nil
+		pc.pool.cancelStatement()
+		span.End(pc.traceAttributes(a, err))
+		pc.logSent(r, name, a, err)
+		return a, nil
+	}
 	span.End(pc.traceAttributes(a, err))
 	pc.logSent(r, name, a, err)
 	pc.pool.endStatement(c.Now()-sent, a.Code == statement.Busy, err)
@@ -90,12 +94,18 @@
 		pc.broken = true
 		return a, err
 	}
+	pc.status = a.Status
 	if name != "" && a.Code == statement.NotPrepared {
 		pc.prepared.remove(r.Execution.Shape)
 	}
 	return a, pc.recordAnswer(r, a, sent)
 }
 
+// refuseUnsendable returns the answer to a statement that cannot be sent.
+func (pc *PooledConn) refuseUnsendable(e *UnsendableError) statement.Answer {
+	return statement.Refuse(statement.Invalid, e.Detail, pc.status)
+}
+
 // errAmbiguous means that a server would read another execution from a text than the one it was
 // made for.
 var errAmbiguous = errors.New("the execution of the prepared statement cannot be written unambiguously")
@@ -116,44 +126,6 @@
 	return text, nil
 }
 
-// errNoTimeLeft means that preparing a statement took all its time.
-var errNoTimeLeft = errors.New("preparing the statement took its whole time")
-
-// prepare returns the name of the prepared statement that a request executes, or "" if it executes
-// none, and prepares it at the server if necessary. Any error is an *UnsentError, after which the
-// connection is broken.
-func (pc *PooledConn) prepare(r Request) (string, error) {
-	if r.Execution.IsZero() {
-		return "", nil
-	}
-	shape := r.Execution.Shape
-	if name, ok := pc.prepared.name(shape); ok {
-		return name, nil
-	}
-	c := pc.pool.group.options.Clock
-	deadline := c.Now() + r.Timeout
-	if name, ok := pc.prepared.surplus(); ok {
-		if err := pc.conn.DeallocateFunc(name, r.Timeout); err != nil {
-			pc.broken = true
-			return "", &UnsentError{Cause: err}
-		}
-		pc.pool.group.options.Counters.evictions.Inc()
-	}
-	name := pc.prepared.newName()
-	err := pc.conn.PrepareFunc(name, shape, deadline-c.Now())
-	if err == nil && c.Now() >= deadline {
-		err = errNoTimeLeft
-	}
-	if err != nil {
-		pc.broken = true
-		return "", &UnsentError{Cause: err}
-	}
-	pc.logPrepared(name, shape)
-	pc.pool.group.options.Counters.prepares.Inc()
-	pc.prepared.add(shape, name)
-	return name, nil
-}
-
 // traceAttributes returns the span attributes for the outcome of a statement.
 func (pc *PooledConn) traceAttributes(a statement.Answer, err error) trace.Attributes {
 	out := trace.Attributes{Account: pc.account, Database: pc.pool.group.options.Name, Server: pc.pool.entry().ID, Outcome: "ran"}
--- a/internal/serve/database/prepared_test.go
+++ b/internal/serve/database/prepared_test.go
@@ -40,7 +40,7 @@
 				PrepareFunc: func(name string, s statement.Shape, _ clock.Millis) error {
 					_ = l.add("PREPARE", name, s.Kind(), s.Text)
 					if strings.HasSuffix(s.Text, "BAD") {
-						return &RefusalError{Code: statement.Invalid, Detail: "no shape"}
+						return &RefusalError{Code: statement.Invalid, Detail: "no shape", Status: statement.Idle}
 					}
 					return nil
 				},
--- a/internal/serve/database/sent.go
+++ b/internal/serve/database/sent.go
@@ -27,8 +27,7 @@
 		"id", LoggedName(r.ID), "group", pc.Group(), "server", pc.pool.entry().ID, "connection", pc.number, "account", pc.account,
 		"text", statement.Digest(r.Text), "bytes", len(r.Text), "code", a.Code.String(),
 	}
-	if name != "" {
-		e := r.Execution
+	if e := r.Execution; !e.IsZero() {
 		fields = append(fields, "name", name, "shape", statement.Digest(e.Shape.Text), "kind", e.Shape.Kind(), "arguments", statement.Digest(e.Arguments))
 	}
 	if err != nil {
--- a/internal/serve/database/server.go
+++ b/internal/serve/database/server.go
@@ -75,10 +75,11 @@
 // its functions. After an error the connection must be closed, except after a
 // *RefusalError of CommandFunc.
 type Conn struct {
-	// RunFunc runs a statement. An error means that its outcome is unknown.
+	// RunFunc runs a statement. An error means that its outcome is unknown, but an
+	// *UnsendableError that nothing was sent.
 	RunFunc func(r Request) (statement.Answer, error)
 	// PrepareFunc prepares a statement under a name of one word, DeallocateFunc drops it. The
-	// errors are *RefusalErrors if the server refused, or if the statement cannot be sent.
+	// errors are *RefusalErrors if the server refused, and *UnsendableErrors.
 	PrepareFunc    func(name string, s statement.Shape, timeout clock.Millis) error
 	DeallocateFunc func(name string, timeout clock.Millis) error
 	// SetFunc sets a session setting.
@@ -110,7 +111,16 @@
 	Detail string
 	// RawCode is the code as the server sent it when Code is statement.Other.
 	RawCode string
+	// Status is the state of the server's session afterwards, or 0 if it is not known.
+	Status statement.Status
 }
 
 // Error implements error.
 func (e *RefusalError) Error() string { return "the backend server refused: " + e.Detail }
+
+// UnsendableError means that a statement is no message of the server's protocol. Nothing of it was
+// sent, and the connection is as before.
+type UnsendableError struct{ Detail string }
+
+// Error implements error.
+func (e *UnsendableError) Error() string { return e.Detail }
