Abort a transaction whose server lost a prepared statement

A caller whose PREPARE had been acknowledged was told NOSTMT in an open transaction when the server's session no longer had the statement (rule PINNED); a single statement is prepared again. Found by review. Change: ABORTED, which promises that nothing is kept. TestNameLostByServer, with a stand-in that forgets, failed before ("ERROR NOSTMT") and passes.

--- a/internal/serve/session/transaction.go
+++ b/internal/serve/session/transaction.go
@@ -88,6 +88,10 @@
 	if err != nil {
 		return s.refuse(st, statement.Aborted, "the connection to the backend server was lost; the transaction is rolled back")
 	}
+	if a.Code == statement.NotPrepared {
+		// The caller has prepared the name; a server's session that lost it cannot go on.
+		return s.refuse(st, statement.Aborted, "the backend server lost the prepared statement; the transaction is rolled back")
+	}
 	return s.applyAnswer(st, a)
 }
 
