Hash a directory with its texts in quotes

VMs compare directories by a hash of their records, whose fields were separated by blanks that a server's own text may hold (review). VMs of before and after see each other's directories as different; replace all processes in one go, as for the other changes.

--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -160,7 +160,7 @@
 func hashDirectory(servers []database.Server) uint64 {
 	hash := uint64(len(servers)) + 1
 	for _, s := range servers {
-		hash += xxhash.Sum64String(fmt.Sprintf("%+v", s))
+		hash += xxhash.Sum64String(fmt.Sprintf("%#v", s))
 	}
 	return hash
 }
