Refuse a shape that is too long when it is prepared

A shape that fitted a message under the caller's name was acknowledged, and each EXECUTE of it refused, since the proxy's PREPARE is longer and its names grow. Change: PREPARE refuses what does not fit under the longest name.

--- a/internal/serve/database/server.go
+++ b/internal/serve/database/server.go
@@ -99,6 +99,9 @@
 	DialFunc func(ctx context.Context, s Server, account string) (*Conn, floor.ReplicationPosition, error)
 	// ExecuteFunc returns the statement text that executes a prepared statement.
 	ExecuteFunc func(name, arguments string) string
+	// MaxShapeSize is the size of the longest shape that can be prepared under any name, in
+	// bytes; 0 means without limit.
+	MaxShapeSize int
 	// ParseFunc returns what a server reads from a statement text.
 	ParseFunc func(text string) statement.Statement
 	// RollbackFunc returns the statement text that rolls back a transaction.
--- a/internal/serve/session/prepared.go
+++ b/internal/serve/session/prepared.go
@@ -21,6 +21,9 @@
 
 // prepare defines a prepared statement of the session, unless that exceeds a bound.
 func (s *session) prepare(st statement.Statement) statement.Answer {
+	if limit := s.options.Protocol.MaxShapeSize; limit > 0 && len(st.Shape.Text) > limit {
+		return s.refuse(st, statement.Invalid, fmt.Sprintf("the prepared statement is longer than %d bytes", limit))
+	}
 	old, exists := s.prepared[st.Name]
 	size := s.preparedSize + len(st.Shape.Text) - len(old.Text)
 	if !exists {
