Carry any bytes of callers and servers between VMs

What callers saw: a forwarded statement, setting or row that is not UTF-8 ended as INDOUBT or BUSY, since the decoder of the messages between VMs refuses such texts; the write had not run, and the caller could not know. Change: the decoder takes any bytes. TestForwardedBytes failed before ("ERROR INDOUBT the end of the write was not seen") and passes.

--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -280,6 +280,15 @@
 	return Frame{Kind: f.Kind, Body: body}
 }
 
+// decoder decodes bodies. Texts of callers and servers may hold any bytes, not only UTF-8.
+var decoder = func() cbor.DecMode {
+	m, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
 // Decode decodes the body of f into the message that target points to, or returns
 // a *FrameError. Slices in a message from this VM itself are shared with the sender
 // and must not be changed.
@@ -287,7 +296,7 @@
 	if f.copyMessage(target) {
 		return nil
 	}
-	if err := cbor.Unmarshal(f.withBody().Body, target); err != nil {
+	if err := decoder.Unmarshal(f.withBody().Body, target); err != nil {
 		return &FrameError{Detail: fmt.Sprintf("frame %d: %v", f.Kind, err)}
 	}
 	return nil
