--- a/internal/base/logs/queue.go
+++ b/internal/base/logs/queue.go
@@ -51,8 +51,8 @@
 	return q
 }
 
-// Write queues or drops a line; one over longLineSize is shortened. It always returns the length of the line: a logger
-// treats any other count as a failed write.
+// Write queues or drops a line; one over longLineSize is shortened. It always returns the
+// length of the line: a logger treats any other count as a failed write.
 func (q *Queue) Write(line []byte) (int, error) {
 	size := len(line)
 	if size > longLineSize {
--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -174,8 +174,8 @@
 
 // resolve finds the route and the account in the current configuration. It returns the
 // code and detail of the refusal if there is no configuration or route, if the key is
-// unknown and the route does not allow that, or if the route or the account cannot be served. Otherwise the account of an unknown key is
-// empty.
+// unknown and the route does not allow that, or if the route or the account cannot be
+// served. Otherwise the account of an unknown key is empty.
 func (s *session) resolve() (statement.Code, string) {
 	c := s.options.CatalogFunc()
 	if c == nil {
