--- a/internal/base/logs/shorten_test.go
+++ b/internal/base/logs/shorten_test.go
@@ -25,8 +25,7 @@
 	return strings.SplitAfter(strings.TrimSuffix(out.String(), "\n"), "\n")
 }
 
-// TestLongFields guards against a queue whose lines fill the memory: a caller's request id may
-// have a MiB, and a control character takes six bytes in JSON.
+// TestLongFields guards against log lines of a MiB, of which the queue would hold hundreds.
 func TestLongFields(t *testing.T) {
 	const size = 1 << 20
 	lines := logLines(t,
--- a/internal/serve/database/refused_test.go
+++ b/internal/serve/database/refused_test.go
@@ -38,8 +38,7 @@
 	return Request{ID: "x", Timeout: 1000, Execution: statement.Execution{Shape: statement.Shape{Text: shape}, Arguments: "a"}}
 }
 
-// TestFailedPreparationIsNoAnswer guards against an execution that is answered with the failure of
-// another statement, so that its caller cannot know that it did not run.
+// TestFailedPreparationIsNoAnswer guards against an execution that is answered with the failure of another statement.
 func TestFailedPreparationIsNoAnswer(t *testing.T) {
 	slow := &RefusalError{Code: statement.Timeout, Detail: "slow", Status: statement.Idle}
 	for name, change := range map[string]func(c *Conn){
@@ -60,8 +59,7 @@
 	}
 }
 
-// TestRefusedShapeKeepsItsConnection guards against a caller that closes connections by statements
-// that no server would run.
+// TestRefusedShapeKeepsItsConnection guards against a connection that is closed for a shape that no server runs.
 func TestRefusedShapeKeepsItsConnection(t *testing.T) {
 	for name, refusal := range map[string]error{
 		"refused":  &RefusalError{Code: statement.Invalid, Detail: "no", Status: statement.Idle},
@@ -80,8 +78,7 @@
 	}
 }
 
-// TestUnsentStatementTellsNothingOfTheServer guards against a caller that makes a server count as
-// alive and fast by statements that are not sent.
+// TestUnsentStatementTellsNothingOfTheServer guards against a server that counts as alive by what was not sent.
 func TestUnsentStatementTellsNothingOfTheServer(t *testing.T) {
 	conn, _ := changedConn(t, func(c *Conn) {
 		c.RunFunc = func(Request) (statement.Answer, error) {
--- a/internal/serve/entry/names_test.go
+++ b/internal/serve/entry/names_test.go
@@ -27,8 +27,7 @@
 	return out
 }
 
-// TestNamesForServer checks that a caller's name of a prepared statement never reaches a server,
-// and that its portals, parameters and text reach it as they are, whatever bytes they have.
+// TestNamesForServer guards against a caller's name, portal or parameter that a server reads as something else.
 func TestNamesForServer(t *testing.T) {
 	for _, name := range []string{"s1", "two words", `quote'"\`, "line\r\nend", "\xff\x01", "s" + strings.Repeat("0", 32), strings.Repeat("long", 1<<18)} {
 		sql := "SELECT $1 -- " + name
@@ -68,8 +67,7 @@
 	}
 }
 
-// TestUnknownNames checks that a caller cannot use a statement of another one by the name that it
-// has at servers.
+// TestUnknownNames guards against a statement that is used by its name at servers.
 func TestUnknownNames(t *testing.T) {
 	other, err := newStatement(pgproto3.Parse{Name: "s1", Query: "SELECT 1"})
 	if err != nil {
@@ -92,8 +90,7 @@
 	}
 }
 
-// TestNewStatementName checks that statements have one name at servers only if their texts and the
-// types of their parameters are the same.
+// TestNewStatementName guards against one name for two statements.
 func TestNewStatementName(t *testing.T) {
 	names := map[string]string{}
 	for _, p := range []pgproto3.Parse{
--- a/internal/serve/limit/label_test.go
+++ b/internal/serve/limit/label_test.go
@@ -8,8 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// TestAccountLabels guards against a scrape that fails because the name of an account has an
-// escape that the text format of Prometheus does not know.
+// TestAccountLabels guards against a scrape that fails for the name of an account.
 func TestAccountLabels(t *testing.T) {
 	c := newCounters("vm of the labels")
 	accounts := []string{`plain`, `quote"brace}`, `back\`, "line\r\nend", "bell\a", "no\u00a0break", "zero\x00", "ä", `,reason="x`}
--- a/internal/serve/session/prepared_test.go
+++ b/internal/serve/session/prepared_test.go
@@ -9,8 +9,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 )
 
-// TestSessionKeepsNoMessages guards against prepared statements and settings that keep the whole
-// messages in memory that they came in.
+// TestSessionKeepsNoMessages guards against a session that keeps whole messages in memory.
 func TestSessionKeepsNoMessages(t *testing.T) {
 	const count, messageSize, maxGrowth = 100, 1 << 20, 4 << 20
 	s := &session{settings: map[string]string{}, prepared: map[string]statement.Shape{}}
