--- a/internal/serve/database/overloadedaccount_test.go
+++ b/internal/serve/database/overloadedaccount_test.go
@@ -10,12 +10,12 @@
 	"time"
 )
 
-// TestOverloadedAccount plays an account whose 40 callers ask for more than a server
-// does, beside one with a single caller. The single caller must always be served, and what is
-// refused of the other must be refused at once: who waits is served. Time is that of synctest,
-// so that a busy machine changes nothing.
+// TestOverloadedAccount guards against a calm account that suffers from one with too many callers.
 func TestOverloadedAccount(t *testing.T) { synctest.Test(t, playOverloadedAccount) }
 
+// playOverloadedAccount plays an account whose 40 callers ask for more than a server does, beside
+// one with a single caller. The single caller must always be served, and what is refused of the
+// other must be refused at once. Time is that of synctest, so that a busy machine changes nothing.
 func playOverloadedAccount(t *testing.T) {
 	f := &fakeGroup{slots: 2, latency: 10 * time.Millisecond, overshootFunc: newOvershoot(0, 3*time.Millisecond)}
 	g := f.group(t, 12)
