Let VMs that start together pass on the first configuration

Callers saw refusals for 2.5 s after all 70 VMs had lost power, with a configuration of 1,700 routes: "no configuration yet" and then no confirmed primary. Cause: each VM read the whole configuration from the store, over the link between regions too, and proofs of primaries crossed to the other region in rounds of 0.9 s.

One VM of a region reads the store now; the others ask it or the relays of their zone, and read the store themselves after 500 ms, in turns. A proof that ends a time without one starts a round of gossip. New sessions wait for the first configuration up to 1.5 s.

--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -181,6 +181,9 @@
 	Share *ShareRequest `cbor:"share,omitempty"`
 	// AcceptsGzip is set if the asking VM can decompress the payload of the answer.
 	AcceptsGzip bool `cbor:"gzip,omitempty"`
+	// Wait is how long the answer to TopicText may wait for a first configuration, in
+	// milliseconds.
+	Wait clock.Millis `cbor:"wait,omitempty"`
 }
 
 // ShareRequest carries a VM's reports of its parts of client accounts' limits to
@@ -238,6 +241,10 @@
 	Objects map[string][]byte `cbor:"objects,omitempty"`
 	// Gzip is set if Payload is compressed with gzip.
 	Gzip bool `cbor:"gzip,omitempty"`
+	// Version is the version of the text in the answer to TopicText, and VersionAge the time
+	// since the store had no later one, in milliseconds. Version is 0 if that is not known.
+	Version    uint64       `cbor:"version,omitempty"`
+	VersionAge clock.Millis `cbor:"age,omitempty"`
 	// LostTerm is the term whose primary the observer has lost, or 0 when it has
 	// lost none.
 	LostTerm floor.Term `cbor:"lost,omitempty"`
--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -70,6 +70,9 @@
 	RefreshVMsFunc func(ctx context.Context) error
 	// RefreshDirectoryFunc rereads the directory of servers.
 	RefreshDirectoryFunc func(ctx context.Context) error
+	// ProvedFunc is called when the primary is proved after a time without a valid proof. It may
+	// be nil, and must not call the group.
+	ProvedFunc func()
 	// GossipFunc requests an early gossip round to the other VMs, RegionGossipFunc
 	// one to those of this VM's region.
 	GossipFunc       func()
@@ -331,6 +334,9 @@
 		g.options.Log.Info("new primary of the group", "group", g.options.Name, "term", term, "server", leader, "before", g.loggedLeader)
 		g.loggedLeader = leader
 	}
+	if !wasValid && w.LeaseValid(now) && g.options.ProvedFunc != nil {
+		g.options.ProvedFunc()
+	}
 	if leader != "" && (leader != oldLeader || !wasValid && w.LeaseValid(now) || g.leaderDoubtedAt > oldProvedAt && w.ProvedAt() > g.leaderDoubtedAt) {
 		g.wakeWaitersLocked()
 	}
--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -257,6 +257,7 @@
 		ProbersFunc:    func() []string { return f.probers(name) },
 		CandidatesFunc: func() []string { return f.candidates(name) }, ExpectedVMCountFunc: f.mesh.KnownCount, RefreshVMsFunc: f.mesh.RefreshVMs,
 		RefreshDirectoryFunc: f.readDirectory,
+		ProvedFunc:           f.passOnProof,
 		GossipFunc:           f.mesh.GossipSoon, RegionGossipFunc: f.mesh.RegionGossipSoon, StoppingFunc: f.isStopping, Claims: o.Claims, RestoredAtFunc: f.lastRestore,
 	})
 }
--- /dev/null
+++ b/internal/serve/frontend/first.go
@@ -0,0 +1,107 @@
+package frontend
+
+import (
+	"context"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/gossip"
+)
+
+const (
+	// firstCheckInterval is the pause between two checks of a VM without a configuration whether
+	// it is to read or to fetch one, in milliseconds.
+	firstCheckInterval = clock.Millis(10)
+	// firstFetchRetryDelay is the pause after a failed fetch of the first configuration, in
+	// milliseconds.
+	firstFetchRetryDelay = clock.Millis(50)
+	// maxQuestionWait bounds how long a question of another VM waits for this VM's first
+	// configuration, in milliseconds. It is less than fetchSilence, after which the other VM
+	// would give up.
+	maxQuestionWait = clock.Millis(400)
+)
+
+// awaitConfiguration waits until this VM has a configuration, at most wait milliseconds.
+func (f *Frontend) awaitConfiguration(ctx context.Context, wait clock.Millis) {
+	if f.catalog.Load() != nil {
+		return
+	}
+	fired, stop := f.options.Clock.AfterFunc(wait)
+	defer stop()
+	select {
+	case <-f.configured:
+	case <-fired:
+	case <-ctx.Done():
+	}
+}
+
+// fetchFirstConfiguration fetches the first configuration through the VMs that pass it on, until
+// this VM has one.
+func (f *Frontend) fetchFirstConfiguration(ctx context.Context) {
+	for i := 0; ctx.Err() == nil && f.catalog.Load() == nil; i++ {
+		sources := f.mesh.Upstreams()
+		if len(sources) == 0 || f.transport.Load() == nil {
+			_ = f.options.Clock.Sleep(ctx, firstCheckInterval)
+			continue
+		}
+		if !f.fetchFirstFrom(sources[i%len(sources)]) {
+			_ = f.options.Clock.Sleep(ctx, firstFetchRetryDelay)
+		}
+	}
+}
+
+// fetchFirstFrom fetches the first configuration from a VM, which waits for its own. It reports
+// whether that succeeded.
+func (f *Frontend) fetchFirstFrom(v member.VM) bool {
+	asked := f.options.Clock.Now()
+	answer, err := f.ask(v.Address, inner.Question{Topic: inner.TopicText, Wait: maxQuestionWait})
+	if err != nil || f.catalog.Load() != nil {
+		return false
+	}
+	if f.adoptConfiguration(answer.Payload, v.Address) == 0 {
+		return false
+	}
+	if answer.Version == 0 {
+		return true
+	}
+	// The answer was made after the question, so that the confirmation is not older than this.
+	f.confirmConfiguration(answer.Version, asked-answer.VersionAge, v.Name)
+	return true
+}
+
+// leavesFirstCopyToOthers reports whether this VM, which has no configuration, waits for that of
+// another VM instead of reading the store.
+func (f *Frontend) leavesFirstCopyToOthers() bool {
+	now := f.options.Clock.Now()
+	if f.mesh.List().Version == 0 {
+		return f.first.WaitsForList(now)
+	}
+	return len(f.mesh.Upstreams()) > 0 && !f.first.Reads(f.mesh.KnownCount(), now)
+}
+
+// defersFirstRead reports whether this VM, which got its first configuration from another one,
+// puts off its own first read of the store.
+func (f *Frontend) defersFirstRead() bool {
+	now := f.options.Clock.Now()
+	return f.first.Defers(now) && f.configurationCopy().Age(now) < f.bounds.MaxAge && len(f.mesh.Upstreams()) > 0
+}
+
+// followPause returns the pause between two checks whether this VM is to read the store, in
+// milliseconds.
+func (f *Frontend) followPause() clock.Millis {
+	if f.catalog.Load() == nil {
+		return firstCheckInterval
+	}
+	return followInterval
+}
+
+// passOnProof tells other VMs soon that a primary is proved: they may be waiting for it, as after
+// a start of all VMs. A follower tells its relays, which tell those of the other zones.
+func (f *Frontend) passOnProof() {
+	if f.mesh.Role() == gossip.Follower {
+		f.mesh.RegionGossipSoon()
+		return
+	}
+	f.mesh.GossipSoon()
+}
--- a/internal/serve/frontend/follow.go
+++ b/internal/serve/frontend/follow.go
@@ -52,7 +52,7 @@
 		if f.leavesStoreToRelays() {
 			// The changes that a relay reports are fetched from it.
 			r.hasVersion = false
-			_ = f.options.Clock.Sleep(ctx, followInterval)
+			_ = f.options.Clock.Sleep(ctx, f.followPause())
 			continue
 		}
 		r.read(ctx)
@@ -64,8 +64,11 @@
 // not been confirmed at the store lately, or if one reports a version that cannot be fetched from it.
 // The check looks at each known VM, to determine the role of this one.
 func (f *Frontend) leavesStoreToRelays() bool {
-	if f.catalog.Load() == nil || f.mesh.Role() != gossip.Follower {
-		return false
+	switch {
+	case f.catalog.Load() == nil:
+		return f.leavesFirstCopyToOthers()
+	case f.mesh.Role() != gossip.Follower:
+		return f.defersFirstRead()
 	}
 	now, vms, inTouch := f.options.Clock.Now(), f.mesh.KnownCount(), f.mesh.FollowsRelay()
 	f.mu.Lock()
@@ -241,6 +244,9 @@
 	f.catalog.Store(c)
 	f.configText, f.laterKnownAt = text, 0
 	f.configCopy = f.configCopy.WithVersion(c.Version, from, f.options.Clock.Now())
+	if old == nil {
+		close(f.configured)
+	}
 	f.mu.Unlock()
 	invariant.Check(old == nil || f.catalog.Load().Version > old.Version, invariant.ConfigForward, "version %d replaced a later one", c.Version)
 	f.logConfiguration(c.Version, from)
--- a/internal/serve/frontend/follow_test.go
+++ b/internal/serve/frontend/follow_test.go
@@ -18,7 +18,7 @@
 // longer once it has the configuration.
 func TestBehindRelay(t *testing.T) {
 	c := clock.NewFake(1000)
-	f := &Frontend{options: Options{Clock: c.Clock(), Log: log.New(io.Discard), Source: Source{
+	f := &Frontend{configured: make(chan struct{}), options: Options{Clock: c.Clock(), Log: log.New(io.Discard), Source: Source{
 		ParseFunc: func([]byte) (*catalog.Catalog, error) { return &catalog.Catalog{Version: 2}, nil },
 	}}}
 	f.mesh = gossip.New(gossip.Options{Clock: c.Clock()})
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -121,6 +121,10 @@
 	laterKnownAt clock.Millis
 	// storeAskedAt is the start of the last call that reads the configuration from the store.
 	storeAskedAt clock.Millis
+	// first decides when a VM without a configuration reads it from the store, and configured is
+	// closed once there is one.
+	first      freshness.First
+	configured chan struct{}
 	// poll is the poll of the store in progress, or nil.
 	poll *poll
 	// era is the last observed era of the store, and restoredAt the time at which this VM
@@ -150,16 +154,17 @@
 	}
 	f := &Frontend{
 		options: o, bounds: freshness.NewBounds(o.ConfigurationDeadline), listener: l, ctx: ctx, keyring: &keys.Keyring{}, counters: database.NewCounters(), done: make(chan struct{}),
-		configCopy: freshness.New(), lostDependencies: map[string]bool{}, directoryReadAt: clock.DistantPast, restoredAt: clock.DistantPast, groups: map[string]*database.Group{}, conns: map[net.Conn]bool{},
+		configured: make(chan struct{}), configCopy: freshness.New(), lostDependencies: map[string]bool{}, directoryReadAt: clock.DistantPast, restoredAt: clock.DistantPast, groups: map[string]*database.Group{}, conns: map[net.Conn]bool{},
 	}
 	f.sessionOptions = session.Options{
 		Clock: o.Clock, Log: o.Log, Protocol: o.Protocol, Counters: session.NewCounters(), Trace: o.Trace,
-		CatalogFunc: f.catalog.Load, CopyFunc: f.configurationCopy, GroupFunc: f.Group, StoppingFunc: f.closingSessions.Load, ExpiresFunc: f.expiresTransactions, TakesFunc: f.takes,
+		CatalogFunc: f.catalog.Load, AwaitCatalogFunc: f.awaitConfiguration, CopyFunc: f.configurationCopy, GroupFunc: f.Group, StoppingFunc: f.closingSessions.Load, ExpiresFunc: f.expiresTransactions, TakesFunc: f.takes,
 		AdmitFunc:  func(_ context.Context, a catalog.Account) bool { return f.limiter.take(a) },
 		RefundFunc: func(a catalog.Account) { f.limiter.refund(a) },
 	}
 	f.mesh = f.newMesh()
 	f.follower = freshness.NewFollower(f.bounds, drawOf(f.mesh.Process()))
+	f.first = freshness.NewFirst(drawOf(f.mesh.Process()), o.Clock.Now())
 	f.fetchFailures = metrics.GetOrCreateCounter("sycamoredoor_fetch_failures_total")
 	f.eraGauge = metrics.GetOrCreateGauge("sycamoredoor_store_era", nil)
 	f.ageGauge = metrics.GetOrCreateGauge("sycamoredoor_configuration_age_seconds", nil)
@@ -172,6 +177,7 @@
 	f.limiter = f.newLimiter()
 	f.spawn(func() { f.mesh.RunRegistration(ctx) })
 	f.spawn(func() { f.servePeers(ctx) })
+	f.spawn(func() { f.fetchFirstConfiguration(ctx) })
 	f.spawn(func() { f.followConfiguration(ctx) })
 	f.spawn(func() { f.pollDirectory(ctx) })
 	f.spawn(func() { f.tick(ctx) })
--- a/internal/serve/frontend/nostore_test.go
+++ b/internal/serve/frontend/nostore_test.go
@@ -90,7 +90,7 @@
 		v := member.VM{Name: fmt.Sprintf("vm%d", i), Address: fmt.Sprintf("address%d", i), Zone: "a", Region: "r"}
 		vms, byAddress[v.Address] = append(vms, v), v
 	}
-	f := &Frontend{lostDependencies: map[string]bool{}, configCopy: freshness.New(), configCalls: &metrics.Counter{}, bounds: freshness.NewBounds(0)}
+	f := &Frontend{configured: make(chan struct{}), lostDependencies: map[string]bool{}, configCopy: freshness.New(), configCalls: &metrics.Counter{}, bounds: freshness.NewBounds(0)}
 	f.follower = freshness.NewFollower(f.bounds, 0.9)
 	f.limiter = newLimiter(z.clock, Tolerance{})
 	f.limiter.vmCountFunc, f.limiter.buckets = func() int { return len(vms) }, map[string]quota.Bucket{}
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -332,16 +332,23 @@
 // answerText answers with the text of the configuration in force, compressed if the other VM
 // can decompress it.
 func (f *Frontend) answerText(q inner.Question) inner.Answer {
+	if q.Wait > 0 {
+		f.awaitConfiguration(f.ctx, min(q.Wait, maxQuestionWait))
+	}
 	f.mu.Lock()
-	text := f.configText
+	text, held := f.configText, f.configCopy
 	f.mu.Unlock()
 	if len(text) == 0 {
 		return inner.Answer{Error: "the VM has no configuration yet"}
 	}
-	if !q.AcceptsGzip {
-		return inner.Answer{Payload: text}
+	out := inner.Answer{Payload: text}
+	if q.AcceptsGzip {
+		out = f.compressed.answer(text)
+	}
+	if held.IsConfirmed() {
+		out.Version, out.VersionAge = held.Version, held.Age(f.options.Clock.Now())
 	}
-	return f.compressed.answer(text)
+	return out
 }
 
 // compressedText is the last text that another VM asked for, compressed. Each text is
--- a/internal/serve/frontend/poll_test.go
+++ b/internal/serve/frontend/poll_test.go
@@ -73,7 +73,7 @@
 	c := clock.System()
 	s.clock = c
 	vms := []member.VM{{Name: "vm1", Zone: "a"}, {Name: "vm2", Zone: "a"}, {Name: "vm3", Zone: "a"}}
-	f := &Frontend{lostDependencies: map[string]bool{}, configCopy: freshness.New(), configCalls: &metrics.Counter{}}
+	f := &Frontend{configured: make(chan struct{}), lostDependencies: map[string]bool{}, configCopy: freshness.New(), configCalls: &metrics.Counter{}}
 	for _, v := range vms {
 		f.options = Options{Self: v, Clock: c, Log: log.New(io.Discard), Source: s.source()}
 		f.mesh = gossip.New(gossip.Options{Self: v, Clock: c, ListFunc: func(context.Context) (inner.List, error) { return inner.List{VMs: vms}, nil }})
--- a/internal/serve/frontend/stream_test.go
+++ b/internal/serve/frontend/stream_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/freshness"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/forward"
@@ -18,7 +19,7 @@
 // a question. VMs reuse streams, and a VM that cannot reach the store gets the
 // configuration this way.
 func TestQuestionAfterStatements(t *testing.T) {
-	f := &Frontend{ctx: context.Background(), configText: []byte("version 7")}
+	f := &Frontend{ctx: context.Background(), options: Options{Clock: clock.System()}, configText: []byte("version 7")}
 	f.holder = &forward.Holder{
 		Clock: clock.System(), GroupFunc: func(string) *database.Group { return nil }, StoppingFunc: func() bool { return false },
 		TakesFunc: func(clock.Millis) bool { return true },
@@ -60,7 +61,7 @@
 
 // TestTextForOlderVM guards against a compressed configuration for a VM that cannot decompress it.
 func TestTextForOlderVM(t *testing.T) {
-	f := &Frontend{configText: bytes.Repeat([]byte("version 7 "), 1000)}
+	f := &Frontend{options: Options{Clock: clock.NewFake(0).Clock()}, configCopy: freshness.New(), configText: bytes.Repeat([]byte("version 7 "), 1000)}
 	plain := f.answer(inner.Question{Topic: inner.TopicText})
 	if diff := cmp.Diff(inner.Answer{Payload: f.configText}, plain); diff != "" {
 		t.Errorf("plain answer (-want +got):\n%s", diff)
--- a/internal/serve/gossip/relay.go
+++ b/internal/serve/gossip/relay.go
@@ -48,18 +48,49 @@
 func (m *Mesh) ReadsForRegion() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	first := m.options.Self.Zone
 	now := m.options.Clock.Now()
+	first := m.firstZoneLocked(now)
+	if first != m.options.Self.Zone {
+		return false
+	}
+	relays := overlay.Relays(m.nodesLocked(now), first)
+	return len(relays) > 0 && relays[0] == m.options.Self.Name
+}
+
+// firstZoneLocked returns the first zone by name of this VM's region with a VM that is not down.
+// The caller holds the lock.
+func (m *Mesh) firstZoneLocked(now clock.Millis) member.Zone {
+	first := m.options.Self.Zone
 	for _, p := range m.peers {
 		if p.vm.Region == m.options.Self.Region && p.vm.Zone != "" && p.vm.Zone < first && !p.isDown(now) {
 			first = p.vm.Zone
 		}
 	}
-	if first != m.options.Self.Zone {
-		return false
+	return first
+}
+
+// Upstreams returns the VMs through which this one gets what another VM reads for the region: the
+// relays of its zone or, for such a relay, those of the first zone of its region. There are none
+// while relays are not used, and for the VM that reads for its region.
+func (m *Mesh) Upstreams() []member.VM {
+	if !m.UsesRelays() || m.ReadsForRegion() {
+		return nil
 	}
-	relays := overlay.Relays(m.nodesLocked(now), first)
-	return len(relays) > 0 && relays[0] == m.options.Self.Name
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.options.Clock.Now()
+	nodes := m.nodesLocked(now)
+	names := overlay.Relays(nodes, m.options.Self.Zone)
+	if slices.Contains(names, m.options.Self.Name) {
+		names = overlay.Relays(nodes, m.firstZoneLocked(now))
+	}
+	var out []member.VM
+	for _, name := range names {
+		if p := m.peers[name]; p != nil {
+			out = append(out, p.vm)
+		}
+	}
+	return out
 }
 
 // FollowsRelay reports whether this VM is a follower and in touch with a relay: a message came
--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -42,6 +42,9 @@
 	Protocol database.Protocol
 	// CatalogFunc returns the configuration in force, or nil before the first.
 	CatalogFunc func() *catalog.Catalog
+	// AwaitCatalogFunc waits for the first configuration, at most wait milliseconds. It may be
+	// nil.
+	AwaitCatalogFunc func(ctx context.Context, wait clock.Millis)
 	// CopyFunc returns the source and the age of the configuration in force, for the log.
 	CopyFunc func() freshness.Copy
 	// GroupFunc returns a database group, or nil.
@@ -87,6 +90,7 @@
 func Serve(ctx context.Context, o Options, c Caller) {
 	s := &session{options: o, caller: c, settings: map[string]string{}, prepared: map[string]statement.Shape{}}
 	o.Counters.opened.Inc()
+	s.awaitCatalog(ctx)
 	if code, detail := s.resolve(); code != statement.Success {
 		o.Counters.countRefusal(code)
 		o.Log.Info("session refused", append([]any{"database", c.Database, "code", code.String(), "reason", detail}, s.configurationFields()...)...)
@@ -105,6 +109,18 @@
 	s.loop(ctx)
 }
 
+// maxCatalogWait is how long a new session waits for the first configuration of a VM that has just
+// started, in milliseconds. Callers wait 2 s for the answer to their startup message.
+const maxCatalogWait = clock.Millis(1500)
+
+// awaitCatalog waits for the first configuration. A refusal would make the caller come back in a
+// second, while most VMs have their configuration in less.
+func (s *session) awaitCatalog(ctx context.Context) {
+	if s.options.CatalogFunc() == nil && s.options.AwaitCatalogFunc != nil {
+		s.options.AwaitCatalogFunc(ctx, maxCatalogWait)
+	}
+}
+
 // loop reads and answers statements one after the other. ErrIdle outside a transaction
 // comes only from a planned stop, and ends the session.
 func (s *session) loop(ctx context.Context) {
