Count the bytes between regions by kind

Operators saw that bytes between regions cost much and not what they are.

The VMs now count gossip by content, forwarded statements with their answers, and questions with their answers. Calls of the store are not counted yet.

--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -348,6 +348,25 @@
 	SilenceTimeoutFunc func(timeout clock.Millis)
 }
 
+// WithObserver returns an exchange that also calls sent and received with the size in bytes of each
+// frame.
+func (x Exchange) WithObserver(sent, received func(bytes int)) Exchange {
+	send, receive := x.SendFunc, x.ReceiveFunc
+	x.SendFunc = func(f Frame) error {
+		f = f.withBody()
+		sent(headerSize + len(f.Body))
+		return send(f)
+	}
+	x.ReceiveFunc = func() (Frame, error) {
+		f, err := receive()
+		if err == nil {
+			received(headerSize + len(f.Body))
+		}
+		return f, err
+	}
+	return x
+}
+
 // Send sends one frame.
 func (x Exchange) Send(f Frame) error { return x.SendFunc(f) }
 
--- a/internal/serve/frontend/holders.go
+++ b/internal/serve/frontend/holders.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/traffic"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/peer"
@@ -45,7 +46,14 @@
 			if t == nil {
 				return inner.Exchange{}, errNoTransport
 			}
-			return t.Open(ctx, v.Address, peer.Label{Region: v.Region, Control: true})
+			x, err := t.Open(ctx, v.Address, peer.Label{Region: v.Region, Control: true})
+			if err != nil || v.Region == o.Self.Region {
+				return x, err
+			}
+			return x.WithObserver(
+				func(bytes int) { traffic.AddBetweenRegions(traffic.Statements, bytes) },
+				func(bytes int) { traffic.AddBetweenRegions(traffic.Answers, bytes) },
+			), nil
 		},
 		DropFunc: func(v member.VM) { f.dropConn(v.Address) },
 	})
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/traffic"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/peer"
@@ -268,6 +269,9 @@
 	if err != nil {
 		return answer, err
 	}
+	if f.mesh.IsInOtherRegion(address) {
+		traffic.AddBetweenRegions(traffic.Fetches, len(answer.Payload))
+	}
 	return answer.WithoutGzip()
 }
 
--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -291,6 +291,18 @@
 	return out
 }
 
+// IsInOtherRegion reports whether the VM at an address is known to be in another region.
+func (m *Mesh) IsInOtherRegion(address string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.vm.Address == address {
+			return p.vm.Region != m.options.Self.Region
+		}
+	}
+	return false
+}
+
 // KnownCount returns the number of known VMs, this one included, whether or not messages
 // come from them.
 func (m *Mesh) KnownCount() int {
--- a/internal/serve/gossip/round.go
+++ b/internal/serve/gossip/round.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/traffic"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/overlay"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 )
@@ -12,6 +13,9 @@
 type datagram struct {
 	address string
 	body    []byte
+	kind    traffic.Kind
+	// otherRegion is set if the receiver is in another region.
+	otherRegion bool
 }
 
 // part is a part of a message that fits into a datagram. It is the same for all receivers;
@@ -25,6 +29,9 @@
 // scopes holds the scope of each content.
 var scopes = map[overlay.Content]inner.Scope{overlay.Own: inner.ScopeVM, overlay.Zone: inner.ScopeZone, overlay.Summary: inner.ScopeAll}
 
+// kinds holds the kind of traffic of each content.
+var kinds = map[overlay.Content]traffic.Kind{overlay.Own: traffic.GossipOwn, overlay.Zone: traffic.GossipZone, overlay.Summary: traffic.GossipSummary}
+
 // round sends each VM the messages that are due.
 func (m *Mesh) round(ctx context.Context) {
 	m.options.BeginRoundFunc()
@@ -32,6 +39,9 @@
 	for _, d := range m.datagrams() {
 		m.bytes.Add(len(d.body))
 		m.sent.Inc()
+		if d.otherRegion {
+			traffic.AddBetweenRegions(d.kind, len(d.body))
+		}
 		// The error is ignored: an unreachable VM is detected by its silence.
 		_ = m.options.SendFunc(ctx, d.address, d.body)
 	}
@@ -73,13 +83,14 @@
 		if p == nil {
 			continue
 		}
+		otherRegion := p.vm.Region != m.options.Self.Region
 		if roster != nil {
-			out = append(out, datagram{address: p.vm.Address, body: roster})
+			out = append(out, datagram{address: p.vm.Address, body: roster, kind: traffic.Roster, otherRegion: otherRegion})
 		}
 		p.unanswered++
 		p.lastSent = started
 		for _, content := range parts[t.Content] {
-			out = append(out, datagram{address: p.vm.Address, body: m.encodeFor(p, content, started)})
+			out = append(out, datagram{address: p.vm.Address, body: m.encodeFor(p, content, started), kind: kinds[t.Content], otherRegion: otherRegion})
 		}
 	}
 	return out
