Let an account's urgent requests pass its own less urgent ones

An account's order waited at a holder behind the account's own burst of searches, and was refused when 64 of them waited. Cause: one list in order of arrival for each account, and each statement counted the same, 3 ms of work or 47 ms.

Requests of an account are now ordered by the priority of their route; a full queue refuses the least urgent one instead. The cost of a statement follows the response times of its priority. Messages between VMs have a field more: replace all processes in one go.

--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -1,5 +1,7 @@
 // Package fair orders waiting requests by start-time fair queueing, so that every
-// client account gets its weighted share of a server under load. The queue holds
+// client account gets its weighted share of a server under load. Within an account the more
+// urgent requests come first, so that they do not wait behind a burst of its own less urgent
+// ones. The queue holds
 // thousands of items and changes with each statement, so it is modified in place
 // instead of being an immutable value. It does no I/O and reads no clock.
 package fair
@@ -17,11 +19,14 @@
 	Weight int
 	// Cost is the work that the request causes at the server, such as 1 for a statement.
 	Cost float64
+	// Priority orders the items of one account; 0 is the most urgent. Items of the same priority
+	// are in order of arrival.
+	Priority int
 	// Value belongs to the caller; the queue does not use it.
 	Value any
 
-	// arrival is the virtual time at which the item was pushed, and start the start
-	// tag, the virtual time by which items are ordered.
+	// arrival is the virtual time at which the item was pushed, or an earlier one at which the
+	// item behind it was, and start the start tag, the virtual time at which it was taken.
 	arrival float64
 	start   float64
 }
@@ -38,8 +43,8 @@
 	sweepThreshold int
 }
 
-// accountQueue holds the waiting items of one account, and the virtual time at
-// which the last of them finishes.
+// accountQueue holds the waiting items of one account, the next first, and the virtual time at
+// which the last one taken finishes.
 type accountQueue struct {
 	account   string
 	finish    float64
@@ -56,24 +61,58 @@
 func (q *Queue) Len() int { return q.length }
 
 // Ahead returns how many of the waiting items would be taken before an item of an account
-// that was pushed now. Items pushed later may still overtake it.
-func (q *Queue) Ahead(account string) int {
-	start := q.virtualTime
+// that was pushed now with a priority. Items pushed later may still overtake it.
+func (q *Queue) Ahead(account string, priority int) int {
+	start, ahead := q.virtualTime, 0
 	if l := q.accounts[account]; l != nil {
-		start = max(start, l.finish)
+		ahead = l.position(priority)
+		if ahead < len(l.items) {
+			start = l.items[ahead].arrival
+		}
+		start = max(start, l.finishAfter(ahead))
 	}
-	ahead := 0
 	for _, l := range q.ready {
-		for _, it := range l.items {
-			if it.start > start {
-				break
-			}
-			ahead++
+		if l.account != account {
+			ahead += l.countUntil(start)
 		}
 	}
 	return ahead
 }
 
+// position returns the number of items of the account that an item of a priority would follow.
+func (l *accountQueue) position(priority int) int {
+	i := len(l.items)
+	for i > 0 && l.items[i-1].Priority > priority {
+		i--
+	}
+	return i
+}
+
+// finishAfter returns the virtual time at which the first count items finish.
+func (l *accountQueue) finishAfter(count int) float64 {
+	finish := l.finish
+	for _, it := range l.items[:count] {
+		finish = max(it.arrival, finish) + it.duration()
+	}
+	return finish
+}
+
+// countUntil returns how many of the items start at a virtual time or before.
+func (l *accountQueue) countUntil(start float64) int {
+	finish := l.finish
+	for i, it := range l.items {
+		itemStart := max(it.arrival, finish)
+		if itemStart > start {
+			return i
+		}
+		finish = itemStart + it.duration()
+	}
+	return len(l.items)
+}
+
+// duration returns the virtual time that an item takes.
+func (it *Item) duration() float64 { return it.Cost / float64(max(it.Weight, 1)) }
+
 // Push adds an item, and reports false when its account's queue is full.
 func (q *Queue) Push(it *Item) bool {
 	l := q.accounts[it.Account]
@@ -86,21 +125,37 @@
 		return false
 	}
 	it.arrival = q.virtualTime
-	l.schedule(it)
-	l.items = append(l.items, it)
+	i := l.position(it.Priority)
+	if i < len(l.items) {
+		// The account has waited since then.
+		it.arrival = l.items[i].arrival
+	}
+	l.items = slices.Insert(l.items, i, it)
 	q.length++
 	if l.heapIndex < 0 {
 		heap.Push(&q.ready, l)
+	} else {
+		heap.Fix(&q.ready, l.heapIndex)
 	}
 	return true
 }
 
-// schedule sets the start of an item after the finish of the one before it.
-func (l *accountQueue) schedule(it *Item) {
-	it.start = max(it.arrival, l.finish)
-	l.finish = it.start + it.Cost/float64(max(it.Weight, 1))
+// LeastUrgent returns the last item of an account if it is less urgent than a priority, or nil.
+// It is the one to refuse in favour of an item for which there is no room.
+func (q *Queue) LeastUrgent(account string, priority int) *Item {
+	l := q.accounts[account]
+	if l == nil || len(l.items) == 0 {
+		return nil
+	}
+	if last := l.items[len(l.items)-1]; last.Priority > priority {
+		return last
+	}
+	return nil
 }
 
+// nextStart returns the start of the next item.
+func (l *accountQueue) nextStart() float64 { return max(l.items[0].arrival, l.finish) }
+
 // Pop removes and returns the next item in fair order, or nil when none waits.
 func (q *Queue) Pop() *Item {
 	if len(q.ready) == 0 {
@@ -108,6 +163,8 @@
 	}
 	l := q.ready[0]
 	it := l.items[0]
+	it.start = l.nextStart()
+	l.finish = it.start + it.duration()
 	l.items = l.items[1:]
 	q.length--
 	q.virtualTime = max(q.virtualTime, it.start)
@@ -115,8 +172,7 @@
 	return it
 }
 
-// Remove removes an item if it still waits. Its account is not charged for it: the
-// account's later items move up.
+// Remove removes an item if it still waits. Its account is not charged for it.
 func (q *Queue) Remove(it *Item) {
 	l := q.accounts[it.Account]
 	if l == nil {
@@ -128,10 +184,6 @@
 	}
 	l.items = slices.Delete(l.items, i, i+1)
 	q.length--
-	l.finish = it.start
-	for _, later := range l.items[i:] {
-		l.schedule(later)
-	}
 	q.reorder(l)
 }
 
@@ -184,9 +236,9 @@
 func (h queueHeap) Len() int { return len(h) }
 
 func (h queueHeap) Less(i, j int) bool {
-	a, b := h[i].items[0], h[j].items[0]
-	if a.start != b.start {
-		return a.start < b.start
+	a, b := h[i].nextStart(), h[j].nextStart()
+	if a != b {
+		return a < b
 	}
 	return h[i].account < h[j].account
 }
--- a/internal/core/fair/fair_test.go
+++ b/internal/core/fair/fair_test.go
@@ -18,7 +18,8 @@
 		Name    string         `yaml:"name"`
 		Limit   int            `yaml:"limit"`
 		Weights map[string]int `yaml:"weights"`
-		// Steps are "push ACCOUNT COUNT", "remove ACCOUNT INDEX" and "pop COUNT".
+		// Steps are "push ACCOUNT COUNT", "remove ACCOUNT INDEX", "shed ACCOUNT PRIORITY" and "pop
+		// COUNT". ACCOUNT:PRIORITY pushes items of a priority, which is shown if it is not 0.
 		Steps []string `yaml:"steps"`
 		Want  []string `yaml:"want"`
 	}
@@ -41,13 +42,22 @@
 				}
 				switch verb {
 				case "push":
+					account, priority := parseAccount(t, account)
 					for range n {
-						it := &Item{Account: account, Weight: c.Weights[account], Cost: 1}
+						it := &Item{Account: account, Weight: c.Weights[account], Cost: 1, Priority: priority}
 						if !q.Push(it) {
 							got = append(got, "full")
 						}
 						pushed[account] = append(pushed[account], it)
 					}
+				case "shed":
+					it := q.LeastUrgent(account, n)
+					if it == nil {
+						got = append(got, "none")
+						continue
+					}
+					q.Remove(it)
+					got = append(got, "shed "+describe(it))
 				case "remove":
 					q.Remove(pushed[account][n])
 				case "pop":
@@ -57,7 +67,7 @@
 							got = append(got, "none")
 							continue
 						}
-						got = append(got, it.Account)
+						got = append(got, describe(it))
 					}
 				}
 			}
@@ -68,6 +78,25 @@
 	}
 }
 
+// parseAccount parses ACCOUNT or ACCOUNT:PRIORITY.
+func parseAccount(t *testing.T, text string) (account string, priority int) {
+	t.Helper()
+	account, number, ok := strings.Cut(text, ":")
+	if ok {
+		if _, err := fmt.Sscan(number, &priority); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return account, priority
+}
+
+func describe(it *Item) string {
+	if it.Priority == 0 {
+		return it.Account
+	}
+	return fmt.Sprintf("%s:%d", it.Account, it.Priority)
+}
+
 // oracle keeps the items in one list and computes their order at each step.
 type oracle struct {
 	virtualTime float64
@@ -189,7 +218,7 @@
 		q.Push(&Item{Account: "flood", Cost: 1, Weight: 1})
 	}
 	q.Push(&Item{Account: "calm", Cost: 1, Weight: 1})
-	got := []int{q.Ahead("flood"), q.Ahead("calm"), q.Ahead("other"), New(1).Ahead("other")}
+	got := []int{q.Ahead("flood", 0), q.Ahead("calm", 0), q.Ahead("other", 0), New(1).Ahead("other", 0)}
 	if diff := cmp.Diff([]int{21, 3, 2, 0}, got); diff != "" {
 		t.Errorf("items ahead of one of flood, calm and other, and in an empty queue (-want +got):\n%s", diff)
 	}
@@ -206,10 +235,10 @@
 				q.Pop()
 				continue
 			}
-			q.Push(&Item{Account: account.Draw(t, "account"), Cost: 1, Weight: rapid.IntRange(1, 8).Draw(t, "weight")})
+			q.Push(&Item{Account: account.Draw(t, "account"), Cost: 1, Weight: rapid.IntRange(1, 8).Draw(t, "weight"), Priority: rapid.IntRange(0, 2).Draw(t, "priority")})
 		}
-		last := &Item{Account: account.Draw(t, "account"), Cost: 1, Weight: rapid.IntRange(1, 8).Draw(t, "weight")}
-		ahead, ties := q.Ahead(last.Account), 0
+		last := &Item{Account: account.Draw(t, "account"), Cost: 1, Weight: rapid.IntRange(1, 8).Draw(t, "weight"), Priority: rapid.IntRange(0, 2).Draw(t, "priority")}
+		ahead, ties := q.Ahead(last.Account, last.Priority), 0
 		q.Push(last)
 		taken := 0
 		for it := q.Pop(); it != last; it = q.Pop() {
--- a/internal/proto/inner/run.go
+++ b/internal/proto/inner/run.go
@@ -45,6 +45,9 @@
 	ReleaseAfter bool
 	// Parent is the W3C traceparent of the sender's span, or "".
 	Parent string
+	// Priority is the urgency of the request among those of its account, 0 being the most urgent;
+	// it is omitted like Weight.
+	Priority int
 }
 
 // Execution is a run of a prepared statement. The holder names it at the server.
--- a/internal/serve/database/broken_test.go
+++ b/internal/serve/database/broken_test.go
@@ -15,7 +15,7 @@
 	g := f.group(t, 4)
 	f.runTicks(g, testTimeout, g.Ready)
 	broken.ExpectViolation(t, invariant.OneTransaction, func() {
-		conn, err := g.pools["p"].acquire(context.Background(), "acme", 1, 1000)
+		conn, err := g.pools["p"].acquire(context.Background(), Requester{Account: "acme", Weight: 1}, 1000)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -30,7 +30,7 @@
 	g := (&fakeGroup{}).group(t, 4)
 	g.options.Protocol = l.protocol()
 	broken.ExpectViolation(t, invariant.Unchanged, func() {
-		conn, err := g.pools["p"].acquire(context.Background(), "acme", 1, 1000)
+		conn, err := g.pools["p"].acquire(context.Background(), Requester{Account: "acme", Weight: 1}, 1000)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/serve/database/counters.go
+++ b/internal/serve/database/counters.go
@@ -24,6 +24,8 @@
 	// prepares counts the statements prepared at servers, evictions those dropped for others.
 	prepares  *metrics.Counter
 	evictions *metrics.Counter
+	// shedRequests counts the waiting requests that were refused for more urgent ones.
+	shedRequests *metrics.Counter
 }
 
 // dialPurpose is the purpose of a connection to a server.
@@ -78,6 +80,7 @@
 		evictions: metrics.GetOrCreateCounter("sycamoredoor_server_evictions_total"),
 		dials:     dials, probeReasons: reasons, claims: metrics.GetOrCreateCounter("sycamoredoor_claims_total"),
 		releases:       metrics.GetOrCreateCounter("sycamoredoor_term_releases_total"),
+		shedRequests:   metrics.GetOrCreateCounter("sycamoredoor_requests_shed_total"),
 		unknownCommits: metrics.GetOrCreateCounter("sycamoredoor_unknown_commits_total"), promotionOrders: orders,
 		connections:    metrics.GetOrCreateCounter("sycamoredoor_server_connections_total"),
 		probes:         metrics.GetOrCreateCounter("sycamoredoor_server_probes_total"),
--- a/internal/serve/database/database_test.go
+++ b/internal/serve/database/database_test.go
@@ -30,7 +30,7 @@
 		go func() {
 			defer callers.Done()
 			for time.Now().Before(end) {
-				conn, err := g.pools["p"].acquire(context.Background(), "acme", 1, 500)
+				conn, err := g.pools["p"].acquire(context.Background(), Requester{Account: "acme", Weight: 1}, 500)
 				if err != nil {
 					time.Sleep(time.Millisecond)
 					continue
@@ -53,7 +53,7 @@
 	g := f.group(t, 1)
 	f.runTicks(g, testTimeout, g.Ready)
 	p := g.pools["p"]
-	conn, err := p.acquire(context.Background(), "acme", 1, 1000)
+	conn, err := p.acquire(context.Background(), Requester{Account: "acme", Weight: 1}, 1000)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -62,14 +62,14 @@
 	p.mu.Unlock()
 	waiting := make(chan error, 1)
 	go func() {
-		_, err := p.acquire(context.Background(), "acme", 1, 2000)
+		_, err := p.acquire(context.Background(), Requester{Account: "acme", Weight: 1}, 2000)
 		waiting <- err
 	}()
 	for p.queueLength() == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	began := time.Now()
-	_, err = p.acquire(context.Background(), "acme", 1, 50)
+	_, err = p.acquire(context.Background(), Requester{Account: "acme", Weight: 1}, 50)
 	if diff := cmp.Diff(true, err != nil && time.Since(began) < 40*time.Millisecond); diff != "" {
 		t.Errorf("refused at once (-want +got):\n%s", diff)
 	}
@@ -86,7 +86,7 @@
 	g := f.group(t, 1)
 	f.runTicks(g, testTimeout, g.Ready)
 	for _, account := range []string{"acme", "acme", "small", "acme"} {
-		conn, err := g.pools["p"].acquire(context.Background(), account, 1, 1000)
+		conn, err := g.pools["p"].acquire(context.Background(), Requester{Account: account, Weight: 1}, 1000)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -163,7 +163,7 @@
 		go func() {
 			defer callers.Done()
 			for time.Now().Before(end) {
-				conn, err := g.pools["p"].acquire(context.Background(), account, 1, 1000)
+				conn, err := g.pools["p"].acquire(context.Background(), Requester{Account: account, Weight: 1}, 1000)
 				if err != nil {
 					failed.Add(1)
 					continue
--- a/internal/serve/database/dial_test.go
+++ b/internal/serve/database/dial_test.go
@@ -13,7 +13,7 @@
 	f := &fakeGroup{maxConns: 2}
 	g := f.group(t, 12)
 	p := g.pools["p"]
-	first, err := p.acquire(t.Context(), "a", 1, 1000)
+	first, err := p.acquire(t.Context(), Requester{Account: "a", Weight: 1}, 1000)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/serve/database/overloadedaccount_test.go
+++ b/internal/serve/database/overloadedaccount_test.go
@@ -27,7 +27,7 @@
 	ask := func(account string, pause time.Duration, overshoot func() time.Duration) {
 		for time.Now().Before(end) {
 			began := time.Now()
-			conn, err := g.pools["p"].acquire(context.Background(), account, 1, wait)
+			conn, err := g.pools["p"].acquire(context.Background(), Requester{Account: account, Weight: 1}, wait)
 			switch {
 			case err == nil:
 				_, _ = conn.Run(Request{ID: "x", Timeout: 1000})
--- a/internal/serve/database/pool.go
+++ b/internal/serve/database/pool.go
@@ -57,7 +57,9 @@
 	open    int
 	opening int
 	queue   *fair.Queue
-	closed  bool
+	// work estimates the work of statements by priority.
+	work   fair.Work
+	closed bool
 	// running counts statements that the server has not answered, granted the
 	// connections that waiters were given and have not used yet. New work waits while
 	// their sum is not below window.
@@ -99,6 +101,8 @@
 // closes.
 type waiter struct {
 	ready chan *PooledConn
+	// shed is set before a nil connection if a more urgent request has taken its place.
+	shed bool
 }
 
 func newPool(g *Group, s Server) *pool {
@@ -160,7 +164,7 @@
 
 // endStatement records the answer to a statement and its response time in
 // milliseconds, or its error. busy is set if the server refused the statement as busy.
-func (p *pool) endStatement(responseTime clock.Millis, busy bool, err error) {
+func (p *pool) endStatement(responseTime clock.Millis, priority int, busy bool, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	defer p.dispatch()
@@ -179,6 +183,7 @@
 	p.window = min(p.window+windowGrowth/p.window, float64(max(p.maxConns(), 1)))
 	p.latency += latencyWeight * (float64(responseTime) - p.latency)
 	p.latencyAt = now
+	p.work = p.work.WithAnswer(priority, float64(responseTime))
 }
 
 // cancelStatement ends a statement of which nothing was sent, so that it tells nothing of the
@@ -190,60 +195,81 @@
 	p.dispatch()
 }
 
-// acquire returns a connection for an account, after at most wait milliseconds, or an
+// acquire returns a connection for a requester, after at most wait milliseconds, or an
 // error of the pool. Opening a connection may take dialTimeout in addition. While the
 // server accepts no more connections, the request waits for one that is open.
-func (p *pool) acquire(ctx context.Context, account string, weight int, wait clock.Millis) (*PooledConn, error) {
+func (p *pool) acquire(ctx context.Context, r Requester, wait clock.Millis) (*PooledConn, error) {
 	c := p.group.options.Clock
 	deadline := c.Now() + wait
 	for {
-		pc, err := p.acquireOnce(ctx, account, weight, deadline-c.Now())
+		pc, err := p.acquireOnce(ctx, r, deadline-c.Now())
 		if !errors.Is(err, ErrTooManyConnections) || deadline-c.Now() <= connLimitPause || ctx.Err() != nil {
 			return pc, err
 		}
 	}
 }
 
-func (p *pool) acquireOnce(ctx context.Context, account string, weight int, wait clock.Millis) (*PooledConn, error) {
+func (p *pool) acquireOnce(ctx context.Context, r Requester, wait clock.Millis) (*PooledConn, error) {
 	if p.maxConns() == 0 {
 		return nil, ErrUnreachable
 	}
-	item, err := p.enqueue(account, weight, wait)
+	item, err := p.enqueue(r, wait)
 	if err != nil {
 		return nil, err
 	}
 	pc, err := p.awaitConn(ctx, item, wait)
-	if err != nil || pc.conn != nil {
-		return pc, err
+	if err != nil {
+		return nil, err
 	}
-	return p.dial(ctx, pc, account, dialForStatement)
+	pc.priority = r.Priority
+	if pc.conn != nil {
+		return pc, nil
+	}
+	return p.dial(ctx, pc, r.Account, dialForStatement)
 }
 
 // enqueue adds a request to the queue. It returns ErrPoolTimeout if the expected wait
-// is too long or queueLimit requests of the account are waiting, and ErrUnknownServer
-// if the pool is closed.
-func (p *pool) enqueue(account string, weight int, wait clock.Millis) (*fair.Item, error) {
+// is too long or queueLimit requests of the account are waiting that are as urgent, and
+// ErrUnknownServer if the pool is closed.
+func (p *pool) enqueue(r Requester, wait clock.Millis) (*fair.Item, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, ErrUnknownServer
 	}
-	if p.queue.Len() > 0 && p.expectedWait(account)*waitMargin > float64(wait) {
+	if p.queue.Len() > 0 && p.expectedWait(r)*waitMargin > float64(wait) {
 		return nil, ErrPoolTimeout
 	}
-	item := &fair.Item{Account: account, Weight: weight, Cost: 1, Value: &waiter{ready: make(chan *PooledConn, 1)}}
-	if !p.queue.Push(item) {
+	item := &fair.Item{
+		Account: r.Account, Weight: r.Weight, Priority: r.Priority, Cost: p.work.Cost(r.Priority), Value: &waiter{ready: make(chan *PooledConn, 1)},
+	}
+	if !p.queue.Push(item) && !p.shedFor(item) {
 		return nil, ErrPoolTimeout
 	}
 	p.dispatch()
 	return item, nil
 }
 
-// expectedWait returns the expected time in milliseconds for a new request of an account to
-// pass the queue. The caller holds p.mu.
-func (p *pool) expectedWait(account string) float64 {
+// shedFor refuses the least urgent waiting request of an account in favour of a more urgent one,
+// which it adds. It reports false if there is none. The caller holds p.mu.
+func (p *pool) shedFor(item *fair.Item) bool {
+	least := p.queue.LeastUrgent(item.Account, item.Priority)
+	if least == nil {
+		return false
+	}
+	p.queue.Remove(least)
+	w := least.Value.(*waiter)
+	w.shed = true
+	w.ready <- nil
+	p.group.options.Counters.shedRequests.Inc()
+	return p.queue.Push(item)
+}
+
+// expectedWait returns the expected time in milliseconds for a new request to pass the queue. The
+// caller holds p.mu.
+func (p *pool) expectedWait(r Requester) float64 {
 	// The first request leaves the queue when a statement that runs ends.
-	ahead := float64(p.queue.Ahead(account) + 1)
+	ahead := float64(p.queue.Ahead(r.Account, r.Priority) + 1)
 	return ahead * max(p.drainTime, p.latency/max(min(p.window, float64(p.open)), 1))
 }
 
@@ -336,12 +362,17 @@
 	p.mu.Unlock()
 	select {
 	case pc := <-item.Value.(*waiter).ready:
+		if pc == nil && item.Value.(*waiter).shed {
+			return nil, ErrPoolTimeout
+		}
 		return p.grantResult(pc)
 	default:
 	}
 	switch {
 	case closed:
 		return nil, ErrUnknownServer
+	case item.Value.(*waiter).shed:
+		return nil, ErrPoolTimeout
 	case noConns:
 		return nil, ErrTooManyConnections
 	}
--- a/internal/serve/database/pooledconn.go
+++ b/internal/serve/database/pooledconn.go
@@ -20,6 +20,8 @@
 	// remote is set instead of conn if another VM holds the connection.
 	remote  *RemoteConn
 	account string
+	// priority is that of the request which the connection was last given to.
+	priority int
 	// number identifies the connection in the logs of this VM's group; it is 0 for one that
 	// another VM holds.
 	number uint64
@@ -89,7 +91,7 @@
 	}
 	span.End(pc.traceAttributes(a, err))
 	pc.logSent(r, name, a, err)
-	pc.pool.endStatement(c.Now()-sent, a.Code == statement.Busy, err)
+	pc.pool.endStatement(c.Now()-sent, pc.priority, a.Code == statement.Busy, err)
 	if err != nil {
 		pc.broken = true
 		return a, err
--- a/internal/serve/database/prepared_test.go
+++ b/internal/serve/database/prepared_test.go
@@ -87,7 +87,7 @@
 			l := &sentLines{}
 			g := (&fakeGroup{}).group(t, 4)
 			g.options.Protocol = l.protocol()
-			conn, err := g.pools["p"].acquire(context.Background(), "acme", 1, 1000)
+			conn, err := g.pools["p"].acquire(context.Background(), Requester{Account: "acme", Weight: 1}, 1000)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/serve/database/reader.go
+++ b/internal/serve/database/reader.go
@@ -16,7 +16,10 @@
 // Requester identifies for whom a connection is requested.
 type Requester struct {
 	Account string
-	Weight  int
+	// Weight is the account's share relative to others, and Priority the urgency of the request
+	// among those of the account, 0 being the most urgent.
+	Weight   int
+	Priority int
 	// Parent is the W3C traceparent of the statement's span, or "".
 	Parent string
 }
--- a/internal/serve/database/refused_test.go
+++ b/internal/serve/database/refused_test.go
@@ -27,7 +27,7 @@
 	var out bytes.Buffer
 	g := (&fakeGroup{}).group(t, 4)
 	g.options.Protocol, g.options.Log = p, log.NewWithOptions(&out, log.Options{Level: log.InfoLevel})
-	conn, err := g.pools["p"].acquire(context.Background(), "acme", 1, 1000)
+	conn, err := g.pools["p"].acquire(context.Background(), Requester{Account: "acme", Weight: 1}, 1000)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/serve/database/remote.go
+++ b/internal/serve/database/remote.go
@@ -77,7 +77,7 @@
 // covers the wait.
 func (g *Group) acquireOwn(ctx context.Context, p *pool, r Requester, wait clock.Millis) (*PooledConn, error) {
 	span := g.options.Trace.StartChild(r.Parent, trace.QueueSpan)
-	pc, err := p.acquire(ctx, r.Account, r.Weight, wait)
+	pc, err := p.acquire(ctx, r, wait)
 	a := trace.Attributes{Account: r.Account, Database: g.options.Name, Server: p.entry().ID, Outcome: "ran"}
 	if err != nil {
 		a.Outcome, a.Reason = "notrun", err.Error()
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -88,6 +88,7 @@
 // only the first message of a stream needs them.
 func (s *stream) withTarget(m inner.Run) inner.Run {
 	m.Group, m.Server, m.Account, m.Weight = s.request.Group, s.request.Server.ID, s.request.Requester.Account, s.request.Requester.Weight
+	m.Priority = s.request.Requester.Priority
 	m.RequirePrimary, m.Wait = s.request.Primary, s.request.Wait
 	return m
 }
--- a/internal/serve/session/run.go
+++ b/internal/serve/session/run.go
@@ -71,7 +71,7 @@
 
 func (op *operation) requester() database.Requester {
 	a := op.session.account
-	return database.Requester{Account: a.Name, Weight: weight(op.session.route, a), Parent: op.session.parent}
+	return database.Requester{Account: a.Name, Weight: weight(op.session.route, a), Priority: op.session.route.Priority, Parent: op.session.parent}
 }
 
 // weight converts priorities, 0 being the most urgent, to a weight for sharing an
