Decode the allowed regions of routes and accounts

The configuration's allowedRegions were ignored. They are now part of catalog.Route and catalog.Account as regions.Allowed, an immutable value whose zero value allows all regions and whose intersection may allow none.

--- a/internal/setup/catalog/catalog.go
+++ b/internal/setup/catalog/catalog.go
@@ -11,6 +11,7 @@
 	"slices"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/regions"
 )
 
 // ReadGuarantee is the consistency of the reads on a route.
@@ -46,6 +47,8 @@
 	Group string
 	// AllowAnonymous lets callers without a known key use the route.
 	AllowAnonymous bool
+	// Regions are those that the route's statements may reach.
+	Regions regions.Allowed
 	// Problem is why no session of the route can be served, or "".
 	Problem string
 }
@@ -59,6 +62,8 @@
 	Burst float64
 	// Priority is 0 for the most urgent.
 	Priority int
+	// Regions are those that the account's statements may reach.
+	Regions regions.Allowed
 	// Problem is why no session of the account can be served, or "".
 	Problem string
 }
@@ -152,6 +157,20 @@
 	return slices.DeleteFunc(out, func(p string) bool { return p == "" })
 }
 
+// RegionNames returns the names of the regions to which routes and accounts are constrained, each
+// once and in order.
+func (c *Catalog) RegionNames() []string {
+	var out []string
+	for _, r := range c.routes {
+		out = append(out, r.Regions.Names()...)
+	}
+	for _, a := range c.accounts {
+		out = append(out, a.Regions.Names()...)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // Group returns the database group called name.
 func (c *Catalog) Group(name string) (Group, bool) { g, ok := c.groups[name]; return g, ok }
 
