Keep statements within the allowed regions

Routes and accounts could name allowed regions, but a statement still went to the cheapest server and through whichever VM held the connections. The session now passes the regions with the request for a connection. choice leaves out servers of other regions, a primary elsewhere is refused, and forward.Forwarder leaves out holders and reserves of other regions; the VM of the caller may still use connections of its own. A constraint that cannot be met is refused at once with its reason, and the token is given back. After a wait the session reads the constraint of the configuration in force again before it sends; a transaction keeps the one of its BEGIN.

Forwarder.Remote returns an error when no VM is allowed. The invariant allowedregions is checked before each statement with a constraint is sent. sycamoredoor_region_refusals_total counts the refusals.

--- a/internal/base/invariant/invariant.go
+++ b/internal/base/invariant/invariant.go
@@ -46,6 +46,9 @@
 	// ConfigCurrent holds when no VM relies on others for a configuration that the store has not
 	// confirmed within the deadline.
 	ConfigCurrent Name = "configcurrent"
+	// AllowedRegions holds when a statement is sent to no backend server, and to no other VM,
+	// outside the regions that its route and its account allow.
+	AllowedRegions Name = "allowedregions"
 )
 
 var (
--- a/internal/core/choice/cheapest.go
+++ b/internal/core/choice/cheapest.go
@@ -4,6 +4,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/regions"
 )
 
 // Candidate is a backend server to which this VM itself has connections.
@@ -32,6 +33,8 @@
 	Floor  floor.ReplicationPosition
 	Zone   member.Zone
 	Region string
+	// Allowed are the regions of the servers that may be chosen.
+	Allowed regions.Allowed
 	// Tried holds the names of the servers already chosen for this read.
 	Tried map[string]bool
 }
@@ -57,13 +60,14 @@
 )
 
 // CheapestServer returns the name of the server with the lowest sum of expected
-// latency and costs for a read, or "" when all are leaving or tried. The expected
+// latency and costs for a read, or "" when all are leaving, tried
+// or in regions that are not allowed. The expected
 // latency grows with this VM's requests in flight per slot, so that requests go to the
 // server with the shortest queue known to this VM when the slots are full.
 func CheapestServer(servers []Candidate, r Requirements) string {
 	best, lowestCost := "", 0.0
 	for _, s := range servers {
-		if s.Leaving || r.Tried[s.Name] {
+		if s.Leaving || r.Tried[s.Name] || !r.Allowed.Contains(s.Region) {
 			continue
 		}
 		if c := r.cost(s); best == "" || c < lowestCost || c == lowestCost && s.Name < best {
--- a/internal/serve/database/broken_test.go
+++ b/internal/serve/database/broken_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/regions"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/broken"
 )
@@ -39,3 +40,15 @@
 		_, _ = conn.Run(Request{ID: "x", Execution: e, Timeout: 100})
 	})
 }
+
+// TestBrokenRegions runs a statement on a connection to a server, and on one of a VM, outside the
+// allowed regions.
+func TestBrokenRegions(t *testing.T) {
+	allowed := regions.Only([]string{"y"})
+	for _, pc := range []*PooledConn{
+		{pool: regionalGroup(t).pools["p"]},
+		{pool: regionalGroup(t).pools["q"], remote: &RemoteConn{VM: "vm2", Region: "x"}},
+	} {
+		broken.ExpectViolation(t, invariant.AllowedRegions, func() { _, _ = pc.Run(Request{ID: "x", Regions: allowed, Timeout: 100}) })
+	}
+}
--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -39,9 +39,9 @@
 	// HolderCountFunc returns the number of VMs that hold connections to a server.
 	HolderCountFunc func(s Server) int
 	// RemoteConnFunc returns a connection of a VM that holds the account's
-	// connections to the server, or nil if this VM should use its own. The function
-	// itself may be nil.
-	RemoteConnFunc func(ctx context.Context, a ConnRequest) *RemoteConn
+	// connections to the server, or nil if this VM should use its own. The error is
+	// ErrNoVMAllowed. The function itself may be nil.
+	RemoteConnFunc func(ctx context.Context, a ConnRequest) (*RemoteConn, error)
 	// Self is the name of this VM, and LiveVMsFunc lists the live VMs including this
 	// one.
 	Self        string
--- a/internal/serve/database/leader_test.go
+++ b/internal/serve/database/leader_test.go
@@ -20,13 +20,13 @@
 	t.Helper()
 	f := &fakeGroup{}
 	g := f.group(t, 4)
-	g.options.RemoteConnFunc = func(context.Context, ConnRequest) *RemoteConn {
+	g.options.RemoteConnFunc = func(context.Context, ConnRequest) (*RemoteConn, error) {
 		return &RemoteConn{
 			RunFunc: func(Request, map[string]string) (statement.Answer, error) {
 				return statement.LocalSuccess(statement.Idle), err
 			},
 			CloseFunc: func() {},
-		}
+		}, nil
 	}
 	g.mu.Lock()
 	g.setWatch(g.watch.WithTerm(1, "p"))
--- a/internal/serve/database/pooledconn.go
+++ b/internal/serve/database/pooledconn.go
@@ -58,6 +58,9 @@
 // is unknown. After an error the connection can only be released.
 func (pc *PooledConn) Run(r Request) (statement.Answer, error) {
 	pc.checkNotReleased()
+	if !r.Regions.IsAll() {
+		invariant.Check(pc.IsWithin(r.Regions), invariant.AllowedRegions, "statement %s, allowed in %s, would be sent to %s through VM %q", r.ID, r.Regions, pc.pool.entry().ID, pc.Holder())
+	}
 	if pc.remote != nil {
 		return pc.runRemote(r)
 	}
--- a/internal/serve/database/primary.go
+++ b/internal/serve/database/primary.go
@@ -13,23 +13,32 @@
 var ErrNoPrimary = errors.New("the database group has no confirmed primary now")
 
 // AcquirePrimary returns a connection to the primary. It waits at most wait
-// milliseconds, without the time to open the connection. It returns ErrNoPrimary, or an
-// error of the pool. This VM needs no lease if another one holds the connection, which
+// milliseconds, without the time to open the connection. It returns ErrNoPrimary, a
+// *RegionError, at once, if the allowed regions permit no connection, or an error of the pool. This VM needs no lease if another one holds the connection, which
 // looks at its own.
 func (g *Group) AcquirePrimary(ctx context.Context, r Requester, wait clock.Millis) (*PooledConn, error) {
 	c := g.options.Clock
 	deadline := c.Now() + wait
+	if err := g.checkPrimaryRegion(r.Regions); err != nil {
+		return nil, err
+	}
 	p, err := g.awaitPrimary(ctx, deadline, false)
 	if err != nil {
 		return nil, err
 	}
+	if !r.Regions.Contains(p.server.Load().Region) {
+		return nil, ErrPrimaryNotAllowed
+	}
 	request := ConnRequest{Group: g.options.Name, Server: p.entry(), Requester: r, Primary: true, Wait: deadline - c.Now()}
-	if pc := g.remoteConn(ctx, p, request); pc != nil {
-		return pc, nil
+	if pc, err := g.remoteConn(ctx, p, request); pc != nil || err != nil {
+		return pc, err
 	}
 	if p, err = g.awaitPrimary(ctx, deadline, true); err != nil {
 		return nil, err
 	}
+	if !r.Regions.Contains(p.server.Load().Region) {
+		return nil, ErrPrimaryNotAllowed
+	}
 	pc, err := g.acquireOwn(ctx, p, r, deadline-c.Now())
 	if err != nil {
 		return nil, err
--- a/internal/serve/database/reader.go
+++ b/internal/serve/database/reader.go
@@ -8,6 +8,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/choice"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/regions"
 )
 
 // ErrNoServer means that no server is left to try.
@@ -19,6 +20,8 @@
 	Weight  int
 	// Parent is the W3C traceparent of the statement's span, or "".
 	Parent string
+	// Regions are those of the servers and of the other VMs that the statement may reach.
+	Regions regions.Allowed
 }
 
 // ReadRequest requests a connection for a read that may run on a replica.
@@ -36,14 +39,27 @@
 }
 
 // AcquireReader returns a connection to the server that is cheapest for the read. It
-// returns ErrNoServer if none is left, or an error of the pool.
+// returns ErrNoServer if none is left, a *RegionError if the allowed regions permit none, or an
+// error of the pool.
 func (g *Group) AcquireReader(ctx context.Context, r ReadRequest) (*PooledConn, error) {
-	p := g.chooseReader(r)
-	if p == nil {
-		return nil, ErrNoServer
+	triedBefore := len(r.Tried)
+	var regionErr error
+	for {
+		p := g.chooseReader(r)
+		if p == nil && triedBefore == 0 && regionErr != nil {
+			return nil, regionErr
+		}
+		if p == nil {
+			return nil, g.noReaderError(r.Requester.Regions)
+		}
+		r.Tried[p.entry().ID] = true
+		pc, err := g.acquire(ctx, p, ConnRequest{Group: g.options.Name, Server: p.entry(), Requester: r.Requester, Wait: r.Wait})
+		if !errors.Is(err, ErrNoVMAllowed) {
+			return pc, err
+		}
+		// VMs of the allowed regions may connect to another server.
+		regionErr = err
 	}
-	r.Tried[p.entry().ID] = true
-	return g.acquire(ctx, p, ConnRequest{Group: g.options.Name, Server: p.entry(), Requester: r.Requester, Wait: r.Wait})
 }
 
 func (g *Group) chooseReader(r ReadRequest) *pool {
@@ -65,6 +81,6 @@
 		})
 	}
 	return g.pools[choice.CheapestServer(candidates, choice.Requirements{
-		Floor: r.Floor, Zone: g.options.Zone, Region: g.options.Region, Tried: r.Tried,
+		Floor: r.Floor, Zone: g.options.Zone, Region: g.options.Region, Allowed: r.Requester.Regions, Tried: r.Tried,
 	})]
 }
--- a/internal/serve/database/remote.go
+++ b/internal/serve/database/remote.go
@@ -28,6 +28,8 @@
 type RemoteConn struct {
 	// VM is the name of the VM that holds it.
 	VM string
+	// Region is the region of that VM.
+	Region string
 	// RunFunc runs a statement in a server's session with the given settings. An *UnsentError
 	// means that the statement was not sent to the server, any other error that its outcome is
 	// unknown.
@@ -54,23 +56,23 @@
 // acquire returns a connection for a statement: one held by another VM for the
 // account, or one of this VM's own.
 func (g *Group) acquire(ctx context.Context, p *pool, request ConnRequest) (*PooledConn, error) {
-	if pc := g.remoteConn(ctx, p, request); pc != nil {
-		return pc, nil
+	if pc, err := g.remoteConn(ctx, p, request); pc != nil || err != nil {
+		return pc, err
 	}
 	return g.acquireOwn(ctx, p, request.Requester, request.Wait)
 }
 
 // remoteConn returns a connection that another VM holds, or nil if this VM should use its
-// own.
-func (g *Group) remoteConn(ctx context.Context, p *pool, request ConnRequest) *PooledConn {
+// own. It returns ErrNoVMAllowed if the allowed regions permit neither.
+func (g *Group) remoteConn(ctx context.Context, p *pool, request ConnRequest) (*PooledConn, error) {
 	if g.options.RemoteConnFunc == nil {
-		return nil
+		return nil, nil
 	}
-	r := g.options.RemoteConnFunc(ctx, request)
-	if r == nil {
-		return nil
+	r, err := g.options.RemoteConnFunc(ctx, request)
+	if r == nil || err != nil {
+		return nil, err
 	}
-	return &PooledConn{pool: p, remote: r, account: request.Requester.Account, settings: map[string]string{}}
+	return &PooledConn{pool: p, remote: r, account: request.Requester.Account, settings: map[string]string{}}, nil
 }
 
 // acquireOwn returns one of this VM's own connections, or an error of the pool. A span
--- a/internal/serve/database/server.go
+++ b/internal/serve/database/server.go
@@ -9,6 +9,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/regions"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 )
 
@@ -51,6 +52,9 @@
 	IsCommit bool
 	// Parent is the W3C traceparent of the statement's span, or "".
 	Parent string
+	// Regions are those that the statement may reach. Run compares them with the connection, for
+	// the invariant; the connection was chosen by those of the Requester.
+	Regions regions.Allowed
 	// ReleaseAfter is set if the connection is released after the answer, unless a
 	// transaction is open then.
 	ReleaseAfter bool
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -21,6 +21,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/base/trace"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/regions"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 )
@@ -121,25 +122,44 @@
 // Remote returns a connection of a VM that holds those of the account, or nil
 // when this VM must use one of its own. While no holder answers, a reserve takes its
 // place. The holder is contacted when the first statement runs. Only one goroutine may use
-// the connection.
-func (f *Forwarder) Remote(ctx context.Context, request database.ConnRequest) *database.RemoteConn {
+// the connection. Other VMs outside the allowed regions are passed over; the error is
+// database.ErrNoVMAllowed if that leaves none and this VM is neither a holder nor a reserve.
+func (f *Forwarder) Remote(ctx context.Context, request database.ConnRequest) (*database.RemoteConn, error) {
 	holders := f.options.HoldersFunc(request.Server, request.Requester.Account)
-	candidates := slices.Clone(holders[:min(len(holders), maxHolderCandidates)])
 	reserves := f.options.ReservesFunc(request.Server, request.Requester.Account)
+	if allowed := request.Requester.Regions; !allowed.IsAll() {
+		holders, reserves = f.within(allowed, holders), f.within(allowed, reserves)
+		if len(holders)+len(reserves) == 0 {
+			return nil, database.ErrNoVMAllowed
+		}
+	}
+	candidates := slices.Clone(holders[:min(len(holders), maxHolderCandidates)])
 	if slices.ContainsFunc(reserves, func(v member.VM) bool { return v.Name == f.options.Self }) {
 		reserves = nil
 	}
 	for _, v := range append(candidates, reserves...) {
 		if v.Name == f.options.Self {
-			return nil
+			return nil, nil
 		}
 		if f.usable(v.Name, request.Server.ID) {
 			s := &stream{forwarder: f, ctx: ctx, vm: v, request: request}
-			return &database.RemoteConn{VM: v.Name, RunFunc: s.run, CloseFunc: s.close}
+			return &database.RemoteConn{VM: v.Name, Region: v.Region, RunFunc: s.run, CloseFunc: s.close}, nil
 		}
 	}
 	f.unserved.Inc()
-	return nil
+	return nil, nil
+}
+
+// within returns those of the VMs that may receive a statement: this VM, to which the caller is
+// connected, and those in allowed regions.
+func (f *Forwarder) within(allowed regions.Allowed, vms []member.VM) []member.VM {
+	out := make([]member.VM, 0, len(vms))
+	for _, v := range vms {
+		if v.Name == f.options.Self || allowed.Contains(v.Region) {
+			out = append(out, v)
+		}
+	}
+	return out
 }
 
 // usable reports whether a holder is neither suspected nor skipped for the
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/regions"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
@@ -136,7 +137,7 @@
 		DropFunc: func(member.VM) {},
 	})
 	request := database.ConnRequest{Group: "g", Server: database.Server{ID: "p"}, Requester: database.Requester{Account: "acme", Weight: 1}, Wait: 500}
-	r := f.Remote(context.Background(), request)
+	r, _ := f.Remote(context.Background(), request)
 	a, err := r.RunFunc(database.Request{ID: "x", Text: "READ 1", Timeout: 2000, IsCommit: s.Write, ReleaseAfter: true}, nil)
 	r.CloseFunc()
 	if s.Code != "" {
@@ -151,7 +152,7 @@
 	diff(t, "released", s.Released, h.released)
 	diff(t, "closed", !s.Released && !s.Unreachable, h.closed)
 	openedVM = ""
-	next := f.Remote(context.Background(), request)
+	next, _ := f.Remote(context.Background(), request)
 	if next != nil {
 		_, _ = next.RunFunc(database.Request{Timeout: 10}, nil)
 	}
@@ -176,7 +177,7 @@
 		ReservesFunc: func(database.Server, string) []member.VM { return []member.VM{{Name: "self"}} },
 		OpenFunc:     func(context.Context, member.VM) (inner.Exchange, error) { return h.exchange(), nil },
 	})
-	r := f.Remote(context.Background(), database.ConnRequest{Group: "g", Server: database.Server{ID: "p"}})
+	r, _ := f.Remote(context.Background(), database.ConnRequest{Group: "g", Server: database.Server{ID: "p"}})
 	if _, err := r.RunFunc(database.Request{ID: "x", Text: "WRITE 1 a", Timeout: 2000, IsCommit: true, ReleaseAfter: true}, nil); err != nil {
 		t.Fatal(err)
 	}
@@ -203,10 +204,57 @@
 	})
 	request := database.ConnRequest{Server: database.Server{ID: "p"}}
 	for range maxHolderCandidates {
-		_, err := f.Remote(context.Background(), request).RunFunc(database.Request{Timeout: 100}, nil)
+		r, _ := f.Remote(context.Background(), request)
+		_, err := r.RunFunc(database.Request{Timeout: 100}, nil)
 		diff(t, "unsent", true, database.IsUnsent(err))
 	}
-	diff(t, "own connections", true, f.Remote(context.Background(), request) == nil)
+	r, err := f.Remote(context.Background(), request)
+	diff(t, "own connections", true, r == nil && err == nil)
 	c.Advance(minSuspicion)
-	diff(t, "own connections after the suspicion", false, f.Remote(context.Background(), request) == nil)
+	r, _ = f.Remote(context.Background(), request)
+	diff(t, "own connections after the suspicion", false, r == nil)
+}
+
+// TestAllowedRegions guards against a holder or reserve outside the allowed regions that gets a
+// statement, and against a VM that does not use its own connections though it may.
+func TestAllowedRegions(t *testing.T) {
+	vm := func(names ...string) (out []member.VM) {
+		for _, n := range names {
+			// The region is the first letter of the name.
+			out = append(out, member.VM{Name: n, Region: n[:1]})
+		}
+		return out
+	}
+	for _, c := range []struct {
+		name              string
+		allowed           []string
+		holders, reserves []member.VM
+		want              string
+	}{
+		{"unconstrained", nil, vm("x1", "y1"), vm("y2"), "x1"},
+		{"first holder outside", []string{"y"}, vm("x1", "x2", "x3", "y1"), vm("x4"), "y1"},
+		{"reserve inside", []string{"y"}, vm("x1"), vm("x2", "y2"), "y2"},
+		{"none inside", []string{"y"}, vm("x1"), vm("x2"), "refused"},
+		{"none at all", []string{"y"}, nil, nil, "refused"},
+		{"this VM is a holder outside", []string{"y"}, vm("x1", "self"), vm("x2"), "own"},
+		{"this VM is a reserve outside", []string{"y"}, vm("x1"), vm("x2", "self"), "own"},
+		{"a holder inside beside this reserve", []string{"y"}, vm("y1"), vm("self"), "y1"},
+		{"nothing allowed", []string{"z"}, vm("x1", "y1"), vm("y2"), "refused"},
+	} {
+		f := New(Options{
+			Self: "self", Clock: clock.System(), Log: log.New(io.Discard),
+			HoldersFunc:  func(database.Server, string) []member.VM { return c.holders },
+			ReservesFunc: func(database.Server, string) []member.VM { return c.reserves },
+		})
+		r, err := f.Remote(t.Context(), database.ConnRequest{Requester: database.Requester{Regions: regions.Only(c.allowed)}})
+		got := "own"
+		switch {
+		case errors.Is(err, database.ErrNoVMAllowed):
+			got = "refused"
+		case r != nil:
+			got = r.VM
+			diff(t, c.name+": region", r.VM[:1], r.Region)
+		}
+		diff(t, c.name, c.want, got)
+	}
 }
--- a/internal/serve/session/broken_test.go
+++ b/internal/serve/session/broken_test.go
@@ -15,7 +15,7 @@
 // newWriteOperation returns a write of account acme that has not been sent yet.
 func newWriteOperation() *operation {
 	s := &session{
-		options: Options{Clock: clock.System(), RefundFunc: func(catalog.Account) {}},
+		options: Options{Clock: clock.System(), RefundFunc: func(catalog.Account) {}, CatalogFunc: func() *catalog.Catalog { return nil }},
 		account: catalog.Account{Name: "acme"},
 	}
 	return s.newOperation(statement.Statement{ID: "w", Kind: statement.Write, Text: "WRITE x 1"})
--- a/internal/serve/session/counters.go
+++ b/internal/serve/session/counters.go
@@ -7,6 +7,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 )
 
 // Counters are the counters shared by all sessions of a VM.
@@ -18,6 +19,9 @@
 	// refused counts, by code, refused sessions and statements, and errors of servers.
 	// It leaves out statements that are malformed or not allowed in the session's state.
 	refused [statement.Other + 1]*metrics.Counter
+	// regionRefusals counts statements refused because of the allowed regions, by the reason of
+	// the database.RegionError.
+	regionRefusals map[string]*metrics.Counter
 	// servedSeconds and refusedSeconds are the times from a statement to its answer, by
 	// whether it succeeded.
 	servedSeconds  *metrics.Histogram
@@ -32,6 +36,10 @@
 	}
 	c.servedSeconds = metrics.GetOrCreateHistogram(`sycamoredoor_statement_seconds{outcome="served"}`)
 	c.refusedSeconds = metrics.GetOrCreateHistogram(`sycamoredoor_statement_seconds{outcome="refused"}`)
+	c.regionRefusals = map[string]*metrics.Counter{}
+	for _, e := range database.RegionErrors {
+		c.regionRefusals[e.Reason] = metrics.GetOrCreateCounter(fmt.Sprintf("sycamoredoor_region_refusals_total{reason=%q}", e.Reason))
+	}
 	for i := range c.refused {
 		c.refused[i] = metrics.GetOrCreateCounter(fmt.Sprintf(`sycamoredoor_statements_refused_total{code=%q}`, statement.Code(i)))
 	}
@@ -49,6 +57,12 @@
 	}
 }
 
+func (c Counters) countRegionRefusal(reason string) {
+	if counter := c.regionRefusals[reason]; counter != nil {
+		counter.Inc()
+	}
+}
+
 func (c Counters) countRefusal(code statement.Code) {
 	if c.refused[code] != nil {
 		c.refused[code].Inc()
--- a/internal/serve/session/run.go
+++ b/internal/serve/session/run.go
@@ -49,6 +49,8 @@
 	// the wait was too long.
 	lastReason string
 	overloaded bool
+	// outsideRegions is set once the allowed regions permitted no connection.
+	outsideRegions bool
 }
 
 func (s *session) newOperation(st statement.Statement) *operation {
@@ -71,7 +73,7 @@
 
 func (op *operation) requester() database.Requester {
 	a := op.session.account
-	return database.Requester{Account: a.Name, Weight: weight(op.session.route, a), Parent: op.session.parent}
+	return database.Requester{Account: a.Name, Weight: weight(op.session.route, a), Parent: op.session.parent, Regions: op.session.allowedRegions()}
 }
 
 // weight converts priorities, 0 being the most urgent, to a weight for sharing an
@@ -87,9 +89,17 @@
 // retry records why an attempt failed and reports whether another may follow, after a
 // pause of retryPause. After an overload none follows, since the wait that the operation may
 // afford is over or known to be too long; a read goes on at once while there are servers
-// that it has not tried.
+// that it has not tried. None follows if the allowed regions permit no connection.
 func (op *operation) retry(ctx context.Context, cause error) bool {
 	op.lastReason = cause.Error()
+	if regionErr := database.RegionErrorOf(cause); regionErr != nil {
+		op.outsideRegions = true
+		op.session.options.Counters.countRegionRefusal(regionErr.Reason)
+		return false
+	}
+	if errors.Is(cause, errFloorUnknown) && op.maxWait() > retryPause {
+		return op.session.options.Clock.Sleep(ctx, retryPause) == nil
+	}
 	op.attempts++
 	if errors.Is(cause, database.ErrPoolTimeout) {
 		op.overloaded = true
@@ -125,6 +135,9 @@
 	f, ok := g.Floor(op.startedAt, route.MaxStaleness, ownCommit)
 	if !ok {
 		conn, err := g.AcquirePrimary(ctx, op.requester(), op.maxWait())
+		if errors.Is(err, database.ErrPrimaryNotAllowed) {
+			err = errFloorUnknown
+		}
 		return conn, floor.ReplicationPosition{}, err
 	}
 	conn, err := g.AcquireReader(ctx, database.ReadRequest{Requester: op.requester(), Floor: f, Tried: op.tried, Wait: op.maxWait()})
@@ -135,6 +148,14 @@
 	return conn, f, err
 }
 
+// errFloorUnknown means that a read which replicas may serve cannot be sent to one yet, and not to
+// the primary either because of its region.
+var errFloorUnknown = errors.New("it is not known how recent a replica must be, and the primary is in a region that is not allowed")
+
+// errRegionsChanged means that the configuration changed while a statement waited for a connection,
+// which it may no longer use.
+var errRegionsChanged = errors.New("the allowed regions changed while the statement waited")
+
 // read runs a single read, and retries it on another server if one fails.
 func (op *operation) read(ctx context.Context) statement.Answer {
 	op.readOnly, op.anyServer = true, op.session.route.Guarantee != catalog.StrongConsistency
@@ -199,7 +220,16 @@
 func (op *operation) refuseNotRun() statement.Answer {
 	invariant.Check(!op.maybeRunning, invariant.NotRun, "statement %s is reported as not run, but may have run", op.statement.ID)
 	op.session.refund()
-	return op.session.refuse(op.statement, statement.Busy, op.lastReason+"; try again in 1 s")
+	return op.session.refuse(op.statement, statement.Busy, op.refusalDetail())
+}
+
+// refusalDetail returns the detail of a refusal after the last attempt. It suggests no other attempt
+// if that would only meet the same constraint.
+func (op *operation) refusalDetail() string {
+	if op.outsideRegions {
+		return op.lastReason
+	}
+	return op.lastReason + "; try again in 1 s"
 }
 
 // passError counts and logs a server's error, and returns it as the answer.
@@ -237,6 +267,9 @@
 // errUnsent means that the statement was not sent, any other that its outcome is
 // unknown.
 func (op *operation) send(conn *database.PooledConn, f floor.ReplicationPosition) (statement.Answer, error) {
+	if allowed := op.session.allowedRegions(); !conn.IsWithin(allowed) {
+		return statement.Answer{}, &unsentError{cause: errRegionsChanged}
+	}
 	if conn.SyncSettings(op.session.settings, op.remaining()) != nil {
 		return statement.Answer{}, errUnsent
 	}
@@ -265,7 +298,7 @@
 
 // request returns the request that runs a statement within timeout milliseconds.
 func (s *session) request(st statement.Statement, timeout clock.Millis) database.Request {
-	r := database.Request{ID: st.ID, Timeout: timeout, Parent: s.parent}
+	r := database.Request{ID: st.ID, Timeout: timeout, Parent: s.parent, Regions: s.allowedRegions()}
 	if st.Kind == statement.Execute {
 		r.Execution = statement.Execution{Shape: s.prepared[st.Name], Arguments: st.Arguments}
 	} else {
--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -13,6 +13,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/trace"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/freshness"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/regions"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
@@ -68,6 +69,10 @@
 	caller  Caller
 	account catalog.Account
 	route   catalog.Route
+	// regions are those that the newest configuration with the route allows, regionsFrom that
+	// configuration. allowedRegions brings them up to date.
+	regions     regions.Allowed
+	regionsFrom *catalog.Catalog
 	// settings holds the caller's settings, prepared its prepared statements, both by
 	// name.
 	settings map[string]string
@@ -194,9 +199,28 @@
 	}
 	s.route = route
 	s.account, _ = c.Account(name)
+	s.regions, s.regionsFrom = route.Regions.Intersect(s.account.Regions), c
 	return statement.Success, ""
 }
 
+// allowedRegions returns the regions that a statement may reach: those in force when the open
+// transaction began, else those of the configuration in force now, which may be later than that
+// with which the statement was admitted.
+func (s *session) allowedRegions() regions.Allowed {
+	if s.txn != nil {
+		return s.txn.regions
+	}
+	c := s.options.CatalogFunc()
+	if c == nil || c == s.regionsFrom {
+		return s.regions
+	}
+	if route, ok := c.Route(s.caller.Database); ok {
+		account, _ := c.Account(s.account.Name)
+		s.regions, s.regionsFrom = route.Regions.Intersect(account.Regions), c
+	}
+	return s.regions
+}
+
 func (s *session) status() statement.Status {
 	switch {
 	case s.txn == nil:
--- a/internal/serve/session/transaction.go
+++ b/internal/serve/session/transaction.go
@@ -7,6 +7,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/regions"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
@@ -24,6 +25,8 @@
 	// startedAt is the time of its BEGIN, usedAt that of the end of its last statement.
 	startedAt clock.Millis
 	usedAt    clock.Millis
+	// regions are those that were allowed at its BEGIN.
+	regions regions.Allowed
 }
 
 // fail marks the transaction as failed and closes its connection, so that the server
@@ -70,7 +73,7 @@
 		return s.refuse(st, code, detail)
 	}
 	now := s.options.Clock.Now()
-	s.txn = &transaction{begin: st, startedAt: now, usedAt: now}
+	s.txn = &transaction{begin: st, startedAt: now, usedAt: now, regions: s.regions}
 	return statement.LocalSuccess(statement.InTransaction)
 }
 
@@ -141,7 +144,7 @@
 				continue
 			}
 			s.refund()
-			return s.refuse(st, statement.Busy, op.lastReason+"; try again in 1 s")
+			return s.refuse(st, statement.Busy, op.refusalDetail())
 		}
 		a, err := op.beginAndRun(conn, f)
 		if err == nil && a.Code == statement.Success {
@@ -227,8 +230,12 @@
 			conn.MarkBroken()
 			conn.Release()
 		}
-		if !op.retry(ctx, errNotTaken) {
-			return s.refuse(st, statement.Aborted, op.lastReason+"; try again in 1 s")
+		cause := errNotTaken
+		if database.RegionErrorOf(err) != nil {
+			cause = err
+		}
+		if !op.retry(ctx, cause) {
+			return s.refuse(st, statement.Aborted, op.refusalDetail())
 		}
 	}
 }
