Warn of allowed regions without a server

A misspelt region name would only show as refused statements. A VM now warns once when the regions without a listed server change, and shows their number as sycamoredoor_regions_without_server.

--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -151,6 +151,7 @@
 	if changed {
 		f.holderCache.clear()
 		f.updateGroups()
+		f.checkRegionNames()
 		f.mesh.GossipSoon()
 	}
 }
--- a/internal/serve/frontend/follow.go
+++ b/internal/serve/frontend/follow.go
@@ -249,6 +249,7 @@
 	}
 	f.limiter.createBuckets(c.Accounts())
 	f.updateGroups()
+	f.checkRegionNames()
 	return c.Version
 }
 
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -101,6 +101,8 @@
 	// heldGauge and reservedGauge show the servers of which this VM is a holder or a reserve.
 	heldGauge     *metrics.Gauge
 	reservedGauge *metrics.Gauge
+	// unknownRegionsGauge shows the number of unknownRegions.
+	unknownRegionsGauge *metrics.Gauge
 	// heldCountedAt is the time of the last count; only beginRound uses it.
 	heldCountedAt clock.Millis
 	// compressed is the configuration, compressedList the list of VMs for other VMs.
@@ -136,6 +138,9 @@
 	directory       []database.Server
 	directoryReadAt clock.Millis
 	directoryHash   uint64
+	// unknownRegions names the regions to which routes or accounts are constrained and in which
+	// no server is listed.
+	unknownRegions []string
 	// fetchingDirectory is set while a directory is being fetched from another VM.
 	fetchingDirectory bool
 	// conns holds the connections of callers with a session.
@@ -166,6 +171,7 @@
 	f.configCalls = metrics.GetOrCreateCounter("sycamoredoor_configuration_calls_total")
 	f.heldGauge = metrics.GetOrCreateGauge("sycamoredoor_servers_held", nil)
 	f.reservedGauge = metrics.GetOrCreateGauge("sycamoredoor_servers_reserved", nil)
+	f.unknownRegionsGauge = metrics.GetOrCreateGauge("sycamoredoor_regions_without_server", nil)
 	f.holderCache.setMembers(f.mesh.Members())
 	f.forwarder = f.newForwarder()
 	f.holder = &forward.Holder{Clock: o.Clock, GroupFunc: f.Group, StoppingFunc: f.isStopping, TakesFunc: f.takes}
