Look at the allowed regions again before a write is sent to its holder

A single write waits at its holder for a connection before its text is sent. A constraint that came into force during that wait was not followed. The forwarder now asks the session for the newest one. The log line of a refusal has the regions. TestWriteAfterWaitAtHolder fails without the change in stream.go.

--- a/internal/serve/database/reader.go
+++ b/internal/serve/database/reader.go
@@ -22,6 +22,10 @@
 	Parent string
 	// Regions are those of the servers and of the other VMs that the statement may reach.
 	Regions regions.Allowed
+	// RegionsFunc returns the same by the configuration in force at the call. A write that has
+	// waited at the VM that holds the connection is sent only if they still allow that. The
+	// function may be nil.
+	RegionsFunc func() regions.Allowed
 }
 
 // ReadRequest requests a connection for a read that may run on a replica.
--- a/internal/serve/database/region.go
+++ b/internal/serve/database/region.go
@@ -28,6 +28,10 @@
 	ErrNoVMAllowed = &RegionError{Reason: "vm", Detail: "no VM in the allowed regions may connect to the backend server"}
 )
 
+// ErrRegionsChanged means that the configuration changed while a statement waited for a connection,
+// which it may no longer use. Another one may be allowed.
+var ErrRegionsChanged = errors.New("the allowed regions changed while the statement waited")
+
 // RegionErrors lists all of them.
 var RegionErrors = [...]*RegionError{ErrNoServerAllowed, ErrPrimaryNotAllowed, ErrNoVMAllowed}
 
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -258,3 +258,28 @@
 		diff(t, c.name, c.want, got)
 	}
 }
+
+// TestWriteAfterWaitAtHolder guards against a write that is sent to a holder which the constraint
+// excludes since the write began to wait there.
+func TestWriteAfterWaitAtHolder(t *testing.T) {
+	for region, want := range map[string][]string{"x": {"", "WRITE 1 a"}, "y": {""}} {
+		c := clock.NewFake(0)
+		h := &scriptedHolder{clock: c, results: []result{{Answer: true}, {Answer: true}}}
+		f := New(Options{
+			Self: "self", Clock: c.Clock(), Log: log.New(io.Discard),
+			HoldersFunc:  func(database.Server, string) []member.VM { return []member.VM{{Name: "first", Region: "x"}} },
+			ReservesFunc: func(database.Server, string) []member.VM { return nil },
+			OpenFunc:     func(context.Context, member.VM) (inner.Exchange, error) { return h.exchange(), nil },
+		})
+		requester := database.Requester{RegionsFunc: func() regions.Allowed { return regions.Only([]string{region}) }}
+		r, _ := f.Remote(t.Context(), database.ConnRequest{Server: database.Server{ID: "p", Region: "x"}, Requester: requester})
+		_, err := r.RunFunc(database.Request{ID: "x", Text: "WRITE 1 a", Timeout: 2000, IsCommit: true, ReleaseAfter: true}, nil)
+		var texts []string
+		for _, m := range h.messages {
+			texts = append(texts, m.Text)
+		}
+		diff(t, region+": texts", want, texts)
+		diff(t, region+": not sent", region == "y", database.IsUnsent(err))
+		diff(t, region+": closed", region == "y", h.closed)
+	}
+}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -70,6 +70,10 @@
 		if err := s.acquireConnection(m, deadline); err != nil {
 			return statement.Answer{}, err
 		}
+		if !s.isAllowed() {
+			s.close()
+			return statement.Answer{}, &database.UnsentError{Cause: database.ErrRegionsChanged}
+		}
 	}
 	a, err := s.exchangeRun(m, deadline, r.IsCommit)
 	if err != nil {
@@ -84,6 +88,16 @@
 	return a, nil
 }
 
+// isAllowed reports whether the regions that are allowed now, after the wait for the connection, still
+// contain those of the server and of the holder.
+func (s *stream) isAllowed() bool {
+	if s.request.Requester.RegionsFunc == nil {
+		return true
+	}
+	allowed := s.request.Requester.RegionsFunc()
+	return allowed.Contains(s.request.Server.Region) && allowed.Contains(s.vm.Region)
+}
+
 // withTarget returns the message with the fields that select the connection;
 // only the first message of a stream needs them.
 func (s *stream) withTarget(m inner.Run) inner.Run {
--- a/internal/serve/session/logs.go
+++ b/internal/serve/session/logs.go
@@ -13,6 +13,9 @@
 	fields := []any{"id", database.LoggedName(st.ID), "database", s.route.Database, "account", s.account.Name, "code", code.String(), "reason", detail}
 	fields = append(fields, s.preparedFields(st)...)
 	fields = append(fields, s.configurationFields()...)
+	if allowed := s.allowedRegions(); !allowed.IsAll() {
+		fields = append(fields, "regions", allowed.String())
+	}
 	if g := s.options.GroupFunc(s.route.Group); g != nil {
 		term, leader, age := g.PrimaryStatus()
 		fields = append(fields, "group", s.route.Group, "term", uint64(term), "primary", leader, "proof_ms", int64(age))
--- a/internal/serve/session/run.go
+++ b/internal/serve/session/run.go
@@ -73,7 +73,7 @@
 
 func (op *operation) requester() database.Requester {
 	a := op.session.account
-	return database.Requester{Account: a.Name, Weight: weight(op.session.route, a), Parent: op.session.parent, Regions: op.session.allowedRegions()}
+	return database.Requester{Account: a.Name, Weight: weight(op.session.route, a), Parent: op.session.parent, Regions: op.session.allowedRegions(), RegionsFunc: op.session.regionsFunc}
 }
 
 // weight converts priorities, 0 being the most urgent, to a weight for sharing an
@@ -152,10 +152,6 @@
 // the primary either because of its region.
 var errFloorUnknown = errors.New("it is not known how recent a replica must be, and the primary is in a region that is not allowed")
 
-// errRegionsChanged means that the configuration changed while a statement waited for a connection,
-// which it may no longer use.
-var errRegionsChanged = errors.New("the allowed regions changed while the statement waited")
-
 // read runs a single read, and retries it on another server if one fails.
 func (op *operation) read(ctx context.Context) statement.Answer {
 	op.readOnly, op.anyServer = true, op.session.route.Guarantee != catalog.StrongConsistency
@@ -268,7 +264,7 @@
 // unknown.
 func (op *operation) send(conn *database.PooledConn, f floor.ReplicationPosition) (statement.Answer, error) {
 	if allowed := op.session.allowedRegions(); !conn.IsWithin(allowed) {
-		return statement.Answer{}, &unsentError{cause: errRegionsChanged}
+		return statement.Answer{}, &unsentError{cause: database.ErrRegionsChanged}
 	}
 	if conn.SyncSettings(op.session.settings, op.remaining()) != nil {
 		return statement.Answer{}, errUnsent
--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -73,6 +73,8 @@
 	// configuration. allowedRegions brings them up to date.
 	regions     regions.Allowed
 	regionsFrom *catalog.Catalog
+	// regionsFunc is allowedRegions, bound once for all statements.
+	regionsFunc func() regions.Allowed
 	// settings holds the caller's settings, prepared its prepared statements, both by
 	// name.
 	settings map[string]string
@@ -91,6 +93,7 @@
 // ended it reads no further statement, but it does not interrupt ReadFunc.
 func Serve(ctx context.Context, o Options, c Caller) {
 	s := &session{options: o, caller: c, settings: map[string]string{}, prepared: map[string]statement.Shape{}}
+	s.regionsFunc = s.allowedRegions
 	o.Counters.opened.Inc()
 	if code, detail := s.resolve(); code != statement.Success {
 		o.Counters.countRefusal(code)
