Test that a read for replicas awaits its floor

While the primary is outside the allowed regions, a read whose floor is not known has nowhere to go at first. The test guards against a refusal after the usual number of attempts; it fails if the error of the primary is passed on.

--- a/internal/serve/session/regions_test.go
+++ b/internal/serve/session/regions_test.go
@@ -31,6 +31,9 @@
 	catalog *catalog.Catalog
 	// duringWait replaces the catalog while the next statement waits for a connection.
 	duringWait *catalog.Catalog
+	group      *database.Group
+	// holderRegion is the region of the VM that holds the connections.
+	holderRegion string
 	// sent holds the statements that reached a server, refunds counts tokens given back.
 	sent    []string
 	refunds int
@@ -38,7 +41,7 @@
 
 func newRegionalSession(t *testing.T, c *catalog.Catalog) *regionalSession {
 	t.Helper()
-	r := &regionalSession{catalog: c}
+	r := &regionalSession{catalog: c, holderRegion: "x"}
 	g := database.NewGroup(database.Options{
 		Name: "g", Clock: clock.System(), Log: log.New(io.Discard), Counters: database.NewCounters(), SyncReplicas: 1,
 		HolderCountFunc: func(database.Server) int { return 1 }, MaxConnsFunc: func(database.Server) int { return 0 }, GossipFunc: func() {},
@@ -46,7 +49,7 @@
 			if r.duringWait != nil {
 				r.catalog, r.duringWait = r.duringWait, nil
 			}
-			return &database.RemoteConn{VM: "vm2", Region: "x", CloseFunc: func() {}, RunFunc: func(q database.Request, _ map[string]string) (statement.Answer, error) {
+			return &database.RemoteConn{VM: "vm2", Region: r.holderRegion, CloseFunc: func() {}, RunFunc: func(q database.Request, _ map[string]string) (statement.Answer, error) {
 				r.sent = append(r.sent, q.Text)
 				a := statement.LocalSuccess(statement.Idle)
 				a.Position.Term, a.Position.Position = 1, 1
@@ -56,6 +59,7 @@
 	})
 	g.Update([]database.Server{{ID: "p", Group: "g", Region: "x", Slots: 2}, {ID: "q", Group: "g", Region: "y", Slots: 2}})
 	g.MergeView(database.Sender{VM: "vm2", Process: 1}, inner.GroupView{Group: "g", Term: 1, Leader: "p", ProofAge: -1}, nil)
+	r.group = g
 	r.session = &session{caller: Caller{Database: "db", Key: "key"}, options: Options{
 		Clock: clock.System(), Log: log.New(io.Discard), Counters: NewCounters(), CatalogFunc: func() *catalog.Catalog { return r.catalog },
 		CopyFunc: freshness.New, GroupFunc: func(string) *database.Group { return g }, TakesFunc: func(clock.Millis) bool { return true },
@@ -143,3 +147,35 @@
 		t.Errorf("sent (-want +got):\n%s", diff)
 	}
 }
+
+// TestReadAwaitsFloor guards against a read for replicas that is refused, or sent to a primary of
+// another region, because it is not known at first how recent a replica must be.
+func TestReadAwaitsFloor(t *testing.T) {
+	for name, known := range map[string]bool{"known later": true, "never known": false} {
+		c := catalog.New(1)
+		c.AddRoute(catalog.Route{Database: "db", Group: "g", Guarantee: catalog.BoundedStaleness, MaxStaleness: 1500, TargetLatency: 800, Regions: regions.Only([]string{"y"})})
+		c.AddAccount(catalog.Account{Name: "acme"}, []string{"key"})
+		r := newRegionalSession(t, c)
+		r.holderRegion = "y"
+		calls := 0
+		r.options.CatalogFunc = func() *catalog.Catalog {
+			// More calls than attempts that a statement has after other errors.
+			if calls++; known && calls == 3*maxAttempts {
+				now := r.options.Clock.Now()
+				r.group.MergeView(database.Sender{VM: "vm2", Process: 1}, inner.GroupView{Group: "g", Term: 1, Leader: "p", PositionTerm: 1, Position: 1},
+					func(age clock.Millis) clock.Millis { return now - age })
+			}
+			return c
+		}
+		want := "busy " + errFloorUnknown.Error() + "; try again in 1 s"
+		if known {
+			want = "none "
+		}
+		if diff := cmp.Diff(want, r.run(t, statement.Read, "r")); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", name, diff)
+		}
+		if len(r.sent) > 0 != known {
+			t.Errorf("%s: sent %q", name, r.sent)
+		}
+	}
+}
