Test the COMMIT of an empty transaction outside its regions

It begins at a server only at its COMMIT, by a path of its own. The test sees that it is refused with the reason and reaches no server.

--- a/internal/serve/session/regions_test.go
+++ b/internal/serve/session/regions_test.go
@@ -179,3 +179,16 @@
 		}
 	}
 }
+
+// TestEmptyTransactionOutsideRegions guards against the COMMIT of a transaction without statements
+// that is retried, or reaches a server, although the constraint cannot be met.
+func TestEmptyTransactionOutsideRegions(t *testing.T) {
+	r := newRegionalSession(t, regionalCatalog(1, []string{"y"}, nil))
+	got := []string{r.run(t, statement.Begin, "BEGIN"), r.run(t, statement.Commit, "COMMIT")}
+	if diff := cmp.Diff([]string{"none ", "aborted " + database.ErrPrimaryNotAllowed.Detail}, got); diff != "" {
+		t.Errorf("answers (-want +got):\n%s", diff)
+	}
+	if len(r.sent) > 0 {
+		t.Errorf("sent %q", r.sent)
+	}
+}
