--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -13,6 +13,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/trace"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/freshness"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/regions"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
@@ -71,6 +72,12 @@
 	caller  Caller
 	account catalog.Account
 	route   catalog.Route
+	// regions are those that the newest configuration with the route allows, regionsFrom that
+	// configuration. allowedRegions brings them up to date.
+	regions     regions.Allowed
+	regionsFrom *catalog.Catalog
+	// regionsFunc is allowedRegions, bound once for all statements.
+	regionsFunc func() regions.Allowed
 	// settings holds the caller's settings, prepared its prepared statements, both by
 	// name.
 	settings map[string]string
@@ -89,6 +96,7 @@
 // ended it reads no further statement, but it does not interrupt ReadFunc.
 func Serve(ctx context.Context, o Options, c Caller) {
 	s := &session{options: o, caller: c, settings: map[string]string{}, prepared: map[string]statement.Shape{}}
+	s.regionsFunc = s.allowedRegions
 	o.Counters.opened.Inc()
 	s.awaitCatalog(ctx)
 	if code, detail := s.resolve(); code != statement.Success {
@@ -210,9 +218,28 @@
 	}
 	s.route = route
 	s.account, _ = c.Account(name)
+	s.regions, s.regionsFrom = route.Regions.Intersect(s.account.Regions), c
 	return statement.Success, ""
 }
 
+// allowedRegions returns the regions that a statement may reach: those in force when the open
+// transaction began, else those of the configuration in force now, which may be later than that
+// with which the statement was admitted.
+func (s *session) allowedRegions() regions.Allowed {
+	if s.txn != nil {
+		return s.txn.regions
+	}
+	c := s.options.CatalogFunc()
+	if c == nil || c == s.regionsFrom {
+		return s.regions
+	}
+	if route, ok := c.Route(s.caller.Database); ok {
+		account, _ := c.Account(s.account.Name)
+		s.regions, s.regionsFrom = route.Regions.Intersect(account.Regions), c
+	}
+	return s.regions
+}
+
 func (s *session) status() statement.Status {
 	switch {
 	case s.txn == nil:
