--- a/internal/serve/frontend/first.go
+++ b/internal/serve/frontend/first.go
@@ -17,9 +17,10 @@
 	// milliseconds.
 	firstFetchRetryDelay = clock.Millis(50)
 	// maxQuestionWait bounds how long a question of another VM waits for this VM's first
-	// configuration, in milliseconds. It is less than fetchSilence, after which the other VM
-	// would give up.
-	maxQuestionWait = clock.Millis(400)
+	// configuration, in milliseconds, and firstFetchSilence how long the VM that asks takes it for
+	// running without an answer. An upstream that has been lost must not cost much time.
+	maxQuestionWait   = clock.Millis(250)
+	firstFetchSilence = clock.Millis(400)
 )
 
 // awaitConfiguration waits until this VM has a configuration, at most wait milliseconds.
@@ -55,7 +56,7 @@
 // whether that succeeded.
 func (f *Frontend) fetchFirstFrom(v member.VM) bool {
 	asked := f.options.Clock.Now()
-	answer, err := f.ask(v.Address, inner.Question{Topic: inner.TopicText, Wait: maxQuestionWait})
+	answer, err := f.askWithin(v.Address, inner.Question{Topic: inner.TopicText, Wait: maxQuestionWait}, firstFetchSilence)
 	if err != nil || f.catalog.Load() != nil {
 		return false
 	}
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -258,6 +258,11 @@
 
 // ask puts one question to the VM at an address.
 func (f *Frontend) ask(address string, q inner.Question) (inner.Answer, error) {
+	return f.askWithin(address, q, fetchSilence)
+}
+
+// askWithin is ask with the time in milliseconds that the other VM may send nothing.
+func (f *Frontend) askWithin(address string, q inner.Question, silence clock.Millis) (inner.Answer, error) {
 	t := f.transport.Load()
 	if t == nil {
 		return inner.Answer{}, errNoTransport
@@ -265,7 +270,7 @@
 	ctx, cancel := context.WithTimeout(f.ctx, fetchTimeout.Duration())
 	defer cancel()
 	q.AcceptsGzip = true
-	answer, err := t.Fetch(ctx, address, peer.Label{Control: true}, q, fetchSilence)
+	answer, err := t.Fetch(ctx, address, peer.Label{Control: true}, q, silence)
 	if err != nil {
 		return answer, err
 	}
