Bound the statements to a server that has started, failed or resumed

After a failure, reads avoided a server for 300 ms and then all VMs sent as much as before; writes went on at once. A cold server was not told apart.

The pool asks slowstart.Ramp and, where Options.ColdFunc states a limit, slowstart.Quota before it grants a connection, and before each further statement of a transaction. Requests that wait are refused when the server does not answer. Reads prefer other servers while a server is bounded.

--- a/internal/serve/database/counters.go
+++ b/internal/serve/database/counters.go
@@ -4,6 +4,8 @@
 	"fmt"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/core/slowstart"
 )
 
 // Counters are the counters shared by all groups of a VM.
@@ -24,6 +26,11 @@
 	// prepares counts the statements prepared at servers, evictions those dropped for others.
 	prepares  *metrics.Counter
 	evictions *metrics.Counter
+	// slowStarts counts the slow starts by reason, slowRefusals the statements that were
+	// refused during one by cause, coldStatements those sent to cold servers.
+	slowStarts     map[slowstart.Reason]*metrics.Counter
+	slowRefusals   map[slowRefusal]*metrics.Counter
+	coldStatements *metrics.Counter
 }
 
 // dialPurpose is the purpose of a connection to a server.
@@ -32,6 +39,9 @@
 // dialResult is the result of opening a connection to a server.
 type dialResult string
 
+// slowRefusal is why a statement is refused during a slow start.
+type slowRefusal string
+
 // orderResult is how the platform answered an order to promote.
 type orderResult string
 
@@ -39,6 +49,10 @@
 type probeReason string
 
 const (
+	// The share of a cold server's limit is used up, or the server does not answer.
+	refusedCold slowRefusal = "cold"
+	refusedDown slowRefusal = "down"
+
 	dialForStatement dialPurpose = "statement"
 	dialForControl   dialPurpose = "control"
 
@@ -73,7 +87,16 @@
 	for _, r := range []orderResult{orderConfirmed, orderTargetDown, orderUnknown} {
 		orders[r] = metrics.GetOrCreateCounter(fmt.Sprintf("sycamoredoor_promotion_orders_total{result=%q}", r))
 	}
+	starts := map[slowstart.Reason]*metrics.Counter{}
+	for _, r := range []slowstart.Reason{slowstart.Listed, slowstart.Restarted, slowstart.Failed, slowstart.Resumed} {
+		starts[r] = metrics.GetOrCreateCounter(fmt.Sprintf("sycamoredoor_slow_starts_total{reason=%q}", r))
+	}
+	refusals := map[slowRefusal]*metrics.Counter{}
+	for _, r := range []slowRefusal{refusedCold, refusedDown} {
+		refusals[r] = metrics.GetOrCreateCounter(fmt.Sprintf("sycamoredoor_slow_start_refusals_total{cause=%q}", r))
+	}
 	return Counters{
+		slowStarts: starts, slowRefusals: refusals, coldStatements: metrics.GetOrCreateCounter("sycamoredoor_cold_statements_total"),
 		prepares:  metrics.GetOrCreateCounter("sycamoredoor_server_prepares_total"),
 		evictions: metrics.GetOrCreateCounter("sycamoredoor_server_evictions_total"),
 		dials:     dials, probeReasons: reasons, claims: metrics.GetOrCreateCounter("sycamoredoor_claims_total"),
--- a/internal/serve/database/dial.go
+++ b/internal/serve/database/dial.go
@@ -62,7 +62,7 @@
 	p.group.recordPosition(p.entry().ID, position, startedAt)
 	*pc = PooledConn{
 		pool: p, conn: c, account: account, number: p.group.connectionCount.Add(1), granted: pc.granted, settings: map[string]string{},
-		prepared: newPreparedStatements(), status: statement.Idle, usedAt: o.Clock.Now(),
+		prepared: newPreparedStatements(), status: statement.Idle, openedAt: startedAt, usedAt: o.Clock.Now(),
 	}
 	return pc, nil
 }
@@ -123,5 +123,6 @@
 	if pc.granted {
 		pc.granted = false
 		p.granted--
+		p.slow.quota = p.slow.quota.WithReturned()
 	}
 }
--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -42,6 +42,11 @@
 	// connections to the server, or nil if this VM should use its own. The function
 	// itself may be nil.
 	RemoteConnFunc func(ctx context.Context, a ConnRequest) *RemoteConn
+	// ColdFunc returns what is stated of a server's cold starts, and ColdShareFunc the number
+	// of callers' statements in any second that this VM may send to it while it is cold. The
+	// functions may be nil.
+	ColdFunc      func(s Server) Cold
+	ColdShareFunc func(s Server) int
 	// Self is the name of this VM, and LiveVMsFunc lists the live VMs including this
 	// one.
 	Self        string
@@ -183,6 +188,7 @@
 	var closing []*pool
 	for _, s := range servers {
 		listed[s.ID] = true
+		_, relisted := g.unlistedSince[s.ID]
 		delete(g.unlistedSince, s.ID)
 		g.recordBornLocked(s)
 		if _, known := g.leavingSince[s.ID]; s.Leaving && !known {
@@ -192,6 +198,7 @@
 			delete(g.leavingSince, s.ID)
 		}
 		p := g.pools[s.ID]
+		former := p
 		if p != nil && (p.entry().Address != s.Address || p.entry().Born != s.Born) {
 			closing = append(closing, p)
 			p = nil
@@ -200,6 +207,7 @@
 		}
 		if p == nil {
 			g.pools[s.ID] = newPool(g, s)
+			g.beginSlowStartLocked(g.pools[s.ID], former, relisted || !starting)
 			if !starting {
 				g.watch = g.watch.WithListed(s.ID, g.options.Clock.Now())
 			}
--- a/internal/serve/database/idle.go
+++ b/internal/serve/database/idle.go
@@ -62,6 +62,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	defer p.dispatch()
+	p.logCold(now)
 	maxIdle := p.group.options.MaxIdleFunc(p.entry())
 	for len(p.idle) > 0 {
 		idle := now - p.idle[0].usedAt
--- a/internal/serve/database/pool.go
+++ b/internal/serve/database/pool.go
@@ -93,12 +93,15 @@
 	connLimitUntil clock.Millis
 	connLimitHits  int
 	connLimit      int
+	// slow bounds the statements to a server that has started or failed.
+	slow slowStart
 }
 
 // waiter is a request in the queue. It receives a connection, or nil when the pool
-// closes.
+// closes or, with unreachable set before, when the server does not answer.
 type waiter struct {
-	ready chan *PooledConn
+	ready       chan *PooledConn
+	unreachable bool
 }
 
 func newPool(g *Group, s Server) *pool {
@@ -121,6 +124,7 @@
 func (p *pool) recordSuccess() {
 	p.mu.Lock()
 	p.answeredAt = p.group.options.Clock.Now()
+	p.setRamp(p.slow.ramp.WithLife(p.answeredAt), p.answeredAt)
 	p.mu.Unlock()
 }
 
@@ -135,6 +139,7 @@
 func (p *pool) recordFailureLocked() {
 	p.failedAt = p.group.options.Clock.Now()
 	p.avoidUntil = p.failedAt + avoidTime
+	p.setRamp(p.slow.ramp.WithFailure(p.failedAt), p.failedAt)
 }
 
 // unreachable reports whether the server has failed recently and not answered for
@@ -173,8 +178,10 @@
 	p.answeredAt = now
 	if busy {
 		p.shrinkWindow(now)
+		p.setRamp(p.slow.ramp.WithBusy(now), now)
 		return
 	}
+	p.setRamp(p.slow.ramp.WithAnswer(float64(responseTime), int(p.window), now), now)
 	p.busyStreak = 0
 	p.window = min(p.window+windowGrowth/p.window, float64(max(p.maxConns(), 1)))
 	p.latency += latencyWeight * (float64(responseTime) - p.latency)
@@ -220,14 +227,17 @@
 }
 
 // enqueue adds a request to the queue. It returns ErrPoolTimeout if the expected wait
-// is too long or queueLimit requests of the account are waiting, and ErrUnknownServer
-// if the pool is closed.
+// is too long or queueLimit requests of the account are waiting, ErrUnknownServer
+// if the pool is closed, or an error of refuseSlow.
 func (p *pool) enqueue(account string, weight int, wait clock.Millis) (*fair.Item, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, ErrUnknownServer
 	}
+	if err := p.refuseSlow(wait); err != nil {
+		return nil, err
+	}
 	if p.queue.Len() > 0 && p.expectedWait(account)*waitMargin > float64(wait) {
 		return nil, ErrPoolTimeout
 	}
@@ -269,7 +279,7 @@
 	if p.group.options.Clock.Now() < p.pausedUntil {
 		return
 	}
-	for p.queue.Len() > 0 && p.running+p.granted < int(p.window) {
+	for p.queue.Len() > 0 && p.running+p.granted < int(p.window) && p.maySend() {
 		canOpen := p.open < p.maxConns() && !p.connLimitHolds(p.group.options.Clock.Now())
 		if len(p.idle) == 0 && !canOpen {
 			return
@@ -286,6 +296,7 @@
 		}
 		pc.granted = true
 		p.granted++
+		p.reserveSend()
 		item.Value.(*waiter).ready <- pc
 	}
 }
@@ -332,16 +343,18 @@
 	}
 	p.mu.Lock()
 	p.queue.Remove(item)
-	noConns, closed := p.open == 0, p.closed
+	noConns, closed, unreachable := p.open == 0, p.closed, item.Value.(*waiter).unreachable
 	p.mu.Unlock()
 	select {
 	case pc := <-item.Value.(*waiter).ready:
-		return p.grantResult(pc)
+		return p.grantResult(pc, unreachable)
 	default:
 	}
 	switch {
 	case closed:
 		return nil, ErrUnknownServer
+	case unreachable:
+		return nil, ErrUnreachable
 	case noConns:
 		return nil, ErrTooManyConnections
 	}
@@ -349,9 +362,12 @@
 }
 
 // grantResult returns a granted connection, or ErrUnknownServer for the nil grant of
-// a closed pool.
-func (p *pool) grantResult(pc *PooledConn) (*PooledConn, error) {
-	if pc == nil {
+// a closed pool and ErrUnreachable for that of a server that does not answer.
+func (p *pool) grantResult(pc *PooledConn, unreachable bool) (*PooledConn, error) {
+	switch {
+	case pc == nil && unreachable:
+		return nil, ErrUnreachable
+	case pc == nil:
 		return nil, ErrUnknownServer
 	}
 	return pc, nil
@@ -362,7 +378,7 @@
 func (p *pool) load(now clock.Millis) (inFlight int, latency float64, avoided bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.running + p.remoteRunning + p.queue.Len(), choice.DecayLatency(p.latency, now-p.latencyAt), now < p.avoidUntil || p.closed
+	return p.running + p.remoteRunning + p.queue.Len(), choice.DecayLatency(p.latency, now-p.latencyAt), now < p.avoidUntil || p.closed || p.isCrowded()
 }
 
 // queueLength returns the number of waiting requests.
--- a/internal/serve/database/pooledconn.go
+++ b/internal/serve/database/pooledconn.go
@@ -27,8 +27,10 @@
 	settings map[string]string
 	// prepared is nil if another VM holds the connection.
 	prepared *preparedStatements
-	// usedAt is the time at which the connection was opened or last released.
-	usedAt clock.Millis
+	// openedAt is the time at which the opening of the connection began, usedAt that at which it
+	// was opened or last released.
+	openedAt clock.Millis
+	usedAt   clock.Millis
 	// status is the state of the server's session.
 	status statement.Status
 	// broken is set once the connection must be closed on release.
@@ -73,6 +75,11 @@
 			return statement.Answer{}, err
 		}
 	}
+	if !pc.pool.awaitSend(pc, r, deadline) {
+		a := statement.Refuse(statement.Busy, errColdLimit.Error(), pc.status)
+		pc.logSent(r, name, a, nil)
+		return a, nil
+	}
 	sent := c.Now()
 	r.Timeout = deadline - sent
 	pc.pool.startStatement(pc.granted)
@@ -95,6 +102,7 @@
 		return a, err
 	}
 	pc.status = a.Status
+	pc.pool.recordProcess(pc.openedAt)
 	if name != "" && a.Code == statement.NotPrepared {
 		pc.prepared.remove(r.Execution.Shape)
 	}
@@ -200,6 +208,7 @@
 		return status, err
 	}
 	pc.pool.recordSuccess()
+	pc.pool.recordProcess(pc.openedAt)
 	return status, nil
 }
 
--- a/internal/serve/database/probe.go
+++ b/internal/serve/database/probe.go
@@ -33,6 +33,7 @@
 		start(func() { g.probe(ctx, p) })
 	}
 	g.claimIfDue(ctx, start)
+	g.refreshDirectoryIfDue(ctx, start)
 	g.trim(now)
 }
 
--- a/internal/serve/database/server.go
+++ b/internal/serve/database/server.go
@@ -32,6 +32,9 @@
 	// Born is the start time of the server in Unix milliseconds, or 0 if unknown. It
 	// distinguishes restarts that keep the ID.
 	Born int64
+	// ColdLeft is how much longer the server stays cold, in milliseconds as of the read of the
+	// directory. 0 means that it is warm.
+	ColdLeft clock.Millis `json:",omitempty"`
 }
 
 // Request is one statement to run on a connection.
