Hold the operators' limit of statements to a cold server

The proxy ignored coldLeftMs of servers, coldPerS and coldStartS of services, and the settings coldOver and coldSlack.

Decode them, list the VMs in the order of their registration, and derive the share of this VM from it. Statements for a cold server go to the VMs with a share. Missing fields mean no limit, and then nothing changes.

--- /dev/null
+++ b/internal/serve/frontend/cold.go
@@ -0,0 +1,144 @@
+package frontend
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/slowstart"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
+)
+
+// restoredListTime is how long after a restore of the store its list of VMs may lack some that run,
+// in milliseconds.
+const restoredListTime = 10 * clock.Second
+
+// coldSenders holds the VMs that may send to a server while it is cold, for one limit.
+type coldSenders struct {
+	limit   slowstart.Limit
+	senders []slowstart.Sender
+}
+
+// registeredVMs returns the VMs in the order of their registration, or nil while that is not known:
+// the list does not have this VM as it is now, or lacks some that run since the store was restored.
+// After the end of service it is nil too, because this VM then leaves the list.
+func (f *Frontend) registeredVMs() []member.VM {
+	list := f.mesh.List().VMs
+	if f.ended.Load() || !slices.Contains(list, f.options.Self) {
+		return nil
+	}
+	if f.options.Clock.Now()-f.lastRestore() < restoredListTime {
+		isListed := func(v member.VM) bool {
+			return slices.ContainsFunc(list, func(o member.VM) bool { return o.Name == v.Name })
+		}
+		if slices.ContainsFunc(f.mesh.Members(), func(v member.VM) bool { return !isListed(v) }) {
+			return nil
+		}
+	}
+	return list
+}
+
+// setRegistered replaces the list of VMs in the order of their registration.
+func (c *holderCache) setRegistered(vms []member.VM) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !slices.Equal(c.registered, vms) {
+		c.registered = vms
+		clear(c.senders)
+	}
+}
+
+// sendersOf returns the VMs that may send to a server while it is cold.
+func (c *holderCache) sendersOf(s database.Server, l slowstart.Limit) []slowstart.Sender {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sendersOfLocked(s, l)
+}
+
+func (c *holderCache) sendersOfLocked(s database.Server, l slowstart.Limit) []slowstart.Sender {
+	v, ok := c.senders[s.ID]
+	if !ok || v.limit != l {
+		v = coldSenders{limit: l, senders: slowstart.Senders(c.registered, s.Zone, l)}
+		if c.senders != nil {
+			c.senders[s.ID] = v
+		}
+	}
+	return v.senders
+}
+
+// runningSenders returns those of sendersOf that are presumably running.
+func (c *holderCache) runningSenders(s database.Server, l slowstart.Limit) []slowstart.Sender {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(c.sendersOfLocked(s, l)), func(o slowstart.Sender) bool {
+		return !slices.ContainsFunc(c.members, func(v member.VM) bool { return v.Name == o.VM.Name && !v.Leaving })
+	})
+}
+
+// coldGroup returns the group of a server and the limit for its cold servers. The limit is not set
+// before there is a catalog.
+func (f *Frontend) coldGroup(s database.Server) (catalog.Group, slowstart.Limit) {
+	c := f.catalog.Load()
+	if c == nil {
+		return catalog.Group{}, slowstart.Limit{}
+	}
+	g, _ := c.Group(s.Group)
+	return g, slowstart.Limit{PerSecond: g.ColdRate, Excess: f.options.ColdExcess, Slack: f.options.ColdSlack}
+}
+
+// cold returns what is stated of a server's cold starts.
+func (f *Frontend) cold(s database.Server) database.Cold {
+	g, l := f.coldGroup(s)
+	if !l.IsSet() {
+		return database.Cold{}
+	}
+	out := database.Cold{Limited: true, ReadAt: clock.Millis(f.coldReadAt.Load()), StartTime: g.ColdTime}
+	if s.ColdLeft > 0 {
+		out.Until = clock.Millis(f.coldAppliedAt.Load()) + s.ColdLeft
+	}
+	return out
+}
+
+// coldShare returns the number of callers' statements in any second that this VM may send to a
+// server while it is cold.
+func (f *Frontend) coldShare(s database.Server) int {
+	_, l := f.coldGroup(s)
+	for _, o := range f.holderCache.sendersOf(s, l) {
+		if o.VM.Name == f.options.Self.Name {
+			return o.Share
+		}
+	}
+	return 0
+}
+
+// isCold reports whether the directory says that a server is cold, and there is a limit.
+func (f *Frontend) isCold(s database.Server) bool {
+	return s.ColdLeft > 0 && f.options.Clock.Now() < f.cold(s).Until
+}
+
+// vmsOf returns the VMs that may open connections to a server now. Those of a cold server are the
+// ones that may send to it, without reserves.
+func (f *Frontend) vmsOf(s database.Server) serverVMs {
+	if !f.isCold(s) {
+		return f.holderCache.vmsOf(s)
+	}
+	_, l := f.coldGroup(s)
+	var out serverVMs
+	for _, o := range f.holderCache.runningSenders(s, l) {
+		out.holders = append(out.holders, o.VM)
+	}
+	return out
+}
+
+// rankHolders returns the holders of a server in the order in which a request of an account tries
+// them. Those of a cold server are first according to their shares: an account whose statements
+// all went to one of them would get that share only.
+func (f *Frontend) rankHolders(s database.Server, account string) []member.VM {
+	if !f.isCold(s) {
+		return member.RankHolders(f.holderCache.vmsOf(s).holders, s.ID, account)
+	}
+	_, l := f.coldGroup(s)
+	return slowstart.Order(f.holderCache.runningSenders(s, l), rand.Uint64())
+}
--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -144,6 +144,8 @@
 		return
 	}
 	f.directory, f.directoryReadAt = servers, readAt
+	f.coldReadAt.Store(int64(readAt))
+	f.coldAppliedAt.Store(int64(f.options.Clock.Now()))
 	hash := hashDirectory(servers)
 	changed := hash != f.directoryHash
 	f.directoryHash = hash
@@ -175,6 +177,7 @@
 	case hash == 0 || readAt <= f.directoryReadAt:
 	case hash == f.directoryHash:
 		f.directoryReadAt = readAt
+		f.coldReadAt.Store(int64(readAt))
 	case !f.fetchingDirectory:
 		f.fetchingDirectory = true
 		f.spawn(func() { f.fetchDirectory(address, readAt) })
@@ -249,7 +252,8 @@
 		Name: name, Zone: o.Self.Zone, Region: o.Self.Region, Clock: o.Clock, Log: o.Log,
 		Protocol: o.Protocol, Counters: f.counters, Trace: o.Trace, SyncReplicas: syncReplicas, DrainTimeout: o.DrainPeriod / drainDivisor,
 		MaxConnsFunc: func(s database.Server) int { return f.connLimits(s).maxConns },
-		MaxIdleFunc:  func(s database.Server) int { return f.connLimits(s).maxIdle }, HolderCountFunc: func(s database.Server) int { return len(f.holderCache.vmsOf(s).holders) }, RemoteConnFunc: f.forwarder.Remote,
+		MaxIdleFunc:  func(s database.Server) int { return f.connLimits(s).maxIdle }, HolderCountFunc: func(s database.Server) int { return len(f.vmsOf(s).holders) }, RemoteConnFunc: f.forwarder.Remote,
+		ColdFunc: f.cold, ColdShareFunc: f.coldShare,
 		Self: o.Self.Name, LiveVMsFunc: func() []string { return vmNames(f.mesh.Alive()) },
 		LeavingVMsFunc: func() []string { return vmNames(f.mesh.Leaving()) }, VMRemovedAtFunc: f.mesh.RemovedAt,
 		SettledFunc:    f.mesh.Settled,
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -50,6 +50,9 @@
 	Registry   Registry
 	Claims     database.ClaimStore
 	Tolerance  Tolerance
+	// ColdExcess and ColdSlack are those of slowstart.Limit.
+	ColdExcess float64
+	ColdSlack  float64
 	// DrainPeriod is how long requests may still reach a leaving backend server, in
 	// milliseconds.
 	DrainPeriod clock.Millis
@@ -136,6 +139,10 @@
 	directory       []database.Server
 	directoryReadAt clock.Millis
 	directoryHash   uint64
+	// coldReadAt is directoryReadAt, and coldAppliedAt the time at which the directory was applied,
+	// in milliseconds: what is left of a cold start counts from then at the latest.
+	coldReadAt    atomic.Int64
+	coldAppliedAt atomic.Int64
 	// fetchingDirectory is set while a directory is being fetched from another VM.
 	fetchingDirectory bool
 	// conns holds the connections of callers with a session.
--- a/internal/serve/frontend/holders.go
+++ b/internal/serve/frontend/holders.go
@@ -35,10 +35,10 @@
 	return forward.New(forward.Options{
 		Self: o.Self.Name, Clock: o.Clock, Log: o.Log, Trace: o.Trace,
 		HoldersFunc: func(s database.Server, account string) []member.VM {
-			return member.RankHolders(f.holderCache.vmsOf(s).holders, s.ID, account)
+			return f.rankHolders(s, account)
 		},
 		ReservesFunc: func(s database.Server, account string) []member.VM {
-			return member.RankHolders(f.holderCache.vmsOf(s).reserves, s.ID, account)
+			return member.RankHolders(f.vmsOf(s).reserves, s.ID, account)
 		},
 		OpenFunc: func(ctx context.Context, v member.VM) (inner.Exchange, error) {
 			t := f.transport.Load()
@@ -65,6 +65,11 @@
 	// servers is by the server's ID, groups by the name of the group.
 	servers map[string]serverVMs
 	groups  map[string][]member.VM
+	// registered lists the VMs in the order of their registration, or is nil while that is not
+	// known.
+	registered []member.VM
+	// senders holds the VMs that may send to a server while it is cold, by the server's ID.
+	senders map[string]coldSenders
 }
 
 // setMembers replaces the list of VMs and empties the cache, unless the list is the same.
@@ -85,7 +90,7 @@
 }
 
 func (c *holderCache) clearLocked() {
-	c.servers, c.groups = map[string]serverVMs{}, map[string][]member.VM{}
+	c.servers, c.groups, c.senders = map[string]serverVMs{}, map[string][]member.VM{}, map[string]coldSenders{}
 }
 
 // vmsOf returns the VMs that may open connections to a server.
@@ -165,6 +170,7 @@
 func (f *Frontend) beginRound() {
 	f.limiter.beginRound()
 	f.holderCache.setMembers(f.mesh.Members())
+	f.holderCache.setRegistered(f.registeredVMs())
 	if now := f.options.Clock.Now(); now-f.heldCountedAt >= heldCountInterval {
 		f.heldCountedAt = now
 		f.countHeld()
@@ -224,7 +230,7 @@
 		return connLimits{maxConns: 1, maxIdle: 1}
 	}
 	g, _ := c.Group(s.Group)
-	vms := f.holderCache.vmsOf(s)
+	vms := f.vmsOf(s)
 	isSelf := func(v member.VM) bool { return v.Name == f.options.Self.Name }
 	switch {
 	case slices.ContainsFunc(vms.holders, isSelf):
--- a/internal/setup/catalog/catalog.go
+++ b/internal/setup/catalog/catalog.go
@@ -72,6 +72,11 @@
 	// SyncReplicas is the number of replicas that must have received a commit before it
 	// is acknowledged.
 	SyncReplicas int
+	// ColdRate is the number of callers' statements that a cold backend server of the group runs
+	// in a second, or 0 if that is not stated; ColdTime is how long one stays cold after its
+	// start, in milliseconds, or 0.
+	ColdRate float64
+	ColdTime clock.Millis
 }
 
 // Catalog is one version of the configuration.
