Count a cold start down between reads of the directory

What is left of a cold start changed the hash of the directory at each read, so that VMs fetched it from each other all the time, and a copy from another VM counted from the time of its arrival. A VM whose list of VMs was read before its own registration had no share until the next read, up to 40 s later.

Compare what is left in steps of 5 s, pass it on less the time since it was applied, and read the list again while there is a limit and it lacks this VM. A first failure is left aside for four response times more, since a busy slow server answers one VM seldom.

--- a/internal/core/slowstart/slowstart.go
+++ b/internal/core/slowstart/slowstart.go
@@ -1,5 +1,5 @@
 // Package slowstart decides how many statements one VM has in flight to a server that has
-// started, has failed or was not used for long, and how many it sends to one that is cold.
+// started, has failed or resumes, and how many it sends to one that is cold.
 // It addresses callers' statements that flood a server with cold caches, which then answers
 // none in time, and servers that are left idle although they answer.
 //
@@ -12,9 +12,11 @@
 )
 
 const (
-	// failureGrace is the age of the last answer, in milliseconds, up to which a first failure
-	// says nothing of the server: one statement may end by its own timeout.
+	// failureGrace, in milliseconds, and graceAnswers, in response times of the baseline, are the
+	// age of the last answer up to which a first failure says nothing of the server: one
+	// statement may end by its own timeout, and a busy slow server answers one VM seldom.
 	failureGrace = clock.Millis(100)
+	graceAnswers = 4.0
 	// minBackoff and maxBackoff bound the pause after a failed attempt, in milliseconds.
 	minBackoff = clock.Millis(20)
 	maxBackoff = clock.Millis(300)
@@ -215,7 +217,8 @@
 // aside.
 func (r Ramp) WithFailure(now clock.Millis) Ramp {
 	r.failures++
-	if r.failures == 1 && !r.down && now-r.answeredAt <= failureGrace && r.answeredAt > 0 {
+	grace := failureGrace + clock.Millis(graceAnswers*r.baseline)
+	if r.failures == 1 && !r.down && now-r.answeredAt <= grace && r.answeredAt > 0 {
 		return r
 	}
 	if r.down && now < r.retryAt {
--- a/internal/serve/frontend/cold.go
+++ b/internal/serve/frontend/cold.go
@@ -15,6 +15,46 @@
 // in milliseconds.
 const restoredListTime = 10 * clock.Second
 
+// coldLeftStep is the step of what is left of a cold start by which VMs compare directories, in
+// milliseconds.
+const coldLeftStep = 5 * clock.Second
+
+// listAskPause is the least pause between two reads of the list of VMs because it lacks this one, in
+// milliseconds.
+const listAskPause = 2 * clock.Second
+
+// setCold records until when the servers of a directory are cold. What is left counts from now, and
+// not from the time of the read, which may be known as too early.
+func (f *Frontend) setCold(servers []database.Server, readAt clock.Millis) {
+	now := f.options.Clock.Now()
+	until := map[string]clock.Millis{}
+	for _, s := range servers {
+		if s.ColdLeft > 0 {
+			until[s.ID] = now + s.ColdLeft
+		}
+	}
+	f.coldUntil.Store(&until)
+	f.coldReadAt.Store(int64(readAt))
+}
+
+// coldEnd returns the time until which a server is cold, or 0.
+func (f *Frontend) coldEnd(server string) clock.Millis {
+	if until := f.coldUntil.Load(); until != nil {
+		return (*until)[server]
+	}
+	return 0
+}
+
+// agedDirectory returns a directory with what is left of the cold starts now.
+func (f *Frontend) agedDirectory(servers []database.Server) []database.Server {
+	now := f.options.Clock.Now()
+	out := slices.Clone(servers)
+	for i := range out {
+		out[i].ColdLeft = max(f.coldEnd(out[i].ID)-now, 0)
+	}
+	return out
+}
+
 // coldSenders holds the VMs that may send to a server while it is cold, for one limit.
 type coldSenders struct {
 	limit   slowstart.Limit
@@ -26,7 +66,11 @@
 // After the end of service it is nil too, because this VM then leaves the list.
 func (f *Frontend) registeredVMs() []member.VM {
 	list := f.mesh.List().VMs
-	if f.ended.Load() || !slices.Contains(list, f.options.Self) {
+	if f.ended.Load() {
+		return nil
+	}
+	if !slices.Contains(list, f.options.Self) {
+		f.askForList()
 		return nil
 	}
 	if f.options.Clock.Now()-f.lastRestore() < restoredListTime {
@@ -40,6 +84,22 @@
 	return list
 }
 
+// askForList reads the list of VMs if there is a limit for cold servers: the one that this VM read
+// before its registration lacks it, and the next periodic read may be far off.
+func (f *Frontend) askForList() {
+	c, now := f.catalog.Load(), f.options.Clock.Now()
+	if c == nil || f.options.ColdExcess <= 0 || !f.mesh.Registered() || f.listAskedAt != 0 && now-f.listAskedAt < listAskPause {
+		return
+	}
+	for _, g := range c.Groups() {
+		if g.ColdRate > 0 {
+			f.listAskedAt = now
+			f.spawn(func() { _ = f.mesh.RefreshVMs(f.ctx) })
+			return
+		}
+	}
+}
+
 // setRegistered replaces the list of VMs in the order of their registration.
 func (c *holderCache) setRegistered(vms []member.VM) {
 	c.mu.Lock()
@@ -94,11 +154,7 @@
 	if !l.IsSet() {
 		return database.Cold{}
 	}
-	out := database.Cold{Limited: true, ReadAt: clock.Millis(f.coldReadAt.Load()), StartTime: g.ColdTime}
-	if s.ColdLeft > 0 {
-		out.Until = clock.Millis(f.coldAppliedAt.Load()) + s.ColdLeft
-	}
-	return out
+	return database.Cold{Limited: true, Until: f.coldEnd(s.ID), ReadAt: clock.Millis(f.coldReadAt.Load()), StartTime: g.ColdTime}
 }
 
 // coldShare returns the number of callers' statements in any second that this VM may send to a
@@ -115,7 +171,8 @@
 
 // isCold reports whether the directory says that a server is cold, and there is a limit.
 func (f *Frontend) isCold(s database.Server) bool {
-	return s.ColdLeft > 0 && f.options.Clock.Now() < f.cold(s).Until
+	end := f.coldEnd(s.ID)
+	return end != 0 && f.options.Clock.Now() < end && f.cold(s).Limited
 }
 
 // vmsOf returns the VMs that may open connections to a server now. Those of a cold server are the
--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -144,8 +144,7 @@
 		return
 	}
 	f.directory, f.directoryReadAt = servers, readAt
-	f.coldReadAt.Store(int64(readAt))
-	f.coldAppliedAt.Store(int64(f.options.Clock.Now()))
+	f.setCold(servers, readAt)
 	hash := hashDirectory(servers)
 	changed := hash != f.directoryHash
 	f.directoryHash = hash
@@ -158,10 +157,12 @@
 }
 
 // hashDirectory returns a hash of a directory, whatever the order of its servers. That
-// of an empty directory is 1, since 0 stands for no directory.
+// of an empty directory is 1, since 0 stands for no directory. What is left of cold starts counts
+// in steps of coldLeftStep, since it falls all the time.
 func hashDirectory(servers []database.Server) uint64 {
 	hash := uint64(len(servers)) + 1
 	for _, s := range servers {
+		s.ColdLeft = (s.ColdLeft + coldLeftStep - 1) / coldLeftStep * coldLeftStep
 		hash += xxhash.Sum64String(fmt.Sprintf("%#v", s))
 	}
 	return hash
@@ -208,7 +209,7 @@
 func (f *Frontend) answerDirectory() inner.Answer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	text, err := json.Marshal(f.directory)
+	text, err := json.Marshal(f.agedDirectory(f.directory))
 	if err != nil || f.directoryHash == 0 {
 		return inner.Answer{Error: "the VM has no directory yet"}
 	}
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -139,10 +139,13 @@
 	directory       []database.Server
 	directoryReadAt clock.Millis
 	directoryHash   uint64
-	// coldReadAt is directoryReadAt, and coldAppliedAt the time at which the directory was applied,
-	// in milliseconds: what is left of a cold start counts from then at the latest.
-	coldReadAt    atomic.Int64
-	coldAppliedAt atomic.Int64
+	// coldReadAt is directoryReadAt in milliseconds, and coldUntil the time until which each cold
+	// server of the directory stays cold, by ID. Pools read them with their locks held.
+	coldReadAt atomic.Int64
+	coldUntil  atomic.Pointer[map[string]clock.Millis]
+	// listAskedAt is the time at which the list of VMs was last read because it lacked this VM;
+	// only beginRound uses it.
+	listAskedAt clock.Millis
 	// fetchingDirectory is set while a directory is being fetched from another VM.
 	fetchingDirectory bool
 	// conns holds the connections of callers with a session.
