Give a VM no share of a cold server after its end of service

The share of a VM that leaves passes on once its row is removed, and a statement that waits at that time could still have been sent. Return no share from the end of service on, before the row is removed.

--- a/internal/serve/frontend/cold.go
+++ b/internal/serve/frontend/cold.go
@@ -63,12 +63,8 @@
 
 // registeredVMs returns the VMs in the order of their registration, or nil while that is not known:
 // the list does not have this VM as it is now, or lacks some that run since the store was restored.
-// After the end of service it is nil too, because this VM then leaves the list.
 func (f *Frontend) registeredVMs() []member.VM {
 	list := f.mesh.List().VMs
-	if f.ended.Load() {
-		return nil
-	}
 	if !slices.Contains(list, f.options.Self) {
 		f.askForList()
 		return nil
@@ -158,8 +154,11 @@
 }
 
 // coldShare returns the number of callers' statements in any second that this VM may send to a
-// server while it is cold.
+// server while it is cold: none after the end of service, since this VM then leaves the list.
 func (f *Frontend) coldShare(s database.Server) int {
+	if f.ended.Load() {
+		return 0
+	}
 	_, l := f.coldGroup(s)
 	for _, o := range f.holderCache.sendersOf(s, l) {
 		if o.VM.Name == f.options.Self.Name {
