--- a/internal/serve/database/pool.go
+++ b/internal/serve/database/pool.go
@@ -95,14 +95,16 @@
 	connLimitUntil clock.Millis
 	connLimitHits  int
 	connLimit      int
+	// slow bounds the statements to a server that has started or failed.
+	slow slowStart
 }
 
 // waiter is a request in the queue. It receives a connection, or nil when the pool
-// closes.
+// closes or the request is refused.
 type waiter struct {
 	ready chan *PooledConn
-	// shed is set before a nil connection if a more urgent request has taken its place.
-	shed bool
+	// refusal is set before a nil connection is sent, unless the pool closes.
+	refusal error
 }
 
 func newPool(g *Group, s Server) *pool {
@@ -125,6 +127,7 @@
 func (p *pool) recordSuccess() {
 	p.mu.Lock()
 	p.answeredAt = p.group.options.Clock.Now()
+	p.setRamp(p.slow.ramp.WithLife(p.answeredAt), p.answeredAt)
 	p.mu.Unlock()
 }
 
@@ -139,6 +142,7 @@
 func (p *pool) recordFailureLocked() {
 	p.failedAt = p.group.options.Clock.Now()
 	p.avoidUntil = p.failedAt + avoidTime
+	p.setRamp(p.slow.ramp.WithFailure(p.failedAt), p.failedAt)
 }
 
 // unreachable reports whether the server has failed recently and not answered for
@@ -177,8 +181,10 @@
 	p.answeredAt = now
 	if busy {
 		p.shrinkWindow(now)
+		p.setRamp(p.slow.ramp.WithBusy(now), now)
 		return
 	}
+	p.setRamp(p.slow.ramp.WithAnswer(float64(responseTime), int(p.window), now), now)
 	p.busyStreak = 0
 	p.window = min(p.window+windowGrowth/p.window, float64(max(p.maxConns(), 1)))
 	p.latency += latencyWeight * (float64(responseTime) - p.latency)
@@ -229,14 +235,17 @@
 }
 
 // enqueue adds a request to the queue. It returns ErrPoolTimeout if the expected wait
-// is too long or queueLimit requests of the account are waiting that are as urgent, and
-// ErrUnknownServer if the pool is closed.
+// is too long or queueLimit requests of the account are waiting that are as urgent,
+// ErrUnknownServer if the pool is closed, or an error of refuseSlow.
 func (p *pool) enqueue(r Requester, wait clock.Millis) (*fair.Item, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, ErrUnknownServer
 	}
+	if err := p.refuseSlow(wait); err != nil {
+		return nil, err
+	}
 	if p.queue.Len() > 0 && p.expectedWait(r)*waitMargin > float64(wait) {
 		return nil, ErrPoolTimeout
 	}
@@ -259,7 +268,7 @@
 	}
 	p.queue.Remove(least)
 	w := least.Value.(*waiter)
-	w.shed = true
+	w.refusal = ErrPoolTimeout
 	w.ready <- nil
 	p.group.options.Counters.shedRequests.Inc()
 	return p.queue.Push(item)
@@ -295,7 +304,7 @@
 	if p.group.options.Clock.Now() < p.pausedUntil {
 		return
 	}
-	for p.queue.Len() > 0 && p.running+p.granted < int(p.window) {
+	for p.queue.Len() > 0 && p.running+p.granted < int(p.window) && p.maySend() {
 		canOpen := p.open < p.maxConns() && !p.connLimitHolds(p.group.options.Clock.Now())
 		if len(p.idle) == 0 && !canOpen {
 			return
@@ -312,6 +321,7 @@
 		}
 		pc.granted = true
 		p.granted++
+		p.reserveSend()
 		item.Value.(*waiter).ready <- pc
 	}
 }
@@ -358,34 +368,34 @@
 	}
 	p.mu.Lock()
 	p.queue.Remove(item)
-	noConns, closed := p.open == 0, p.closed
+	noConns, closed, refusal := p.open == 0, p.closed, item.Value.(*waiter).refusal
 	p.mu.Unlock()
 	select {
 	case pc := <-item.Value.(*waiter).ready:
-		if pc == nil && item.Value.(*waiter).shed {
-			return nil, ErrPoolTimeout
-		}
-		return p.grantResult(pc)
+		return p.grantResult(pc, refusal)
 	default:
 	}
 	switch {
 	case closed:
 		return nil, ErrUnknownServer
-	case item.Value.(*waiter).shed:
-		return nil, ErrPoolTimeout
+	case refusal != nil:
+		return nil, refusal
 	case noConns:
 		return nil, ErrTooManyConnections
 	}
 	return nil, ErrPoolTimeout
 }
 
-// grantResult returns a granted connection, or ErrUnknownServer for the nil grant of
-// a closed pool.
-func (p *pool) grantResult(pc *PooledConn) (*PooledConn, error) {
-	if pc == nil {
-		return nil, ErrUnknownServer
+// grantResult returns a granted connection. For a nil grant it returns the refusal or, for that of
+// a closed pool, ErrUnknownServer.
+func (p *pool) grantResult(pc *PooledConn, refusal error) (*PooledConn, error) {
+	switch {
+	case pc != nil:
+		return pc, nil
+	case refusal != nil:
+		return nil, refusal
 	}
-	return pc, nil
+	return nil, ErrUnknownServer
 }
 
 // load returns the values by which a server is chosen: the statements in flight or
@@ -393,7 +403,7 @@
 func (p *pool) load(now clock.Millis) (inFlight int, latency float64, avoided bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.running + p.remoteRunning + p.queue.Len(), choice.DecayLatency(p.latency, now-p.latencyAt), now < p.avoidUntil || p.closed
+	return p.running + p.remoteRunning + p.queue.Len(), choice.DecayLatency(p.latency, now-p.latencyAt), now < p.avoidUntil || p.closed || p.isCrowded()
 }
 
 // queueLength returns the number of waiting requests.
--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -144,6 +144,7 @@
 		return
 	}
 	f.directory, f.directoryReadAt = servers, readAt
+	f.setCold(servers, readAt)
 	hash := hashDirectory(servers)
 	changed := hash != f.directoryHash
 	f.directoryHash = hash
@@ -157,10 +158,12 @@
 }
 
 // hashDirectory returns a hash of a directory, whatever the order of its servers. That
-// of an empty directory is 1, since 0 stands for no directory.
+// of an empty directory is 1, since 0 stands for no directory. What is left of cold starts counts
+// in steps of coldLeftStep, since it falls all the time.
 func hashDirectory(servers []database.Server) uint64 {
 	hash := uint64(len(servers)) + 1
 	for _, s := range servers {
+		s.ColdLeft = (s.ColdLeft + coldLeftStep - 1) / coldLeftStep * coldLeftStep
 		hash += xxhash.Sum64String(fmt.Sprintf("%#v", s))
 	}
 	return hash
@@ -176,6 +179,7 @@
 	case hash == 0 || readAt <= f.directoryReadAt:
 	case hash == f.directoryHash:
 		f.directoryReadAt = readAt
+		f.coldReadAt.Store(int64(readAt))
 	case !f.fetchingDirectory:
 		f.fetchingDirectory = true
 		f.spawn(func() { f.fetchDirectory(address, readAt) })
@@ -206,7 +210,7 @@
 func (f *Frontend) answerDirectory() inner.Answer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	text, err := json.Marshal(f.directory)
+	text, err := json.Marshal(f.agedDirectory(f.directory))
 	if err != nil || f.directoryHash == 0 {
 		return inner.Answer{Error: "the VM has no directory yet"}
 	}
@@ -250,7 +254,8 @@
 		Name: name, Zone: o.Self.Zone, Region: o.Self.Region, Clock: o.Clock, Log: o.Log,
 		Protocol: o.Protocol, Counters: f.counters, Trace: o.Trace, SyncReplicas: syncReplicas, DrainTimeout: o.DrainPeriod / drainDivisor,
 		MaxConnsFunc: func(s database.Server) int { return f.connLimits(s).maxConns },
-		MaxIdleFunc:  func(s database.Server) int { return f.connLimits(s).maxIdle }, HolderCountFunc: func(s database.Server) int { return len(f.holderCache.vmsOf(s).holders) }, RemoteConnFunc: f.forwarder.Remote,
+		MaxIdleFunc:  func(s database.Server) int { return f.connLimits(s).maxIdle }, HolderCountFunc: func(s database.Server) int { return len(f.vmsOf(s).holders) }, RemoteConnFunc: f.forwarder.Remote,
+		ColdFunc: f.cold, ColdShareFunc: f.coldShare,
 		Self: o.Self.Name, LiveVMsFunc: func() []string { return vmNames(f.mesh.Alive()) },
 		LeavingVMsFunc: func() []string { return vmNames(f.mesh.Leaving()) }, VMRemovedAtFunc: f.mesh.RemovedAt,
 		SettledFunc:    f.mesh.Settled,
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -50,6 +50,9 @@
 	Registry   Registry
 	Claims     database.ClaimStore
 	Tolerance  Tolerance
+	// ColdExcess and ColdSlack are those of slowstart.Limit.
+	ColdExcess float64
+	ColdSlack  float64
 	// DrainPeriod is how long requests may still reach a leaving backend server, in
 	// milliseconds.
 	DrainPeriod clock.Millis
@@ -145,6 +148,13 @@
 	// unknownRegions names the regions to which routes or accounts are constrained and in which
 	// no server is listed.
 	unknownRegions []string
+	// coldReadAt is directoryReadAt in milliseconds, and coldUntil the time until which each cold
+	// server of the directory stays cold, by ID. Pools read them with their locks held.
+	coldReadAt atomic.Int64
+	coldUntil  atomic.Pointer[map[string]clock.Millis]
+	// listAskedAt is the time at which the list of VMs was last read because it lacked this VM;
+	// only beginRound uses it.
+	listAskedAt clock.Millis
 	// fetchingDirectory is set while a directory is being fetched from another VM.
 	fetchingDirectory bool
 	// conns holds the connections of callers with a session.
