--- a/internal/serve/frontend/cold_test.go
+++ b/internal/serve/frontend/cold_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"testing"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"github.com/google/go-cmp/cmp"
 
@@ -22,7 +23,7 @@
 // coldFrontend returns a VM of zone a whose list of VMs is that of list, with a limit of 24 statements
 // in a second for cold servers of group g.
 func coldFrontend(t *testing.T, c *clock.Fake, self member.VM, list *[]member.VM) *Frontend {
-	f := &Frontend{era: 1, lostDependencies: map[string]bool{}, groups: map[string]*database.Group{}, directoryReadAt: clock.DistantPast, restoredAt: clock.DistantPast}
+	f := &Frontend{unknownRegionsGauge: metrics.NewSet().NewGauge("unknown", nil), era: 1, lostDependencies: map[string]bool{}, groups: map[string]*database.Group{}, directoryReadAt: clock.DistantPast, restoredAt: clock.DistantPast}
 	f.options = Options{Self: self, Clock: c.Clock(), Log: log.New(io.Discard), EraFunc: func() uint64 { return 1 }, ColdExcess: 1.2}
 	f.mesh = gossip.New(gossip.Options{Self: self, Clock: c.Clock(), ListFunc: func(context.Context) (inner.List, error) { return inner.List{VMs: *list}, nil }})
 	configuration := catalog.New(1)
