Give the sides of a partition between VMs parts of an account's limit

During a partition between VMs an account ran up to 1.7 times what its limit allows in 5 s, and after contact was restored most of what it was due was refused.

Each side went on with the whole rate and burst: a follower that becomes a relay has no peers of the other side, and estimates of silent peers end after 8 s. Once contact was restored a side was charged with everything that the other one had spent. A relay that newly heard a VM added the whole count of its process to the total of the zone, which the other zones were charged with too.

A VM now has the part of the rate and the burst that its reach gives it: the VMs from which it learns of use, directly or through relays, as a part of all known ones. Totals of a zone and hints of a relay say how many VMs they cover (Covered, Known). When VMs come into reach again their part of the tokens is added, and what they spent meanwhile is not charged.

--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -6,11 +6,15 @@
 // account within its rate. An account over its rate gets about the whole rate.
 //
 // The shares of all VMs add up to about one, so that together they spend about
-// the tokens that the bucket has, however late the reports are. When a VM is cut
-// off, both sides go on with the share that it had at its last report. A VM that
-// has received no message of any VM for SilenceTimeout spends only its part of the
-// tolerance set by WithVMs. VMs leave an account without demand out of their messages, so a
-// VM that sends messages and no report of the account has no demand for it.
+// the tokens that the bucket has, however late the reports are. While VMs do not
+// receive reports of others, a VM has the part of the rate and the burst that its reach
+// gives it: the VMs that report to it, as a part of all known ones. All VMs know how many
+// there are, so the parts of sides that do not reach each other add up to no more than the
+// whole. When a VM reports again, its part of the tokens is added. What it spent meanwhile
+// is not charged, since it came from that part. A VM that has received no message of any
+// VM for SilenceTimeout spends only its part of the tolerance set by WithVMs. VMs leave an
+// account without demand out of their messages, so a VM that sends messages and no report
+// of the account has no demand for it.
 package quota
 
 import (
@@ -24,11 +28,13 @@
 	// demandTimeConstant is the time constant in milliseconds with which the estimate
 	// of demand decays.
 	demandTimeConstant = clock.Millis(2000)
-	// OverdueAfter is the time without a report after which a VM's spending is
-	// estimated.
+	// OverdueAfter is the time without a message after which a VM is out of reach. It is
+	// twice the interval between messages to another region.
 	OverdueAfter = clock.Millis(1800)
-	// SilenceTimeout is how long a VM that does not report is assumed to go on
-	// spending; after it the VM is dropped.
+	// JoinTime is the time within which the parts of one message arrive. A source that
+	// reports an account later than this after it came into reach had no demand before.
+	JoinTime = clock.Millis(200)
+	// SilenceTimeout is how long a VM that does not report is remembered.
 	SilenceTimeout = 8 * clock.Second
 	// minShare is the least share of a VM, relative to an even one.
 	minShare = 0.25
@@ -46,32 +52,48 @@
 	Spent uint64
 	// Demand is the rate in operations per second that callers asked for.
 	Demand float64
-	// Tokens is the VM's estimate of the tokens in the shared bucket.
+	// Tokens is the VM's estimate of the tokens in the shared bucket, scaled to the whole
+	// burst if the VM has a part of it.
 	Tokens float64
+	// Weight is the number of VMs that the report covers, as a part of all known ones, and
+	// Joined the time since which messages of its source have come without interruption.
+	// The receiver sets both.
+	Weight float64
+	Joined clock.Millis
 	// Aggregate marks a report for several VMs together. Process is that of the VM that
 	// adds them up, and Spent is its count; both change when another VM takes over.
 	Aggregate bool
 }
 
-// recentlySpent estimates the operations of the last few seconds from the demand.
-func (r Report) recentlySpent() float64 {
-	return r.Demand * float64(demandTimeConstant) / float64(clock.Second)
+// RecentlySpent estimates the operations of the last few seconds from the demand.
+func (r Report) RecentlySpent() uint64 {
+	return min(uint64(math.Ceil(r.Demand*float64(demandTimeConstant)/float64(clock.Second))), r.Spent)
 }
 
 // peer is what is known of another VM, or of several that report together.
 type peer struct {
 	report   Report
 	received clock.Millis
-	// share is the peer's share as of its last report, and estimated the number of
-	// operations subtracted from the bucket for it since.
-	share     float64
+	// overdue is set once its report is, and estimated the number of operations then
+	// subtracted from the bucket for it.
+	overdue   bool
 	estimated float64
 }
 
+// Contact is when messages of another VM, or of several that report together, came.
+type Contact struct {
+	// Joined is the time since which they come without an interruption of OverdueAfter,
+	// Last that of the last one.
+	Joined, Last clock.Millis
+}
+
 // Bucket is one VM's view of the token bucket of one account. It is an immutable
 // value.
 type Bucket struct {
 	rate, burst float64
+	// reach is the number of VMs whose use this one learns of, itself included, as a part
+	// of all known ones. This VM has that part of the rate and the burst.
+	reach float64
 	// tokens is the estimate of the tokens in the shared bucket, and credit the part of
 	// them that this VM may still take in this round.
 	tokens, credit float64
@@ -108,7 +130,7 @@
 // in operations per second.
 func New(rate, burst float64, now clock.Millis) Bucket {
 	return Bucket{
-		rate: rate, burst: burst, tokens: burst * initialFill, updated: now, peers: map[string]peer{}, firstRound: true, vms: 1, allowance: 1,
+		rate: rate, burst: burst, reach: 1, tokens: burst * initialFill, updated: now, peers: map[string]peer{}, firstRound: true, vms: 1, allowance: 1,
 		lastContact: now - SilenceTimeout, createdAt: now,
 	}
 }
@@ -120,9 +142,37 @@
 	return b
 }
 
-// vmCount returns the number of VMs: the one set, or that of the known peers and
-// this VM if it is higher.
-func (b Bucket) vmCount() float64 { return float64(max(b.vms, len(b.peers)+1)) }
+// WithReach sets the number of VMs whose use this VM learns of, itself included, as a part
+// of all known ones. The tokens change with it: a smaller part of them remains, and VMs
+// that come into reach are taken to have as many each as this one until they report. A debt
+// does not grow.
+func (b Bucket) WithReach(reach float64, now clock.Millis) Bucket {
+	reach = min(max(reach, 1/float64(b.vms)), 1)
+	if reach == b.reach {
+		return b
+	}
+	b = b.advance(now)
+	if reach < b.reach || b.tokens > 0 {
+		b.tokens *= reach / b.reach
+	}
+	if reach < b.reach {
+		b.credit = min(b.credit, max(b.tokens, 0))
+	}
+	b.reach = reach
+	return b
+}
+
+// ownRate and ownBurst return this VM's part of the rate and the burst, which it shares with
+// the VMs in reach.
+func (b Bucket) ownRate() float64 { return b.rate * b.reach }
+
+func (b Bucket) ownBurst() float64 { return b.burst * b.reach }
+
+// vmCount returns the number of VMs in reach, or that of the known peers and this VM if it
+// is higher.
+func (b Bucket) vmCount() float64 {
+	return max(float64(max(b.vms, len(b.peers)+1))*b.reach, 1)
+}
 
 // WithoutVMs drops the peers for whose names gone returns true.
 func (b Bucket) WithoutVMs(gone func(name string) bool) Bucket {
@@ -137,26 +187,30 @@
 }
 
 // WithContacts records that the last message of any other VM came at latest. The function
-// contactFunc returns the time of the last message of one peer. A peer that sends messages,
-// and has left the account out of them since its last report, has no demand.
-func (b Bucket) WithContacts(latest clock.Millis, contactFunc func(name string) clock.Millis, now clock.Millis) Bucket {
+// contactFunc returns the contact with one peer. A peer that sends messages, and has left the
+// account out of them since its last report, has no demand. One that was out of reach since
+// is forgotten, so that its next report adds its tokens.
+func (b Bucket) WithContacts(latest clock.Millis, contactFunc func(name string) Contact, now clock.Millis) Bucket {
 	b = b.advance(now)
 	b.lastContact = max(b.lastContact, latest)
-	var idle []string
+	changed := map[string]peer{}
 	for name, u := range b.peers {
-		if contactFunc(name)-u.received > OverdueAfter {
-			idle = append(idle, name)
+		if contactFunc(name).Last-u.received > OverdueAfter {
+			changed[name] = u
 		}
 	}
-	if len(idle) == 0 {
+	if len(changed) == 0 {
 		return b
 	}
 	b.peers = maps.Clone(b.peers)
-	for _, name := range idle {
-		u := b.peers[name]
-		b.tokens = min(b.tokens+u.estimated, b.burst)
-		u.received, u.report.Demand, u.estimated = contactFunc(name), 0, 0
-		u.share = b.silentShare(0, name)
+	for name, u := range changed {
+		c := contactFunc(name)
+		if u.received < c.Joined {
+			delete(b.peers, name)
+			continue
+		}
+		b.tokens = min(b.tokens+u.estimated, b.ownBurst())
+		u.received, u.report.Demand, u.estimated, u.overdue = c.Last, 0, 0, false
 		b.peers[name] = u
 	}
 	return b
@@ -178,7 +232,7 @@
 		return b
 	}
 	b = b.advance(now)
-	b.tokens = min(b.tokens+max(burst-b.burst, 0), burst)
+	b.tokens = min(b.tokens+max(burst-b.burst, 0)*b.reach, burst*b.reach)
 	b.credit = min(b.credit, b.tokens)
 	b.rate, b.burst = rate, burst
 	return b
@@ -192,8 +246,8 @@
 		return b
 	}
 	b.updated = now
-	added := b.rate * float64(elapsed) / float64(clock.Second)
-	b.tokens = min(b.tokens+added, b.burst)
+	added := b.ownRate() * float64(elapsed) / float64(clock.Second)
+	b.tokens = min(b.tokens+added, b.ownBurst())
 	b.demand *= math.Exp(-float64(elapsed) / float64(demandTimeConstant))
 	b = b.estimateSilent(now)
 	if b.isolated() {
@@ -214,39 +268,49 @@
 // allowanceShare is the part of the tolerance that goes to the allowances.
 const allowanceShare = 0.5
 
-// estimateSilent subtracts the tokens that peers with an overdue report are assumed
-// to have spent, and drops peers that were silent for longer than SilenceTimeout.
+// estimateSilent subtracts what peers whose report is overdue are assumed to have spent until
+// then, and drops peers that were silent for longer than SilenceTimeout.
 func (b Bucket) estimateSilent(now clock.Millis) Bucket {
+	spending := b.spendingFactor()
+	cloned := false
 	for name, u := range b.peers {
 		silent := now - u.received
-		if silent <= OverdueAfter {
+		if silent <= OverdueAfter || u.overdue && silent <= SilenceTimeout {
 			continue
 		}
-		b.peers = maps.Clone(b.peers)
+		if !cloned {
+			b.peers, cloned = maps.Clone(b.peers), true
+		}
 		if silent > SilenceTimeout {
 			delete(b.peers, name)
 			continue
 		}
-		spent := u.estimatedSpending(b.rate, silent)
-		b.tokens -= max(spent-u.estimated, 0)
-		u.estimated = max(u.estimated, spent)
+		u.overdue = true
+		u.estimated = u.report.Demand * spending * float64(OverdueAfter) / float64(clock.Second)
+		b.tokens -= u.estimated
 		b.peers[name] = u
 	}
 	return b
 }
 
-// estimatedSpending returns the operations that a peer is assumed to have run while
-// silent: those its callers asked for until OverdueAfter, and its share of the rate
-// from then on.
-func (u peer) estimatedSpending(rate float64, silent clock.Millis) float64 {
-	asked := min(u.report.Demand, rate) * float64(min(silent, OverdueAfter))
-	assumed := u.share * rate * float64(max(silent-OverdueAfter, 0))
-	return (asked + assumed) / float64(clock.Second)
+// spendingFactor returns the part of the demand that is served while it is above the rate.
+func (b Bucket) spendingFactor() float64 {
+	return min(1, b.ownRate()/max(b.reachedDemand(b.updated), b.ownRate(), idleDemand))
 }
 
-// ownShare returns this VM's share of the bucket: what the silent peers do not
-// keep, divided by demand among this VM and the peers that report, but at least
-// minShare of an even share. The share of an isolated VM is even.
+// reachedDemand returns the demand of this VM and the peers whose reports are not overdue.
+func (b Bucket) reachedDemand(now clock.Millis) float64 {
+	sum := b.demand
+	for _, u := range b.peers {
+		if !u.overdue && now-u.received <= SilenceTimeout {
+			sum += u.report.Demand
+		}
+	}
+	return sum
+}
+
+// ownShare returns this VM's share of the bucket: by demand among this VM and the peers that
+// report, but at least minShare of an even share. The share of an isolated VM is even.
 func (b Bucket) ownShare(now clock.Millis) float64 {
 	if b.isolated() {
 		return 1 / float64(b.vms)
@@ -254,41 +318,14 @@
 	if b.guidance.followed {
 		return 1 / b.vmCount()
 	}
-	sum, reserved := b.demand, 0.0
-	for _, u := range b.peers {
-		if now-u.received > OverdueAfter {
-			reserved += u.share
-			continue
-		}
-		sum += u.report.Demand
-	}
 	minimum := minShare / b.vmCount()
+	sum := b.reachedDemand(now)
 	if sum <= 0 {
 		return minimum
 	}
-	return max(b.demand/sum*max(1-reserved, 0), minimum)
-}
-
-// silentShare returns the share that another VM keeps while it does not report.
-// Most of it is by demand and the rest even, since a demand measured over a few
-// seconds may be chance.
-func (b Bucket) silentShare(demand float64, vm string) float64 {
-	sum := b.demand + demand
-	for name, u := range b.peers {
-		if name != vm {
-			sum += u.report.Demand
-		}
-	}
-	even := 1 / float64(max(len(b.peers), 1)+1)
-	if sum <= 0 {
-		return even
-	}
-	return (1-evenWeight)*demand/sum + evenWeight*even
+	return max(b.demand/sum, minimum)
 }
 
-// evenWeight is the weight of the even share in silentShare.
-const evenWeight = 0.3
-
 // WithRound begins a round, in which this VM may take its share of the bucket, and
 // returns the report for the other VMs. It is called once for each report that is
 // sent; the caller sets the report's Process.
@@ -305,7 +342,7 @@
 	if !b.isolated() && !b.isGuided() {
 		b.spareTokens = b.spareForRound()
 	}
-	return b, Report{Spent: b.spent, Demand: b.demand, Tokens: b.tokens}
+	return b, Report{Spent: b.spent, Demand: b.demand, Tokens: b.tokens / b.reach}
 }
 
 // spareForRound returns how many operations this VM may run in a round beyond its
@@ -360,17 +397,20 @@
 	if b.spent > 0 {
 		b.spent--
 	}
-	b.tokens = min(b.tokens+1, b.burst)
+	b.tokens = min(b.tokens+1, b.ownBurst())
 	b.credit = min(b.credit+1, max(b.tokens, 0))
 	return b
 }
 
 // WithReport records the report of another VM and corrects the estimate of what it
-// spent since its last one.
+// spent since its last one. If VMs have come into reach with it, their part of the tokens is
+// added.
 func (b Bucket) WithReport(vm string, r Report, now clock.Millis) Bucket {
 	b = b.advance(now)
 	u, known := b.peers[vm]
-	b.peers = maps.Clone(b.peers)
+	if u.received < r.Joined {
+		u, known = peer{}, false
+	}
 	switch {
 	case known && u.report.Process == r.Process:
 		// Spent may have decreased, by operations that were returned.
@@ -379,28 +419,29 @@
 		b.recent = b.recent.with(spent, now)
 	case known && r.Aggregate:
 		// Another VM adds them up now, and its count cannot be compared with the last.
-		b.tokens -= u.report.Demand*float64(now-u.received)/float64(clock.Second) - u.estimated
+		b.tokens -= u.report.Demand*b.spendingFactor()*float64(now-u.received)/float64(clock.Second) - u.estimated
 	case known:
 		b.tokens -= float64(r.Spent) - u.estimated
-	}
-	if !known && now-b.createdAt > OverdueAfter {
+	case now-max(r.Joined, b.createdAt) > JoinTime:
 		// A peer that left the account out until now has run what its demand shows.
-		b.tokens -= min(r.recentlySpent(), float64(r.Spent))
+		b.tokens -= float64(r.RecentlySpent())
 	}
-	if !known && b.spent == 0 {
-		// Until this VM has spent anything, its estimate may be the guess that it started
-		// with, so a new peer's lower estimate replaces it.
-		b.tokens = min(b.tokens, r.Tokens)
+	if joined := r.Weight - u.report.Weight; joined > 0 {
+		b.tokens += joined * (r.Tokens - max(b.tokens, 0)/b.reach)
 	}
-	b.tokens = min(b.tokens, b.burst)
+	b.tokens = min(b.tokens, b.ownBurst())
 	b.lastContact = now
-	b.peers[vm] = peer{report: r, received: now, share: b.silentShare(r.Demand, vm)}
+	b.peers = maps.Clone(b.peers)
+	b.peers[vm] = peer{report: r, received: now}
 	return b
 }
 
 // Tokens returns the estimate of how many operations the account may still run.
 func (b Bucket) Tokens(now clock.Millis) float64 { return b.advance(now).tokens }
 
+// Fill returns the tokens, scaled to the whole burst.
+func (b Bucket) Fill(now clock.Millis) float64 { return b.Tokens(now) / b.reach }
+
 // RoundUrgent reports whether a new round should begin soon. A VM that has used up its
 // credit and spare tokens while the bucket has a token for every VM needs one, unless it
 // is isolated. Any other needs one once it has spent many tokens since its last report,
--- a/internal/core/quota/bucket_test.go
+++ b/internal/core/quota/bucket_test.go
@@ -62,9 +62,9 @@
 		buckets[i] = New(l.Rate, l.Burst, 0).WithVMs(l.VMs, tolerance)
 	}
 	var messages []message
-	contacts := make([]map[string]clock.Millis, l.VMs)
+	contacts := make([]map[string]Contact, l.VMs)
 	for i := range contacts {
-		contacts[i] = map[string]clock.Millis{}
+		contacts[i] = map[string]Contact{}
 	}
 	reported, lastRound, urgent := make([]uint64, l.VMs), make([]clock.Millis, l.VMs), make([]bool, l.VMs)
 	tokens := l.Burst * initialFill
@@ -74,7 +74,8 @@
 		for i := range buckets {
 			regular := (now+clock.Millis(i)*roundInterval/clock.Millis(l.VMs))%roundInterval == 0
 			if regular || urgent[i] && now-lastRound[i] >= minRoundInterval {
-				b, r := buckets[i].WithContacts(latestOf(contacts[i]), func(name string) clock.Millis { return contacts[i][name] }, now).WithRound(now)
+				b := buckets[i].WithContacts(latestOf(contacts[i]), func(name string) Contact { return contacts[i][name] }, now)
+				b, r := b.WithReach(l.reach(contacts[i], now), now).WithRound(now)
 				r.Process = 1
 				m := message{at: now + max(l.Delay, messageDelay), from: i, report: r, idle: b.Idle(now) && reported[i] == r.Spent}
 				buckets[i], reported[i], lastRound[i], urgent[i] = b, r.Spent, now, false
@@ -120,16 +121,31 @@
 }
 
 // latestOf returns the time of the last message, or the distant past if there was none.
-func latestOf(contacts map[string]clock.Millis) clock.Millis {
+func latestOf(contacts map[string]Contact) clock.Millis {
 	latest := -SilenceTimeout
-	for _, at := range contacts {
-		latest = max(latest, at)
+	for _, c := range contacts {
+		latest = max(latest, c.Last)
 	}
 	return latest
 }
 
+// reach returns the VMs that a VM with these contacts reaches, as a part of all. Before the
+// first messages it reaches all.
+func (l load) reach(contacts map[string]Contact, now clock.Millis) float64 {
+	if now <= OverdueAfter {
+		return 1
+	}
+	reached := 1
+	for _, c := range contacts {
+		if now-c.Last <= OverdueAfter {
+			reached++
+		}
+	}
+	return float64(reached) / float64(l.VMs)
+}
+
 // deliver delivers the messages that are due and returns the rest.
-func (l load) deliver(buckets []Bucket, contacts []map[string]clock.Millis, messages []message, now clock.Millis) []message {
+func (l load) deliver(buckets []Bucket, contacts []map[string]Contact, messages []message, now clock.Millis) []message {
 	pending := messages[:0]
 	cut := now >= l.Cut && now < l.Heal
 	for _, m := range messages {
@@ -142,9 +158,15 @@
 				continue
 			}
 			name := fmt.Sprintf("vm%d", m.from)
-			contacts[i][name] = now
+			c, known := contacts[i][name]
+			if !known || now-c.Last > OverdueAfter {
+				c.Joined = now
+			}
+			c.Last = now
+			contacts[i][name] = c
 			if !m.idle {
-				buckets[i] = buckets[i].WithReport(name, m.report, now)
+				m.report.Joined, m.report.Weight = c.Joined, 1/float64(l.VMs)
+				buckets[i] = buckets[i].WithReach(l.reach(contacts[i], now), now).WithReport(name, m.report, now)
 			}
 		}
 	}
--- a/internal/core/quota/hint.go
+++ b/internal/core/quota/hint.go
@@ -30,7 +30,8 @@
 
 // Hint is a relay's report of an account that is near its limit.
 type Hint struct {
-	// Tokens is the estimate of the tokens in the shared bucket; it may be negative.
+	// Tokens is the estimate of the tokens in the shared bucket, scaled to the whole burst;
+	// it may be negative.
 	Tokens float64
 	// Demand is the rate in operations per second that callers ask of all VMs.
 	Demand float64
@@ -54,28 +55,23 @@
 // Hint returns the hint for other VMs, and false if the account is calm.
 func (b Bucket) Hint(now clock.Millis) (Hint, bool) {
 	b = b.advance(now)
-	demand := b.demand
-	for _, u := range b.peers {
-		if now-u.received <= OverdueAfter {
-			demand += u.report.Demand
-		}
-	}
-	near := b.tokens < nearFill*b.burst || demand > nearDemand*b.rate
+	demand := b.reachedDemand(now)
+	near := b.tokens < nearFill*b.ownBurst() || demand > nearDemand*b.ownRate()
 	// The demand that VMs report rises slowly at the beginning of a flood.
-	return Hint{Tokens: b.tokens, Demand: max(demand, b.recent.rate(now))}, near
+	return Hint{Tokens: b.tokens / b.reach, Demand: max(demand, b.recent.rate(now))}, near
 }
 
 // WithHint records that the relay counts the account as near its limit.
 func (b Bucket) WithHint(h Hint, now clock.Millis) Bucket {
 	b = b.withoutPeers().advance(now)
 	b.guidance.followed = true
-	b.tokens = min(h.Tokens, b.burst)
+	b.tokens = min(h.Tokens*b.reach, b.ownBurst())
 	return b.withNear(h, now)
 }
 
 // withNear sets the probability of admission for an account near its limit.
 func (b Bucket) withNear(h Hint, now clock.Millis) Bucket {
-	supply := b.rate + h.Tokens*float64(clock.Second)/float64(drainTime)
+	supply := b.ownRate() + b.tokens*float64(clock.Second)/float64(drainTime)
 	b.guidance = b.guidance.at(now)
 	b.guidance.near, b.guidance.admitted = true, min(max(supply, 0)/max(h.Demand, 1e-9), 1)
 	b.credit = max(b.tokens, 0) + b.calmCredit()
@@ -108,7 +104,7 @@
 
 // calmCredit returns the operations that a message of the relay allows for a calm account.
 func (b Bucket) calmCredit() float64 {
-	return max(calmFill*b.burst, b.rate*float64(calmTime)/float64(clock.Second), 1)
+	return max(calmFill*b.ownBurst(), b.ownRate()*float64(calmTime)/float64(clock.Second), 1)
 }
 
 // at returns the guidance as given at time now.
--- a/internal/proto/inner/summary.go
+++ b/internal/proto/inner/summary.go
@@ -31,6 +31,8 @@
 	VersionAge    clock.Millis
 	DirectoryHash uint64
 	DirectoryAge  clock.Millis
+	Covered       int
+	Known         int
 	Usages        []Usage
 	Views         []GroupView
 	// First is set in the first part of a content. Down then names the VMs that are
--- a/internal/serve/frontend/limits.go
+++ b/internal/serve/frontend/limits.go
@@ -2,6 +2,8 @@
 
 import (
 	"maps"
+	"math"
+	"strings"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,10 +64,26 @@
 	// hinted names the accounts that were near their limit in the last summary for the VMs
 	// of this zone.
 	hinted map[string]bool
-	// contacts holds the time of the last message with usages of each source, by its name
-	// in the buckets, and lastContact the latest of them.
-	contacts    map[string]clock.Millis
+	// contacts holds the contact with each source of usages, by its name in the buckets, and
+	// lastContact the time of the latest message.
+	contacts    map[string]contact
 	lastContact clock.Millis
+	// reach is the number of VMs that the usages known here cover, as a part of all known
+	// ones, and hintedReach that of the relay whose last hints came at hintedAt.
+	reach       float64
+	hintedReach float64
+	hintedAt    clock.Millis
+	// reachBefore is the reach as of the last change of the role, at roleChangedAt, between
+	// relay and follower. It counts until the VMs have had time to send messages by the new role.
+	reachBefore   float64
+	roleChangedAt clock.Millis
+}
+
+// contact is the contact with a source of usages.
+type contact struct {
+	quota.Contact
+	// covered is the number of VMs that its last message covered.
+	covered int
 }
 
 // newLimiter returns a limiter without accounts. The caller sets the functions.
@@ -73,7 +91,8 @@
 	return &limiter{
 		clock: c, tolerance: t, buckets: map[string]quota.Bucket{}, reportedSpent: map[string]uint64{},
 		zoneTotals: accountTotals{}, hinted: map[string]bool{},
-		contacts: map[string]clock.Millis{}, lastContact: c.Now() - quota.SilenceTimeout,
+		contacts: map[string]contact{}, lastContact: c.Now() - quota.SilenceTimeout,
+		reach: 1, hintedAt: clock.DistantPast, roleChangedAt: clock.DistantPast,
 	}
 }
 
@@ -112,7 +131,7 @@
 	if !ok {
 		b = quota.New(a.Rate, a.Burst, now).WithSeed(l.processFunc() ^ xxhash.Sum64String(a.Name))
 	}
-	return b.WithLimit(a.Rate, a.Burst, now).WithVMs(vms, l.tolerance.excessRate(a))
+	return b.WithLimit(a.Rate, a.Burst, now).WithVMs(vms, l.tolerance.excessRate(a)).WithReach(l.reach, now)
 }
 
 // createBuckets creates buckets for the accounts that have none, so that the VMs know their
@@ -135,9 +154,10 @@
 	vms, role := l.vmCountFunc(), l.roleFunc()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.role = role
 	now := l.clock.Now()
-	maps.DeleteFunc(l.contacts, func(_ string, at clock.Millis) bool { return now-at > quota.SilenceTimeout })
+	l.setRole(role, now)
+	maps.DeleteFunc(l.contacts, func(_ string, c contact) bool { return now-c.Last > quota.SilenceTimeout })
+	l.updateReach(vms, now)
 	var out []inner.Usage
 	for name := range l.buckets {
 		a, ok := l.accountFunc(name)
@@ -145,12 +165,18 @@
 			delete(l.buckets, name)
 			continue
 		}
-		b := l.bucket(a, vms, now)
+		b := l.buckets[name]
+		if role != gossip.Follower {
+			// What silent VMs have spent is estimated before the reach excludes them.
+			b = b.WithContacts(l.lastContact, l.contact, now)
+		}
+		l.buckets[name] = b
+		b = l.bucket(a, vms, now)
 		switch role {
 		case gossip.Equal:
-			b = b.WithoutGuidance().WithContacts(l.lastContact, l.contact, now)
+			b = b.WithoutGuidance()
 		case gossip.Relay:
-			b = b.WithContacts(l.lastContact, l.contact, now).WithOwnHint(now)
+			b = b.WithOwnHint(now)
 		}
 		b, r := b.WithRound(now)
 		l.buckets[name] = b
@@ -162,18 +188,81 @@
 		r.Process = l.processFunc()
 		l.zoneTotals.add(name, selfName, r, now)
 	}
-	l.contacts[selfName] = now
+	l.recordContact(selfName, 1, now)
 	l.ownUsages = out
 }
 
-// contact returns the time of the last message with usages of a source. The caller holds
-// the lock.
-func (l *limiter) contact(source string) clock.Millis {
-	at, ok := l.contacts[source]
+// setRole sets the role of a round. The caller holds the lock.
+func (l *limiter) setRole(role gossip.Role, now clock.Millis) {
+	if role != l.role && role != gossip.Equal && l.role != gossip.Equal {
+		l.reachBefore, l.roleChangedAt = l.reach, now
+	}
+	l.role = role
+}
+
+// updateReach determines the reach at time now. The caller holds the lock.
+func (l *limiter) updateReach(vms int, now clock.Millis) {
+	known := float64(max(vms, 1))
+	reach := 1 / known
+	switch {
+	case l.role != gossip.Follower:
+		reach = float64(l.coveredVMs(now, func(string) bool { return true })) / known
+	case now-l.hintedAt <= quota.HintMaxAge:
+		reach = l.hintedReach
+	}
+	if now-l.roleChangedAt <= quota.OverdueAfter {
+		reach = max(reach, l.reachBefore)
+	}
+	l.reach = min(reach, 1)
+}
+
+// coveredVMs counts the VMs that the usages known at time now cover, this one included, for
+// the sources that match. The caller holds the lock.
+func (l *limiter) coveredVMs(now clock.Millis, matches func(source string) bool) int {
+	out := 1
+	for source, c := range l.contacts {
+		if source != selfName && now-c.Last <= quota.OverdueAfter && matches(source) {
+			out += c.covered
+		}
+	}
+	return out
+}
+
+// coverage returns the number of VMs that the usages of a scope cover, and that of the known
+// ones.
+func (l *limiter) coverage(s inner.Scope) (covered, known int) {
+	vms := l.vmCountFunc()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	switch s {
+	case inner.ScopeZone:
+		return l.coveredVMs(now, func(source string) bool { return !strings.HasPrefix(source, zonePrefix) }), vms
+	case inner.ScopeAll:
+		return int(math.Round(l.reach * float64(vms))), vms
+	}
+	return 1, vms
+}
+
+// recordContact records a message of a source that covers some VMs. The caller holds the lock.
+func (l *limiter) recordContact(source string, covered int, now clock.Millis) contact {
+	c, known := l.contacts[source]
+	if !known || now-c.Last > quota.OverdueAfter {
+		c.Joined = now
+	}
+	c.Last, c.covered = now, covered
+	l.contacts[source] = c
+	return c
+}
+
+// contact returns the contact with a source of usages. The caller holds the lock.
+func (l *limiter) contact(source string) quota.Contact {
+	c, ok := l.contacts[source]
 	if !ok {
-		return l.clock.Now() - quota.SilenceTimeout
+		past := l.clock.Now() - quota.SilenceTimeout
+		return quota.Contact{Joined: past, Last: past}
 	}
-	return at
+	return c.Contact
 }
 
 // zonePrefix and the name of a zone name the report of that zone in a bucket.
@@ -194,13 +283,19 @@
 	case g.Scope == inner.ScopeZone && l.role == gossip.Relay:
 		l.mergeUsages(g, zonePrefix+string(g.Zone), vms, now)
 	case g.Scope == inner.ScopeAll && l.role == gossip.Follower:
-		l.mergeHints(g.Usages, vms, now)
+		l.mergeHints(g, vms, now)
 	}
 }
 
 // mergeUsages merges the usages of one source, a VM or a zone. The caller holds the lock.
 func (l *limiter) mergeUsages(g inner.Gossip, source string, vms int, now clock.Millis) {
-	l.contacts[source], l.lastContact = now, now
+	covered := 1
+	if g.Scope != inner.ScopeVM {
+		covered = g.Covered
+	}
+	c := l.recordContact(source, covered, now)
+	l.lastContact = now
+	l.updateReach(vms, now)
 	for _, u := range g.Usages {
 		a, ok := l.accountFunc(u.Account)
 		if !ok {
@@ -208,6 +303,7 @@
 		}
 		r := quota.Report{
 			Process: g.Process, Spent: u.Spent, Demand: float64(u.Demand), Tokens: float64(u.Tokens), Aggregate: g.Scope != inner.ScopeVM,
+			Weight: float64(covered) / float64(max(vms, 1)), Joined: c.Joined,
 		}
 		if g.Scope == inner.ScopeVM {
 			l.zoneTotals.add(u.Account, source, r, now)
@@ -237,9 +333,11 @@
 
 // mergeHints merges the usages of a summary for all VMs: those of the accounts that are
 // near their limit. The caller holds the lock.
-func (l *limiter) mergeHints(usages []inner.Usage, vms int, now clock.Millis) {
-	near := make(map[string]quota.Hint, len(usages))
-	for _, u := range usages {
+func (l *limiter) mergeHints(g inner.Gossip, vms int, now clock.Millis) {
+	l.hintedReach, l.hintedAt = float64(g.Covered)/float64(max(g.Known, 1)), now
+	l.updateReach(vms, now)
+	near := make(map[string]quota.Hint, len(g.Usages))
+	for _, u := range g.Usages {
 		near[u.Account] = quota.Hint{Tokens: float64(u.Tokens), Demand: float64(u.Demand)}
 	}
 	for name := range l.buckets {
@@ -277,9 +375,18 @@
 	now := l.clock.Now()
 	switch s {
 	case inner.ScopeZone:
-		return l.zoneTotals.usages(now, l.contact)
+		return l.zoneTotals.usages(now, l.contact, l.fill)
 	case inner.ScopeAll:
 		return l.hints(now)
 	}
 	return l.ownUsages
 }
+
+// fill returns the tokens of an account, scaled to the whole burst. The caller holds the lock.
+func (l *limiter) fill(account string, now clock.Millis) float64 {
+	b, ok := l.buckets[account]
+	if !ok {
+		return 0
+	}
+	return b.Fill(now)
+}
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -173,6 +173,7 @@
 	if s == inner.ScopeZone && !f.mesh.IsFirstRelay(f.options.Self.Name, f.options.Self.Zone) {
 		return g
 	}
+	g.Covered, g.Known = f.limiter.coverage(s)
 	g.Usages = f.limiter.usages(s)
 	for _, group := range f.allGroups() {
 		g.Views = append(g.Views, group.View())
--- a/internal/serve/frontend/relayed_test.go
+++ b/internal/serve/frontend/relayed_test.go
@@ -135,8 +135,9 @@
 }
 
 func (in *installation) send(from, to *relayedVM, s inner.Scope, usages []inner.Usage) {
+	covered, known := from.limiter.coverage(s)
 	in.messages = append(in.messages, relayedMessage{at: in.now + simulatedDelay, to: to, g: inner.Gossip{
-		From: from.name, Process: from.limiter.processFunc(), Scope: s, Zone: member.Zone(fmt.Sprint(from.zone)), Usages: usages,
+		Covered: covered, Known: known, From: from.name, Process: from.limiter.processFunc(), Scope: s, Zone: member.Zone(fmt.Sprint(from.zone)), Usages: usages,
 	}})
 }
 
--- a/internal/serve/frontend/totals.go
+++ b/internal/serve/frontend/totals.go
@@ -34,41 +34,39 @@
 	received clock.Millis
 }
 
-// demandAt returns the demand of the source at time now, if its last message came at
-// contact: none if it has been silent for quota.SilenceTimeout, or sends messages that leave
-// the account out.
-func (r sourceReport) demandAt(now, contact clock.Millis) float64 {
-	if now-max(contact, r.received) >= quota.SilenceTimeout || contact-r.received > quota.OverdueAfter {
+// demandAt returns the demand of the source at time now: none if it is out of contact, or sends
+// messages that leave the account out.
+func (r sourceReport) demandAt(now clock.Millis, c quota.Contact) float64 {
+	if now-max(c.Last, r.received) >= quota.SilenceTimeout || c.Last-r.received > quota.OverdueAfter {
 		return 0
 	}
 	return r.Demand
 }
 
-// add adds what a source has spent since its last report. The whole count of a new process
-// of a VM is added. The first count of a relay's aggregate report is not, since relays
-// begin to count at different times.
+// add adds what a source has spent since its last report. The whole count of a new process of a
+// VM is added. The first count of a source is not, nor the first one after an interruption:
+// the source spent it from a part of the limit of its own.
 func (t *total) add(source string, r quota.Report, now clock.Millis) {
 	last, known := t.reports[source]
 	switch {
+	case known && last.received < r.Joined:
 	case known && last.Process == r.Process:
 		t.spent += r.Spent - last.Spent
-	case !r.Aggregate:
+	case !known && now-r.Joined > quota.JoinTime:
+		// The source left the account out until now.
+		t.spent += r.RecentlySpent()
+	case known && !r.Aggregate:
 		t.spent += r.Spent
 	}
 	t.reports[source] = sourceReport{Report: r, received: now}
 }
 
-// report returns the total as the aggregate report at time now, without the process. Its
-// tokens are those of the latest report, since every VM estimates the same bucket. The
-// function contactFunc returns the time of the last message of a source.
-func (t *total) report(now clock.Millis, contactFunc func(source string) clock.Millis) quota.Report {
+// report returns the total as the aggregate report at time now, without the process and the
+// tokens. The function contactFunc returns the contact with a source.
+func (t *total) report(now clock.Millis, contactFunc func(source string) quota.Contact) quota.Report {
 	out := quota.Report{Spent: t.spent, Aggregate: true}
-	var latest clock.Millis
 	for source, r := range t.reports {
 		out.Demand += r.demandAt(now, contactFunc(source))
-		if r.received >= latest {
-			latest, out.Tokens = r.received, r.Tokens
-		}
 	}
 	return out
 }
@@ -84,8 +82,9 @@
 }
 
 // usages returns the totals at time now as usages of a message. It leaves out accounts
-// without demand whose last count has been sent.
-func (t accountTotals) usages(now clock.Millis, contactFunc func(source string) clock.Millis) []inner.Usage {
+// without demand whose last count has been sent. The function fillFunc returns the tokens of
+// an account.
+func (t accountTotals) usages(now clock.Millis, contactFunc func(source string) quota.Contact, fillFunc func(account string, now clock.Millis) float64) []inner.Usage {
 	out := make([]inner.Usage, 0, len(t))
 	for name, v := range t {
 		r := v.report(now, contactFunc)
@@ -93,7 +92,7 @@
 			continue
 		}
 		v.sentSpent = r.Spent
-		out = append(out, inner.Usage{Account: name, Spent: r.Spent, Demand: float32(r.Demand), Tokens: float32(r.Tokens)})
+		out = append(out, inner.Usage{Account: name, Spent: r.Spent, Demand: float32(r.Demand), Tokens: float32(fillFunc(name, now))})
 	}
 	return out
 }
--- a/internal/serve/gossip/receive.go
+++ b/internal/serve/gossip/receive.go
@@ -58,7 +58,7 @@
 		g := inner.Gossip{
 			From: s.From, Address: s.Address, Process: s.Process, Sequence: s.Sequence, Echo: s.Echo, EchoAge: s.EchoAge, Leaving: s.Leaving,
 			Zone: s.Zone, Region: s.Region, Version: c.Version, VersionAge: c.VersionAge, DirectoryHash: c.DirectoryHash, DirectoryAge: c.DirectoryAge,
-			Scope: c.Scope, Usages: c.Usages, Views: c.Views,
+			Scope: c.Scope, Covered: c.Covered, Known: c.Known, Usages: c.Usages, Views: c.Views,
 		}
 		if !c.First {
 			return g, nil, err
--- a/internal/serve/gossip/round.go
+++ b/internal/serve/gossip/round.go
@@ -123,7 +123,7 @@
 	var out []part
 	for i, g := range m.splitMessage(g, down.size()) {
 		c := inner.SummaryContent{
-			Scope: g.Scope, Version: g.Version, VersionAge: g.VersionAge, DirectoryHash: g.DirectoryHash, DirectoryAge: g.DirectoryAge, Usages: g.Usages, Views: g.Views,
+			Scope: g.Scope, Version: g.Version, VersionAge: g.VersionAge, DirectoryHash: g.DirectoryHash, DirectoryAge: g.DirectoryAge, Covered: g.Covered, Known: g.Known, Usages: g.Usages, Views: g.Views,
 		}
 		if i == 0 {
 			c.First, c.Down, c.DownZones = true, down.vms, down.zones
--- a/internal/serve/gossip/split.go
+++ b/internal/serve/gossip/split.go
@@ -20,7 +20,7 @@
 	reserve := func(size int) {
 		if size > left && len(part.Views)+len(part.Usages) > 0 {
 			out = append(out, part)
-			part, left = inner.Gossip{Version: g.Version, VersionAge: g.VersionAge, Scope: g.Scope}, budget
+			part, left = inner.Gossip{Version: g.Version, VersionAge: g.VersionAge, Scope: g.Scope, Covered: g.Covered, Known: g.Known}, budget
 		}
 		left -= size
 	}
