Divide an account's tokens as of the last message when VMs go out of reach

Until VMs notice that others are out of reach, both sides of a partition may use the whole bucket.

When its reach shrinks, it has what the part would have had since the last message of the VMs that were lost, so a side that spent more has a debt. VMs of the same region are out of reach after 1.0 s, of another one after 1.5 s, and a follower without hints after 0.9 s instead of 1.2 s. A VM that becomes a relay counts VMs from then on only, and keeps the reach that it had for 1.5 s. A shrinking reach is noticed in rounds alone, after the lost VMs have been forgotten.

--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -28,9 +28,14 @@
 	// demandTimeConstant is the time constant in milliseconds with which the estimate
 	// of demand decays.
 	demandTimeConstant = clock.Millis(2000)
-	// OverdueAfter is the time without a message after which a VM is out of reach. It is
-	// twice the interval between messages to another region.
+	// OverdueAfter is the time without a report, while other messages come, after which a VM
+	// has no demand.
 	OverdueAfter = clock.Millis(1800)
+	// nearTimeout and farTimeout are the times without a message after which a VM of the same
+	// or another region is out of reach: three and one and a half of the intervals between
+	// messages. A longer time lets both sides of a partition use the whole bucket for longer.
+	nearTimeout = clock.Millis(1000)
+	farTimeout  = clock.Millis(1500)
 	// JoinTime is the time within which the parts of one message arrive. A source that
 	// reports an account later than this after it came into reach had no demand before.
 	JoinTime = clock.Millis(200)
@@ -74,17 +79,34 @@
 type peer struct {
 	report   Report
 	received clock.Millis
-	// overdue is set once its report is, and estimated the number of operations then
-	// subtracted from the bucket for it.
-	overdue   bool
-	estimated float64
+	// spending is what was charged for it of late.
+	spending spending
 }
 
 // Contact is when messages of another VM, or of several that report together, came.
 type Contact struct {
-	// Joined is the time since which they come without an interruption of OverdueAfter,
-	// Last that of the last one.
+	// Joined is the time since which they come without an interruption, Last that of the
+	// last one.
 	Joined, Last clock.Millis
+	// Far is set for VMs of another region, to which messages are less frequent.
+	Far bool
+}
+
+// InReach reports whether the VMs are in reach at time now.
+func (c Contact) InReach(now clock.Millis) bool {
+	if c.Far {
+		return now-c.Last <= farTimeout
+	}
+	return now-c.Last <= nearTimeout
+}
+
+// WithMessage records a message at time now.
+func (c Contact) WithMessage(far bool, now clock.Millis) Contact {
+	if !c.InReach(now) {
+		c.Joined = now
+	}
+	c.Last, c.Far = now, far
+	return c
 }
 
 // Bucket is one VM's view of the token bucket of one account. It is an immutable
@@ -122,8 +144,9 @@
 	spareTokens float64
 	// guidance is set in a VM that gets hints instead of reports.
 	guidance guidance
-	// recent counts what all VMs have spent of late.
-	recent recentCount
+	// recent counts what all VMs have spent of late, and history holds it with the tokens.
+	recent  recentCount
+	history history
 }
 
 // New returns the bucket of an account about which nothing is known. The rate is
@@ -131,7 +154,7 @@
 func New(rate, burst float64, now clock.Millis) Bucket {
 	return Bucket{
 		rate: rate, burst: burst, reach: 1, tokens: burst * initialFill, updated: now, peers: map[string]peer{}, firstRound: true, vms: 1, allowance: 1,
-		lastContact: now - SilenceTimeout, createdAt: now,
+		lastContact: now - SilenceTimeout, createdAt: now, history: newHistory(burst*initialFill, now),
 	}
 }
 
@@ -143,25 +166,32 @@
 }
 
 // WithReach sets the number of VMs whose use this VM learns of, itself included, as a part
-// of all known ones. The tokens change with it: a smaller part of them remains, and VMs
-// that come into reach are taken to have as many each as this one until they report. A debt
-// does not grow.
-func (b Bucket) WithReach(reach float64, now clock.Millis) Bucket {
+// of all known ones. The tokens change with it: VMs that come into reach are taken to have as
+// many each as this one until they report, and a debt does not grow. When VMs are out of
+// reach, what remains is what the part would have if they had been since the time given, that
+// of their last message: they have spent from the whole bucket too.
+func (b Bucket) WithReach(reach float64, since, now clock.Millis) Bucket {
 	reach = min(max(reach, 1/float64(b.vms)), 1)
 	if reach == b.reach {
 		return b
 	}
 	b = b.advance(now)
-	if reach < b.reach || b.tokens > 0 {
-		b.tokens *= reach / b.reach
-	}
-	if reach < b.reach {
+	switch {
+	case reach < b.reach:
+		b.tokens = min(b.tokens*reach/b.reach, b.history.replay(b.rate, b.burst, reach, since, now))
+		// What was spent a window ago no longer counts.
+		b.tokens = max(b.tokens, -b.rate*reach*maxDebt.Duration().Seconds())
 		b.credit = min(b.credit, max(b.tokens, 0))
+	case b.tokens > 0:
+		b.tokens *= reach / b.reach
 	}
 	b.reach = reach
 	return b
 }
 
+// maxDebt is the time in which the part of a VM whose reach has shrunk pays the greatest debt.
+const maxDebt = 5 * clock.Second
+
 // ownRate and ownBurst return this VM's part of the rate and the burst, which it shares with
 // the VMs in reach.
 func (b Bucket) ownRate() float64 { return b.rate * b.reach }
@@ -188,14 +218,15 @@
 
 // WithContacts records that the last message of any other VM came at latest. The function
 // contactFunc returns the contact with one peer. A peer that sends messages, and has left the
-// account out of them since its last report, has no demand. One that was out of reach since
-// is forgotten, so that its next report adds its tokens.
+// account out of them since its last report, has no demand. One that is or was out of reach is
+// forgotten, so that its next report adds its tokens.
 func (b Bucket) WithContacts(latest clock.Millis, contactFunc func(name string) Contact, now clock.Millis) Bucket {
 	b = b.advance(now)
 	b.lastContact = max(b.lastContact, latest)
 	changed := map[string]peer{}
 	for name, u := range b.peers {
-		if contactFunc(name).Last-u.received > OverdueAfter {
+		c := contactFunc(name)
+		if !c.InReach(now) || u.received < c.Joined || c.Last-u.received > OverdueAfter {
 			changed[name] = u
 		}
 	}
@@ -205,12 +236,12 @@
 	b.peers = maps.Clone(b.peers)
 	for name, u := range changed {
 		c := contactFunc(name)
-		if u.received < c.Joined {
+		if !c.InReach(now) || u.received < c.Joined {
+			b.history = b.history.without(u.spending, now)
 			delete(b.peers, name)
 			continue
 		}
-		b.tokens = min(b.tokens+u.estimated, b.ownBurst())
-		u.received, u.report.Demand, u.estimated, u.overdue = c.Last, 0, 0, false
+		u.received, u.report.Demand = c.Last, 0
 		b.peers[name] = u
 	}
 	return b
@@ -249,7 +280,8 @@
 	added := b.ownRate() * float64(elapsed) / float64(clock.Second)
 	b.tokens = min(b.tokens+added, b.ownBurst())
 	b.demand *= math.Exp(-float64(elapsed) / float64(demandTimeConstant))
-	b = b.estimateSilent(now)
+	b = b.withoutSilent(now)
+	b.history = b.history.at(now, b.tokens/b.reach)
 	if b.isolated() {
 		added = b.tolerance * float64(elapsed) / float64(clock.Second)
 	}
@@ -268,41 +300,21 @@
 // allowanceShare is the part of the tolerance that goes to the allowances.
 const allowanceShare = 0.5
 
-// estimateSilent subtracts what peers whose report is overdue are assumed to have spent until
-// then, and drops peers that were silent for longer than SilenceTimeout.
-func (b Bucket) estimateSilent(now clock.Millis) Bucket {
-	spending := b.spendingFactor()
-	cloned := false
-	for name, u := range b.peers {
-		silent := now - u.received
-		if silent <= OverdueAfter || u.overdue && silent <= SilenceTimeout {
-			continue
-		}
-		if !cloned {
-			b.peers, cloned = maps.Clone(b.peers), true
-		}
-		if silent > SilenceTimeout {
-			delete(b.peers, name)
-			continue
-		}
-		u.overdue = true
-		u.estimated = u.report.Demand * spending * float64(OverdueAfter) / float64(clock.Second)
-		b.tokens -= u.estimated
-		b.peers[name] = u
-	}
-	return b
+// withoutSilent drops peers that were silent for longer than SilenceTimeout.
+func (b Bucket) withoutSilent(now clock.Millis) Bucket {
+	return b.WithoutVMs(func(name string) bool { return now-b.peers[name].received > SilenceTimeout })
 }
 
 // spendingFactor returns the part of the demand that is served while it is above the rate.
-func (b Bucket) spendingFactor() float64 {
-	return min(1, b.ownRate()/max(b.reachedDemand(b.updated), b.ownRate(), idleDemand))
+func (b Bucket) spendingFactor(now clock.Millis) float64 {
+	return b.ownRate() / max(b.reachedDemand(now), b.ownRate(), idleDemand)
 }
 
 // reachedDemand returns the demand of this VM and the peers whose reports are not overdue.
 func (b Bucket) reachedDemand(now clock.Millis) float64 {
 	sum := b.demand
 	for _, u := range b.peers {
-		if !u.overdue && now-u.received <= SilenceTimeout {
+		if now-u.received <= OverdueAfter {
 			sum += u.report.Demand
 		}
 	}
@@ -387,7 +399,7 @@
 	}
 	b.tokens--
 	b.spent++
-	b.recent = b.recent.with(1, now)
+	b.recent, b.history = b.recent.with(1, now), b.history.taken(1, now)
 	return b, true
 }
 
@@ -397,11 +409,19 @@
 	if b.spent > 0 {
 		b.spent--
 	}
-	b.tokens = min(b.tokens+1, b.ownBurst())
+	b.tokens, b.history = min(b.tokens+1, b.ownBurst()), b.history.taken(-1, now)
 	b.credit = min(b.credit+1, max(b.tokens, 0))
 	return b
 }
 
+// charge subtracts operations of other VMs.
+func (b Bucket) charge(operations float64, now clock.Millis) Bucket {
+	b.tokens -= operations
+	b.recent = b.recent.with(operations, now)
+	b.history = b.history.taken(operations, now)
+	return b
+}
+
 // WithReport records the report of another VM and corrects the estimate of what it
 // spent since its last one. If VMs have come into reach with it, their part of the tokens is
 // added.
@@ -411,28 +431,28 @@
 	if u.received < r.Joined {
 		u, known = peer{}, false
 	}
+	spent := 0.0
 	switch {
 	case known && u.report.Process == r.Process:
 		// Spent may have decreased, by operations that were returned.
-		spent := float64(int64(r.Spent - u.report.Spent))
-		b.tokens -= spent - u.estimated
-		b.recent = b.recent.with(spent, now)
+		spent = float64(int64(r.Spent - u.report.Spent))
 	case known && r.Aggregate:
 		// Another VM adds them up now, and its count cannot be compared with the last.
-		b.tokens -= u.report.Demand*b.spendingFactor()*float64(now-u.received)/float64(clock.Second) - u.estimated
+		spent = u.report.Demand * b.spendingFactor(now) * float64(now-u.received) / float64(clock.Second)
 	case known:
-		b.tokens -= float64(r.Spent) - u.estimated
+		spent = float64(r.Spent)
 	case now-max(r.Joined, b.createdAt) > JoinTime:
 		// A peer that left the account out until now has run what its demand shows.
-		b.tokens -= float64(r.RecentlySpent())
+		spent = float64(r.RecentlySpent())
 	}
+	b = b.charge(spent, now)
 	if joined := r.Weight - u.report.Weight; joined > 0 {
 		b.tokens += joined * (r.Tokens - max(b.tokens, 0)/b.reach)
 	}
 	b.tokens = min(b.tokens, b.ownBurst())
 	b.lastContact = now
 	b.peers = maps.Clone(b.peers)
-	b.peers[vm] = peer{report: r, received: now}
+	b.peers[vm] = peer{report: r, received: now, spending: u.spending.with(spent, now)}
 	return b
 }
 
--- a/internal/core/quota/bucket_test.go
+++ b/internal/core/quota/bucket_test.go
@@ -75,7 +75,7 @@
 			regular := (now+clock.Millis(i)*roundInterval/clock.Millis(l.VMs))%roundInterval == 0
 			if regular || urgent[i] && now-lastRound[i] >= minRoundInterval {
 				b := buckets[i].WithContacts(latestOf(contacts[i]), func(name string) Contact { return contacts[i][name] }, now)
-				b, r := b.WithReach(l.reach(contacts[i], now), now).WithRound(now)
+				b, r := b.WithReach(l.reach(contacts[i], now), now-nearTimeout, now).WithRound(now)
 				r.Process = 1
 				m := message{at: now + max(l.Delay, messageDelay), from: i, report: r, idle: b.Idle(now) && reported[i] == r.Spent}
 				buckets[i], reported[i], lastRound[i], urgent[i] = b, r.Spent, now, false
@@ -132,12 +132,12 @@
 // reach returns the VMs that a VM with these contacts reaches, as a part of all. Before the
 // first messages it reaches all.
 func (l load) reach(contacts map[string]Contact, now clock.Millis) float64 {
-	if now <= OverdueAfter {
+	if now < clock.Second {
 		return 1
 	}
 	reached := 1
 	for _, c := range contacts {
-		if now-c.Last <= OverdueAfter {
+		if c.InReach(now) {
 			reached++
 		}
 	}
@@ -159,14 +159,14 @@
 			}
 			name := fmt.Sprintf("vm%d", m.from)
 			c, known := contacts[i][name]
-			if !known || now-c.Last > OverdueAfter {
-				c.Joined = now
+			if !known {
+				c.Joined, c.Last = now, now
 			}
-			c.Last = now
+			c = c.WithMessage(false, now)
 			contacts[i][name] = c
 			if !m.idle {
 				m.report.Joined, m.report.Weight = c.Joined, 1/float64(l.VMs)
-				buckets[i] = buckets[i].WithReach(l.reach(contacts[i], now), now).WithReport(name, m.report, now)
+				buckets[i] = buckets[i].WithReach(l.reach(contacts[i], now), now, now).WithReport(name, m.report, now)
 			}
 		}
 	}
--- a/internal/core/quota/hint.go
+++ b/internal/core/quota/hint.go
@@ -25,7 +25,7 @@
 	// out, and its debt is paid.
 	drainTime = clock.Millis(1000)
 	// HintMaxAge is the age from which the last message of the relay no longer counts.
-	HintMaxAge = clock.Millis(1200)
+	HintMaxAge = clock.Millis(900)
 )
 
 // Hint is a relay's report of an account that is near its limit.
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -188,6 +188,7 @@
 // newLimiter returns the limiter of this VM, connected to the frontend's state.
 func (f *Frontend) newLimiter() *limiter {
 	l := newLimiter(f.options.Clock, f.options.Tolerance)
+	l.region = f.options.Self.Region
 	l.vmCountFunc, l.processFunc = f.mesh.KnownCount, f.mesh.Process
 	l.roleFunc = f.mesh.Role
 	l.regionGossipFunc, l.gossipFunc = f.mesh.RegionGossipSoon, f.mesh.GossipSoon
--- a/internal/serve/frontend/limits.go
+++ b/internal/serve/frontend/limits.go
@@ -42,6 +42,8 @@
 	// vmCountFunc counts the known VMs, and processFunc identifies this process of the VM.
 	vmCountFunc func() int
 	processFunc func() uint64
+	// region is this VM's region.
+	region string
 	// roleFunc returns how this VM learns of the use by others.
 	roleFunc func() gossip.Role
 	// regionGossipFunc starts the next round of gossip within the region early, and
@@ -69,21 +71,27 @@
 	contacts    map[string]contact
 	lastContact clock.Millis
 	// reach is the number of VMs that the usages known here cover, as a part of all known
-	// ones, and hintedReach that of the relay whose last hints came at hintedAt.
-	reach       float64
+	// ones, and covered their number. VMs that are no longer covered may have been out of reach
+	// since reachSince.
+	reach      float64
+	covered    float64
+	reachSince clock.Millis
+	// hintedReach is the reach of the relay whose last hints came at hintedAt.
 	hintedReach float64
 	hintedAt    clock.Millis
-	// reachBefore is the reach as of the last change of the role, at roleChangedAt, between
-	// relay and follower. It counts until the VMs have had time to send messages by the new role.
-	reachBefore   float64
+	// coveredBefore is the number of VMs covered when the role last changed, at roleChangedAt. It
+	// counts until the VMs have had time to send messages by the new role.
+	coveredBefore float64
 	roleChangedAt clock.Millis
 }
 
 // contact is the contact with a source of usages.
 type contact struct {
 	quota.Contact
-	// covered is the number of VMs that its last message covered.
+	// covered is the number of VMs that its last message covered, and lost is set once the
+	// reach no longer counts them.
 	covered int
+	lost    bool
 }
 
 // newLimiter returns a limiter without accounts. The caller sets the functions.
@@ -131,7 +139,7 @@
 	if !ok {
 		b = quota.New(a.Rate, a.Burst, now).WithSeed(l.processFunc() ^ xxhash.Sum64String(a.Name))
 	}
-	return b.WithLimit(a.Rate, a.Burst, now).WithVMs(vms, l.tolerance.excessRate(a)).WithReach(l.reach, now)
+	return b.WithLimit(a.Rate, a.Burst, now).WithVMs(vms, l.tolerance.excessRate(a)).WithReach(l.reach, l.reachSince, now)
 }
 
 // createBuckets creates buckets for the accounts that have none, so that the VMs know their
@@ -188,20 +196,33 @@
 		r.Process = l.processFunc()
 		l.zoneTotals.add(name, selfName, r, now)
 	}
-	l.recordContact(selfName, 1, now)
+	l.recordContact(selfName, 1, false, now)
 	l.ownUsages = out
 }
 
-// setRole sets the role of a round. The caller holds the lock.
+// setRole sets the role of a round. By a new role usages come from other sources: what a relay
+// heard of a VM before it was one is no contact. The caller holds the lock.
 func (l *limiter) setRole(role gossip.Role, now clock.Millis) {
-	if role != l.role && role != gossip.Equal && l.role != gossip.Equal {
-		l.reachBefore, l.roleChangedAt = l.reach, now
+	if role == l.role {
+		return
 	}
+	l.coveredBefore, l.roleChangedAt = l.covered, now
+	clear(l.contacts)
 	l.role = role
 }
 
-// updateReach determines the reach at time now. The caller holds the lock.
+// updateReach determines the reach at time now, in a round. The caller holds the lock.
 func (l *limiter) updateReach(vms int, now clock.Millis) {
+	l.reachSince = l.hintedAt
+	if l.role != gossip.Follower {
+		l.reachSince = l.lostSince(now)
+	}
+	l.reach = l.reachAt(vms, now)
+	l.covered = l.reach * float64(vms)
+}
+
+// reachAt returns the reach at time now. The caller holds the lock.
+func (l *limiter) reachAt(vms int, now clock.Millis) float64 {
 	known := float64(max(vms, 1))
 	reach := 1 / known
 	switch {
@@ -210,10 +231,29 @@
 	case now-l.hintedAt <= quota.HintMaxAge:
 		reach = l.hintedReach
 	}
-	if now-l.roleChangedAt <= quota.OverdueAfter {
-		reach = max(reach, l.reachBefore)
+	if now-l.roleChangedAt <= roleGrace {
+		reach = max(reach, l.coveredBefore/known)
 	}
-	l.reach = min(reach, 1)
+	return min(reach, 1)
+}
+
+// roleGrace is the time in which the VMs send their messages to a new relay, and it sends its
+// hints, in milliseconds.
+const roleGrace = clock.Millis(1500)
+
+// lostSince returns the time of the earliest last message of the sources that went out of
+// reach since it was called before, or now. The caller holds the lock.
+func (l *limiter) lostSince(now clock.Millis) clock.Millis {
+	out := now
+	for source, c := range l.contacts {
+		lost := !c.InReach(now)
+		if lost && !c.lost {
+			out = min(out, c.Last)
+		}
+		c.lost = lost
+		l.contacts[source] = c
+	}
+	return out
 }
 
 // coveredVMs counts the VMs that the usages known at time now cover, this one included, for
@@ -221,7 +261,7 @@
 func (l *limiter) coveredVMs(now clock.Millis, matches func(source string) bool) int {
 	out := 1
 	for source, c := range l.contacts {
-		if source != selfName && now-c.Last <= quota.OverdueAfter && matches(source) {
+		if source != selfName && c.InReach(now) && matches(source) {
 			out += c.covered
 		}
 	}
@@ -245,12 +285,8 @@
 }
 
 // recordContact records a message of a source that covers some VMs. The caller holds the lock.
-func (l *limiter) recordContact(source string, covered int, now clock.Millis) contact {
-	c, known := l.contacts[source]
-	if !known || now-c.Last > quota.OverdueAfter {
-		c.Joined = now
-	}
-	c.Last, c.covered = now, covered
+func (l *limiter) recordContact(source string, covered int, far bool, now clock.Millis) contact {
+	c := contact{Contact: l.contact(source).WithMessage(far, now), covered: covered}
 	l.contacts[source] = c
 	return c
 }
@@ -293,9 +329,10 @@
 	if g.Scope != inner.ScopeVM {
 		covered = g.Covered
 	}
-	c := l.recordContact(source, covered, now)
+	c := l.recordContact(source, covered, g.Region != l.region, now)
 	l.lastContact = now
-	l.updateReach(vms, now)
+	// A round notices what is out of reach, after it has forgotten these VMs' spending.
+	l.reach = max(l.reach, l.reachAt(vms, now))
 	for _, u := range g.Usages {
 		a, ok := l.accountFunc(u.Account)
 		if !ok {
@@ -335,7 +372,7 @@
 // near their limit. The caller holds the lock.
 func (l *limiter) mergeHints(g inner.Gossip, vms int, now clock.Millis) {
 	l.hintedReach, l.hintedAt = float64(g.Covered)/float64(max(g.Known, 1)), now
-	l.updateReach(vms, now)
+	l.reach, l.reachSince = l.reachAt(vms, now), now
 	near := make(map[string]quota.Hint, len(g.Usages))
 	for _, u := range g.Usages {
 		near[u.Account] = quota.Hint{Tokens: float64(u.Tokens), Demand: float64(u.Demand)}
--- a/internal/serve/frontend/partition_test.go
+++ b/internal/serve/frontend/partition_test.go
@@ -100,6 +100,7 @@
 	r.random.Shuffle(l.VMs, func(i, j int) { r.vms[i].side, r.vms[j].side = r.vms[j].side, r.vms[i].side })
 	for i, v := range r.vms {
 		v.limiter = newLimiter(r.clock.Clock(), Tolerance{Fraction: 0.1, Slack: 20, Window: 5})
+		v.limiter.region = fmt.Sprint(v.region)
 		v.limiter.vmCountFunc, v.limiter.processFunc = func() int { return l.VMs }, func() uint64 { return uint64(i + 1) }
 		v.limiter.roleFunc = func() gossip.Role { return r.role(v) }
 		v.limiter.regionGossipFunc = func() { v.urgent = true }
@@ -199,7 +200,7 @@
 
 // content returns the message of a VM for a scope, as gossipFor does.
 func (r *partitionRun) content(v *partitionVM, s inner.Scope, relays []string) inner.Gossip {
-	g := inner.Gossip{From: v.node.Name, Process: v.limiter.processFunc(), Scope: s, Zone: v.node.Zone}
+	g := inner.Gossip{From: v.node.Name, Process: v.limiter.processFunc(), Scope: s, Zone: v.node.Zone, Region: v.limiter.region}
 	if s != inner.ScopeZone || relays[0] == v.node.Name {
 		g.Covered, g.Known = v.limiter.coverage(s)
 		g.Usages = v.limiter.usages(s)
--- a/internal/serve/frontend/relayed_test.go
+++ b/internal/serve/frontend/relayed_test.go
@@ -73,6 +73,7 @@
 	for i := range l.VMs {
 		v := &relayedVM{name: fmt.Sprintf("vm%d", i), zone: i % l.Zones, relay: i < l.Zones, lastRound: -clock.Millis(i) % simulatedInterval}
 		v.limiter = newLimiter(in.clock.Clock(), Tolerance{Fraction: 0.1, Slack: 20, Window: 5})
+		v.limiter.region = fmt.Sprint(v.zone)
 		v.limiter.vmCountFunc, v.limiter.processFunc = func() int { return l.VMs }, func() uint64 { return uint64(i + 1) }
 		v.limiter.roleFunc = func() gossip.Role {
 			if v.relay {
@@ -137,7 +138,7 @@
 func (in *installation) send(from, to *relayedVM, s inner.Scope, usages []inner.Usage) {
 	covered, known := from.limiter.coverage(s)
 	in.messages = append(in.messages, relayedMessage{at: in.now + simulatedDelay, to: to, g: inner.Gossip{
-		Covered: covered, Known: known, From: from.name, Process: from.limiter.processFunc(), Scope: s, Zone: member.Zone(fmt.Sprint(from.zone)), Usages: usages,
+		Covered: covered, Known: known, From: from.name, Process: from.limiter.processFunc(), Scope: s, Region: fmt.Sprint(from.zone), Zone: member.Zone(fmt.Sprint(from.zone)), Usages: usages,
 	}})
 }
 
