Drain a nearly full bucket sooner when hints limit an account

After a flood had ended, an account within its rate was refused for some 3 s: followers admit operations with the probability that the reported demand gives, and that decays with a time constant of 2 s. Meanwhile the bucket filled up.

The time in which the tokens are handed out now shrinks with the part of the burst that is used, since tokens that accumulate show that the demand is less than reported.

--- a/internal/core/quota/hint.go
+++ b/internal/core/quota/hint.go
@@ -24,6 +24,8 @@
 	// drainTime is the time in which the tokens of an account near its limit are handed
 	// out, and its debt is paid.
 	drainTime = clock.Millis(1000)
+	// minUsed is the least part of the burst that counts as used when the time is shortened by it.
+	minUsed = 0.05
 	// HintMaxAge is the age from which the last message of the relay no longer counts.
 	HintMaxAge = clock.Millis(900)
 )
@@ -71,7 +73,10 @@
 
 // withNear sets the probability of admission for an account near its limit.
 func (b Bucket) withNear(h Hint, now clock.Millis) Bucket {
-	supply := b.ownRate() + b.tokens*float64(clock.Second)/float64(drainTime)
+	// Tokens that accumulate show that the demand is less than was reported of late, so a
+	// bucket that is nearly full is drained sooner.
+	used := min(max(1-b.tokens/max(b.ownBurst(), 1e-9), minUsed), 1)
+	supply := b.ownRate() + b.tokens/used*float64(clock.Second)/float64(drainTime)
 	b.guidance = b.guidance.at(now)
 	b.guidance.near, b.guidance.admitted = true, min(max(supply, 0)/max(h.Demand, 1e-9), 1)
 	b.credit = max(b.tokens, 0) + b.calmCredit()
