--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -399,7 +399,7 @@
 	}
 	b.tokens--
 	b.spent++
-	b.recent, b.history = b.recent.with(1, now), b.history.taken(1, now)
+	b.recent, b.history = b.recent.with(1, now), b.history.taken(1)
 	return b, true
 }
 
@@ -409,7 +409,7 @@
 	if b.spent > 0 {
 		b.spent--
 	}
-	b.tokens, b.history = min(b.tokens+1, b.ownBurst()), b.history.taken(-1, now)
+	b.tokens, b.history = min(b.tokens+1, b.ownBurst()), b.history.taken(-1)
 	b.credit = min(b.credit+1, max(b.tokens, 0))
 	return b
 }
@@ -418,7 +418,7 @@
 func (b Bucket) charge(operations float64, now clock.Millis) Bucket {
 	b.tokens -= operations
 	b.recent = b.recent.with(operations, now)
-	b.history = b.history.taken(operations, now)
+	b.history = b.history.taken(operations)
 	return b
 }
 
--- a/internal/core/quota/bucket_test.go
+++ b/internal/core/quota/bucket_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
@@ -269,3 +270,30 @@
 		t.Errorf("tokens, credit and spent (-want +got):\n%s", diff)
 	}
 }
+
+// TestParts checks that the parts of two sides that lose each other add up to the bucket, although
+// both spent from the whole before they noticed, and that they are added up again afterwards.
+func TestParts(t *testing.T) {
+	sides := [2]Bucket{New(100, 200, 0).WithVMs(4, 0), New(100, 200, 0).WithVMs(4, 0)}
+	weights := [2]float64{0.25, 0.75}
+	for i := range sides {
+		// The last message came at 300 ms, when the bucket had 130 tokens.
+		for now := clock.Millis(0); now <= 1300; now += 100 {
+			sides[i] = sides[i].advance(now)
+			if now == 600 {
+				sides[i] = sides[i].charge(20*float64(i+1), now)
+			}
+		}
+		sides[i] = sides[i].WithReach(weights[i], 300, 1300)
+	}
+	// 130 tokens and those of a second, less 20 and 40 operations.
+	if diff := cmp.Diff(170.0, sides[0].tokens+sides[1].tokens, cmpopts.EquateApprox(0, 1e-6)); diff != "" {
+		t.Errorf("tokens of both sides (-want +got):\n%s", diff)
+	}
+	_, r := sides[1].WithRound(1300)
+	r.Process, r.Weight, r.Joined = 2, weights[1], 1300
+	whole := sides[0].WithReach(1, 1300, 1300).WithReport("others", r, 1300)
+	if diff := cmp.Diff(170.0, whole.tokens, cmpopts.EquateApprox(0, 1e-6)); diff != "" {
+		t.Errorf("tokens once contact is restored (-want +got):\n%s", diff)
+	}
+}
--- a/internal/core/quota/history.go
+++ b/internal/core/quota/history.go
@@ -66,9 +66,9 @@
 	return h
 }
 
-// taken counts operations at time now, for which a new interval has begun if it was time.
-func (h history) taken(operations float64, now clock.Millis) history {
-	h.spending = h.spending.with(operations, now)
+// taken adds operations to the latest interval.
+func (h history) taken(operations float64) history {
+	h.counts[0] += operations
 	return h
 }
 
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -101,6 +101,12 @@
 	// heldGauge and reservedGauge show the servers of which this VM is a holder or a reserve.
 	heldGauge     *metrics.Gauge
 	reservedGauge *metrics.Gauge
+	// reachGauge shows the part of the accounts' limits that this VM has with those in reach.
+	// partSince is the time since which that is not the whole, or 0, and partLogged is set once
+	// that is logged. The rounds of gossip alone use them.
+	reachGauge *metrics.Gauge
+	partSince  clock.Millis
+	partLogged bool
 	// heldCountedAt is the time of the last count; only beginRound uses it.
 	heldCountedAt clock.Millis
 	// compressed is the configuration, compressedList the list of VMs for other VMs.
@@ -166,6 +172,7 @@
 	f.configCalls = metrics.GetOrCreateCounter("sycamoredoor_configuration_calls_total")
 	f.heldGauge = metrics.GetOrCreateGauge("sycamoredoor_servers_held", nil)
 	f.reservedGauge = metrics.GetOrCreateGauge("sycamoredoor_servers_reserved", nil)
+	f.reachGauge = metrics.GetOrCreateGauge("sycamoredoor_limit_reach", nil)
 	f.holderCache.setMembers(f.mesh.Members())
 	f.forwarder = f.newForwarder()
 	f.holder = &forward.Holder{Clock: o.Clock, GroupFunc: f.Group, StoppingFunc: f.isStopping, TakesFunc: f.takes}
@@ -189,7 +196,7 @@
 func (f *Frontend) newLimiter() *limiter {
 	l := newLimiter(f.options.Clock, f.options.Tolerance)
 	l.region = f.options.Self.Region
-	l.vmCountFunc, l.processFunc = f.mesh.KnownCount, f.mesh.Process
+	l.vmCountFunc, l.processFunc = f.mesh.ExpectedCount, f.mesh.Process
 	l.roleFunc = f.mesh.Role
 	l.regionGossipFunc, l.gossipFunc = f.mesh.RegionGossipSoon, f.mesh.GossipSoon
 	l.accountFunc = func(name string) (catalog.Account, bool) {
--- a/internal/serve/frontend/limits.go
+++ b/internal/serve/frontend/limits.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
@@ -83,6 +84,8 @@
 	// counts until the VMs have had time to send messages by the new role.
 	coveredBefore float64
 	roleChangedAt clock.Millis
+	// partRefusals counts operations refused while VMs are out of reach.
+	partRefusals *metrics.Counter
 }
 
 // contact is the contact with a source of usages.
@@ -101,6 +104,7 @@
 		zoneTotals: accountTotals{}, hinted: map[string]bool{},
 		contacts: map[string]contact{}, lastContact: c.Now() - quota.SilenceTimeout,
 		reach: 1, hintedAt: clock.DistantPast, roleChangedAt: clock.DistantPast,
+		partRefusals: metrics.GetOrCreateCounter("sycamoredoor_limit_part_refusals_total"),
 	}
 }
 
@@ -112,6 +116,9 @@
 	now := l.clock.Now()
 	b, ok := l.bucket(a, vms, now).WithTake(now)
 	l.buckets[a.Name] = b
+	if !ok && l.reach < wholeReach {
+		l.partRefusals.Inc()
+	}
 	switch {
 	case !b.RoundUrgent(l.reportedSpent[a.Name]):
 	case b.DemandIsNew(now):
@@ -123,6 +130,16 @@
 	return ok
 }
 
+// wholeReach is the reach from which the limits count as whole.
+const wholeReach = 0.95
+
+// currentReach returns the reach as of the last round, and the number of VMs that it covers.
+func (l *limiter) currentReach() (reach, covered float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reach, l.covered
+}
+
 // refund returns an operation that was taken and has not run.
 func (l *limiter) refund(a catalog.Account) {
 	l.mu.Lock()
--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -299,6 +299,21 @@
 	return len(m.peers) + 1
 }
 
+// ExpectedCount returns the number of known VMs that may be running, this one included: those of
+// KnownCount but for the ones that announced that they are leaving and then went silent.
+func (m *Mesh) ExpectedCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.options.Clock.Now()
+	out := 1
+	for _, p := range m.peers {
+		if !p.leaving || now-p.lastReceived < SilenceTimeout {
+			out++
+		}
+	}
+	return out
+}
+
 // Run exchanges messages until the context ends.
 func (m *Mesh) Run(ctx context.Context) {
 	defer close(m.done)
--- a/internal/serve/gossip/leave_test.go
+++ b/internal/serve/gossip/leave_test.go
@@ -66,6 +66,10 @@
 	}
 	n.cut["vm0"] = true
 	n.run(2 * SilenceTimeout)
+	// The limits of accounts are not divided by a VM that announced that it leaves.
+	if diff := cmp.Diff([]int{3, 2}, []int{claimant.KnownCount(), claimant.ExpectedCount()}); diff != "" {
+		t.Errorf("known and expected VMs before the list is read (-want +got):\n%s", diff)
+	}
 	if err := claimant.RefreshVMs(t.Context()); err != nil {
 		t.Fatal(err)
 	}
