Serve the first operations of an account at a VM that has just started

The fourth operation of an account within 60 ms of a VM's start got "over its rate". A bucket that is made between two rounds had one operation until the next round, up to 0.3 s later; an isolated VM took its share of a part that was its own already; and without demand anywhere the share and the spare tokens of one VM of nine came to four operations.

A new bucket begins with a round, an isolated VM has all of its part, and the spare tokens of a VM that started less than 1.8 s ago and knows of no demand are an even part of the bucket.

--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -283,7 +283,7 @@
 	b = b.withoutSilent(now)
 	b.history = b.history.at(now, b.tokens/b.reach)
 	if b.isolated() {
-		added = b.tolerance * float64(elapsed) / float64(clock.Second)
+		added = b.tolerance * float64(elapsed) / float64(clock.Second) * b.vmCount() / float64(b.vms)
 	}
 	if !b.isGuided() {
 		b.credit = min(b.credit+added*b.ownShare(now), max(b.tokens, 0))
@@ -322,20 +322,17 @@
 }
 
 // ownShare returns this VM's share of the bucket: by demand among this VM and the peers that
-// report, but at least minShare of an even share. The share of an isolated VM is even.
+// report, but at least minShare of an even share. It is even at an isolated VM.
 func (b Bucket) ownShare(now clock.Millis) float64 {
-	if b.isolated() {
-		return 1 / float64(b.vms)
-	}
-	if b.guidance.followed {
-		return 1 / b.vmCount()
-	}
-	minimum := minShare / b.vmCount()
+	even := 1 / b.vmCount()
 	sum := b.reachedDemand(now)
+	if b.isolated() || b.guidance.followed {
+		return even
+	}
 	if sum <= 0 {
-		return minimum
+		return minShare * even
 	}
-	return max(b.demand/sum, minimum)
+	return max(b.demand/sum, minShare*even)
 }
 
 // WithRound begins a round, in which this VM may take its share of the bucket, and
@@ -359,10 +356,15 @@
 
 // spareForRound returns how many operations this VM may run in a round beyond its
 // share: an even part of spareShare of the bucket, or one if that is less than one and
-// the bucket has more tokens than there are VMs.
+// the bucket has more tokens than there are VMs. At a VM that has just started and knows of no
+// demand it is an even part of the bucket, so that it can serve the first operations.
 func (b Bucket) spareForRound() float64 {
 	vms := b.vmCount()
-	spare := math.Floor(spareShare * b.tokens / vms)
+	share := spareShare
+	if b.updated-b.createdAt < OverdueAfter && b.reachedDemand(b.updated) <= 0 {
+		share = 1
+	}
+	spare := math.Floor(share * b.tokens / vms)
 	if spare < 1 && b.tokens > vms {
 		return 1
 	}
--- a/internal/serve/frontend/limits.go
+++ b/internal/serve/frontend/limits.go
@@ -103,7 +103,7 @@
 		clock: c, tolerance: t, buckets: map[string]quota.Bucket{}, reportedSpent: map[string]uint64{},
 		zoneTotals: accountTotals{}, hinted: map[string]bool{},
 		contacts: map[string]contact{}, lastContact: c.Now() - quota.SilenceTimeout,
-		reach: 1, hintedAt: clock.DistantPast, roleChangedAt: clock.DistantPast,
+		hintedAt: clock.DistantPast, roleChangedAt: clock.DistantPast,
 		partRefusals: metrics.GetOrCreateCounter("sycamoredoor_limit_part_refusals_total"),
 	}
 }
@@ -152,11 +152,16 @@
 // bucket returns the bucket of an account with its present limit. The caller holds the
 // lock.
 func (l *limiter) bucket(a catalog.Account, vms int, now clock.Millis) quota.Bucket {
-	b, ok := l.buckets[a.Name]
-	if !ok {
+	b, known := l.buckets[a.Name]
+	if !known {
 		b = quota.New(a.Rate, a.Burst, now).WithSeed(l.processFunc() ^ xxhash.Sum64String(a.Name))
 	}
-	return b.WithLimit(a.Rate, a.Burst, now).WithVMs(vms, l.tolerance.excessRate(a)).WithReach(l.reach, l.reachSince, now)
+	b = b.WithLimit(a.Rate, a.Burst, now).WithVMs(vms, l.tolerance.excessRate(a)).WithReach(l.reach, l.reachSince, now)
+	if !known {
+		// Operations may come before the next round of this VM.
+		b, _ = b.WithRound(now)
+	}
+	return b
 }
 
 // createBuckets creates buckets for the accounts that have none, so that the VMs know their
--- /dev/null
+++ b/internal/serve/frontend/start_test.go
@@ -0,0 +1,52 @@
+package frontend
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/serve/gossip"
+	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
+)
+
+// TestFirstOperations checks how many of the first five operations of an account at a VM that has
+// just started are refused, before and after it has heard the others in a round. A bucket
+// without a round, or with a share for many VMs without demand, refused the fourth one. A VM that has
+// heard none has its part of half the burst.
+func TestFirstOperations(t *testing.T) {
+	for vms, wantUnheard := range map[int]int{2: 0, 3: 0, 9: 3} {
+		for heard, want := range map[bool]int{false: wantUnheard, true: 0} {
+			t.Run(fmt.Sprintf("%d VMs, heard %t", vms, heard), func(t *testing.T) {
+				c := clock.NewFake(0)
+				a := catalog.Account{Name: "acme", Rate: 50, Burst: 50}
+				l := newLimiter(c.Clock(), Tolerance{Fraction: 0.1, Slack: 20, Window: 5})
+				l.vmCountFunc, l.processFunc = func() int { return vms }, func() uint64 { return 1 }
+				l.roleFunc = func() gossip.Role { return gossip.Equal }
+				l.regionGossipFunc, l.gossipFunc = func() {}, func() {}
+				l.accountFunc = func(string) (catalog.Account, bool) { return a, true }
+				l.beginRound()
+				l.createBuckets(map[string]catalog.Account{a.Name: a})
+				for i := 1; heard && i < vms; i++ {
+					l.mergeGossip(inner.Gossip{From: fmt.Sprintf("vm%d", i), Process: 2}, false)
+				}
+				if heard {
+					c.Advance(10)
+					l.beginRound()
+				}
+				refused := 0
+				for range 5 {
+					c.Advance(10)
+					if !l.take(a) {
+						refused++
+					}
+				}
+				if diff := cmp.Diff(want, refused); diff != "" {
+					t.Errorf("operations refused of 5 (-want +got):\n%s", diff)
+				}
+			})
+		}
+	}
+}
