--- a/internal/core/quota/bucket_test.go
+++ b/internal/core/quota/bucket_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
@@ -62,9 +63,9 @@
 		buckets[i] = New(l.Rate, l.Burst, 0).WithVMs(l.VMs, tolerance)
 	}
 	var messages []message
-	contacts := make([]map[string]clock.Millis, l.VMs)
+	contacts := make([]map[string]Contact, l.VMs)
 	for i := range contacts {
-		contacts[i] = map[string]clock.Millis{}
+		contacts[i] = map[string]Contact{}
 	}
 	reported, lastRound, urgent := make([]uint64, l.VMs), make([]clock.Millis, l.VMs), make([]bool, l.VMs)
 	tokens := l.Burst * initialFill
@@ -74,7 +75,8 @@
 		for i := range buckets {
 			regular := (now+clock.Millis(i)*roundInterval/clock.Millis(l.VMs))%roundInterval == 0
 			if regular || urgent[i] && now-lastRound[i] >= minRoundInterval {
-				b, r := buckets[i].WithContacts(latestOf(contacts[i]), func(name string) clock.Millis { return contacts[i][name] }, now).WithRound(now)
+				b := buckets[i].WithContacts(latestOf(contacts[i]), func(name string) Contact { return contacts[i][name] }, now)
+				b, r := b.WithReach(l.reach(contacts[i], now), now-nearTimeout, now).WithRound(now)
 				r.Process = 1
 				m := message{at: now + max(l.Delay, messageDelay), from: i, report: r, idle: b.Idle(now) && reported[i] == r.Spent}
 				buckets[i], reported[i], lastRound[i], urgent[i] = b, r.Spent, now, false
@@ -120,16 +122,31 @@
 }
 
 // latestOf returns the time of the last message, or the distant past if there was none.
-func latestOf(contacts map[string]clock.Millis) clock.Millis {
+func latestOf(contacts map[string]Contact) clock.Millis {
 	latest := -SilenceTimeout
-	for _, at := range contacts {
-		latest = max(latest, at)
+	for _, c := range contacts {
+		latest = max(latest, c.Last)
 	}
 	return latest
 }
 
+// reach returns the VMs that a VM with these contacts reaches, as a part of all. Before the
+// first messages it reaches all.
+func (l load) reach(contacts map[string]Contact, now clock.Millis) float64 {
+	if now < clock.Second {
+		return 1
+	}
+	reached := 1
+	for _, c := range contacts {
+		if c.InReach(now) {
+			reached++
+		}
+	}
+	return float64(reached) / float64(l.VMs)
+}
+
 // deliver delivers the messages that are due and returns the rest.
-func (l load) deliver(buckets []Bucket, contacts []map[string]clock.Millis, messages []message, now clock.Millis) []message {
+func (l load) deliver(buckets []Bucket, contacts []map[string]Contact, messages []message, now clock.Millis) []message {
 	pending := messages[:0]
 	cut := now >= l.Cut && now < l.Heal
 	for _, m := range messages {
@@ -142,9 +159,15 @@
 				continue
 			}
 			name := fmt.Sprintf("vm%d", m.from)
-			contacts[i][name] = now
+			c, known := contacts[i][name]
+			if !known {
+				c.Joined, c.Last = now, now
+			}
+			c = c.WithMessage(false, now)
+			contacts[i][name] = c
 			if !m.idle {
-				buckets[i] = buckets[i].WithReport(name, m.report, now)
+				m.report.Joined, m.report.Weight = c.Joined, 1/float64(l.VMs)
+				buckets[i] = buckets[i].WithReach(l.reach(contacts[i], now), now, now).WithReport(name, m.report, now)
 			}
 		}
 	}
@@ -247,3 +270,30 @@
 		t.Errorf("tokens, credit and spent (-want +got):\n%s", diff)
 	}
 }
+
+// TestParts checks that the parts of two sides that lose each other add up to the bucket, although
+// both spent from the whole before they noticed, and that they are added up again afterwards.
+func TestParts(t *testing.T) {
+	sides := [2]Bucket{New(100, 200, 0).WithVMs(4, 0), New(100, 200, 0).WithVMs(4, 0)}
+	weights := [2]float64{0.25, 0.75}
+	for i := range sides {
+		// The last message came at 300 ms, when the bucket had 130 tokens.
+		for now := clock.Millis(0); now <= 1300; now += 100 {
+			sides[i] = sides[i].advance(now)
+			if now == 600 {
+				sides[i] = sides[i].charge(20*float64(i+1), now)
+			}
+		}
+		sides[i] = sides[i].WithReach(weights[i], 300, 1300)
+	}
+	// 130 tokens and those of a second, less 20 and 40 operations.
+	if diff := cmp.Diff(170.0, sides[0].tokens+sides[1].tokens, cmpopts.EquateApprox(0, 1e-6)); diff != "" {
+		t.Errorf("tokens of both sides (-want +got):\n%s", diff)
+	}
+	_, r := sides[1].WithRound(1300)
+	r.Process, r.Weight, r.Joined = 2, weights[1], 1300
+	whole := sides[0].WithReach(1, 1300, 1300).WithReport("others", r, 1300)
+	if diff := cmp.Diff(170.0, whole.tokens, cmpopts.EquateApprox(0, 1e-6)); diff != "" {
+		t.Errorf("tokens once contact is restored (-want +got):\n%s", diff)
+	}
+}
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -106,6 +106,12 @@
 	reservedGauge *metrics.Gauge
 	// unknownRegionsGauge shows the number of unknownRegions.
 	unknownRegionsGauge *metrics.Gauge
+	// reachGauge shows the part of the accounts' limits that this VM has with those in reach.
+	// partSince is the time since which that is not the whole, or 0, and partLogged is set once
+	// that is logged. The rounds of gossip alone use them.
+	reachGauge *metrics.Gauge
+	partSince  clock.Millis
+	partLogged bool
 	// heldCountedAt is the time of the last count; only beginRound uses it.
 	heldCountedAt clock.Millis
 	// compressed is the configuration, compressedList the list of VMs for other VMs.
@@ -187,6 +193,7 @@
 	f.heldGauge = metrics.GetOrCreateGauge("sycamoredoor_servers_held", nil)
 	f.reservedGauge = metrics.GetOrCreateGauge("sycamoredoor_servers_reserved", nil)
 	f.unknownRegionsGauge = metrics.GetOrCreateGauge("sycamoredoor_regions_without_server", nil)
+	f.reachGauge = metrics.GetOrCreateGauge("sycamoredoor_limit_reach", nil)
 	f.holderCache.setMembers(f.mesh.Members())
 	f.forwarder = f.newForwarder()
 	f.holder = &forward.Holder{Clock: o.Clock, GroupFunc: f.Group, StoppingFunc: f.isStopping, TakesFunc: f.takes}
@@ -210,7 +217,8 @@
 // newLimiter returns the limiter of this VM, connected to the frontend's state.
 func (f *Frontend) newLimiter() *limiter {
 	l := newLimiter(f.options.Clock, f.options.Tolerance)
-	l.vmCountFunc, l.processFunc = f.mesh.KnownCount, f.mesh.Process
+	l.region = f.options.Self.Region
+	l.vmCountFunc, l.processFunc = f.mesh.ExpectedCount, f.mesh.Process
 	l.roleFunc = f.mesh.Role
 	l.regionGossipFunc, l.gossipFunc = f.mesh.RegionGossipSoon, f.mesh.GossipSoon
 	l.accountFunc = func(name string) (catalog.Account, bool) {
--- a/internal/serve/frontend/limits.go
+++ b/internal/serve/frontend/limits.go
@@ -2,8 +2,11 @@
 
 import (
 	"maps"
+	"math"
+	"strings"
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
@@ -40,6 +43,8 @@
 	// vmCountFunc counts the known VMs, and processFunc identifies this process of the VM.
 	vmCountFunc func() int
 	processFunc func() uint64
+	// region is this VM's region.
+	region string
 	// roleFunc returns how this VM learns of the use by others.
 	roleFunc func() gossip.Role
 	// regionGossipFunc starts the next round of gossip within the region early, and
@@ -62,10 +67,34 @@
 	// hinted names the accounts that were near their limit in the last summary for the VMs
 	// of this zone.
 	hinted map[string]bool
-	// contacts holds the time of the last message with usages of each source, by its name
-	// in the buckets, and lastContact the latest of them.
-	contacts    map[string]clock.Millis
+	// contacts holds the contact with each source of usages, by its name in the buckets, and
+	// lastContact the time of the latest message.
+	contacts    map[string]contact
 	lastContact clock.Millis
+	// reach is the number of VMs that the usages known here cover, as a part of all known
+	// ones, and covered their number. VMs that are no longer covered may have been out of reach
+	// since reachSince.
+	reach      float64
+	covered    float64
+	reachSince clock.Millis
+	// hintedReach is the reach of the relay whose last hints came at hintedAt.
+	hintedReach float64
+	hintedAt    clock.Millis
+	// coveredBefore is the number of VMs covered when the role last changed, at roleChangedAt. It
+	// counts until the VMs have had time to send messages by the new role.
+	coveredBefore float64
+	roleChangedAt clock.Millis
+	// partRefusals counts operations refused while VMs are out of reach.
+	partRefusals *metrics.Counter
+}
+
+// contact is the contact with a source of usages.
+type contact struct {
+	quota.Contact
+	// covered is the number of VMs that its last message covered, and lost is set once the
+	// reach no longer counts them.
+	covered int
+	lost    bool
 }
 
 // newLimiter returns a limiter without accounts. The caller sets the functions.
@@ -73,7 +102,9 @@
 	return &limiter{
 		clock: c, tolerance: t, buckets: map[string]quota.Bucket{}, reportedSpent: map[string]uint64{},
 		zoneTotals: accountTotals{}, hinted: map[string]bool{},
-		contacts: map[string]clock.Millis{}, lastContact: c.Now() - quota.SilenceTimeout,
+		contacts: map[string]contact{}, lastContact: c.Now() - quota.SilenceTimeout,
+		hintedAt: clock.DistantPast, roleChangedAt: clock.DistantPast,
+		partRefusals: metrics.GetOrCreateCounter("sycamoredoor_limit_part_refusals_total"),
 	}
 }
 
@@ -85,6 +116,9 @@
 	now := l.clock.Now()
 	b, ok := l.bucket(a, vms, now).WithTake(now)
 	l.buckets[a.Name] = b
+	if !ok && l.reach < wholeReach {
+		l.partRefusals.Inc()
+	}
 	switch {
 	case !b.RoundUrgent(l.reportedSpent[a.Name]):
 	case b.DemandIsNew(now):
@@ -96,6 +130,16 @@
 	return ok
 }
 
+// wholeReach is the reach from which the limits count as whole.
+const wholeReach = 0.95
+
+// currentReach returns the reach as of the last round, and the number of VMs that it covers.
+func (l *limiter) currentReach() (reach, covered float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reach, l.covered
+}
+
 // refund returns an operation that was taken and has not run.
 func (l *limiter) refund(a catalog.Account) {
 	l.mu.Lock()
@@ -108,11 +152,16 @@
 // bucket returns the bucket of an account with its present limit. The caller holds the
 // lock.
 func (l *limiter) bucket(a catalog.Account, vms int, now clock.Millis) quota.Bucket {
-	b, ok := l.buckets[a.Name]
-	if !ok {
+	b, known := l.buckets[a.Name]
+	if !known {
 		b = quota.New(a.Rate, a.Burst, now).WithSeed(l.processFunc() ^ xxhash.Sum64String(a.Name))
 	}
-	return b.WithLimit(a.Rate, a.Burst, now).WithVMs(vms, l.tolerance.excessRate(a))
+	b = b.WithLimit(a.Rate, a.Burst, now).WithVMs(vms, l.tolerance.excessRate(a)).WithReach(l.reach, l.reachSince, now)
+	if !known {
+		// Operations may come before the next round of this VM.
+		b, _ = b.WithRound(now)
+	}
+	return b
 }
 
 // createBuckets creates buckets for the accounts that have none, so that the VMs know their
@@ -135,9 +184,10 @@
 	vms, role := l.vmCountFunc(), l.roleFunc()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.role = role
 	now := l.clock.Now()
-	maps.DeleteFunc(l.contacts, func(_ string, at clock.Millis) bool { return now-at > quota.SilenceTimeout })
+	l.setRole(role, now)
+	maps.DeleteFunc(l.contacts, func(_ string, c contact) bool { return now-c.Last > quota.SilenceTimeout })
+	l.updateReach(vms, now)
 	var out []inner.Usage
 	for name := range l.buckets {
 		a, ok := l.accountFunc(name)
@@ -145,12 +195,18 @@
 			delete(l.buckets, name)
 			continue
 		}
-		b := l.bucket(a, vms, now)
+		b := l.buckets[name]
+		if role != gossip.Follower {
+			// What silent VMs have spent is estimated before the reach excludes them.
+			b = b.WithContacts(l.lastContact, l.contact, now)
+		}
+		l.buckets[name] = b
+		b = l.bucket(a, vms, now)
 		switch role {
 		case gossip.Equal:
-			b = b.WithoutGuidance().WithContacts(l.lastContact, l.contact, now)
+			b = b.WithoutGuidance()
 		case gossip.Relay:
-			b = b.WithContacts(l.lastContact, l.contact, now).WithOwnHint(now)
+			b = b.WithOwnHint(now)
 		}
 		b, r := b.WithRound(now)
 		l.buckets[name] = b
@@ -162,18 +218,109 @@
 		r.Process = l.processFunc()
 		l.zoneTotals.add(name, selfName, r, now)
 	}
-	l.contacts[selfName] = now
+	l.recordContact(selfName, 1, false, now)
 	l.ownUsages = out
 }
 
-// contact returns the time of the last message with usages of a source. The caller holds
-// the lock.
-func (l *limiter) contact(source string) clock.Millis {
-	at, ok := l.contacts[source]
+// setRole sets the role of a round. By a new role usages come from other sources: what a relay
+// heard of a VM before it was one is no contact. The caller holds the lock.
+func (l *limiter) setRole(role gossip.Role, now clock.Millis) {
+	if role == l.role {
+		return
+	}
+	l.coveredBefore, l.roleChangedAt = l.covered, now
+	clear(l.contacts)
+	l.role = role
+}
+
+// updateReach determines the reach at time now, in a round. The caller holds the lock.
+func (l *limiter) updateReach(vms int, now clock.Millis) {
+	l.reachSince = l.hintedAt
+	if l.role != gossip.Follower {
+		l.reachSince = l.lostSince(now)
+	}
+	l.reach = l.reachAt(vms, now)
+	l.covered = l.reach * float64(vms)
+}
+
+// reachAt returns the reach at time now. The caller holds the lock.
+func (l *limiter) reachAt(vms int, now clock.Millis) float64 {
+	known := float64(max(vms, 1))
+	reach := 1 / known
+	switch {
+	case l.role != gossip.Follower:
+		reach = float64(l.coveredVMs(now, func(string) bool { return true })) / known
+	case now-l.hintedAt <= quota.HintMaxAge:
+		reach = l.hintedReach
+	}
+	if now-l.roleChangedAt <= roleGrace {
+		reach = max(reach, l.coveredBefore/known)
+	}
+	return min(reach, 1)
+}
+
+// roleGrace is the time in which the VMs send their messages to a new relay, and it sends its
+// hints, in milliseconds.
+const roleGrace = clock.Millis(1500)
+
+// lostSince returns the time of the earliest last message of the sources that went out of
+// reach since it was called before, or now. The caller holds the lock.
+func (l *limiter) lostSince(now clock.Millis) clock.Millis {
+	out := now
+	for source, c := range l.contacts {
+		lost := !c.InReach(now)
+		if lost && !c.lost {
+			out = min(out, c.Last)
+		}
+		c.lost = lost
+		l.contacts[source] = c
+	}
+	return out
+}
+
+// coveredVMs counts the VMs that the usages known at time now cover, this one included, for
+// the sources that match. The caller holds the lock.
+func (l *limiter) coveredVMs(now clock.Millis, matches func(source string) bool) int {
+	out := 1
+	for source, c := range l.contacts {
+		if source != selfName && c.InReach(now) && matches(source) {
+			out += c.covered
+		}
+	}
+	return out
+}
+
+// coverage returns the number of VMs that the usages of a scope cover, and that of the known
+// ones.
+func (l *limiter) coverage(s inner.Scope) (covered, known int) {
+	vms := l.vmCountFunc()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	switch s {
+	case inner.ScopeZone:
+		return l.coveredVMs(now, func(source string) bool { return !strings.HasPrefix(source, zonePrefix) }), vms
+	case inner.ScopeAll:
+		return int(math.Round(l.reach * float64(vms))), vms
+	}
+	return 1, vms
+}
+
+// recordContact records a message of a source that covers some VMs. The caller holds the lock.
+func (l *limiter) recordContact(source string, covered int, far bool, now clock.Millis) contact {
+	c := contact{Contact: l.contact(source).WithMessage(far, now), covered: covered}
+	l.contacts[source] = c
+	return c
+}
+
+// contact returns the contact with a source of usages. The caller holds the lock.
+func (l *limiter) contact(source string) quota.Contact {
+	c, ok := l.contacts[source]
 	if !ok {
-		return l.clock.Now() - quota.SilenceTimeout
+		past := l.clock.Now() - quota.SilenceTimeout
+		return quota.Contact{Joined: past, Last: past}
 	}
-	return at
+	return c.Contact
 }
 
 // zonePrefix and the name of a zone name the report of that zone in a bucket.
@@ -194,13 +341,20 @@
 	case g.Scope == inner.ScopeZone && l.role == gossip.Relay:
 		l.mergeUsages(g, zonePrefix+string(g.Zone), vms, now)
 	case g.Scope == inner.ScopeAll && l.role == gossip.Follower:
-		l.mergeHints(g.Usages, vms, now)
+		l.mergeHints(g, vms, now)
 	}
 }
 
 // mergeUsages merges the usages of one source, a VM or a zone. The caller holds the lock.
 func (l *limiter) mergeUsages(g inner.Gossip, source string, vms int, now clock.Millis) {
-	l.contacts[source], l.lastContact = now, now
+	covered := 1
+	if g.Scope != inner.ScopeVM {
+		covered = g.Covered
+	}
+	c := l.recordContact(source, covered, g.Region != l.region, now)
+	l.lastContact = now
+	// A round notices what is out of reach, after it has forgotten these VMs' spending.
+	l.reach = max(l.reach, l.reachAt(vms, now))
 	for _, u := range g.Usages {
 		a, ok := l.accountFunc(u.Account)
 		if !ok {
@@ -208,6 +362,7 @@
 		}
 		r := quota.Report{
 			Process: g.Process, Spent: u.Spent, Demand: float64(u.Demand), Tokens: float64(u.Tokens), Aggregate: g.Scope != inner.ScopeVM,
+			Weight: float64(covered) / float64(max(vms, 1)), Joined: c.Joined,
 		}
 		if g.Scope == inner.ScopeVM {
 			l.zoneTotals.add(u.Account, source, r, now)
@@ -237,9 +392,11 @@
 
 // mergeHints merges the usages of a summary for all VMs: those of the accounts that are
 // near their limit. The caller holds the lock.
-func (l *limiter) mergeHints(usages []inner.Usage, vms int, now clock.Millis) {
-	near := make(map[string]quota.Hint, len(usages))
-	for _, u := range usages {
+func (l *limiter) mergeHints(g inner.Gossip, vms int, now clock.Millis) {
+	l.hintedReach, l.hintedAt = float64(g.Covered)/float64(max(g.Known, 1)), now
+	l.reach, l.reachSince = l.reachAt(vms, now), now
+	near := make(map[string]quota.Hint, len(g.Usages))
+	for _, u := range g.Usages {
 		near[u.Account] = quota.Hint{Tokens: float64(u.Tokens), Demand: float64(u.Demand)}
 	}
 	for name := range l.buckets {
@@ -277,9 +434,18 @@
 	now := l.clock.Now()
 	switch s {
 	case inner.ScopeZone:
-		return l.zoneTotals.usages(now, l.contact)
+		return l.zoneTotals.usages(now, l.contact, l.fill)
 	case inner.ScopeAll:
 		return l.hints(now)
 	}
 	return l.ownUsages
 }
+
+// fill returns the tokens of an account, scaled to the whole burst. The caller holds the lock.
+func (l *limiter) fill(account string, now clock.Millis) float64 {
+	b, ok := l.buckets[account]
+	if !ok {
+		return 0
+	}
+	return b.Fill(now)
+}
