Keep a hint when another part of the relay's message leaves the account out

A summary of many groups and accounts comes in several datagrams. A follower took the accounts of the earlier parts for calm when the last one came, and admitted all operations up to the tokens that it was told of, at each follower: 200 of 200 in TestHintsInParts, where the hint allows a ninth.

TestHintsInParts allows 50 of 200; TestPartition, TestRelayedLoads and the loads of core/quota hold.

--- a/internal/core/quota/hint.go
+++ b/internal/core/quota/hint.go
@@ -83,9 +83,13 @@
 	return b
 }
 
-// WithCalm records that the relay leaves the account out.
+// WithCalm records that a message of the relay leaves the account out. It is ignored within
+// JoinTime after a hint: the message may be another part of the one with the hint.
 func (b Bucket) WithCalm(now clock.Millis) Bucket {
 	b = b.withoutPeers().advance(now)
+	if b.guidance.followed && b.guidance.near && now-b.guidance.received < JoinTime {
+		return b
+	}
 	b.guidance.followed = true
 	return b.withCalm(now)
 }
--- a/internal/serve/frontend/start_test.go
+++ b/internal/serve/frontend/start_test.go
@@ -50,3 +50,30 @@
 		}
 	}
 }
+
+// TestHintsInParts guards against a follower that takes an account for calm since it is not in the
+// last part of a message of its relay: the account is hinted in the first part.
+func TestHintsInParts(t *testing.T) {
+	c := clock.NewFake(0)
+	a, l := acmeLimiter(c)
+	l.roleFunc = func() gossip.Role { return gossip.Follower }
+	l.beginRound()
+	served := 0
+	for range 10 {
+		c.Advance(300)
+		hint := inner.Usage{Account: a.Name, Tokens: 20, Demand: 2000}
+		for _, part := range [][]inner.Usage{{hint}, {{Account: "other", Tokens: 1, Demand: 9}}} {
+			c.Advance(1)
+			l.mergeGossip(inner.Gossip{From: "relay", Process: 2, Scope: inner.ScopeAll, Covered: 3, Known: 3, Usages: part}, true)
+		}
+		for range 20 {
+			if l.take(a) {
+				served++
+			}
+		}
+	}
+	// The rate and the tokens are a ninth of the demand.
+	if served > 50 {
+		t.Errorf("%d operations served of 200, want at most 50", served)
+	}
+}
