--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -79,8 +79,9 @@
 type peer struct {
 	report   Report
 	received clock.Millis
-	// spending is what was charged for it of late.
-	spending spending
+	// spending is what was charged for it of late, or nil. It is never modified: a pointer
+	// keeps the map of peers small, which each report copies.
+	spending *spending
 }
 
 // Contact is when messages of another VM, or of several that report together, came.
--- a/internal/core/quota/history.go
+++ b/internal/core/quota/history.go
@@ -16,17 +16,25 @@
 	counts [historyLength]float64
 }
 
-// at begins a new interval at time now if the latest is over.
-func (s spending) at(now clock.Millis) spending {
-	s.counts, s.latest = shifted(s.counts, s.latest, now, 0)
-	return s
+// at begins a new interval at time now if the latest is over. Without a spending it returns an
+// empty one.
+func (s *spending) at(now clock.Millis) *spending {
+	var out spending
+	if s != nil {
+		out = *s
+	}
+	out.counts, out.latest = shifted(out.counts, out.latest, now, 0)
+	return &out
 }
 
 // with adds operations to the interval of the time now.
-func (s spending) with(operations float64, now clock.Millis) spending {
-	s = s.at(now)
-	s.counts[0] += operations
-	return s
+func (s *spending) with(operations float64, now clock.Millis) *spending {
+	if s != nil && operations == 0 {
+		return s
+	}
+	out := s.at(now)
+	out.counts[0] += operations
+	return out
 }
 
 // shifted makes room for the intervals that have begun since the latest, filled with a value.
@@ -54,6 +62,7 @@
 
 // newHistory returns the history of a bucket that had the tokens fill until now.
 func newHistory(fill float64, now clock.Millis) history {
+	// All begin at a multiple of the interval, so that those of a bucket and a peer agree.
 	start := now - now%historyInterval - clock.Millis(historyLength)*historyInterval
 	return history{spending: spending{latest: start}}.at(now, fill)
 }
@@ -62,7 +71,7 @@
 // fill, scaled to the whole burst.
 func (h history) at(now clock.Millis, fill float64) history {
 	h.fills, _ = shifted(h.fills, h.latest, now, fill)
-	h.spending = h.spending.at(now)
+	h.counts, h.latest = shifted(h.counts, h.latest, now, 0)
 	return h
 }
 
@@ -73,10 +82,10 @@
 }
 
 // without removes what a peer has spent.
-func (h history) without(s spending, now clock.Millis) history {
-	s = s.at(now)
+func (h history) without(s *spending, now clock.Millis) history {
+	counts := s.at(now).counts
 	for i := range h.counts {
-		h.counts[i] -= s.counts[i]
+		h.counts[i] -= counts[i]
 	}
 	return h
 }
