Read evacuations from the store and pass them on between VMs

Missing: the operator's rows evacuate/ZONE were ignored, and followers do not read the store.

The rows come with the configuration; a set counts as of the version of the store. A VM tells the others in a datagram of its own, which older VMs ignore, as long as a zone is evacuated and for a minute after, and with a configuration that another VM fetches. A transaction whose primary was replaced because of an evacuation ends with ABORTED, not with the server's READONLY.

--- /dev/null
+++ b/internal/proto/inner/evacuation.go
@@ -0,0 +1,25 @@
+package inner
+
+import (
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
+)
+
+// Evacuation is a datagram with the evacuated zones as the sender knows them, and a part of an
+// Answer. VMs that do not know it ignore it.
+type Evacuation struct {
+	_    struct{} `cbor:",toarray"`
+	From string
+	// Revision, Era and Zones are those of an evacuation.Set.
+	Revision uint64
+	Era      uint64
+	Zones    []EvacuatedZone
+}
+
+// EvacuatedZone is an evacuated availability zone. Age is the time for which it has been known to be
+// evacuated, in milliseconds.
+type EvacuatedZone struct {
+	_    struct{} `cbor:",toarray"`
+	Zone member.Zone
+	Age  clock.Millis
+}
--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -55,6 +55,8 @@
 	KindSummary Kind = 15
 	// KindRoster is a Roster, a datagram.
 	KindRoster Kind = 16
+	// KindEvacuation is an Evacuation, a datagram.
+	KindEvacuation Kind = 17
 )
 
 // MaxBody is the largest body of a frame in bytes.
@@ -243,6 +245,8 @@
 	LostTerm floor.Term `cbor:"lost,omitempty"`
 	// Grants answers the reports of a ShareRequest.
 	Grants []limit.Grant `cbor:"grants,omitempty"`
+	// Evacuation is set with TopicText once the answering VM knows evacuations.
+	Evacuation *Evacuation `cbor:"evacuation,omitempty"`
 	// Error is set when the question was refused or could not be answered.
 	Error string `cbor:"error,omitempty"`
 }
--- a/internal/serve/database/pooledconn.go
+++ b/internal/serve/database/pooledconn.go
@@ -50,6 +50,9 @@
 	return pc.remote.VM
 }
 
+// IsEvacuated reports whether the server is in an evacuated availability zone.
+func (pc *PooledConn) IsEvacuated() bool { return pc.pool.isEvacuated() }
+
 // Group returns the name of the database group that the server belongs to.
 func (pc *PooledConn) Group() string { return pc.pool.group.options.Name }
 
--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/evacuation"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/freshness"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
@@ -258,6 +259,7 @@
 		CandidatesFunc: func() []string { return f.candidates(name) }, ExpectedVMCountFunc: f.mesh.KnownCount, RefreshVMsFunc: f.mesh.RefreshVMs,
 		RefreshDirectoryFunc: f.readDirectory,
 		GossipFunc:           f.mesh.GossipSoon, RegionGossipFunc: f.mesh.RegionGossipSoon, StoppingFunc: f.isStopping, Claims: o.Claims, RestoredAtFunc: f.lastRestore,
+		EvacuatedSinceFunc: f.evacuatedSince, Evacuation: evacuation.NewBounds(o.EvacuationDeadline),
 	})
 }
 
--- a/internal/serve/frontend/follow.go
+++ b/internal/serve/frontend/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/evacuation"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/freshness"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/gossip"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
@@ -33,14 +34,25 @@
 type Source struct {
 	// ParseFunc parses a configuration.
 	ParseFunc func(text []byte) (*catalog.Catalog, error)
-	// ReadFunc returns the text of the newest configuration, nil if there is none, and
-	// the version of the store.
-	ReadFunc func(ctx context.Context) ([]byte, uint64, error)
+	// ReadFunc returns the newest configuration, every evacuation, and the version of the store.
+	ReadFunc func(ctx context.Context) (Reading, uint64, error)
 	// WaitFunc waits for a change after a version of the store, at most wait
-	// milliseconds. It returns the new text, nil if there was none, and the version for
+	// milliseconds. It returns the changes, and the version for
 	// the next call. It returns ErrHistoryDropped when the version is too old. It calls
 	// answering when the store's answer begins to arrive.
-	WaitFunc func(ctx context.Context, after uint64, wait clock.Millis, answering func()) ([]byte, uint64, error)
+	WaitFunc func(ctx context.Context, after uint64, wait clock.Millis, answering func()) (Reading, uint64, error)
+}
+
+// Reading is what a call of the store has returned.
+type Reading struct {
+	// Text is the text of the newest configuration, nil if there is none.
+	Text []byte
+	// Evacuations are the evacuations or, of a wait, the changes of them. Era is that of the store's
+	// version.
+	Evacuations []evacuation.Change
+	Era         uint64
+	// Problems says what of it cannot be used, and why.
+	Problems []string
 }
 
 // followConfiguration reads the configuration from the store and adopts each change until
@@ -90,6 +102,8 @@
 	// first, and confirmedAt a time at which it was the last one there.
 	inStore     uint64
 	confirmedAt clock.Millis
+	// evacuated is the evacuated zones as of version.
+	evacuated evacuation.Set
 	// pause is the pause after the next failed call, in milliseconds.
 	pause clock.Millis
 }
@@ -103,7 +117,8 @@
 	f.storeAskedAt = asked
 	f.mu.Unlock()
 	f.configCalls.Inc()
-	text, unchangedFor, err := r.call(ctx, asked)
+	reading, unchangedFor, err := r.call(ctx, asked)
+	text := reading.Text
 	r.hasVersion = err == nil
 	f.recordDependency("configuration", err)
 	switch {
@@ -115,6 +130,8 @@
 	}
 	r.pause = firstRetryDelay
 	f.recordSuccess()
+	f.warnProblems(reading.Problems)
+	f.adoptEvacuations(r.evacuated, nil, freshness.Store)
 	if text != nil {
 		r.inStore = f.adoptConfiguration(text, freshness.Store)
 	}
@@ -124,24 +141,25 @@
 	}
 }
 
-// call makes one call that begins at the time asked. It returns the text of a configuration, nil
-// for none, and for how long from then on, in milliseconds, the store had no later one. A poll
+// call makes one call that begins at the time asked. It returns the result, and for how long from then on, in milliseconds, the store had no later one. A poll
 // without a change is answered once it has lasted its wait.
-func (r *storeReader) call(ctx context.Context, asked clock.Millis) (text []byte, unchangedFor clock.Millis, err error) {
+func (r *storeReader) call(ctx context.Context, asked clock.Millis) (reading Reading, unchangedFor clock.Millis, err error) {
 	f := r.frontend
 	if !r.hasVersion {
-		text, r.version, err = f.options.Source.ReadFunc(ctx)
-		return text, 0, err
+		reading, r.version, err = f.options.Source.ReadFunc(ctx)
+		r.evacuated = evacuation.Set{}.With(reading.Evacuations, r.version, reading.Era)
+		return reading, 0, err
 	}
 	wait := freshness.MaxPollWait
 	if f.mesh.UsesRelays() {
 		wait = f.bounds.NextPoll(r.confirmedAt, asked)
 	}
-	text, r.version, err = f.waitForChange(ctx, r.version, wait)
-	if text == nil && f.options.Clock.Now()-asked >= wait {
+	reading, r.version, err = f.waitForChange(ctx, r.version, wait)
+	r.evacuated = r.evacuated.With(reading.Evacuations, r.version, reading.Era)
+	if reading.Text == nil && f.options.Clock.Now()-asked >= wait {
 		unchangedFor = wait
 	}
-	return text, unchangedFor, err
+	return reading, unchangedFor, err
 }
 
 // pauseAfterFailure lets time pass after a failed call. A follower pauses longer from call to
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -14,6 +14,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/base/trace"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/evacuation"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/freshness"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/shutdown"
@@ -56,6 +57,9 @@
 	// ConfigurationDeadline is the time within which a configuration that the store has accepted
 	// must be in force at each VM that reaches the store, in milliseconds; 0 means a default.
 	ConfigurationDeadline clock.Millis
+	// EvacuationDeadline is the time after the acknowledgement of an evacuation from which no
+	// statement of a caller may reach a server of the zone, in milliseconds; 0 means a default.
+	EvacuationDeadline clock.Millis
 }
 
 // Frontend is a running VM.
@@ -66,6 +70,8 @@
 	sessionOptions session.Options
 	counters       database.Counters
 	catalog        atomic.Pointer[catalog.Catalog]
+	// evacuations is what this VM knows of evacuations, nil before the first report.
+	evacuations atomic.Pointer[evacuation.State]
 	// stop is the planned stop, or nil before it begins; closingSessions is set once idle
 	// sessions are to end, and ended once no statement is taken any more.
 	stop            atomic.Pointer[shutdown.Stop]
@@ -136,6 +142,10 @@
 	directory       []database.Server
 	directoryReadAt clock.Millis
 	directoryHash   uint64
+	// observedZones holds the zones that were last logged as evacuated, and evacuationToldUntil is
+	// the time until which this VM tells others of evacuations although there are none.
+	observedZones       []member.Zone
+	evacuationToldUntil clock.Millis
 	// fetchingDirectory is set while a directory is being fetched from another VM.
 	fetchingDirectory bool
 	// conns holds the connections of callers with a session.
@@ -244,6 +254,7 @@
 	for f.options.Clock.Sleep(ctx, tickInterval) == nil {
 		f.observeEra()
 		f.observeAge()
+		f.observeEvacuations()
 		for _, g := range f.allGroups() {
 			g.Tick(ctx, f.spawn)
 		}
--- a/internal/serve/frontend/nostore_test.go
+++ b/internal/serve/frontend/nostore_test.go
@@ -60,21 +60,21 @@
 	}
 	return Source{
 		ParseFunc: (&silentStore{}).source().ParseFunc,
-		ReadFunc: func(context.Context) ([]byte, uint64, error) {
+		ReadFunc: func(context.Context) (Reading, uint64, error) {
 			text, version := read()
-			return text, version, nil
+			return Reading{Text: text}, version, nil
 		},
-		WaitFunc: func(ctx context.Context, after uint64, wait clock.Millis, _ func()) ([]byte, uint64, error) {
+		WaitFunc: func(ctx context.Context, after uint64, wait clock.Millis, _ func()) (Reading, uint64, error) {
 			for end := z.clock.Now() + wait; z.clock.Now() < end && z.inStore.Load() <= after; {
 				if err := z.clock.Sleep(ctx, 5); err != nil {
-					return nil, 0, err
+					return Reading{}, 0, err
 				}
 			}
 			text, version := read()
 			if version <= after {
-				return nil, version, nil
+				return Reading{}, version, nil
 			}
-			return text, version, nil
+			return Reading{Text: text}, version, nil
 		},
 	}
 }
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -60,6 +60,7 @@
 		ListFunc: o.Registry.ListFunc, FetchListFunc: f.fetchList, RegisterFunc: o.Registry.RegisterFunc, RemoveFunc: o.Registry.RemoveFunc,
 		RegisteredFunc: f.updateGroups,
 		BeginRoundFunc: f.beginRound, ContentFunc: f.gossipFor, ReceiveFunc: f.receiveGossip,
+		EvacuationFunc: f.evacuationToTell, ReceiveEvacuationFunc: f.receiveEvacuation,
 	})
 }
 
@@ -251,6 +252,9 @@
 			"took", f.options.Clock.Now()-asked, "role", f.mesh.Role(), "poll_ms", f.storeCallAge(), "confirmed_ms", f.configurationCopy().Age(f.options.Clock.Now()), "err", err)
 		return
 	}
+	if answer.Evacuation != nil {
+		f.receiveEvacuation(*answer.Evacuation)
+	}
 	f.adoptConfiguration(answer.Payload, r.address)
 	f.confirmConfiguration(r.version, r.confirmedAt, r.vm)
 }
@@ -338,10 +342,12 @@
 	if len(text) == 0 {
 		return inner.Answer{Error: "the VM has no configuration yet"}
 	}
-	if !q.AcceptsGzip {
-		return inner.Answer{Payload: text}
+	out := inner.Answer{Payload: text}
+	if q.AcceptsGzip {
+		out = f.compressed.answer(text)
 	}
-	return f.compressed.answer(text)
+	out.Evacuation = f.evacuationReport()
+	return out
 }
 
 // compressedText is the last text that another VM asked for, compressed. Each text is
--- a/internal/serve/frontend/poll.go
+++ b/internal/serve/frontend/poll.go
@@ -22,20 +22,20 @@
 // poll on a dead connection fails only when this time is over. After an error it
 // returns the version that it was given. It returns errPollInterrupted if the poll was
 // interrupted.
-func (f *Frontend) waitForChange(ctx context.Context, after uint64, wait clock.Millis) ([]byte, uint64, error) {
+func (f *Frontend) waitForChange(ctx context.Context, after uint64, wait clock.Millis) (Reading, uint64, error) {
 	pollContext, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	p := &poll{cancel: func() { cancel(errPollInterrupted) }}
 	f.setPoll(p)
 	defer f.setPoll(nil)
-	text, version, err := f.options.Source.WaitFunc(pollContext, after, wait, func() { f.recordAnswering(p) })
+	reading, version, err := f.options.Source.WaitFunc(pollContext, after, wait, func() { f.recordAnswering(p) })
 	switch {
 	case err != nil && errors.Is(context.Cause(pollContext), errPollInterrupted):
-		return nil, after, errPollInterrupted
+		return Reading{}, after, errPollInterrupted
 	case err != nil:
-		return nil, after, err
+		return Reading{}, after, err
 	}
-	return text, version, nil
+	return reading, version, nil
 }
 
 func (f *Frontend) setPoll(p *poll) {
--- a/internal/serve/frontend/poll_test.go
+++ b/internal/serve/frontend/poll_test.go
@@ -49,19 +49,19 @@
 			version, err := strconv.ParseUint(string(text), 10, 64)
 			return catalog.New(version), err
 		},
-		ReadFunc: func(context.Context) ([]byte, uint64, error) {
+		ReadFunc: func(context.Context) (Reading, uint64, error) {
 			n := s.reads.Add(1)
-			return []byte(strconv.FormatInt(min(n, 2), 10)), uint64(n), nil
+			return Reading{Text: []byte(strconv.FormatInt(min(n, 2), 10))}, uint64(n), nil
 		},
-		WaitFunc: func(ctx context.Context, _ uint64, wait clock.Millis, answering func()) ([]byte, uint64, error) {
+		WaitFunc: func(ctx context.Context, _ uint64, wait clock.Millis, answering func()) (Reading, uint64, error) {
 			if s.slow > 0 {
 				answering()
-				return []byte("2"), 2, s.clock.Sleep(ctx, s.slow)
+				return Reading{Text: []byte("2")}, 2, s.clock.Sleep(ctx, s.slow)
 			}
 			if err := s.clock.Sleep(ctx, wait+answerMargin); err != nil {
-				return nil, 0, err
+				return Reading{}, 0, err
 			}
-			return nil, 0, errors.New("no answer")
+			return Reading{}, 0, errors.New("no answer")
 		},
 	}
 }
--- a/internal/serve/gossip/receive.go
+++ b/internal/serve/gossip/receive.go
@@ -16,6 +16,12 @@
 		}
 		return
 	}
+	if e, ok := decodeEvacuation(datagram); ok {
+		if e.From == name && name != m.options.Self.Name && m.options.ReceiveEvacuationFunc != nil {
+			m.options.ReceiveEvacuationFunc(e)
+		}
+		return
+	}
 	g, down, err := decode(datagram)
 	if err != nil || g.From != name || name == m.options.Self.Name {
 		return
@@ -37,6 +43,13 @@
 	return r, err == nil && f.Kind == inner.KindRoster && inner.Decode(f, &r) == nil
 }
 
+// decodeEvacuation decodes an Evacuation; it returns false for another message.
+func decodeEvacuation(datagram []byte) (inner.Evacuation, bool) {
+	var e inner.Evacuation
+	f, err := inner.Unpack(datagram)
+	return e, err == nil && f.Kind == inner.KindEvacuation && inner.Decode(f, &e) == nil
+}
+
 // decode decodes a Gossip or a Summary. The latter is returned as a Gossip, and in its first
 // part with the VMs that are down.
 func decode(datagram []byte) (inner.Gossip, *downList, error) {
--- a/internal/serve/gossip/round.go
+++ b/internal/serve/gossip/round.go
@@ -58,6 +58,7 @@
 func (m *Mesh) datagrams() []datagram {
 	started := m.options.Clock.Now()
 	targets := m.dueTargets(started)
+	evacuation := m.evacuationDatagram()
 	parts := map[overlay.Content][]part{}
 	for _, t := range targets {
 		if parts[t.Content] == nil {
@@ -78,6 +79,9 @@
 		}
 		p.unanswered++
 		p.lastSent = started
+		if evacuation != nil {
+			out = append(out, datagram{address: p.vm.Address, body: evacuation})
+		}
 		for _, content := range parts[t.Content] {
 			out = append(out, datagram{address: p.vm.Address, body: m.encodeFor(p, content, started)})
 		}
@@ -85,6 +89,19 @@
 	return out
 }
 
+// evacuationDatagram returns what to tell of evacuated zones in a round, or nil.
+func (m *Mesh) evacuationDatagram() []byte {
+	if m.options.EvacuationFunc == nil {
+		return nil
+	}
+	e := m.options.EvacuationFunc()
+	if e == nil {
+		return nil
+	}
+	e.From = m.options.Self.Name
+	return inner.Pack(inner.Encode(inner.KindEvacuation, *e))
+}
+
 // dueTargets returns the VMs to which a message is due at time now. After fullRateTries
 // unanswered rounds, a VM that counts as down gets messages only every silentInterval. A VM
 // of another region gets them only every otherRegionInterval, unless the last is unanswered
--- a/internal/serve/session/transaction.go
+++ b/internal/serve/session/transaction.go
@@ -107,6 +107,9 @@
 	if a.Code == statement.Success {
 		return a.WithStatus(statement.InTransaction)
 	}
+	if endsByEvacuation(s.txn.conn, a) {
+		return s.refuse(st, statement.Aborted, database.ErrServerEvacuated.Error()+rolledBack)
+	}
 	s.options.Counters.countRefusal(a.Code)
 	s.logFailure("statement failed at the server", s.txn.conn, st, a)
 	s.rollbackServer()
@@ -114,6 +117,13 @@
 	return a.WithStatus(statement.FailedTransaction)
 }
 
+// endsByEvacuation reports whether a server has refused to run a statement of a transaction because
+// it was the primary of an evacuated zone, and has been replaced. The refusal, for example that the
+// server takes no writes, would not tell the caller that the transaction is over.
+func endsByEvacuation(conn *database.PooledConn, a statement.Answer) bool {
+	return a.Code.NotRun() && conn.IsEvacuated()
+}
+
 // retryWhileBusy sends a statement of an open transaction again while its server is
 // too busy to run it: no other server can run it, and giving up would lose all that
 // ran before.
@@ -272,6 +282,10 @@
 		}
 		return s.refuse(st, statement.UnknownOutcome, "the end of the commit was not seen")
 	}
+	if endsByEvacuation(t.conn, a) {
+		t.closeConn()
+		return s.refuse(st, statement.Aborted, notCommitted(database.ErrServerEvacuated))
+	}
 	if a.Code != statement.Success {
 		s.options.Counters.countRefusal(a.Code)
 		s.logFailure("commit failed at the server", t.conn, st, a)
