--- a/internal/proto/inner/fuzz_test.go
+++ b/internal/proto/inner/fuzz_test.go
@@ -19,6 +19,7 @@
 		Encode(KindBatch, Batch{Statements: []PreparedStatement{{Name: "s", Parse: []byte("P")}}, Raw: []byte("Q")}),
 		Encode(KindEnd, End{Status: 'I', Position: floor.ReplicationPosition{Term: 1, Position: 2}}),
 		Encode(KindRefusal, Refusal{Reason: outcome.ReasonReplicaBehind, Code: outcome.CodeTimeout, Detail: "behind"}),
+		Encode(KindEvacuation, Evacuation{From: "vm0", Revision: 7, Era: 1, Zones: []EvacuatedZone{{Zone: "a", Age: 300}}}),
 		{Kind: KindCancel},
 	} {
 		var raw bytes.Buffer
@@ -67,6 +68,10 @@
 	if Decode(m, &refusal) == nil {
 		checkEqual(t, Decode(Encode(m.Kind, refusal).withBody(), &refusal2), refusal, refusal2)
 	}
+	var evacuation, evacuation2 Evacuation
+	if Decode(m, &evacuation) == nil {
+		checkEqual(t, Decode(Encode(m.Kind, evacuation).withBody(), &evacuation2), evacuation, evacuation2)
+	}
 }
 
 // checkEqual fails the test if decoding returned an error or if two values differ.
--- a/internal/serve/database/broken_test.go
+++ b/internal/serve/database/broken_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/broken"
@@ -39,3 +40,18 @@
 		_, _ = conn.Run(Request{ID: "x", Execution: e, Timeout: 100})
 	})
 }
+
+// TestBrokenHandover lets a VM use a server for longer than the deadline.
+func TestBrokenHandover(t *testing.T) {
+	f := &fakeGroup{}
+	g, z := f.zonedGroup(t, 4)
+	broken.ExpectViolation(t, invariant.EvacuatedZone, func() {
+		conn, err := g.pools["q"].acquire(t.Context(), "acme", 1, 1000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.options.Evacuation.Handover = 60 * clock.Second
+		z.evacuate(2*g.options.Evacuation.Deadline, "q")
+		_, _ = conn.Run(Request{ID: "x", Timeout: 1000})
+	})
+}
