--- a/internal/serve/frontend/evacuation.go
+++ b/internal/serve/frontend/evacuation.go
@@ -108,10 +108,11 @@
 // evacuationReport returns the evacuated zones for another VM, or nil if this VM knows none.
 func (f *Frontend) evacuationReport() *inner.Evacuation {
 	s := f.evacuationState()
-	set, now := s.Set(), f.options.Clock.Now()
+	set := s.Set()
 	if set.Revision == 0 {
 		return nil
 	}
+	now := f.options.Clock.Now()
 	out := &inner.Evacuation{From: f.options.Self.Name, Revision: set.Revision, Era: set.Era}
 	for _, z := range set.Zones {
 		since, _ := s.Since(z, now)
