Test that evacuations lose no commits in random changes of primary

A server outside the evacuated zones may be promoted over a longer log, which no random test played.

--- a/internal/core/failover/lateorder_test.go
+++ b/internal/core/failover/lateorder_test.go
@@ -22,6 +22,8 @@
 	stopped bool
 	logs    map[string]floor.ReplicationPosition
 	sealed  map[string]bool
+	// evacuated holds the servers of evacuated zones.
+	evacuated map[string]bool
 	// acknowledged is the furthest position that a VM acknowledged to a caller.
 	acknowledged floor.ReplicationPosition
 	// releasedUntil is the time until which the VMs do not use the term.
@@ -92,7 +94,7 @@
 func (m *changeModel) order() {
 	var known []Server
 	for _, id := range []string{"p", "q", "r"} {
-		s := Server{ID: id, FormerPrimary: id == m.primary, Sealed: m.attempt.sealed[id] && (m.sealed[id] || id == m.primary)}
+		s := Server{ID: id, FormerPrimary: id == m.primary, Evacuated: m.evacuated[id], Sealed: m.attempt.sealed[id] && (m.sealed[id] || id == m.primary)}
 		if s.Sealed {
 			s.LogEnd = m.logs[id]
 		}
@@ -167,7 +169,7 @@
 // TestLateOrdersLoseNothing guards against the loss of acknowledged commits by an order to promote that takes effect long after its attempt.
 func TestLateOrdersLoseNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &changeModel{now: 1, term: 1, primary: "p", logs: map[string]floor.ReplicationPosition{}, sealed: map[string]bool{}}
+		m := &changeModel{evacuated: map[string]bool{}, now: 1, term: 1, primary: "p", logs: map[string]floor.ReplicationPosition{}, sealed: map[string]bool{}}
 		for _, id := range []string{"p", "q", "r"} {
 			m.logs[id] = floor.ReplicationPosition{Term: 1, Position: 1}
 		}
@@ -181,6 +183,10 @@
 			"restart": func() { delete(m.sealed, server()) },
 			"release": func() { m.release() },
 			"order":   func() { m.order() },
+			"evacuate": func() {
+				id := server()
+				m.evacuated[id] = !m.evacuated[id]
+			},
 			"give up": func() { m.giveUp() },
 			"attempt": func() {
 				m.startAttempt()
