--- a/internal/serve/database/pool.go
+++ b/internal/serve/database/pool.go
@@ -219,11 +219,17 @@
 	if p.maxConns() == 0 {
 		return nil, ErrUnreachable
 	}
+	if p.isBarredNow() {
+		return nil, ErrServerEvacuated
+	}
 	item, err := p.enqueue(r, wait)
 	if err != nil {
 		return nil, err
 	}
 	pc, err := p.awaitConn(ctx, item, wait)
+	if err != nil && p.isBarredNow() {
+		return nil, ErrServerEvacuated
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -331,7 +337,7 @@
 	deadline := p.group.options.Clock.Now() + wait
 	for {
 		pc, done := p.awaitConnOnce(ctx, w, deadline)
-		if pc != nil || done {
+		if pc != nil || done || p.isBarredNow() {
 			return p.endWait(item, pc)
 		}
 		p.mu.Lock()
--- a/internal/serve/database/reader.go
+++ b/internal/serve/database/reader.go
@@ -46,8 +46,8 @@
 }
 
 // AcquireReader returns a connection to the server that is cheapest for the read. It
-// returns ErrNoServer if none is left, a *RegionError if the allowed regions permit none, or an
-// error of the pool.
+// returns ErrNoServer if none is left, ErrEvacuated if all are in evacuated zones, a *RegionError if
+// the allowed regions permit none, or an error of the pool.
 func (g *Group) AcquireReader(ctx context.Context, r ReadRequest) (*PooledConn, error) {
 	triedBefore := len(r.Tried)
 	var regionErr error
@@ -83,7 +83,7 @@
 		inFlight, latency, avoided := p.load(now)
 		candidates = append(candidates, choice.Candidate{
 			Name: id, Zone: p.entry().Zone, Region: p.entry().Region, Primary: id == leader,
-			Leaving: p.entry().Leaving, Avoided: avoided, Applied: g.positions[id], AppliedAge: now - g.positionSeenAt[id],
+			Leaving: p.entry().Leaving, Evacuated: p.isEvacuated(), Avoided: avoided, Applied: g.positions[id], AppliedAge: now - g.positionSeenAt[id],
 			Latency: latency, InFlight: inFlight, Slots: p.entry().Slots,
 		})
 	}
--- a/internal/serve/database/region.go
+++ b/internal/serve/database/region.go
@@ -46,13 +46,17 @@
 }
 
 // noReaderError returns why no server is left for a read: ErrNoServerAllowed if no listed server
-// may ever be chosen because of its region, else ErrNoServer.
+// may ever be chosen because of its region, ErrEvacuated if the zones of all others are evacuated,
+// else ErrNoServer.
 func (g *Group) noReaderError(allowed regions.Allowed) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.excludesAllLocked(allowed, false) {
 		return ErrNoServerAllowed
 	}
+	if g.onlyEvacuatedLocked(allowed) {
+		return ErrEvacuated
+	}
 	return ErrNoServer
 }
 
--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/evacuation"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/freshness"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
@@ -265,6 +266,7 @@
 		RefreshDirectoryFunc: f.readDirectory,
 		ProvedFunc:           f.passOnProof,
 		GossipFunc:           f.mesh.GossipSoon, RegionGossipFunc: f.mesh.RegionGossipSoon, StoppingFunc: f.isStopping, Claims: o.Claims, RestoredAtFunc: f.lastRestore,
+		EvacuatedSinceFunc: f.evacuatedSince, Evacuation: evacuation.NewBounds(o.EvacuationDeadline),
 	})
 }
 
--- a/internal/serve/frontend/first.go
+++ b/internal/serve/frontend/first.go
@@ -60,6 +60,9 @@
 	if err != nil || f.catalog.Load() != nil {
 		return false
 	}
+	if answer.Evacuation != nil {
+		f.receiveEvacuation(*answer.Evacuation)
+	}
 	if f.adoptConfiguration(answer.Payload, v.Address) == 0 {
 		return false
 	}
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -61,6 +61,7 @@
 		ListFunc: o.Registry.ListFunc, FetchListFunc: f.fetchList, RegisterFunc: o.Registry.RegisterFunc, RemoveFunc: o.Registry.RemoveFunc,
 		RegisteredFunc: f.updateGroups,
 		BeginRoundFunc: f.beginRound, ContentFunc: f.gossipFor, ReceiveFunc: f.receiveGossip,
+		EvacuationFunc: f.evacuationToTell, ReceiveEvacuationFunc: f.receiveEvacuation,
 	})
 }
 
@@ -253,6 +254,9 @@
 			"took", f.options.Clock.Now()-asked, "role", f.mesh.Role(), "poll_ms", f.storeCallAge(), "confirmed_ms", f.configurationCopy().Age(f.options.Clock.Now()), "err", err)
 		return
 	}
+	if answer.Evacuation != nil {
+		f.receiveEvacuation(*answer.Evacuation)
+	}
 	f.adoptConfiguration(answer.Payload, r.address)
 	f.confirmConfiguration(r.version, r.confirmedAt, r.vm)
 }
@@ -358,6 +362,7 @@
 	if held.IsConfirmed() {
 		out.Version, out.VersionAge = held.Version, held.Age(f.options.Clock.Now())
 	}
+	out.Evacuation = f.evacuationReport()
 	return out
 }
 
--- a/internal/serve/session/run.go
+++ b/internal/serve/session/run.go
@@ -92,7 +92,8 @@
 // retry records why an attempt failed and reports whether another may follow, after a
 // pause of retryPause. After an overload none follows, since the wait that the operation may
 // afford is over or known to be too long; a read goes on at once while there are servers
-// that it has not tried. None follows if the allowed regions permit no connection.
+// that it has not tried. None follows if the allowed regions permit no connection or an evacuation
+// leaves no server.
 func (op *operation) retry(ctx context.Context, cause error) bool {
 	op.lastReason = cause.Error()
 	if regionErr := database.RegionErrorOf(cause); regionErr != nil {
@@ -104,6 +105,9 @@
 		return op.session.options.Clock.Sleep(ctx, retryPause) == nil
 	}
 	op.attempts++
+	if errors.Is(cause, database.ErrEvacuated) {
+		return false
+	}
 	if errors.Is(cause, database.ErrPoolTimeout) {
 		op.overloaded = true
 		return op.anyServer && op.attempts < maxAttempts && op.remaining() > 0
@@ -269,7 +273,9 @@
 	if allowed := op.session.allowedRegions(); !conn.IsWithin(allowed) {
 		return statement.Answer{}, &unsentError{cause: database.ErrRegionsChanged}
 	}
-	if conn.SyncSettings(op.session.settings, op.remaining()) != nil {
+	if err := conn.SyncSettings(op.session.settings, op.remaining()); errors.Is(err, database.ErrServerEvacuated) {
+		return statement.Answer{}, &unsentError{cause: err}
+	} else if err != nil {
 		return statement.Answer{}, errUnsent
 	}
 	timeout := op.remaining()
--- a/internal/serve/session/transaction.go
+++ b/internal/serve/session/transaction.go
@@ -88,8 +88,11 @@
 	}
 	op := s.newOperation(st)
 	a, err := op.retryWhileBusy(ctx, func() (statement.Answer, error) { return op.send(s.txn.conn, floor.ReplicationPosition{}) })
+	if errors.Is(err, database.ErrServerEvacuated) {
+		return s.refuse(st, statement.Aborted, err.Error()+rolledBack)
+	}
 	if err != nil {
-		return s.refuse(st, statement.Aborted, "the connection to the backend server was lost; the transaction is rolled back")
+		return s.refuse(st, statement.Aborted, "the connection to the backend server was lost"+rolledBack)
 	}
 	if a.Code == statement.NotPrepared {
 		// The caller has prepared the name; a server's session that lost it cannot go on.
@@ -98,12 +101,18 @@
 	return s.applyAnswer(st, a)
 }
 
+// rolledBack ends the detail of a refusal that ends the transaction.
+const rolledBack = "; the transaction is rolled back"
+
 // applyAnswer returns a server's answer to a statement of the transaction. After an
 // error it rolls the transaction back and marks it failed.
 func (s *session) applyAnswer(st statement.Statement, a statement.Answer) statement.Answer {
 	if a.Code == statement.Success {
 		return a.WithStatus(statement.InTransaction)
 	}
+	if endsByEvacuation(s.txn.conn, a) {
+		return s.refuse(st, statement.Aborted, database.ErrServerEvacuated.Error()+rolledBack)
+	}
 	s.options.Counters.countRefusal(a.Code)
 	s.logFailure("statement failed at the server", s.txn.conn, st, a)
 	s.rollbackServer()
@@ -111,6 +120,13 @@
 	return a.WithStatus(statement.FailedTransaction)
 }
 
+// endsByEvacuation reports whether a server has refused to run a statement of a transaction because
+// it was the primary of an evacuated zone, and has been replaced. The refusal, for example that the
+// server takes no writes, would not tell the caller that the transaction is over.
+func endsByEvacuation(conn *database.PooledConn, a statement.Answer) bool {
+	return a.Code.NotRun() && conn.IsEvacuated()
+}
+
 // retryWhileBusy sends a statement of an open transaction again while its server is
 // too busy to run it: no other server can run it, and giving up would lose all that
 // ran before.
@@ -231,7 +247,7 @@
 			conn.Release()
 		}
 		cause := errNotTaken
-		if database.RegionErrorOf(err) != nil {
+		if database.RegionErrorOf(err) != nil || errors.Is(err, database.ErrEvacuated) {
 			cause = err
 		}
 		if !op.retry(ctx, cause) {
@@ -250,9 +266,9 @@
 	t := s.txn
 	s.txn = nil
 	op := s.newOperation(st)
-	if t.conn.SyncSettings(s.settings, op.remaining()) != nil {
+	if err := t.conn.SyncSettings(s.settings, op.remaining()); err != nil {
 		t.closeConn()
-		return s.refuse(st, statement.Aborted, "the commit was not sent; the transaction is rolled back")
+		return s.refuse(st, statement.Aborted, notCommitted(err))
 	}
 	s.logSending(t.conn, st)
 	a, err := op.retryWhileBusy(ctx, func() (statement.Answer, error) {
@@ -262,14 +278,18 @@
 	})
 	if err != nil {
 		t.closeConn()
-		if !t.written {
+		if !t.written && !database.IsUnsent(err) {
 			return s.refuse(st, statement.Aborted, "the connection was lost; the transaction had written nothing")
 		}
 		if database.IsUnsent(err) {
-			return s.refuse(st, statement.Aborted, "the commit was not sent; the transaction is rolled back")
+			return s.refuse(st, statement.Aborted, notCommitted(err))
 		}
 		return s.refuse(st, statement.UnknownOutcome, "the end of the commit was not seen")
 	}
+	if endsByEvacuation(t.conn, a) {
+		t.closeConn()
+		return s.refuse(st, statement.Aborted, notCommitted(database.ErrServerEvacuated))
+	}
 	if a.Code != statement.Success {
 		s.options.Counters.countRefusal(a.Code)
 		s.logFailure("commit failed at the server", t.conn, st, a)
@@ -283,6 +303,14 @@
 	return a.WithStatus(statement.Idle)
 }
 
+// notCommitted returns why a commit was not sent.
+func notCommitted(err error) string {
+	if errors.Is(err, database.ErrServerEvacuated) {
+		return err.Error() + rolledBack
+	}
+	return "the commit was not sent" + rolledBack
+}
+
 // rollback ends the transaction without its writes.
 func (s *session) rollback(statement.Statement) statement.Answer {
 	if s.txn == nil {
