--- a/internal/core/choice/cheapest.go
+++ b/internal/core/choice/cheapest.go
@@ -66,36 +66,71 @@
 func CheapestServer(servers []Candidate, r Requirements) string {
 	best, lowestCost := "", 0.0
 	for _, s := range servers {
-		if s.Leaving || r.Tried[s.Name] || !r.Allowed.Contains(s.Region) {
+		if r.exclusion(s) != "" {
 			continue
 		}
-		if c := r.cost(s); best == "" || c < lowestCost || c == lowestCost && s.Name < best {
+		if c := r.cost(s).Total(); best == "" || c < lowestCost || c == lowestCost && s.Name < best {
 			best, lowestCost = s.Name, c
 		}
 	}
 	return best
 }
 
-// cost returns the expected latency of a server plus its costs, in milliseconds.
-func (r Requirements) cost(s Candidate) float64 {
-	c := s.Latency * (1 + float64(s.InFlight)/float64(max(s.Slots, 1)))
+// The reasons why a server may not be chosen for a read.
+const (
+	exclusionLeaving = "leaving the group"
+	exclusionTried   = "already chosen for this statement"
+	exclusionRegion  = "its region is not allowed"
+)
+
+// exclusion returns why a server may not be chosen, or "".
+func (r Requirements) exclusion(s Candidate) string {
+	switch {
+	case s.Leaving:
+		return exclusionLeaving
+	case r.Tried[s.Name]:
+		return exclusionTried
+	case !r.Allowed.Contains(s.Region):
+		return exclusionRegion
+	}
+	return ""
+}
+
+// Cost is the cost of a server for a read, by its parts, in milliseconds.
+type Cost struct {
+	// Latency is the expected latency.
+	Latency float64
+	// Distance is the cost of another zone or region.
+	Distance float64
+	// Role is the cost of the primary, or of a replica that may be behind the floor.
+	Role float64
+	// Failure is the cost of a server that failed.
+	Failure float64
+}
+
+// Total returns the sum of the parts.
+func (c Cost) Total() float64 { return c.Latency + c.Distance + c.Role + c.Failure }
+
+// cost returns the cost of a server.
+func (r Requirements) cost(s Candidate) Cost {
+	c := Cost{Latency: s.Latency * (1 + float64(s.InFlight)/float64(max(s.Slots, 1)))}
 	switch {
 	case s.Region != r.Region:
-		c += costRegion
+		c.Distance = costRegion
 	case s.Zone != r.Zone:
-		c += costZone
+		c.Distance = costZone
 	}
 	switch {
 	case s.Primary:
-		c += costPrimary
+		c.Role = costPrimary
 	case s.Applied.Covers(r.Floor):
 	case s.AppliedAge < knownBehindFor:
-		c += costKnownBehind
+		c.Role = costKnownBehind
 	default:
-		c += costMaybeBehind
+		c.Role = costMaybeBehind
 	}
 	if s.Avoided {
-		c += costAvoided
+		c.Failure = costAvoided
 	}
 	return c
 }
