--- a/internal/serve/database/pool.go
+++ b/internal/serve/database/pool.go
@@ -237,7 +237,7 @@
 	if p.closed {
 		return nil, ErrUnknownServer
 	}
-	if p.queue.Len() > 0 && p.expectedWait(r)*waitMargin > float64(wait) {
+	if p.waitsTooLong(r, wait) {
 		return nil, ErrPoolTimeout
 	}
 	item := &fair.Item{
@@ -265,6 +265,12 @@
 	return p.queue.Push(item)
 }
 
+// waitsTooLong reports whether a new request that may wait so many milliseconds is refused at once.
+// The caller holds p.mu.
+func (p *pool) waitsTooLong(r Requester, wait clock.Millis) bool {
+	return p.queue.Len() > 0 && p.expectedWait(r)*waitMargin > float64(wait)
+}
+
 // expectedWait returns the expected time in milliseconds for a new request to pass the queue. The
 // caller holds p.mu.
 func (p *pool) expectedWait(r Requester) float64 {
--- a/internal/serve/database/reader.go
+++ b/internal/serve/database/reader.go
@@ -72,7 +72,12 @@
 func (g *Group) chooseReader(r ReadRequest) *pool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.options.Clock.Now()
+	return g.pools[choice.CheapestServer(g.readersLocked(g.options.Clock.Now()), g.requirements(r))]
+}
+
+// readersLocked returns the servers among which one is chosen for a read: all but a primary whose
+// lease is not valid. The caller holds g.mu.
+func (g *Group) readersLocked(now clock.Millis) []choice.Candidate {
 	_, leader := g.watch.Leader()
 	leaderUsable := g.watch.LeaseValid(now)
 	candidates := make([]choice.Candidate, 0, len(g.pools))
@@ -87,7 +92,10 @@
 			Latency: latency, InFlight: inFlight, Slots: p.entry().Slots,
 		})
 	}
-	return g.pools[choice.CheapestServer(candidates, choice.Requirements{
-		Floor: r.Floor, Zone: g.options.Zone, Region: g.options.Region, Allowed: r.Requester.Regions, Tried: r.Tried,
-	})]
+	return candidates
+}
+
+// requirements returns what a read requires of a server.
+func (g *Group) requirements(r ReadRequest) choice.Requirements {
+	return choice.Requirements{Floor: r.Floor, Zone: g.options.Zone, Region: g.options.Region, Allowed: r.Requester.Regions, Tried: r.Tried}
 }
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -125,6 +125,26 @@
 // the connection. Other VMs outside the allowed regions are passed over; the error is
 // database.ErrNoVMAllowed if that leaves none and this VM is neither a holder nor a reserve.
 func (f *Forwarder) Remote(ctx context.Context, request database.ConnRequest) (*database.RemoteConn, error) {
+	candidates, err := f.candidates(request)
+	if err != nil {
+		return nil, err
+	}
+	v, ok := f.choose(candidates, request.Server.ID)
+	if !ok {
+		f.unserved.Inc()
+		return nil, nil
+	}
+	if v.Name == f.options.Self {
+		return nil, nil
+	}
+	s := &stream{forwarder: f, ctx: ctx, vm: v, request: request}
+	return &database.RemoteConn{VM: v.Name, Region: v.Region, RunFunc: s.run, CloseFunc: s.close}, nil
+}
+
+// candidates returns the VMs that may run a statement, in the order in which they are considered:
+// the first holders, then the reserves, unless this VM is one of them. The error is
+// database.ErrNoVMAllowed.
+func (f *Forwarder) candidates(request database.ConnRequest) ([]member.VM, error) {
 	holders := f.options.HoldersFunc(request.Server, request.Requester.Account)
 	reserves := f.options.ReservesFunc(request.Server, request.Requester.Account)
 	if allowed := request.Requester.Regions; !allowed.IsAll() {
@@ -137,17 +157,18 @@
 	if slices.ContainsFunc(reserves, func(v member.VM) bool { return v.Name == f.options.Self }) {
 		reserves = nil
 	}
-	for _, v := range append(candidates, reserves...) {
-		if v.Name == f.options.Self {
-			return nil, nil
-		}
-		if f.usable(v.Name, request.Server.ID) {
-			s := &stream{forwarder: f, ctx: ctx, vm: v, request: request}
-			return &database.RemoteConn{VM: v.Name, Region: v.Region, RunFunc: s.run, CloseFunc: s.close}, nil
+	return append(candidates, reserves...), nil
+}
+
+// choose returns the first candidate that is this VM or can be used for a server, and false if
+// there is none, so that this VM must use its own connections.
+func (f *Forwarder) choose(candidates []member.VM, server string) (member.VM, bool) {
+	for _, v := range candidates {
+		if v.Name == f.options.Self || f.usable(v.Name, server) {
+			return v, true
 		}
 	}
-	f.unserved.Inc()
-	return nil, nil
+	return member.VM{}, false
 }
 
 // within returns those of the VMs that may receive a statement: this VM, to which the caller is
--- a/internal/serve/session/run.go
+++ b/internal/serve/session/run.go
@@ -60,15 +60,25 @@
 
 func (op *operation) remaining() clock.Millis { return op.deadline - op.session.options.Clock.Now() }
 
-// maxWait returns how long the operation may still wait for a server, in
+// maxWait returns how long the operation may still wait for a server, in milliseconds.
+func (op *operation) maxWait() clock.Millis {
+	return min(op.startedAt+MaxWait(op.session.route)-op.session.options.Clock.Now(), op.remaining())
+}
+
+// MaxWait returns how long a statement of a route may wait for a server from its start, in
 // milliseconds: until 3/4 of the route's target latency, if it has one, which leaves
 // time to run the statement, and at most until the deadline.
-func (op *operation) maxWait() clock.Millis {
-	targetLatency := op.session.route.TargetLatency
-	if targetLatency <= 0 {
-		return op.remaining()
+func MaxWait(r catalog.Route) clock.Millis {
+	if r.TargetLatency <= 0 {
+		return Timeout(r)
 	}
-	return min(op.startedAt+targetLatency*3/4-op.session.options.Clock.Now(), op.remaining())
+	return min(r.TargetLatency*3/4, Timeout(r))
+}
+
+// PrimaryOnly reports whether only the primary may run a statement of a route. primary is set for
+// those that may write. While the floor is not known, the primary runs the others too.
+func PrimaryOnly(r catalog.Route, primary bool) bool {
+	return primary || r.Guarantee == catalog.StrongConsistency
 }
 
 func (op *operation) requester() database.Requester {
@@ -127,7 +137,7 @@
 		return nil, floor.ReplicationPosition{}, database.ErrNoServer
 	}
 	route := op.session.route
-	if primary || route.Guarantee == catalog.StrongConsistency {
+	if PrimaryOnly(route, primary) {
 		conn, err := g.AcquirePrimary(ctx, op.requester(), op.maxWait())
 		return conn, floor.ReplicationPosition{}, err
 	}
--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -298,9 +298,12 @@
 func (s *session) takes() bool { return s.options.TakesFunc(s.timeout()) }
 
 // timeout returns the longest time of a statement, in milliseconds.
-func (s *session) timeout() clock.Millis {
-	if s.route.Timeout > 0 {
-		return s.route.Timeout
+func (s *session) timeout() clock.Millis { return Timeout(s.route) }
+
+// Timeout returns the longest time of a statement of a route, in milliseconds.
+func Timeout(r catalog.Route) clock.Millis {
+	if r.Timeout > 0 {
+		return r.Timeout
 	}
 	return defaultTimeout
 }
