Explain where a statement would go, and why, from a live VM

Operators could not see where a statement of a database, account and kind goes: they had to join metrics, logs and the configuration.

--- a/internal/command/control/control.go
+++ b/internal/command/control/control.go
@@ -100,6 +100,7 @@
 	}
 	addCommand(p.Command, "status", "Show every VM", "Asks a VM for the others and each of them for what it holds, terms, positions and lag.", &statusCommand{global: g})
 	addCommand(p.Command, "wait", "Wait for a version", "Waits until every live VM has the version or a later one in force.", &waitCommand{global: g})
+	addCommand(p.Command, "explain", "Show where a statement would go", "Asks a VM of \"sycamoredoor frontend\" where a statement would go now and why, and sends no statement. --address names the VM's listener for metrics.", &explainCommand{global: g})
 	addCommand(p.Command, "check", "Check sections offline", "Checks files named after their sections, such as routes.yaml, or all such files of a folder.", &checkCommand{global: g})
 	addCommand(p.Command, "version", "Print the version", "Prints the version of this program.", &versionCommand{global: g})
 	s := addCommand(p.Command, "section", "Read and edit sections", "Reads and edits the sections databases, accounts, routes and operators.", &struct{}{})
--- a/internal/serve/frontend/limits.go
+++ b/internal/serve/frontend/limits.go
@@ -105,6 +105,15 @@
 	}
 }
 
+// view returns what this VM knows of an account's limit now. It takes nothing.
+func (l *limiter) view(a catalog.Account) quota.View {
+	vms := l.vmCountFunc()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	return l.bucket(a, vms, now).View(now)
+}
+
 // bucket returns the bucket of an account with its present limit. The caller holds the
 // lock.
 func (l *limiter) bucket(a catalog.Account, vms int, now clock.Millis) quota.Bucket {
