--- a/internal/proto/operator/explain.go
+++ b/internal/proto/operator/explain.go
@@ -50,7 +50,8 @@
 	Version uint64 `json:"version"`
 	Outcome string `json:"outcome"`
 	Reason  string `json:"reason,omitempty"`
-	// Server would run the statement, on a connection of the VM Via.
+	// Server would run the statement, on a connection of the VM Via. Both are also set if only what
+	// comes before their choice refuses it.
 	Server  string       `json:"server,omitempty"`
 	Via     string       `json:"via,omitempty"`
 	Route   RouteView    `json:"route"`
