--- a/internal/serve/frontend/explain_test.go
+++ b/internal/serve/frontend/explain_test.go
@@ -38,6 +38,7 @@
 		{"no connections", "read", map[string]bool{"p": true, "q": true, "r": true}, nil, nil, 0, []string{"waits", database.ErrUnreachable.Error(), ""}},
 		{"no VM for the primary", "write", nil, map[string]bool{"p": true}, []string{"x"}, 0, []string{"refused", database.ErrNoVMAllowed.Error(), ""}},
 		{"primary", "begin", nil, nil, nil, 0, []string{"sent", "", "p"}},
+		{"no connections to the primary", "begin", map[string]bool{"p": true}, nil, nil, 0, []string{"waits", database.ErrUnreachable.Error(), ""}},
 		{"region of the servers", "read", nil, nil, []string{"y"}, 0, []string{"refused", database.ErrNoServerAllowed.Error(), ""}},
 		{"over the limit", "read", nil, nil, nil, 1000, []string{"refused", "the account is over its rate", "p"}},
 	} {
