Limit the statements in flight to a server by its slots

With six holders in use, a server's queue was full before the holders' own order had an effect, and urgent statements waited there, or at a holder whose window a busy answer had cut to 1.

The pool uses core/window in place of its own rule. Status queries tell it the time of the way to the server. New metrics show the window of each server, and the waits by priority.

--- a/internal/serve/database/counters.go
+++ b/internal/serve/database/counters.go
@@ -26,6 +26,8 @@
 	evictions *metrics.Counter
 	// shedRequests counts the waiting requests that were refused for more urgent ones.
 	shedRequests *metrics.Counter
+	// queueWaits are the waits of granted requests by priority.
+	queueWaits [waitPriorities]*metrics.Histogram
 }
 
 // dialPurpose is the purpose of a connection to a server.
@@ -80,6 +82,7 @@
 		evictions: metrics.GetOrCreateCounter("sycamoredoor_server_evictions_total"),
 		dials:     dials, probeReasons: reasons, claims: metrics.GetOrCreateCounter("sycamoredoor_claims_total"),
 		releases:       metrics.GetOrCreateCounter("sycamoredoor_term_releases_total"),
+		queueWaits:     newQueueWaits(),
 		shedRequests:   metrics.GetOrCreateCounter("sycamoredoor_requests_shed_total"),
 		unknownCommits: metrics.GetOrCreateCounter("sycamoredoor_unknown_commits_total"), promotionOrders: orders,
 		connections:    metrics.GetOrCreateCounter("sycamoredoor_server_connections_total"),
--- a/internal/serve/database/idle.go
+++ b/internal/serve/database/idle.go
@@ -1,6 +1,8 @@
 package database
 
 import (
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 )
 
@@ -93,6 +95,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	metrics.UnregisterMetric(p.windowMetric)
 	for _, pc := range p.idle {
 		pc.conn.CloseFunc()
 		p.open--
--- a/internal/serve/database/pool.go
+++ b/internal/serve/database/pool.go
@@ -11,6 +11,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/choice"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/fair"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/window"
 )
 
 const (
@@ -63,17 +64,12 @@
 	// running counts statements that the server has not answered, granted the
 	// connections that waiters were given and have not used yet. New work waits while
 	// their sum is not below window.
-	running int
-	granted int
-	window  float64
+	running      int
+	granted      int
+	window       window.Window
+	windowMetric string
 	// remoteRunning counts statements that other VMs run at the server for this VM.
 	remoteRunning int
-	// windowCutAt is the time at which the window was last reduced by windowCutFactor.
-	windowCutAt clock.Millis
-	// busyStreak counts consecutive busy answers; until pausedUntil no new work is
-	// sent because of them.
-	busyStreak  int
-	pausedUntil clock.Millis
 	// latency is a moving average of answer times in milliseconds, last updated at
 	// latencyAt.
 	latency   float64
@@ -108,9 +104,10 @@
 func newPool(g *Group, s Server) *pool {
 	p := &pool{
 		group: g, listedAt: g.options.Clock.Now(), queue: fair.New(queueLimit),
-		window: max(min(initialWindow, initialInFlight/float64(max(g.options.HolderCountFunc(s), 1))), minWindow),
+		windowMetric: windowMetric(s.ID),
 	}
 	p.server.Store(&s)
+	p.setWindow(window.New(g.options.HolderCountFunc(s)))
 	return p
 }
 
@@ -179,8 +176,7 @@
 		p.shrinkWindow(now)
 		return
 	}
-	p.busyStreak = 0
-	p.window = min(p.window+windowGrowth/p.window, float64(max(p.maxConns(), 1)))
+	p.setWindow(p.window.WithAnswer(float64(responseTime), p.windowLimits(), now))
 	p.latency += latencyWeight * (float64(responseTime) - p.latency)
 	p.latencyAt = now
 	p.work = p.work.WithAnswer(priority, float64(responseTime))
@@ -213,6 +209,8 @@
 	if p.maxConns() == 0 {
 		return nil, ErrUnreachable
 	}
+	c := p.group.options.Clock
+	began := c.Now()
 	item, err := p.enqueue(r, wait)
 	if err != nil {
 		return nil, err
@@ -221,6 +219,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.group.options.Counters.recordWait(r.Priority, c.Now()-began)
 	pc.priority = r.Priority
 	if pc.conn != nil {
 		return pc, nil
@@ -270,7 +269,7 @@
 func (p *pool) expectedWait(r Requester) float64 {
 	// The first request leaves the queue when a statement that runs ends.
 	ahead := float64(p.queue.Ahead(r.Account, r.Priority) + 1)
-	return ahead * max(p.drainTime, p.latency/max(min(p.window, float64(p.open)), 1))
+	return ahead * max(p.drainTime, p.latency/float64(max(min(p.window.Size(), p.open), 1)))
 }
 
 // recordDrain measures the time between two requests that leave the queue. The caller holds
@@ -292,10 +291,10 @@
 // dispatch grants connections, or the right to open one (a PooledConn without conn),
 // to waiters as far as the window allows. The caller holds p.mu.
 func (p *pool) dispatch() {
-	if p.group.options.Clock.Now() < p.pausedUntil {
+	if p.window.PausedAt(p.group.options.Clock.Now()) {
 		return
 	}
-	for p.queue.Len() > 0 && p.running+p.granted < int(p.window) {
+	for p.queue.Len() > 0 && p.running+p.granted < p.window.Size() {
 		canOpen := p.open < p.maxConns() && !p.connLimitHolds(p.group.options.Clock.Now())
 		if len(p.idle) == 0 && !canOpen {
 			return
@@ -330,8 +329,8 @@
 	}
 }
 
-// recheckPause is the interval at which a waiter checks whether pausedUntil or
-// connLimitUntil has passed, in milliseconds.
+// recheckPause is the interval at which a waiter checks whether the pause of the
+// window or connLimitUntil has passed, in milliseconds.
 const recheckPause = clock.Millis(20)
 
 // awaitConnOnce waits for a grant for at most recheckPause; done is set if the grant
--- a/internal/serve/database/pooledconn.go
+++ b/internal/serve/database/pooledconn.go
@@ -192,6 +192,8 @@
 // broken.
 func (pc *PooledConn) RunCommand(c Command, term floor.Term, timeout clock.Millis) (statement.ReplicationStatus, error) {
 	pc.checkNotReleased()
+	k := pc.pool.group.options.Clock
+	sent := k.Now()
 	status, err := pc.conn.CommandFunc(c, term, timeout)
 	var refusal *RefusalError
 	if errors.As(err, &refusal) {
@@ -205,6 +207,7 @@
 		return status, err
 	}
 	pc.pool.recordSuccess()
+	pc.pool.recordRoundTrip(k.Now() - sent)
 	return status, nil
 }
 
--- a/internal/serve/database/window.go
+++ b/internal/serve/database/window.go
@@ -1,33 +1,14 @@
 package database
 
 import (
+	"fmt"
 	"math/rand/v2"
 
-	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
-)
+	"github.com/VictoriaMetrics/metrics"
 
-// The window limits the statements in flight to a server. It grows with answers and
-// shrinks when the server is busy, so that the VMs share the server's slots without
-// coordination.
-const (
-	// busyPause is the mean pause after a second busy answer in a row while the VM has
-	// nothing else running, in milliseconds. It doubles with each further one, at most
-	// busyDoublings times.
-	busyPause     = clock.Millis(10)
-	busyDoublings = 4
-	// windowGrowth is how much the window grows over a number of answers equal to its
-	// size.
-	windowGrowth = 0.5
-	// initialWindow is the initial size, or the VM's part of initialInFlight if that
-	// is less: the VMs that hold connections to a server share initialInFlight.
-	initialWindow   = 3.0
-	initialInFlight = 27.0
-	minWindow       = 1
-	// windowCutFactor is the factor of the reduction below the number of statements
-	// running.
-	windowCutFactor = 0.7
-	// minCutInterval is the least time between two such reductions, in milliseconds.
-	minCutInterval = clock.Millis(100)
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/base/label"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/window"
 )
 
 // startStatement counts a statement; granted is set for the first one after the grant
@@ -41,20 +22,49 @@
 	}
 }
 
-// shrinkWindow reduces the window after a busy answer to the number of statements
-// running, and at most once per minCutInterval further by windowCutFactor, so that other
-// VMs get a share. The caller holds p.mu.
+// windowLimits returns what is known of the server.
+func (p *pool) windowLimits() window.Limits {
+	return window.Limits{Slots: p.entry().Slots, Connections: p.maxConns()}
+}
+
+// shrinkWindow reduces the window after a busy answer. The caller holds p.mu.
 func (p *pool) shrinkWindow(now clock.Millis) {
-	p.window = max(min(p.window, float64(p.running)), minWindow)
-	if p.busyStreak++; p.running == 0 && p.busyStreak > 1 {
-		// Even one statement at a time is too much: more VMs send to the server than
-		// it has slots.
-		pause := busyPause << min(p.busyStreak-2, busyDoublings)
-		p.pausedUntil = now + pause/2 + clock.Millis(rand.Int64N(int64(pause)))
+	p.setWindow(p.window.WithBusy(p.running, rand.Float64(), now))
+}
+
+// setWindow changes the window and its gauge. The caller holds p.mu.
+func (p *pool) setWindow(w window.Window) {
+	changed := w.Size() != p.window.Size()
+	if p.window = w; changed && !p.closed {
+		metrics.GetOrCreateGauge(p.windowMetric, nil).Set(float64(w.Size()))
 	}
-	if now-p.windowCutAt < minCutInterval {
-		return
+}
+
+// windowMetric returns the name of the gauge of the window for a server.
+func windowMetric(server string) string {
+	return "sycamoredoor_server_window{server=" + label.Quote(server) + "}"
+}
+
+// recordRoundTrip records the time in milliseconds of an answer that needs no slot.
+func (p *pool) recordRoundTrip(milliseconds clock.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.window = p.window.WithRoundTrip(float64(milliseconds), p.group.options.Clock.Now())
+}
+
+// waitPriorities is the number of priorities with a histogram of waits of their own; less urgent
+// ones share the last.
+const waitPriorities = 4
+
+// newQueueWaits returns the histograms of waits by priority.
+func newQueueWaits() (out [waitPriorities]*metrics.Histogram) {
+	for i := range out {
+		out[i] = metrics.GetOrCreateHistogram(fmt.Sprintf("sycamoredoor_server_queue_seconds{priority=\"%d\"}", i))
 	}
-	p.windowCutAt = now
-	p.window = max(p.window*windowCutFactor, minWindow)
+	return out
+}
+
+// recordWait records how long a request waited for a connection, in milliseconds.
+func (c *Counters) recordWait(priority int, wait clock.Millis) {
+	c.queueWaits[min(max(priority, 0), waitPriorities-1)].Update(wait.Duration().Seconds())
 }
