Refuse waiting requests that cannot have their turn in time

A request that more urgent ones had overtaken learnt only at the end of its wait that it was not served, too late for its caller to do something else.

A request whose expected wait is more than twice its remaining time is refused; the next ones for the server never are.

--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -7,6 +7,7 @@
 package fair
 
 import (
+	"cmp"
 	"container/heap"
 	"slices"
 )
@@ -79,6 +80,31 @@
 	return ahead
 }
 
+// Waiting returns the waiting items in the order in which they would be taken if no other came.
+func (q *Queue) Waiting() []*Item {
+	type tagged struct {
+		item  *Item
+		start float64
+	}
+	all := make([]tagged, 0, q.length)
+	for _, l := range q.ready {
+		finish := l.finish
+		for _, it := range l.items {
+			start := max(it.arrival, finish)
+			all = append(all, tagged{item: it, start: start})
+			finish = start + it.duration()
+		}
+	}
+	slices.SortStableFunc(all, func(a, b tagged) int {
+		return cmp.Or(cmp.Compare(a.start, b.start), cmp.Compare(a.item.Account, b.item.Account))
+	})
+	out := make([]*Item, len(all))
+	for i, t := range all {
+		out[i] = t.item
+	}
+	return out
+}
+
 // position returns the number of items of the account that an item of a priority would follow.
 func (l *accountQueue) position(priority int) int {
 	i := len(l.items)
--- a/internal/core/fair/fair_test.go
+++ b/internal/core/fair/fair_test.go
@@ -61,8 +61,12 @@
 				case "remove":
 					q.Remove(pushed[account][n])
 				case "pop":
-					for range n {
+					waiting := q.Waiting()
+					for i := range n {
 						it := q.Pop()
+						if i < len(waiting) && waiting[i] != it {
+							t.Errorf("pop %d does not return the next of the items that waited", i)
+						}
 						if it == nil {
 							got = append(got, "none")
 							continue
--- a/internal/serve/database/counters.go
+++ b/internal/serve/database/counters.go
@@ -26,6 +26,9 @@
 	evictions *metrics.Counter
 	// shedRequests counts the waiting requests that were refused for more urgent ones.
 	shedRequests *metrics.Counter
+	// hopelessRequests counts those that were refused because they could not have their turn in
+	// time.
+	hopelessRequests *metrics.Counter
 	// queueWaits are the waits of granted requests by priority.
 	queueWaits [waitPriorities]*metrics.Histogram
 }
@@ -81,10 +84,11 @@
 		prepares:  metrics.GetOrCreateCounter("sycamoredoor_server_prepares_total"),
 		evictions: metrics.GetOrCreateCounter("sycamoredoor_server_evictions_total"),
 		dials:     dials, probeReasons: reasons, claims: metrics.GetOrCreateCounter("sycamoredoor_claims_total"),
-		releases:       metrics.GetOrCreateCounter("sycamoredoor_term_releases_total"),
-		queueWaits:     newQueueWaits(),
-		shedRequests:   metrics.GetOrCreateCounter("sycamoredoor_requests_shed_total"),
-		unknownCommits: metrics.GetOrCreateCounter("sycamoredoor_unknown_commits_total"), promotionOrders: orders,
+		releases:         metrics.GetOrCreateCounter("sycamoredoor_term_releases_total"),
+		queueWaits:       newQueueWaits(),
+		hopelessRequests: metrics.GetOrCreateCounter("sycamoredoor_requests_hopeless_total"),
+		shedRequests:     metrics.GetOrCreateCounter("sycamoredoor_requests_shed_total"),
+		unknownCommits:   metrics.GetOrCreateCounter("sycamoredoor_unknown_commits_total"), promotionOrders: orders,
 		connections:    metrics.GetOrCreateCounter("sycamoredoor_server_connections_total"),
 		probes:         metrics.GetOrCreateCounter("sycamoredoor_server_probes_total"),
 		primaryChanges: metrics.GetOrCreateCounter("sycamoredoor_primary_changes_total"),
--- a/internal/serve/database/pool.go
+++ b/internal/serve/database/pool.go
@@ -79,6 +79,8 @@
 	// the time of the last one, or 0.
 	drainTime float64
 	drainedAt clock.Millis
+	// hopelessAt is the time of the last search for waiting requests that are hopeless.
+	hopelessAt clock.Millis
 	// avoidUntil is the time until which reads avoid the server.
 	avoidUntil clock.Millis
 	// answeredAt and failedAt are the times of the last answer and the last failure.
@@ -97,7 +99,10 @@
 // closes.
 type waiter struct {
 	ready chan *PooledConn
-	// shed is set before a nil connection if a more urgent request has taken its place.
+	// deadline is the time at which the wait ends.
+	deadline clock.Millis
+	// shed is set before a nil connection if a more urgent request has taken its place, or the
+	// request could not have had its turn in time.
 	shed bool
 }
 
@@ -240,7 +245,7 @@
 		return nil, ErrPoolTimeout
 	}
 	item := &fair.Item{
-		Account: r.Account, Weight: r.Weight, Priority: r.Priority, Cost: p.work.Cost(r.Priority), Value: &waiter{ready: make(chan *PooledConn, 1)},
+		Account: r.Account, Weight: r.Weight, Priority: r.Priority, Cost: p.work.Cost(r.Priority), Value: &waiter{ready: make(chan *PooledConn, 1), deadline: p.group.options.Clock.Now() + wait},
 	}
 	if !p.queue.Push(item) && !p.shedFor(item) {
 		return nil, ErrPoolTimeout
@@ -256,10 +261,7 @@
 	if least == nil {
 		return false
 	}
-	p.queue.Remove(least)
-	w := least.Value.(*waiter)
-	w.shed = true
-	w.ready <- nil
+	p.shed(least)
 	p.group.options.Counters.shedRequests.Inc()
 	return p.queue.Push(item)
 }
@@ -269,7 +271,13 @@
 func (p *pool) expectedWait(r Requester) float64 {
 	// The first request leaves the queue when a statement that runs ends.
 	ahead := float64(p.queue.Ahead(r.Account, r.Priority) + 1)
-	return ahead * max(p.drainTime, p.latency/float64(max(min(p.window.Size(), p.open), 1)))
+	return ahead * p.turnTime()
+}
+
+// turnTime returns the expected time in milliseconds from one request that leaves the queue to the
+// next. The caller holds p.mu.
+func (p *pool) turnTime() float64 {
+	return max(p.drainTime, p.latency/float64(max(min(p.window.Size(), p.open), 1)))
 }
 
 // recordDrain measures the time between two requests that leave the queue. The caller holds
@@ -325,6 +333,7 @@
 		}
 		p.mu.Lock()
 		p.dispatch()
+		p.shedHopeless()
 		p.mu.Unlock()
 	}
 }
