Test a window whose way becomes longer, and one after busy answers

The model keeps the way constant and rarely sees busy answers. The tests replay a server that is reached over a longer way for a time, one whose slots are unknown, and one that refuses even a single statement.

--- a/internal/core/window/window_test.go
+++ b/internal/core/window/window_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
@@ -125,3 +126,48 @@
 	}
 	return out
 }
+
+// TestUnknownSlots guards against a server whose slots are not known and that is kept at a few statements.
+func TestUnknownSlots(t *testing.T) {
+	w := New(6)
+	for i := range 1000 {
+		w = w.WithAnswer(20, Limits{Connections: holderConnections}, clock.Millis(i))
+	}
+	if w.Size() != holderConnections {
+		t.Errorf("the window is %d, want %d", w.Size(), holderConnections)
+	}
+}
+
+// TestLongerWay guards against slots that stay unused for long after the way to the server has become longer, and against a round trip from before that counts for ever.
+func TestLongerWay(t *testing.T) {
+	l := Limits{Slots: 2, Connections: holderConnections}
+	w, now := New(1), clock.Millis(0)
+	play := func(way float64, length clock.Millis) int {
+		for end := now + length; now < end; now += 10 {
+			w = w.WithAnswer(way+4, l, now).WithRoundTrip(way, now)
+		}
+		return w.Size()
+	}
+	near, far, nearAgain := play(0, 10*clock.Second), play(16, 2*lowestPeriod+clock.Second), play(0, clock.Second)
+	if near > 5 || far != holderConnections || nearAgain > 5 {
+		t.Errorf("windows %d near, %d far and %d near again; want at most 5, %d and at most 5", near, far, nearAgain, holderConnections)
+	}
+}
+
+// TestBusyServer guards against a holder that keeps sending to a server which refuses even one statement at a time, and against one that does not recover.
+func TestBusyServer(t *testing.T) {
+	l := Limits{Slots: 2, Connections: holderConnections}
+	w := New(1)
+	for range 3 {
+		w = w.WithBusy(0, 0.5, 1000)
+	}
+	if w.Size() != 1 || !w.PausedAt(1010) || w.PausedAt(1000+busyPause<<busyDoublings*2) {
+		t.Errorf("after three busy answers the window is %d and paused at 10 ms: %v", w.Size(), w.PausedAt(1010))
+	}
+	for i := range 100 {
+		w = w.WithAnswer(20, l, clock.Millis(2000+10*i))
+	}
+	if w.Size() < l.Slots || w.PausedAt(3000) {
+		t.Errorf("after 100 answers the window is %d, want the slots at least", w.Size())
+	}
+}
