--- a/internal/serve/database/explain.go
+++ b/internal/serve/database/explain.go
@@ -172,7 +172,7 @@
 	maxOpen, barred := p.maxConns(), p.isBarredNow()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := QueueState{Length: p.queue.Len(), Running: p.running, Window: int(p.window), Open: p.open, MaxOpen: maxOpen}
+	out := QueueState{Length: p.queue.Len(), Running: p.running, Window: p.window.Size(), Open: p.open, MaxOpen: maxOpen}
 	if out.Length > 0 || p.running+p.granted >= out.Window {
 		out.ExpectedWait = p.expectedWait(r)
 	}
--- a/internal/serve/database/explain_test.go
+++ b/internal/serve/database/explain_test.go
@@ -11,6 +11,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/regions"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/tenure"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/window"
 )
 
 // drawGroup returns a group whose primary p, if it has one, is in region x and whose replicas q and
@@ -99,7 +100,8 @@
 	} {
 		g := regionalGroup(t)
 		p := g.pools["q"]
-		p.window, p.running, p.drainTime = 2, 2, 10
+		// The window of one of 13 holders begins at 2.
+		p.window, p.running, p.drainTime = window.New(13), 2, 10
 		for range c.waiting {
 			p.queue.Push(&fair.Item{Account: "acme", Weight: 1, Cost: 1, Value: &waiter{ready: make(chan *PooledConn, 1)}})
 		}
--- a/internal/serve/database/pool.go
+++ b/internal/serve/database/pool.go
@@ -11,6 +11,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/choice"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/fair"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/window"
 )
 
 const (
@@ -63,17 +64,12 @@
 	// running counts statements that the server has not answered, granted the
 	// connections that waiters were given and have not used yet. New work waits while
 	// their sum is not below window.
-	running int
-	granted int
-	window  float64
+	running      int
+	granted      int
+	window       window.Window
+	windowMetric string
 	// remoteRunning counts statements that other VMs run at the server for this VM.
 	remoteRunning int
-	// windowCutAt is the time at which the window was last reduced by windowCutFactor.
-	windowCutAt clock.Millis
-	// busyStreak counts consecutive busy answers; until pausedUntil no new work is
-	// sent because of them.
-	busyStreak  int
-	pausedUntil clock.Millis
 	// latency is a moving average of answer times in milliseconds, last updated at
 	// latencyAt.
 	latency   float64
@@ -83,6 +79,8 @@
 	// the time of the last one, or 0.
 	drainTime float64
 	drainedAt clock.Millis
+	// hopelessAt is the time of the last search for waiting requests that are hopeless.
+	hopelessAt clock.Millis
 	// avoidUntil is the time until which reads avoid the server.
 	avoidUntil clock.Millis
 	// answeredAt and failedAt are the times of the last answer and the last failure.
@@ -103,6 +101,8 @@
 // closes or the request is refused.
 type waiter struct {
 	ready chan *PooledConn
+	// deadline is the time at which the wait ends.
+	deadline clock.Millis
 	// refusal is set before a nil connection is sent, unless the pool closes.
 	refusal error
 }
@@ -110,9 +110,10 @@
 func newPool(g *Group, s Server) *pool {
 	p := &pool{
 		group: g, listedAt: g.options.Clock.Now(), queue: fair.New(queueLimit),
-		window: max(min(initialWindow, initialInFlight/float64(max(g.options.HolderCountFunc(s), 1))), minWindow),
+		windowMetric: windowMetric(s.ID),
 	}
 	p.server.Store(&s)
+	p.setWindow(window.New(g.options.HolderCountFunc(s)))
 	return p
 }
 
@@ -184,9 +185,8 @@
 		p.setRamp(p.slow.ramp.WithBusy(now), now)
 		return
 	}
-	p.setRamp(p.slow.ramp.WithAnswer(float64(responseTime), int(p.window), now), now)
-	p.busyStreak = 0
-	p.window = min(p.window+windowGrowth/p.window, float64(max(p.maxConns(), 1)))
+	p.setRamp(p.slow.ramp.WithAnswer(float64(responseTime), p.window.Size(), now), now)
+	p.setWindow(p.window.WithAnswer(float64(responseTime), p.windowLimits(), now))
 	p.latency += latencyWeight * (float64(responseTime) - p.latency)
 	p.latencyAt = now
 	p.work = p.work.WithAnswer(priority, float64(responseTime))
@@ -222,6 +222,8 @@
 	if p.isBarredNow() {
 		return nil, ErrServerEvacuated
 	}
+	c := p.group.options.Clock
+	began := c.Now()
 	item, err := p.enqueue(r, wait)
 	if err != nil {
 		return nil, err
@@ -233,6 +235,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.group.options.Counters.recordWait(r.Priority, c.Now()-began)
 	pc.priority = r.Priority
 	if pc.conn != nil {
 		return pc, nil
@@ -256,7 +259,7 @@
 		return nil, ErrPoolTimeout
 	}
 	item := &fair.Item{
-		Account: r.Account, Weight: r.Weight, Priority: r.Priority, Cost: p.work.Cost(r.Priority), Value: &waiter{ready: make(chan *PooledConn, 1)},
+		Account: r.Account, Weight: r.Weight, Priority: r.Priority, Cost: p.work.Cost(r.Priority), Value: &waiter{ready: make(chan *PooledConn, 1), deadline: p.group.options.Clock.Now() + wait},
 	}
 	if !p.queue.Push(item) && !p.shedFor(item) {
 		return nil, ErrPoolTimeout
@@ -272,10 +275,7 @@
 	if least == nil {
 		return false
 	}
-	p.queue.Remove(least)
-	w := least.Value.(*waiter)
-	w.refusal = ErrPoolTimeout
-	w.ready <- nil
+	p.shed(least)
 	p.group.options.Counters.shedRequests.Inc()
 	return p.queue.Push(item)
 }
@@ -291,7 +291,13 @@
 func (p *pool) expectedWait(r Requester) float64 {
 	// The first request leaves the queue when a statement that runs ends.
 	ahead := float64(p.queue.Ahead(r.Account, r.Priority) + 1)
-	return ahead * max(p.drainTime, p.latency/max(min(p.window, float64(p.open)), 1))
+	return ahead * p.turnTime()
+}
+
+// turnTime returns the expected time in milliseconds from one request that leaves the queue to the
+// next. The caller holds p.mu.
+func (p *pool) turnTime() float64 {
+	return max(p.drainTime, p.latency/float64(max(min(p.window.Size(), p.open), 1)))
 }
 
 // recordDrain measures the time between two requests that leave the queue. The caller holds
@@ -313,10 +319,10 @@
 // dispatch grants connections, or the right to open one (a PooledConn without conn),
 // to waiters as far as the window allows. The caller holds p.mu.
 func (p *pool) dispatch() {
-	if p.group.options.Clock.Now() < p.pausedUntil {
+	if p.window.PausedAt(p.group.options.Clock.Now()) {
 		return
 	}
-	for p.queue.Len() > 0 && p.running+p.granted < int(p.window) && p.maySend() {
+	for p.queue.Len() > 0 && p.running+p.granted < p.window.Size() && p.maySend() {
 		canOpen := p.open < p.maxConns() && !p.connLimitHolds(p.group.options.Clock.Now())
 		if len(p.idle) == 0 && !canOpen {
 			return
@@ -348,12 +354,13 @@
 		}
 		p.mu.Lock()
 		p.dispatch()
+		p.shedHopeless()
 		p.mu.Unlock()
 	}
 }
 
-// recheckPause is the interval at which a waiter checks whether pausedUntil or
-// connLimitUntil has passed, in milliseconds.
+// recheckPause is the interval at which a waiter checks whether the pause of the
+// window or connLimitUntil has passed, in milliseconds.
 const recheckPause = clock.Millis(20)
 
 // awaitConnOnce waits for a grant for at most recheckPause; done is set if the grant
--- a/internal/serve/database/slowstart.go
+++ b/internal/serve/database/slowstart.go
@@ -213,10 +213,10 @@
 	switch {
 	case before.Open() && !next.Open():
 		o.Counters.slowStarts[next.Reason()].Inc()
-		o.Log.Info("slow start begins", "group", o.Name, "server", p.entry().ID, "reason", next.Reason(), "baseline_ms", next.Baseline(), "window", p.window)
+		o.Log.Info("slow start begins", "group", o.Name, "server", p.entry().ID, "reason", next.Reason(), "baseline_ms", next.Baseline(), "window", p.window.Size())
 	case !before.Open() && next.Open():
 		f := before.Figures(now)
-		o.Log.Info("slow start ended", "group", o.Name, "server", p.entry().ID, "reason", before.Reason(), "took", f.Took, "answers", f.Answers+1, "answer_ms", f.ResponseTime, "baseline_ms", f.Baseline, "window", p.window)
+		o.Log.Info("slow start ended", "group", o.Name, "server", p.entry().ID, "reason", before.Reason(), "took", f.Took, "answers", f.Answers+1, "answer_ms", f.ResponseTime, "baseline_ms", f.Baseline, "window", p.window.Size())
 	}
 }
 
