Add the memory budget of a process: the decisions and the accounting

Cause: nothing bounds what callers and other VMs make a process hold, so 150 clients with legal messages use several times the memory setting.

The new invariant memorysum says that the bytes taken are those of the owners. Nothing uses the packages yet.

--- a/internal/base/invariant/invariant.go
+++ b/internal/base/invariant/invariant.go
@@ -46,6 +46,8 @@
 	// ConfigCurrent holds when no VM relies on others for a configuration that the store has not
 	// confirmed within the deadline.
 	ConfigCurrent Name = "configcurrent"
+	// MemorySum holds when the bytes taken from the memory of a process are those that its owners hold.
+	MemorySum Name = "memorysum"
 )
 
 var (
--- /dev/null
+++ b/internal/core/allowance/allowance.go
@@ -0,0 +1,164 @@
+// Package allowance decides how much of a process's memory and descriptors each connection may
+// use, which connection is closed when they are short, and how long a message may take. It
+// addresses clients that send or hold many large messages, send or read slowly, or connect without
+// a request: without it they run the process out of memory.
+package allowance
+
+import "github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+
+const (
+	// budgetShare is the part of the memory setting that connections may use, as a divisor. The
+	// collector lets the heap grow to about twice what is in use, and a VM without callers uses 30
+	// to 40 MiB.
+	budgetShare = 4
+	// minBudget lets one message of 1 MiB be forwarded, with its copies, at any memory setting.
+	minBudget = 12 << 20
+	// smallSize and mediumSize bound what one owner holds of a small and a medium message, in
+	// bytes.
+	smallSize  = 16 << 10
+	mediumSize = 128 << 10
+)
+
+// Limits are the limits of one process.
+type Limits struct {
+	// Memory is the number of bytes that all connections together may use.
+	Memory int64
+	// Connections is the number of callers' connections that may be open, 0 for no limit.
+	Connections int
+}
+
+const (
+	// minHeadroom and maxHeadroom bound the descriptors that are kept for backend servers, VMs,
+	// the store, the probe and metrics; between them it is a quarter of the limit.
+	minHeadroom = 24
+	maxHeadroom = 256
+)
+
+// NewLimits returns the limits for a process with a memory setting in bytes and a limit of
+// descriptors.
+func NewLimits(memory int64, descriptors int) Limits {
+	headroom := min(max(descriptors/4, minHeadroom), maxHeadroom)
+	return Limits{Memory: max(memory/budgetShare, minBudget), Connections: max(descriptors-headroom, 1)}
+}
+
+// Request is what an owner asks for.
+type Request struct {
+	// Size is the number of bytes that it asks for, and Held what it holds apart from them.
+	Size int64
+	Held int64
+	// Account is what all owners of its account hold.
+	Account int64
+	// Lasting is set for bytes that are held while the owner is idle, of which LastingHeld are
+	// held by all owners.
+	Lasting     bool
+	LastingHeld int64
+}
+
+// Permits reports whether a request may be granted while used bytes are in use. Small messages may
+// use the whole memory, medium ones three quarters and large ones half, so that large messages do
+// not keep small ones out. Of what large messages may use, one account gets three quarters, and
+// what idle sessions hold half.
+func (l Limits) Permits(used int64, r Request) bool {
+	bound := l.Memory
+	switch held := r.Held + r.Size; {
+	case held <= smallSize:
+		return used+r.Size <= bound
+	case held <= mediumSize:
+		bound = bound * 3 / 4
+	default:
+		bound /= 2
+	}
+	return used+r.Size <= bound && r.Account+r.Size <= bound*3/4 && (!r.Lasting || r.LastingHeld+r.Size <= bound/2)
+}
+
+// Phase is what a connection is doing.
+type Phase int32
+
+// The phases of a connection.
+const (
+	// Silent is before the first byte.
+	Silent Phase = iota
+	// Idle is between two messages.
+	Idle
+	// Receiving is while a message is incomplete.
+	Receiving
+	// Working is while a statement runs.
+	Working
+	// Sending is while an answer is being sent.
+	Sending
+)
+
+// String returns the name of the phase in logs and metrics.
+func (p Phase) String() string {
+	return [...]string{"silent", "idle", "receiving", "working", "sending"}[p]
+}
+
+// Activity is what a connection has done in its present phase.
+type Activity struct {
+	Phase Phase
+	// Since is when the message or answer began, LastMoved when its last byte moved, and Moved
+	// how many bytes of it have.
+	Since     clock.Millis
+	LastMoved clock.Millis
+	Moved     int64
+	// Held is the number of bytes that it holds beside the connection itself.
+	Held int64
+}
+
+const (
+	// messageGrace is how long a message or an answer may take beside the time at minPace, in
+	// milliseconds, and minPace its least pace, in bytes per millisecond: 1 MiB may take 76 s.
+	messageGrace = 10 * clock.Second
+	minPace      = 16
+	// stallTime is how long a connection must have been still in the middle of a message or an
+	// answer before it is closed to free memory, in milliseconds. A packet that is lost twice is
+	// sent again within that time.
+	stallTime = 2 * clock.Second
+	// leastAge is how long a connection without a byte, or an idle session, must have been still
+	// before it is closed to free a descriptor, in milliseconds.
+	leastAge = clock.Second
+)
+
+// IsOverdue reports whether a message or an answer has taken too long.
+func (a Activity) IsOverdue(now clock.Millis) bool {
+	return (a.Phase == Receiving || a.Phase == Sending) && now-a.Since > messageGrace+clock.Millis(a.Moved/minPace)
+}
+
+// isStalled reports whether the connection stands still in the middle of a message.
+func (a Activity) isStalled(now clock.Millis) bool {
+	return (a.Phase == Receiving || a.Phase == Sending) && now-a.LastMoved >= stallTime
+}
+
+// StalledRank ranks a connection that may be closed to free memory: the highest is closed first,
+// and 0 means that it may not be closed.
+func (a Activity) StalledRank(now clock.Millis) int64 {
+	if a.Held == 0 || !a.isStalled(now) {
+		return 0
+	}
+	return int64(now - a.LastMoved)
+}
+
+// ranks of the kinds of connection that may be closed to free a descriptor; within a kind the one
+// that has been still longest is first.
+const (
+	idleRank    = 1 << 40
+	stalledRank = 2 << 40
+	silentRank  = 3 << 40
+)
+
+// DescriptorRank ranks a connection that may be closed to free a descriptor, as StalledRank does:
+// first those that have sent nothing, then those that stand still in a message, then idle sessions.
+func (a Activity) DescriptorRank(now clock.Millis) int64 {
+	still := now - a.LastMoved
+	switch {
+	case a.isStalled(now):
+		return stalledRank + int64(still)
+	case still < leastAge:
+		return 0
+	case a.Phase == Silent:
+		return silentRank + int64(still)
+	case a.Phase == Idle:
+		return idleRank + int64(still)
+	}
+	return 0
+}
