Keep callers within the memory and descriptor settings of the process

Operators saw a VM at 160 MB run to 335 MB by 250 sessions with incomplete statements, and more callers accepted than the process has descriptors.

Cause: messages, answers, prepared statements and settings were held without a bound over all connections; a message grew by doubling and was copied; a frame between VMs was allocated by the length in its header; connections were accepted without a limit.

Change: callers' messages, answers of servers, copies of statements that are forwarded, frames from other VMs, prepared statements and settings are taken from the budget of the process (a quarter of the memory setting) before they are allocated. A message that is not granted is read to its end without being kept and refused with BUSY, inside a transaction with ABORTED; a holder refuses it as not sent. Rows that are not granted are dropped while the answer is read to its end, so that the server's connection stays usable and the server does not count as failed; commits are exempt. A message or an answer must move at 16 KiB/s after 10 s. A connection that stands still for 2 s in the middle of one is closed while memory is short. Callers get three quarters of the descriptors; at the limit a connection that has sent nothing, stands still or has been idle longest is closed for a new one. Windows of connections between VMs stop at 1 MiB a stream and 2 MiB a connection. A server's connection with over 16 KiB of settings is closed on release, since nobody accounts for them. Messages up to 2 KiB need no accounting.

--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -15,6 +15,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/limit"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/outcome"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/memory"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/document"
 )
 
@@ -304,7 +305,18 @@
 
 // Read receives one frame. It returns a *FrameError for a body over MaxBody, and io.EOF
 // when the stream has ended.
-func Read(r io.Reader) (Frame, error) {
+func Read(r io.Reader) (Frame, error) { return ReadWithin(r, nil) }
+
+// decodedCopies is how many times the bytes of a frame are held while it is decoded.
+const decodedCopies = 2
+
+// firstBody is the size of the buffer with which the body of a longer frame begins, in bytes. It
+// grows with what arrives, since the length in the header may be wrong.
+const firstBody = 64 << 10
+
+// ReadWithin is Read for an owner of memory. It reads and drops a body that memory does not grant,
+// without waiting, and then returns the frame without its body and memory.ErrShort.
+func ReadWithin(r io.Reader, m *memory.Owner) (Frame, error) {
 	var header [headerSize]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return Frame{}, err
@@ -313,11 +325,33 @@
 	if size > MaxBody {
 		return Frame{}, &FrameError{Detail: fmt.Sprintf("frame of %d bytes is over the limit of %d", size, MaxBody)}
 	}
-	body := make([]byte, size)
+	f := Frame{Kind: Kind(header[0])}
+	if size > memory.FreeSize && !m.Take(memory.Message, decodedCopies*int64(size)) {
+		if _, err := io.CopyN(io.Discard, r, int64(size)); err != nil {
+			return Frame{}, err
+		}
+		return f, memory.ErrShort
+	}
+	var err error
+	f.Body, err = readBody(r, int(size))
+	return f, err
+}
+
+// readBody reads a body of a given size.
+func readBody(r io.Reader, size int) ([]byte, error) {
+	body := make([]byte, min(size, firstBody))
 	if _, err := io.ReadFull(r, body); err != nil {
-		return Frame{}, err
+		return nil, err
+	}
+	for len(body) < size {
+		next := make([]byte, min(2*len(body), size))
+		copy(next, body)
+		if _, err := io.ReadFull(r, next[len(body):]); err != nil {
+			return nil, err
+		}
+		body = next
 	}
-	return Frame{Kind: Kind(header[0]), Body: body}, nil
+	return body, nil
 }
 
 // Exchange is one end of a stream of frames, whether the other end is at another
@@ -339,6 +373,11 @@
 	// milliseconds, however long the whole frame takes. The stream must be closed
 	// afterwards, not released. It is nil for streams without it.
 	SilenceTimeoutFunc func(timeout clock.Millis)
+	// Memory is the owner of the bytes of what arrives on a stream that another VM opened.
+	Memory *memory.Owner
+	// MemoryFunc sets the owner of the bytes of what later Receives return, for a stream that this
+	// VM opened; nil grants everything. It is nil for streams within the VM.
+	MemoryFunc func(m *memory.Owner)
 }
 
 // Send sends one frame.
--- a/internal/proto/peer/outgoing.go
+++ b/internal/proto/peer/outgoing.go
@@ -9,6 +9,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/memory"
 )
 
 // maxIdleStreams is the number of idle streams kept per connection.
@@ -86,6 +87,7 @@
 func (t *Transport) outgoingExchange(o *outgoingStream, l Label) inner.Exchange {
 	w := t.streamWriter(o.stream, l)
 	var ended atomic.Bool
+	var owner *memory.Owner
 	end := func(keep bool) {
 		if ended.Swap(true) {
 			return
@@ -99,7 +101,8 @@
 	}
 	return inner.Exchange{
 		SendFunc:    func(f inner.Frame) error { return inner.Write(w, f) },
-		ReceiveFunc: func() (inner.Frame, error) { return inner.Read(o.reader) },
+		ReceiveFunc: func() (inner.Frame, error) { return inner.ReadWithin(o.reader, owner) },
+		MemoryFunc:  func(m *memory.Owner) { owner = m },
 		CloseFunc:   func() { end(false) },
 		ReleaseFunc: func() { end(true) },
 		ReceiveTimeoutFunc: func(timeout clock.Millis) {
--- a/internal/proto/peer/peer.go
+++ b/internal/proto/peer/peer.go
@@ -13,6 +13,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/pace"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/memory"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/keys"
 )
 
@@ -23,8 +24,12 @@
 	// connection.
 	maxStreams = 1 << 16
 	// streamWindow and connectionWindow are the initial flow control windows in bytes.
-	streamWindow     = 512 << 10
-	connectionWindow = 8 << 20
+	streamWindow = 512 << 10
+	// maxStreamWindow bounds the window of a stream, and connectionWindow that of a connection,
+	// also after it has grown: bytes that are not read yet are not accounted for. It is above
+	// what a link of 200 Mbit/s carries in a round trip between regions.
+	maxStreamWindow  = 1 << 20
+	connectionWindow = 2 << 20
 
 	// abandonedCode resets a stream; the other codes close a connection.
 	abandonedCode = quic.StreamErrorCode(1)
@@ -59,6 +64,8 @@
 	Region string
 	// Link bounds the bytes sent to each other region; a rate of 0 sets no bound.
 	Link pace.Link
+	// Memory accounts for what arrives on streams that other VMs open; nil grants everything.
+	Memory *memory.Pool
 }
 
 // Handlers serve streams and datagrams from other VMs. The name is the common name
@@ -130,6 +137,8 @@
 		MaxIncomingStreams:             maxStreams,
 		InitialStreamReceiveWindow:     streamWindow,
 		InitialConnectionReceiveWindow: connectionWindow,
+		MaxStreamReceiveWindow:         maxStreamWindow,
+		MaxConnectionReceiveWindow:     connectionWindow,
 		EnableDatagrams:                true,
 		// Statements and answers are small, so larger packets would not save the
 		// bytes that probing for them costs.
--- a/internal/proto/peer/stream.go
+++ b/internal/proto/peer/stream.go
@@ -39,10 +39,14 @@
 func (t *Transport) incomingStream(s *quic.Stream) Stream {
 	var w io.Writer = s
 	r := bufio.NewReaderSize(s, streamBufferSize)
+	// Streams are counted by what arrives on them: other VMs open few.
+	owner, _ := t.options.Memory.NewOwner(0, nil)
 	x := inner.Exchange{
 		SendFunc:    func(f inner.Frame) error { return inner.Write(w, f) },
-		ReceiveFunc: func() (inner.Frame, error) { return inner.Read(r) },
+		ReceiveFunc: func() (inner.Frame, error) { return inner.ReadWithin(r, owner) },
+		Memory:      owner,
 		CloseFunc: func() {
+			owner.Close()
 			s.CancelRead(abandonedCode)
 			_ = s.Close()
 		},
--- a/internal/serve/database/idle.go
+++ b/internal/serve/database/idle.go
@@ -41,7 +41,7 @@
 		pc.checkNotReleased()
 		return
 	}
-	if pc.broken || p.closed || p.open > p.maxConns() {
+	if pc.broken || p.closed || p.open > p.maxConns() || pc.settingsSize() > maxIdleSettings {
 		pc.conn.CloseFunc()
 		pc.released = true
 		p.open--
@@ -102,3 +102,16 @@
 		item.Value.(*waiter).ready <- nil
 	}
 }
+
+// maxIdleSettings is the size of the settings that an idle connection may have, in bytes. They
+// belong to no session, so nothing accounts for them; a connection with more is closed.
+const maxIdleSettings = 16 << 10
+
+// settingsSize is the number of bytes of the settings of the server's session.
+func (pc *PooledConn) settingsSize() int {
+	size := 0
+	for name, value := range pc.settings {
+		size += len(name) + len(value)
+	}
+	return size
+}
--- a/internal/serve/database/pooledconn.go
+++ b/internal/serve/database/pooledconn.go
@@ -10,6 +10,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/trace"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/memory"
 )
 
 // PooledConn is a connection that one session uses exclusively until it releases it.
@@ -69,6 +70,12 @@
 		return refusal, err
 	}
 	if name != "" {
+		if n := int64(len(r.Execution.Arguments)); n > memory.FreeSize {
+			if !r.Memory.Take(memory.Work, n) {
+				return statement.Answer{}, &UnsentError{Cause: memory.ErrShort}
+			}
+			defer r.Memory.Give(memory.Work, n)
+		}
 		if r.Text, err = pc.compose(r, name); err != nil {
 			return statement.Answer{}, err
 		}
@@ -89,6 +96,12 @@
 	}
 	span.End(pc.traceAttributes(a, err))
 	pc.logSent(r, name, a, err)
+	if errors.Is(err, memory.ErrShort) {
+		// The server has answered; only its rows were dropped here.
+		pc.pool.endStatement(c.Now()-sent, false, nil)
+		pc.status, pc.broken = a.Status, pc.broken || a.Status == 0
+		return a, err
+	}
 	pc.pool.endStatement(c.Now()-sent, a.Code == statement.Busy, err)
 	if err != nil {
 		pc.broken = true
--- a/internal/serve/database/server.go
+++ b/internal/serve/database/server.go
@@ -10,6 +10,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/memory"
 )
 
 // Server is an entry of the directory of backend servers.
@@ -36,6 +37,8 @@
 
 // Request is one statement to run on a connection.
 type Request struct {
+	// Memory is the owner of the bytes of the answer and of copies of the statement, or nil.
+	Memory *memory.Owner
 	// ID is the ID of the caller's request, or "-" for the proxy's own statements.
 	ID string
 	// Text is the statement as the server gets it. It is empty if Execution is set: the VM that
@@ -76,7 +79,8 @@
 // *RefusalError of CommandFunc.
 type Conn struct {
 	// RunFunc runs a statement. An error means that its outcome is unknown, but an
-	// *UnsendableError that nothing was sent.
+	// *UnsendableError that nothing was sent, and memory.ErrShort that the answer came whole and
+	// that its rows were dropped; the connection is then as after an answer.
 	RunFunc func(r Request) (statement.Answer, error)
 	// PrepareFunc prepares a statement under a name of one word, DeallocateFunc drops it. The
 	// errors are *RefusalErrors if the server refused, and *UnsendableErrors.
--- a/internal/serve/forward/holder.go
+++ b/internal/serve/forward/holder.go
@@ -4,10 +4,13 @@
 	"context"
 	"sync/atomic"
 
+	"github.com/go-faster/errors"
+
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/memory"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 )
 
@@ -29,27 +32,55 @@
 // InUse returns the number of connections that other VMs use.
 func (h *Holder) InUse() int64 { return h.inUse.Load() }
 
-// Serve runs the statements of a stream whose first frame is f. It returns the
+// Serve runs the statements of a stream whose first frame is f, which was received with the error
+// received: nil, or memory.ErrShort if its body was dropped. It returns the
 // first frame that is not a KindRun, or the error that ended the stream.
-func (h *Holder) Serve(ctx context.Context, x inner.Exchange, f inner.Frame) (inner.Frame, error) {
+func (h *Holder) Serve(ctx context.Context, x inner.Exchange, f inner.Frame, received error) (inner.Frame, error) {
 	u := &holderStream{holder: h, ctx: ctx, exchange: x}
 	defer u.abort()
 	for f.Kind == inner.KindRun {
-		var m inner.Run
-		if err := inner.Decode(f, &m); err != nil {
+		r, err := u.serveFrame(f, received)
+		if err != nil {
 			return f, err
 		}
-		if err := x.Send(inner.Encode(inner.KindResult, u.serveRun(m))); err != nil {
+		if err := x.Send(inner.Encode(inner.KindResult, r)); err != nil {
 			return f, err
 		}
-		var err error
-		if f, err = x.Receive(); err != nil {
-			return f, err
+		x.Memory.Drop(memory.Message)
+		x.Memory.Drop(memory.Work)
+		if f, received = x.Receive(); received != nil && !errors.Is(received, memory.ErrShort) {
+			return f, received
 		}
 	}
-	return f, nil
+	return f, received
+}
+
+// serveFrame serves one KindRun frame. One that was dropped for want of memory, as received says, is
+// refused; it has not been sent to a server.
+func (u *holderStream) serveFrame(f inner.Frame, received error) (inner.Result, error) {
+	if received != nil {
+		u.abort()
+		return inner.Result{UnsentReason: inner.ReasonPoolTimeout}, nil
+	}
+	var m inner.Run
+	if err := inner.Decode(f, &m); err != nil {
+		return inner.Result{}, err
+	}
+	r := u.serveRun(m)
+	size := 0
+	for _, row := range r.Rows {
+		size += len(row)
+	}
+	if size > memory.FreeSize && !m.IsCommit && !u.exchange.Memory.Take(memory.Work, encodedCopies*int64(size)) {
+		u.abort()
+		return inner.Result{OutcomeUnknown: true}, nil
+	}
+	return r, nil
 }
 
+// encodedCopies is how many more times the bytes of a message are held while it is sent.
+const encodedCopies = 2
+
 // holderStream is a stream on which another VM uses a connection of this one.
 type holderStream struct {
 	holder   *Holder
@@ -110,10 +141,13 @@
 	}
 	a, err := u.conn.Run(database.Request{
 		ID: m.ID, Text: m.Text, Execution: m.Execution.Statement(), Floor: floor.ReplicationPosition{Term: m.Term, Position: m.Position}, Timeout: left, IsCommit: m.IsCommit, ReleaseAfter: m.ReleaseAfter,
-		Parent: m.Parent,
+		Parent: m.Parent, Memory: u.exchange.Memory,
 	})
 	if err != nil {
 		u.abort()
+		if database.IsUnsent(err) && errors.Is(err, memory.ErrShort) {
+			return inner.Result{UnsentReason: inner.ReasonPoolTimeout}
+		}
 		if database.IsUnsent(err) {
 			return inner.Result{UnsentReason: inner.ReasonSessionSetup}
 		}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -12,6 +12,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/memory"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 )
 
@@ -54,9 +55,20 @@
 // the server. Any other error leaves its outcome unknown.
 func (s *stream) runUntraced(r database.Request, settings map[string]string) (statement.Answer, error) {
 	deadline := s.forwarder.options.Clock.Now() + r.Timeout
+	if n := encodedCopies * sizeOf(r, settings); n > memory.FreeSize {
+		if !r.Memory.Take(memory.Work, n) {
+			return statement.Answer{}, &database.UnsentError{Cause: memory.ErrShort}
+		}
+		defer r.Memory.Give(memory.Work, n)
+	}
 	if err := s.open(); err != nil {
 		return statement.Answer{}, err
 	}
+	if s.exchange.MemoryFunc != nil && !r.IsCommit {
+		// The answer to a commit is short, and it is never dropped.
+		s.exchange.MemoryFunc(r.Memory)
+		defer s.exchange.MemoryFunc(nil)
+	}
 	m := inner.Run{
 		ID: r.ID, Text: r.Text, Term: r.Floor.Term, Position: r.Floor.Position, IsCommit: r.IsCommit, ReleaseAfter: r.ReleaseAfter,
 		Settings: settings, Execution: inner.ExecutionOf(r.Execution), Timeout: r.Timeout, Parent: r.Parent,
@@ -84,6 +96,15 @@
 	return a, nil
 }
 
+// sizeOf is the number of bytes of a statement that goes to another VM.
+func sizeOf(r database.Request, settings map[string]string) int64 {
+	n := len(r.Text) + len(r.Execution.Shape.Text) + len(r.Execution.Arguments)
+	for name, value := range settings {
+		n += len(name) + len(value)
+	}
+	return int64(n)
+}
+
 // withTarget returns the message with the fields that select the connection;
 // only the first message of a stream needs them.
 func (s *stream) withTarget(m inner.Run) inner.Run {
@@ -147,6 +168,9 @@
 		}
 		s.exchange.ReceiveTimeoutFunc(min(silenceLimit, deadline-now))
 		f, err := s.exchange.Receive()
+		if errors.Is(err, memory.ErrShort) {
+			return statement.Answer{}, err
+		}
 		if err != nil {
 			// An error at the deadline or the end of ctx is no fault of the
 			// holder unless it was silent for silenceLimit.
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -17,6 +17,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/freshness"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/shutdown"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/memory"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/peer"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/forward"
@@ -46,7 +47,11 @@
 	Protocol    database.Protocol
 	// AcceptFunc reads the startup message of a caller. After an error the connection is
 	// closed.
-	AcceptFunc func(c net.Conn) (session.Caller, error)
+	AcceptFunc func(c net.Conn, m *memory.Owner) (session.Caller, error)
+	// Memory accounts for what callers and other VMs make this process hold; nil grants everything.
+	// MaxCallers is the number of callers' connections that may be open, 0 for no limit.
+	Memory     *memory.Pool
+	MaxCallers int
 	Registry   Registry
 	Claims     database.ClaimStore
 	Tolerance  Tolerance
@@ -92,6 +97,8 @@
 	keyring   *keys.Keyring
 	// fetchFailures counts the failed fetches from other VMs.
 	fetchFailures *metrics.Counter
+	// refusedCallers counts the connections that were closed right after they were accepted.
+	refusedCallers *metrics.Counter
 	// eraGauge shows era.
 	eraGauge *metrics.Gauge
 	// ageGauge shows the age of the configuration, and configCalls counts the calls of the store
@@ -161,6 +168,7 @@
 	f.mesh = f.newMesh()
 	f.follower = freshness.NewFollower(f.bounds, drawOf(f.mesh.Process()))
 	f.fetchFailures = metrics.GetOrCreateCounter("sycamoredoor_fetch_failures_total")
+	f.refusedCallers = metrics.GetOrCreateCounter("sycamoredoor_connections_refused_total")
 	f.eraGauge = metrics.GetOrCreateGauge("sycamoredoor_store_era", nil)
 	f.ageGauge = metrics.GetOrCreateGauge("sycamoredoor_configuration_age_seconds", nil)
 	f.configCalls = metrics.GetOrCreateCounter("sycamoredoor_configuration_calls_total")
@@ -176,6 +184,7 @@
 	f.spawn(func() { f.pollDirectory(ctx) })
 	f.spawn(func() { f.tick(ctx) })
 	f.spawn(func() { f.accept(ctx) })
+	f.spawn(func() { f.sweepCallers(ctx) })
 	go func() {
 		<-ctx.Done()
 		_ = l.Close()
@@ -260,29 +269,13 @@
 	return out
 }
 
-// accept accepts callers' connections and serves each in its own goroutine.
-func (f *Frontend) accept(ctx context.Context) {
-	for {
-		c, err := f.listener.Accept()
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			f.options.Log.Warn("accepting a caller's connection failed", "err", err)
-			_ = f.options.Clock.Sleep(ctx, errorRetryDelay)
-			continue
-		}
-		f.spawn(func() { f.serve(ctx, c) })
-	}
-}
-
-func (f *Frontend) serve(ctx context.Context, c net.Conn) {
-	f.openConns.Add(1)
+func (f *Frontend) serve(ctx context.Context, c net.Conn, m *memory.Owner) {
 	defer f.openConns.Add(-1)
+	defer m.Close()
 	defer func() { _ = c.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
-	caller, err := f.options.AcceptFunc(c)
+	caller, err := f.options.AcceptFunc(c, m)
 	if err != nil {
 		f.options.Log.Debug("starting a caller's session failed", "err", err)
 		return
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -11,6 +11,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/memory"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/peer"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/gossip"
@@ -83,7 +84,7 @@
 func (f *Frontend) awaitTransport(ctx context.Context) *peer.Transport {
 	for ctx.Err() == nil {
 		if f.issueKeys(ctx) == nil {
-			t, err := peer.Listen(f.options.Self.Address, f.keyring, peer.Options{Clock: f.options.Clock, Region: f.options.Self.Region, IdleTimeout: connIdleTimeout})
+			t, err := peer.Listen(f.options.Self.Address, f.keyring, peer.Options{Clock: f.options.Clock, Region: f.options.Self.Region, IdleTimeout: connIdleTimeout, Memory: f.options.Memory})
 			if err == nil {
 				return t
 			}
@@ -275,8 +276,8 @@
 // statements on the same stream.
 func (f *Frontend) serveStream(x inner.Exchange) {
 	frame, err := x.Receive()
-	if err == nil && frame.Kind == inner.KindRun {
-		frame, err = f.holder.Serve(f.ctx, x, frame)
+	if (err == nil || errors.Is(err, memory.ErrShort)) && frame.Kind == inner.KindRun {
+		frame, err = f.holder.Serve(f.ctx, x, frame, err)
 	}
 	if err != nil || frame.Kind != inner.KindQuestion {
 		return
--- a/internal/serve/session/prepared.go
+++ b/internal/serve/session/prepared.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/memory"
 )
 
 const (
@@ -32,6 +33,12 @@
 	if !exists && len(s.prepared) >= maxPrepared || size > maxPreparedSize {
 		return s.refuse(st, statement.Invalid, fmt.Sprintf("the session's prepared statements exceed %d, or %d bytes; deallocate some", maxPrepared, maxPreparedSize))
 	}
+	if !s.caller.Memory.Take(memory.Session, int64(size-s.preparedSize)) {
+		return s.refuseShort(st)
+	}
+	if size < s.preparedSize {
+		s.caller.Memory.Give(memory.Session, int64(s.preparedSize-size))
+	}
 	// A part of the message would keep all of it in memory.
 	shape := statement.Shape{IsWrite: st.Shape.IsWrite, Text: strings.Clone(st.Shape.Text)}
 	s.prepared[strings.Clone(st.Name)], s.preparedSize = shape, size
@@ -42,6 +49,7 @@
 func (s *session) deallocate(st statement.Statement) statement.Answer {
 	if old, exists := s.prepared[st.Name]; exists {
 		s.preparedSize -= len(st.Name) + len(old.Text)
+		s.caller.Memory.Give(memory.Session, int64(len(st.Name)+len(old.Text)))
 		delete(s.prepared, st.Name)
 	}
 	return statement.LocalSuccess(s.status())
@@ -50,6 +58,10 @@
 // set sets a setting of the session, unless that exceeds a bound. It replaces the map, since a
 // connection held by another VM may share the present one.
 func (s *session) set(st statement.Statement) statement.Answer {
+	old := 0
+	for name, value := range s.settings {
+		old += len(name) + len(value)
+	}
 	settings := maps.Clone(s.settings)
 	settings[strings.Clone(st.Name)] = strings.Clone(st.Value)
 	size := 0
@@ -59,6 +71,12 @@
 	if len(settings) > maxSettings || size > maxSettingsSize {
 		return s.refuse(st, statement.Invalid, fmt.Sprintf("the session's settings exceed %d, or %d bytes", maxSettings, maxSettingsSize))
 	}
+	if !s.caller.Memory.Take(memory.Session, int64(size-old)) {
+		return s.refuseShort(st)
+	}
+	if size < old {
+		s.caller.Memory.Give(memory.Session, int64(old-size))
+	}
 	s.settings = settings
 	return statement.LocalSuccess(s.status())
 }
--- a/internal/serve/session/run.go
+++ b/internal/serve/session/run.go
@@ -9,6 +9,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/memory"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
 )
@@ -17,6 +18,9 @@
 // interrupted the wait.
 var ErrIdle = errors.New("the caller was idle")
 
+// ErrShort means that a statement was read and dropped, because there was no memory for it.
+var ErrShort = errors.New("no memory for the statement")
+
 const (
 	// retryPause is the pause before a refused statement is retried, in milliseconds.
 	retryPause = clock.Millis(20)
@@ -91,6 +95,10 @@
 func (op *operation) retry(ctx context.Context, cause error) bool {
 	op.lastReason = cause.Error()
 	op.attempts++
+	if errors.Is(cause, memory.ErrShort) {
+		// Other servers would be asked for nothing: it is this VM that is short.
+		return false
+	}
 	if errors.Is(cause, database.ErrPoolTimeout) {
 		op.overloaded = true
 		return op.anyServer && op.attempts < maxAttempts && op.remaining() > 0
@@ -265,7 +273,7 @@
 
 // request returns the request that runs a statement within timeout milliseconds.
 func (s *session) request(st statement.Statement, timeout clock.Millis) database.Request {
-	r := database.Request{ID: st.ID, Timeout: timeout, Parent: s.parent}
+	r := database.Request{ID: st.ID, Timeout: timeout, Parent: s.parent, Memory: s.caller.Memory}
 	if st.Kind == statement.Execute {
 		r.Execution = statement.Execution{Shape: s.prepared[st.Name], Arguments: st.Arguments}
 	} else {
--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -14,18 +14,21 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/freshness"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/memory"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
 )
 
 // Caller is a caller's connection. The caller's protocol implements its functions.
 type Caller struct {
+	// Memory is the owner of the bytes of the connection and its session, or nil.
+	Memory *memory.Owner
 	// Database and Key are those the caller gave at the start.
 	Database string
 	Key      string
 	// ReadFunc waits for the next statement, at most wait milliseconds, or without
 	// limit if wait is 0. It returns ErrIdle after the wait, or when a planned stop
-	// interrupts it.
+	// interrupts it, and ErrShort for a statement that was dropped for want of memory.
 	ReadFunc func(wait clock.Millis) (statement.Statement, error)
 	// AnswerFunc sends the answer to the last statement.
 	AnswerFunc func(a statement.Answer) error
@@ -114,15 +117,22 @@
 			s.checkIdle()
 			continue
 		}
-		if err != nil {
+		isShort := errors.Is(err, ErrShort)
+		if err != nil && !isShort {
 			return
 		}
 		startedAt := s.options.Clock.Now()
-		a := s.answerTraced(ctx, st)
+		var a statement.Answer
+		if isShort {
+			a = s.refuseShort(st)
+		} else {
+			a = s.answerTraced(ctx, st)
+		}
 		s.options.Counters.observe(a.Code, s.options.Clock.Now()-startedAt)
 		if err := s.caller.AnswerFunc(a); err != nil {
 			return
 		}
+		s.caller.Memory.Drop(memory.Work)
 		if s.txn == nil && s.options.StoppingFunc() {
 			return
 		}
@@ -194,6 +204,7 @@
 	}
 	s.route = route
 	s.account, _ = c.Account(name)
+	s.caller.Memory.SetAccount(s.account.Name)
 	return statement.Success, ""
 }
 
@@ -302,6 +313,17 @@
 	}
 }
 
+// ShortDetail is the detail of what is refused for want of memory.
+const ShortDetail = "the VM is short of memory for large messages; try again in 1 s"
+
+// refuseShort refuses a statement for want of memory. It has not run.
+func (s *session) refuseShort(st statement.Statement) statement.Answer {
+	if s.txn != nil {
+		return s.refuse(st, statement.Aborted, ShortDetail+"; the transaction is rolled back")
+	}
+	return s.refuse(st, statement.Busy, ShortDetail)
+}
+
 // refuse counts and logs the refusal of a statement, fails an open transaction, and
 // returns the refusal as the answer.
 func (s *session) refuse(st statement.Statement, code statement.Code, detail string) statement.Answer {
--- a/internal/serve/session/transaction.go
+++ b/internal/serve/session/transaction.go
@@ -8,6 +8,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/memory"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
 )
@@ -85,6 +86,9 @@
 	}
 	op := s.newOperation(st)
 	a, err := op.retryWhileBusy(ctx, func() (statement.Answer, error) { return op.send(s.txn.conn, floor.ReplicationPosition{}) })
+	if errors.Is(err, memory.ErrShort) {
+		return s.refuseShort(st)
+	}
 	if err != nil {
 		return s.refuse(st, statement.Aborted, "the connection to the backend server was lost; the transaction is rolled back")
 	}
