--- a/internal/proto/memory/memory.go
+++ b/internal/proto/memory/memory.go
@@ -77,14 +77,14 @@
 	return p
 }
 
-// Owner is a connection that holds bytes of the pool. Take, Give and Drop must be called by one
-// goroutine at a time. A nil owner is granted everything.
+// Owner is a connection that holds bytes of the pool. Its methods but for those of
+// the pool must be called by one goroutine at a time. A nil owner is granted everything.
 type Owner struct {
 	pool *Pool
 	// closeFunc closes the connection; it must not wait.
 	closeFunc func()
-	// account and held are guarded by the pool's lock; held is also read without it by the
-	// goroutine that changes it.
+	// account and held are guarded by the pool's lock; the goroutine that changes them also reads
+	// them without it.
 	account string
 	held    [purposeCount]int64
 
@@ -170,14 +170,11 @@
 
 // SetAccount sets the account that the owner's bytes count for.
 func (o *Owner) SetAccount(name string) {
-	if o == nil {
+	if o == nil || o.account == name {
 		return
 	}
 	o.pool.mu.Lock()
 	defer o.pool.mu.Unlock()
-	if o.account == name {
-		return
-	}
 	held := o.held
 	for p, n := range held {
 		o.pool.add(o, Purpose(p), -n)
