--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -14,6 +14,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/memory"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
@@ -210,3 +211,21 @@
 	c.Advance(minSuspicion)
 	diff(t, "own connections after the suspicion", false, f.Remote(context.Background(), request) == nil)
 }
+
+// TestHolderShortOfMemory guards against a holder that is silent about a statement for which it has no
+// memory, or that reports another reason than that the statement was not sent.
+func TestHolderShortOfMemory(t *testing.T) {
+	var sent []inner.Frame
+	x := inner.Exchange{
+		SendFunc:    func(f inner.Frame) error { sent = append(sent, f); return nil },
+		ReceiveFunc: func() (inner.Frame, error) { return inner.Frame{}, io.EOF },
+	}
+	if _, err := (&Holder{}).Serve(t.Context(), x, inner.Frame{Kind: inner.KindRun}, memory.ErrShort); !errors.Is(err, io.EOF) {
+		t.Errorf("the stream ended with %v", err)
+	}
+	var r inner.Result
+	if len(sent) != 1 || inner.Decode(sent[0], &r) != nil {
+		t.Fatalf("sent %v", sent)
+	}
+	diff(t, "reason", inner.ReasonPoolTimeout, r.UnsentReason)
+}
--- a/internal/serve/forward/holder.go
+++ b/internal/serve/forward/holder.go
@@ -48,6 +48,9 @@
 		}
 		x.Memory.Drop(memory.Message)
 		x.Memory.Drop(memory.Work)
+		if u.conn == nil {
+			x.Memory.SetAccount("")
+		}
 		if f, received = x.Receive(); received != nil && !errors.Is(received, memory.ErrShort) {
 			return f, received
 		}
@@ -66,6 +69,9 @@
 	if err := inner.Decode(f, &m); err != nil {
 		return inner.Result{}, err
 	}
+	if m.Account != "" {
+		u.exchange.Memory.SetAccount(m.Account)
+	}
 	r := u.serveRun(m)
 	size := 0
 	for _, row := range r.Rows {
