Keep a server's connection when the rows of a forwarded answer are dropped

A holder closed its connection to the server when it had no memory for the rows of a single statement, though the answer had been read to its end; opening one costs as much as several statements. It now keeps the connection unless a transaction is open.

--- a/internal/proto/memory/memory.go
+++ b/internal/proto/memory/memory.go
@@ -161,11 +161,17 @@
 	o.pool.add(o, p, -size)
 }
 
+// Held returns what the owner holds for a purpose.
+func (o *Owner) Held(p Purpose) int64 {
+	if o == nil {
+		return 0
+	}
+	return o.held[p]
+}
+
 // Drop gives back all that the owner holds for a purpose.
 func (o *Owner) Drop(p Purpose) {
-	if o != nil && o.held[p] != 0 {
-		o.Give(p, o.held[p])
-	}
+	o.Give(p, o.Held(p))
 }
 
 // SetAccount sets the account that the owner's bytes count for.
--- a/internal/serve/forward/holder.go
+++ b/internal/serve/forward/holder.go
@@ -149,11 +149,11 @@
 		ID: m.ID, Text: m.Text, Execution: m.Execution.Statement(), Floor: floor.ReplicationPosition{Term: m.Term, Position: m.Position}, Timeout: left, IsCommit: m.IsCommit, ReleaseAfter: m.ReleaseAfter,
 		Parent: m.Parent, Memory: u.exchange.Memory,
 	})
+	if errors.Is(err, memory.ErrShort) {
+		return u.refuseShort(m, a, err)
+	}
 	if err != nil {
 		u.abort()
-		if database.IsUnsent(err) && errors.Is(err, memory.ErrShort) {
-			return inner.Result{UnsentReason: inner.ReasonPoolTimeout}
-		}
 		if database.IsUnsent(err) {
 			return inner.Result{UnsentReason: inner.ReasonSessionSetup}
 		}
@@ -165,6 +165,21 @@
 	return inner.ResultOf(a)
 }
 
+// refuseShort returns the result of a statement that was not sent, or whose rows were dropped, for
+// want of memory. The connection is kept unless a transaction is open.
+func (u *holderStream) refuseShort(m inner.Run, a statement.Answer, err error) inner.Result {
+	unsent := database.IsUnsent(err)
+	if m.ReleaseAfter && (unsent || a.Status == statement.Idle) {
+		u.release()
+	} else {
+		u.abort()
+	}
+	if unsent {
+		return inner.Result{UnsentReason: inner.ReasonPoolTimeout}
+	}
+	return inner.Result{OutcomeUnknown: true}
+}
+
 // acquire acquires a connection of this VM.
 func (u *holderStream) acquire(m inner.Run) error {
 	if u.holder.StoppingFunc() {
