Count connections to servers among the descriptors of callers

In a run of all tests with -race a process with a setting of 400 descriptors had 445: 300 callers and 120 connections to servers, for which less was kept.

Cause: callers had a limit of their own, and connections to servers none but the servers'.

Change: callers and connections to servers share what is left of the limit after a tenth for VMs, the store, the probe and metrics. A part is kept for servers; beyond it a connection to a server closes that of a caller, and without one to close it fails as if the server accepted no more.

--- a/internal/core/allowance/allowance.go
+++ b/internal/core/allowance/allowance.go
@@ -23,22 +23,41 @@
 type Limits struct {
 	// Memory is the number of bytes that all connections together may use.
 	Memory int64
-	// Connections is the number of callers' connections that may be open, 0 for no limit.
-	Connections int
+	// Connections is the number of connections of callers and to backend servers that may be open
+	// together, of which ServerReserve are kept for backend servers.
+	Connections   int
+	ServerReserve int
 }
 
 const (
-	// minHeadroom and maxHeadroom bound the descriptors that are kept for backend servers, VMs,
-	// the store, the probe and metrics; between them it is a quarter of the limit.
+	// minHeadroom and maxHeadroom bound the descriptors that are kept for VMs, the store, the
+	// probe, metrics and connections that are about to close; between them it is a tenth of the
+	// limit. A VM without callers uses about 20.
 	minHeadroom = 24
-	maxHeadroom = 256
+	maxHeadroom = 64
+	// minServerReserve and maxServerReserve bound those that are kept for backend servers; between
+	// them it is 15 in a hundred of the limit.
+	minServerReserve = 12
+	maxServerReserve = 192
 )
 
 // NewLimits returns the limits for a process with a memory setting in bytes and a limit of
 // descriptors.
 func NewLimits(memory int64, descriptors int) Limits {
-	headroom := min(max(descriptors/4, minHeadroom), maxHeadroom)
-	return Limits{Memory: max(memory/budgetShare, minBudget), Connections: max(descriptors-headroom, 1)}
+	return Limits{
+		Memory: max(memory/budgetShare, minBudget), Connections: descriptors - min(max(descriptors/10, minHeadroom), maxHeadroom),
+		ServerReserve: min(max(descriptors*15/100, minServerReserve), maxServerReserve),
+	}
+}
+
+// PermitsCaller reports whether a caller's connection may be added to those of callers and to servers.
+func (l Limits) PermitsCaller(callers, servers int64) bool {
+	return callers < int64(l.Connections)-max(int64(l.ServerReserve), servers)
+}
+
+// PermitsServer reports whether a connection to a server may be added.
+func (l Limits) PermitsServer(callers, servers int64) bool {
+	return callers+servers < int64(l.Connections)
 }
 
 // Request is what an owner asks for.
--- a/internal/core/allowance/allowance_test.go
+++ b/internal/core/allowance/allowance_test.go
@@ -63,3 +63,24 @@
 		t.Error("a stalled connection is closed for memory though it holds none, or is not though it does")
 	}
 }
+
+// TestDescriptors guards against callers and connections to servers that together use more
+// descriptors than there are, and against callers that leave none to servers.
+func TestDescriptors(t *testing.T) {
+	for _, descriptors := range []int{64, 400, 1000, 20000} {
+		l := NewLimits(160<<20, descriptors)
+		callers, servers := int64(0), int64(0)
+		for l.PermitsCaller(callers, servers) {
+			callers++
+		}
+		for l.PermitsServer(callers, servers) {
+			servers++
+		}
+		if callers < int64(descriptors)*3/8 || servers < int64(l.ServerReserve) || callers+servers+minHeadroom > int64(descriptors) {
+			t.Errorf("of %d descriptors callers have %d and servers %d", descriptors, callers, servers)
+		}
+		if l.PermitsCaller(callers-1, servers+1) {
+			t.Errorf("of %d descriptors a caller takes one that a server has", descriptors)
+		}
+	}
+}
--- a/internal/proto/memory/memory.go
+++ b/internal/proto/memory/memory.go
@@ -57,6 +57,9 @@
 	// now is the time of the last sweep, which the progress of connections is recorded with: it is
 	// read several times for each statement.
 	now atomic.Int64
+	// callers and servers count the connections of callers and to backend servers.
+	callers atomic.Int64
+	servers atomic.Int64
 
 	mu       sync.Mutex
 	used     int64
@@ -106,6 +109,9 @@
 	p.mu.Lock()
 	p.owners[o] = struct{}{}
 	p.mu.Unlock()
+	if closeFunc != nil {
+		p.callers.Add(1)
+	}
 	if !o.Take(Connection, size) {
 		o.Close()
 		return nil, false
@@ -201,9 +207,45 @@
 	for p, n := range o.held {
 		o.pool.add(o, Purpose(p), -n)
 	}
+	if _, isOpen := o.pool.owners[o]; isOpen && o.closeFunc != nil {
+		o.pool.callers.Add(-1)
+	}
 	delete(o.pool.owners, o)
 }
 
+// AdmitCaller reports whether there is a descriptor for a new connection of a caller. It may close
+// another one for it; the limit leaves room for the moment until that one's descriptor is free.
+func (p *Pool) AdmitCaller() bool {
+	if p == nil || p.limits.PermitsCaller(p.callers.Load(), p.servers.Load()) {
+		return true
+	}
+	_, ok := p.EvictForDescriptor()
+	return ok
+}
+
+// OpenServer is AdmitCaller for a connection to a backend server, and counts it. If it returns true,
+// CloseServer must be called once the connection is closed.
+func (p *Pool) OpenServer() bool {
+	if p == nil {
+		return true
+	}
+	ok := p.limits.PermitsServer(p.callers.Load(), p.servers.Load())
+	if !ok {
+		_, ok = p.EvictForDescriptor()
+	}
+	if ok {
+		p.servers.Add(1)
+	}
+	return ok
+}
+
+// CloseServer counts the end of a connection to a backend server.
+func (p *Pool) CloseServer() {
+	if p != nil {
+		p.servers.Add(-1)
+	}
+}
+
 // Enter records that the connection begins a phase.
 func (o *Owner) Enter(p allowance.Phase) {
 	if o == nil {
--- a/internal/serve/frontend/callers.go
+++ b/internal/serve/frontend/callers.go
@@ -37,13 +37,10 @@
 }
 
 // admitCaller returns the owner of the memory of a new connection, or false if it must be closed.
-// At the limit of descriptors another connection is closed for it. The limit leaves room for the
-// moment until that one's descriptor is free.
+// At the limit of descriptors another connection is closed for it.
 func (f *Frontend) admitCaller(c net.Conn) (*memory.Owner, bool) {
-	if limit := f.options.MaxCallers; limit > 0 && f.openConns.Load() >= int64(limit) {
-		if _, ok := f.options.Memory.EvictForDescriptor(); !ok {
-			return nil, false
-		}
+	if !f.options.Memory.AdmitCaller() {
+		return nil, false
 	}
 	return f.options.Memory.NewOwner(memory.ConnSize, func() { _ = c.Close() })
 }
@@ -57,7 +54,7 @@
 			f.options.Log.Warn("callers' connections closed", "count", len(closed), "reason", closed[0].Reason, "phase", closed[0].Phase.String(), "open", f.openConns.Load())
 		}
 		if n := f.refusedCallers.Get(); n > refused {
-			f.options.Log.Warn("callers' connections refused", "count", n-refused, "open", f.openConns.Load(), "limit", f.options.MaxCallers)
+			f.options.Log.Warn("callers' connections refused", "count", n-refused, "open", f.openConns.Load())
 			refused = n
 		}
 	}
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -49,12 +49,10 @@
 	// closed.
 	AcceptFunc func(c net.Conn, m *memory.Owner) (session.Caller, error)
 	// Memory accounts for what callers and other VMs make this process hold; nil grants everything.
-	// MaxCallers is the number of callers' connections that may be open, 0 for no limit.
-	Memory     *memory.Pool
-	MaxCallers int
-	Registry   Registry
-	Claims     database.ClaimStore
-	Tolerance  Tolerance
+	Memory    *memory.Pool
+	Registry  Registry
+	Claims    database.ClaimStore
+	Tolerance Tolerance
 	// DrainPeriod is how long requests may still reach a leaving backend server, in
 	// milliseconds.
 	DrainPeriod clock.Millis
