--- a/internal/base/invariant/invariant.go
+++ b/internal/base/invariant/invariant.go
@@ -51,6 +51,8 @@
 	// AllowedRegions holds when a statement is sent to no backend server, and to no other VM,
 	// outside the regions that its route and its account allow.
 	AllowedRegions Name = "allowedregions"
+	// MemorySum holds when the bytes taken from the memory of a process are those that its owners hold.
+	MemorySum Name = "memorysum"
 )
 
 var (
--- a/internal/serve/session/run.go
+++ b/internal/serve/session/run.go
@@ -9,6 +9,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/memory"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
 )
@@ -17,6 +18,9 @@
 // interrupted the wait.
 var ErrIdle = errors.New("the caller was idle")
 
+// ErrShort means that a statement was read and dropped, because there was no memory for it.
+var ErrShort = errors.New("no memory for the statement")
+
 const (
 	// retryPause is the pause before a refused statement is retried, in milliseconds.
 	retryPause = clock.Millis(20)
@@ -118,6 +122,10 @@
 	if errors.Is(cause, database.ErrEvacuated) {
 		return false
 	}
+	if errors.Is(cause, memory.ErrShort) {
+		// Other servers would be asked for nothing: it is this VM that is short.
+		return false
+	}
 	if errors.Is(cause, database.ErrPoolTimeout) {
 		op.overloaded = true
 		return op.anyServer && op.attempts < maxAttempts && op.remaining() > 0
@@ -313,7 +321,7 @@
 
 // request returns the request that runs a statement within timeout milliseconds.
 func (s *session) request(st statement.Statement, timeout clock.Millis) database.Request {
-	r := database.Request{ID: st.ID, Timeout: timeout, Parent: s.parent, Regions: s.allowedRegions()}
+	r := database.Request{ID: st.ID, Timeout: timeout, Parent: s.parent, Regions: s.allowedRegions(), Memory: s.caller.Memory}
 	if st.Kind == statement.Execute {
 		r.Execution = statement.Execution{Shape: s.prepared[st.Name], Arguments: st.Arguments}
 	} else {
--- a/internal/serve/session/transaction.go
+++ b/internal/serve/session/transaction.go
@@ -9,6 +9,7 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/regions"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
+	"github.com/sycamoredoor/sycamoredoor/internal/proto/memory"
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 	"github.com/sycamoredoor/sycamoredoor/internal/setup/catalog"
 )
@@ -91,6 +92,9 @@
 	if errors.Is(err, database.ErrServerEvacuated) {
 		return s.refuse(st, statement.Aborted, err.Error()+rolledBack)
 	}
+	if errors.Is(err, memory.ErrShort) {
+		return s.refuseShort(st)
+	}
 	if err != nil {
 		return s.refuse(st, statement.Aborted, "the connection to the backend server was lost"+rolledBack)
 	}
