Leave an evacuated primary in place until a server elsewhere has what was acknowledged

The claimant now gives up after the seal, before the primary steps down, and the group goes on in the old term.

TestSuccessorBehind passes; the other tests of evacuation in serve/database pass with -race.

--- a/internal/serve/database/claim.go
+++ b/internal/serve/database/claim.go
@@ -193,6 +193,9 @@
 	if err := a.sealAll(ctx); err != nil {
 		return err
 	}
+	if err := a.checkSuccessor(ctx); err != nil {
+		return err
+	}
 	a.stopFormer(ctx)
 	if err := a.awaitRelease(ctx); err != nil {
 		return err
--- a/internal/serve/database/evacuation.go
+++ b/internal/serve/database/evacuation.go
@@ -1,10 +1,14 @@
 package database
 
 import (
+	"context"
+	"slices"
+
 	"github.com/go-faster/errors"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/base/invariant"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
 )
 
 var (
@@ -122,3 +126,37 @@
 		g.wakeWaitersLocked()
 	}
 }
+
+// errNoSuccessor means that no server outside the evacuated zones has every commit that is known to be
+// acknowledged.
+var errNoSuccessor = errors.New("no server outside the evacuated zones has every acknowledged commit")
+
+// checkSuccessor returns errNoSuccessor if the former primary, which runs, is to be replaced because its
+// zone is evacuated and not because it leaves, and each sealed server outside such zones lacks what was acknowledged. The group
+// then goes on in the old term, where such a server can catch up. Without this check a server of an
+// evacuated zone would be promoted in turn.
+func (a *claimAttempt) checkSuccessor(ctx context.Context) error {
+	servers := a.group.failoverServers(a.formerPrimary)
+	former := servers[a.formerPrimary]
+	if !a.planned || !former.Evacuated || former.Leaving || a.acquired.Target != "" {
+		return nil
+	}
+	if !a.hasSuccessor(servers) {
+		once, cancel := context.WithTimeout(ctx, confirmTimeout.Duration())
+		defer cancel()
+		a.startSeals(once, servers).Wait()
+	}
+	if !a.hasSuccessor(servers) {
+		return errNoSuccessor
+	}
+	return nil
+}
+
+// hasSuccessor reports whether a sealed server outside evacuated zones has every commit that is known
+// to be acknowledged.
+func (a *claimAttempt) hasSuccessor(servers map[string]failover.Server) bool {
+	acknowledged := a.group.acknowledgedPosition()
+	return slices.ContainsFunc(a.currentServers(servers), func(s failover.Server) bool {
+		return s.Sealed && !s.Evacuated && s.LogEnd.Covers(acknowledged)
+	})
+}
--- a/internal/serve/database/evacuation_test.go
+++ b/internal/serve/database/evacuation_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/evacuation"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 )
 
@@ -151,3 +152,25 @@
 		t.Errorf("sealed %v, promoted %v", sealed, promoted)
 	}
 }
+
+// TestSuccessorBehind guards against servers of evacuated zones that are promoted in turn because the only other server lacks acknowledged commits, and against a primary that steps down meanwhile.
+func TestSuccessorBehind(t *testing.T) {
+	f := &fakeGroup{claimable: true, logEnds: map[string]floor.Position{"p": 5, "q": 5, "r": 4}}
+	g, z := f.zonedGroup(t, 4)
+	g.mu.Lock()
+	g.acknowledged = floor.ReplicationPosition{Term: 1, Position: 5}
+	g.mu.Unlock()
+	z.evacuate(0, "p", "q")
+	f.runTicks(g, 2*time.Second, func() bool { return false })
+	f.mu.Lock()
+	stopped, sealed, promoted := f.steppedDown, len(f.sealedNow), len(f.promoted)
+	f.logEnds["r"] = 5
+	f.mu.Unlock()
+	if stopped || sealed > 0 || promoted > 0 {
+		t.Errorf("primary stepped down: %v, sealed: %d, promotions: %d", stopped, sealed, promoted)
+	}
+	f.runTicks(g, testTimeout, func() bool { _, promoted := f.claimCommands(); return len(promoted) > 0 })
+	if _, promoted := f.claimCommands(); !slices.Equal([]string{"r"}, slices.Compact(promoted)) {
+		t.Errorf("promoted %v, want r", promoted)
+	}
+}
