--- a/internal/serve/database/counters.go
+++ b/internal/serve/database/counters.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/slowstart"
 )
 
@@ -33,12 +34,13 @@
 	slowStarts     map[slowstart.Reason]*metrics.Counter
 	slowRefusals   map[slowRefusal]*metrics.Counter
 	coldStatements *metrics.Counter
-	// evacuationRefusals counts the statements that were not sent since the server's zone is evacuated.
+	// evacuationRefusals counts the statements that were not sent because the server's zone was
+	// evacuated.
 	evacuationRefusals *metrics.Counter
-	// hopelessRequests counts those that were refused because they could not have their turn in
-	// time.
+	// hopelessRequests counts the waiting requests that were refused because they could not be
+	// granted in time.
 	hopelessRequests *metrics.Counter
-	// queueWaits are the waits of granted requests by priority.
+	// queueWaits holds the waiting times of granted requests by priority.
 	queueWaits [waitPriorities]*metrics.Histogram
 }
 
@@ -121,3 +123,20 @@
 		evacuationRefusals: metrics.GetOrCreateCounter("sycamoredoor_evacuation_refusals_total"),
 	}
 }
+
+// waitPriorities is the number of priorities with their own histogram of waiting times; less urgent
+// ones share the last.
+const waitPriorities = 4
+
+// newQueueWaits returns the histograms of waits by priority.
+func newQueueWaits() (out [waitPriorities]*metrics.Histogram) {
+	for i := range out {
+		out[i] = metrics.GetOrCreateHistogram(fmt.Sprintf("sycamoredoor_server_queue_seconds{priority=\"%d\"}", i))
+	}
+	return out
+}
+
+// recordWait records how long a request waited for a connection, in milliseconds.
+func (c *Counters) recordWait(priority int, wait clock.Millis) {
+	c.queueWaits[min(max(priority, 0), waitPriorities-1)].Update(wait.Duration().Seconds())
+}
--- a/internal/serve/database/evacuation.go
+++ b/internal/serve/database/evacuation.go
@@ -33,8 +33,8 @@
 	return evacuated
 }
 
-// isBarred reports whether the server gets no statement of a caller at time now, since its zone has
-// been evacuated for evacuation.Bounds.Handover.
+// isBarred reports whether the server may get no statement of a caller at time now, because its zone
+// has been evacuated for evacuation.Bounds.Handover or longer.
 func (p *pool) isBarred(now clock.Millis) bool {
 	since, evacuated := p.evacuatedSince()
 	return evacuated && now-since >= p.group.options.Evacuation.Handover
@@ -45,7 +45,7 @@
 
 // checkEvacuation returns an *UnsentError with ErrServerEvacuated if a statement of a caller may not
 // be sent to the server at time now. Each VM calls it just before it sends a statement, to the server
-// or to the holder, whatever was known when the server was chosen.
+// or to the holder, because the evacuation may have begun after the server was chosen.
 func (p *pool) checkEvacuation(now clock.Millis) error {
 	since, evacuated := p.evacuatedSince()
 	if !evacuated {
@@ -56,13 +56,14 @@
 		p.group.options.Counters.evacuationRefusals.Inc()
 		return &UnsentError{Cause: ErrServerEvacuated}
 	}
-	invariant.Check(now-since < bounds.Deadline, invariant.EvacuatedZone, "server %s of zone %s would get a statement %d ms after the evacuation", p.entry().ID, p.entry().Zone, now-since)
+	invariant.Check(now-since < bounds.Deadline, invariant.EvacuatedZone,
+		"server %s of zone %s would get a statement %d ms after the evacuation", p.entry().ID, p.entry().Zone, now-since)
 	return nil
 }
 
-// isEvacuatedLocked reports whether all servers of the group that can be reached are in evacuated
-// zones, so that none may be promoted. The caller holds g.mu.
-func (g *Group) isEvacuatedLocked(now clock.Millis) bool {
+// allReachableEvacuatedLocked reports whether servers of the group are in evacuated zones and no other
+// one can be reached, so that none may be promoted. The caller holds g.mu.
+func (g *Group) allReachableEvacuatedLocked(now clock.Millis) bool {
 	evacuated := false
 	for _, p := range g.pools {
 		switch {
@@ -76,13 +77,13 @@
 }
 
 // primaryRefusalLocked returns why no primary can be used at time now: ErrEvacuated if an evacuation
-// leaves no server that could become the primary, else ErrNoPrimary or, if it bars the present one,
-// ErrServerEvacuated. The caller holds g.mu.
+// leaves no server that could become the primary, ErrServerEvacuated if it bars the present one and
+// another may replace it, else ErrNoPrimary. The caller holds g.mu.
 func (g *Group) primaryRefusalLocked(now clock.Millis) error {
 	_, leader := g.watch.Leader()
 	p := g.pools[leader]
 	switch {
-	case (p == nil || p.unreachable(now)) && g.isEvacuatedLocked(now):
+	case (p == nil || p.unreachable(now)) && g.allReachableEvacuatedLocked(now):
 		return ErrEvacuated
 	case p == nil || !p.isBarred(now):
 		return ErrNoPrimary
@@ -92,12 +93,12 @@
 	return ErrServerEvacuated
 }
 
-// onlyEvacuatedLocked reports whether servers are listed in the allowed regions, and all of them are
-// in evacuated zones. The caller holds g.mu.
-func (g *Group) onlyEvacuatedLocked(allowed regions.Allowed) bool {
+// allAllowedEvacuatedLocked reports whether servers are listed in the allowed regions, and all of
+// them are in evacuated zones. The caller holds g.mu.
+func (g *Group) allAllowedEvacuatedLocked(allowed regions.Allowed) bool {
 	found := false
 	for _, p := range g.pools {
-		if !allowed.Contains(p.server.Load().Region) {
+		if !allowed.Contains(p.entry().Region) {
 			continue
 		}
 		if !p.isEvacuated() {
@@ -109,7 +110,7 @@
 }
 
 // observeEvacuation wakes those waiting for a usable primary when the number of barred servers has
-// changed: they may be refused at once now.
+// changed, since awaitPrimary may now refuse them at once.
 func (g *Group) observeEvacuation(now clock.Millis) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -39,21 +39,21 @@
 	MaxIdleFunc func(s Server) int
 	// HolderCountFunc returns the number of VMs that hold connections to a server.
 	HolderCountFunc func(s Server) int
-	// RemoteConnFunc returns a connection of a VM that holds the account's
-	// connections to the server, or nil if this VM should use its own. The error is
-	// ErrNoVMAllowed. The function itself may be nil.
+	// RemoteConnFunc returns a connection of a VM that holds the account's connections to the
+	// server, or nil if this VM should use its own. The error is ErrNoVMAllowed if the allowed
+	// regions permit neither. The function may be nil.
 	RemoteConnFunc func(ctx context.Context, a ConnRequest) (*RemoteConn, error)
-	// ColdFunc returns what is stated of a server's cold starts, and ColdShareFunc the number
-	// of callers' statements in any second that this VM may send to it while it is cold. The
-	// functions may be nil.
+	// ColdFunc returns the configuration and the directory's report of a server's cold starts,
+	// and ColdShareFunc the number of callers' statements in any second that this VM may send to
+	// the server while it is cold. The functions may be nil.
 	ColdFunc      func(s Server) Cold
 	ColdShareFunc func(s Server) int
 	// Self is the name of this VM, and LiveVMsFunc lists the live VMs including this
 	// one.
 	Self        string
 	LiveVMsFunc func() []string
-	// LeavingVMsFunc lists the VMs that are leaving and send messages: they may use a primary
-	// still. The function may be nil.
+	// LeavingVMsFunc lists the VMs that are leaving and still send messages: they may still use a
+	// primary. The function may be nil.
 	LeavingVMsFunc func() []string
 	// VMRemovedAtFunc returns the time at which this VM last learned that another had left for
 	// good, or an early time. The function may be nil.
@@ -86,11 +86,12 @@
 	// StoppingFunc reports whether this VM is stopping.
 	StoppingFunc func() bool
 	Claims       ClaimStore
-	// RestoredAtFunc returns the time at which this VM learned that the store, in which the
-	// claims are, had come back from a copy, or clock.DistantPast.
+	// RestoredAtFunc returns the time at which this VM learned that the store, which holds the
+	// claims, had been restored from a backup, or clock.DistantPast.
 	RestoredAtFunc func() clock.Millis
 	// EvacuatedSinceFunc returns the time from which an availability zone is evacuated, and false
-	// if it is not. The function may be nil. Evacuation bounds the use of servers there.
+	// if it is not. The function may be nil. Evacuation holds the time limits for the use of
+	// servers there.
 	EvacuatedSinceFunc func(z member.Zone) (clock.Millis, bool)
 	Evacuation         evacuation.Bounds
 }
@@ -114,8 +115,8 @@
 	primaryReady chan struct{}
 	// loggedLeader is the last primary that was logged.
 	loggedLeader string
-	// leaderDoubtedAt is the time at which a holder last said that the leader is not
-	// confirmed as primary.
+	// leaderDoubtedAt is the time at which a holder last denied that the leader is the confirmed
+	// primary.
 	leaderDoubtedAt clock.Millis
 	// probedAt holds the time of the last probe of each server.
 	probedAt map[string]clock.Millis
@@ -170,7 +171,7 @@
 	claiming         bool
 	claimAfter       clock.Millis
 	ignoreStallUntil clock.Millis
-	// barredCount is the number of servers that were barred at the last Tick.
+	// barredCount is the number of servers that an evacuation barred at the last Tick.
 	barredCount int
 }
 
@@ -180,8 +181,10 @@
 	return &Group{
 		// Earlier processes of this VM and others have ended, and servers may have left.
 		watch:   tenure.New(o.SyncReplicas).WithDeparture(now).WithServerDeparture(now),
-		options: o, createdAt: now, leaderDoubtedAt: clock.DistantPast, leaderAskedAt: clock.DistantPast, pools: map[string]*pool{}, positions: map[string]floor.ReplicationPosition{}, positionSeenAt: map[string]clock.Millis{},
-		primaryReady: make(chan struct{}), probedAt: map[string]clock.Millis{}, unlistedSince: map[string]clock.Millis{}, leavingSince: map[string]clock.Millis{},
+		options: o, createdAt: now, leaderDoubtedAt: clock.DistantPast, leaderAskedAt: clock.DistantPast,
+		pools: map[string]*pool{}, positions: map[string]floor.ReplicationPosition{}, positionSeenAt: map[string]clock.Millis{},
+		primaryReady: make(chan struct{}), probedAt: map[string]clock.Millis{},
+		unlistedSince: map[string]clock.Millis{}, leavingSince: map[string]clock.Millis{},
 		born: map[string]int64{}, restartedIn: map[string]floor.Term{},
 		votes: map[string]vote{}, receivedPositions: map[string]receivedPosition{},
 	}
@@ -192,7 +195,7 @@
 func (g *Group) Update(servers []Server) {
 	listed := map[string]bool{}
 	g.mu.Lock()
-	// A VM that starts does not know which servers are new, and servers that start with it
+	// A VM that has just started cannot distinguish new servers, and servers that start with it
 	// are listed within seconds.
 	starting := g.options.Clock.Now()-g.createdAt < tenure.WitnessDelay
 	var closing []*pool
@@ -232,16 +235,7 @@
 		}
 		p.server.Store(&s)
 	}
-	for id, p := range g.pools {
-		if !listed[id] {
-			delete(g.pools, id)
-			g.forgetPositionsLocked(id)
-			g.unlistedSince[id] = g.options.Clock.Now()
-			g.serverLeft, g.watch = true, g.watch.WithUnlisted(id).WithServerDeparture(g.options.Clock.Now())
-			closing = append(closing, p)
-			g.options.Log.Info("backend server unlisted", "group", g.options.Name, "server", id)
-		}
-	}
+	closing = append(closing, g.removeUnlistedLocked(listed)...)
 	g.updateFullSize()
 	g.mu.Unlock()
 	for _, p := range closing {
@@ -249,6 +243,24 @@
 	}
 }
 
+// removeUnlistedLocked removes the servers that are not listed, and returns their pools, which the
+// caller closes. The caller holds g.mu.
+func (g *Group) removeUnlistedLocked(listed map[string]bool) []*pool {
+	var removed []*pool
+	for id, p := range g.pools {
+		if listed[id] {
+			continue
+		}
+		delete(g.pools, id)
+		g.forgetPositionsLocked(id)
+		g.unlistedSince[id] = g.options.Clock.Now()
+		g.serverLeft, g.watch = true, g.watch.WithUnlisted(id).WithServerDeparture(g.options.Clock.Now())
+		removed = append(removed, p)
+		g.options.Log.Info("backend server unlisted", "group", g.options.Name, "server", id)
+	}
+	return removed
+}
+
 // recordBornLocked records the start of a listed server. The caller holds g.mu.
 func (g *Group) recordBornLocked(s Server) {
 	if old, known := g.born[s.ID]; known && old != s.Born {
--- a/internal/serve/database/hopeless.go
+++ b/internal/serve/database/hopeless.go
@@ -6,11 +6,12 @@
 )
 
 const (
-	// hopelessMargin is how many times longer than its remaining time the expected wait of a
-	// request must be for its refusal. The expected wait is a moving average of a few answers.
+	// hopelessMargin is the factor by which the expected wait of a request must exceed its
+	// remaining time for it to be refused. It allows for the error of the expected wait, which
+	// rests on a moving average of a few answers.
 	hopelessMargin = 2.0
 	// hopelessInterval is the time between two searches, in milliseconds. A search sorts the whole
-	// queue, so that it is not done for each waiting request.
+	// queue, which is too much to do for each waiting request.
 	hopelessInterval = clock.Millis(100)
 )
 
@@ -22,19 +23,20 @@
 	w.ready <- nil
 }
 
-// shedHopeless refuses the waiting requests that certainly cannot have their turn in time, because
-// more urgent ones came or the server became slower. Those that are refused do not count for the
-// ones behind them, and the next ones for the server are never refused. The caller holds p.mu.
+// shedHopeless refuses the waiting requests that cannot be granted before their deadline, because more
+// urgent ones came or the server became slower. Refused requests do not count towards the wait of
+// the ones behind them. As many requests as fit into the window are never refused. The caller holds
+// p.mu.
 func (p *pool) shedHopeless() {
 	now := p.group.options.Clock.Now()
 	if now-p.hopelessAt < hopelessInterval || p.queue.Len() <= p.window.Size() || p.drainTime == 0 {
 		return
 	}
 	p.hopelessAt = now
-	ahead, turn := 1, p.turnTime()
+	ahead, interval := 1, p.grantInterval()
 	for _, item := range p.queue.Waiting() {
 		remaining := float64(item.Value.(*waiter).deadline - now)
-		if ahead > p.window.Size() && float64(ahead)*turn > remaining*hopelessMargin {
+		if ahead > p.window.Size() && float64(ahead)*interval > remaining*hopelessMargin {
 			p.shed(item)
 			p.group.options.Counters.hopelessRequests.Inc()
 			continue
--- a/internal/serve/database/idle.go
+++ b/internal/serve/database/idle.go
@@ -4,6 +4,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 )
 
 // takeIdle removes and returns the most recently used idle connection of an account,
@@ -43,7 +44,7 @@
 		pc.checkNotReleased()
 		return
 	}
-	if pc.broken || p.closed || p.open > p.maxConns() || pc.settingsSize() > maxIdleSettings {
+	if pc.broken || p.closed || p.open > p.maxConns() || statement.SettingsSize(pc.settings) > maxIdleSettings {
 		pc.conn.CloseFunc()
 		pc.released = true
 		p.open--
@@ -108,14 +109,5 @@
 }
 
 // maxIdleSettings is the size of the settings that an idle connection may have, in bytes. They
-// belong to no session, so nothing accounts for them; a connection with more is closed.
+// belong to no session, so no owner of memory accounts for them; a connection with more is closed.
 const maxIdleSettings = 16 << 10
-
-// settingsSize is the number of bytes of the settings of the server's session.
-func (pc *PooledConn) settingsSize() int {
-	size := 0
-	for name, value := range pc.settings {
-		size += len(name) + len(value)
-	}
-	return size
-}
--- a/internal/serve/database/lost.go
+++ b/internal/serve/database/lost.go
@@ -26,7 +26,7 @@
 		g.options.GossipFunc()
 	}
 	since, claiming := g.lostSince, g.claiming
-	paused := now < g.claimAfter || g.onlyUnaskedLocked(now) || g.isEvacuatedLocked(now)
+	paused := now < g.claimAfter || g.onlyUnaskedLocked(now) || g.allReachableEvacuatedLocked(now)
 	if claiming || paused || awaitsClaims || g.options.StoppingFunc() {
 		g.mu.Unlock()
 		return
@@ -78,8 +78,8 @@
 	return max(g.watch.ProvedAt(), g.leaderChangedAt)
 }
 
-// onlyUnaskedLocked reports whether this VM counts a listed primary as lost only for want of a
-// proof, and has not asked the primary itself since the last one: proofs of other VMs may be
+// onlyUnaskedLocked reports whether this VM counts a listed primary as lost only because it lacks a
+// proof, and has not queried the primary itself since the last one: proofs of other VMs may be
 // late. The caller holds g.mu.
 func (g *Group) onlyUnaskedLocked(now clock.Millis) bool {
 	_, leader := g.watch.Leader()
--- a/internal/serve/database/pool.go
+++ b/internal/serve/database/pool.go
@@ -167,6 +167,17 @@
 // latencyWeight is the weight of the newest value in the moving average.
 const latencyWeight = 0.1
 
+// startStatement counts a statement; granted is set for the first one after the grant
+// of its connection.
+func (p *pool) startStatement(granted bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running++
+	if granted {
+		p.granted--
+	}
+}
+
 // endStatement records the answer to a statement and its response time in
 // milliseconds, or its error. busy is set if the server refused the statement as busy.
 func (p *pool) endStatement(responseTime clock.Millis, priority int, busy bool, err error) {
@@ -192,7 +203,7 @@
 	p.work = p.work.WithAnswer(priority, float64(responseTime))
 }
 
-// cancelStatement ends a statement of which nothing was sent, so that it tells nothing of the
+// cancelStatement ends a statement of which nothing was sent. It does not change the estimates of the
 // server.
 func (p *pool) cancelStatement() {
 	p.mu.Lock()
@@ -243,9 +254,9 @@
 	return p.dial(ctx, pc, r.Account, dialForStatement)
 }
 
-// enqueue adds a request to the queue. It returns ErrPoolTimeout if the expected wait
-// is too long or queueLimit requests of the account are waiting that are as urgent,
-// ErrUnknownServer if the pool is closed, or an error of refuseSlow.
+// enqueue adds a request to the queue. It returns ErrPoolTimeout if the expected wait is too long or
+// if queueLimit requests of the account that are at least as urgent are waiting, ErrUnknownServer if
+// the pool is closed, or an error of refuseSlow.
 func (p *pool) enqueue(r Requester, wait clock.Millis) (*fair.Item, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -259,7 +270,8 @@
 		return nil, ErrPoolTimeout
 	}
 	item := &fair.Item{
-		Account: r.Account, Weight: r.Weight, Priority: r.Priority, Cost: p.work.Cost(r.Priority), Value: &waiter{ready: make(chan *PooledConn, 1), deadline: p.group.options.Clock.Now() + wait},
+		Account: r.Account, Weight: r.Weight, Priority: r.Priority, Cost: p.work.Cost(r.Priority),
+		Value: &waiter{ready: make(chan *PooledConn, 1), deadline: p.group.options.Clock.Now() + wait},
 	}
 	if !p.queue.Push(item) && !p.shedFor(item) {
 		return nil, ErrPoolTimeout
@@ -280,7 +292,8 @@
 	return p.queue.Push(item)
 }
 
-// waitsTooLong reports whether a new request that may wait so many milliseconds is refused at once.
+// waitsTooLong reports whether a new request that may wait so many milliseconds is refused at once,
+// because the expected wait is longer.
 // The caller holds p.mu.
 func (p *pool) waitsTooLong(r Requester, wait clock.Millis) bool {
 	return p.queue.Len() > 0 && p.expectedWait(r)*waitMargin > float64(wait)
@@ -291,12 +304,12 @@
 func (p *pool) expectedWait(r Requester) float64 {
 	// The first request leaves the queue when a statement that runs ends.
 	ahead := float64(p.queue.Ahead(r.Account, r.Priority) + 1)
-	return ahead * p.turnTime()
+	return ahead * p.grantInterval()
 }
 
-// turnTime returns the expected time in milliseconds from one request that leaves the queue to the
-// next. The caller holds p.mu.
-func (p *pool) turnTime() float64 {
+// grantInterval returns the expected time in milliseconds between two requests that leave the queue.
+// The caller holds p.mu.
+func (p *pool) grantInterval() float64 {
 	return max(p.drainTime, p.latency/float64(max(min(p.window.Size(), p.open), 1)))
 }
 
@@ -422,7 +435,7 @@
 func (p *pool) load(now clock.Millis) (inFlight int, latency float64, avoided bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.running + p.remoteRunning + p.queue.Len(), choice.DecayLatency(p.latency, now-p.latencyAt), now < p.avoidUntil || p.closed || p.isCrowded()
+	return p.running + p.remoteRunning + p.queue.Len(), choice.DecayLatency(p.latency, now-p.latencyAt), now < p.avoidUntil || p.closed || p.isSlowed()
 }
 
 // queueLength returns the number of waiting requests.
--- a/internal/serve/database/pooledconn.go
+++ b/internal/serve/database/pooledconn.go
@@ -67,7 +67,8 @@
 func (pc *PooledConn) Run(r Request) (statement.Answer, error) {
 	pc.checkNotReleased()
 	if !r.Regions.IsAll() {
-		invariant.Check(pc.IsWithin(r.Regions), invariant.AllowedRegions, "statement %s, allowed in %s, would be sent to %s through VM %q", r.ID, r.Regions, pc.pool.entry().ID, pc.Holder())
+		invariant.Check(pc.IsWithin(r.Regions), invariant.AllowedRegions,
+			"statement %s, allowed in %s, would be sent to %s through VM %q", r.ID, r.Regions, pc.pool.entry().ID, pc.Holder())
 	}
 	if pc.remote != nil {
 		return pc.runRemote(r)
--- a/internal/serve/database/primary.go
+++ b/internal/serve/database/primary.go
@@ -12,10 +12,12 @@
 // ErrNoPrimary means that no server may be used as the primary now.
 var ErrNoPrimary = errors.New("the database group has no confirmed primary now")
 
-// AcquirePrimary returns a connection to the primary. It waits at most wait
-// milliseconds, without the time to open the connection. It returns ErrNoPrimary, a
-// *RegionError, at once, if the allowed regions permit no connection, or an error of the pool. This VM needs no lease if another one holds the connection, which
-// looks at its own.
+// AcquirePrimary returns a connection to the primary. It waits at most wait milliseconds, without
+// the time to open the connection. The error is ErrNoPrimary, ErrEvacuated, ErrServerEvacuated, a
+// *RegionError if the allowed regions permit no connection, or an error of the pool. ErrEvacuated and
+// the *RegionError come without a wait.
+//
+// If another VM holds the connection, that one checks its lease, and this VM needs none.
 func (g *Group) AcquirePrimary(ctx context.Context, r Requester, wait clock.Millis) (*PooledConn, error) {
 	c := g.options.Clock
 	deadline := c.Now() + wait
@@ -26,7 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if !r.Regions.Contains(p.server.Load().Region) {
+	if !r.Regions.Contains(p.entry().Region) {
 		return nil, ErrPrimaryNotAllowed
 	}
 	request := ConnRequest{Group: g.options.Name, Server: p.entry(), Requester: r, Primary: true, Wait: deadline - c.Now()}
@@ -36,7 +38,7 @@
 	if p, err = g.awaitPrimary(ctx, deadline, true); err != nil {
 		return nil, err
 	}
-	if !r.Regions.Contains(p.server.Load().Region) {
+	if !r.Regions.Contains(p.entry().Region) {
 		return nil, ErrPrimaryNotAllowed
 	}
 	pc, err := g.acquireOwn(ctx, p, r, deadline-c.Now())
@@ -81,10 +83,11 @@
 	return leader == p.entry().ID && g.watch.LeaseValid(now) && !g.pastDrainLocked(leader, now) && !p.isBarred(now)
 }
 
-// awaitPrimary waits until the group has a usable primary, and returns ErrNoPrimary
-// if it has none by the deadline or the context ends, and ErrEvacuated at once if an evacuation
-// leaves it none. Without needsLease the primary need
-// only be known, unless a holder has denied it since the last proof.
+// awaitPrimary waits until the group has a usable primary. If there is none by the deadline, it
+// returns ErrNoPrimary, or ErrServerEvacuated if an evacuation bars the present one. It returns
+// ErrEvacuated at once if an evacuation leaves no server that could become the primary, and
+// ErrNoPrimary when the context ends. Without needsLease the primary need only be known, unless a
+// holder has denied it since the last proof.
 func (g *Group) awaitPrimary(ctx context.Context, deadline clock.Millis, needsLease bool) (*pool, error) {
 	for {
 		g.mu.Lock()
@@ -124,7 +127,7 @@
 	return p, g.watch.LeaseValid(now) && !doubted || !needsLease && !doubted
 }
 
-// doubtPrimary records that a holder does not take a server for the confirmed primary.
+// doubtPrimary records that a holder has denied that a server is the confirmed primary.
 func (g *Group) doubtPrimary(server string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/serve/database/reader.go
+++ b/internal/serve/database/reader.go
@@ -25,9 +25,9 @@
 	Parent string
 	// Regions are those of the servers and of the other VMs that the statement may reach.
 	Regions regions.Allowed
-	// RegionsFunc returns the same by the configuration in force at the call. A write that has
-	// waited at the VM that holds the connection is sent only if they still allow that. The
-	// function may be nil.
+	// RegionsFunc returns the allowed regions by the configuration in force at the call. A write
+	// that has waited for a connection of another VM is sent only if they still contain the server
+	// and that VM. The function may be nil.
 	RegionsFunc func() regions.Allowed
 }
 
@@ -45,9 +45,9 @@
 	Wait clock.Millis
 }
 
-// AcquireReader returns a connection to the server that is cheapest for the read. It
-// returns ErrNoServer if none is left, ErrEvacuated if all are in evacuated zones, a *RegionError if
-// the allowed regions permit none, or an error of the pool.
+// AcquireReader returns a connection to the server that is cheapest for the read. The error is
+// ErrNoServer if no server is left, ErrEvacuated if all are in evacuated zones, a *RegionError if the
+// allowed regions permit none, or an error of the pool.
 func (g *Group) AcquireReader(ctx context.Context, r ReadRequest) (*PooledConn, error) {
 	triedBefore := len(r.Tried)
 	var regionErr error
@@ -69,6 +69,7 @@
 	}
 }
 
+// chooseReader returns the pool of the cheapest server, or nil if none is left.
 func (g *Group) chooseReader(r ReadRequest) *pool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -88,7 +89,8 @@
 		inFlight, latency, avoided := p.load(now)
 		candidates = append(candidates, choice.Candidate{
 			Name: id, Zone: p.entry().Zone, Region: p.entry().Region, Primary: id == leader,
-			Leaving: p.entry().Leaving, Evacuated: p.isEvacuated(), Avoided: avoided, Applied: g.positions[id], AppliedAge: now - g.positionSeenAt[id],
+			Leaving: p.entry().Leaving, Evacuated: p.isEvacuated(), Avoided: avoided,
+			Applied: g.positions[id], AppliedAge: now - g.positionSeenAt[id],
 			Latency: latency, InFlight: inFlight, Slots: p.entry().Slots,
 		})
 	}
--- a/internal/serve/database/region.go
+++ b/internal/serve/database/region.go
@@ -23,18 +23,19 @@
 	ErrNoServerAllowed = &RegionError{Reason: "server", Detail: "the database group has no backend server in the allowed regions"}
 	// ErrPrimaryNotAllowed means that the primary is outside the allowed regions.
 	ErrPrimaryNotAllowed = &RegionError{Reason: "primary", Detail: "the primary is in a region that is not allowed"}
-	// ErrNoVMAllowed means that this VM may not connect to the server, and that no VM in the
-	// allowed regions may.
+	// ErrNoVMAllowed means that neither this VM nor any VM in the allowed regions may connect to
+	// the server.
 	ErrNoVMAllowed = &RegionError{Reason: "vm", Detail: "no VM in the allowed regions may connect to the backend server"}
 )
 
+// RegionErrors lists every RegionError.
+var RegionErrors = [...]*RegionError{ErrNoServerAllowed, ErrPrimaryNotAllowed, ErrNoVMAllowed}
+
 // ErrRegionsChanged means that the configuration changed while a statement waited for a connection,
-// which it may no longer use. Another one may be allowed.
+// and no longer allows it to use that one. Another connection may be allowed. It is not a
+// RegionError, after which no other attempt is made.
 var ErrRegionsChanged = errors.New("the allowed regions changed while the statement waited")
 
-// RegionErrors lists all of them.
-var RegionErrors = [...]*RegionError{ErrNoServerAllowed, ErrPrimaryNotAllowed, ErrNoVMAllowed}
-
 // RegionErrorOf returns the *RegionError of an error, or nil. Unlike errors.As it allocates nothing.
 func RegionErrorOf(err error) *RegionError {
 	for _, e := range RegionErrors {
@@ -54,20 +55,20 @@
 	if g.excludesAllLocked(allowed, false) {
 		return ErrNoServerAllowed
 	}
-	if g.onlyEvacuatedLocked(allowed) {
+	if g.allAllowedEvacuatedLocked(allowed) {
 		return ErrEvacuated
 	}
 	return ErrNoServer
 }
 
-// excludesAllLocked reports whether servers are listed and none is in an allowed region. Leaving
-// ones count only if leaving is set. The caller holds g.mu.
+// excludesAllLocked reports whether servers are listed and none is in an allowed region. A leaving
+// server counts as allowed only if leaving is set. The caller holds g.mu.
 func (g *Group) excludesAllLocked(allowed regions.Allowed, leaving bool) bool {
 	if allowed.IsAll() {
 		return false
 	}
 	for _, p := range g.pools {
-		if s := p.server.Load(); allowed.Contains(s.Region) && (leaving || !s.Leaving) {
+		if s := p.entry(); allowed.Contains(s.Region) && (leaving || !s.Leaving) {
 			return false
 		}
 	}
@@ -87,7 +88,7 @@
 	switch p := g.pools[leader]; {
 	case g.excludesAllLocked(allowed, true):
 		return ErrNoServerAllowed
-	case p != nil && !allowed.Contains(p.server.Load().Region):
+	case p != nil && !allowed.Contains(p.entry().Region):
 		return ErrPrimaryNotAllowed
 	}
 	return nil
@@ -96,5 +97,8 @@
 // IsWithin reports whether the server of the connection, and the VM that holds it if that is
 // another one, are in allowed regions.
 func (pc *PooledConn) IsWithin(allowed regions.Allowed) bool {
-	return allowed.IsAll() || allowed.Contains(pc.pool.server.Load().Region) && (pc.remote == nil || allowed.Contains(pc.remote.Region))
+	if allowed.IsAll() {
+		return true
+	}
+	return allowed.Contains(pc.pool.entry().Region) && (pc.remote == nil || allowed.Contains(pc.remote.Region))
 }
--- a/internal/serve/database/window.go
+++ b/internal/serve/database/window.go
@@ -1,7 +1,6 @@
 package database
 
 import (
-	"fmt"
 	"math/rand/v2"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -11,17 +10,6 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/window"
 )
 
-// startStatement counts a statement; granted is set for the first one after the grant
-// of its connection.
-func (p *pool) startStatement(granted bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.running++
-	if granted {
-		p.granted--
-	}
-}
-
 // windowLimits returns what is known of the server.
 func (p *pool) windowLimits() window.Limits {
 	return window.Limits{Slots: p.entry().Slots, Connections: p.maxConns()}
@@ -51,20 +39,3 @@
 	defer p.mu.Unlock()
 	p.window = p.window.WithRoundTrip(float64(milliseconds), p.group.options.Clock.Now())
 }
-
-// waitPriorities is the number of priorities with a histogram of waits of their own; less urgent
-// ones share the last.
-const waitPriorities = 4
-
-// newQueueWaits returns the histograms of waits by priority.
-func newQueueWaits() (out [waitPriorities]*metrics.Histogram) {
-	for i := range out {
-		out[i] = metrics.GetOrCreateHistogram(fmt.Sprintf("sycamoredoor_server_queue_seconds{priority=\"%d\"}", i))
-	}
-	return out
-}
-
-// recordWait records how long a request waited for a connection, in milliseconds.
-func (c *Counters) recordWait(priority int, wait clock.Millis) {
-	c.queueWaits[min(max(priority, 0), waitPriorities-1)].Update(wait.Duration().Seconds())
-}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -110,13 +110,9 @@
 	return allowed.Contains(s.request.Server.Region) && allowed.Contains(s.vm.Region)
 }
 
-// sizeOf is the number of bytes of a statement that goes to another VM.
+// sizeOf returns the size of a statement that is sent to another VM, in bytes.
 func sizeOf(r database.Request, settings map[string]string) int64 {
-	n := len(r.Text) + len(r.Execution.Shape.Text) + len(r.Execution.Arguments)
-	for name, value := range settings {
-		n += len(name) + len(value)
-	}
-	return int64(n)
+	return int64(len(r.Text) + len(r.Execution.Shape.Text) + len(r.Execution.Arguments) + statement.SettingsSize(settings))
 }
 
 // withTarget returns the message with the fields that select the connection;
--- a/internal/serve/session/prepared.go
+++ b/internal/serve/session/prepared.go
@@ -58,16 +58,10 @@
 // set sets a setting of the session, unless that exceeds a bound. It replaces the map, since a
 // connection held by another VM may share the present one.
 func (s *session) set(st statement.Statement) statement.Answer {
-	old := 0
-	for name, value := range s.settings {
-		old += len(name) + len(value)
-	}
+	old := statement.SettingsSize(s.settings)
 	settings := maps.Clone(s.settings)
 	settings[strings.Clone(st.Name)] = strings.Clone(st.Value)
-	size := 0
-	for name, value := range settings {
-		size += len(name) + len(value)
-	}
+	size := statement.SettingsSize(settings)
 	if len(settings) > maxSettings || size > maxSettingsSize {
 		return s.refuse(st, statement.Invalid, fmt.Sprintf("the session's settings exceed %d, or %d bytes", maxSettings, maxSettingsSize))
 	}
