Gather the reach of account limits and plain wording in frontend

limits.go mixed the buckets with the contacts and the reach of VMs, and the log of the reach stood in holders.go. Fields that no lock guards stood below the mutex of Frontend. Comments and names spoke of what VMs tell, hear or know, and the doc comments of storeReader.call and Source.WaitFunc were left broken by merges.

--- a/internal/serve/frontend/callers.go
+++ b/internal/serve/frontend/callers.go
@@ -8,11 +8,11 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/memory"
 )
 
-// sweepInterval is the pause between two searches for callers that take too long, in milliseconds.
+// sweepInterval is the pause between two calls of memory.Pool.Sweep, in milliseconds.
 const sweepInterval = clock.Millis(250)
 
-// accept accepts callers' connections and serves each in its own goroutine. It ends with the
-// context only: after an error, such as a want of descriptors, it goes on.
+// accept accepts callers' connections and serves each in its own goroutine until the context ends. It
+// continues after an error, such as a lack of descriptors.
 func (f *Frontend) accept(ctx context.Context) {
 	for {
 		c, err := f.listener.Accept()
@@ -45,13 +45,14 @@
 	return f.options.Memory.NewOwner(memory.ConnSize, func() { _ = c.Close() })
 }
 
-// sweepCallers closes the connections of callers that take too long, or that stand still while
-// memory is short. It logs one line for all that a sweep closes.
+// sweepCallers closes the connections of callers that take too long, or that are stalled while memory is
+// short. It logs one line for all connections that a sweep closes.
 func (f *Frontend) sweepCallers(ctx context.Context) {
 	refused := f.refusedCallers.Get()
 	for f.options.Clock.Sleep(ctx, sweepInterval) == nil {
 		if closed := f.options.Memory.Sweep(); len(closed) > 0 {
-			f.options.Log.Warn("callers' connections closed", "count", len(closed), "reason", closed[0].Reason, "phase", closed[0].Phase.String(), "open", f.openConns.Load())
+			f.options.Log.Warn("callers' connections closed", "count", len(closed), "reason", closed[0].Reason,
+				"phase", closed[0].Phase.String(), "open", f.openConns.Load())
 		}
 		if n := f.refusedCallers.Get(); n > refused {
 			f.options.Log.Warn("callers' connections refused", "count", n-refused, "open", f.openConns.Load())
--- a/internal/serve/frontend/cold.go
+++ b/internal/serve/frontend/cold.go
@@ -15,16 +15,16 @@
 // in milliseconds.
 const restoredListTime = 10 * clock.Second
 
-// coldLeftStep is the step of what is left of a cold start by which VMs compare directories, in
+// coldLeftStep is the granularity with which VMs compare the rest of a cold start in directories, in
 // milliseconds.
 const coldLeftStep = 5 * clock.Second
 
-// listAskPause is the least pause between two reads of the list of VMs because it lacks this one, in
+// listRequestPause is the least time between two calls of requestList that read the list of VMs, in
 // milliseconds.
-const listAskPause = 2 * clock.Second
+const listRequestPause = 2 * clock.Second
 
-// setCold records until when the servers of a directory are cold. What is left counts from now, and
-// not from the time of the read, which may be known as too early.
+// setCold records until when the servers of a directory are cold. The rest of a cold start counts from
+// now instead of from readAt, which may be earlier than the actual read.
 func (f *Frontend) setCold(servers []database.Server, readAt clock.Millis) {
 	now := f.options.Clock.Now()
 	until := map[string]clock.Millis{}
@@ -45,7 +45,7 @@
 	return 0
 }
 
-// agedDirectory returns a directory with what is left of the cold starts now.
+// agedDirectory returns a directory with the rest of the cold starts as of now.
 func (f *Frontend) agedDirectory(servers []database.Server) []database.Server {
 	now := f.options.Clock.Now()
 	out := slices.Clone(servers)
@@ -61,12 +61,12 @@
 	senders []slowstart.Sender
 }
 
-// registeredVMs returns the VMs in the order of their registration, or nil while that is not known:
-// the list does not have this VM as it is now, or lacks some that run since the store was restored.
+// registeredVMs returns the VMs in the order of their registration. It returns nil while the list has no
+// row that equals this VM or, for restoredListTime after a restore of the store, lacks a running VM.
 func (f *Frontend) registeredVMs() []member.VM {
 	list := f.mesh.List().VMs
 	if !slices.Contains(list, f.options.Self) {
-		f.askForList()
+		f.requestList()
 		return nil
 	}
 	if f.options.Clock.Now()-f.lastRestore() < restoredListTime {
@@ -80,16 +80,16 @@
 	return list
 }
 
-// askForList reads the list of VMs if there is a limit for cold servers: the one that this VM read
-// before its registration lacks it, and the next periodic read may be far off.
-func (f *Frontend) askForList() {
+// requestList reads the list of VMs if there is a limit for cold servers. A list from before the
+// registration of this VM lacks it, and the next periodic read may be much later.
+func (f *Frontend) requestList() {
 	c, now := f.catalog.Load(), f.options.Clock.Now()
-	if c == nil || f.options.ColdExcess <= 0 || !f.mesh.Registered() || f.listAskedAt != 0 && now-f.listAskedAt < listAskPause {
+	if c == nil || f.options.ColdExcess <= 0 || !f.mesh.Registered() || f.listRequestedAt != 0 && now-f.listRequestedAt < listRequestPause {
 		return
 	}
 	for _, g := range c.Groups() {
 		if g.ColdRate > 0 {
-			f.listAskedAt = now
+			f.listRequestedAt = now
 			f.spawn(func() { _ = f.mesh.RefreshVMs(f.ctx) })
 			return
 		}
@@ -113,6 +113,7 @@
 	return c.sendersOfLocked(s, l)
 }
 
+// sendersOfLocked is sendersOf for a caller that holds c.mu.
 func (c *holderCache) sendersOfLocked(s database.Server, l slowstart.Limit) []slowstart.Sender {
 	v, ok := c.senders[s.ID]
 	if !ok || v.limit != l {
@@ -144,7 +145,7 @@
 	return g, slowstart.Limit{PerSecond: g.ColdRate, Excess: f.options.ColdExcess, Slack: f.options.ColdSlack}
 }
 
-// cold returns what is stated of a server's cold starts.
+// cold returns what the configuration and the directory report of a server's cold starts.
 func (f *Frontend) cold(s database.Server) database.Cold {
 	g, l := f.coldGroup(s)
 	if !l.IsSet() {
@@ -168,7 +169,7 @@
 	return 0
 }
 
-// isCold reports whether the directory says that a server is cold, and there is a limit.
+// isCold reports whether a server is cold by the directory, and there is a limit.
 func (f *Frontend) isCold(s database.Server) bool {
 	end := f.coldEnd(s.ID)
 	return end != 0 && f.options.Clock.Now() < end && f.cold(s).Limited
@@ -189,8 +190,8 @@
 }
 
 // rankHolders returns the holders of a server in the order in which a request of an account tries
-// them. Those of a cold server are first according to their shares: an account whose statements
-// all went to one of them would get that share only.
+// them. Those of a cold server take turns in proportion to their shares, because an account whose
+// statements all went to one of them would be limited to its share.
 func (f *Frontend) rankHolders(s database.Server, account string) []member.VM {
 	if !f.isCold(s) {
 		return member.RankHolders(f.holderCache.vmsOf(s).holders, s.ID, account)
--- a/internal/serve/frontend/directory.go
+++ b/internal/serve/frontend/directory.go
@@ -254,8 +254,9 @@
 	return database.NewGroup(database.Options{
 		Name: name, Zone: o.Self.Zone, Region: o.Self.Region, Clock: o.Clock, Log: o.Log,
 		Protocol: o.Protocol, Counters: f.counters, Trace: o.Trace, SyncReplicas: syncReplicas, DrainTimeout: o.DrainPeriod / drainDivisor,
-		MaxConnsFunc: func(s database.Server) int { return f.connLimits(s).maxConns },
-		MaxIdleFunc:  func(s database.Server) int { return f.connLimits(s).maxIdle }, HolderCountFunc: func(s database.Server) int { return len(f.vmsOf(s).holders) }, RemoteConnFunc: f.forwarder.Remote,
+		MaxConnsFunc:    func(s database.Server) int { return f.connLimits(s).maxConns },
+		MaxIdleFunc:     func(s database.Server) int { return f.connLimits(s).maxIdle },
+		HolderCountFunc: func(s database.Server) int { return len(f.vmsOf(s).holders) }, RemoteConnFunc: f.forwarder.Remote,
 		ColdFunc: f.cold, ColdShareFunc: f.coldShare,
 		Self: o.Self.Name, LiveVMsFunc: func() []string { return vmNames(f.mesh.Alive()) },
 		LeavingVMsFunc: func() []string { return vmNames(f.mesh.Leaving()) }, VMRemovedAtFunc: f.mesh.RemovedAt,
@@ -264,8 +265,9 @@
 		ProbersFunc:    func() []string { return f.probers(name) },
 		CandidatesFunc: func() []string { return f.candidates(name) }, ExpectedVMCountFunc: f.mesh.KnownCount, RefreshVMsFunc: f.mesh.RefreshVMs,
 		RefreshDirectoryFunc: f.readDirectory,
-		ProvedFunc:           f.passOnProof,
-		GossipFunc:           f.mesh.GossipSoon, RegionGossipFunc: f.mesh.RegionGossipSoon, StoppingFunc: f.isStopping, Claims: o.Claims, RestoredAtFunc: f.lastRestore,
+		ProvedFunc:           f.announceProof,
+		GossipFunc:           f.mesh.GossipSoon, RegionGossipFunc: f.mesh.RegionGossipSoon,
+		StoppingFunc: f.isStopping, Claims: o.Claims, RestoredAtFunc: f.lastRestore,
 		EvacuatedSinceFunc: f.evacuatedSince, Evacuation: evacuation.NewBounds(o.EvacuationDeadline),
 	})
 }
--- a/internal/serve/frontend/evacuation.go
+++ b/internal/serve/frontend/evacuation.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	// evacuationToldTime is how long after the end of the last evacuation, or after the message of
-	// a VM that does not know of it, this VM tells the others, in milliseconds.
-	evacuationToldTime = 60 * clock.Second
-	// maxEvacuationAge bounds the age that is told of an evacuation, in milliseconds.
+	// announceEvacuationsTime is how long this VM still sends its state of evacuations after the last
+	// one has ended, or after an outdated message of another VM, in milliseconds.
+	announceEvacuationsTime = 60 * clock.Second
+	// maxEvacuationAge bounds the age of an evacuation in messages, in milliseconds.
 	maxEvacuationAge = 24 * 3600 * clock.Second
 )
 
@@ -37,9 +37,9 @@
 	return s.Since(z, f.options.Clock.Now())
 }
 
-// adoptEvacuations takes a report of the evacuated zones, unless the known one is as new. since holds
-// the times from which zones are evacuated, as far as the report tells them. from is its source, see
-// freshness.Copy. A change is passed on soon.
+// adoptEvacuations adopts a report of the evacuated zones if it is newer than the known one, and sends a
+// change to other VMs early. since holds the times from which zones are evacuated, as far as the report
+// has them. from is its source; see freshness.Copy.
 func (f *Frontend) adoptEvacuations(next evacuation.Set, since map[member.Zone]clock.Millis, from string) {
 	f.mu.Lock()
 	now := f.options.Clock.Now()
@@ -48,7 +48,7 @@
 	changed := !slices.Equal(before.Set().Zones, after.Set().Zones)
 	outdated := next.Revision < before.Set().Revision && !slices.Equal(next.Zones, before.Set().Zones)
 	if changed || outdated {
-		f.evacuationToldUntil = now + evacuationToldTime
+		f.announceEvacuationsUntil = now + announceEvacuationsTime
 	}
 	f.evacuations.Store(&after)
 	f.mu.Unlock()
@@ -60,8 +60,9 @@
 	f.mesh.GossipSoon()
 }
 
-// observeEvacuations logs and shows each zone whose evacuation has begun or ended, and warns of one
-// that no server is in. An evacuation that a restored store lacks ends without a report.
+// observeEvacuations logs each zone whose evacuation has begun or ended, sets its gauge, and warns if no
+// server is in the zone. It is also called periodically, because an evacuation that a restored store
+// lacks ends without a report.
 func (f *Frontend) observeEvacuations() {
 	if f.evacuations.Load() == nil {
 		return
@@ -94,7 +95,8 @@
 	}
 }
 
-// markRecovering begins a slow start of the servers of a zone, which ran no statements for a time.
+// markRecovering begins a slow start of the servers of a zone after its evacuation, in which they ran no
+// statements.
 func (f *Frontend) markRecovering(z member.Zone) {
 	f.mu.Lock()
 	directory := f.directory
@@ -111,14 +113,14 @@
 	return metrics.GetOrCreateGauge("sycamoredoor_zone_evacuated{zone="+label.Quote(string(z))+"}", nil)
 }
 
-// warnProblems logs what of the operator's rows cannot be used.
+// warnProblems logs why rows of the operator cannot be used.
 func (f *Frontend) warnProblems(problems []string) {
 	for _, p := range problems {
 		f.options.Log.Warn("a row of the operator is ignored", "reason", p)
 	}
 }
 
-// evacuationReport returns the evacuated zones for another VM, or nil if this VM knows none.
+// evacuationReport returns the evacuated zones for another VM, or nil before the first report.
 func (f *Frontend) evacuationReport() *inner.Evacuation {
 	s := f.evacuationState()
 	set := s.Set()
@@ -134,11 +136,11 @@
 	return out
 }
 
-// evacuationToTell returns what to tell other VMs in a round, or nil while nothing is evacuated and
-// nothing has changed lately.
-func (f *Frontend) evacuationToTell() *inner.Evacuation {
+// evacuationsToAnnounce returns the message on evacuated zones for a round of gossip, or nil if no zone is
+// evacuated and announceEvacuationsUntil has passed.
+func (f *Frontend) evacuationsToAnnounce() *inner.Evacuation {
 	f.mu.Lock()
-	recent := f.options.Clock.Now() < f.evacuationToldUntil
+	recent := f.options.Clock.Now() < f.announceEvacuationsUntil
 	f.mu.Unlock()
 	if !recent && len(f.evacuationState().Set().Zones) == 0 {
 		return nil
@@ -146,8 +148,8 @@
 	return f.evacuationReport()
 }
 
-// receiveEvacuation takes what another VM tells of evacuated zones. The ages are those at the sender,
-// so that a zone counts as evacuated at most the time of the message too late.
+// receiveEvacuation adopts a message of another VM on evacuated zones. The ages are those when it was
+// sent, so the start of an evacuation is late here by the time that the message took.
 func (f *Frontend) receiveEvacuation(e inner.Evacuation) {
 	set := evacuation.Set{Revision: e.Revision, Era: e.Era}
 	since, now := map[member.Zone]clock.Millis{}, f.options.Clock.Now()
--- a/internal/serve/frontend/evacuation_test.go
+++ b/internal/serve/frontend/evacuation_test.go
@@ -40,7 +40,7 @@
 
 // tell passes on what a VM tells in a round, and reports whether it tells anything.
 func (m *evacuationMesh) tell(from, to int) bool {
-	e := m.vms[from].evacuationToTell()
+	e := m.vms[from].evacuationsToAnnounce()
 	if e != nil {
 		m.vms[to].mesh.Receive(m.vms[from].options.Self.Name, inner.Pack(inner.Encode(inner.KindEvacuation, *e)))
 	}
@@ -70,15 +70,15 @@
 	m.tell(0, 2)
 	m.tell(1, 2)
 	got = append(got, m.age(2, "a"), m.age(2, "b"))
-	m.clock.Advance(evacuationToldTime)
+	m.clock.Advance(announceEvacuationsTime)
 	m.store(0, 7, 1)
-	m.clock.Advance(evacuationToldTime)
+	m.clock.Advance(announceEvacuationsTime)
 	got = append(got, m.age(1, "a"))
 	silent := m.tell(0, 1)
 	m.tell(1, 0)
 	m.tell(0, 1)
 	got = append(got, m.age(1, "a"), m.age(0, "a"))
-	if diff := cmp.Diff([]clock.Millis{800, 800, -1, -1, 800, 800 + 2*evacuationToldTime, -1, -1}, got); diff != "" {
+	if diff := cmp.Diff([]clock.Millis{800, 800, -1, -1, 800, 800 + 2*announceEvacuationsTime, -1, -1}, got); diff != "" {
 		t.Errorf("ages (-want +got):\n%s", diff)
 	}
 	if silent {
--- a/internal/serve/frontend/explain.go
+++ b/internal/serve/frontend/explain.go
@@ -18,7 +18,7 @@
 	catalog.StrongConsistency: "strong consistency", catalog.BoundedStaleness: "bounded staleness", catalog.ReadYourWrites: "read your writes",
 }
 
-// The reasons against VMs that may hold the connection.
+// The reasons why a VM is or is not chosen to hold the connection.
 const (
 	reasonChosen        = "the first that can be used"
 	reasonLater         = "a VM before it can be used"
@@ -58,7 +58,10 @@
 	self := f.options.Self
 	e := explainer{
 		frontend: f, route: route, account: account,
-		out: operator.Explanation{Query: q, VM: self.Name, Zone: string(self.Zone), Region: self.Region, Version: c.Version, Servers: []operator.ServerView{}, VMs: []operator.HolderView{}},
+		out: operator.Explanation{
+			Query: q, VM: self.Name, Zone: string(self.Zone), Region: self.Region, Version: c.Version,
+			Servers: []operator.ServerView{}, VMs: []operator.HolderView{},
+		},
 	}
 	e.explain()
 	return e.out, nil
@@ -73,8 +76,8 @@
 	out       operator.Explanation
 }
 
-// explain goes through the decisions in the order in which a session meets them. The first that
-// refuses the statement is its outcome; the others are explained all the same.
+// explain follows the decisions in the order in which a session makes them. The first one that refuses
+// the statement determines the outcome; the later ones are still explained.
 func (e *explainer) explain() {
 	f, r := e.frontend, e.route
 	e.requester = database.Requester{Account: e.account.Name, Priority: r.Priority, Regions: r.Regions.Intersect(e.account.Regions)}
@@ -220,7 +223,9 @@
 // them.
 func (e *explainer) explainVMs(s database.Server, primary bool) (forward.Choice, error) {
 	self := e.frontend.options.Self.Name
-	c, err := e.frontend.forwarder.Explain(database.ConnRequest{Group: e.route.Group, Server: s, Requester: e.requester, Primary: primary, Wait: session.MaxWait(e.route)})
+	c, err := e.frontend.forwarder.Explain(database.ConnRequest{
+		Group: e.route.Group, Server: s, Requester: e.requester, Primary: primary, Wait: session.MaxWait(e.route),
+	})
 	e.out.VMs, e.out.Via, e.out.Queue = []operator.HolderView{}, c.VM, nil
 	if c.VM == "" && err == nil {
 		// This VM uses its own connections if it may open any.
@@ -273,7 +278,8 @@
 	for _, s := range c.Candidates {
 		v := operator.ServerView{
 			Server: s.Server.ID, Zone: string(s.Server.Zone), Region: s.Server.Region, Primary: s.Primary, Leaving: s.Server.Leaving,
-			Chosen: s.Chosen && c.Err == nil, Reason: s.Reason, Latency: s.Latency, InFlight: s.InFlight, Slots: s.Server.Slots, Applied: s.Applied.String(), AppliedAge: -1,
+			Chosen: s.Chosen && c.Err == nil, Reason: s.Reason, Latency: s.Latency, InFlight: s.InFlight, Slots: s.Server.Slots,
+			Applied: s.Applied.String(), AppliedAge: -1,
 		}
 		if !s.Applied.IsZero() {
 			v.AppliedAge = s.AppliedAge
--- a/internal/serve/frontend/first.go
+++ b/internal/serve/frontend/first.go
@@ -6,19 +6,18 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
-	"github.com/sycamoredoor/sycamoredoor/internal/serve/gossip"
 )
 
 const (
-	// firstCheckInterval is the pause between two checks of a VM without a configuration whether
-	// it is to read or to fetch one, in milliseconds.
+	// firstCheckInterval is the interval at which a VM without a configuration checks whether it
+	// is to read or to fetch one, in milliseconds.
 	firstCheckInterval = clock.Millis(10)
 	// firstFetchRetryDelay is the pause after a failed fetch of the first configuration, in
 	// milliseconds.
 	firstFetchRetryDelay = clock.Millis(50)
 	// maxQuestionWait bounds how long a question of another VM waits for this VM's first
-	// configuration, in milliseconds, and firstFetchSilence how long the VM that asks takes it for
-	// running without an answer. An upstream that has been lost must not cost much time.
+	// configuration, in milliseconds. firstFetchSilence is how long the asking VM waits for an
+	// answer. It is short so that an upstream that has been lost costs little time.
 	maxQuestionWait   = clock.Millis(250)
 	firstFetchSilence = clock.Millis(400)
 )
@@ -37,8 +36,8 @@
 	}
 }
 
-// fetchFirstConfiguration fetches the first configuration through the VMs that pass it on, until
-// this VM has one.
+// fetchFirstConfiguration fetches the first configuration from this VM's upstreams, until this VM has
+// one.
 func (f *Frontend) fetchFirstConfiguration(ctx context.Context) {
 	for i := 0; ctx.Err() == nil && f.catalog.Load() == nil; i++ {
 		sources := f.mesh.Upstreams()
@@ -52,8 +51,8 @@
 	}
 }
 
-// fetchFirstFrom fetches the first configuration from a VM, which waits for its own. It reports
-// whether that succeeded.
+// fetchFirstFrom fetches the first configuration from a VM, which delays its answer while it has none
+// itself. It reports whether that succeeded.
 func (f *Frontend) fetchFirstFrom(v member.VM) bool {
 	asked := f.options.Clock.Now()
 	answer, err := f.askWithin(v.Address, inner.Question{Topic: inner.TopicText, Wait: maxQuestionWait}, firstFetchSilence)
@@ -69,7 +68,7 @@
 	if answer.Version == 0 {
 		return true
 	}
-	// The answer was made after the question, so that the confirmation is not older than this.
+	// The answer was made after the question, so the configuration was confirmed at this time or later.
 	f.confirmConfiguration(answer.Version, asked-answer.VersionAge, v.Name)
 	return true
 }
@@ -84,28 +83,9 @@
 	return len(f.mesh.Upstreams()) > 0 && !f.first.Reads(f.mesh.KnownCount(), now)
 }
 
-// defersFirstRead reports whether this VM, which got its first configuration from another one,
-// puts off its own first read of the store.
+// defersFirstRead reports whether this VM, which got its first configuration from another one, still
+// postpones its own first read of the store.
 func (f *Frontend) defersFirstRead() bool {
 	now := f.options.Clock.Now()
 	return f.first.Defers(now) && f.configurationCopy().Age(now) < f.bounds.MaxAge && len(f.mesh.Upstreams()) > 0
 }
-
-// followPause returns the pause between two checks whether this VM is to read the store, in
-// milliseconds.
-func (f *Frontend) followPause() clock.Millis {
-	if f.catalog.Load() == nil {
-		return firstCheckInterval
-	}
-	return followInterval
-}
-
-// passOnProof tells other VMs soon that a primary is proved: they may be waiting for it, as after
-// a start of all VMs. A follower tells its relays, which tell those of the other zones.
-func (f *Frontend) passOnProof() {
-	if f.mesh.Role() == gossip.Follower {
-		f.mesh.RegionGossipSoon()
-		return
-	}
-	f.mesh.GossipSoon()
-}
--- a/internal/serve/frontend/follow.go
+++ b/internal/serve/frontend/follow.go
@@ -36,22 +36,21 @@
 	ParseFunc func(text []byte) (*catalog.Catalog, error)
 	// ReadFunc returns the newest configuration, every evacuation, and the version of the store.
 	ReadFunc func(ctx context.Context) (Reading, uint64, error)
-	// WaitFunc waits for a change after a version of the store, at most wait
-	// milliseconds. It returns the changes, and the version for
-	// the next call. It returns ErrHistoryDropped when the version is too old. It calls
-	// answering when the store's answer begins to arrive.
+	// WaitFunc waits for a change after a version of the store, at most wait milliseconds. It
+	// returns the changes and the version for the next call, or ErrHistoryDropped when the given
+	// version is too old. It calls answering when the store's answer begins to arrive.
 	WaitFunc func(ctx context.Context, after uint64, wait clock.Millis, answering func()) (Reading, uint64, error)
 }
 
-// Reading is what a call of the store has returned.
+// Reading is the result of a call of the store.
 type Reading struct {
 	// Text is the text of the newest configuration, nil if there is none.
 	Text []byte
-	// Evacuations are the evacuations or, of a wait, the changes of them. Era is that of the store's
-	// version.
+	// Evacuations holds all evacuations from ReadFunc, and the changes of them from WaitFunc. Era
+	// is the era of the store's version.
 	Evacuations []evacuation.Change
 	Era         uint64
-	// Problems says what of it cannot be used, and why.
+	// Problems describes the rows that cannot be used, and why.
 	Problems []string
 }
 
@@ -95,6 +94,15 @@
 	return relies
 }
 
+// followPause returns the pause between two checks whether this VM is to read the store, in
+// milliseconds.
+func (f *Frontend) followPause() clock.Millis {
+	if f.catalog.Load() == nil {
+		return firstCheckInterval
+	}
+	return followInterval
+}
+
 // storeReader reads the configuration from the store, call by call.
 type storeReader struct {
 	frontend *Frontend
@@ -144,8 +152,9 @@
 	}
 }
 
-// call makes one call that begins at the time asked. It returns the result, and for how long from then on, in milliseconds, the store had no later one. A poll
-// without a change is answered once it has lasted its wait.
+// call makes one call of the store, which begins at the time asked. It returns the result, and the time
+// in milliseconds from then on for which the store had no later one: a poll without a change is
+// answered only when its wait is over.
 func (r *storeReader) call(ctx context.Context, asked clock.Millis) (reading Reading, unchangedFor clock.Millis, err error) {
 	f := r.frontend
 	if !r.hasVersion {
--- a/internal/serve/frontend/frontend.go
+++ b/internal/serve/frontend/frontend.go
@@ -117,14 +117,25 @@
 	reservedGauge *metrics.Gauge
 	// unknownRegionsGauge shows the number of unknownRegions.
 	unknownRegionsGauge *metrics.Gauge
-	// reachGauge shows the part of the accounts' limits that this VM has with those in reach.
-	// partSince is the time since which that is not the whole, or 0, and partLogged is set once
-	// that is logged. The rounds of gossip alone use them.
+	// reachGauge shows the reach of the limiter. partSince is the time since which VMs have been
+	// out of reach, or 0, and partLogged is set once that is logged; only beginRound uses them.
 	reachGauge *metrics.Gauge
 	partSince  clock.Millis
 	partLogged bool
 	// heldCountedAt is the time of the last count; only beginRound uses it.
 	heldCountedAt clock.Millis
+	// listRequestedAt is the time at which the list of VMs was last read because it lacked this VM;
+	// only beginRound uses it.
+	listRequestedAt clock.Millis
+	// coldReadAt is directoryReadAt in milliseconds, and coldUntil the time until which each cold
+	// server of the directory stays cold, by ID. They are atomic because pools read them with
+	// their locks held.
+	coldReadAt atomic.Int64
+	coldUntil  atomic.Pointer[map[string]clock.Millis]
+	// first decides when a VM without a configuration reads it from the store, and configured is
+	// closed once there is one.
+	first      freshness.First
+	configured chan struct{}
 	// compressed is the configuration, compressedList the list of VMs for other VMs.
 	compressed     compressedText
 	compressedList compressedText
@@ -143,10 +154,6 @@
 	laterKnownAt clock.Millis
 	// storeAskedAt is the start of the last call that reads the configuration from the store.
 	storeAskedAt clock.Millis
-	// first decides when a VM without a configuration reads it from the store, and configured is
-	// closed once there is one.
-	first      freshness.First
-	configured chan struct{}
 	// poll is the poll of the store in progress, or nil.
 	poll *poll
 	// era is the last observed era of the store, and restoredAt the time at which this VM
@@ -165,17 +172,10 @@
 	// unknownRegions names the regions to which routes or accounts are constrained and in which
 	// no server is listed.
 	unknownRegions []string
-	// coldReadAt is directoryReadAt in milliseconds, and coldUntil the time until which each cold
-	// server of the directory stays cold, by ID. Pools read them with their locks held.
-	coldReadAt atomic.Int64
-	coldUntil  atomic.Pointer[map[string]clock.Millis]
-	// listAskedAt is the time at which the list of VMs was last read because it lacked this VM;
-	// only beginRound uses it.
-	listAskedAt clock.Millis
-	// observedZones holds the zones that were last logged as evacuated, and evacuationToldUntil is
-	// the time until which this VM tells others of evacuations although there are none.
-	observedZones       []member.Zone
-	evacuationToldUntil clock.Millis
+	// observedZones holds the zones that were last logged as evacuated, and announceEvacuationsUntil
+	// is the time until which this VM sends its state of evacuations even if no zone is evacuated.
+	observedZones            []member.Zone
+	announceEvacuationsUntil clock.Millis
 	// fetchingDirectory is set while a directory is being fetched from another VM.
 	fetchingDirectory bool
 	// conns holds the connections of callers with a session.
@@ -189,12 +189,16 @@
 		return nil, err
 	}
 	f := &Frontend{
-		options: o, bounds: freshness.NewBounds(o.ConfigurationDeadline), listener: l, ctx: ctx, keyring: &keys.Keyring{}, counters: database.NewCounters(), done: make(chan struct{}),
-		configured: make(chan struct{}), configCopy: freshness.New(), lostDependencies: map[string]bool{}, directoryReadAt: clock.DistantPast, restoredAt: clock.DistantPast, groups: map[string]*database.Group{}, conns: map[net.Conn]bool{},
+		options: o, bounds: freshness.NewBounds(o.ConfigurationDeadline), listener: l, ctx: ctx, keyring: &keys.Keyring{},
+		counters: database.NewCounters(), done: make(chan struct{}),
+		configured: make(chan struct{}), configCopy: freshness.New(), lostDependencies: map[string]bool{},
+		directoryReadAt: clock.DistantPast, restoredAt: clock.DistantPast,
+		groups: map[string]*database.Group{}, conns: map[net.Conn]bool{},
 	}
 	f.sessionOptions = session.Options{
 		Clock: o.Clock, Log: o.Log, Protocol: o.Protocol, Counters: session.NewCounters(), Trace: o.Trace,
-		CatalogFunc: f.catalog.Load, AwaitCatalogFunc: f.awaitConfiguration, CopyFunc: f.configurationCopy, GroupFunc: f.Group, StoppingFunc: f.closingSessions.Load, ExpiresFunc: f.expiresTransactions, TakesFunc: f.takes,
+		CatalogFunc: f.catalog.Load, AwaitCatalogFunc: f.awaitConfiguration, CopyFunc: f.configurationCopy, GroupFunc: f.Group,
+		StoppingFunc: f.closingSessions.Load, ExpiresFunc: f.expiresTransactions, TakesFunc: f.takes,
 		AdmitFunc:  func(_ context.Context, a catalog.Account, priority int) bool { return f.limiter.take(a, priority) },
 		RefundFunc: func(a catalog.Account) { f.limiter.refund(a) },
 	}
--- a/internal/serve/frontend/holders.go
+++ b/internal/serve/frontend/holders.go
@@ -186,31 +186,6 @@
 	}
 }
 
-// partLogDelay is how long the limits must have been divided before that is logged, in
-// milliseconds: longer than a change of relays.
-const partLogDelay = clock.Millis(1500)
-
-// observeReach shows the part of the accounts' limits that this VM has with those in reach, and
-// logs a change between a part and the whole.
-func (f *Frontend) observeReach() {
-	reach, covered := f.limiter.currentReach()
-	now := f.options.Clock.Now()
-	f.reachGauge.Set(reach)
-	fields := []any{"reach", reach, "vms", int(covered), "known", f.mesh.ExpectedCount(), "role", f.mesh.Role()}
-	switch {
-	case reach >= wholeReach && f.partLogged:
-		f.options.Log.Info("limits of accounts are whole again", append(fields, "after_ms", now-f.partSince)...)
-		f.partSince, f.partLogged = 0, false
-	case reach >= wholeReach:
-		f.partSince = 0
-	case f.partSince == 0:
-		f.partSince = now
-	case !f.partLogged && now-f.partSince >= partLogDelay:
-		f.options.Log.Warn("limits of accounts are divided: VMs are out of reach", fields...)
-		f.partLogged = true
-	}
-}
-
 // heldCountInterval is the least pause between two counts of the servers held, in
 // milliseconds.
 const heldCountInterval = clock.Second
--- a/internal/serve/frontend/limits.go
+++ b/internal/serve/frontend/limits.go
@@ -2,8 +2,6 @@
 
 import (
 	"maps"
-	"math"
-	"strings"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -45,7 +43,7 @@
 	processFunc func() uint64
 	// region is this VM's region.
 	region string
-	// roleFunc returns how this VM learns of the use by others.
+	// roleFunc returns the role of this VM in gossip, which determines the source of usages.
 	roleFunc func() gossip.Role
 	// regionGossipFunc starts the next round of gossip within the region early, and
 	// gossipFunc that to all VMs.
@@ -71,32 +69,23 @@
 	// lastContact the time of the latest message.
 	contacts    map[string]contact
 	lastContact clock.Millis
-	// reach is the number of VMs that the usages known here cover, as a part of all known
-	// ones, and covered their number. VMs that are no longer covered may have been out of reach
-	// since reachSince.
+	// reach is the fraction of the known VMs that the usages received here cover, and covered
+	// their number; see quota.Bucket.WithReach. VMs that are no longer covered may have been out
+	// of reach since reachSince.
 	reach      float64
 	covered    float64
 	reachSince clock.Millis
-	// hintedReach is the reach of the relay whose last hints came at hintedAt.
+	// hintedReach is the reach of the relay at its last hints, which came at hintedAt.
 	hintedReach float64
 	hintedAt    clock.Millis
 	// coveredBefore is the number of VMs covered when the role last changed, at roleChangedAt. It
-	// counts until the VMs have had time to send messages by the new role.
+	// is a lower bound for roleGrace.
 	coveredBefore float64
 	roleChangedAt clock.Millis
 	// partRefusals counts operations refused while VMs are out of reach.
 	partRefusals *metrics.Counter
 }
 
-// contact is the contact with a source of usages.
-type contact struct {
-	quota.Contact
-	// covered is the number of VMs that its last message covered, and lost is set once the
-	// reach no longer counts them.
-	covered int
-	lost    bool
-}
-
 // newLimiter returns a limiter without accounts. The caller sets the functions.
 func newLimiter(c clock.Clock, t Tolerance) *limiter {
 	return &limiter{
@@ -108,8 +97,7 @@
 	}
 }
 
-// take takes one operation of a priority out of an account's limit and reports whether there was
-// one for it.
+// take takes one operation of a priority from an account's limit and reports whether it is admitted.
 func (l *limiter) take(a catalog.Account, priority int) bool {
 	vms := l.vmCountFunc()
 	l.mu.Lock()
@@ -131,16 +119,6 @@
 	return ok
 }
 
-// wholeReach is the reach from which the limits count as whole.
-const wholeReach = 0.95
-
-// currentReach returns the reach as of the last round, and the number of VMs that it covers.
-func (l *limiter) currentReach() (reach, covered float64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.reach, l.covered
-}
-
 // refund returns an operation that was taken and has not run.
 func (l *limiter) refund(a catalog.Account) {
 	l.mu.Lock()
@@ -150,8 +128,7 @@
 	}
 }
 
-// view returns what this VM knows of an account's limit now, for an operation of a priority. It
-// takes nothing.
+// view returns the state of an account's limit for an operation of a priority, without taking one.
 func (l *limiter) view(a catalog.Account, priority int) quota.View {
 	vms := l.vmCountFunc()
 	l.mu.Lock()
@@ -169,7 +146,7 @@
 	}
 	b = b.WithLimit(a.Rate, a.Burst, now).WithVMs(vms, l.tolerance.excessRate(a)).WithReach(l.reach, l.reachSince, now)
 	if !known {
-		// Operations may come before the next round of this VM.
+		// Operations may arrive before the next round of this VM.
 		b, _ = b.WithRound(now)
 	}
 	return b
@@ -208,7 +185,7 @@
 		}
 		b := l.buckets[name]
 		if role != gossip.Follower {
-			// What silent VMs have spent is estimated before the reach excludes them.
+			// The spending of silent VMs is estimated before the reach excludes them.
 			b = b.WithContacts(l.lastContact, l.contact, now)
 		}
 		l.buckets[name] = b
@@ -233,107 +210,6 @@
 	l.ownUsages = out
 }
 
-// setRole sets the role of a round. By a new role usages come from other sources: what a relay
-// heard of a VM before it was one is no contact. The caller holds the lock.
-func (l *limiter) setRole(role gossip.Role, now clock.Millis) {
-	if role == l.role {
-		return
-	}
-	l.coveredBefore, l.roleChangedAt = l.covered, now
-	clear(l.contacts)
-	l.role = role
-}
-
-// updateReach determines the reach at time now, in a round. The caller holds the lock.
-func (l *limiter) updateReach(vms int, now clock.Millis) {
-	l.reachSince = l.hintedAt
-	if l.role != gossip.Follower {
-		l.reachSince = l.lostSince(now)
-	}
-	l.reach = l.reachAt(vms, now)
-	l.covered = l.reach * float64(vms)
-}
-
-// reachAt returns the reach at time now. The caller holds the lock.
-func (l *limiter) reachAt(vms int, now clock.Millis) float64 {
-	known := float64(max(vms, 1))
-	reach := 1 / known
-	switch {
-	case l.role != gossip.Follower:
-		reach = float64(l.coveredVMs(now, func(string) bool { return true })) / known
-	case now-l.hintedAt <= quota.HintMaxAge:
-		reach = l.hintedReach
-	}
-	if now-l.roleChangedAt <= roleGrace {
-		reach = max(reach, l.coveredBefore/known)
-	}
-	return min(reach, 1)
-}
-
-// roleGrace is the time in which the VMs send their messages to a new relay, and it sends its
-// hints, in milliseconds.
-const roleGrace = clock.Millis(1500)
-
-// lostSince returns the time of the earliest last message of the sources that went out of
-// reach since it was called before, or now. The caller holds the lock.
-func (l *limiter) lostSince(now clock.Millis) clock.Millis {
-	out := now
-	for source, c := range l.contacts {
-		lost := !c.InReach(now)
-		if lost && !c.lost {
-			out = min(out, c.Last)
-		}
-		c.lost = lost
-		l.contacts[source] = c
-	}
-	return out
-}
-
-// coveredVMs counts the VMs that the usages known at time now cover, this one included, for
-// the sources that match. The caller holds the lock.
-func (l *limiter) coveredVMs(now clock.Millis, matches func(source string) bool) int {
-	out := 1
-	for source, c := range l.contacts {
-		if source != selfName && c.InReach(now) && matches(source) {
-			out += c.covered
-		}
-	}
-	return out
-}
-
-// coverage returns the number of VMs that the usages of a scope cover, and that of the known
-// ones.
-func (l *limiter) coverage(s inner.Scope) (covered, known int) {
-	vms := l.vmCountFunc()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.clock.Now()
-	switch s {
-	case inner.ScopeZone:
-		return l.coveredVMs(now, func(source string) bool { return !strings.HasPrefix(source, zonePrefix) }), vms
-	case inner.ScopeAll:
-		return int(math.Round(l.reach * float64(vms))), vms
-	}
-	return 1, vms
-}
-
-// recordContact records a message of a source that covers some VMs. The caller holds the lock.
-func (l *limiter) recordContact(source string, covered int, far bool, now clock.Millis) contact {
-	c := contact{Contact: l.contact(source).WithMessage(far, now), covered: covered}
-	l.contacts[source] = c
-	return c
-}
-
-// contact returns the contact with a source of usages. The caller holds the lock.
-func (l *limiter) contact(source string) quota.Contact {
-	c, ok := l.contacts[source]
-	if !ok {
-		past := l.clock.Now() - quota.SilenceTimeout
-		return quota.Contact{Joined: past, Last: past}
-	}
-	return c.Contact
-}
-
 // zonePrefix and the name of a zone name the report of that zone in a bucket.
 const zonePrefix = "*/"
 
@@ -364,7 +240,8 @@
 	}
 	c := l.recordContact(source, covered, g.Region != l.region, now)
 	l.lastContact = now
-	// A round notices what is out of reach, after it has forgotten these VMs' spending.
+	// A message does not shrink the reach. A round does, after the buckets have removed the VMs
+	// out of reach.
 	l.reach = max(l.reach, l.reachAt(vms, now))
 	for _, u := range g.Usages {
 		a, ok := l.accountFunc(u.Account)
@@ -384,15 +261,15 @@
 		b := l.bucket(a, vms, now).WithReport(source, r, now)
 		l.buckets[u.Account] = b
 		if l.role == gossip.Relay {
-			l.tellOfSurge(a, b, now)
+			l.announceSurge(a, b, now)
 		}
 	}
 }
 
-// tellOfSurge starts the next round early if an account comes near its limit, or if the VMs
-// of this zone spend much of it: a relay alone sees a part of a flood. The caller holds the
-// lock.
-func (l *limiter) tellOfSurge(a catalog.Account, b quota.Bucket, now clock.Millis) {
+// announceSurge starts the next round early if an account comes near its limit, or if the VMs of this
+// zone have spent much of its burst, since each relay receives only the usages of its own zone. The
+// caller holds the lock.
+func (l *limiter) announceSurge(a catalog.Account, b quota.Bucket, now clock.Millis) {
 	_, near := b.Hint(now)
 	t := l.zoneTotals[a.Name]
 	if near && !l.hinted[a.Name] || t != nil && t.surges(a.Burst) {
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -62,7 +62,7 @@
 		ListFunc: o.Registry.ListFunc, FetchListFunc: f.fetchList, RegisterFunc: o.Registry.RegisterFunc, RemoveFunc: o.Registry.RemoveFunc,
 		RegisteredFunc: f.updateGroups,
 		BeginRoundFunc: f.beginRound, ContentFunc: f.gossipFor, ReceiveFunc: f.receiveGossip,
-		EvacuationFunc: f.evacuationToTell, ReceiveEvacuationFunc: f.receiveEvacuation,
+		EvacuationFunc: f.evacuationsToAnnounce, ReceiveEvacuationFunc: f.receiveEvacuation,
 	})
 }
 
@@ -86,7 +86,9 @@
 func (f *Frontend) awaitTransport(ctx context.Context) *peer.Transport {
 	for ctx.Err() == nil {
 		if f.issueKeys(ctx) == nil {
-			t, err := peer.Listen(f.options.Self.Address, f.keyring, peer.Options{Clock: f.options.Clock, Region: f.options.Self.Region, IdleTimeout: connIdleTimeout, Memory: f.options.Memory})
+			t, err := peer.Listen(f.options.Self.Address, f.keyring, peer.Options{
+				Clock: f.options.Clock, Region: f.options.Self.Region, IdleTimeout: connIdleTimeout, Memory: f.options.Memory,
+			})
 			if err == nil {
 				return t
 			}
@@ -267,7 +269,7 @@
 	return f.askWithin(address, q, fetchSilence)
 }
 
-// askWithin is ask with the time in milliseconds that the other VM may send nothing.
+// askWithin is ask with the time in milliseconds for which the other VM may be silent.
 func (f *Frontend) askWithin(address string, q inner.Question, silence clock.Millis) (inner.Answer, error) {
 	t := f.transport.Load()
 	if t == nil {
@@ -384,3 +386,14 @@
 	}
 	return c.result
 }
+
+// announceProof starts the next round of gossip early, because a primary is proved and other VMs may be
+// waiting for it, such as after a start of all VMs. A follower sends to its relays, which forward to
+// those of the other zones.
+func (f *Frontend) announceProof() {
+	if f.mesh.Role() == gossip.Follower {
+		f.mesh.RegionGossipSoon()
+		return
+	}
+	f.mesh.GossipSoon()
+}
--- a/internal/serve/frontend/totals.go
+++ b/internal/serve/frontend/totals.go
@@ -23,7 +23,7 @@
 const surgeFill = 0.35
 
 // surges reports whether the VMs have spent so much of a burst since the last message to the
-// other zones that these should learn of it at once.
+// other zones that the next one should be sent early.
 func (t *total) surges(burst float64) bool {
 	return float64(int64(t.spent-t.sentSpent)) > surgeFill*burst
 }
@@ -34,8 +34,8 @@
 	received clock.Millis
 }
 
-// demandAt returns the demand of the source at time now: none if it is out of contact, or sends
-// messages that leave the account out.
+// demandAt returns the demand of the source at time now: 0 if no message has come for
+// quota.SilenceTimeout, or if messages have left the account out for quota.OverdueAfter.
 func (r sourceReport) demandAt(now clock.Millis, c quota.Contact) float64 {
 	if now-max(c.Last, r.received) >= quota.SilenceTimeout || c.Last-r.received > quota.OverdueAfter {
 		return 0
@@ -43,9 +43,9 @@
 	return r.Demand
 }
 
-// add adds what a source has spent since its last report. The whole count of a new process of a
-// VM is added. The first count of a source is not, nor the first one after an interruption:
-// the source spent it from a part of the limit of its own.
+// add adds what a source has spent since its last report, or the whole count of a new process of a VM.
+// The first count of a source is not added, nor the first one after an interruption, because the
+// source spent it from its own fraction of the limit.
 func (t *total) add(source string, r quota.Report, now clock.Millis) {
 	last, known := t.reports[source]
 	switch {
@@ -74,6 +74,7 @@
 // accountTotals holds the total of each account.
 type accountTotals map[string]*total
 
+// add adds a report of a source to the total of an account.
 func (t accountTotals) add(account, source string, r quota.Report, now clock.Millis) {
 	if t[account] == nil {
 		t[account] = &total{reports: map[string]sourceReport{}}
@@ -84,7 +85,9 @@
 // usages returns the totals at time now as usages of a message. It leaves out accounts
 // without demand whose last count has been sent. The function fillFunc returns the tokens of
 // an account.
-func (t accountTotals) usages(now clock.Millis, contactFunc func(source string) quota.Contact, fillFunc func(account string, now clock.Millis) float64) []inner.Usage {
+func (t accountTotals) usages(
+	now clock.Millis, contactFunc func(source string) quota.Contact, fillFunc func(account string, now clock.Millis) float64,
+) []inner.Usage {
 	out := make([]inner.Usage, 0, len(t))
 	for name, v := range t {
 		r := v.report(now, contactFunc)
--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -70,8 +70,8 @@
 	// into a time of this VM's clock that is not after the event; it is nil while no send
 	// time is known to compute it from.
 	ReceiveFunc func(m inner.Gossip, toLocalTime func(age clock.Millis) clock.Millis)
-	// EvacuationFunc returns what to tell of evacuated zones in a round, or nil, and
-	// ReceiveEvacuationFunc takes what another VM tells. The functions may be nil.
+	// EvacuationFunc returns the message on evacuated zones for a round, or nil if none is to be
+	// sent. ReceiveEvacuationFunc adopts such a message of another VM. The functions may be nil.
 	EvacuationFunc        func() *inner.Evacuation
 	ReceiveEvacuationFunc func(e inner.Evacuation)
 }
--- a/internal/serve/gossip/relay.go
+++ b/internal/serve/gossip/relay.go
@@ -69,8 +69,8 @@
 	return first
 }
 
-// Upstreams returns the VMs through which this one gets what another VM reads for the region: the
-// relays of its zone or, for such a relay, those of the first zone of its region. There are none
+// Upstreams returns the VMs from which this one gets the configuration that one VM reads for the region:
+// the relays of its zone or, for such a relay, those of the first zone of its region. There are none
 // while relays are not used, and for the VM that reads for its region.
 func (m *Mesh) Upstreams() []member.VM {
 	if !m.UsesRelays() || m.ReadsForRegion() {
--- a/internal/serve/gossip/round.go
+++ b/internal/serve/gossip/round.go
@@ -100,7 +100,7 @@
 	return out
 }
 
-// evacuationDatagram returns what to tell of evacuated zones in a round, or nil.
+// evacuationDatagram returns the datagram on evacuated zones for a round, or nil if none is to be sent.
 func (m *Mesh) evacuationDatagram() []byte {
 	if m.options.EvacuationFunc == nil {
 		return nil
