--- a/internal/base/traffic/traffic.go
+++ b/internal/base/traffic/traffic.go
@@ -1,10 +1,10 @@
-// Package traffic counts the bytes that cross the link to other regions, by kind. The link is slow
-// and its bytes are billed, so operators need to know what they are.
+// Package traffic counts the bytes sent between regions, by kind. The link between regions is slow and
+// its traffic is billed, so operators need to know what causes it.
 package traffic
 
 import "github.com/VictoriaMetrics/metrics"
 
-// Kind is what bytes between regions are for.
+// Kind is the purpose of bytes sent between regions.
 type Kind string
 
 // The kinds. Both directions of an exchange are counted by the VM that begins it.
--- a/internal/proto/inner/evacuation.go
+++ b/internal/proto/inner/evacuation.go
@@ -5,8 +5,8 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
 )
 
-// Evacuation is a datagram with the evacuated zones as the sender knows them, and a part of an
-// Answer. VMs that do not know it ignore it.
+// Evacuation is the sender's state of the evacuated zones, in a datagram or in an Answer. VMs of
+// versions without it ignore it.
 type Evacuation struct {
 	_    struct{} `cbor:",toarray"`
 	From string
--- a/internal/proto/inner/gossip.go
+++ b/internal/proto/inner/gossip.go
@@ -37,8 +37,8 @@
 	Zone   member.Zone
 	Region string
 	Scope  Scope
-	// Covered is the number of VMs that Usages covers: those from which the sender got usages
-	// of late, and itself. Known is the number of VMs that the sender knows.
+	// Covered is the number of VMs that Usages covers: those whose usages the sender has recently
+	// received, and itself. Known is the number of VMs that the sender knows.
 	Covered int
 	Known   int
 	Usages  []Usage
@@ -71,8 +71,8 @@
 	Spent uint64
 	// Demand is the rate in operations per second at which callers asked to run them.
 	Demand float32
-	// Tokens is the sender's estimate of the tokens in the account's shared bucket, scaled to
-	// the whole burst if the sender has a part of it.
+	// Tokens is the sender's estimate of the tokens in the account's shared bucket, divided by
+	// its reach; see quota.Report.
 	Tokens float32
 }
 
--- a/internal/proto/inner/inner.go
+++ b/internal/proto/inner/inner.go
@@ -244,8 +244,9 @@
 	Objects map[string][]byte `cbor:"objects,omitempty"`
 	// Gzip is set if Payload is compressed with gzip.
 	Gzip bool `cbor:"gzip,omitempty"`
-	// Version is the version of the text in the answer to TopicText, and VersionAge the time
-	// since the store had no later one, in milliseconds. Version is 0 if that is not known.
+	// Version is the version of the text in the answer to TopicText, or 0 if it is not known.
+	// VersionAge is the time since the store was last known to have no later one, in
+	// milliseconds.
 	Version    uint64       `cbor:"version,omitempty"`
 	VersionAge clock.Millis `cbor:"age,omitempty"`
 	// LostTerm is the term whose primary the observer has lost, or 0 when it has
@@ -253,7 +254,8 @@
 	LostTerm floor.Term `cbor:"lost,omitempty"`
 	// Grants answers the reports of a ShareRequest.
 	Grants []limit.Grant `cbor:"grants,omitempty"`
-	// Evacuation is set with TopicText once the answering VM knows evacuations.
+	// Evacuation is the answering VM's state of evacuations in the answer to TopicText, or nil
+	// before its first report.
 	Evacuation *Evacuation `cbor:"evacuation,omitempty"`
 	// Error is set when the question was refused or could not be answered.
 	Error string `cbor:"error,omitempty"`
@@ -321,12 +323,12 @@
 // decodedCopies is how many times the bytes of a frame are held while it is decoded.
 const decodedCopies = 2
 
-// firstBody is the size of the buffer with which the body of a longer frame begins, in bytes. It
-// grows with what arrives, since the length in the header may be wrong.
+// firstBody is the initial size of the buffer for the body of a longer frame, in bytes. The buffer
+// grows as data arrives, since the length in the header may be wrong.
 const firstBody = 64 << 10
 
-// ReadWithin is Read for an owner of memory. It reads and drops a body that memory does not grant,
-// without waiting, and then returns the frame without its body and memory.ErrShort.
+// ReadWithin is Read with an owner of memory. If the owner is refused the bytes of a body, it reads and
+// drops the body, and returns the frame without it and memory.ErrShort.
 func ReadWithin(r io.Reader, m *memory.Owner) (Frame, error) {
 	var header [headerSize]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
@@ -384,10 +386,11 @@
 	// milliseconds, however long the whole frame takes. The stream must be closed
 	// afterwards, not released. It is nil for streams without it.
 	SilenceTimeoutFunc func(timeout clock.Millis)
-	// Memory is the owner of the bytes of what arrives on a stream that another VM opened.
+	// Memory is the owner of the bytes that arrive on a stream that another VM opened.
 	Memory *memory.Owner
-	// MemoryFunc sets the owner of the bytes of what later Receives return, for a stream that this
-	// VM opened; nil grants everything. It is nil for streams within the VM.
+	// MemoryFunc sets the owner of the bytes that later calls of Receive return, for a stream that
+	// this VM opened; a nil owner is granted everything. MemoryFunc is nil for streams within the
+	// VM.
 	MemoryFunc func(m *memory.Owner)
 }
 
--- a/internal/proto/operator/explain.go
+++ b/internal/proto/operator/explain.go
@@ -19,7 +19,7 @@
 	KindBeginRead = "begin read"
 )
 
-// ExplainQuery asks a VM where a statement would go now.
+// ExplainQuery is the question where a VM would send a statement now.
 type ExplainQuery struct {
 	Database string `json:"database"`
 	// Account is the name of a client account, never a key: the query is part of a URL. It is
@@ -33,14 +33,14 @@
 	// OutcomeSent means that the statement would be sent to Server at once, or would wait in the
 	// queue of the VM that holds the connection.
 	OutcomeSent = "sent"
-	// OutcomeWaits means that it would wait for what Reason says is missing, and be refused if that
-	// stays so.
+	// OutcomeWaits means that it would wait for the condition named in Reason, and be refused if the
+	// wait is too long.
 	OutcomeWaits = "waits"
 	// OutcomeRefused means that it would be refused at once.
 	OutcomeRefused = "refused"
 )
 
-// Explanation says where a statement would go now, and why. Times are in milliseconds.
+// Explanation is where a statement would go now, and why. Times are in milliseconds.
 type Explanation struct {
 	Query ExplainQuery `json:"query"`
 	// VM is the VM that was asked, Version that of its configuration.
@@ -50,8 +50,8 @@
 	Version uint64 `json:"version"`
 	Outcome string `json:"outcome"`
 	Reason  string `json:"reason,omitempty"`
-	// Server would run the statement, on a connection of the VM Via. Both are also set if only what
-	// comes before their choice refuses it.
+	// Server would run the statement, on a connection of the VM Via. Both are set even if a decision
+	// before their choice refuses the statement.
 	Server  string       `json:"server,omitempty"`
 	Via     string       `json:"via,omitempty"`
 	Route   RouteView    `json:"route"`
--- a/internal/serve/database/explain.go
+++ b/internal/serve/database/explain.go
@@ -10,10 +10,10 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/regions"
 )
 
-// Choice is which server a statement would run on, and among which.
+// Choice is the server on which a statement would run, and the candidates.
 type Choice struct {
-	// Server is the chosen server. If there is none, Err is what the statement would get, after a
-	// wait for ErrNoPrimary, at once for any other error.
+	// Server is the chosen server. If there is none, Err is the error of the statement:
+	// ErrNoPrimary after a wait, any other one at once.
 	Server Server
 	Err    error
 	// Candidates are all listed servers by ID.
--- a/internal/serve/forward/explain.go
+++ b/internal/serve/forward/explain.go
@@ -8,12 +8,12 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/serve/database"
 )
 
-// Choice is which VM Remote would choose for a statement, and among which.
+// Choice is the VM that Remote would choose for a statement, and the candidates.
 type Choice struct {
-	// VM is the VM that would run the statement, or "" if none can be asked, so that this VM
-	// must use its own connections.
+	// VM is the VM that would run the statement, or "" if none can be used, so that this VM must
+	// use its own connections.
 	VM string
-	// Candidates are the holders and then the reserves, each the best first.
+	// Candidates are the holders and then the reserves, each in order of preference.
 	Candidates []Candidate
 }
 
@@ -21,19 +21,19 @@
 type Candidate struct {
 	VM      member.VM
 	Reserve bool
-	// Considered is set if the VM may be chosen: it is one of the first holders, or a reserve of
-	// a server of which this VM is none, and its region is allowed.
+	// Considered is set if the VM may be chosen: its region is allowed, and it is one of the first
+	// holders or, unless this VM is a reserve itself, a reserve.
 	Considered bool
 	// Allowed is set if the region of the VM is allowed, or the VM is this one.
 	Allowed bool
-	// SuspectedFor and SkippedFor are how long the VM is still passed over, in milliseconds, or
-	// 0: for every server because it did not answer, or for this one that it cannot use.
+	// SuspectedFor is how long the VM is still skipped for all servers because it did not answer,
+	// and SkippedFor how long for this server because it cannot use it. Both are in milliseconds.
 	SuspectedFor clock.Millis
 	SkippedFor   clock.Millis
 }
 
 // Explain returns the choice of Remote for a request, by the same decision. It contacts no VM and
-// changes nothing. With the error, database.ErrNoVMAllowed, the choice has only Candidates.
+// changes nothing. The error is database.ErrNoVMAllowed; the choice then has only Candidates.
 func (f *Forwarder) Explain(request database.ConnRequest) (Choice, error) {
 	considered, err := f.candidates(request)
 	chosen, _ := f.choose(considered, request.Server.ID)
--- a/internal/serve/forward/holder.go
+++ b/internal/serve/forward/holder.go
@@ -32,14 +32,14 @@
 // InUse returns the number of connections that other VMs use.
 func (h *Holder) InUse() int64 { return h.inUse.Load() }
 
-// Serve runs the statements of a stream whose first frame is f, which was received with the error
-// received: nil, or memory.ErrShort if its body was dropped. It returns the
-// first frame that is not a KindRun, or the error that ended the stream.
-func (h *Holder) Serve(ctx context.Context, x inner.Exchange, f inner.Frame, received error) (inner.Frame, error) {
+// Serve runs the statements of a stream. f is its first frame, and receiveErr the error with which it was
+// received: nil, or memory.ErrShort if its body was dropped. Serve returns the first frame that is not a
+// KindRun, or the error that ended the stream.
+func (h *Holder) Serve(ctx context.Context, x inner.Exchange, f inner.Frame, receiveErr error) (inner.Frame, error) {
 	u := &holderStream{holder: h, ctx: ctx, exchange: x}
 	defer u.abort()
 	for f.Kind == inner.KindRun {
-		r, err := u.serveFrame(f, received)
+		r, err := u.serveFrame(f, receiveErr)
 		if err != nil {
 			return f, err
 		}
@@ -51,17 +51,17 @@
 		if u.conn == nil {
 			x.Memory.SetAccount("")
 		}
-		if f, received = x.Receive(); received != nil && !errors.Is(received, memory.ErrShort) {
-			return f, received
+		if f, receiveErr = x.Receive(); receiveErr != nil && !errors.Is(receiveErr, memory.ErrShort) {
+			return f, receiveErr
 		}
 	}
-	return f, received
+	return f, receiveErr
 }
 
-// serveFrame serves one KindRun frame. One that was dropped for want of memory, as received says, is
-// refused; it has not been sent to a server.
-func (u *holderStream) serveFrame(f inner.Frame, received error) (inner.Result, error) {
-	if received != nil {
+// serveFrame serves one KindRun frame. It refuses a frame whose body was dropped for lack of memory,
+// which receiveErr reports, without sending anything to a server.
+func (u *holderStream) serveFrame(f inner.Frame, receiveErr error) (inner.Result, error) {
+	if receiveErr != nil {
 		u.abort()
 		return inner.Result{UnsentReason: inner.ReasonPoolTimeout}, nil
 	}
@@ -84,7 +84,7 @@
 	return r, nil
 }
 
-// encodedCopies is how many more times the bytes of a message are held while it is sent.
+// encodedCopies is the number of additional copies of a message that are held while it is sent.
 const encodedCopies = 2
 
 // holderStream is a stream on which another VM uses a connection of this one.
@@ -146,7 +146,8 @@
 		return inner.Result{UnsentReason: inner.ReasonPoolTimeout}
 	}
 	a, err := u.conn.Run(database.Request{
-		ID: m.ID, Text: m.Text, Execution: m.Execution.Statement(), Floor: floor.ReplicationPosition{Term: m.Term, Position: m.Position}, Timeout: left, IsCommit: m.IsCommit, ReleaseAfter: m.ReleaseAfter,
+		ID: m.ID, Text: m.Text, Execution: m.Execution.Statement(),
+		Floor: floor.ReplicationPosition{Term: m.Term, Position: m.Position}, Timeout: left, IsCommit: m.IsCommit, ReleaseAfter: m.ReleaseAfter,
 		Parent: m.Parent, Memory: u.exchange.Memory,
 	})
 	if errors.Is(err, memory.ErrShort) {
@@ -173,8 +174,8 @@
 	return inner.ReasonSessionSetup
 }
 
-// refuseShort returns the result of a statement that was not sent, or whose rows were dropped, for
-// want of memory. The connection is kept unless a transaction is open.
+// refuseShort returns the result of a statement that was not sent, or whose rows were dropped, for lack
+// of memory. The connection is kept unless a transaction is open.
 func (u *holderStream) refuseShort(m inner.Run, a statement.Answer, err error) inner.Result {
 	unsent := database.IsUnsent(err)
 	if m.ReleaseAfter && (unsent || a.Status == statement.Idle) {
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -100,8 +100,8 @@
 	return a, nil
 }
 
-// isAllowed reports whether the regions that are allowed now, after the wait for the connection, still
-// contain those of the server and of the holder.
+// isAllowed reports whether the regions allowed now, after the wait for the connection, still contain
+// those of the server and of the holder.
 func (s *stream) isAllowed() bool {
 	if s.request.Requester.RegionsFunc == nil {
 		return true
--- a/internal/serve/session/run.go
+++ b/internal/serve/session/run.go
@@ -18,7 +18,7 @@
 // interrupted the wait.
 var ErrIdle = errors.New("the caller was idle")
 
-// ErrShort means that a statement was read and dropped, because there was no memory for it.
+// ErrShort means that a statement was read and dropped for lack of memory.
 var ErrShort = errors.New("no memory for the statement")
 
 const (
@@ -80,7 +80,7 @@
 }
 
 // PrimaryOnly reports whether only the primary may run a statement of a route. primary is set for
-// those that may write. While the floor is not known, the primary runs the others too.
+// statements that may write. While the floor is not known, the primary runs all statements.
 func PrimaryOnly(r catalog.Route, primary bool) bool {
 	return primary || r.Guarantee == catalog.StrongConsistency
 }
@@ -103,11 +103,11 @@
 	return op.session.options.GroupFunc(op.session.route.Group)
 }
 
-// retry records why an attempt failed and reports whether another may follow, after a
-// pause of retryPause. After an overload none follows, since the wait that the operation may
-// afford is over or known to be too long; a read goes on at once while there are servers
-// that it has not tried. None follows if the allowed regions permit no connection or an evacuation
-// leaves no server.
+// retry records why an attempt failed and reports whether another may follow, after a pause of
+// retryPause. None follows after an overload, since the wait that the operation can afford is over or
+// known to be too long; only a read continues, at once, while there are servers that it has not tried.
+// None follows either if the allowed regions permit no connection, an evacuation leaves no server, or
+// this VM lacks memory.
 func (op *operation) retry(ctx context.Context, cause error) bool {
 	op.lastReason = cause.Error()
 	if regionErr := database.RegionErrorOf(cause); regionErr != nil {
@@ -123,7 +123,7 @@
 		return false
 	}
 	if errors.Is(cause, memory.ErrShort) {
-		// Other servers would be asked for nothing: it is this VM that is short.
+		// Another server would not help: it is this VM that lacks memory.
 		return false
 	}
 	if errors.Is(cause, database.ErrPoolTimeout) {
@@ -244,8 +244,8 @@
 	return op.session.refuse(op.statement, statement.Busy, op.refusalDetail())
 }
 
-// refusalDetail returns the detail of a refusal after the last attempt. It suggests no other attempt
-// if that would only meet the same constraint.
+// refusalDetail returns the detail of a refusal after the last attempt. It suggests another attempt
+// unless the allowed regions would prevent that too.
 func (op *operation) refusalDetail() string {
 	if op.outsideRegions {
 		return op.lastReason
@@ -284,9 +284,8 @@
 // Unwrap returns the cause.
 func (e *unsentError) Unwrap() error { return e.cause }
 
-// send gives the server's session the caller's settings and runs the statement. An error that wraps
-// errUnsent means that the statement was not sent, any other that its outcome is
-// unknown.
+// send applies the caller's settings to the server's session and runs the statement. An error that is
+// errUnsent means that the statement was not sent, any other one that its outcome is unknown.
 func (op *operation) send(conn *database.PooledConn, f floor.ReplicationPosition) (statement.Answer, error) {
 	if allowed := op.session.allowedRegions(); !conn.IsWithin(allowed) {
 		return statement.Answer{}, &unsentError{cause: database.ErrRegionsChanged}
--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -29,7 +29,7 @@
 	Key      string
 	// ReadFunc waits for the next statement, at most wait milliseconds, or without
 	// limit if wait is 0. It returns ErrIdle after the wait, or when a planned stop
-	// interrupts it, and ErrShort for a statement that was dropped for want of memory.
+	// interrupts it, and ErrShort for a statement that was dropped for lack of memory.
 	ReadFunc func(wait clock.Millis) (statement.Statement, error)
 	// AnswerFunc sends the answer to the last statement.
 	AnswerFunc func(a statement.Answer) error
@@ -75,8 +75,8 @@
 	caller  Caller
 	account catalog.Account
 	route   catalog.Route
-	// regions are those that the newest configuration with the route allows, regionsFrom that
-	// configuration. allowedRegions brings them up to date.
+	// regions are the allowed regions by the newest configuration that has the route, and
+	// regionsFrom is that configuration. allowedRegions updates both.
 	regions     regions.Allowed
 	regionsFrom *catalog.Catalog
 	// regionsFunc is allowedRegions, bound once for all statements.
@@ -124,8 +124,8 @@
 // started, in milliseconds. Callers wait 2 s for the answer to their startup message.
 const maxCatalogWait = clock.Millis(1500)
 
-// awaitCatalog waits for the first configuration. A refusal would make the caller come back in a
-// second, while most VMs have their configuration in less.
+// awaitCatalog waits for the first configuration. After a refusal the caller would connect again a
+// second later, while most VMs have their configuration in less.
 func (s *session) awaitCatalog(ctx context.Context) {
 	if s.options.CatalogFunc() == nil && s.options.AwaitCatalogFunc != nil {
 		s.options.AwaitCatalogFunc(ctx, maxCatalogWait)
@@ -233,9 +233,9 @@
 	return statement.Success, ""
 }
 
-// allowedRegions returns the regions that a statement may reach: those in force when the open
-// transaction began, else those of the configuration in force now, which may be later than that
-// with which the statement was admitted.
+// allowedRegions returns the regions that a statement may reach. In an open transaction they are those
+// at its BEGIN, else those of the configuration in force now, which may be newer than the one by which
+// the statement was admitted.
 func (s *session) allowedRegions() regions.Allowed {
 	if s.txn != nil {
 		return s.txn.regions
@@ -359,10 +359,10 @@
 	}
 }
 
-// ShortDetail is the detail of what is refused for want of memory.
+// ShortDetail is the detail of a refusal for lack of memory.
 const ShortDetail = "the VM is short of memory for large messages; try again in 1 s"
 
-// refuseShort refuses a statement for want of memory. It has not run.
+// refuseShort refuses a statement that has not run, for lack of memory.
 func (s *session) refuseShort(st statement.Statement) statement.Answer {
 	if s.txn != nil {
 		return s.refuse(st, statement.Aborted, ShortDetail+"; the transaction is rolled back")
--- a/internal/serve/session/transaction.go
+++ b/internal/serve/session/transaction.go
@@ -124,9 +124,9 @@
 	return a.WithStatus(statement.FailedTransaction)
 }
 
-// endsByEvacuation reports whether a server has refused to run a statement of a transaction because
-// it was the primary of an evacuated zone, and has been replaced. The refusal, for example that the
-// server takes no writes, would not tell the caller that the transaction is over.
+// endsByEvacuation reports whether the server of a transaction has refused a statement, and is in an
+// evacuated zone: then it was the primary and has been replaced. The detail of the refusal, for example
+// that the server takes no writes, would not show the caller that the transaction is over.
 func endsByEvacuation(conn *database.PooledConn, a statement.Answer) bool {
 	return a.Code.NotRun() && conn.IsEvacuated()
 }
