Wrap long doc comments of tests and correct those of explanations

Four comments still spoke of VMs that are passed over or reads that are put off.

Only line breaks change in the tests. A few long calls and literals are wrapped.

--- a/internal/command/control/explain.go
+++ b/internal/command/control/explain.go
@@ -135,7 +135,8 @@
 		if c := s.Cost; c != nil {
 			cost = fmt.Sprintf("%.1f = %.1f latency + %.0f distance + %.0f role + %.0f failure", c.Total, c.Latency, c.Distance, c.Role, c.Failure)
 		}
-		_, _ = fmt.Fprintf(w, "%s%s\t%s\t%s\t%s\t%.1f ms\t%d of %d\t%s\t%s\t%s\n", mark(s.Chosen), s.Server, s.Zone, s.Region, role, s.Latency, s.InFlight, s.Slots, position, cost, s.Reason)
+		_, _ = fmt.Fprintf(w, "%s%s\t%s\t%s\t%s\t%.1f ms\t%d of %d\t%s\t%s\t%s\n",
+			mark(s.Chosen), s.Server, s.Zone, s.Region, role, s.Latency, s.InFlight, s.Slots, position, cost, s.Reason)
 	}
 	_ = w.Flush()
 }
--- a/internal/core/evacuation/evacuation_test.go
+++ b/internal/core/evacuation/evacuation_test.go
@@ -12,7 +12,8 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
-// TestReports guards against a VM that takes a zone for evacuated, or for cancelled, by an older report or a restored store, and against one that gives itself time which is over.
+// TestReports guards against a VM that takes a zone for evacuated, or for cancelled, by an older
+// report or a restored store, and against one that gives itself time which is over.
 func TestReports(t *testing.T) {
 	var scripts []struct {
 		Name  string `yaml:"name"`
--- a/internal/core/failover/evacuation_test.go
+++ b/internal/core/failover/evacuation_test.go
@@ -8,7 +8,9 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 )
 
-// TestEvacuationLosesNothing guards against the loss of commits because a server outside the evacuated zones is promoted over a longer log, and against a server of such a zone that is promoted without need.
+// TestEvacuationLosesNothing guards against the loss of commits because a server outside the
+// evacuated zones is promoted over a longer log, and against a server of such a zone that is
+// promoted without need.
 func TestEvacuationLosesNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		servers := []Server{{ID: "p", FormerPrimary: true}, {ID: "q"}, {ID: "r"}}
--- a/internal/core/freshness/first.go
+++ b/internal/core/freshness/first.go
@@ -40,6 +40,6 @@
 	return f.follower.WithAge(now-f.startedAt, vms, now).Reads(now)
 }
 
-// Defers reports whether a relay with a copy from another VM puts off its first read of the store
+// Defers reports whether a relay with a copy from another VM postpones its first read of the store
 // at time now.
 func (f First) Defers(now clock.Millis) bool { return now < f.deferredUntil }
--- a/internal/core/quota/priority_test.go
+++ b/internal/core/quota/priority_test.go
@@ -9,7 +9,8 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/trial/scripted"
 )
 
-// TestPriorities guards against an account's urgent operations that are refused since its own less urgent ones have used its rate, and against a rate that is not used up because of that.
+// TestPriorities guards against an account's urgent operations that are refused since its own less
+// urgent ones have used its rate, and against a rate that is not used up because of that.
 func TestPriorities(t *testing.T) {
 	var cases []struct {
 		Name   string    `yaml:"name"`
--- a/internal/core/window/window_test.go
+++ b/internal/core/window/window_test.go
@@ -138,7 +138,8 @@
 	}
 }
 
-// TestLongerWay guards against slots that stay unused for long after the way to the server has become longer, and against a round trip from before that counts for ever.
+// TestLongerWay guards against slots that stay unused for long after the way to the server has
+// become longer, and against a round trip from before that counts for ever.
 func TestLongerWay(t *testing.T) {
 	l := Limits{Slots: 2, Connections: holderConnections}
 	w, now := New(1), clock.Millis(0)
--- a/internal/proto/operator/explain.go
+++ b/internal/proto/operator/explain.go
@@ -151,8 +151,8 @@
 	// Considered is set if it may be chosen.
 	Considered bool   `json:"considered"`
 	Reason     string `json:"reason"`
-	// SuspectedFor and SkippedFor are how long it is still passed over for every server, and for
-	// this one.
+	// SuspectedFor and SkippedFor are how long it is still skipped for every server, and for this
+	// one.
 	SuspectedFor clock.Millis `json:"suspected_ms"`
 	SkippedFor   clock.Millis `json:"skipped_ms"`
 }
--- a/internal/serve/database/evacuation_test.go
+++ b/internal/serve/database/evacuation_test.go
@@ -49,7 +49,9 @@
 	z.since.Store(&next)
 }
 
-// TestEvacuationOnTheWay guards against a statement that is sent to a server whose zone was evacuated after the server was chosen: while the statement waits for a connection, or has one, and when another VM sends it or is to get it.
+// TestEvacuationOnTheWay guards against a statement that is sent to a server whose zone was
+// evacuated after the server was chosen: while the statement waits for a connection, or has one,
+// and when another VM sends it or is to get it.
 func TestEvacuationOnTheWay(t *testing.T) {
 	f := &fakeGroup{}
 	g, z := f.zonedGroup(t, 1)
@@ -108,7 +110,8 @@
 	}
 }
 
-// TestEvacuatedPrimaryIsReplaced guards against a primary in an evacuated zone that stays, one that is replaced by a server of another such zone, and one that takes no work until it is replaced.
+// TestEvacuatedPrimaryIsReplaced guards against a primary in an evacuated zone that stays, one that
+// is replaced by a server of another such zone, and one that takes no work until it is replaced.
 func TestEvacuatedPrimaryIsReplaced(t *testing.T) {
 	f := &fakeGroup{claimable: true}
 	g, z := f.zonedGroup(t, 4)
--- a/internal/serve/database/explain.go
+++ b/internal/serve/database/explain.go
@@ -13,7 +13,7 @@
 // Choice is the server on which a statement would run, and the candidates.
 type Choice struct {
 	// Server is the chosen server. If there is none, Err is the error of the statement:
-	// ErrNoPrimary after a wait, any other one at once.
+	// ErrNoPrimary and ErrServerEvacuated after a wait, any other one at once.
 	Server Server
 	Err    error
 	// Candidates are all listed servers by ID.
@@ -67,7 +67,8 @@
 			c.Reason = reasonNoLease
 			continue
 		}
-		// The load is read again, so that it is that of the cost.
+		// The candidates and the readers have read the load at different times; this is the one of
+		// the cost.
 		c.Latency, c.InFlight, c.Avoided = readers[j].Latency, readers[j].InFlight, readers[j].Avoided
 		v := verdicts[j]
 		c.Cost, c.Chosen, c.Reason = &v.Cost, v.Chosen, cmp.Or(v.Exclusion, reasonDearer)
--- a/internal/serve/database/hopeless_test.go
+++ b/internal/serve/database/hopeless_test.go
@@ -10,7 +10,8 @@
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 )
 
-// TestHopelessRequest guards against a request that learns only at the end of its wait that more urgent ones took its turn, and against one that is refused though it has time.
+// TestHopelessRequest guards against a request that learns only at the end of its wait that more
+// urgent ones took its turn, and against one that is refused though it has time.
 func TestHopelessRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeGroup{slots: 1, latency: 10 * time.Millisecond, overshootFunc: newOvershoot(0, time.Millisecond)}
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -122,7 +122,7 @@
 // Remote returns a connection of a VM that holds those of the account, or nil
 // when this VM must use one of its own. While no holder answers, a reserve takes its
 // place. The holder is contacted when the first statement runs. Only one goroutine may use
-// the connection. Other VMs outside the allowed regions are passed over; the error is
+// the connection. Other VMs outside the allowed regions are skipped; the error is
 // database.ErrNoVMAllowed if that leaves none and this VM is neither a holder nor a reserve.
 func (f *Forwarder) Remote(ctx context.Context, request database.ConnRequest) (*database.RemoteConn, error) {
 	candidates, err := f.candidates(request)
--- a/internal/serve/forward/holder.go
+++ b/internal/serve/forward/holder.go
@@ -198,7 +198,8 @@
 	if g == nil {
 		return database.ErrUnknownServer
 	}
-	conn, err := g.AcquireForwarded(u.ctx, m.Server, m.RequirePrimary, database.Requester{Account: m.Account, Weight: m.Weight, Priority: m.Priority, Parent: m.Parent}, m.Wait)
+	requester := database.Requester{Account: m.Account, Weight: m.Weight, Priority: m.Priority, Parent: m.Parent}
+	conn, err := g.AcquireForwarded(u.ctx, m.Server, m.RequirePrimary, requester, m.Wait)
 	if err != nil {
 		return err
 	}
--- a/internal/serve/frontend/evacuation_test.go
+++ b/internal/serve/frontend/evacuation_test.go
@@ -56,7 +56,8 @@
 	return m.clock.Clock().Now() - since
 }
 
-// TestEvacuationWithoutStore guards against a VM that cannot reach the store and does not learn of an evacuation or its end, takes an old one for new, or hears of an older one last.
+// TestEvacuationWithoutStore guards against a VM that cannot reach the store and does not learn of
+// an evacuation or its end, takes an old one for new, or hears of an older one last.
 func TestEvacuationWithoutStore(t *testing.T) {
 	m := newEvacuationMesh(4)
 	m.store(0, 4, 1)
--- a/internal/serve/frontend/explain.go
+++ b/internal/serve/frontend/explain.go
@@ -170,8 +170,8 @@
 	e.concludeChoice(c)
 }
 
-// explainReader explains a read that replicas may run. A server that would refuse it at once is
-// passed over, as a session does.
+// explainReader explains a read that replicas may run. Like a session, it continues with another server
+// if one would refuse the read at once.
 func (e *explainer) explainReader(g *database.Group, lowest floor.ReplicationPosition) {
 	refusals := map[string]error{}
 	tried := map[string]bool{}
--- a/internal/serve/frontend/nostore_test.go
+++ b/internal/serve/frontend/nostore_test.go
@@ -149,7 +149,8 @@
 	return m
 }
 
-// TestFollowerOfRelaysWithoutStore guards against a follower that stays at an old configuration because its relays, which do not reach the store, go on reporting the version that they have.
+// TestFollowerOfRelaysWithoutStore guards against a follower that stays at an old configuration
+// because its relays, which do not reach the store, go on reporting the version that they have.
 func TestFollowerOfRelaysWithoutStore(t *testing.T) {
 	z := newFollowedZone(t)
 	z.start(t)
--- a/internal/serve/gossip/upstream_test.go
+++ b/internal/serve/gossip/upstream_test.go
@@ -2,7 +2,8 @@
 
 import "testing"
 
-// TestUpstreams guards against VMs that start together and wait for each other's configuration in a circle: from each VM two steps lead to the one that reads for its region.
+// TestUpstreams guards against VMs that start together and wait for each other's configuration in a
+// circle: from each VM two steps lead to the one that reads for its region.
 func TestUpstreams(t *testing.T) {
 	n := newNetwork(70)
 	for name, m := range n.meshes {
