Say that an evacuated statement is refused in explanations

sycamorectl explain said that a statement waits whose group has servers in evacuated zones alone; a session refuses it at once. TestExplainEvacuated fails without the change.

--- a/internal/serve/frontend/explain.go
+++ b/internal/serve/frontend/explain.go
@@ -209,7 +209,7 @@
 	case c.Err == nil:
 		e.conclude(operator.OutcomeSent, "")
 		e.out.Server = c.Server.ID
-	case errors.Is(c.Err, database.ErrPoolTimeout), database.RegionErrorOf(c.Err) != nil:
+	case errors.Is(c.Err, database.ErrPoolTimeout), errors.Is(c.Err, database.ErrEvacuated), database.RegionErrorOf(c.Err) != nil:
 		e.conclude(operator.OutcomeRefused, c.Err.Error())
 	default:
 		e.conclude(operator.OutcomeWaits, c.Err.Error())
--- a/internal/serve/frontend/explain_test.go
+++ b/internal/serve/frontend/explain_test.go
@@ -85,3 +85,12 @@
 		}
 	}
 }
+
+// TestExplainEvacuated guards against an explanation that says "waits" for a statement that a session refuses at once.
+func TestExplainEvacuated(t *testing.T) {
+	e := &explainer{}
+	e.concludeChoice(database.Choice{Err: database.ErrEvacuated})
+	if diff := cmp.Diff(operator.OutcomeRefused, e.out.Outcome); diff != "" {
+		t.Errorf("outcome (-want +got):\n%s", diff)
+	}
+}
