Count the first statement of a connection by its priority

An account's urgent statements were estimated as long as its other ones, and so had less than their part of a busy server: dial replaced the pooled connection and dropped the priority of the request, so that the first statement on a new connection counted as one of priority 0.

dial keeps the priority.

--- a/internal/serve/database/dial.go
+++ b/internal/serve/database/dial.go
@@ -61,7 +61,7 @@
 	p.mu.Unlock()
 	p.group.recordPosition(p.entry().ID, position, startedAt)
 	*pc = PooledConn{
-		pool: p, conn: c, account: account, number: p.group.connectionCount.Add(1), granted: pc.granted, settings: map[string]string{},
+		pool: p, conn: c, account: account, priority: pc.priority, number: p.group.connectionCount.Add(1), granted: pc.granted, settings: map[string]string{},
 		prepared: newPreparedStatements(), status: statement.Idle, openedAt: startedAt, usedAt: o.Clock.Now(),
 	}
 	return pc, nil
--- a/internal/serve/database/urgent_test.go
+++ b/internal/serve/database/urgent_test.go
@@ -59,3 +59,28 @@
 		}
 	})
 }
+
+// TestWorkOfFirstStatement guards against a statement on a new connection that counts as one of the
+// highest priority, so that an account's urgent requests seem as long as its other ones.
+func TestWorkOfFirstStatement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeGroup{}
+		g := f.group(t, 1)
+		f.runTicks(g, testTimeout, g.Ready)
+		p := g.pools["p"]
+		for i := range 40 {
+			priority := i % 2
+			f.latency = []time.Duration{5 * time.Millisecond, 100 * time.Millisecond}[priority]
+			conn, err := p.acquire(context.Background(), Requester{Account: "acme", Weight: 1, Priority: priority}, 1000)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = conn.Run(Request{ID: "x", Timeout: 1000})
+			conn.MarkBroken()
+			conn.Release()
+		}
+		if urgent, other := p.work.Cost(0), p.work.Cost(1); urgent >= other/2 {
+			t.Errorf("the cost of an urgent statement is %.2f and that of one 20 times as long %.2f", urgent, other)
+		}
+	})
+}
