Explain refusals of servers that are cold or do not answer

An explanation said that a statement would be sent to a server which refuses each request at once, because it does not answer or because this VM's share of the limit of a cold server is used up. The explanation of the queue was made from the checks before the slow start.

ExplainQueue asks slowRefusal too, which refuseSlow now counts. The outcome of such a statement is the error that a request gets (TestExplainedSlowServer).

--- a/internal/serve/database/explain.go
+++ b/internal/serve/database/explain.go
@@ -176,11 +176,14 @@
 	if out.Length > 0 || p.running+p.granted >= out.Window {
 		out.ExpectedWait = p.expectedWait(r)
 	}
+	slowErr := p.slowRefusal(wait)
 	switch {
 	case maxOpen == 0:
 		out.Err = ErrUnreachable
 	case barred:
 		out.Err = ErrServerEvacuated
+	case slowErr != nil:
+		out.Err = slowErr
 	case p.waitsTooLong(r, wait):
 		out.Err = ErrPoolTimeout
 	}
--- a/internal/serve/database/explain_test.go
+++ b/internal/serve/database/explain_test.go
@@ -121,3 +121,30 @@
 		}
 	}
 }
+
+// TestExplainedSlowServer guards against an explanation that sends a statement to a server that does
+// not answer, or whose limit while it is cold is used up, although a request is refused at once.
+func TestExplainedSlowServer(t *testing.T) {
+	for name, slowFunc := range map[string]func(*pool){
+		"down": func(p *pool) {
+			p.answeredAt = clock.DistantPast
+			p.recordFailure()
+		},
+		"cold": func(p *pool) {
+			now := p.group.options.Clock.Now()
+			p.group.options.ColdFunc = func(Server) Cold { return Cold{Limited: true, Until: now + 60*clock.Second} }
+			p.group.options.ColdShareFunc = func(Server) int { return 1 }
+			p.slow.quota = p.slow.quota.WithSent(now)
+		},
+	} {
+		g := regionalGroup(t)
+		p := g.pools["q"]
+		slowFunc(p)
+		r := Requester{Account: "acme", Weight: 1}
+		got, ok := g.ExplainQueue("q", r, 10)
+		_, err := p.enqueue(r, 10)
+		if err == nil || !ok || got.Err != err {
+			t.Errorf("%s: a request gets %v, explained as %v", name, err, got.Err)
+		}
+	}
+}
--- a/internal/serve/database/slowstart.go
+++ b/internal/serve/database/slowstart.go
@@ -108,13 +108,24 @@
 	return limited && !p.slow.quota.MaySend(share-p.queue.Len(), now)
 }
 
-// refuseSlow returns an error for a statement that is known not to be sent within wait
+// refuseSlow returns the error of slowRefusal, and counts it. The caller holds p.mu.
+func (p *pool) refuseSlow(wait clock.Millis) error {
+	err := p.slowRefusal(wait)
+	switch {
+	case errors.Is(err, ErrUnreachable):
+		p.group.options.Counters.slowRefusals[refusedDown].Inc()
+	case err != nil:
+		p.group.options.Counters.slowRefusals[refusedCold].Inc()
+	}
+	return err
+}
+
+// slowRefusal returns an error for a statement that is known not to be sent within wait
 // milliseconds: ErrUnreachable while the server does not answer and none is sent as an attempt, or
 // errColdLimit. The caller holds p.mu.
-func (p *pool) refuseSlow(wait clock.Millis) error {
+func (p *pool) slowRefusal(wait clock.Millis) error {
 	now := p.group.options.Clock.Now()
 	if p.slow.ramp.Down() && p.running+p.granted == 0 && !p.slow.ramp.MaySend(0, now) {
-		p.group.options.Counters.slowRefusals[refusedDown].Inc()
 		return ErrUnreachable
 	}
 	share, limited := p.coldShare(now)
@@ -122,7 +133,6 @@
 		return nil
 	}
 	if expected, ok := p.slow.quota.ExpectedWait(share, p.queue.Len(), now); !ok || expected > wait {
-		p.group.options.Counters.slowRefusals[refusedCold].Inc()
 		return errColdLimit
 	}
 	return nil
