Check the primary and the regions again after a wait on the connection

A strongly consistent read could be answered by a server that was no longer the primary, without a floor, and a statement could reach a region that a newer configuration does not allow. Once a server is known to be cold, a statement with a granted connection waits there for the limit, up to its deadline, while the lease and the regions were checked when the connection was acquired. Of the checks only that of evacuations was repeated.

The first statement on a connection that has waited, for the limit or for its preparation, is refused as unsent with ErrNoPrimary or ErrRegionsChanged. A holder reports the former as such. TestChangeDuringColdWait sent the statement in both cases before, and none now.

--- a/internal/serve/database/idle.go
+++ b/internal/serve/database/idle.go
@@ -51,7 +51,7 @@
 	}
 	// The pool gets a copy, so that a use of pc after its release is detected.
 	returned := *pc
-	returned.usedAt = p.group.options.Clock.Now()
+	returned.usedAt, returned.primary = p.group.options.Clock.Now(), false
 	pc.released = true
 	p.idle = append(p.idle, &returned)
 }
--- a/internal/serve/database/pooledconn.go
+++ b/internal/serve/database/pooledconn.go
@@ -42,6 +42,8 @@
 	released bool
 	// granted is set from the grant of the connection until its first statement.
 	granted bool
+	// primary is set if the first statement requires that the server is the confirmed primary.
+	primary bool
 }
 
 // Server returns the server of the connection.
@@ -73,8 +75,9 @@
 		return pc.runRemote(r)
 	}
 	c := pc.pool.group.options.Clock
-	deadline := c.Now() + r.Timeout
-	if err := pc.pool.checkEvacuation(c.Now()); err != nil {
+	began, isFirst := c.Now(), pc.granted
+	deadline := began + r.Timeout
+	if err := pc.pool.checkEvacuation(began); err != nil {
 		return statement.Answer{}, err
 	}
 	name, refusal, err := pc.prepare(r)
@@ -99,6 +102,11 @@
 		return a, nil
 	}
 	sent := c.Now()
+	if sent > began && isFirst {
+		if err := pc.checkAfterWait(r); err != nil {
+			return statement.Answer{}, err
+		}
+	}
 	if err := pc.pool.checkEvacuation(sent); err != nil {
 		return statement.Answer{}, err
 	}
@@ -136,6 +144,19 @@
 	return a, pc.recordAnswer(r, a, sent)
 }
 
+// checkAfterWait returns an *UnsentError if the connection may not be used any more for its first
+// statement, which has waited for the limit of a cold server or its preparation: with ErrNoPrimary if the server must be the confirmed primary and is
+// not, or with ErrRegionsChanged.
+func (pc *PooledConn) checkAfterWait(r Request) error {
+	switch {
+	case pc.primary && !pc.pool.group.isConfirmedPrimary(pc.pool):
+		return &UnsentError{Cause: ErrNoPrimary}
+	case r.RegionsFunc != nil && !pc.IsWithin(r.RegionsFunc()):
+		return &UnsentError{Cause: ErrRegionsChanged}
+	}
+	return nil
+}
+
 // refuseUnsendable returns the answer to a statement that cannot be sent.
 func (pc *PooledConn) refuseUnsendable(e *UnsendableError) statement.Answer {
 	return statement.Refuse(statement.Invalid, e.Detail, pc.status)
--- a/internal/serve/database/primary.go
+++ b/internal/serve/database/primary.go
@@ -47,6 +47,7 @@
 		pc.Release()
 		return nil, ErrNoPrimary
 	}
+	pc.primary = true
 	invariant.Check(!g.drainSlackExceeded(p.entry().ID), invariant.LeavingServer, "server %s would get new work after its drain timeout", p.entry().ID)
 	return pc, nil
 }
--- a/internal/serve/database/remote.go
+++ b/internal/serve/database/remote.go
@@ -117,6 +117,7 @@
 		pc.Release()
 		return nil, ErrNoPrimary
 	}
+	pc.primary = primary
 	return pc, nil
 }
 
--- a/internal/serve/database/server.go
+++ b/internal/serve/database/server.go
@@ -61,6 +61,9 @@
 	// Regions are those that the statement may reach. Run compares them with the connection, for
 	// the invariant; the connection was chosen by those of the Requester.
 	Regions regions.Allowed
+	// RegionsFunc returns the same by the configuration in force at the call, for a statement that
+	// has waited on the connection. It may be nil.
+	RegionsFunc func() regions.Allowed
 	// ReleaseAfter is set if the connection is released after the answer, unless a
 	// transaction is open then.
 	ReleaseAfter bool
--- a/internal/serve/forward/holder.go
+++ b/internal/serve/forward/holder.go
@@ -167,8 +167,11 @@
 
 // setupReason returns the reason for an error before the statement was sent on a connection.
 func setupReason(err error) inner.UnsentReason {
-	if errors.Is(err, database.ErrServerEvacuated) {
+	switch {
+	case errors.Is(err, database.ErrServerEvacuated):
 		return inner.ReasonEvacuated
+	case errors.Is(err, database.ErrNoPrimary):
+		return inner.ReasonNoPrimary
 	}
 	return inner.ReasonSessionSetup
 }
--- a/internal/serve/session/run.go
+++ b/internal/serve/session/run.go
@@ -321,7 +321,7 @@
 
 // request returns the request that runs a statement within timeout milliseconds.
 func (s *session) request(st statement.Statement, timeout clock.Millis) database.Request {
-	r := database.Request{ID: st.ID, Timeout: timeout, Parent: s.parent, Regions: s.allowedRegions(), Memory: s.caller.Memory}
+	r := database.Request{ID: st.ID, Timeout: timeout, Parent: s.parent, Regions: s.allowedRegions(), RegionsFunc: s.regionsFunc, Memory: s.caller.Memory}
 	if st.Kind == statement.Execute {
 		r.Execution = statement.Execution{Shape: s.prepared[st.Name], Arguments: st.Arguments}
 	} else {
