Drop the reports of VMs that are gone from the totals of a zone

A VM that others come and go beside kept the last report of each of them, for each account, and read all of them in each round: with 50 VMs in turn the total of an account held 50 reports. Only the peers of buckets were dropped.

A round drops the reports of the sources without contact. What they have spent stays counted, and a source that returns counts from its next report, as a bucket does it. TestTotalsOfReplacedVMs; the tests of limits, partitions and relays in serve/frontend pass under the race detector.

--- a/internal/serve/frontend/limits.go
+++ b/internal/serve/frontend/limits.go
@@ -198,6 +198,7 @@
 	now := l.clock.Now()
 	l.setRole(role, now)
 	maps.DeleteFunc(l.contacts, func(_ string, c contact) bool { return now-c.Last > quota.SilenceTimeout })
+	l.dropLostSources()
 	l.updateReach(vms, now)
 	var out []inner.Usage
 	for name := range l.buckets {
@@ -233,6 +234,17 @@
 	l.ownUsages = out
 }
 
+// dropLostSources drops what VMs without contact have reported of accounts, since VMs that come and go
+// have names of their own. The caller holds the lock.
+func (l *limiter) dropLostSources() {
+	for _, t := range l.zoneTotals {
+		t.dropSources(func(source string) bool {
+			_, ok := l.contacts[source]
+			return source != selfName && !ok
+		})
+	}
+}
+
 // setRole sets the role of a round. By a new role usages come from other sources: what a relay
 // heard of a VM before it was one is no contact. The caller holds the lock.
 func (l *limiter) setRole(role gossip.Role, now clock.Millis) {
--- a/internal/serve/frontend/limits_test.go
+++ b/internal/serve/frontend/limits_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -76,3 +77,27 @@
 		t.Errorf("operations refused of 1900 (-want +got):\n%s", diff)
 	}
 }
+
+// TestTotalsOfReplacedVMs guards against totals of a zone that keep a report of each VM that ever was
+// there, which each round reads, and against a loss of what these VMs have spent.
+func TestTotalsOfReplacedVMs(t *testing.T) {
+	c := clock.NewFake(0)
+	_, l := acmeLimiter(c)
+	var spent uint64
+	for vm := range 50 {
+		for report := range 10 {
+			g := inner.Gossip{From: fmt.Sprintf("vm%d", vm), Process: uint64(vm), Usages: []inner.Usage{{Account: "acme", Spent: uint64(report), Demand: 50}}}
+			l.mergeGossip(g, false)
+			l.beginRound()
+			c.Advance(300)
+		}
+		spent += 9
+	}
+	total := l.zoneTotals["acme"]
+	if diff := cmp.Diff(spent, total.spent); diff != "" {
+		t.Errorf("spent (-want +got):\n%s", diff)
+	}
+	if n := len(total.reports); n > 10 {
+		t.Errorf("reports of %d VMs are kept, want those of the last 10 at most", n)
+	}
+}
--- a/internal/serve/frontend/totals.go
+++ b/internal/serve/frontend/totals.go
@@ -1,6 +1,8 @@
 package frontend
 
 import (
+	"maps"
+
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/quota"
 	"github.com/sycamoredoor/sycamoredoor/internal/proto/inner"
@@ -61,6 +63,12 @@
 	t.reports[source] = sourceReport{Report: r, received: now}
 }
 
+// dropSources drops the reports of the sources for whose names gone returns true. A source that
+// comes into contact again counts from its next report in any case.
+func (t *total) dropSources(gone func(source string) bool) {
+	maps.DeleteFunc(t.reports, func(source string, _ sourceReport) bool { return gone(source) })
+}
+
 // report returns the total as the aggregate report at time now, without the process and the
 // tokens. The function contactFunc returns the contact with a source.
 func (t *total) report(now clock.Millis, contactFunc func(source string) quota.Contact) quota.Report {
