Report at a holder that an evacuation leaves no primary

A holder that knew of an evacuation before the entry VM answered that it could not reach the server. The entry VM then passed it over for 700 ms, and callers were told that the server cannot be reached. The list of reasons lacked ErrEvacuated, which awaitPrimary returns since evacuations.

It is sent as the reason for evacuated servers (TestReasonOfEvacuation).

--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -265,6 +265,9 @@
 // reasonOf returns the reason to send for an error: ReasonUnreachable unless
 // reasonErrors has it.
 func reasonOf(err error) inner.UnsentReason {
+	if errors.Is(err, database.ErrEvacuated) {
+		return inner.ReasonEvacuated
+	}
 	for r, e := range reasonErrors {
 		if errors.Is(err, e) {
 			return r
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -302,3 +302,11 @@
 	}
 	diff(t, "reason", inner.ReasonPoolTimeout, r.UnsentReason)
 }
+
+// TestReasonOfEvacuation guards against a holder that is passed over as one that cannot reach a server,
+// because it knows that an evacuation leaves no primary.
+func TestReasonOfEvacuation(t *testing.T) {
+	for _, err := range []error{database.ErrServerEvacuated, database.ErrEvacuated} {
+		diff(t, err.Error(), inner.ReasonEvacuated, reasonOf(err))
+	}
+}
