Let transactions go on at a server that was silent for a moment

Callers' transactions, commits included, were refused as busy and rolled back after a server had been silent, at VMs that have no share of its limit if it is cold. Until a later read of the directory the server may have started anew, so that the limit applied to statements on connections of before, too. These lead to the process of then.

A statement on a connection that was opened before the silence is limited only if the directory says that the server is cold. TestTransactionAtReturnedServer got a busy answer before, and passes; on a server that the directory says is cold the limit holds still.

--- a/internal/serve/database/slowstart.go
+++ b/internal/serve/database/slowstart.go
@@ -73,6 +73,17 @@
 	return o.ColdShareFunc(p.entry()), true
 }
 
+// coldShareOf is coldShare for a statement on an open connection. One that was opened before the
+// server did not answer leads to the process of then, which has not started anew. The caller holds
+// p.mu.
+func (p *pool) coldShareOf(pc *PooledConn, now clock.Millis) (int, bool) {
+	share, limited := p.coldShare(now)
+	if limited && p.slow.gone && pc.openedAt < p.slow.goneAt && now >= p.group.options.ColdFunc(p.entry()).Until {
+		return 0, false
+	}
+	return share, limited
+}
+
 // mayBeCold reports whether the server may have started anew since the directory was read: it does
 // not answer, or has answered again after that. The caller holds p.mu.
 func (p *pool) mayBeCold(c Cold, now clock.Millis) bool {
@@ -185,7 +196,7 @@
 	if pc.granted {
 		p.slow.quota = p.slow.quota.WithReturned()
 	}
-	share, limited := p.coldShare(now)
+	share, limited := p.coldShareOf(pc, now)
 	switch {
 	case !limited:
 		return 0, true
--- a/internal/serve/database/slowstart_test.go
+++ b/internal/serve/database/slowstart_test.go
@@ -288,3 +288,40 @@
 		t.Errorf("%d statements in a second, want at least 200", n)
 	}
 }
+
+// TestTransactionAtReturnedServer guards against a transaction that cannot go on or commit after a
+// server was silent for a moment, because this VM has no share of its limit if it is cold, although
+// the connection shows that it has not started anew.
+func TestTransactionAtReturnedServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		left clock.Millis
+		code statement.Code
+	}{"warm": {0, statement.Success}, "cold": {60 * clock.Second, statement.Busy}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, l := &fakeGroup{}, &sentLog{}
+				g := l.group(t, f)
+				f.runTicks(g, testTimeout, g.Ready)
+				until := g.options.Clock.Now() + c.left
+				g.options.ColdFunc = func(Server) Cold { return Cold{Limited: true, Until: until} }
+				g.options.ColdShareFunc = func(Server) int { return 0 }
+				p := g.pools["p"]
+				p.mu.Lock()
+				pc := p.reserve()
+				p.mu.Unlock()
+				conn, err := p.dial(context.Background(), pc, "acme", dialForStatement)
+				if err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Second)
+				p.recordFailure()
+				time.Sleep(100 * time.Millisecond)
+				p.recordSuccess()
+				if a, err := conn.Run(Request{ID: "x", Timeout: 1000}); err != nil || a.Code != c.code {
+					t.Errorf("on the connection of before: %s, error %v, want %s", a.Code, err, c.code)
+				}
+				conn.Release()
+			})
+		})
+	}
+}
