Explain the refusal of a request whose account has a full queue

An explanation said that a statement would wait at a server where as many requests of its account wait as may, none of them less urgent, and where it is refused at once. ExplainQueue compared the expected wait alone.

It asks for the room of the account's queue too. The new case of TestExplainedQueue had no refusal before.

--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -166,6 +166,12 @@
 	return true
 }
 
+// IsFull reports whether an account's queue is full.
+func (q *Queue) IsFull(account string) bool {
+	l := q.accounts[account]
+	return l != nil && len(l.items) >= q.limit
+}
+
 // LeastUrgent returns the last item of an account if it is less urgent than a priority, or nil.
 // It is the one to refuse in favour of an item for which there is no room.
 func (q *Queue) LeastUrgent(account string, priority int) *Item {
--- a/internal/serve/database/explain.go
+++ b/internal/serve/database/explain.go
@@ -184,7 +184,7 @@
 		out.Err = ErrServerEvacuated
 	case slowErr != nil:
 		out.Err = slowErr
-	case p.waitsTooLong(r, wait):
+	case p.waitsTooLong(r, wait), p.queue.IsFull(r.Account) && p.queue.LeastUrgent(r.Account, r.Priority) == nil:
 		out.Err = ErrPoolTimeout
 	}
 	return out, true
--- a/internal/serve/database/explain_test.go
+++ b/internal/serve/database/explain_test.go
@@ -96,6 +96,7 @@
 	}{
 		{0, 0, QueueState{Running: 2, Window: 2, ExpectedWait: 10, MaxOpen: 4}},
 		{3, 1000, QueueState{Length: 3, Running: 2, Window: 2, ExpectedWait: 40, MaxOpen: 4}},
+		{queueLimit, 60 * clock.Second, QueueState{Length: queueLimit, Running: 2, Window: 2, ExpectedWait: 10 * (queueLimit + 1), MaxOpen: 4, Err: ErrPoolTimeout}},
 		{3, 50, QueueState{Length: 3, Running: 2, Window: 2, ExpectedWait: 40, MaxOpen: 4, Err: ErrPoolTimeout}},
 	} {
 		g := regionalGroup(t)
