--- a/internal/serve/database/explain.go
+++ b/internal/serve/database/explain.go
@@ -177,12 +177,15 @@
 	if out.Length > 0 || p.running+p.granted >= out.Window {
 		out.ExpectedWait = p.expectedWait(r)
 	}
+	slowErr := p.slowRefusal(wait)
 	switch {
 	case maxOpen == 0:
 		out.Err = ErrUnreachable
 	case barred:
 		out.Err = ErrServerEvacuated
-	case p.waitsTooLong(r, wait):
+	case slowErr != nil:
+		out.Err = slowErr
+	case p.waitsTooLong(r, wait), p.queue.IsFull(r.Account) && p.queue.LeastUrgent(r.Account, r.Priority) == nil:
 		out.Err = ErrPoolTimeout
 	}
 	return out, true
--- a/internal/serve/database/slowstart.go
+++ b/internal/serve/database/slowstart.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"github.com/go-faster/errors"
+
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/slowstart"
 )
@@ -46,13 +48,24 @@
 	return limited && !p.slow.quota.MaySend(share-p.queue.Len(), now)
 }
 
-// refuseSlow returns an error for a statement that certainly cannot be sent within wait milliseconds,
+// refuseSlow returns the error of slowRefusal, and counts it. The caller holds p.mu.
+func (p *pool) refuseSlow(wait clock.Millis) error {
+	err := p.slowRefusal(wait)
+	switch {
+	case errors.Is(err, ErrUnreachable):
+		p.group.options.Counters.slowRefusals[refusedDown].Inc()
+	case err != nil:
+		p.group.options.Counters.slowRefusals[refusedCold].Inc()
+	}
+	return err
+}
+
+// slowRefusal returns an error for a statement that certainly cannot be sent within wait milliseconds,
 // or nil: ErrUnreachable while the server does not answer and the next attempt is not due, or
 // errColdLimit. The caller holds p.mu.
-func (p *pool) refuseSlow(wait clock.Millis) error {
+func (p *pool) slowRefusal(wait clock.Millis) error {
 	now := p.group.options.Clock.Now()
 	if p.slow.ramp.Down() && p.running+p.granted == 0 && !p.slow.ramp.MaySend(0, now) {
-		p.group.options.Counters.slowRefusals[refusedDown].Inc()
 		return ErrUnreachable
 	}
 	share, limited := p.coldShare(now)
@@ -60,7 +73,6 @@
 		return nil
 	}
 	if expected, ok := p.slow.quota.ExpectedWait(share, p.queue.Len(), now); !ok || expected > wait {
-		p.group.options.Counters.slowRefusals[refusedCold].Inc()
 		return errColdLimit
 	}
 	return nil
--- a/internal/serve/frontend/limits.go
+++ b/internal/serve/frontend/limits.go
@@ -175,6 +175,7 @@
 	now := l.clock.Now()
 	l.setRole(role, now)
 	maps.DeleteFunc(l.contacts, func(_ string, c contact) bool { return now-c.Last > quota.SilenceTimeout })
+	l.dropLostSources()
 	l.updateReach(vms, now)
 	var out []inner.Usage
 	for name := range l.buckets {
@@ -210,6 +211,17 @@
 	l.ownUsages = out
 }
 
+// dropLostSources drops what VMs without contact have reported of accounts, since VMs that come and go
+// have names of their own. The caller holds the lock.
+func (l *limiter) dropLostSources() {
+	for _, t := range l.zoneTotals {
+		t.dropSources(func(source string) bool {
+			_, ok := l.contacts[source]
+			return source != selfName && !ok
+		})
+	}
+}
+
 // zonePrefix and the name of a zone name the report of that zone in a bucket.
 const zonePrefix = "*/"
 
