Count the age of a fetched evacuation from the question

An answer with a long configuration may take 15 s on a slow link. The age of the evacuations that came with it counted from its arrival, so that a VM could use servers of an evacuated zone for longer than the deadline, unless gossip came first. It counts from the question now, which is never later. Found by review; TestEvacuationWithConfiguration has an answer that takes 6 s, and fails with the age from the arrival.

--- a/internal/serve/frontend/evacuation.go
+++ b/internal/serve/frontend/evacuation.go
@@ -151,11 +151,16 @@
 // receiveEvacuation adopts a message of another VM on evacuated zones. The ages are those when it was
 // sent, so the start of an evacuation is late here by the time that the message took.
 func (f *Frontend) receiveEvacuation(e inner.Evacuation) {
+	f.adoptReport(e, f.options.Clock.Now())
+}
+
+// adoptReport adopts a report of another VM, which was made at a time of this VM's clock or later.
+func (f *Frontend) adoptReport(e inner.Evacuation, madeAfter clock.Millis) {
 	set := evacuation.Set{Revision: e.Revision, Era: e.Era}
-	since, now := map[member.Zone]clock.Millis{}, f.options.Clock.Now()
+	since := map[member.Zone]clock.Millis{}
 	for _, z := range e.Zones {
 		set.Zones = append(set.Zones, z.Zone)
-		since[z.Zone] = now - z.Age
+		since[z.Zone] = madeAfter - z.Age
 	}
 	f.adoptEvacuations(set, since, e.From)
 }
--- a/internal/serve/frontend/evacuation_test.go
+++ b/internal/serve/frontend/evacuation_test.go
@@ -99,8 +99,11 @@
 	if err := inner.Decode(inner.Encode(inner.KindAnswer, m.vms[0].answerText(inner.Question{AcceptsGzip: true})), &answer); err != nil {
 		t.Fatal(err)
 	}
-	m.vms[1].receiveEvacuation(*answer.Evacuation)
-	if diff := cmp.Diff(9*clock.Second, m.age(1, "a")); diff != "" || unknown != nil {
+	// The answer takes 6 s.
+	asked := m.clock.Clock().Now()
+	m.clock.Advance(6 * clock.Second)
+	m.vms[1].adoptReport(*answer.Evacuation, asked)
+	if diff := cmp.Diff(15*clock.Second, m.age(1, "a")); diff != "" || unknown != nil {
 		t.Errorf("age (-want +got):\n%s\nbefore: %v", diff, unknown)
 	}
 }
--- a/internal/serve/frontend/first.go
+++ b/internal/serve/frontend/first.go
@@ -60,7 +60,7 @@
 		return false
 	}
 	if answer.Evacuation != nil {
-		f.receiveEvacuation(*answer.Evacuation)
+		f.adoptReport(*answer.Evacuation, asked)
 	}
 	if f.adoptConfiguration(answer.Payload, v.Address) == 0 {
 		return false
--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -258,7 +258,7 @@
 		return
 	}
 	if answer.Evacuation != nil {
-		f.receiveEvacuation(*answer.Evacuation)
+		f.adoptReport(*answer.Evacuation, asked)
 	}
 	f.adoptConfiguration(answer.Payload, r.address)
 	f.confirmConfiguration(r.version, r.confirmedAt, r.vm)
