Split the bucket of a quota by reports and rounds, and rename the region constraint

Files and one unexported name are changed, no behaviour; the tests of core/quota and vet of all packages pass.

--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -50,32 +50,6 @@
 	initialFill = 0.5
 )
 
-// Report is what a VM reports of its use of an account.
-type Report struct {
-	// Process identifies the VM's process; a restart changes it.
-	Process uint64
-	// Spent is the number of operations taken since the process started, less those
-	// returned.
-	Spent uint64
-	// Demand is the rate in operations per second that callers asked for.
-	Demand float64
-	// Tokens is the VM's estimate of the tokens in the shared bucket, divided by its reach.
-	Tokens float64
-	// Weight is the fraction of the known VMs that the report covers, and Joined the time
-	// since which messages of its source have come without interruption. The receiver sets
-	// both.
-	Weight float64
-	Joined clock.Millis
-	// Aggregate marks a report for several VMs together. Process is that of the VM that
-	// adds them up, and Spent is its count; both change when another VM takes over.
-	Aggregate bool
-}
-
-// RecentlySpent estimates the operations of the last few seconds from the demand.
-func (r Report) RecentlySpent() uint64 {
-	return min(uint64(math.Ceil(r.Demand*float64(demandTimeConstant)/float64(clock.Second))), r.Spent)
-}
-
 // peer is what is known of another VM, or of several that report together.
 type peer struct {
 	report   Report
@@ -85,32 +59,6 @@
 	spending *spending
 }
 
-// Contact holds the times of the messages of another VM, or of several that report together.
-type Contact struct {
-	// Joined is the time since which messages have come without interruption, and Last the
-	// time of the last one.
-	Joined, Last clock.Millis
-	// Far is set for VMs of another region, between which messages are less frequent.
-	Far bool
-}
-
-// InReach reports whether the VMs are in reach at time now.
-func (c Contact) InReach(now clock.Millis) bool {
-	if c.Far {
-		return now-c.Last <= farTimeout
-	}
-	return now-c.Last <= nearTimeout
-}
-
-// WithMessage records a message at time now.
-func (c Contact) WithMessage(far bool, now clock.Millis) Contact {
-	if !c.InReach(now) {
-		c.Joined = now
-	}
-	c.Last, c.Far = now, far
-	return c
-}
-
 // Bucket is one VM's view of the token bucket of one account. It is an immutable
 // value.
 type Bucket struct {
@@ -222,37 +170,6 @@
 	return b
 }
 
-// WithContacts records that the last message of any other VM came at latest. The function
-// contactFunc returns the contact with one peer. A peer whose messages have left the account
-// out since its last report has no demand. One that is out of reach, or was since its last
-// report, is removed, so that its next report adds its tokens.
-func (b Bucket) WithContacts(latest clock.Millis, contactFunc func(name string) Contact, now clock.Millis) Bucket {
-	b = b.advance(now)
-	b.lastContact = max(b.lastContact, latest)
-	changed := map[string]peer{}
-	for name, u := range b.peers {
-		c := contactFunc(name)
-		if !c.InReach(now) || u.received < c.Joined || c.Last-u.received > OverdueAfter {
-			changed[name] = u
-		}
-	}
-	if len(changed) == 0 {
-		return b
-	}
-	b.peers = maps.Clone(b.peers)
-	for name, u := range changed {
-		c := contactFunc(name)
-		if !c.InReach(now) || u.received < c.Joined {
-			b.history = b.history.without(u.spending, now)
-			delete(b.peers, name)
-			continue
-		}
-		u.received, u.report.Demand = c.Last, 0
-		b.peers[name] = u
-	}
-	return b
-}
-
 // isolated reports whether there are other VMs but none that was in contact within
 // SilenceTimeout.
 func (b Bucket) isolated() bool {
@@ -300,10 +217,6 @@
 	return b
 }
 
-// spareShare is the part of the bucket that all VMs together may run in a round
-// beyond their shares.
-const spareShare = 0.25
-
 // allowanceShare is the part of the tolerance that goes to the allowances.
 const allowanceShare = 0.5
 
@@ -328,57 +241,6 @@
 	return sum
 }
 
-// ownShare returns this VM's share of the bucket: by demand among this VM and the peers that
-// report, but at least minShare of an even share. It is even at an isolated VM.
-func (b Bucket) ownShare(now clock.Millis) float64 {
-	even := 1 / b.vmCount()
-	sum := b.reachedDemand(now)
-	if b.isolated() || b.guidance.followed {
-		return even
-	}
-	if sum <= 0 {
-		return minShare * even
-	}
-	return max(b.demand/sum, minShare*even)
-}
-
-// WithRound begins a round, in which this VM may take its share of the bucket, and
-// returns the report for the other VMs. It is called once for each report that is
-// sent; the caller sets the report's Process.
-func (b Bucket) WithRound(now clock.Millis) (Bucket, Report) {
-	b = b.advance(now)
-	// After its first round, an isolated VM gets credit only from the tolerance; see
-	// advance.
-	if !b.isGuided() && (!b.isolated() || b.firstRound) {
-		// A fraction of an operation is kept, so that a small share adds up over rounds.
-		b.credit = max(b.ownShare(now)*b.tokens, min(b.credit, 1), 0)
-	}
-	b.firstRound = false
-	b.spareTokens = 0
-	if !b.isolated() && !b.isGuided() {
-		b.spareTokens = b.spareForRound()
-	}
-	return b, Report{Spent: b.spent, Demand: b.demand, Tokens: b.tokens / b.reach}
-}
-
-// spareForRound returns how many operations this VM may run in a round beyond its
-// share: an even part of spareShare of the bucket, or one if that is less than one and
-// the bucket has more tokens than there are VMs. At a VM that has just started, and has no
-// demand and no report of any, it is an even part of the whole bucket, so that the VM can serve
-// the first operations.
-func (b Bucket) spareForRound() float64 {
-	vms := b.vmCount()
-	share := spareShare
-	if b.updated-b.createdAt < OverdueAfter && b.reachedDemand(b.updated) <= 0 {
-		share = 1
-	}
-	spare := math.Floor(share * b.tokens / vms)
-	if spare < 1 && b.tokens > vms {
-		return 1
-	}
-	return spare
-}
-
 // WithTake takes one operation of a priority, 0 being the most urgent, from the bucket, and
 // reports false when this VM has none left for it. It counts as demand in either case.
 func (b Bucket) WithTake(priority int, now clock.Millis) (Bucket, bool) {
@@ -431,74 +293,8 @@
 	return b
 }
 
-// charge subtracts operations of other VMs.
-func (b Bucket) charge(operations float64, now clock.Millis) Bucket {
-	b.tokens -= operations
-	b.recent = b.recent.with(operations, now)
-	b.history = b.history.taken(operations)
-	return b
-}
-
-// WithReport records the report of another VM and corrects the estimate of what it
-// spent since its last one. If the report brings VMs into reach, their fraction of the tokens
-// is added.
-func (b Bucket) WithReport(vm string, r Report, now clock.Millis) Bucket {
-	b = b.advance(now)
-	u, known := b.peers[vm]
-	if u.received < r.Joined {
-		u, known = peer{}, false
-	}
-	spent := 0.0
-	switch {
-	case known && u.report.Process == r.Process:
-		// Spent may have decreased, by operations that were returned.
-		spent = float64(int64(r.Spent - u.report.Spent))
-	case known && r.Aggregate:
-		// Another VM adds the counts up now, so this one cannot be compared with the last.
-		spent = u.report.Demand * b.spendingFactor(now) * float64(now-u.received) / float64(clock.Second)
-	case known:
-		spent = float64(r.Spent)
-	case now-max(r.Joined, b.createdAt) > JoinTime:
-		// A peer that left the account out until now has run what its demand shows.
-		spent = float64(r.RecentlySpent())
-	}
-	b = b.charge(spent, now)
-	if joined := r.Weight - u.report.Weight; joined > 0 {
-		b.tokens += joined * (r.Tokens - max(b.tokens, 0)/b.reach)
-	}
-	b.tokens = min(b.tokens, b.reachBurst())
-	b.lastContact = now
-	b.peers = maps.Clone(b.peers)
-	b.peers[vm] = peer{report: r, received: now, spending: u.spending.with(spent, now)}
-	return b
-}
-
 // Tokens returns the estimate of how many operations the account may still run.
 func (b Bucket) Tokens(now clock.Millis) float64 { return b.advance(now).tokens }
 
 // Fill returns the tokens divided by the reach, which scales them to the whole burst.
 func (b Bucket) Fill(now clock.Millis) float64 { return b.Tokens(now) / b.reach }
-
-// RoundUrgent reports whether a new round should begin soon. A VM that has used up its
-// credit and spare tokens while the bucket has a token for every VM needs one, unless it
-// is isolated. Any other needs one once it has spent many tokens since its last report,
-// compared with those left. lastSpent is the Spent of that report.
-func (b Bucket) RoundUrgent(lastSpent uint64) bool {
-	if b.credit < 1 && b.spareTokens < 1 && b.tokens >= b.vmCount() {
-		return !b.isolated()
-	}
-	return float64(int64(b.spent-lastSpent)) > max(b.tokens, 1)*urgentShare
-}
-
-// urgentShare is the part of the tokens left whose use is worth an extra report.
-const urgentShare = 0.25
-
-// DemandIsNew reports whether the demand of this VM began so recently that VMs of other
-// regions may not have its first report.
-func (b Bucket) DemandIsNew(now clock.Millis) bool { return now-b.demandSince < OverdueAfter }
-
-// Idle reports whether the demand has decayed below idleDemand.
-func (b Bucket) Idle(now clock.Millis) bool { return b.advance(now).demand < idleDemand }
-
-// idleDemand is the demand in operations per second below which it counts as none.
-const idleDemand = 0.02
--- a/internal/serve/session/logs.go
+++ b/internal/serve/session/logs.go
@@ -13,7 +13,7 @@
 	fields := []any{"id", database.LoggedName(st.ID), "database", s.route.Database, "account", s.account.Name, "code", code.String(), "reason", detail}
 	fields = append(fields, s.preparedFields(st)...)
 	fields = append(fields, s.configurationFields()...)
-	if allowed := s.allowedRegions(); !allowed.IsAll() {
+	if allowed := s.regionConstraint(); !allowed.IsAll() {
 		fields = append(fields, "regions", allowed.String())
 	}
 	if g := s.options.GroupFunc(s.route.Group); g != nil {
--- a/internal/serve/session/run.go
+++ b/internal/serve/session/run.go
@@ -89,7 +89,7 @@
 	a := op.session.account
 	return database.Requester{
 		Account: a.Name, Weight: weight(op.session.route, a), Priority: op.session.route.Priority, Parent: op.session.parent,
-		Regions: op.session.allowedRegions(), RegionsFunc: op.session.regionsFunc,
+		Regions: op.session.regionConstraint(), RegionsFunc: op.session.regionsFunc,
 	}
 }
 
@@ -287,7 +287,7 @@
 // send applies the caller's settings to the server's session and runs the statement. An error that is
 // errUnsent means that the statement was not sent, any other one that its outcome is unknown.
 func (op *operation) send(conn *database.PooledConn, f floor.ReplicationPosition) (statement.Answer, error) {
-	if allowed := op.session.allowedRegions(); !conn.IsWithin(allowed) {
+	if allowed := op.session.regionConstraint(); !conn.IsWithin(allowed) {
 		return statement.Answer{}, &unsentError{cause: database.ErrRegionsChanged}
 	}
 	if err := conn.SyncSettings(op.session.settings, op.remaining()); errors.Is(err, database.ErrServerEvacuated) {
@@ -320,7 +320,7 @@
 
 // request returns the request that runs a statement within timeout milliseconds.
 func (s *session) request(st statement.Statement, timeout clock.Millis) database.Request {
-	r := database.Request{ID: st.ID, Timeout: timeout, Parent: s.parent, Regions: s.allowedRegions(), RegionsFunc: s.regionsFunc, Memory: s.caller.Memory}
+	r := database.Request{ID: st.ID, Timeout: timeout, Parent: s.parent, Regions: s.regionConstraint(), RegionsFunc: s.regionsFunc, Memory: s.caller.Memory}
 	if st.Kind == statement.Execute {
 		r.Execution = statement.Execution{Shape: s.prepared[st.Name], Arguments: st.Arguments}
 	} else {
--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -76,10 +76,10 @@
 	account catalog.Account
 	route   catalog.Route
 	// regions are the allowed regions by the newest configuration that has the route, and
-	// regionsFrom is that configuration. allowedRegions updates both.
+	// regionsFrom is that configuration. regionConstraint updates both.
 	regions     regions.Allowed
 	regionsFrom *catalog.Catalog
-	// regionsFunc is allowedRegions, bound once for all statements.
+	// regionsFunc is regionConstraint, bound once for all statements.
 	regionsFunc func() regions.Allowed
 	// settings holds the caller's settings, prepared its prepared statements, both by
 	// name.
@@ -99,7 +99,7 @@
 // ended it reads no further statement, but it does not interrupt ReadFunc.
 func Serve(ctx context.Context, o Options, c Caller) {
 	s := &session{options: o, caller: c, settings: map[string]string{}, prepared: map[string]statement.Shape{}}
-	s.regionsFunc = s.allowedRegions
+	s.regionsFunc = s.regionConstraint
 	o.Counters.opened.Inc()
 	s.awaitCatalog(ctx)
 	if code, detail := s.resolve(); code != statement.Success {
@@ -233,10 +233,10 @@
 	return statement.Success, ""
 }
 
-// allowedRegions returns the regions that a statement may reach. In an open transaction they are those
+// regionConstraint returns the regions that a statement may reach. In an open transaction they are those
 // at its BEGIN, else those of the configuration in force now, which may be newer than the one by which
 // the statement was admitted.
-func (s *session) allowedRegions() regions.Allowed {
+func (s *session) regionConstraint() regions.Allowed {
 	if s.txn != nil {
 		return s.txn.regions
 	}
