Show stale reads at a VM whose late removal unlists it

Case 7 of the review, a script: the unanswered removal of a stopped VM from the list of VMs is performed after the VM has started and registered again. After the others were killed, they do not know it, and replace primaries without waiting for its lease.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins of the scripts of this review, after the build of the deploy file.
+set -e
+cd "$(dirname "$0")/.."
+go build -o target/review-7 ./review/7
