Write and remove the row of a VM only as it was read

Cause: the removal of a VM's row had no condition. One whose answer was lost was performed 5.9 s later, when the next process of the VM was registered, and removed that process's row. A claimant that started then did not know the VM and did not wait for its lease. Registrations had no condition either: a late one put back a former address.

Change: a row is written and removed on the condition of its version. A process that stops marks its row first and removes it as marked; one that starts and finds the mark writes the row again, so that the late removal names a version that is gone. A relay that registers followers after a restore adds only rows that are missing. A list without the present row of a VM, or with a marked one, makes it register.

--- a/internal/serve/frontend/peers.go
+++ b/internal/serve/frontend/peers.go
@@ -43,10 +43,10 @@
 
 // Registry is the list of VMs in the platform's store and the source of their keys.
 type Registry struct {
-	// ListFunc lists the registered VMs, RegisterFunc adds one and RemoveFunc removes
-	// one.
+	// The functions are those of gossip.Options.
 	ListFunc     func(ctx context.Context) (inner.List, error)
 	RegisterFunc func(ctx context.Context, v member.VM) error
+	AddFunc      func(ctx context.Context, v member.VM) error
 	RemoveFunc   func(ctx context.Context, v member.VM) error
 	// AuthorityFunc returns the stored certificate authority of the VMs. If there is none, it
 	// stores the known one or, if that is nil, a new one.
@@ -59,7 +59,7 @@
 	return gossip.New(gossip.Options{
 		Self: o.Self, Clock: o.Clock, Log: o.Log,
 		SendFunc: f.sendDatagram, MaxDatagram: peer.MaxDatagram, RestartedFunc: f.dropConn,
-		ListFunc: o.Registry.ListFunc, FetchListFunc: f.fetchList, RegisterFunc: o.Registry.RegisterFunc, RemoveFunc: o.Registry.RemoveFunc,
+		ListFunc: o.Registry.ListFunc, FetchListFunc: f.fetchList, RegisterFunc: o.Registry.RegisterFunc, AddFunc: o.Registry.AddFunc, RemoveFunc: o.Registry.RemoveFunc,
 		RegisteredFunc: f.updateGroups,
 		BeginRoundFunc: f.beginRound, ContentFunc: f.gossipFor, ReceiveFunc: f.receiveGossip,
 		EvacuationFunc: f.evacuationsToAnnounce, ReceiveEvacuationFunc: f.receiveEvacuation,
--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -54,11 +54,14 @@
 	// RestartedFunc is called with the address of a VM that has restarted. Connections to
 	// its former process are of no use any more.
 	RestartedFunc func(address string)
-	// ListFunc lists the registered VMs, RegisterFunc adds this one and RemoveFunc
-	// removes it. FetchListFunc asks the VM at an address for the list.
+	// ListFunc lists the registered VMs. RegisterFunc registers this one, RemoveFunc removes it,
+	// and AddFunc adds another that has no entry; an error of theirs may also mean that the entry
+	// has changed meanwhile. No call has an effect on an entry that another process of the VM has
+	// made since. FetchListFunc asks the VM at an address for the list.
 	ListFunc      func(ctx context.Context) (inner.List, error)
 	FetchListFunc func(ctx context.Context, address string) (inner.List, error)
 	RegisterFunc  func(ctx context.Context, v member.VM) error
+	AddFunc       func(ctx context.Context, v member.VM) error
 	RemoveFunc    func(ctx context.Context, v member.VM) error
 	// RegisteredFunc is called once, after this VM has been registered.
 	RegisteredFunc func()
--- a/internal/serve/gossip/list.go
+++ b/internal/serve/gossip/list.go
@@ -39,17 +39,23 @@
 		return listInterval
 	}
 	l, err := m.readList(ctx)
-	switch listed := slices.Contains(l.VMs, m.options.Self); {
+	switch {
 	case err != nil:
 	case !m.isLeaving():
-		m.register(ctx, listed)
+		// An entry that an earlier process has marked as leaving differs from Self.
+		m.register(ctx, slices.Contains(l.VMs, m.options.Self))
 		m.registerFollowers(ctx, l.VMs)
-	case listed && m.isRemovable():
+	case hasName(l.VMs, m.options.Self.Name) && m.isRemovable():
 		_ = m.unregister(ctx)
 	}
 	return m.listPause(len(l.VMs))
 }
 
+// hasName reports whether a list has a VM of that name.
+func hasName(vms []member.VM, name string) bool {
+	return slices.ContainsFunc(vms, func(v member.VM) bool { return v.Name == name })
+}
+
 // awaitList waits until the list of VMs is to be read again: for pause milliseconds at most.
 func (m *Mesh) awaitList(ctx context.Context, pause clock.Millis) {
 	if m.options.Clock.Sleep(ctx, listMinPause) != nil {
@@ -92,7 +98,7 @@
 		return
 	}
 	for _, v := range m.missingFollowers(listed) {
-		if err := m.options.RegisterFunc(ctx, v); err != nil {
+		if err := m.options.AddFunc(ctx, v); err != nil {
 			m.options.Log.Warn("registering another VM after a restore of the store failed", "vm", v.Name, "err", err)
 		}
 	}
@@ -110,7 +116,7 @@
 	var out []member.VM
 	for _, p := range m.peers {
 		alive := now-p.lastReceived < SilenceTimeout && !p.leaving
-		if alive && p.vm.Zone == m.options.Self.Zone && !slices.Contains(listed, p.vm) {
+		if alive && p.vm.Zone == m.options.Self.Zone && !hasName(listed, p.vm.Name) {
 			out = append(out, p.vm)
 		}
 	}
@@ -205,6 +211,8 @@
 	listed := map[string]bool{}
 	for _, v := range vms {
 		listed[v.Name] = true
+		// The mark may be that of an earlier process. Messages say whether the present one leaves.
+		v.Leaving = false
 		if v.Name == m.options.Self.Name {
 			continue
 		}
--- a/internal/serve/gossip/restore_test.go
+++ b/internal/serve/gossip/restore_test.go
@@ -42,14 +42,14 @@
 	n.meshes[leaving.Name].leaving = true
 	n.run(clock.Second)
 	var before []member.VM
-	relay.options.RegisterFunc = func(_ context.Context, v member.VM) error { before = append(before, v); return nil }
+	relay.options.AddFunc = func(_ context.Context, v member.VM) error { before = append(before, v); return nil }
 	relay.registerFollowers(t.Context(), nil)
 	if diff := cmp.Diff([]member.VM(nil), before); diff != "" {
 		t.Errorf("registered without a restore (-want +got):\n%s", diff)
 	}
 	relay.StoreRestored()
 	got := map[string]bool{}
-	relay.options.RegisterFunc = func(_ context.Context, v member.VM) error { got[v.Name] = true; return nil }
+	relay.options.AddFunc = func(_ context.Context, v member.VM) error { got[v.Name] = true; return nil }
 	relay.registerFollowers(t.Context(), followers[2:3])
 	want := map[string]bool{}
 	for _, m := range n.meshes {
--- a/internal/serve/gossip/roster.go
+++ b/internal/serve/gossip/roster.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/member"
@@ -154,7 +153,7 @@
 		return false
 	}
 	m.adoptList(l)
-	return slices.ContainsFunc(l.VMs, func(v member.VM) bool { return v.Name == m.options.Self.Name })
+	return hasName(l.VMs, m.options.Self.Name)
 }
 
 // listConfirmed reports whether a relay reports changes of the list to this VM, which then does
