Make every primary of an earlier term step down

Cause: a claim asked only the primary of the term that it replaces to step down. One of an earlier term, whose successor is gone, does not pause, counts as a replica that may receive, and so keeps every claim from ending.

Change: a server that answers PAUSE as primary of an earlier term steps down and is sealed then; outside a claim any VM whose probe finds one tells it to step down. A later term has been in force, so the command takes nothing that counts. The fake group of the tests does not seal a primary any more, as the servers don't.

No call more where no such server is seen.

--- a/internal/serve/database/fake_test.go
+++ b/internal/serve/database/fake_test.go
@@ -147,7 +147,9 @@
 	}
 	if c == Seal {
 		f.sealed = append(f.sealed, s.ID)
-		f.sealedNow[s.ID] = term
+		if !status.Primary {
+			f.sealedNow[s.ID] = term
+		}
 	}
 	if sealed, ok := f.sealedNow[s.ID]; ok {
 		status.Sealed = sealed
--- a/internal/serve/database/former.go
+++ b/internal/serve/database/former.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 )
 
 // stepDownTimeout bounds the command by which the former primary steps down, before and
@@ -51,3 +53,23 @@
 		g.options.Log.Debug("stepping down the former primary failed", "group", g.options.Name, "server", a.formerPrimary, "err", err)
 	}
 }
+
+// stepDownEarlier makes a server step down that leads an earlier term than the known one. It is not used any
+// more, but would lead until it reaches the primary of a later term, which may be gone.
+func (g *Group) stepDownEarlier(ctx context.Context, server string, status statement.ReplicationStatus) {
+	term := g.Term()
+	if !status.Primary || status.Term >= term {
+		return
+	}
+	g.logEarlierPrimary(server, status.Term, term)
+	status, err := g.RunCommand(ctx, server, StepDown, term)
+	if err != nil {
+		g.options.Log.Debug("stepping down the primary of an earlier term failed", "group", g.options.Name, "server", server, "err", err)
+		return
+	}
+	g.recordStatus(server, status, clock.DistantPast)
+}
+
+func (g *Group) logEarlierPrimary(server string, led, term floor.Term) {
+	g.options.Log.Info("stepping down the primary of an earlier term", "group", g.options.Name, "server", server, "led", led, "term", term)
+}
--- a/internal/serve/database/probe.go
+++ b/internal/serve/database/probe.go
@@ -163,7 +163,7 @@
 // for it to be preferred, in milliseconds.
 const regionBonus = clock.Second
 
-// probe queries the status of one server.
+// probe queries the status of one server, and makes one that leads an earlier term step down.
 func (g *Group) probe(ctx context.Context, p *pool) {
 	g.options.Counters.probes.Inc()
 	sent := g.options.Clock.Now()
@@ -173,6 +173,7 @@
 		return
 	}
 	g.recordStatus(p.entry().ID, status, sent)
+	g.stepDownEarlier(ctx, p.entry().ID, status)
 }
 
 // recordStatus records a server's answer to a status query or command, and gossips a
--- a/internal/serve/database/seal.go
+++ b/internal/serve/database/seal.go
@@ -8,6 +8,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/statement"
 )
 
 const (
@@ -147,12 +148,8 @@
 // sealServer seals a replica, or makes the former primary step down. One that has started anew
 // in its term may have stepped down without its log, and is not recorded.
 func (a *claimAttempt) sealServer(ctx context.Context, id string, s failover.Server) {
-	command := Seal
-	if s.FormerPrimary {
-		command = StepDown
-	}
 	sent := a.group.options.Clock.Now()
-	status, err := a.runCommand(ctx, id, command, a.term+1)
+	status, err := a.commandSeal(ctx, id, s)
 	if err != nil {
 		a.group.options.Log.Debug("sealing a server failed", "group", a.group.options.Name, "server", id, "err", err)
 		return
@@ -174,6 +171,23 @@
 	a.mu.Unlock()
 }
 
+// commandSeal sends the command that seals a server, and returns the answer. A primary of an earlier term
+// than the one to be replaced does not seal before it has stepped down.
+func (a *claimAttempt) commandSeal(ctx context.Context, id string, s failover.Server) (statement.ReplicationStatus, error) {
+	if s.FormerPrimary {
+		return a.runCommand(ctx, id, StepDown, a.term+1)
+	}
+	status, err := a.runCommand(ctx, id, Seal, a.term+1)
+	if err != nil || !status.Primary || status.Term >= a.term {
+		return status, err
+	}
+	a.group.logEarlierPrimary(id, status.Term, a.term)
+	if _, err := a.runCommand(ctx, id, StepDown, a.term); err != nil {
+		return status, err
+	}
+	return a.runCommand(ctx, id, Seal, a.term+1)
+}
+
 // unsealReplicas lets the sealed replicas receive again, unless another VM may have
 // sealed them since. A claimant that is gone may have sealed others, so it asks all that answer.
 func (a *claimAttempt) unsealReplicas(ctx context.Context) {
--- a/internal/trial/explore/attempt.go
+++ b/internal/trial/explore/attempt.go
@@ -109,6 +109,7 @@
 	if id == a.former {
 		s.stepDown(id, a.term+1)
 	} else {
+		s.stepDown(id, a.term)
 		s.pause(id, a.term+1)
 	}
 	status := m.answer(s, id).status()
--- a/internal/trial/explore/explore.go
+++ b/internal/trial/explore/explore.go
@@ -68,6 +68,7 @@
 	lapseEvent
 	renewEvent
 	learnEvent
+	replacedEvent
 	stepDownEvent
 	startEvent
 	healEvent
@@ -167,6 +168,8 @@
 		return m.lapse(s, e.a)
 	case renewEvent:
 		return s.renewMatters(e.a) && m.renew(s, e.a, e.b)
+	case replacedEvent:
+		return s.stepDownEarlier(e.a, e.b)
 	case learnEvent:
 		return s.servers[e.b].up && m.learn(s, &s.vms[e.a], e.b)
 	}
@@ -265,7 +268,7 @@
 	pairs(acknowledgeEvent, maxCommits, 1)
 	pairs(arriveEvent, maxCommits, 1)
 	pairs(effectEvent, maxOrders, 1)
-	for _, k := range []kind{sealEvent, renewEvent, learnEvent} {
+	for _, k := range []kind{sealEvent, renewEvent, learnEvent, replacedEvent} {
 		pairs(k, vms, servers)
 	}
 	pairs(releaseEvent, vms, vms)
--- a/internal/trial/explore/table.go
+++ b/internal/trial/explore/table.go
@@ -58,6 +58,8 @@
 		return fmt.Sprintf("the release of %s lapses", vm)
 	case renewEvent:
 		return fmt.Sprintf("%s asks %s and %s and may use %s", vm, leaderID(before.vms[e.a].leader), second, leaderID(after.vms[e.a].leader))
+	case replacedEvent:
+		return vm + " tells " + serverIDs[e.b] + " that a later term is in force"
 	case learnEvent:
 		return fmt.Sprintf("%s asks %s", vm, second)
 	case stepDownEvent:
--- a/internal/trial/explore/vm.go
+++ b/internal/trial/explore/vm.go
@@ -133,6 +133,16 @@
 	return true
 }
 
+// stepDownEarlier lets a VM tell a primary of an earlier term to step down, as Group.stepDownEarlier does.
+func (s *state) stepDownEarlier(number, id uint8) bool {
+	v := &s.servers[id]
+	if !v.up || !v.primary || v.term >= s.vms[number].term {
+		return false
+	}
+	v.primary = false
+	return true
+}
+
 // write sends a commit to the leader, if the VM may use it.
 func (s *state) write(number, next uint8) bool {
 	v := &s.vms[number]
