Do not promote a server that leaves for commits that it alone was sent

Cause: a claim sealed all replicas at once. The most distant one is sealed last, the primary acknowledges with it alone until then, and so it has the furthest log, whether it drains or not. Draining counted among equal logs only.

A replica that stays and certainly has everything is promoted over a further log of one that leaves. If only servers that leave have everything, the former primary is promoted if it leaves later.

--- a/internal/core/failover/evacuation_test.go
+++ b/internal/core/failover/evacuation_test.go
@@ -5,20 +5,21 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 )
 
-// TestEvacuationLosesNothing guards against the loss of commits because a server outside the
-// evacuated zones is promoted over a longer log, and against a server of such a zone that is
+// TestEvacuationLosesNothing guards against the loss of commits because a server that stays, or is outside the
+// evacuated zones, is promoted over a longer log, and against a server of such a zone that is
 // promoted without need.
 func TestEvacuationLosesNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		servers := []Server{{ID: "p", FormerPrimary: true}, {ID: "q"}, {ID: "r"}}
 		var committed floor.ReplicationPosition
 		var a Acknowledged
-		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+		for now := range rapid.IntRange(1, 30).Draw(t, "steps") {
 			i := rapid.IntRange(0, 2).Draw(t, "server")
-			switch rapid.SampledFrom([]string{"commit", "commit", "commit", "end", "sample", "seal", "release", "evacuate"}).Draw(t, "step") {
+			switch rapid.SampledFrom([]string{"commit", "commit", "commit", "end", "sample", "seal", "release", "evacuate", "leave"}).Draw(t, "step") {
 			case "commit":
 				if !servers[0].Sealed && !a.Complete {
 					position := commit(t, servers, 1, floor.ReplicationPosition{})
@@ -34,6 +35,8 @@
 				servers[i].Sealed = true
 			case "release":
 				a.Complete = true
+			case "leave":
+				servers[i].Leaving, servers[i].LeavingSince = true, clock.Millis(now)
 			case "evacuate":
 				servers[i].Evacuated = !servers[i].Evacuated
 			}
--- a/internal/core/failover/failover.go
+++ b/internal/core/failover/failover.go
@@ -69,8 +69,11 @@
 	ID string
 	// Born distinguishes starts of the server, or is 0 if it is not known.
 	Born int64
-	// Leaving is set if the server is draining or no longer in the directory.
-	Leaving bool
+	// Leaving is set if the server is draining or no longer in the directory. It may end at any moment,
+	// together with its log. LeavingSince is the time at which the claimant first saw it drain, by its
+	// own clock, or 0; among servers that drain, the one with the latest time has the longest left.
+	Leaving      bool
+	LeavingSince clock.Millis
 	// Evacuated is set while the server's availability zone is evacuated.
 	Evacuated bool
 	// Sealed is set once the server is sealed for the claim's term. LogEnd no longer
@@ -147,30 +150,68 @@
 // MayPassOver reports whether target may be promoted although the log of the sealed server s goes
 // further.
 func (a Acknowledged) MayPassOver(s, target Server) bool {
-	return s.Evacuated && !target.Evacuated && a.coveredBy(target.LogEnd)
+	avoided := s.Evacuated && !target.Evacuated || s.Leaving && !target.Leaving && !target.Evacuated
+	return avoided && a.coveredBy(target.LogEnd)
 }
 
 // PromotionTarget returns the ID of the sealed server to promote, or "" if there is none.
 //
-// While zones are evacuated, a server outside them is promoted if it certainly has every
-// acknowledged commit, even if the log of an evacuated one goes further. Otherwise the choice is that
-// of furthestTarget, but an evacuated server is promoted only if another is sealed that can replace
-// it once it has its log: callers' statements do not run there.
+// A replica that neither leaves nor is evacuated is promoted if it certainly has every acknowledged commit,
+// even if the log of one that leaves or is evacuated goes further; while zones are evacuated, so is a replica
+// outside them. Otherwise the choice is that of furthestTarget, with two exceptions. Instead of a
+// replica that leaves, the former primary is promoted if it leaves later: one that ends before the others have
+// its log takes commits along. An evacuated server is promoted only if another is sealed that can
+// replace it once it has its log: callers' statements do not run there.
 func PromotionTarget(servers []Server, syncReplicas int, acknowledged Acknowledged) string {
-	outside := slices.DeleteFunc(slices.Clone(servers), func(s Server) bool { return s.Evacuated || !s.Sealed })
-	if slices.ContainsFunc(servers, func(s Server) bool { return s.Evacuated }) {
-		covering := slices.DeleteFunc(slices.Clone(outside), func(s Server) bool { return s.FormerPrimary || !acknowledged.coveredBy(s.LogEnd) })
-		if target := furthestSealed(covering, acknowledged.Position); target != "" {
+	isEvacuated := func(s Server) bool { return s.Evacuated }
+	isAvoided := func(s Server) bool { return s.Evacuated || s.Leaving }
+	if slices.ContainsFunc(servers, func(s Server) bool { return isAvoided(s) && !s.FormerPrimary }) {
+		if target := coveringTarget(servers, acknowledged, isAvoided); target != "" {
 			return target
 		}
 	}
-	target := furthestTarget(servers, syncReplicas, acknowledged)
-	if i := slices.IndexFunc(servers, func(s Server) bool { return s.ID == target }); i >= 0 && servers[i].Evacuated && len(outside) == 0 {
+	if slices.ContainsFunc(servers, isEvacuated) {
+		if target := coveringTarget(servers, acknowledged, isEvacuated); target != "" {
+			return target
+		}
+	}
+	target := preferLaterLeaving(servers, furthestTarget(servers, syncReplicas, acknowledged))
+	outside := slices.ContainsFunc(servers, func(s Server) bool { return s.Sealed && !s.Evacuated })
+	if i := indexOf(servers, target); i >= 0 && servers[i].Evacuated && !outside {
 		return ""
 	}
 	return target
 }
 
+// coveringTarget returns the ID of the sealed replica with the furthest log among those that certainly have
+// every acknowledged commit and are not to be avoided, or "" if there is none.
+func coveringTarget(servers []Server, acknowledged Acknowledged, isAvoided func(Server) bool) string {
+	covering := slices.DeleteFunc(slices.Clone(servers), func(s Server) bool {
+		return !s.Sealed || s.FormerPrimary || isAvoided(s) || !acknowledged.coveredBy(s.LogEnd)
+	})
+	return furthestSealed(covering, acknowledged.Position)
+}
+
+// preferLaterLeaving returns the ID of the former primary if target is a replica that leaves, and the former
+// primary has stepped down, has what target has and leaves later; else target.
+func preferLaterLeaving(servers []Server, target string) string {
+	i := indexOf(servers, target)
+	former := slices.IndexFunc(servers, func(s Server) bool { return s.FormerPrimary })
+	if i < 0 || former < 0 {
+		return target
+	}
+	t, f := servers[i], servers[former]
+	if t.Leaving && f.Sealed && f.Leaving && !f.Evacuated && f.LeavingSince > t.LeavingSince && f.LogEnd.Covers(t.LogEnd) {
+		return f.ID
+	}
+	return target
+}
+
+// indexOf returns the index of the server with the given ID, or -1.
+func indexOf(servers []Server, id string) int {
+	return slices.IndexFunc(servers, func(s Server) bool { return s.ID == id })
+}
+
 // furthestTarget returns the ID of the sealed server to promote, or "" if there is none: the one
 // with the furthest log; among equals, one that is not evacuated, then one that is not leaving, then
 // one that is not the former primary, then the one with the lowest ID. Its log covers the
--- a/internal/core/failover/failover_test.go
+++ b/internal/core/failover/failover_test.go
@@ -22,6 +22,7 @@
 			FormerPrimary bool           `yaml:"former"`
 			Sealed        bool           `yaml:"sealed"`
 			Leaving       bool           `yaml:"leaving"`
+			LeavingSince  clock.Millis   `yaml:"since"`
 			Evacuated     bool           `yaml:"evacuated"`
 			Position      floor.Position `yaml:"position"`
 		} `yaml:"servers"`
@@ -41,7 +42,7 @@
 			var servers []Server
 			for _, s := range script.Servers {
 				servers = append(servers, Server{
-					ID: s.ID, FormerPrimary: s.FormerPrimary, Sealed: s.Sealed, Leaving: s.Leaving, Evacuated: s.Evacuated,
+					ID: s.ID, FormerPrimary: s.FormerPrimary, Sealed: s.Sealed, Leaving: s.Leaving, LeavingSince: s.LeavingSince, Evacuated: s.Evacuated,
 					LogEnd: floor.ReplicationPosition{Term: 1, Position: s.Position},
 				})
 			}
--- a/internal/core/failover/order.go
+++ b/internal/core/failover/order.go
@@ -1,8 +1,6 @@
 package failover
 
 import (
-	"slices"
-
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 )
@@ -61,7 +59,7 @@
 	if c.Target == "" {
 		return PromotionTarget(servers, syncReplicas, acknowledged), false
 	}
-	i := slices.IndexFunc(servers, func(s Server) bool { return s.ID == c.Target })
+	i := indexOf(servers, c.Target)
 	switch {
 	case i < 0 || !servers[i].Sealed:
 		return "", true
--- a/internal/serve/database/claim.go
+++ b/internal/serve/database/claim.go
@@ -190,6 +190,9 @@
 
 // replace stops the use of the old term and promotes a server.
 func (a *claimAttempt) replace(ctx context.Context) error {
+	if err := a.sealLeaving(ctx); err != nil {
+		return err
+	}
 	if err := a.sealAll(ctx); err != nil {
 		return err
 	}
--- a/internal/serve/database/fake_test.go
+++ b/internal/serve/database/fake_test.go
@@ -63,6 +63,10 @@
 	leaderStopped bool
 	// sealedNow holds the term of each seal in force, by server. restart ends it.
 	sealedNow map[string]floor.Term
+	// sealDelays holds how late a server gets a seal command. commits, if set, is the number of commits so far:
+	// one follows the first seal, and the replica that is not sealed receives it.
+	sealDelays map[string]time.Duration
+	commits    floor.Position
 	// promoteFunc is called, with the lock, at each promotion request, which is answered with
 	// promoteErr.
 	promoteFunc func()
@@ -123,6 +127,9 @@
 // steps down, so an attempt that has promoted a server waits for the new term until its
 // timeout.
 func (f *fakeGroup) command(s Server, c Command, term floor.Term) (statement.ReplicationStatus, error) {
+	if c == Seal {
+		time.Sleep(f.sealDelays[s.ID])
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.busy && c == QueryStatus {
@@ -149,6 +156,12 @@
 		f.sealed = append(f.sealed, s.ID)
 		if !status.Primary {
 			f.sealedNow[s.ID] = term
+			if f.commits > 0 {
+				f.logEnds[s.ID] = f.commits
+				if len(f.sealedNow) == 1 {
+					f.commits++
+				}
+			}
 		}
 	}
 	if sealed, ok := f.sealedNow[s.ID]; ok {
@@ -164,7 +177,7 @@
 	if end, ok := f.logEnds[server]; ok {
 		return end
 	}
-	return 1
+	return max(f.commits, 1)
 }
 
 // restart starts a server again, with the given end of its log. Its seal is gone.
--- a/internal/serve/database/lost.go
+++ b/internal/serve/database/lost.go
@@ -146,7 +146,7 @@
 			remaining++
 		}
 	}
-	return remaining < g.fullSize && now-g.leavingSince[leader] < g.options.DrainTimeout*replacementPercent/100
+	return remaining < g.fullSize && g.mayRetryReplacementLocked(leader, now)
 }
 
 // replacementPercent is the percentage of DrainTimeout spent waiting for the
--- a/internal/serve/database/release.go
+++ b/internal/serve/database/release.go
@@ -19,7 +19,7 @@
 	now := g.options.Clock.Now()
 	out := map[string]failover.Server{}
 	for id, p := range g.pools {
-		out[id] = failover.Server{ID: id, Born: p.entry().Born, Leaving: p.entry().Leaving, Evacuated: p.isEvacuated(), FormerPrimary: id == formerPrimary}
+		out[id] = failover.Server{ID: id, Born: p.entry().Born, Leaving: p.entry().Leaving, LeavingSince: g.leavingSince[id], Evacuated: p.isEvacuated(), FormerPrimary: id == formerPrimary}
 	}
 	for id, at := range g.unlistedSince {
 		if now-at < failover.RemovedAfter && out[id].ID == "" {
--- a/internal/serve/database/seal.go
+++ b/internal/serve/database/seal.go
@@ -132,7 +132,7 @@
 	out := make([]failover.Server, 0, len(servers))
 	for id, s := range servers {
 		if l := a.sealed[id]; l.holds(s) {
-			l.server.Leaving, l.server.Evacuated = s.Leaving, s.Evacuated
+			l.server.Leaving, l.server.LeavingSince, l.server.Evacuated = s.Leaving, s.LeavingSince, s.Evacuated
 			s = l.server
 		}
 		out = append(out, s)
