Let the former primary step down when a planned change lacks a replica

What callers saw: writes stood still for 5.4 s when a primary was replaced within 5 s after a replica had left, or while one could not be reached.

Cause: a planned change asked its former primary to step down only after the replicas were sealed, and a replica that is off the directory for less than 5 s counts as one that may receive. The attempt waited for it to its end.

Evidence: go test ./internal/serve/database -run TestPlannedChangeWithout before: FAIL, promoted servers - {"other"} + nil

Change: it steps down 0.5 s after the start of the attempt, as in any other change; its log has everything that was acknowledged. One that is replaced because its zone is evacuated goes on until another can replace it.

--- a/internal/serve/database/leaving_test.go
+++ b/internal/serve/database/leaving_test.go
@@ -47,3 +47,14 @@
 		t.Errorf("primary stepped down: %v, sealed: %v, promoted: %v", f.steppedDown, f.sealedNow, f.promoted)
 	}
 }
+
+// TestPlannedChangeWithoutReplica guards against a planned change that takes no writes for seconds, because a replica which cannot be reached or has just left cannot be sealed.
+func TestPlannedChangeWithoutReplica(t *testing.T) {
+	f := &fakeGroup{unreachable: map[string]bool{"q": true}}
+	g, _ := claimableGroup(t, f)
+	replacePrimary(f, g)
+	_, promoted := f.claimCommands()
+	if diff := cmp.Diff([]string{"other"}, promoted); diff != "" {
+		t.Errorf("promoted servers (-want +got):\n%s", diff)
+	}
+}
--- a/internal/serve/database/seal.go
+++ b/internal/serve/database/seal.go
@@ -16,7 +16,8 @@
 	sealRetryPause = clock.Millis(150)
 	// formerSealDelay is how long only replicas are sealed before the former primary
 	// is told to step down too: one that is cut off from its replicas may have the
-	// furthest log, and would be promoted again.
+	// furthest log, and would be promoted again. In a planned change all replicas are sealed by then, unless
+	// one cannot be reached or has just left.
 	formerSealDelay = clock.Millis(500)
 )
 
@@ -81,7 +82,7 @@
 func (a *claimAttempt) startSeals(ctx context.Context, servers map[string]failover.Server) *sync.WaitGroup {
 	pending := &sync.WaitGroup{}
 	for id, s := range servers {
-		if a.isSealed(s) || s.FormerPrimary && (a.planned || a.group.options.Clock.Now()-a.startedAt < formerSealDelay) {
+		if a.isSealed(s) || s.FormerPrimary && a.sparesFormer(s) {
 			continue
 		}
 		pending.Add(1)
@@ -93,6 +94,12 @@
 	return pending
 }
 
+// sparesFormer reports whether the former primary is not asked to step down yet. One that is replaced because
+// its zone is evacuated goes on until it is known that another can replace it.
+func (a *claimAttempt) sparesFormer(former failover.Server) bool {
+	return former.Evacuated && !former.Leaving || a.group.options.Clock.Now()-a.startedAt < formerSealDelay
+}
+
 // awaitSafe waits until a promotion is safe, all pending commands have ended, or the
 // context ends.
 func (a *claimAttempt) awaitSafe(ctx context.Context, pending *sync.WaitGroup, servers map[string]failover.Server) {
