--- a/internal/command/daemon/standin.go
+++ b/internal/command/daemon/standin.go
@@ -21,7 +21,7 @@
 
 // Execute implements flags.Commander.
 func (c *standinCommand) Execute([]string) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	defer stop()
 	folder, err := filepath.Abs(c.Folder)
 	if err != nil {
