--- a/internal/serve/database/claim.go
+++ b/internal/serve/database/claim.go
@@ -77,7 +77,7 @@
 	// token is the fencing token: the version of this attempt's first write.
 	token uint64
 	// term is the term to be replaced, formerPrimary its primary. planned is set if the
-	// former primary is leaving or evacuated; it then steps down only after the promotion.
+	// former primary is leaving or evacuated.
 	term          floor.Term
 	formerPrimary string
 	planned       bool
