Keep in the claim record what its holder knew to be acknowledged

Cause: what was acknowledged is known to the VMs' processes only. A server that drained let the primary acknowledge alone and ended, the primary crashed, a VM claimed the term and rightly promoted nobody, and all VMs were killed. Those that started knew of no commit and promoted a replica 0.5 s before the primary was back.

Change: the first write of a claim has the furthest position that its VM knows to be acknowledged, by itself or by the others' gossip. For 10 s later attempts for the same term promote only a log that covers it. No call to the store more. If its servers are gone for good, a group whose VMs have all restarted waits for these 10 s, and its callers are refused meanwhile.

--- a/internal/core/failover/failover.go
+++ b/internal/core/failover/failover.go
@@ -15,7 +15,8 @@
 // is promoted only if its log covers all reported positions.
 //
 // What a VM acknowledged is known to its process alone. What a process acknowledged that has
-// ended is covered by any position that the primary's log had reached later.
+// ended is covered by any position that the primary's log had reached later. If all processes that
+// knew of a commit have ended, the claim record tells what a holder knew.
 package failover
 
 import (
@@ -362,6 +363,10 @@
 	// Former is the primary of Term, or empty if the holder did not know it. A later attempt
 	// for the same term needs it: a primary that has stepped down reports itself as replica.
 	Former string `json:"former,omitempty"`
+	// Needed is the furthest position that a holder knew to be acknowledged when it claimed Term, at the time
+	// NeededAt. Processes that have started since do not know it.
+	Needed   floor.ReplicationPosition `json:"needed,omitzero"`
+	NeededAt clock.Millis              `json:"neededat,omitempty"`
 	// ClaimedAt is the time of the claim by the store's clock, in milliseconds.
 	ClaimedAt clock.Millis `json:"at"`
 }
--- a/internal/core/failover/order.go
+++ b/internal/core/failover/order.go
@@ -10,6 +10,10 @@
 // that is not answered may be performed seconds later.
 const OrderTimeout = 10 * clock.Second
 
+// NeededTimeout is how long after it was recorded a position is needed, in milliseconds. A primary that has
+// crashed may come back with its log; one that has not in this time counts as lost for good.
+const NeededTimeout = 10 * clock.Second
+
 // HasOrder reports whether an order to promote Target may take effect after the time now of
 // the store's clock.
 func (c Claim) HasOrder(now clock.Millis) bool {
@@ -26,9 +30,12 @@
 
 // WithHolder returns the claim of another attempt, by the VM holder at time now of the store's
 // clock, to replace a term and its primary. An order of the same term that may still take
-// effect is kept. While one of another term may, nobody may claim, and the result is false.
+// effect is kept, and so is a position that is needed still. While one of another term may, nobody may claim, and the result is false.
 func (c Claim) WithHolder(holder string, term floor.Term, former string, now clock.Millis) (Claim, bool) {
 	next := Claim{Holder: holder, Term: term, Former: former, ClaimedAt: now}
+	if c.Term == term && now < c.NeededAt+NeededTimeout {
+		next.Needed, next.NeededAt = c.Needed, c.NeededAt
+	}
 	if !c.HasOrder(now) {
 		return next, true
 	}
@@ -43,6 +50,15 @@
 	return c
 }
 
+// WithNeeded returns the claim with a position that its holder knows to be acknowledged, unless a further one
+// is needed.
+func (c Claim) WithNeeded(known floor.ReplicationPosition) Claim {
+	if !c.Needed.Covers(known) {
+		c.Needed, c.NeededAt = known, c.ClaimedAt
+	}
+	return c
+}
+
 // WithoutOrder returns the claim once its order has taken effect or certainly never will.
 func (c Claim) WithoutOrder() Claim {
 	c.Target, c.OrderedAt, c.OrderedEnd = "", 0, floor.ReplicationPosition{}
--- a/internal/core/failover/order_test.go
+++ b/internal/core/failover/order_test.go
@@ -49,12 +49,13 @@
 	}
 }
 
-// TestOrderIsInherited checks what the next claim takes from one with an order to promote.
+// TestOrderIsInherited checks what the next claim takes from one with an order to promote or with a needed position.
 func TestOrderIsInherited(t *testing.T) {
 	end := floor.ReplicationPosition{Term: 1, Position: 5}
 	ordered := Claim{Holder: "a", Term: 1, Former: "p", ClaimedAt: 1000}.WithOrder("q", end)
 	inherited := Claim{Holder: "b", Term: 1, Former: "p", ClaimedAt: 4700, Target: "q", OrderedAt: 1000, OrderedEnd: end}
-	const expired = 1000 + OrderTimeout
+	needed := Claim{Holder: "a", Term: 1, Former: "p", ClaimedAt: 1000}.WithNeeded(end)
+	const expired = 1000 + OrderTimeout // and NeededTimeout
 	for name, c := range map[string]struct {
 		old  Claim
 		term floor.Term
@@ -69,6 +70,9 @@
 		"of an earlier term":        {old: ordered, term: 2, now: expired - 1, may: false},
 		"of an earlier term, ended": {old: ordered.WithoutOrder(), term: 2, now: 4700, want: Claim{Holder: "b", Term: 2, Former: "p", ClaimedAt: 4700}, may: true},
 		"of a later term":           {old: ordered, term: 0, now: 4700, may: false},
+		"needed position":           {old: needed, term: 1, now: expired - 1, want: Claim{Holder: "b", Term: 1, Former: "p", ClaimedAt: expired - 1, Needed: end, NeededAt: 1000}, may: true},
+		"needed position, expired":  {old: needed, term: 1, now: expired, want: Claim{Holder: "b", Term: 1, Former: "p", ClaimedAt: expired}, may: true},
+		"needed in another term":    {old: needed, term: 2, now: 4700, want: Claim{Holder: "b", Term: 2, Former: "p", ClaimedAt: 4700}, may: true},
 		"without its time":          {old: Claim{Holder: "a", Term: 1, Target: "q", ClaimedAt: 1000}, term: 1, now: 4700, want: Claim{Holder: "b", Term: 1, Former: "p", ClaimedAt: 4700, Target: "q", OrderedAt: 1000}, may: true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/serve/database/claim.go
+++ b/internal/serve/database/claim.go
@@ -257,6 +257,7 @@
 	if !ok {
 		return errOrderPending
 	}
+	next = next.WithNeeded(g.acknowledgedPosition())
 	a.claim, a.acquired = next, next
 	if a.version, err = g.options.Claims.WriteFunc(ctx, g.options.Name, a.claim, version); err != nil {
 		return errors.Wrap(err, "write the claim record")
@@ -266,7 +267,7 @@
 	g.mu.Lock()
 	g.lastHolder = g.options.Self
 	g.mu.Unlock()
-	g.options.Log.Info("claiming the next term", "group", g.options.Name, "term", a.term, "primary", a.formerPrimary, "planned", a.planned, "token", a.token, "inherited_target", a.claim.Target, "last_holder", old.Holder, "last_claim_age", now-old.ClaimedAt)
+	g.options.Log.Info("claiming the next term", "group", g.options.Name, "term", a.term, "primary", a.formerPrimary, "planned", a.planned, "token", a.token, "inherited_target", a.claim.Target, "last_holder", old.Holder, "last_claim_age", now-old.ClaimedAt, "needed", next.Needed)
 	return nil
 }
 
--- a/internal/serve/database/promote.go
+++ b/internal/serve/database/promote.go
@@ -111,7 +111,7 @@
 	if g.options.VMRemovedAtFunc != nil {
 		removedAt = g.options.VMRemovedAtFunc()
 	}
-	out := failover.Acknowledged{Position: g.acknowledgedPosition(), Complete: a.released}
+	out := failover.Acknowledged{Position: g.acknowledgedPosition().Max(a.claim.Needed), Complete: a.released}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.setWatch(g.watch.WithDeparture(removedAt))
