Do not wait for a dead VM to acknowledge datagrams

A VM that loses power would silence the gossip of every VM that sends to it.

Cause: quic-go queues 32 datagrams on a connection and then makes its caller wait until one is sent, which takes acknowledgements of the other VM. One goroutine sends the gossip to all VMs, and one keeps all connections alive and closes unused ones. Each waited, until the idle timeout of 60 s, and a stop waited for them.

Evidence: TestDatagramsToDeadVM on the code before: go test ./internal/proto/peer -run TestDatagramsToDeadVM FAIL after 30.2 s: datagrams to a dead VM are still being sent

Change: each connection has a short queue of its own, and a goroutine sends from it while it is not empty. What does not fit is refused, as any datagram may be lost. The same cause was looked for where one goroutine serves several VMs: the pacer of a region only admits, and each stream's user writes by itself.

Measured: the test passes 3 of 3 in 0.04 s, with -race.

--- a/internal/proto/peer/conn.go
+++ b/internal/proto/peer/conn.go
@@ -36,6 +36,10 @@
 	// idleStreams holds open streams whose last transaction has ended; it is
 	// guarded by the transport's lock too.
 	idleStreams []*outgoingStream
+	// datagrams holds those that wait to be sent, and isSending is set while a goroutine sends them.
+	// The transport's lock guards both.
+	datagrams [][]byte
+	isSending bool
 }
 
 // isUsable reports whether acquireConn may return the connection: it is being dialed,
@@ -134,8 +138,9 @@
 }
 
 // closeAllOutgoing makes the transport refuse new connections, waits for its background
-// goroutines and closes every connection that this VM opened.
+// goroutines, closes every connection that this VM opened, and waits for its senders.
 func (t *Transport) closeAllOutgoing() {
+	defer t.senders.Wait()
 	t.mu.Lock()
 	t.closed = true
 	t.mu.Unlock()
--- a/internal/proto/peer/keep.go
+++ b/internal/proto/peer/keep.go
@@ -24,7 +24,7 @@
 	for t.options.Clock.Sleep(ctx, max(t.options.IdleTimeout/keepAliveDivisor, 1)) == nil {
 		used, unused := t.sweepConns(t.options.Clock.Now())
 		for _, c := range used {
-			_ = c.SendDatagram(nil) // the receiver discards it
+			_ = t.queueDatagram(c, nil) // the receiver discards it
 		}
 		for _, c := range unused {
 			_ = c.CloseWithError(shutdownCode, "unused")
@@ -35,14 +35,14 @@
 // sweepConns returns the outgoing connections in use, and removes and returns the unused
 // ones. It leaves out those that are being dialed or whose dial failed; acquireConn
 // replaces the latter.
-func (t *Transport) sweepConns(now clock.Millis) (used, unused []*quic.Conn) {
+func (t *Transport) sweepConns(now clock.Millis) (used []*outgoingConn, unused []*quic.Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for address, c := range t.outgoing {
 		switch {
 		case !c.isOpen():
 		case c.userCount > 0:
-			used = append(used, c.quicConn)
+			used = append(used, c)
 		case now-c.lastUsed >= t.options.IdleTimeout/unusedDivisor:
 			unused = append(unused, c.quicConn)
 			delete(t.outgoing, address)
--- a/internal/proto/peer/peer.go
+++ b/internal/proto/peer/peer.go
@@ -94,10 +94,12 @@
 	clientTLSFunc func() *tls.Config
 
 	// ctx ends when the transport closes; background counts the goroutines that
-	// then stop: dials, pacers and maintainConns.
+	// then stop: dials, pacers and maintainConns. senders counts those that send datagrams, which stop
+	// once their connections are closed.
 	ctx        context.Context
 	cancel     context.CancelFunc
 	background sync.WaitGroup
+	senders    sync.WaitGroup
 
 	mu     sync.Mutex
 	closed bool
