--- a/internal/proto/peer/datagram.go
+++ b/internal/proto/peer/datagram.go
@@ -90,8 +90,8 @@
 	return nil
 }
 
-// sendDatagrams sends the datagrams that wait on a connection until there is none or the connection has
-// ended. It is counted in senders.
+// sendDatagrams sends the datagrams that wait on a connection until there is none. Those of a connection
+// that has ended are lost. It is counted in senders.
 func (t *Transport) sendDatagrams(c *outgoingConn) {
 	defer t.senders.Done()
 	for {
