--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -33,6 +33,7 @@
 	"reborn":    runReborn,
 	"withdrawn": runWithdrawn,
 	"foreign":   runForeign,
+	"behind":    runBehind,
 }
 
 // The figures of a deployment.
