review: an old claim of the term has a crashed primary passed over (case 11)

The record of a claim that was given up names the primary. If that crashes later, after a replica that alone had its last commits has left, and all VMs are killed within a second, the next claim takes the primary for one that need not be awaited, and promotes a server without what was acknowledged.

--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -34,6 +34,7 @@
 	"withdrawn": runWithdrawn,
 	"foreign":   runForeign,
 	"behind":    runBehind,
+	"former":    runFormer,
 }
 
 // The figures of a deployment.
