--- a/review/stand3/former.go
+++ b/review/stand3/former.go
@@ -12,7 +12,7 @@
 
 const (
 	// formerTries bounds the attempts to have a claim given up.
-	formerTries = 5
+	formerTries = 8
 	// formerReplicaDown is how long the replica is down, formerPrimaryDown how long the primary.
 	formerReplicaDown = 3 * time.Second
 	formerPrimaryDown = 1200 * time.Millisecond
