End a transaction whose caller's key was withdrawn

Cause: admit and resolve look at the key for single statements and at BEGIN. The right to run was taken to hold until COMMIT. Only a change of a route may wait for the next transaction.

Change: each statement of a transaction, and each second of a caller's silence in one, asks whether the key still belongs to the transaction's account. If not, the server rolls back at once. The caller gets UNAUTH in state E, or ABORTED for a COMMIT and for a key that is passed on: a promise that nothing is kept, after which BEGIN is refused with the reason. ROLLBACK is served as ever. The PostgreSQL side checks each batch already.

--- a/internal/serve/session/regions_test.go
+++ b/internal/serve/session/regions_test.go
@@ -60,7 +60,7 @@
 	g.Update([]database.Server{{ID: "p", Group: "g", Region: "x", Slots: 2}, {ID: "q", Group: "g", Region: "y", Slots: 2}})
 	g.MergeView(database.Sender{VM: "vm2", Process: 1}, inner.GroupView{Group: "g", Term: 1, Leader: "p", ProofAge: -1}, nil)
 	r.group = g
-	r.session = &session{caller: Caller{Database: "db", Key: "key"}, options: Options{
+	r.session = &session{settings: map[string]string{}, prepared: map[string]statement.Shape{}, caller: Caller{Database: "db", Key: "key"}, options: Options{
 		Clock: clock.System(), Log: log.New(io.Discard), Counters: NewCounters(), CatalogFunc: func() *catalog.Catalog { return r.catalog },
 		CopyFunc: freshness.New, GroupFunc: func(string) *database.Group { return g }, TakesFunc: func(clock.Millis) bool { return true },
 		AdmitFunc: func(context.Context, catalog.Account, int) bool { return true }, RefundFunc: func(catalog.Account) { r.refunds++ },
--- a/internal/serve/session/session.go
+++ b/internal/serve/session/session.go
@@ -179,9 +179,14 @@
 	return a
 }
 
-// checkIdle rolls back the transaction if its caller has been silent for too long, or
-// if the stop of the VM has gone so far and the transaction is older than stoppingMaxAge.
+// checkIdle rolls back the transaction if its caller has been silent for too long, if the caller's key
+// does not permit it any more, or if the stop of the VM has gone so far and the transaction is older than
+// stoppingMaxAge.
 func (s *session) checkIdle() {
+	if s.txn.conn != nil && s.keyProblem() != statement.Success {
+		s.expireWithdrawn()
+		return
+	}
 	now := s.options.Clock.Now()
 	idleTimeout := s.options.CatalogFunc().IdleInTransactionTimeout
 	pastMaxAge := s.options.ExpiresFunc() && now-s.txn.startedAt > stoppingMaxAge
@@ -194,16 +199,17 @@
 // milliseconds.
 const stoppingMaxAge = clock.Second
 
-// readTimeout returns how long the caller may be silent, in milliseconds; 0 means
-// without limit.
+// readTimeout returns how long to wait for the caller's next statement, in milliseconds, before checkIdle
+// looks at an open transaction; 0 means without limit.
 func (s *session) readTimeout() clock.Millis {
 	if s.txn == nil || s.txn.conn == nil {
 		return 0
 	}
-	if c := s.options.CatalogFunc(); c != nil {
-		return c.IdleInTransactionTimeout
+	c := s.options.CatalogFunc()
+	if c == nil || c.IdleInTransactionTimeout <= 0 {
+		return keyCheckInterval
 	}
-	return 0
+	return min(c.IdleInTransactionTimeout, keyCheckInterval)
 }
 
 // resolve finds the route and the account in the current configuration. It returns the
@@ -263,6 +269,9 @@
 
 // answer serves one statement.
 func (s *session) answer(ctx context.Context, st statement.Statement) statement.Answer {
+	if a, ended := s.endWithdrawn(st); ended {
+		return a
+	}
 	if s.txn != nil && s.txn.failed && st.Kind != statement.Commit && st.Kind != statement.Rollback {
 		return statement.Refuse(statement.Invalid, "the transaction has failed; end it", statement.FailedTransaction)
 	}
--- a/internal/serve/session/transaction.go
+++ b/internal/serve/session/transaction.go
@@ -23,6 +23,8 @@
 	// only be rolled back.
 	written bool
 	failed  bool
+	// withdrawn is set if it has failed because of the caller's key, and the caller does not know it yet.
+	withdrawn bool
 	// startedAt is the time of its BEGIN, usedAt that of the end of its last statement.
 	startedAt clock.Millis
 	usedAt    clock.Millis
