Learn a term that only a claim record has

Cause: acquireClaim gives up with errTermBehind while the record has a later term than the VM knows, and a VM learned terms only from servers and VMs. After the one server of that term was lost and all processes had ended, the refusal had no end.

Evidence: the test on the code before: go test ./internal/serve/database -run TestTermOfClaimIsLearned FAIL, 4 of 4 rows: known term 1, want 2; nothing was promoted, want p

Change: the VM records the term of the record, which was led, since a VM writes only what a server reported. The attempt ends as before; the next one replaces the term unless its primary, or a later term, is reported within LostAfter.

--- a/internal/serve/database/claim.go
+++ b/internal/serve/database/claim.go
@@ -45,7 +45,7 @@
 // errTermAdvanced means that another claim was completed during the attempt.
 var errTermAdvanced = errors.New("the group already has a later term")
 
-// errTermBehind means that a claim for a later term than this VM knows has been written.
+// errTermBehind means that a claim for a later term than this VM knew has been written. The VM knows it now.
 var errTermBehind = errors.New("a later term than the known one has been claimed")
 
 // errPrimaryRecovered means that the primary became usable again before another was
@@ -247,6 +247,7 @@
 		return ErrClaimTaken
 	}
 	if old.Term > a.term {
+		g.learnClaimedTerm(old)
 		return errTermBehind
 	}
 	if a.formerPrimary == "" && old.Term == a.term {
@@ -271,6 +272,23 @@
 	return nil
 }
 
+// learnClaimedTerm records the term of a claim record that no server or VM has reported to this VM. It was in
+// force, since a VM claims only a term that a server reported to it. All that knew it may have ended.
+//
+// The attempt ends. The next one follows when the term has been without a known primary for
+// failover.LostAfter; until then servers and VMs can report its primary, or a later term. The former primary,
+// unless it is listed, counts as one that has just left the directory.
+func (g *Group) learnClaimedTerm(c failover.Claim) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known, _ := g.watch.Leader()
+	g.options.Log.Info("learned a term from the claim record", "group", g.options.Name, "term", c.Term, "known_term", known, "primary", c.Former, "last_holder", c.Holder)
+	g.setWatch(g.watch.WithTerm(c.Term, ""))
+	if _, unlisted := g.unlistedSince[c.Former]; c.Former != "" && g.pools[c.Former] == nil && !unlisted {
+		g.unlistedSince[c.Former] = g.options.Clock.Now()
+	}
+}
+
 // runCommand runs a command of the claimant, unless the claim may belong to another VM once
 // there is a connection to send it on.
 func (a *claimAttempt) runCommand(ctx context.Context, server string, c Command, term floor.Term) (statement.ReplicationStatus, error) {
--- a/internal/serve/database/claim_test.go
+++ b/internal/serve/database/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 
 	"github.com/go-faster/errors"
@@ -9,6 +10,7 @@
 
 	"github.com/sycamoredoor/sycamoredoor/internal/base/clock"
 	"github.com/sycamoredoor/sycamoredoor/internal/core/failover"
+	"github.com/sycamoredoor/sycamoredoor/internal/core/floor"
 )
 
 // TestEarlierTermIsNotClaimed guards against a VM that replaces the primary of a term which another claimant has already replaced.
@@ -44,3 +46,43 @@
 		t.Errorf("replicas sealed (-want +got):\n%s", diff)
 	}
 }
+
+// TestTermOfClaimIsLearned guards against a group that is never served again, because no server or process is left that knows the term of the last claim.
+func TestTermOfClaimIsLearned(t *testing.T) {
+	cases := []struct {
+		name        string
+		needed      floor.Position
+		unreachable string
+		elapsed     clock.Millis
+		want        []string
+	}{
+		{"its primary may come back", 0, "", 0, nil},
+		{"its primary left long ago", 0, "", failover.RemovedAfter, []string{"p"}},
+		{"a replica with its commits may come back", 0, "r", failover.RemovedAfter, nil},
+		{"a commit of it is needed", 9, "", failover.RemovedAfter, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fakeGroup{steppedDown: true, unreachable: map[string]bool{c.unreachable: true}, logEnds: map[string]floor.Position{"p": 5, "q": 4, "r": 4}}
+			g := f.group(t, 4)
+			g.probe(t.Context(), g.pools["p"])
+			claim := failover.Claim{Holder: "vm", Term: 2, Former: "gone", ClaimedAt: 1000}
+			claim = claim.WithNeeded(floor.ReplicationPosition{Term: 1, Position: c.needed})
+			r := &claimRecord{now: 2000, claim: claim, version: 1}
+			r.keepClaims(g)
+			g.attemptClaim(t.Context())
+			if diff := cmp.Diff(floor.Term(2), g.Term()); diff != "" {
+				t.Errorf("known term (-want +got):\n%s", diff)
+			}
+			g.mu.Lock()
+			g.createdAt -= c.elapsed
+			g.unlistedSince["gone"] -= c.elapsed
+			g.mu.Unlock()
+			g.attemptClaim(t.Context())
+			_, promoted := f.claimCommands()
+			if diff := cmp.Diff(c.want, slices.Compact(promoted)); diff != "" {
+				t.Errorf("promoted servers (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
