--- a/internal/serve/database/seal.go
+++ b/internal/serve/database/seal.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 
 	"github.com/go-faster/errors"
@@ -74,7 +76,20 @@
 		}
 		_ = c.Sleep(ctx, sealRetryPause)
 	}
-	return errors.New("not enough servers could be sealed")
+	return errors.Errorf("not enough servers could be sealed; the following accepted no seal: %s", strings.Join(a.unsealedServers(), ", "))
+}
+
+// unsealedServers returns the IDs of the servers that are not sealed, in order, without the former primary,
+// which need not be.
+func (a *claimAttempt) unsealedServers() []string {
+	var out []string
+	for _, s := range a.currentServers(a.group.failoverServers(a.formerPrimary)) {
+		if !s.Sealed && !s.FormerPrimary {
+			out = append(out, s.ID)
+		}
+	}
+	slices.Sort(out)
+	return out
 }
 
 // startSeals sends a command to each of the servers that is not sealed, and returns what
