Do not count a lost primary's departure as that of a replica

Cause: the entry of any server that goes counts as the departure of one that may have had commits alone, and what was acknowledged with it is not known until the primary's log is seen again. The primary's own entry counted, too, and its log is not seen again.

Change: the departure, or new start, of the primary itself is none. A commit that only servers which left had besides the primary is covered by what its log had reached.

Evidence: the test on the code before: go test ./internal/serve/database -run PrimaryLeavesDuringChange FAIL: promoted servers: none, want q

--- a/internal/serve/database/group.go
+++ b/internal/serve/database/group.go
@@ -214,7 +214,7 @@
 			closing = append(closing, p)
 			p = nil
 			g.forgetPositionsLocked(s.ID)
-			g.watch = g.watch.WithServerDeparture(g.options.Clock.Now())
+			g.recordDepartureLocked(s.ID)
 		}
 		if p == nil {
 			g.pools[s.ID] = newPool(g, s)
@@ -252,13 +252,23 @@
 		delete(g.pools, id)
 		g.forgetPositionsLocked(id)
 		g.unlistedSince[id] = g.options.Clock.Now()
-		g.watch = g.watch.WithUnlisted(id).WithServerDeparture(g.options.Clock.Now())
+		g.watch = g.watch.WithUnlisted(id)
+		g.recordDepartureLocked(id)
 		removed = append(removed, p)
 		g.options.Log.Info("backend server unlisted", "group", g.options.Name, "server", id)
 	}
 	return removed
 }
 
+// recordDepartureLocked records that a server has left the group or started anew, unless it is the primary: a
+// commit of the present term that only servers which have left had besides the primary is covered by
+// what the primary's log had reached before. The caller holds g.mu.
+func (g *Group) recordDepartureLocked(server string) {
+	if _, leader := g.watch.Leader(); server != leader {
+		g.watch = g.watch.WithServerDeparture(g.options.Clock.Now())
+	}
+}
+
 // recordBornLocked records the start of a listed server. The caller holds g.mu.
 func (g *Group) recordBornLocked(s Server) {
 	if old, known := g.born[s.ID]; known && old != s.Born {
--- a/internal/serve/database/needed_test.go
+++ b/internal/serve/database/needed_test.go
@@ -90,3 +90,21 @@
 		})
 	}
 }
+
+// TestPrimaryLeavesDuringChange guards against a lost primary that is awaited after it has left the directory, because its own departure counts as that of a replica with commits.
+func TestPrimaryLeavesDuringChange(t *testing.T) {
+	f := &fakeGroup{claimable: true, logEnds: map[string]floor.Position{"p": 4, "q": 4, "r": 4}}
+	g := f.group(t, 4)
+	f.awaitSample(g)
+	// Another VM is not heard, so that what the VMs have acknowledged is not known.
+	g.options.ExpectedVMCountFunc = func() int { return 2 }
+	f.mu.Lock()
+	f.unreachable = map[string]bool{"p": true}
+	f.mu.Unlock()
+	g.Update([]Server{{ID: "q", Group: "g", Slots: 2}, {ID: "r", Group: "g", Slots: 2}})
+	g.attemptClaim(t.Context())
+	_, promoted := f.claimCommands()
+	if diff := cmp.Diff([]string{"q"}, promoted); diff != "" {
+		t.Errorf("promoted servers (-want +got):\n%s", diff)
+	}
+}
