--- a/internal/core/failover/failover.go
+++ b/internal/core/failover/failover.go
@@ -298,9 +298,9 @@
 	// LastHolder is the VM that held the claim when this VM last read or wrote the claim
 	// record, or "" if it had no holder or was never read.
 	LastHolder string
-	// LogUnknown is set if this VM knows the primary only from others, and no position of its log
-	// that covers what was acknowledged with the help of servers that have left. It may have to wait
-	// for the primary, where a VM that knows one replaces it.
+	// LogUnknown is set if this VM knows the primary, but no position of its log that covers every commit
+	// acknowledged with the help of servers that have left. Its attempt may have to await the
+	// primary; that of a VM that knows such a position need not.
 	LogUnknown bool
 }
 
--- a/internal/serve/database/needed_test.go
+++ b/internal/serve/database/needed_test.go
@@ -96,7 +96,7 @@
 	f := &fakeGroup{claimable: true, logEnds: map[string]floor.Position{"p": 4, "q": 4, "r": 4}}
 	g := f.group(t, 4)
 	f.awaitSample(g)
-	// Another VM is not heard, so that what the VMs have acknowledged is not known.
+	// No message of another VM arrives, so that its acknowledged commits are not known.
 	g.options.ExpectedVMCountFunc = func() int { return 2 }
 	f.mu.Lock()
 	f.unreachable = map[string]bool{"p": true}
--- a/internal/serve/session/withdrawn.go
+++ b/internal/serve/session/withdrawn.go
@@ -36,7 +36,7 @@
 }
 
 // expireWithdrawn rolls back the transaction of a silent caller whose key does not permit it any more. The
-// answer to the caller's next statement tells why.
+// answer to the caller's next statement has the reason.
 func (s *session) expireWithdrawn() {
 	s.options.Counters.expired.Inc()
 	s.options.Log.Info("transaction rolled back because of the caller's key", append([]any{"id", s.txn.begin.ID, "database", s.route.Database, "account", s.account.Name}, s.configurationFields()...)...)
@@ -45,9 +45,9 @@
 }
 
 // endWithdrawn rolls back the open transaction if the caller's key does not permit it any more, and returns
-// the answer to its next statement. A ROLLBACK is served as usual. The answer to a COMMIT is Aborted, which
-// tells the caller that nothing is kept; a new transaction is then refused with the reason. After Denied, the
-// transaction can only be ended, and a caller has no reason to repeat it.
+// the answer to the statement st. A ROLLBACK is served as usual. A COMMIT is answered with Aborted, which,
+// unlike Denied, guarantees that nothing is kept. Any other statement is answered with the code of
+// keyProblem, and the caller must still end the transaction.
 func (s *session) endWithdrawn(st statement.Statement) (statement.Answer, bool) {
 	if s.txn == nil || s.txn.failed && !s.txn.withdrawn || st.Kind == statement.Rollback {
 		return statement.Answer{}, false
