Say truly why a transaction on a public route ends

Cause: after a key is withdrawn on a route that needs none, the transaction ends since it runs for the key's account, but the refusal said that the key belongs to another account. Found in reading the diff.

Change: the text holds for both cases. No code or decision changes.

Result: the tests of serve/session pass.

--- a/internal/serve/session/withdrawn.go
+++ b/internal/serve/session/withdrawn.go
@@ -12,8 +12,9 @@
 const (
 	// withdrawnDetail is the detail of a refusal after the caller's key has been withdrawn.
 	withdrawnDetail = "the key is not known any more"
-	// reassignedDetail is that of a refusal after the key has been passed on.
-	reassignedDetail = "the key belongs to another account"
+	// reassignedDetail is that of a refusal after the key has been passed on, or withdrawn on a route that
+	// needs none.
+	reassignedDetail = "the key no longer belongs to the account of the transaction"
 )
 
 // keyProblem reports whether the configuration in force still permits the open transaction, which runs for
