Test the reason that a caller gets when its key ends a transaction

Result: passes with -race. With the text of before: go test ./internal/serve/session -run KeyWithdrawn FAIL a_withdrawn_key_on_a_public_route: first detail "the key belongs to another account; the transaction is rolled back"

--- a/internal/serve/session/withdrawn_test.go
+++ b/internal/serve/session/withdrawn_test.go
@@ -17,13 +17,13 @@
 	"WRITE": statement.Write, "PREPARE": statement.Prepare, "EXECUTE": statement.Execute,
 }
 
-// runText runs a statement and returns the code and the state of the answer.
-func (r *regionalSession) runText(t *testing.T, text string) string {
+// runText runs a statement and returns the code and the state of the answer, and its detail.
+func (r *regionalSession) runText(t *testing.T, text string) (string, string) {
 	t.Helper()
 	verb, _, _ := strings.Cut(text, " ")
 	a := r.answer(t.Context(), statement.Statement{ID: "i", Kind: kinds[verb], Text: text, Name: "p", Shape: statement.Shape{Text: "q", IsWrite: true}})
 	states := map[statement.Status]string{statement.Idle: "idle", statement.InTransaction: "transaction", statement.FailedTransaction: "failed"}
-	return a.Code.String() + ", " + states[a.Status]
+	return a.Code.String() + ", " + states[a.Status], a.Detail
 }
 
 // keyCatalog returns a version in which the key belongs to an account, or to none if owner is empty.
@@ -47,6 +47,7 @@
 		After   []string `yaml:"after"`
 		Answers []string `yaml:"answers"`
 		Sent    []string `yaml:"sent"`
+		Detail  string   `yaml:"detail"`
 	}
 	scripted.Read(t, "testdata/withdrawn.yaml", &scripts)
 	for _, script := range scripts {
@@ -60,9 +61,13 @@
 				r.options.ExpiresFunc = func() bool { return false }
 				r.checkIdle()
 			}
-			var answers []string
+			var answers, details []string
 			for _, text := range script.After {
-				answers = append(answers, r.runText(t, text))
+				answer, detail := r.runText(t, text)
+				answers, details = append(answers, answer), append(details, detail)
+			}
+			if script.Detail != "" && details[0] != script.Detail+rolledBack {
+				t.Errorf("first detail %q, want %q", details[0], script.Detail+rolledBack)
 			}
 			if diff := cmp.Diff(script.Answers, answers); diff != "" {
 				t.Errorf("answers (-want +got):\n%s", diff)
